--- /dev/null
+++ b/router/types.go
@@ -0,0 +1,254 @@
+// Package router decides which command runs when, on which engine and with how much memory. This file is its
+// interface: what a controller knows at start, what it is told, and what it orders. All times are milliseconds.
+package router
+
+// Ids are distinct types so that one can't stand where another is meant.
+type (
+	CommandID  uint32
+	EngineID   string
+	OrderKey   string // empty: the command belongs to no order
+	Zone       string
+	CellID     int
+	KindID     int // place in the list of machine kinds given at start; -1: a kind not listed there
+	ProfileID  int // place in the list of profiles given at start
+	TenantID   int // place in the list of tenants given at start; -1: none
+	TableGroup int64
+	SendID     int // number of a send within its command, from 0
+)
+
+// Effect says what a second run of a command would do.
+type Effect int
+
+const (
+	Replayable    Effect = iota // may run again
+	Uniqued                     // a repeat is dropped by engines of the same scope, for a while
+	NonReplayable               // must never run twice
+)
+
+// Scope is the group of engines that drop a uniqued command's repeats.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Profile is what is stated of one profile of command.
+type Profile struct {
+	Effect        Effect
+	Scope         Scope
+	RepeatWindow  float64
+	InOrder       bool
+	Kinds         []KindID // nil: any
+	Zones         []Zone   // nil: any
+	Target        float64  // latency target, before the part that grows with the work
+	TargetStretch float64  // added to the latency target for each millisecond of work over threads
+	Timeout       float64  // client timeout
+	Benefit       float64
+	LateShare     float64 // share of the benefit left after the latency target
+	Threads       float64
+	HoldsTables   bool // it holds its table group on its engine while it runs
+	Waits         bool // it stands still while its table group is held on its engine
+}
+
+// Kind is a machine kind.
+type Kind struct{ Cores, MemoryMB float64 }
+
+// Tenant is one that shares the fleet; PerSecond is its share, over all controllers (0: unstated).
+type Tenant struct{ PerSecond float64 }
+
+// Place is a controller's own position.
+type Place struct {
+	Controllers int
+	Zone        Zone
+}
+
+// Allowed says what the deployment lets a controller do.
+type Allowed struct {
+	Cancel, Probes, SecondCopies, RetryAfter, Grants, Priorities bool
+
+	MaxSends      int
+	MaxRetryAfter float64
+	GrantCap      float64 // share of an engine's memory that one command gets at most
+	MustAsk       bool    // the list comes only when asked for
+}
+
+// Guards are the figures of the rules.
+type Guards struct {
+	Round        float64 // events come at most this often
+	ColdShare    float64 // share of its capacity that an engine starts with, at the least
+	ColdTime     float64 // by then it is warm
+	ColdMultiple float64 // sent more than this multiple of its capacity
+	ColdWindow   float64 // for this long, a cold engine falls over
+	OrderRest    float64 // a key's rest after a doubtful outcome
+	Budgeted     bool    // sends after the first are rationed:
+	ResendFree   float64 // so many, and
+	ResendShare  float64 // so many for each command taken
+	ResendWindow float64 // within this long
+	AskWithin    float64 // where MustAsk: how old the last question may grow
+	OverShare    float64 // what is left of the benefit of a tenant's commands past its share
+}
+
+// Outcome is how a send ended.
+type Outcome int
+
+const (
+	Answered Outcome = iota
+	Errored
+	Full
+	TimedOut
+	Refused
+	Reset
+	Cancelled
+	NotSent
+)
+
+// NeverRan reports whether the outcome proves that the send had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == Refused || o == NotSent }
+
+// Load is an engine's report; a negative value is one that the report does not hold.
+type Load struct {
+	Inflight, Util, Memory, Disk float64
+}
+
+// State is an engine's state in the list.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Entry is one engine of a list.
+type Entry struct {
+	Engine EngineID
+	State  State
+	Zone   Zone
+	Kind   KindID
+	Cell   CellID
+	Since  float64 // when it last started; 0: long ago
+}
+
+// Event is one of the types below that ends in the method event.
+type Event interface{ event() }
+
+type (
+	// Listed is news of the engine list.
+	Listed struct {
+		Whole   bool // what is absent has left
+		Cached  bool // the list as last had before this start
+		Failed  bool // the question failed or the subscription broke; the old list stands
+		Entries []Entry
+	}
+	// Arrived is a command taken from a client.
+	Arrived struct {
+		ID       CommandID
+		Tenant   TenantID
+		Profile  ProfileID
+		Tables   TableGroup
+		Key      OrderKey
+		Left     float64 // until the client gives up
+		Estimate float64 // of its work on one thread; 0: none
+		NeedMB   float64 // estimated memory; 0: none
+	}
+	// Began is the first part of a streamed answer.
+	Began struct {
+		ID   CommandID
+		Send SendID
+	}
+	// Noted is word of a send that is out.
+	Noted struct {
+		ID    CommandID
+		Send  SendID
+		What  NoteKind
+		Level float64
+	}
+	// Ended is a send's outcome; Over is set once its command is finished.
+	Ended struct {
+		ID      CommandID
+		Send    SendID
+		Outcome Outcome
+		Over    bool
+		Took    float64
+		Work    float64 // with Answered: true work on one thread; 0: not told
+		NeedMB  float64 // with Answered: true memory; 0: not told
+		Load    *Load
+	}
+	// Left says that the client has gone.
+	Left struct{ ID CommandID }
+	// Probed is what a probe found.
+	Probed struct {
+		Engine  EngineID
+		Outcome Outcome
+		Load    *Load
+	}
+	// Woke says that the time of a Wake has come.
+	Woke struct{}
+)
+
+// NoteKind is what a note tells.
+type NoteKind int
+
+const (
+	NoteProgress NoteKind = iota // Level: share done
+	NoteSpills                   // Level: megabytes missing
+	NoteWaitsMemory
+	NoteWaitsTables
+	NoteOther
+)
+
+func (Listed) event()  {}
+func (Arrived) event() {}
+func (Began) event()   {}
+func (Noted) event()   {}
+func (Ended) event()   {}
+func (Left) event()    {}
+func (Probed) event()  {}
+func (Woke) event()    {}
+
+// Action is one of the types below that ends in the method action.
+type Action interface{ action() }
+
+type (
+	// Send starts a send; Until is when to drop it.
+	Send struct {
+		ID     CommandID
+		Engine EngineID
+		Until  float64
+	}
+	// Terms sets a command's priority, also for what is out, and the memory of its next send (0: the engine's choice).
+	Terms struct {
+		ID       CommandID
+		Priority int
+		GrantMB  float64
+	}
+	// Cancel stops waiting for a send.
+	Cancel struct {
+		ID   CommandID
+		Send SendID
+	}
+	// Shed is the final answer that tells the client to feel free to try again, after a while if After is above 0.
+	Shed struct {
+		ID    CommandID
+		After float64
+	}
+	// Fail is the final answer without a promise.
+	Fail struct{ ID CommandID }
+	// Wake asks for a Woke event.
+	Wake struct{ After float64 }
+	// Probe asks an engine for its load.
+	Probe struct{ Engine EngineID }
+	// Subscribe asks for news of the list.
+	Subscribe struct{}
+)
+
+func (Send) action()      {}
+func (Terms) action()     {}
+func (Cancel) action()    {}
+func (Shed) action()      {}
+func (Fail) action()      {}
+func (Wake) action()      {}
+func (Probe) action()     {}
+func (Subscribe) action() {}
