--- /dev/null
+++ b/router/state.go
@@ -0,0 +1,378 @@
+package router
+
+import (
+	"cmp"
+	"container/heap"
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+// This file holds what a controller remembers and the bookkeeping that keeps it whole. It decides nothing.
+
+// decay is a pair of sums that halve every life milliseconds, brought up to date when read.
+type decay struct{ life, at, sum, n float64 }
+
+func (d *decay) fade(now float64) {
+	if now > d.at {
+		f := math.Exp2((d.at - now) / d.life)
+		d.sum, d.n, d.at = d.sum*f, d.n*f, now
+	}
+}
+
+func (d *decay) add(now, x, n float64) { d.fade(now); d.sum += x; d.n += n }
+
+// mean leans on a prior that counts as much as weight of what was added.
+func (d *decay) mean(now, prior, weight float64) float64 {
+	d.fade(now)
+	if d.n+weight < 1e-9 {
+		return prior
+	}
+	return (d.sum + prior*weight) / (d.n + weight)
+}
+
+// rate is what was added for each millisecond, over about the last life.
+func (d *decay) rate(now float64) float64 { d.fade(now); return d.sum * math.Ln2 / d.life }
+
+// stamps are amounts at times within a sliding window.
+type stamps struct {
+	at, amount []float64
+	total      float64
+}
+
+func (s *stamps) add(at, amount float64) {
+	s.at, s.amount, s.total = append(s.at, at), append(s.amount, amount), s.total+amount
+}
+
+// since is the sum of what came at from or later; what came before is dropped.
+func (s *stamps) since(from float64) float64 {
+	for len(s.at) > 0 && s.at[0] < from {
+		s.total -= s.amount[0]
+		s.at, s.amount = s.at[1:], s.amount[1:]
+	}
+	if len(s.at) == 0 {
+		s.total = 0
+	}
+	return s.total
+}
+
+type ending int
+
+const (
+	open ending = iota
+	shed
+	failed
+)
+
+// attempt is one send of a command.
+type attempt struct {
+	engine         *engine
+	at             float64
+	out, cancelled bool
+	mem            float64
+}
+
+// command is one that is owed an answer, or has a send without an outcome. The want fields are the wanted state:
+// emit alone compares them with the rest.
+type command struct {
+	id               CommandID
+	profile          *profile
+	tables           *tableGroup
+	tenant           TenantID
+	overShare        bool
+	key              OrderKey
+	arrived, timeout float64
+	estimate, need   float64
+	sends            []attempt
+	out              int
+	over, begun      bool
+	doubtAt          float64 // when the first send left that may have run; 0: none did
+	doubt            *engine // where it went
+	priority         int     // as last told
+	grant            float64 // as last told
+
+	wantEngine   *engine
+	wantEnd      ending
+	wantCancel   bool
+	wantPriority int
+	wantGrant    float64
+	touched      bool
+}
+
+// profile is what is stated of a profile, with what was learned of it.
+type profile struct {
+	Profile
+	best      float64 // least mean, lately, of the time taken over the unit: how it runs alone
+	unit      decay   // time taken over the unit
+	work      decay   // what a command needs on one thread
+	workScale decay   // true work over estimate
+	needScale decay   // true memory over estimate
+}
+
+// line is the queue of one order key; rest is when its next command may start after a doubtful outcome.
+type line struct {
+	cmds []*command
+	rest float64
+}
+
+// engine is one of the list, or one that left it with sends still out.
+type engine struct {
+	id           EngineID
+	state        State
+	zone         Zone
+	kind         KindID
+	cell         CellID
+	since        float64
+	cores, memMB float64
+	out          int     // own sends out
+	threads, mem float64 // of these
+	loads        map[*tableGroup]int
+	others       decay // commands of other controllers, by its reports
+	util, disk   decay
+	granted      float64 // share of memory, by the last report; negative: not told
+	reportAt     float64
+	slow         decay  // time taken over the time alone
+	outcomes     uint64 // the last outcomes, a bit each, 1 for success
+	retryAt      float64
+	retryWait    float64
+	probing      bool
+	probeAt      float64
+	width        float64 // threads a core that all controllers together may run here, by what this one sees
+	cutAt        float64
+	coldSent     stamps
+}
+
+// tableGroup is a group of tables with its learned demand.
+type tableGroup struct {
+	id     TableGroup
+	demand decay    // work asked for
+	held   decay    // memory times time, of this controller's sends
+	homes  []*owner // by kind
+}
+
+// owner is a pack, or several packs that share as merged, with the engines of one kind that it owns.
+type owner struct {
+	packs   [][]*tableGroup
+	engines []*engine
+}
+
+func (o *owner) groups() []*tableGroup { return slices.Concat(o.packs...) }
+
+// alarm is a time at which a command must be looked at.
+type alarm struct {
+	at  float64
+	cmd *command
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(a[i].at, a[j].at), cmp.Compare(a[i].cmd.id, a[j].cmd.id)) < 0
+}
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)   { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// Router is the decision module of one controller.
+type Router struct {
+	rng         *rand.Rand
+	controllers float64
+	kinds       []Kind
+	profiles    []*profile
+	tenants     []*tenant
+	allowed     Allowed
+	guards      Guards
+
+	now, born, firstAt float64
+	cmds               map[CommandID]*command
+	held               []*command // by client timeout
+	lines              map[OrderKey]*line
+	resting            []OrderKey // of empty lines that may not be forgotten yet
+	resends, taken     stamps
+	engines            map[EngineID]*engine
+	order              []*engine // by id
+	share              decay     // own commands over all, by reports
+	tables             map[TableGroup]*tableGroup
+	groups             []*tableGroup // by id
+	owners             [][]*owner    // by kind
+	dense              *profile      // most benefit for its work
+	touched            []*command
+	alarms             alarms
+	subscribed         bool
+	askAt, tendAt      float64
+	moveAt, packAt     float64
+	wakeAt             float64
+}
+
+// tenant is one that shares the fleet, with what it has left of its share here.
+type tenant struct {
+	perSecond  float64
+	credit, at float64
+}
+
+// New makes the module of a controller that has just started.
+func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
+	guards Guards) *Router {
+	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)), kinds: kinds,
+		allowed: allowed, guards: guards, born: -1, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
+		engines: map[EngineID]*engine{}, tables: map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
+	for _, p := range profiles {
+		r.profiles = append(r.profiles, &profile{Profile: p})
+	}
+	for _, t := range tenants {
+		r.tenants = append(r.tenants, &tenant{perSecond: t.PerSecond})
+	}
+	r.begin()
+	return r
+}
+
+// touch lets emit look at c.
+func (r *Router) touch(c *command) {
+	if !c.touched {
+		c.touched = true
+		r.touched = append(r.touched, c)
+	}
+}
+
+// insert keeps list ordered by compare, which must tell all its members apart.
+func insert[T any](list []T, x T, compare func(a, b T) int) []T {
+	at, _ := slices.BinarySearchFunc(list, x, compare)
+	return slices.Insert(list, at, x)
+}
+
+func byEngine(a, b *engine) int    { return cmp.Compare(a.id, b.id) }
+func byGroup(a, b *tableGroup) int { return cmp.Compare(a.id, b.id) }
+func byTimeout(a, b *command) int {
+	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
+}
+
+// take files a new command, in the line of its key if it has one.
+func (r *Router) take(c *command) {
+	r.cmds[c.id] = c
+	if r.firstAt == 0 {
+		r.firstAt = r.now
+	}
+	if r.guards.Budgeted {
+		r.taken.add(r.now, 1)
+	}
+	if c.profile.InOrder && c.key != "" {
+		if r.lines[c.key] == nil {
+			r.lines[c.key] = &line{}
+		}
+		r.lines[c.key].cmds = append(r.lines[c.key].cmds, c)
+	}
+}
+
+// lineOf is the line that c stands in; nil if it keeps no order.
+func (r *Router) lineOf(c *command) *line {
+	if !c.profile.InOrder || c.key == "" {
+		return nil
+	}
+	return r.lines[c.key]
+}
+
+// book counts a send of c on e as out, so that the next choice of the same step sees it.
+func (r *Router) book(c *command, e *engine, mem, work float64) {
+	if len(c.sends) > 0 && r.guards.Budgeted {
+		r.resends.add(r.now, 1)
+	}
+	c.sends = append(c.sends, attempt{engine: e, at: r.now, out: true, mem: mem})
+	c.out, e.out = c.out+1, e.out+1
+	e.threads, e.mem = e.threads+c.profile.Threads, e.mem+mem
+	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
+		e.coldSent.add(r.now, work)
+	}
+	if c.profile.HoldsTables {
+		e.loads[c.tables]++
+	}
+	c.wantEngine = e
+	r.touch(c)
+}
+
+// unbook takes in that a send has its outcome.
+func (r *Router) unbook(c *command, s *attempt) {
+	e := s.engine
+	s.out = false
+	c.out, e.out = c.out-1, e.out-1
+	e.threads, e.mem = e.threads-c.profile.Threads, e.mem-s.mem
+	if e.out == 0 {
+		e.threads, e.mem = 0, 0
+	}
+	if c.profile.HoldsTables {
+		if e.loads[c.tables]--; e.loads[c.tables] == 0 {
+			delete(e.loads, c.tables)
+		}
+	}
+	r.touch(c)
+}
+
+// forget drops a command that no rule needs any more; a line that still rests is kept until it has.
+func (r *Router) forget(c *command) {
+	delete(r.cmds, c.id)
+	if l := r.lineOf(c); l != nil {
+		l.cmds = slices.DeleteFunc(l.cmds, func(o *command) bool { return o == c })
+		if len(l.cmds) == 0 {
+			r.resting = append(r.resting, c.key)
+		}
+	}
+}
+
+// forgetLines drops empty lines that have rested.
+func (r *Router) forgetLines() {
+	r.resting = slices.DeleteFunc(r.resting, func(key OrderKey) bool {
+		l := r.lines[key]
+		if l != nil && len(l.cmds) == 0 && r.now >= l.rest {
+			delete(r.lines, key)
+		}
+		return l == nil || len(l.cmds) > 0 || r.now >= l.rest
+	})
+}
+
+// forgetEngines drops engines that left the list and owe no outcome.
+func (r *Router) forgetEngines() {
+	r.order = slices.DeleteFunc(r.order, func(e *engine) bool {
+		done := e.state == Gone && e.out == 0 && !e.probing
+		if done {
+			delete(r.engines, e.id)
+		}
+		return done
+	})
+}
+
+// setAlarm has c looked at when its time has come.
+func (r *Router) setAlarm(at float64, c *command) { heap.Push(&r.alarms, alarm{at, c}) }
+
+// due is the next command whose time has come, or nil.
+func (r *Router) due() *command {
+	if len(r.alarms) == 0 || r.alarms[0].at > r.now {
+		return nil
+	}
+	return heap.Pop(&r.alarms).(alarm).cmd
+}
+
+// ready is the engines of a kind that the list calls ready, by id.
+func (r *Router) ready(k int) (list []*engine) {
+	for _, e := range r.order {
+		if e.state == Ready && int(e.kind) == k {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
+func likes(g *tableGroup, e *engine) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(e.id))
+	x := h.Sum64() ^ uint64(g.id)*0x9e3779b97f4a7c15
+	x ^= x >> 31
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 29
+	return float64(x>>11) / (1 << 53)
+}
