--- a/router/router.go
+++ b/router/router.go
@@ -24,7 +24,7 @@
 func (r *Router) begin() {
 	r.share.life = 5000
 	for _, p := range r.profiles {
-		p.unit.life, p.work.life, p.workScale.life, p.needScale.life = 3000, 20000, 30000, 30000
+		p.unit.life, p.work.life, p.workScale.life, p.needScale.life = 10000, 20000, 30000, 30000
 	}
 }
 
@@ -477,8 +477,8 @@
 // Thread bound.
 
 const (
-	startWidth = 1.0 // threads a core
-	leastWidth = 0.25
+	startWidth = 2.0 // threads a core
+	leastWidth = 1.5
 	mostWidth  = 2.5
 	nearBest   = 1.8 // time taken over time alone up to which the bound widens
 	farFrom    = 3.0 // from which it is cut
@@ -486,7 +486,7 @@
 	cutBy      = 0.85
 	cutEvery   = 400.0  // ms
 	bestDrift  = 1.0005 // for each answer: a fleet that has grown slower is not held to its past for ever
-	bestOver   = 8.0    // answers that a best time must rest on
+	bestOver   = 25.0   // answers that a best time must rest on
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
@@ -536,7 +536,7 @@
 	if !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
-	return e.out == 0 || e.granted <= memFull && e.threads+c.profile.Threads <= fill*r.bound(e) &&
+	return e.out == 0 || e.granted <= memFull && e.threads <= fill*r.bound(e) &&
 		e.mem+r.needOf(c) <= e.memMB*r.portion()*fill
 }
 
