--- a/router/router.go
+++ b/router/router.go
@@ -167,7 +167,8 @@
 		named[entry.Engine] = true
 		e := r.engines[entry.Engine]
 		if e == nil {
-			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, probeAt: r.now + probePace*r.rng.Float64()}
+			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldAt: map[*tableGroup]float64{},
+				probeAt: r.now + probePace*r.rng.Float64()}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 		}
 		if e.outcomes == 0 && e.width == 0 || entry.Since > e.since {
@@ -522,12 +523,13 @@
 // Release, choice and spill.
 
 const (
-	roomy     = 0.75 // filled up to this share of its bound an engine takes what others can't
-	memFull   = 0.97 // granted share of memory from which an engine takes nothing more
-	leaning   = 0.3  // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable = 1.5  // the same, for a load of this controller that holds the command's tables there
-	scanMost  = 100  // held commands that one step tries
-	grantOver = 1.15 // grant over need: what is short spills, what is over is lost to others
+	roomy     = 0.75   // filled up to this share of its bound an engine takes what others can't
+	memFull   = 0.97   // granted share of memory from which an engine takes nothing more
+	leaning   = 0.3    // what a table group's fixed leaning to an engine weighs, in threads a core
+	heldTable = 1.5    // the same, for a load that holds the command's tables there
+	heldFor   = 1500.0 // ms for which a note that a load holds them counts
+	scanMost  = 100    // held commands that one step tries
+	grantOver = 1.15   // grant over need: what is short spills, what is over is lost to others
 )
 
 // hasRoom is the thread bound and the memory of an engine, filled up to the given share. One command may always run
@@ -550,13 +552,14 @@
 		x += 0.5 * r.load(e)
 	}
 	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
-	lean := likes(c.tables, e)
-	if c.profile.HoldsTables { // loads lean the other way, so that who waits on them finds an engine free
-		lean = 1 - lean
-	} else if c.profile.Waits && e.loads[c.tables] > 0 {
-		x += heldTable
+	if p := c.profile; p.HoldsTables || p.Waits { // who would stand still behind a load finds another engine
+		held := float64(e.loads[c.tables])
+		if held == 0 && r.now-e.heldAt[c.tables] < heldFor {
+			held = 1
+		}
+		x += heldTable * held
 	}
-	return x + leaning*(1-lean)
+	return x + leaning*(1-likes(c.tables, e))
 }
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
@@ -712,10 +715,16 @@
 // thrown away on a command that is truly large, so it acts only where an estimate says that it is not.
 func (r *Router) noted(ev Noted) {
 	c := r.cmds[ev.ID]
-	if c == nil || int(ev.Send) >= len(c.sends) || c.over || ev.What != NoteProgress || c.estimate <= 0 {
+	if c == nil || int(ev.Send) >= len(c.sends) {
 		return
 	}
 	s := c.sends[ev.Send]
+	if ev.What == NoteWaitsTables {
+		s.engine.heldAt[c.tables] = r.now
+	}
+	if c.over || ev.What != NoteProgress || c.estimate <= 0 {
+		return
+	}
 	passed := r.now - s.at
 	total := passed / max(ev.Level, 0.01)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
--- a/router/state.go
+++ b/router/state.go
@@ -125,10 +125,11 @@
 	cell         CellID
 	since        float64
 	cores, memMB float64
-	out          int     // own sends out
-	threads, mem float64 // of these
-	loads        map[*tableGroup]int
-	others       decay // commands of other controllers, by its reports
+	out          int                     // own sends out
+	threads, mem float64                 // of these
+	loads        map[*tableGroup]int     // own loads out, by what they hold
+	heldAt       map[*tableGroup]float64 // when a note last told that a load holds them
+	others       decay                   // commands of other controllers, by its reports
 	util, disk   decay
 	granted      float64 // share of memory, by the last report; negative: not told
 	reportAt     float64
