--- a/router/router.go
+++ b/router/router.go
@@ -22,7 +22,7 @@
 
 // begin sets what a start leaves to be learned, each over its own time.
 func (r *Router) begin() {
-	r.share.life = 5000
+	r.share.life, r.sizeCap = 5000, mostSize
 	for _, p := range r.profiles {
 		p.unit.life, p.work.life, p.workScale.life, p.needScale.life = 10000, 20000, 30000, 30000
 	}
@@ -593,7 +593,10 @@
 		if c.over || c.wantEnd != open || tried >= scanMost {
 			return c.over || c.wantEnd != open
 		}
-		tried++
+		if tried++; r.tooLarge(c) {
+			r.end(c)
+			return true
+		}
 		e := r.choose(c)
 		if e == nil {
 			return false
@@ -624,8 +627,12 @@
 // Resend, cancel, shed.
 
 const (
-	badPlan    = 4.0 // times the time it should take here, from which a plan counts as bad
-	badPlanGap = 1.5 // and its rest must be this many times what a new try would take
+	badPlan    = 4.0  // times the time it should take here, from which a plan counts as bad
+	badPlanGap = 1.5  // and its rest must be this many times what a new try would take
+	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
+	leastSize  = 2.0  // and this when engines are short
+	sizeCut    = 0.9
+	sizeGrow   = 1.005
 	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its latency target
 )
 
@@ -639,6 +646,22 @@
 	return min(c.arrived+p.Target+(p.TargetStretch-1)*alone, r.endBy(c)-alone)
 }
 
+// scarce takes in that a command missed its latency target for want of engines.
+func (r *Router) scarce() {
+	if r.now-r.scarceAt >= tendEvery {
+		r.scarceAt, r.sizeCap = r.now, max(leastSize, r.sizeCap*sizeCut)
+	}
+}
+
+// tooLarge tells whether c asks for more than its benefit is worth now: while commands miss their latency targets, the
+// largest of each profile, by estimate, make room for several others each. Against overload and costs that swing.
+// Harm: after a short jam a few large commands are shed that could have run.
+func (r *Router) tooLarge(c *command) bool {
+	p := c.profile
+	return c.estimate > 0 && len(c.sends) == 0 && (r.now > r.endBy(c)-p.alone(c, r.now) ||
+		p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now))
+}
+
 // end gives c its final answer at once: it is never parked to keep its client from asking again.
 func (r *Router) end(c *command) {
 	if c.over || c.begun || c.wantEnd != open {
@@ -692,6 +715,9 @@
 	switch ev.Outcome {
 	case Answered:
 		s.engine.judge(r.now, true)
+		if r.now > c.arrived+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now) {
+			r.scarce()
+		}
 		r.learn(c, s.engine, ev)
 	case Full: // it is up and holds all that it can: less of it is the cure, not a rest
 		s.engine.width = max(leastWidth, s.engine.width*cutBy)
@@ -785,8 +811,10 @@
 // tend is what goes by time and not by event: it gives up held commands, keeps the period and asks for news.
 func (r *Router) tend() (asked []Action) {
 	r.tendAt = r.now + tendEvery
+	r.sizeCap = min(mostSize, r.sizeCap*sizeGrow)
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
+			r.scarce()
 			r.end(c)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -209,6 +209,7 @@
 	askAt, tendAt      float64
 	moveAt, packAt     float64
 	wakeAt             float64
+	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile
 }
 
 // tenant is one that shares the fleet, with what it has left of its share here.
