--- a/router/router.go
+++ b/router/router.go
@@ -75,10 +75,6 @@
 		p.Effect == Uniqued && r.now > c.doubtAt+p.RepeatWindow-netSlack)
 }
 
-func sameScope(s Scope, a, b *engine) bool {
-	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
-}
-
 // budgetAllows counts resends over a little longer, and commands taken over a little less, than the stated window.
 func (r *Router) budgetAllows() bool {
 	g := r.guards
@@ -118,6 +114,7 @@
 	reportStale = 4000.0 // ms after which a report no longer counts
 	probePace   = 400.0  // ms between probes of an engine by all controllers together
 	probeMost   = 1000.0 // ms between probes of an engine by one controller, at most
+	askAgain    = 1000.0 // ms, and up to as much again
 	spareCores  = 8.0    // taken for a kind that the settings don't name
 )
 
@@ -156,57 +153,20 @@
 	return g.ColdShare + (1-g.ColdShare)*max(0, r.now-e.since)/g.ColdTime
 }
 
+// listed takes in news of the list; where it must be asked for and the question failed, it is asked again well within
+// the time after which the old list counts as told.
 func (r *Router) listed(ev Listed) {
-	if ev.Failed { // asked again well within the time after which a list counts as told
-		r.subscribed, r.askAt = false, r.now+1000*(1+r.rng.Float64())
+	r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached)
+	if ev.Failed {
+		r.askAt = r.now + askAgain*(1+r.rng.Float64())
 		return
 	}
-	r.subscribed = r.subscribed || !ev.Cached
-	named := map[EngineID]bool{}
-	for _, entry := range ev.Entries {
-		named[entry.Engine] = true
-		e := r.engines[entry.Engine]
-		if e == nil {
-			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldAt: map[*tableGroup]float64{},
-				probeAt: r.now + probePace*r.rng.Float64()}
-			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
-		}
-		if e.outcomes == 0 && e.width == 0 || entry.Since > e.since {
-			e.fresh()
-		}
-		e.state, e.zone, e.kind, e.cell, e.since = entry.State, entry.Zone, entry.Kind, entry.Cell, entry.Since
-		e.cores, e.memMB = spareCores, math.Inf(1)
-		if e.kind >= 0 {
-			e.cores, e.memMB = r.kinds[e.kind].Cores, r.kinds[e.kind].MemoryMB
-		}
-	}
-	for _, e := range r.order {
-		if ev.Whole && !named[e.id] {
-			e.state = Gone
-		}
-	}
+	r.enlist(ev)
 	for k := range r.owners {
 		r.settle(k)
 	}
 }
 
-func (r *Router) report(e *engine, l *Load) {
-	if l == nil {
-		return
-	}
-	e.reportAt, e.granted = r.now, l.Memory
-	if l.Util >= 0 {
-		e.util.add(r.now, l.Util, 1)
-	}
-	if l.Disk >= 0 {
-		e.disk.add(r.now, l.Disk, 1)
-	}
-	if l.Inflight >= 0 {
-		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
-		r.share.add(r.now, min(float64(e.out), l.Inflight), l.Inflight)
-	}
-}
-
 // portion is this controller's part of the traffic, by what engines hold; an equal part until that is learned.
 // Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
@@ -290,54 +250,44 @@
 	firstPack  = 3000.0 // ms of traffic before groups are packed by learned footprints
 )
 
-func (r *Router) demand(o *owner) float64 {
-	sum := 1e-9
-	for _, g := range o.groups() {
-		sum += g.demand.rate(r.now)
-	}
-	return sum
-}
+// each is the demand for each engine that an owner is to have.
+func (r *Router) each(o *owner) float64 { return r.demand(o) / float64(max(1, o.want)) }
 
-// apportion adds to counts, where demand for each engine is highest, until they sum to n.
-func apportion(demands []float64, counts []int, n int) []int {
-	for _, c := range counts {
-		n -= c
+// apportion makes the counts wanted sum to n, one at least each: up where demand for each engine is highest, down where
+// it would stay lowest.
+func (r *Router) apportion(owners []*owner, n int) {
+	for _, o := range owners {
+		o.want = max(1, o.want)
+		n -= o.want
 	}
-	for range n {
-		best := 0
-		for i, d := range demands {
-			if d/max(0.1, float64(counts[i])) > demands[best]/max(0.1, float64(counts[best])) {
-				best = i
-			}
-		}
-		counts[best]++
+	for ; n > 0; n-- {
+		slices.MaxFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) }).want++
+	}
+	for ; n < 0; n++ {
+		after := func(o *owner) float64 { return r.demand(o) / (float64(o.want) - 1) }
+		slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(after(a), after(b)) }).want--
 	}
-	return counts
 }
 
-// allot hands the engines of a kind out by counts: each owner keeps what it can of its own, then takes what its groups
-// lean to. All changes of ownership pass here. Few engines change hands, since one that does arrives cold, and the
-// leaning is the same at all controllers, so that those who never speak still warm the same engines.
-func (r *Router) allot(k int, owners []*owner, counts []int) {
+// allot hands the engines of a kind out as wanted; all changes of ownership pass here. An engine stays where its tables
+// are warm if it can; one that must change goes by a leaning that is the same at all controllers, so that those who
+// never speak still warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
+func (r *Router) allot(k int, owners []*owner) {
+	r.apportion(owners, len(r.ready(k)))
 	fit := func(o *owner, e *engine) (sum float64) {
 		for _, g := range o.groups() {
-			sum += (g.demand.rate(r.now) + 1e-9) * likes(g, e)
+			weight := g.demand.rate(r.now) + 1e-9
+			if sum += weight * likes(g, e); g.homes[k] != nil && slices.Contains(g.homes[k].engines, e) {
+				sum += weight
+			}
 		}
 		return sum
 	}
-	free := r.ready(k)
-	for pass := range 2 {
-		for i, o := range owners {
-			pool := free
-			if pass == 0 {
-				pool = slices.DeleteFunc(o.engines, func(e *engine) bool { return !slices.Contains(free, e) })
-				o.engines = nil
-			}
-			slices.SortStableFunc(pool, func(a, b *engine) int { return cmp.Compare(fit(o, b), fit(o, a)) })
-			o.engines = append(o.engines, pool[:min(len(pool), counts[i]-len(o.engines))]...)
-			free = slices.DeleteFunc(free, func(e *engine) bool { return slices.Contains(o.engines, e) })
-			slices.SortFunc(free, byEngine)
-		}
+	free, turn := r.ready(k), slices.Clone(owners)
+	slices.SortStableFunc(turn, func(a, b *owner) int { return a.want - len(a.engines) - b.want + len(b.engines) })
+	for _, o := range turn {
+		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fit(o, b), fit(o, a)) })
+		o.engines, free = slices.Clone(free[:o.want]), free[o.want:]
 	}
 	r.owners[k] = owners
 	for _, o := range owners {
@@ -347,65 +297,36 @@
 	}
 }
 
-// repack packs the groups anew for one kind. A pack starts with the engines of the old owner that it shares most
-// demand with, the packs with most demand first.
+// repack packs the groups anew for one kind.
 func (r *Router) repack(k int) {
-	var owners []*owner
+	r.owners[k] = nil
 	for _, bin := range pack(r.groups, r.footprints(k), r.kinds[k].MemoryMB*(1-reserve)) {
-		owners = append(owners, &owner{packs: [][]*tableGroup{bin}})
+		r.owners[k] = append(r.owners[k], &owner{packs: [][]*tableGroup{bin}})
 	}
-	slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
-	taken := map[*owner]bool{}
-	for _, o := range owners {
-		shared := map[*owner]float64{}
-		var old *owner
-		for _, g := range o.groups() {
-			if home := g.homes[k]; home != nil && !taken[home] {
-				if shared[home] += g.demand.rate(r.now); old == nil || shared[home] > shared[old] {
-					old = home
-				}
-			}
-		}
-		if taken[old] = true; old != nil {
-			o.engines = old.engines
-		}
-	}
-	r.owners[k] = owners
 	r.settle(k)
 }
 
-// settle mends ownership after the list or the packs have changed: surplus light packs share as merged, engines that
-// are new go where demand is highest, and each owner has one at least.
+// settle mends ownership after the list or the packs have changed: surplus light packs share as merged, who has engines
+// keeps them, and the rest go by learned demand.
 func (r *Router) settle(k int) {
-	owners, engines := r.owners[k], r.ready(k)
+	owners, n := r.owners[k], len(r.ready(k))
 	if len(owners) == 0 && len(r.groups) > 0 {
 		owners = []*owner{{packs: [][]*tableGroup{slices.Clone(r.groups)}}}
 	}
-	if len(owners) == 0 || len(engines) == 0 {
+	if len(owners) == 0 || n == 0 {
 		return
 	}
-	byDemand := func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) }
-	slices.SortStableFunc(owners, byDemand)
-	for last := len(owners) - 1; last >= len(engines); last-- {
+	for len(owners) > n {
+		slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
+		last := len(owners) - 1
 		owners[last-1].packs = append(owners[last-1].packs, owners[last].packs...)
 		owners = owners[:last]
-		slices.SortStableFunc(owners, byDemand)
-	}
-	demands, counts := make([]float64, len(owners)), make([]int, len(owners))
-	for i, o := range owners {
-		demands[i], counts[i] = r.demand(o), 1
-	}
-	target := apportion(demands, slices.Clone(counts), len(engines))
-	for i, o := range owners { // who has engines keeps up to its part by demand; the rest is shared out
-		here := 0
-		for _, e := range o.engines {
-			if slices.Contains(engines, e) {
-				here++
-			}
-		}
-		counts[i] = max(1, min(here, target[i]))
 	}
-	r.allot(k, owners, apportion(demands, counts, len(engines)))
+	for _, o := range owners {
+		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return e.state != Ready || int(e.kind) != k })
+		o.want = len(o.engines)
+	}
+	r.allot(k, owners)
 }
 
 func (r *Router) mean(o *owner) (sum float64) {
@@ -426,53 +347,40 @@
 // rebalance is the design's period for one kind: split, fast solve, move or merge.
 func (r *Router) rebalance(k int) {
 	owners := r.owners[k]
-	if len(owners) < 2 && (len(owners) == 0 || len(owners[0].packs) < 2) {
+	if len(owners) == 0 || len(r.ready(k)) == 0 {
 		return
 	}
-	counts, lone, total := make([]int, len(owners)), []int{}, 0.0
-	busiest, donor := 0, 0
-	for i, o := range owners {
-		counts[i] = len(o.engines)
-		total += r.mean(o) * float64(counts[i])
-		if r.mean(o) > r.mean(owners[busiest]) {
-			busiest = i
-		}
-		if r.future(o) < r.future(owners[donor]) {
-			donor = i
-		}
-		if counts[i] == 1 && r.mean(o) < underused {
-			lone = append(lone, i)
+	busy := slices.MaxFunc(owners, func(a, b *owner) int { return cmp.Compare(r.mean(a), r.mean(b)) })
+	donor := slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(r.future(a), r.future(b)) })
+	var lone []*owner
+	total, high, low := 1e-9, r.mean(busy), r.future(donor)
+	for _, o := range owners {
+		total += r.mean(o) * float64(len(o.engines))
+		if len(o.engines) == 1 && o != busy && r.mean(o) < underused {
+			lone = append(lone, o)
 		}
 	}
-	high, low, b := r.mean(owners[busiest]), r.future(owners[donor]), owners[busiest]
 	switch {
-	case donor != busiest && high >= moveMargin*low && len(b.packs) > 1 && counts[busiest] == 1:
-		owners = append(owners, &owner{packs: b.packs[:1:1]}) // parts, as it became the busiest
-		b.packs = b.packs[1:]
-		counts[donor]--
-		counts = append(counts, 1)
-	case donor != busiest && high >= fastMargin*low: // counts that equalise load, rounded towards the present ones
-		n, sum := float64(len(r.ready(k))), 0
-		for i, o := range owners {
-			now := float64(counts[i])
-			counts[i] = max(1, counts[i]+int(r.mean(o)*now/total*n-now))
-			sum += counts[i]
-		}
-		counts[donor] = max(1, counts[donor]+min(0, int(n)-sum))
-		loads := make([]float64, len(owners))
-		loads[busiest] = 1
-		counts = apportion(loads, counts, int(n))
-	case donor != busiest && high >= moveMargin*low:
-		counts[donor]--
-		counts[busiest]++
-	case len(lone) > 1 && lone[0] != busiest && lone[1] != busiest:
-		owners[lone[0]].packs = append(owners[lone[0]].packs, owners[lone[1]].packs...)
-		counts[busiest]++
-		owners, counts = slices.Delete(owners, lone[1], lone[1]+1), slices.Delete(counts, lone[1], lone[1]+1)
+	case donor != busy && high >= moveMargin*low && len(busy.packs) > 1 && len(busy.engines) == 1:
+		owners = append(owners, &owner{packs: busy.packs[:1:1], want: 1}) // shared engines part when the busiest
+		busy.packs = busy.packs[1:]
+		donor.want--
+	case donor != busy && high >= fastMargin*low: // counts that equalise load, rounded towards the present ones
+		for _, o := range owners {
+			n := float64(len(o.engines))
+			o.want = max(1, o.want+int(r.mean(o)*n/total*float64(len(r.ready(k)))-n))
+		}
+	case donor != busy && high >= moveMargin*low:
+		donor.want--
+		busy.want++
+	case len(lone) > 1:
+		lone[0].packs = append(lone[0].packs, lone[1].packs...)
+		owners = slices.DeleteFunc(owners, func(o *owner) bool { return o == lone[1] })
+		busy.want++
 	default:
 		return
 	}
-	r.allot(k, owners, counts)
+	r.allot(k, owners)
 }
 
 // Thread bound.
@@ -685,9 +593,7 @@
 				r.settle(k)
 				continue
 			}
-			o := slices.MinFunc(owners, func(a, b *owner) int {
-				return cmp.Compare(r.demand(a)*float64(len(b.engines)), r.demand(b)*float64(len(a.engines)))
-			})
+			o := slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) })
 			o.packs[0], g.homes[k] = append(o.packs[0], g), o
 		}
 	}
@@ -705,13 +611,9 @@
 		return
 	}
 	s := &c.sends[ev.Send]
-	r.unbook(c, s)
+	r.unbook(c, s, ev)
 	r.report(s.engine, ev.Load)
 	c.tables.held.add(r.now, s.mem*ev.Took, 1)
-	if !ev.Outcome.NeverRan() && c.doubtAt == 0 {
-		c.doubtAt, c.doubt = s.at, s.engine
-	}
-	c.over = c.over || ev.Over
 	switch ev.Outcome {
 	case Answered:
 		s.engine.judge(r.now, true)
@@ -724,9 +626,6 @@
 	case Errored, Refused, Reset, TimedOut:
 		s.engine.judge(r.now, false)
 	}
-	if l := r.lineOf(c); l != nil && (ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled) {
-		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
-	}
 	if c.over || c.wantEnd != open || c.begun || c.out > 0 {
 		return
 	}
@@ -781,14 +680,9 @@
 		case Noted:
 			r.noted(ev)
 		case Began:
-			if c := r.cmds[ev.ID]; c != nil {
-				c.begun = true
-			}
+			r.begun(ev.ID)
 		case Left:
-			if c := r.cmds[ev.ID]; c != nil {
-				c.over, c.wantCancel = true, true
-				r.touch(c)
-			}
+			r.left(ev.ID)
 		case Probed:
 			if e := r.engines[ev.Engine]; e != nil {
 				e.probing = false
@@ -824,18 +718,16 @@
 			best, r.dense = x, p
 		}
 	}
-	for k := range r.owners {
-		if r.firstAt > 0 && r.packAt == 0 && r.now >= r.firstAt+firstPack {
+	if r.firstAt > 0 && !r.packed && r.now >= r.firstAt+firstPack {
+		r.packed, r.moveAt = true, r.now+period
+		for k := range r.owners {
 			r.repack(k)
-		} else if r.now >= r.moveAt {
-			r.rebalance(k)
 		}
-	}
-	if r.firstAt > 0 && r.packAt == 0 && r.now >= r.firstAt+firstPack {
-		r.packAt = r.now
-	}
-	if r.now >= r.moveAt {
+	} else if r.now >= r.moveAt {
 		r.moveAt = r.now + period
+		for k := range r.owners {
+			r.rebalance(k)
+		}
 	}
 	if r.allowed.MustAsk && !r.subscribed && r.now >= r.askAt {
 		r.askAt = r.now + max(500, r.guards.AskWithin/3)
@@ -853,6 +745,14 @@
 	return asked
 }
 
+// retryAfter says when to come back, where that is heeded, spread so that clients don't come back together.
+func (r *Router) retryAfter() float64 {
+	if !r.allowed.RetryAfter {
+		return 0
+	}
+	return r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64())
+}
+
 // emit is the one place where the wanted state meets the present: it returns what makes them equal.
 func (r *Router) emit() (actions []Action) {
 	for _, c := range r.touched {
@@ -865,8 +765,8 @@
 			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
 			c.wantEngine = nil
 		}
-		if c.wantEnd == shed && !c.over { // told apart in time, so that clients don't come back together
-			actions = append(actions, Shed{c.id, r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64())})
+		if c.wantEnd == shed && !c.over {
+			actions = append(actions, Shed{c.id, r.retryAfter()})
 		} else if c.wantEnd == failed && !c.over {
 			actions = append(actions, Fail{c.id})
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -156,6 +156,7 @@
 type owner struct {
 	packs   [][]*tableGroup
 	engines []*engine
+	want    int // how many it is to have
 }
 
 func (o *owner) groups() []*tableGroup { return slices.Concat(o.packs...) }
@@ -207,7 +208,8 @@
 	alarms             alarms
 	subscribed         bool
 	askAt, tendAt      float64
-	moveAt, packAt     float64
+	moveAt             float64
+	packed             bool // by learned footprints
 	wakeAt             float64
 	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile
 }
@@ -297,10 +299,16 @@
 	r.touch(c)
 }
 
-// unbook takes in that a send has its outcome.
-func (r *Router) unbook(c *command, s *attempt) {
+// unbook takes in that a send has its outcome: what may have run by it, and whether its key must rest.
+func (r *Router) unbook(c *command, s *attempt, ev Ended) {
 	e := s.engine
-	s.out = false
+	s.out, c.over = false, c.over || ev.Over
+	if !ev.Outcome.NeverRan() && c.doubtAt == 0 {
+		c.doubtAt, c.doubt = s.at, e
+	}
+	if l := r.lineOf(c); l != nil && (ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled) {
+		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
+	}
 	c.out, e.out = c.out-1, e.out-1
 	e.threads, e.mem = e.threads-c.profile.Threads, e.mem-s.mem
 	if e.out == 0 {
@@ -378,3 +386,73 @@
 	x ^= x >> 29
 	return float64(x>>11) / (1 << 53)
 }
+
+// demand is the work asked of an owner's groups, for each millisecond.
+func (r *Router) demand(o *owner) float64 {
+	sum := 1e-9
+	for _, g := range o.groups() {
+		sum += g.demand.rate(r.now)
+	}
+	return sum
+}
+
+func sameScope(s Scope, a, b *engine) bool {
+	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
+}
+
+func (r *Router) report(e *engine, l *Load) {
+	if l == nil {
+		return
+	}
+	e.reportAt, e.granted = r.now, l.Memory
+	if l.Util >= 0 {
+		e.util.add(r.now, l.Util, 1)
+	}
+	if l.Disk >= 0 {
+		e.disk.add(r.now, l.Disk, 1)
+	}
+	if l.Inflight >= 0 {
+		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
+		r.share.add(r.now, min(float64(e.out), l.Inflight), l.Inflight)
+	}
+}
+
+// enlist takes in the entries of a list; what a whole list doesn't name has left.
+func (r *Router) enlist(ev Listed) {
+	named := map[EngineID]bool{}
+	for _, entry := range ev.Entries {
+		named[entry.Engine] = true
+		e := r.engines[entry.Engine]
+		if e == nil {
+			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldAt: map[*tableGroup]float64{}}
+			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
+			e.fresh()
+		} else if entry.Since > e.since {
+			e.fresh()
+		}
+		e.state, e.zone, e.kind, e.cell, e.since = entry.State, entry.Zone, entry.Kind, entry.Cell, entry.Since
+		e.cores, e.memMB = spareCores, math.Inf(1)
+		if e.kind >= 0 {
+			e.cores, e.memMB = r.kinds[e.kind].Cores, r.kinds[e.kind].MemoryMB
+		}
+	}
+	for _, e := range r.order {
+		if ev.Whole && !named[e.id] {
+			e.state = Gone
+		}
+	}
+}
+
+func (r *Router) begun(id CommandID) {
+	if c := r.cmds[id]; c != nil {
+		c.begun = true
+	}
+}
+
+// left takes in that c's client has gone: nothing is owed, and what is out is not wanted.
+func (r *Router) left(id CommandID) {
+	if c := r.cmds[id]; c != nil {
+		c.over, c.wantCancel = true, true
+		r.touch(c)
+	}
+}
