--- a/router/router.go
+++ b/router/router.go
@@ -106,10 +106,10 @@
 // The engine view.
 
 const (
-	judgeOver   = 8 // outcomes that an engine is judged by
-	judgeLeast  = 5 // fewer successes among them: unwell
-	firstTrial  = 250.0
-	longTrial   = 2000.0 // ms between trial sends to an unwell engine, doubling from the first to the longest
+	judgeOver   = 8      // outcomes that an engine is judged by
+	judgeLeast  = 5      // fewer successes among them: unwell
+	firstTrial  = 250.0  // ms until an unwell engine gets a trial send; doubled by each failure
+	longTrial   = 2000.0 // up to this
 	reportLife  = 1000.0 // ms over which reports are smoothed
 	reportStale = 4000.0 // ms after which a report no longer counts
 	probePace   = 400.0  // ms between probes of an engine by all controllers together
@@ -189,7 +189,7 @@
 const (
 	reserve    = 0.1     // share of an engine's memory that packing leaves free
 	demandLife = 10000.0 // ms over which demand and footprints are learned
-	blindShare = 0.6     // share of memory taken as used where neither estimates nor reports tell
+	blindShare = 0.5     // share of memory taken as used, at the least, where no estimate tells
 )
 
 // footprints are mean memory times commands running at once, over all controllers and one kind's part of the fleet:
@@ -199,21 +199,17 @@
 	for _, e := range r.order {
 		if e.kind >= 0 && e.state == Ready {
 			whole += e.memMB
+			used += e.memMB * max(blindShare, e.granted)
 			if int(e.kind) == k {
 				mine += e.memMB
 			}
-			if e.granted < 0 {
-				used += blindShare * e.memMB
-			}
-			used += max(0, e.granted) * e.memMB
 		}
 	}
 	for _, g := range r.groups {
-		sizes[g] = g.held.rate(r.now) / r.portion() * mine / whole
-		total += sizes[g]
+		total += g.held.rate(r.now)
 	}
 	for _, g := range r.groups {
-		if total == 0 {
+		if sizes[g] = g.held.rate(r.now) / r.portion() * mine / whole; total == 0 {
 			sizes[g] = used / float64(len(r.groups)) * mine / whole
 		}
 	}
@@ -306,16 +302,22 @@
 	r.settle(k)
 }
 
-// settle mends ownership after the list or the packs have changed: surplus light packs share as merged, who has engines
-// keeps them, and the rest go by learned demand.
+// settle mends ownership after the list, the groups or the packs have changed: surplus light packs share as merged, who
+// has engines keeps them, and the rest go by learned demand.
 func (r *Router) settle(k int) {
 	owners, n := r.owners[k], len(r.ready(k))
-	if len(owners) == 0 && len(r.groups) > 0 {
-		owners = []*owner{{packs: [][]*tableGroup{slices.Clone(r.groups)}}}
-	}
-	if len(owners) == 0 || n == 0 {
+	if n == 0 || len(r.groups) == 0 {
 		return
 	}
+	if len(owners) == 0 {
+		owners = []*owner{{packs: make([][]*tableGroup, 1)}}
+	}
+	for _, g := range r.groups { // a new group joins the owner with least demand for each engine
+		if g.homes[k] == nil {
+			o := slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) })
+			o.packs[0], g.homes[k] = append(o.packs[0], g), o
+		}
+	}
 	for len(owners) > n {
 		slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
 		last := len(owners) - 1
@@ -472,9 +474,6 @@
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
 func (r *Router) choose(c *command) (best *engine) {
-	if !r.mayStart(c) {
-		return nil
-	}
 	least := math.Inf(1)
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
@@ -498,40 +497,30 @@
 func (r *Router) release() {
 	tried := 0
 	r.held = slices.DeleteFunc(r.held, func(c *command) bool {
-		if c.over || c.wantEnd != open || tried >= scanMost {
+		if c.over || c.wantEnd != open || tried >= scanMost || !r.mayStart(c) {
 			return c.over || c.wantEnd != open
 		}
 		if tried++; r.tooLarge(c) {
 			r.end(c)
 			return true
 		}
-		e := r.choose(c)
+		e, p, need := r.choose(c), c.profile, r.needOf(c)
 		if e == nil {
 			return false
 		}
-		need := r.needOf(c)
-		r.book(c, e, need, c.profile.usualWork(r.now))
-		if r.allowed.Priorities {
-			c.wantPriority = r.priorityOf(c)
-		}
+		r.book(c, e, need, p.usualWork(r.now))
 		if r.allowed.Grants && need > 0 {
 			c.wantGrant = min(need*grantOver, e.memMB*max(r.allowed.GrantCap, 0.1))
 		}
+		if p == r.dense && r.allowed.Priorities { // most benefit for its work goes first
+			c.wantPriority = 3
+		} else if p.HoldsTables && r.allowed.Priorities { // others may wait on it
+			c.wantPriority = 2
+		}
 		return true
 	})
 }
 
-// priorityOf puts the profile with most benefit for its work first, and loads that others wait on before the rest.
-func (r *Router) priorityOf(c *command) int {
-	switch {
-	case c.profile == r.dense:
-		return 3
-	case c.profile.HoldsTables:
-		return 2
-	}
-	return 1
-}
-
 // Resend, cancel, shed.
 
 const (
@@ -583,24 +572,13 @@
 }
 
 func (r *Router) arrived(ev Arrived) {
-	g, p := r.tables[ev.Tables], r.profiles[ev.Profile]
-	if g == nil {
-		g = &tableGroup{id: ev.Tables, demand: decay{life: demandLife}, held: decay{life: demandLife},
-			homes: make([]*owner, len(r.kinds))}
-		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
-		for k, owners := range r.owners { // a new group joins the owner with least demand for each engine
-			if len(owners) == 0 {
-				r.settle(k)
-				continue
-			}
-			o := slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) })
-			o.packs[0], g.homes[k] = append(o.packs[0], g), o
+	c, isNew := r.take(ev)
+	for k := range r.owners {
+		if isNew {
+			r.settle(k)
 		}
 	}
-	c := &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, timeout: r.now + ev.Left,
-		estimate: ev.Estimate, need: ev.NeedMB, tenant: ev.Tenant, priority: 1, wantPriority: 1}
-	r.take(c)
-	g.demand.add(r.now, p.alone(c, r.now)*p.Threads, 1)
+	c.tables.demand.add(r.now, c.profile.alone(c, r.now)*c.profile.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
 	r.held = insert(r.held, c, byTimeout)
 }
@@ -629,10 +607,8 @@
 	if c.over || c.wantEnd != open || c.begun || c.out > 0 {
 		return
 	}
-	if r.now >= r.endBy(c) || r.spent(c) {
+	if r.held = insert(r.held, c, byTimeout); r.now >= r.endBy(c) || r.spent(c) {
 		r.end(c)
-	} else {
-		r.held = insert(r.held, c, byTimeout)
 	}
 }
 
@@ -647,14 +623,10 @@
 	if ev.What == NoteWaitsTables {
 		s.engine.heldAt[c.tables] = r.now
 	}
-	if c.over || ev.What != NoteProgress || c.estimate <= 0 {
-		return
-	}
-	passed := r.now - s.at
-	total := passed / max(ev.Level, 0.01)
+	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, 0.01)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
-	if s.out && c.profile.Effect == Replayable && len(c.sends) < r.allowed.MaxSends && r.budgetAllows() &&
-		total > badPlan*should && total-passed > badPlanGap*should {
+	if ev.What == NoteProgress && c.estimate > 0 && !c.over && s.out && c.profile.Effect == Replayable &&
+		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
 		c.wantCancel = true
 		r.touch(c)
 	}
@@ -684,26 +656,21 @@
 		case Left:
 			r.left(ev.ID)
 		case Probed:
-			if e := r.engines[ev.Engine]; e != nil {
-				e.probing = false
-				e.judge(now, ev.Outcome == Answered)
-				r.report(e, ev.Load)
-			}
+			r.probed(ev)
 		}
 	}
 	for c := r.due(); c != nil; c = r.due() {
 		r.end(c)
 	}
-	var asked []Action
 	if now >= r.tendAt {
-		asked = r.tend()
+		r.tend()
 	}
 	r.release()
-	return append(r.emit(), asked...)
+	return r.emit()
 }
 
 // tend is what goes by time and not by event: it gives up held commands, keeps the period and asks for news.
-func (r *Router) tend() (asked []Action) {
+func (r *Router) tend() {
 	r.tendAt = r.now + tendEvery
 	r.sizeCap = min(mostSize, r.sizeCap*sizeGrow)
 	for _, c := range r.held {
@@ -730,19 +697,15 @@
 		}
 	}
 	if r.allowed.MustAsk && !r.subscribed && r.now >= r.askAt {
-		r.askAt = r.now + max(500, r.guards.AskWithin/3)
-		asked = append(asked, Subscribe{})
+		r.askAt, r.wantList = r.now+max(askAgain, r.guards.AskWithin/3), true
 	}
 	for _, e := range r.order {
 		if r.allowed.Probes && e.state == Ready && !e.probing && r.now >= e.probeAt {
-			e.probing = true
-			e.probeAt = r.now + min(probeMost, probePace*r.controllers)*(0.9+0.2*r.rng.Float64())
-			asked = append(asked, Probe{e.id})
+			e.wantProbe, e.probeAt = true, r.now+min(probeMost, probePace*r.controllers)*(0.9+0.2*r.rng.Float64())
 		}
 	}
 	r.forgetEngines()
 	r.forgetLines()
-	return asked
 }
 
 // retryAfter says when to come back, where that is heeded, spread so that clients don't come back together.
@@ -781,6 +744,16 @@
 			r.forget(c)
 		}
 	}
+	for _, e := range r.order {
+		if e.wantProbe {
+			e.wantProbe, e.probing = false, true
+			actions = append(actions, Probe{e.id})
+		}
+	}
+	if r.wantList {
+		r.wantList = false
+		actions = append(actions, Subscribe{})
+	}
 	r.touched = r.touched[:0]
 	wake := r.tendAt
 	if len(r.alarms) > 0 {
--- a/router/state.go
+++ b/router/state.go
@@ -138,6 +138,7 @@
 	retryAt      float64
 	retryWait    float64
 	probing      bool
+	wantProbe    bool
 	probeAt      float64
 	width        float64 // threads a core that all controllers together may run here, by what this one sees
 	cutAt        float64
@@ -207,6 +208,7 @@
 	touched            []*command
 	alarms             alarms
 	subscribed         bool
+	wantList           bool
 	askAt, tendAt      float64
 	moveAt             float64
 	packed             bool // by learned footprints
@@ -256,8 +258,17 @@
 	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
 }
 
-// take files a new command, in the line of its key if it has one.
-func (r *Router) take(c *command) {
+// take files a new command, in the line of its key if it has one, and tells whether its table group is new.
+func (r *Router) take(ev Arrived) (c *command, isNew bool) {
+	g := r.tables[ev.Tables]
+	if isNew = g == nil; isNew {
+		g = &tableGroup{id: ev.Tables, demand: decay{life: demandLife}, held: decay{life: demandLife},
+			homes: make([]*owner, len(r.kinds))}
+		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
+	}
+	c = &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
+		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, tenant: ev.Tenant, priority: 1,
+		wantPriority: 1}
 	r.cmds[c.id] = c
 	if r.firstAt == 0 {
 		r.firstAt = r.now
@@ -271,6 +282,7 @@
 		}
 		r.lines[c.key].cmds = append(r.lines[c.key].cmds, c)
 	}
+	return c, isNew
 }
 
 // lineOf is the line that c stands in; nil if it keeps no order.
@@ -456,3 +468,11 @@
 		r.touch(c)
 	}
 }
+
+func (r *Router) probed(ev Probed) {
+	if e := r.engines[ev.Engine]; e != nil {
+		e.probing = false
+		e.judge(r.now, ev.Outcome == Answered)
+		r.report(e, ev.Load)
+	}
+}
