--- a/cmd/mintkeel-sim/main.go
+++ b/cmd/mintkeel-sim/main.go
@@ -92,6 +92,10 @@
 	}()
 	actions := inst.module.Step(now, inst.events)
 	inst.events = inst.events[:0]
+	write(w, number, actions)
+}
+
+func write(w *simwire.Writer, number int, actions []router.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case router.Send:
--- /dev/null
+++ b/router/design_test.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestPack(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sizes []float64
+		room  float64
+		want  [][]TableGroup
+	}{
+		{"best fit decreasing", []float64{5, 4, 3, 6}, 10, [][]TableGroup{{3, 1}, {0, 2}}},
+		{"an oversized group alone", []float64{12, 1, 2}, 10, [][]TableGroup{{0}, {2, 1}}},
+		{"ties by id", []float64{6, 6}, 10, [][]TableGroup{{0}, {1}}},
+	} {
+		var groups []*tableGroup
+		size := map[*tableGroup]float64{}
+		for i, s := range c.sizes {
+			groups = append(groups, &tableGroup{id: TableGroup(i)})
+			size[groups[i]] = s
+		}
+		var got [][]TableGroup
+		for _, bin := range pack(groups, size, c.room) {
+			var ids []TableGroup
+			for _, g := range bin {
+				ids = append(ids, g.id)
+			}
+			got = append(got, ids)
+		}
+		if !slices.EqualFunc(got, c.want, slices.Equal[[]TableGroup]) {
+			t.Errorf("%s: packed %v, not %v", c.name, got, c.want)
+		}
+	}
+}
+
+// The period's decisions: the move and its margin, the fast solve, merge and split.
+func TestRebalance(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		counts []int
+		packs  []int
+		loads  []float64
+		want   []int
+	}{
+		{"moves from the lowest future load", []int{2, 6, 2}, nil, []float64{0.20, 0.25, 0.5}, []int{2, 5, 3}},
+		{"keeps still within the margin", []int{2, 2}, nil, []float64{0.49, 0.20}, []int{2, 2}},
+		{"moves at the margin", []int{2, 2}, nil, []float64{0.51, 0.20}, []int{3, 1}},
+		{"solves at once after a swing", []int{3, 7}, nil, []float64{0.70, 0.10}, []int{7, 3}},
+		{"merges two that underuse lone engines", []int{1, 1, 1}, nil, []float64{0.1, 0.2, 0.9}, []int{1, 2}},
+		{"does not merge what is used", []int{1, 1, 1}, nil, []float64{0.3, 0.2, 0.9}, []int{1, 1, 1}},
+		{"splits the shared one that is busiest", []int{1, 3}, []int{2, 1}, []float64{0.9, 0.3}, []int{1, 2, 1}},
+	} {
+		d := newDesk(t, lookup, loose, tight)
+		var entries []Entry
+		for i := range 10 {
+			entries = append(entries, engineAt(EngineID(rune('a'+i)), 0, "z", 1))
+		}
+		total := 0
+		for _, n := range c.counts {
+			total += n
+		}
+		d.step(Listed{Entries: entries[:total]})
+		free := d.r.ready(0)
+		for i, n := range c.counts {
+			o := &owner{engines: slices.Clone(free[:n]), want: n}
+			free = free[n:]
+			packs := 1
+			if c.packs != nil {
+				packs = c.packs[i]
+			}
+			for j := range packs {
+				g := &tableGroup{id: TableGroup(10*i + j), demand: decay{life: 1000}, homes: []*owner{o, nil}}
+				o.packs = append(o.packs, []*tableGroup{g})
+			}
+			for _, e := range o.engines {
+				e.reportAt = d.r.now
+				e.util.add(d.r.now, c.loads[i], 1)
+			}
+			d.r.owners[0] = append(d.r.owners[0], o)
+		}
+		before := map[EngineID]*owner{}
+		for _, o := range d.r.owners[0] {
+			for _, e := range o.engines {
+				before[e.id] = o
+			}
+		}
+		d.r.rebalance(0)
+		var got []int
+		for _, o := range d.r.owners[0] {
+			got = append(got, len(o.engines))
+			for _, g := range o.groups() {
+				if g.homes[0] != o {
+					t.Errorf("%s: group %d does not know its owner", c.name, g.id)
+				}
+			}
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: engines %v, not %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestBound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		took  float64
+		wider bool
+		less  bool
+	}{{"near best", 110, true, false}, {"between", 240, false, false}, {"far", 900, false, true}} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		e, p := d.r.engines["a"], d.r.profiles[0]
+		p.best = 100
+		cmd := &command{profile: p}
+		e.slow.add(d.r.now, 20*c.took/100, 20)
+		for range 40 {
+			e.threads = d.r.bound(e)
+			d.r.now += 100
+			d.r.learn(cmd, e, Ended{Outcome: Answered, Took: c.took})
+		}
+		if (e.width > startWidth) != c.wider || (e.width < startWidth) != c.less || e.width > mostWidth {
+			t.Errorf("%s: width became %g", c.name, e.width)
+		}
+	}
+}
+
+// Held commands leave earliest client timeout first, and one may run where this controller has none.
+func TestRelease(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 1, "z", 1))
+	d.r.engines["a"].width = 0.01
+	if to := sent(d.step(command1(1)), 1); to != "a" {
+		t.Fatal("an idle engine was not given its one command")
+	}
+	early, late := command1(3), command1(2)
+	early.Left = 4000
+	if actions := d.step(late, early); sent(actions, 2)+sent(actions, 3) != "" {
+		t.Fatal("a full engine was sent more")
+	}
+	if actions := d.step(outcome(1, 0, Answered)); sent(actions, 3) != "a" || sent(actions, 2) != "" {
+		t.Error("the later client timeout left first")
+	}
+}
+
+// Found on tacoma-east: loads of one table group stood still behind each other on the engine they leaned to.
+func TestLoadsSpread(t *testing.T) {
+	p := lookup
+	p.HoldsTables = true
+	d := newDesk(t, p, loose, tight, engineAt("a", 0, "z", 1), engineAt("b", 0, "z", 1))
+	actions := d.step(command1(1), command1(2))
+	if sent(actions, 1) == sent(actions, 2) {
+		t.Error("two loads of a table group went to one engine while another was idle")
+	}
+}
+
+// Found on tacoma-east: a few commands of the heavy tail took the engines that many ordinary ones needed.
+func TestTooLarge(t *testing.T) {
+	for _, c := range []struct {
+		estimate, sizeCap float64
+		sheds             int
+	}{{100, leastSize, 0}, {400, leastSize, 1}, {400, mostSize, 0}, {6000, mostSize, 1}} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		d.r.profiles[0].work.add(d.now, 100*1000, 1000)
+		d.r.sizeCap = c.sizeCap
+		ev := command1(1)
+		ev.Estimate = c.estimate
+		if s, _ := answers(d.step(ev), 1); s != c.sheds {
+			t.Errorf("%+v: shed %d", c, s)
+		}
+	}
+}
+
+// A bad plan is cancelled and sent again; a command that is truly large, or has no estimate, is left to run.
+func TestBadPlan(t *testing.T) {
+	for _, c := range []struct {
+		estimate, done float64
+		cancels        bool
+	}{{200, 0.05, true}, {200, 0.8, false}, {3000, 0.15, false}, {0, 0.05, false}} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		ev := command1(1)
+		ev.Estimate = c.estimate
+		d.step(ev)
+		d.wait(500)
+		actions := d.step(Noted{ID: 1, What: NoteProgress, Level: c.done})
+		if got := slices.ContainsFunc(actions, func(a Action) bool { _, ok := a.(Cancel); return ok }); got != c.cancels {
+			t.Errorf("%+v: cancelled: %v", c, got)
+		}
+	}
+}
+
+func TestHealth(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	e := d.r.engines["a"]
+	for i, c := range []struct{ good, well bool }{{false, true}, {false, true}, {false, true}, {false, false},
+		{true, false}, {true, false}, {true, false}, {true, false}, {true, true}} {
+		if e.judge(d.now, c.good); e.well() != c.well {
+			t.Errorf("after outcome %d: well %v", i, e.well())
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -1,33 +1,27 @@
-// This file holds every decision of a controller, its tables and its tuned values. A caller makes one Router with New
-// and hands each batch of events to Step, always from one goroutine; the actions that come back are to be carried out
-// in order. The interface (ids, facts, events, actions) is types.go beside this file; state.go has what is remembered.
-//
-// It reads top down: commands and the rules' guards; engine view; footprints and packing; ownership; thread bound;
-// release, choice and spill; resend, cancel, shed; and last the step, where emit diffs wanted and present.
+// Every decision of a controller stands here with its tables and tuned values. A caller gets a Router by New,
+// hands each batch of events to Step, from one goroutine, and carries out what comes back, in order. The
+// interface (ids, facts, events, actions) is types.go beside this file; state.go keeps the books.
+// It reads top down; the step comes last, and there emit diffs wanted and present.
 package router
 
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 )
 
 // Commands and the rules' guards.
 
+// ms that learning goes back: time taken, work, estimates' scale, part of the traffic.
+const unitLife, workLife, scaleLife, shareLife = 10000.0, 20000.0, 30000.0, 5000.0
+
 const (
-	netSlack      = 60.0 // ms for the way to an engine: windows of the rules are kept this much wider or narrower
+	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
 	roundsToEnd   = 2.0  // a command is ended this many rounds before its client timeout
 	coldShareUsed = 0.6  // of a cold engine's allowance: the rest covers what the guess of usual work misses
 )
 
-// begin sets what a start leaves to be learned, each over its own time.
-func (r *Router) begin() {
-	r.share.life, r.sizeCap = 5000, mostSize
-	for _, p := range r.profiles {
-		p.unit.life, p.work.life, p.workScale.life, p.needScale.life = 10000, 20000, 30000, 30000
-	}
-}
-
 // unitOf is the time that c's estimate gives it alone; without estimates all commands of a profile are alike.
 func (p *profile) unitOf(c *command, now float64) float64 {
 	if c.estimate <= 0 {
@@ -47,8 +41,8 @@
 // usualWork leans high while little is known: it guards cold engines, where too low a guess breaks a rule.
 func (p *profile) usualWork(now float64) float64 { return p.work.mean(now, p.Timeout/3, 1) }
 
-// mayGo tells whether c may be sent to e now. Every send passes it, first or further: it alone keeps the rules on
-// drains, repeats, order, placement, the sends budget and cold engines.
+// mayGo tells whether c may go to e now. Every send passes it, first or further: it keeps the rules
+// on drains, repeats, order, placement, the sends budget and cold engines.
 func (r *Router) mayGo(c *command, e *engine) bool {
 	p := c.profile
 	return e.state == Ready && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
@@ -75,15 +69,15 @@
 		p.Effect == Uniqued && r.now > c.doubtAt+p.RepeatWindow-netSlack)
 }
 
-// budgetAllows counts resends over a little longer, and commands taken over a little less, than the stated window.
+// budgetAllows counts resends over a little more, and commands taken over a little less, than the window.
 func (r *Router) budgetAllows() bool {
 	g := r.guards
 	return !g.Budgeted || r.resends.since(r.now-g.ResendWindow-netSlack)+1 <=
 		g.ResendFree+g.ResendShare*r.taken.since(r.now-g.ResendWindow+netSlack)
 }
 
-// coldAllows keeps this controller's part of what a cold engine may be sent within the window, as if it had only its
-// least stated capacity until it is warm and every other controller used its own part in full.
+// coldAllows keeps this controller's part of what a cold engine may be sent within the window, as if it had
+// only its least stated capacity until it is warm and every other controller used its own part in full.
 func (r *Router) coldAllows(c *command, e *engine) bool {
 	g := r.guards
 	if e.since == 0 || r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
@@ -118,19 +112,12 @@
 	spareCores  = 8.0    // taken for a kind that the settings don't name
 )
 
-func (e *engine) well() bool {
-	good := 0
-	for i := range judgeOver {
-		good += int(e.outcomes >> i & 1)
-	}
-	return good >= judgeLeast
-}
+func (e *engine) well() bool { return bits.OnesCount64(e.outcomes<<(64-judgeOver)) >= judgeLeast }
 
-// judge takes in an outcome. Against engines that died, hang or refuse, whatever the cause; a probe that finds the
-// engine up counts too. Harm: a short spell of errors idles an engine for a trial's wait.
+// judge takes in an outcome. Against engines that died, hang or refuse, whatever the cause; probes count too.
+// Harm: a short spell of errors idles an engine for a trial's wait.
 func (e *engine) judge(now float64, good bool) {
-	e.outcomes <<= 1
-	if good {
+	if e.outcomes <<= 1; good {
 		e.outcomes, e.retryWait = e.outcomes|1, firstTrial
 	} else {
 		e.retryAt, e.retryWait = now+e.retryWait, min(longTrial, 2*e.retryWait)
@@ -153,11 +140,9 @@
 	return g.ColdShare + (1-g.ColdShare)*max(0, r.now-e.since)/g.ColdTime
 }
 
-// listed takes in news of the list; where it must be asked for and the question failed, it is asked again well within
-// the time after which the old list counts as told.
+// listed takes in news of the list. A failed question is asked again before the old list counts as told.
 func (r *Router) listed(ev Listed) {
-	r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached)
-	if ev.Failed {
+	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
 		r.askAt = r.now + askAgain*(1+r.rng.Float64())
 		return
 	}
@@ -167,7 +152,7 @@
 	}
 }
 
-// portion is this controller's part of the traffic, by what engines hold; an equal part until that is learned.
+// portion is this controller's part of the traffic, by what engines hold; an equal part until that is known.
 // Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
 	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 20)))
@@ -189,28 +174,20 @@
 const (
 	reserve    = 0.1     // share of an engine's memory that packing leaves free
 	demandLife = 10000.0 // ms over which demand and footprints are learned
-	blindShare = 0.5     // share of memory taken as used, at the least, where no estimate tells
+	blindShare = 0.5     // share of memory taken as used where no estimate tells
 )
 
-// footprints are mean memory times commands running at once, over all controllers and one kind's part of the fleet:
-// by Little's law, memory times time for each millisecond. Where no command tells its memory all groups are alike.
+// footprints are mean memory times commands running at once, over all controllers and one kind's part of the
+// fleet: by Little's law, memory times time for each millisecond. Without estimates all groups are alike.
 func (r *Router) footprints(k int) map[*tableGroup]float64 {
-	sizes, total, used, whole, mine := map[*tableGroup]float64{}, 0.0, 0.0, 1e-9, 0.0
-	for _, e := range r.order {
-		if e.kind >= 0 && e.state == Ready {
-			whole += e.memMB
-			used += e.memMB * max(blindShare, e.granted)
-			if int(e.kind) == k {
-				mine += e.memMB
-			}
-		}
-	}
+	sizes, total, n := map[*tableGroup]float64{}, 0.0, float64(len(r.ready(k)))
 	for _, g := range r.groups {
-		total += g.held.rate(r.now)
+		sizes[g] = g.held.rate(r.now) / r.portion() * n / float64(len(r.order))
+		total += sizes[g]
 	}
 	for _, g := range r.groups {
-		if sizes[g] = g.held.rate(r.now) / r.portion() * mine / whole; total == 0 {
-			sizes[g] = used / float64(len(r.groups)) * mine / whole
+		if total == 0 {
+			sizes[g] = blindShare * r.kinds[k].MemoryMB * n / float64(len(r.groups))
 		}
 	}
 	return sizes
@@ -249,8 +226,8 @@
 // each is the demand for each engine that an owner is to have.
 func (r *Router) each(o *owner) float64 { return r.demand(o) / float64(max(1, o.want)) }
 
-// apportion makes the counts wanted sum to n, one at least each: up where demand for each engine is highest, down where
-// it would stay lowest.
+// apportion makes the counts wanted sum to n, one at least each: up where demand for each engine is highest,
+// down where it would stay lowest.
 func (r *Router) apportion(owners []*owner, n int) {
 	for _, o := range owners {
 		o.want = max(1, o.want)
@@ -265,9 +242,9 @@
 	}
 }
 
-// allot hands the engines of a kind out as wanted; all changes of ownership pass here. An engine stays where its tables
-// are warm if it can; one that must change goes by a leaning that is the same at all controllers, so that those who
-// never speak still warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
+// allot hands the engines of a kind out as wanted; all changes of ownership pass here. An engine stays where
+// its tables are warm, else goes by a leaning that is the same at all controllers, so that they
+// warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
 func (r *Router) allot(k int, owners []*owner) {
 	r.apportion(owners, len(r.ready(k)))
 	fit := func(o *owner, e *engine) (sum float64) {
@@ -280,7 +257,8 @@
 		return sum
 	}
 	free, turn := r.ready(k), slices.Clone(owners)
-	slices.SortStableFunc(turn, func(a, b *owner) int { return a.want - len(a.engines) - b.want + len(b.engines) })
+	growth := func(o *owner) int { return o.want - len(o.engines) }
+	slices.SortStableFunc(turn, func(a, b *owner) int { return growth(a) - growth(b) })
 	for _, o := range turn {
 		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fit(o, b), fit(o, a)) })
 		o.engines, free = slices.Clone(free[:o.want]), free[o.want:]
@@ -302,11 +280,11 @@
 	r.settle(k)
 }
 
-// settle mends ownership after the list, the groups or the packs have changed: surplus light packs share as merged, who
-// has engines keeps them, and the rest go by learned demand.
+// settle mends ownership after the list, the groups or the packs have changed: surplus light packs share as
+// merged, who has engines keeps them, and the rest go by learned demand.
 func (r *Router) settle(k int) {
-	owners, n := r.owners[k], len(r.ready(k))
-	if n == 0 || len(r.groups) == 0 {
+	owners, ready := r.owners[k], r.ready(k)
+	if len(ready) == 0 || len(r.groups) == 0 {
 		return
 	}
 	if len(owners) == 0 {
@@ -318,14 +296,14 @@
 			o.packs[0], g.homes[k] = append(o.packs[0], g), o
 		}
 	}
-	for len(owners) > n {
+	for len(owners) > len(ready) {
 		slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
 		last := len(owners) - 1
 		owners[last-1].packs = append(owners[last-1].packs, owners[last].packs...)
 		owners = owners[:last]
 	}
 	for _, o := range owners {
-		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return e.state != Ready || int(e.kind) != k })
+		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return !slices.Contains(ready, e) })
 		o.want = len(o.engines)
 	}
 	r.allot(k, owners)
@@ -349,7 +327,7 @@
 // rebalance is the design's period for one kind: split, fast solve, move or merge.
 func (r *Router) rebalance(k int) {
 	owners := r.owners[k]
-	if len(owners) == 0 || len(r.ready(k)) == 0 {
+	if len(owners) == 0 || len(r.ready(k)) < len(owners) {
 		return
 	}
 	busy := slices.MaxFunc(owners, func(a, b *owner) int { return cmp.Compare(r.mean(a), r.mean(b)) })
@@ -364,10 +342,10 @@
 	}
 	switch {
 	case donor != busy && high >= moveMargin*low && len(busy.packs) > 1 && len(busy.engines) == 1:
-		owners = append(owners, &owner{packs: busy.packs[:1:1], want: 1}) // shared engines part when the busiest
+		owners = append(owners, &owner{packs: busy.packs[:1:1], want: 1}) // who shares parts when busiest
 		busy.packs = busy.packs[1:]
 		donor.want--
-	case donor != busy && high >= fastMargin*low: // counts that equalise load, rounded towards the present ones
+	case donor != busy && high >= fastMargin*low: // equal load, rounded towards the present counts
 		for _, o := range owners {
 			n := float64(len(o.engines))
 			o.want = max(1, o.want+int(r.mean(o)*n/total*float64(len(r.ready(k)))-n))
@@ -418,10 +396,9 @@
 	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver && (p.best == 0 || m < p.best) {
 		p.best = m
 	}
-	if p.best == 0 {
-		return
+	if p.best > 0 {
+		e.slow.add(r.now, min(20, ev.Took/(p.best*unit)), 1)
 	}
-	e.slow.add(r.now, min(20, ev.Took/(p.best*unit)), 1)
 	slow, bound := e.slow.mean(r.now, 1, 1), r.bound(e)
 	if slow < nearBest && e.threads+p.Threads >= 0.7*bound {
 		e.width = min(mostWidth, e.width*(1+widenBy/max(1, bound)))
@@ -442,8 +419,8 @@
 	grantOver = 1.15   // grant over need: what is short spills, what is over is lost to others
 )
 
-// hasRoom is the thread bound and the memory of an engine, filled up to the given share. One command may always run
-// where this controller has none.
+// hasRoom is an engine's thread bound and memory, filled up to a share. One command may always run where
+// this controller has none, and the last may overhang: a small controller's bound is less than one command.
 func (r *Router) hasRoom(c *command, e *engine, fill float64) bool {
 	if !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
@@ -454,8 +431,8 @@
 
 func (r *Router) needOf(c *command) float64 { return c.need * c.profile.needScale.mean(r.now, 1, 3) }
 
-// pressure ranks engines for a command: threads a core by own sends and reports, the load it reports, how slow it
-// answers, and the leaning of the tables.
+// pressure ranks engines for a command: threads a core by own sends and reports, the load reported, how slow
+// answers are, loads that hold the tables, and the leaning of the tables.
 func (r *Router) pressure(c *command, e *engine) float64 {
 	x := (e.threads + c.profile.Threads + 1.2*e.others.mean(r.now, 0, 0.5)) / (e.cores * r.ramp(e))
 	if r.now-e.reportAt < reportStale {
@@ -526,15 +503,16 @@
 const (
 	badPlan    = 4.0  // times the time it should take here, from which a plan counts as bad
 	badPlanGap = 1.5  // and its rest must be this many times what a new try would take
+	leastDone  = 0.01 // share done, at the least, that a note is taken to tell
 	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
 	leastSize  = 2.0  // and this when engines are short
 	sizeCut    = 0.9
 	sizeGrow   = 1.005
-	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its latency target
+	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
 )
 
-// giveUpAt is when an unsent command is no longer worth its work: it could only miss its latency target, or, where
-// late answers keep most of their benefit, its client timeout.
+// giveUpAt is when an unsent command is no longer worth its work: it could only miss its latency target or,
+// where late answers keep most of their benefit, its client timeout.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, alone := c.profile, c.profile.alone(c, r.now)
 	if p.LateShare >= lateShare {
@@ -550,9 +528,9 @@
 	}
 }
 
-// tooLarge tells whether c asks for more than its benefit is worth now: while commands miss their latency targets, the
-// largest of each profile, by estimate, make room for several others each. Against overload and costs that swing.
-// Harm: after a short jam a few large commands are shed that could have run.
+// tooLarge tells whether c asks for more than its benefit is worth now: while latency targets are missed, the
+// largest of each profile, by estimate, make room for several others each. Against overload and costs that
+// swing. Harm: after a short jam a few large commands are shed that could have run.
 func (r *Router) tooLarge(c *command) bool {
 	p := c.profile
 	return c.estimate > 0 && len(c.sends) == 0 && (r.now > r.endBy(c)-p.alone(c, r.now) ||
@@ -612,8 +590,8 @@
 	}
 }
 
-// noted looks for bad plans. Against a plan drawn badly, but also an engine that has all but stopped. Harm: work
-// thrown away on a command that is truly large, so it acts only where an estimate says that it is not.
+// noted looks for bad plans. Against a plan drawn badly, but also an engine that has all but stopped. Harm:
+// work thrown away on a command that is truly large, so it acts only with an estimate.
 func (r *Router) noted(ev Noted) {
 	c := r.cmds[ev.ID]
 	if c == nil || int(ev.Send) >= len(c.sends) {
@@ -623,7 +601,7 @@
 	if ev.What == NoteWaitsTables {
 		s.engine.heldAt[c.tables] = r.now
 	}
-	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, 0.01)
+	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, leastDone)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
 	if ev.What == NoteProgress && c.estimate > 0 && !c.over && s.out && c.profile.Effect == Replayable &&
 		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
@@ -701,21 +679,14 @@
 	}
 	for _, e := range r.order {
 		if r.allowed.Probes && e.state == Ready && !e.probing && r.now >= e.probeAt {
-			e.wantProbe, e.probeAt = true, r.now+min(probeMost, probePace*r.controllers)*(0.9+0.2*r.rng.Float64())
+			pace := min(probeMost, probePace*r.controllers)
+			e.wantProbe, e.probeAt = true, r.now+pace*(0.9+0.2*r.rng.Float64())
 		}
 	}
 	r.forgetEngines()
 	r.forgetLines()
 }
 
-// retryAfter says when to come back, where that is heeded, spread so that clients don't come back together.
-func (r *Router) retryAfter() float64 {
-	if !r.allowed.RetryAfter {
-		return 0
-	}
-	return r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64())
-}
-
 // emit is the one place where the wanted state meets the present: it returns what makes them equal.
 func (r *Router) emit() (actions []Action) {
 	for _, c := range r.touched {
@@ -728,8 +699,8 @@
 			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
 			c.wantEngine = nil
 		}
-		if c.wantEnd == shed && !c.over {
-			actions = append(actions, Shed{c.id, r.retryAfter()})
+		if c.wantEnd == shed && !c.over { // come back later, and not all together
+			actions = append(actions, Shed{c.id, r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64())})
 		} else if c.wantEnd == failed && !c.over {
 			actions = append(actions, Fail{c.id})
 		}
--- /dev/null
+++ b/router/rules_test.go
@@ -0,0 +1,209 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Rule 2, with rule 7: what may follow the first send's outcome, and where.
+func TestFurtherSends(t *testing.T) {
+	here, sameZone, sameCell, far := engineAt("a", 0, "z1", 1), engineAt("b", 0, "z1", 2), engineAt("c", 0, "z2", 1),
+		engineAt("d", 0, "z2", 2)
+	with := func(e Effect, s Scope) Profile {
+		p := lookup
+		p.Effect, p.Scope, p.RepeatWindow, p.LateShare = e, s, 2000, 1 // so late that only its rule ends it
+		return p
+	}
+	rationed := tight
+	rationed.Budgeted, rationed.ResendShare, rationed.ResendWindow = true, 0.5, 1000
+	for _, c := range []struct {
+		name        string
+		p           Profile
+		g           Guards
+		o           Outcome
+		after       float64
+		others      []Entry
+		resend      bool
+		sheds, fail int
+	}{
+		{"replayable after a reset", with(Replayable, ScopeAll), tight, Reset, 0, []Entry{far}, true, 0, 0},
+		{"non-replayable that never ran", with(NonReplayable, ScopeAll), tight, Full, 0, []Entry{far}, true, 0, 0},
+		{"non-replayable after a reset", with(NonReplayable, ScopeAll), tight, Reset, 0, []Entry{far}, false, 0, 1},
+		{"uniqued in all", with(Uniqued, ScopeAll), tight, Reset, 0, []Entry{far}, true, 0, 0},
+		{"uniqued in its zone", with(Uniqued, ScopeZone), tight, Reset, 0, []Entry{sameZone}, true, 0, 0},
+		{"uniqued out of its zone", with(Uniqued, ScopeZone), tight, Reset, 0, []Entry{sameCell, far}, false, 0, 0},
+		{"uniqued in its cell", with(Uniqued, ScopeCell), tight, Reset, 0, []Entry{sameCell}, true, 0, 0},
+		{"uniqued out of its cell", with(Uniqued, ScopeCell), tight, Reset, 0, []Entry{sameZone, far}, false, 0, 0},
+		{"uniqued past its window", with(Uniqued, ScopeAll), tight, Reset, 2100, []Entry{far}, false, 1, 0},
+		{"uniqued in a zone past its window", with(Uniqued, ScopeZone), tight, Reset, 2100, []Entry{sameZone}, false, 0, 1},
+		{"no budget left", with(Replayable, ScopeAll), rationed, Reset, 0, []Entry{far}, false, 0, 0},
+	} {
+		d := newDesk(t, c.p, loose, c.g, here)
+		if to := sent(d.step(command1(1)), 1); to != "a" {
+			t.Fatalf("%s: first send went to %q", c.name, to)
+		}
+		if b := d.r.cmds[1]; d.r.mayGo(b, d.r.engines["a"]) {
+			t.Errorf("%s: may have two sends out", c.name)
+		}
+		gone := here
+		gone.State = Draining
+		d.step(Listed{Entries: append([]Entry{gone}, c.others...)})
+		d.now += c.after
+		actions := d.step(outcome(1, 0, c.o))
+		actions = append(actions, d.wait(60)...)
+		if to := sent(actions, 1); (to != "") != c.resend {
+			t.Errorf("%s: resent to %q", c.name, to)
+		}
+		if s, f := answers(actions, 1); s != c.sheds || f != c.fail {
+			t.Errorf("%s: %d shed, %d failed", c.name, s, f)
+		}
+	}
+}
+
+// Rule 1: one final answer, before the client timeout, whatever became of the send; and nothing after it.
+func TestOneAnswerInTime(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		effect  Effect
+		engines []Entry
+		sheds   int
+		fails   int
+	}{
+		{"never sent", NonReplayable, nil, 1, 0},
+		{"replayable, out", Replayable, []Entry{engineAt("a", 0, "z", 1)}, 1, 0},
+		{"non-replayable, out", NonReplayable, []Entry{engineAt("a", 0, "z", 1)}, 0, 1},
+	} {
+		p := lookup
+		p.Effect = c.effect
+		d := newDesk(t, p, loose, tight, c.engines...)
+		actions := d.step(command1(1))
+		for range 99 {
+			actions = append(actions, d.wait(49.4)...)
+		}
+		if s, f := answers(actions, 1); s != c.sheds || f != c.fails {
+			t.Errorf("%s: %d shed and %d failed by its client timeout", c.name, s, f)
+		}
+		actions = append(d.step(outcome(1, 0, TimedOut)), d.wait(500)...)
+		if s, f := answers(actions, 1); s+f > 0 || sent(actions, 1) != "" || len(d.r.cmds) > 0 {
+			t.Errorf("%s: something was done after the end: %v", c.name, actions)
+		}
+	}
+}
+
+// Rules 3 and 6: where a first send may go.
+func TestPlacement(t *testing.T) {
+	bound, zoned := lookup, lookup
+	bound.Kinds, zoned.Zones = []KindID{1}, []Zone{"z2"}
+	draining := engineAt("a", 1, "z2", 1)
+	draining.State = Draining
+	for i, c := range []struct {
+		p    Profile
+		e    Entry
+		want EngineID
+	}{
+		{lookup, draining, ""},
+		{bound, engineAt("a", 0, "z2", 1), ""},
+		{bound, engineAt("a", 1, "z2", 1), "a"},
+		{zoned, engineAt("a", 0, "z1", 1), ""},
+		{zoned, engineAt("a", 0, "z2", 1), "a"},
+		{lookup, engineAt("a", -1, "z1", 1), "a"},
+	} {
+		if to := sent(newDesk(t, c.p, loose, tight, c.e).step(command1(1)), 1); to != c.want {
+			t.Errorf("case %d: sent to %q, not %q", i, to, c.want)
+		}
+	}
+}
+
+// Rule 4: what a cold engine is sent within the window stays under this controller's part.
+func TestColdEngine(t *testing.T) {
+	for _, c := range []struct{ controllers, born, least, most float64 }{
+		{1, 5000, 1, 20}, {4, 5000, 0, 5}, {1, 500, 0, 0},
+	} {
+		d := newDesk(t, lookup, loose, tight)
+		d.r.controllers = c.controllers
+		d.r.profiles[0].work.add(d.now, 100*1000, 100)
+		d.now += c.born
+		cold := engineAt("a", 0, "z", 1)
+		cold.Since = d.now
+		d.step(Listed{Entries: []Entry{cold}})
+		n := 0.0
+		for id := range CommandID(60) {
+			if sent(d.step(command1(id)), id) != "" {
+				n++
+				d.step(outcome(id, 0, Answered))
+			}
+		}
+		if whole := tight.ColdMultiple * tight.ColdShare * 8 * tight.ColdWindow / c.controllers; n*1000 > whole ||
+			n < c.least || n > c.most {
+			t.Errorf("%g controllers, up for %g ms: %g commands of 1000 ms to a cold engine", c.controllers, c.born, n)
+		}
+	}
+}
+
+// Rule 5: one key runs one at a time in the order taken, and rests after a doubtful outcome.
+func TestOrder(t *testing.T) {
+	p, g := lookup, tight
+	p.InOrder, g.OrderRest = true, 300
+	for _, c := range []struct {
+		o     Outcome
+		rests bool
+	}{{Answered, false}, {Errored, false}, {Reset, true}, {TimedOut, true}} {
+		d := newDesk(t, p, Allowed{MaxSends: 1}, g, engineAt("a", 0, "z", 1))
+		keyed := func(id CommandID) Arrived { ev := command1(id); ev.Key = "k"; return ev }
+		if to := sent(d.step(keyed(1), keyed(2), command1(3)), 2); to != "" {
+			t.Errorf("%d: the second of a key was sent beside the first", c.o)
+		}
+		now := d.step(outcome(1, 0, c.o))
+		if rested := sent(now, 2) == "" && sent(d.wait(250), 2) == ""; rested != c.rests {
+			t.Errorf("outcome %d: key rested: %v", c.o, rested)
+		}
+		if later := d.wait(100); c.rests && sent(later, 2) == "" {
+			t.Errorf("outcome %d: the key rests for ever", c.o)
+		}
+		d.step(outcome(2, 0, Answered), outcome(3, 0, Answered))
+		if d.wait(500); len(d.r.lines) > 0 || len(d.r.resting) > 0 {
+			t.Errorf("outcome %d: the line was not forgotten", c.o)
+		}
+	}
+}
+
+// A list that must be asked for is asked for again after each failure, well within the stated time.
+func TestAskAgain(t *testing.T) {
+	a, g := loose, tight
+	a.MustAsk, g.AskWithin = true, 10000
+	d := newDesk(t, lookup, a, g)
+	last, asked := d.now, 0
+	for range 400 {
+		for _, action := range d.wait(99) {
+			if _, ok := action.(Subscribe); ok {
+				if d.now-last >= g.AskWithin {
+					t.Fatalf("nothing was asked for %g ms", d.now-last)
+				}
+				last = d.now
+				asked++
+				d.step(Listed{Failed: true})
+			}
+		}
+	}
+	if asked < 4 {
+		t.Errorf("asked %d times in 40 s", asked)
+	}
+}
+
+// Same events, same actions, and odd but legal ones do no harm.
+func TestOddEvents(t *testing.T) {
+	run := func() string {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1), engineAt("b", 1, "z", 2), engineAt("c", -1, "z", 2))
+		log := ""
+		for i := range CommandID(200) {
+			ev := command1(i)
+			ev.Tables, ev.Left = TableGroup(i%13), float64(i%7)*100-100
+			log += fmt.Sprint(d.step(ev, Left{ID: i / 2}, outcome(i/3, 0, Outcome(i%8)), outcome(i, 5, Answered),
+				Noted{ID: i, What: NoteProgress}, Probed{Engine: "x"}, Began{ID: i / 5}, Listed{Whole: i%50 == 49}))
+		}
+		return log
+	}
+	if first, again := run(), run(); first != again {
+		t.Errorf("the same events led to other actions:\n%s\n%s", first, again)
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -73,8 +73,8 @@
 	mem            float64
 }
 
-// command is one that is owed an answer, or has a send without an outcome. The want fields are the wanted state:
-// emit alone compares them with the rest.
+// command is one that is owed an answer, or has a send without an outcome. The want fields are the wanted
+// state: emit alone compares them with the rest.
 type command struct {
 	id               CommandID
 	profile          *profile
@@ -225,16 +225,21 @@
 // New makes the module of a controller that has just started.
 func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
 	guards Guards) *Router {
-	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)), kinds: kinds,
-		allowed: allowed, guards: guards, born: -1, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
-		engines: map[EngineID]*engine{}, tables: map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
+	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
+		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize, share: decay{life: shareLife},
+		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{}, engines: map[EngineID]*engine{},
+		tables: map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
-		r.profiles = append(r.profiles, &profile{Profile: p})
+		scale := decay{life: scaleLife}
+		r.profiles = append(r.profiles, &profile{Profile: p, unit: decay{life: unitLife},
+			work: decay{life: workLife}, workScale: scale, needScale: scale})
 	}
 	for _, t := range tenants {
 		r.tenants = append(r.tenants, &tenant{perSecond: t.PerSecond})
 	}
-	r.begin()
+	if !allowed.RetryAfter {
+		r.allowed.MaxRetryAfter = 0
+	}
 	return r
 }
 
@@ -318,7 +323,8 @@
 	if !ev.Outcome.NeverRan() && c.doubtAt == 0 {
 		c.doubtAt, c.doubt = s.at, e
 	}
-	if l := r.lineOf(c); l != nil && (ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled) {
+	mayRun := ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled
+	if l := r.lineOf(c); l != nil && mayRun {
 		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
 	}
 	c.out, e.out = c.out-1, e.out-1
@@ -442,7 +448,8 @@
 		} else if entry.Since > e.since {
 			e.fresh()
 		}
-		e.state, e.zone, e.kind, e.cell, e.since = entry.State, entry.Zone, entry.Kind, entry.Cell, entry.Since
+		e.state, e.zone, e.kind, e.cell = entry.State, entry.Zone, entry.Kind, entry.Cell
+		e.since = entry.Since
 		e.cores, e.memMB = spareCores, math.Inf(1)
 		if e.kind >= 0 {
 			e.cores, e.memMB = r.kinds[e.kind].Cores, r.kinds[e.kind].MemoryMB
--- a/router/types.go
+++ b/router/types.go
@@ -1,5 +1,5 @@
 // Package router decides which command runs when, on which engine and with how much memory. This file is its
-// interface: what a controller knows at start, what it is told, and what it orders. All times are milliseconds.
+// interface: what a controller knows at start, what it is told, what it orders. All times are milliseconds.
 package router
 
 // Ids are distinct types so that one can't stand where another is meant.
@@ -218,7 +218,7 @@
 		Engine EngineID
 		Until  float64
 	}
-	// Terms sets a command's priority, also for what is out, and the memory of its next send (0: the engine's choice).
+	// Terms sets a command's priority, also for what is out, and the memory of its next send; 0: the engine's choice.
 	Terms struct {
 		ID       CommandID
 		Priority int
@@ -229,7 +229,7 @@
 		ID   CommandID
 		Send SendID
 	}
-	// Shed is the final answer that tells the client to feel free to try again, after a while if After is above 0.
+	// Shed is the final answer that tells the client to try again if it likes, after a while if After is above 0.
 	Shed struct {
 		ID    CommandID
 		After float64
