--- a/router/router.go
+++ b/router/router.go
@@ -13,8 +13,8 @@
 
 // Commands and the rules' guards.
 
-// ms that learning goes back: time taken, work, estimates' scale, part of the traffic.
-const unitLife, workLife, scaleLife, shareLife = 10000.0, 20000.0, 30000.0, 5000.0
+// ms that learning goes back: time taken, the same lately, work, estimates' scale, part of traffic.
+const unitLife, runLife, workLife, scaleLife, shareLife = 10000.0, 1000.0, 20000.0, 30000.0, 5000.0
 
 const (
 	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
@@ -392,6 +392,7 @@
 	}
 	p.work.add(r.now, cmp.Or(ev.Work, c.estimate, ev.Took*p.Threads), 1)
 	p.unit.add(r.now, ev.Took/unit, 1)
+	p.run.add(r.now, ev.Took/unit, 1)
 	p.best *= bestDrift
 	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver && (p.best == 0 || m < p.best) {
 		p.best = m
@@ -508,6 +509,7 @@
 	leastSize  = 2.0  // and this when engines are short
 	sizeCut    = 0.9
 	sizeGrow   = 1.005
+	runOver    = 1.2 // time to run, over what commands of the profile took lately
 	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
 )
 
@@ -518,7 +520,8 @@
 	if p.LateShare >= lateShare {
 		return r.endBy(c) - 1.5*alone
 	}
-	return min(c.arrived+p.Target+(p.TargetStretch-1)*alone, r.endBy(c)-alone)
+	runs := p.run.mean(r.now, cmp.Or(p.best, 1), 2) * p.unitOf(c, r.now) * runOver
+	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - max(alone, runs)
 }
 
 // scarce takes in that a command missed its latency target for want of engines.
--- a/router/state.go
+++ b/router/state.go
@@ -105,6 +105,7 @@
 	Profile
 	best      float64 // least mean, lately, of the time taken over the unit: how it runs alone
 	unit      decay   // time taken over the unit
+	run       decay   // the same, lately
 	work      decay   // what a command needs on one thread
 	workScale decay   // true work over estimate
 	needScale decay   // true memory over estimate
@@ -232,6 +233,7 @@
 	for _, p := range profiles {
 		scale := decay{life: scaleLife}
 		r.profiles = append(r.profiles, &profile{Profile: p, unit: decay{life: unitLife},
+			run:  decay{life: runLife},
 			work: decay{life: workLife}, workScale: scale, needScale: scale})
 	}
 	for _, t := range tenants {
