Retries whose target has passed no longer go before first tries while engines are short

Cause: a retry leaves less time to its client timeout, so earliest-first sent it before first tries, made those late, and they came back as retries.

--- a/router/router.go
+++ b/router/router.go
@@ -374,7 +374,7 @@
 	widenBy    = 0.5 // threads for each answer
 	cutBy      = 0.85
 	cutEvery   = 400.0  // ms
-	bestDrift  = 1.0005 // for each answer: a fleet that has grown slower is not held to its past for ever
+	bestDrift  = 1.0002 // each tendEvery: a fleet that has grown slower is not held to its past for ever
 	bestOver   = 25.0   // answers that a best time must rest on
 )
 
@@ -392,13 +392,12 @@
 	}
 	p.work.add(r.now, cmp.Or(ev.Work, c.estimate, ev.Took*p.Threads), 1)
 	p.unit.add(r.now, ev.Took/unit, 1)
-	p.run.add(r.now, ev.Took/unit, 1)
-	p.best *= bestDrift
 	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver && (p.best == 0 || m < p.best) {
 		p.best = m
 	}
 	if p.best > 0 {
 		e.slow.add(r.now, min(20, ev.Took/(p.best*unit)), 1)
+		p.run.add(r.now, math.Log(max(1, ev.Took/(p.best*unit))), 1)
 	}
 	slow, bound := e.slow.mean(r.now, 1, 1), r.bound(e)
 	if slow < nearBest && e.threads+p.Threads >= 0.7*bound {
@@ -478,7 +477,7 @@
 		if c.over || c.wantEnd != open || tried >= scanMost || !r.mayStart(c) {
 			return c.over || c.wantEnd != open
 		}
-		if tried++; r.tooLarge(c) {
+		if tried++; r.unwise(c) {
 			r.end(c)
 			return true
 		}
@@ -508,20 +507,30 @@
 	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
 	leastSize  = 2.0  // and this when engines are short
 	sizeCut    = 0.9
+	shortFor   = 1000.0 // ms after a missed latency target for which engines count as short
 	sizeGrow   = 1.005
 	runOver    = 1.2 // time to run, over what commands of the profile took lately
+	leastHold  = 0.5 // of the latency target
 	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
 )
 
-// giveUpAt is when an unsent command is no longer worth its work: it could only miss its latency target or,
-// where late answers keep most of their benefit, its client timeout.
-func (r *Router) giveUpAt(c *command) float64 {
+// startBy is the latest that c may start and still be worth its work, if it runs as alone: it could then only miss
+// its latency target or, where late answers keep most of their benefit, its client timeout.
+func (r *Router) startBy(c *command) float64 {
 	p, alone := c.profile, c.profile.alone(c, r.now)
 	if p.LateShare >= lateShare {
 		return r.endBy(c) - 1.5*alone
 	}
-	runs := p.run.mean(r.now, cmp.Or(p.best, 1), 2) * p.unitOf(c, r.now) * runOver
-	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - max(alone, runs)
+	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
+}
+
+// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately, since in
+// overload all would else be sent at the last moment for an idle engine. A part of the target it is held at least,
+// or one slow answer could shut a profile out for good.
+func (r *Router) giveUpAt(c *command) float64 {
+	p, by := c.profile, r.startBy(c)
+	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
+	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.arrived+leastHold*p.Target))
 }
 
 // scarce takes in that a command missed its latency target for want of engines.
@@ -531,13 +540,17 @@
 	}
 }
 
-// tooLarge tells whether c asks for more than its benefit is worth now: while latency targets are missed, the
-// largest of each profile, by estimate, make room for several others each. Against overload and costs that
-// swing. Harm: after a short jam a few large commands are shed that could have run.
-func (r *Router) tooLarge(c *command) bool {
+// short tells that latency targets are being missed.
+func (r *Router) short() bool { return r.now-r.scarceAt < shortFor }
+
+// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only be late
+// and the largest of each profile, by estimate, make room for others. Against overload, costs that swing and waves
+// of retries, which by their early client timeouts would go before first tries and make those late too. Harm: after
+// a short jam a few are shed that could have run.
+func (r *Router) unwise(c *command) bool {
 	p := c.profile
-	return c.estimate > 0 && len(c.sends) == 0 && (r.now > r.endBy(c)-p.alone(c, r.now) ||
-		p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now))
+	return len(c.sends) == 0 && (r.short() && r.now > r.startBy(c) || c.estimate > 0 &&
+		(r.now > r.endBy(c)-p.alone(c, r.now) || p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now)))
 }
 
 // end gives c its final answer at once: it is never parked to keep its client from asking again.
@@ -662,6 +675,7 @@
 	}
 	best := 0.0
 	for _, p := range r.profiles {
+		p.best *= bestDrift
 		if x := p.Benefit / p.usualWork(r.now); x > best {
 			best, r.dense = x, p
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -76,21 +76,22 @@
 // command is one that is owed an answer, or has a send without an outcome. The want fields are the wanted
 // state: emit alone compares them with the rest.
 type command struct {
-	id               CommandID
-	profile          *profile
-	tables           *tableGroup
-	tenant           TenantID
-	overShare        bool
-	key              OrderKey
-	arrived, timeout float64
-	estimate, need   float64
-	sends            []attempt
-	out              int
-	over, begun      bool
-	doubtAt          float64 // when the first send left that may have run; 0: none did
-	doubt            *engine // where it went
-	priority         int     // as last told
-	grant            float64 // as last told
+	id             CommandID
+	profile        *profile
+	tables         *tableGroup
+	tenant         TenantID
+	overShare      bool
+	key            OrderKey
+	arrived        float64 // when its client first asked, as far as its client timeout tells
+	timeout        float64
+	estimate, need float64
+	sends          []attempt
+	out            int
+	over, begun    bool
+	doubtAt        float64 // when the first send left that may have run; 0: none did
+	doubt          *engine // where it went
+	priority       int     // as last told
+	grant          float64 // as last told
 
 	wantEngine   *engine
 	wantEnd      ending
@@ -103,9 +104,10 @@
 // profile is what is stated of a profile, with what was learned of it.
 type profile struct {
 	Profile
+	fullLeft  float64 // what a first try leaves until its client gives up: the most seen
 	best      float64 // least mean, lately, of the time taken over the unit: how it runs alone
 	unit      decay   // time taken over the unit
-	run       decay   // the same, lately
+	run       decay   // logarithm of the time taken over the time alone, lately
 	work      decay   // what a command needs on one thread
 	workScale decay   // true work over estimate
 	needScale decay   // true memory over estimate
@@ -273,7 +275,11 @@
 			homes: make([]*owner, len(r.kinds))}
 		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
 	}
-	c = &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
+	p, asked := r.profiles[ev.Profile], r.now
+	if p.fullLeft = max(p.fullLeft, ev.Left); ev.Left < p.fullLeft-1 { // a retry: its client has waited before
+		asked -= max(0, p.Timeout-ev.Left)
+	}
+	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: asked,
 		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, tenant: ev.Tenant, priority: 1,
 		wantPriority: 1}
 	r.cmds[c.id] = c
