--- a/router/router.go
+++ b/router/router.go
@@ -128,7 +128,7 @@
 func (e *engine) fresh() {
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
 	e.others, e.util, e.disk = decay{life: reportLife}, decay{life: reportLife}, decay{life: reportLife}
-	e.slow, e.granted, e.reportAt, e.width = decay{life: reportLife}, -1, 0, startWidth
+	e.slow, e.granted, e.reportAt, e.width = decay{life: reportLife}, decay{life: reportLife}, 0, startWidth
 }
 
 // ramp is the share of its capacity that a cold engine is taken to have.
@@ -425,8 +425,11 @@
 	if !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
-	return e.out == 0 || e.granted <= memFull && e.threads <= fill*r.bound(e) &&
-		e.mem+r.needOf(c) <= e.memMB*r.portion()*fill
+	need, free := r.needOf(c), e.memMB*r.portion()*fill-e.mem
+	if e.granted.n > 0 { // reports tell what others hold too
+		free = e.memMB*(memFull*math.Sqrt(fill)-e.granted.mean(r.now, 0, 0)) - (e.mem - e.memThen)
+	}
+	return e.out == 0 && (need == 0 || free > 0) || e.threads <= fill*r.bound(e) && need <= free
 }
 
 func (r *Router) needOf(c *command) float64 { return c.need * c.profile.needScale.mean(r.now, 1, 3) }
--- a/router/state.go
+++ b/router/state.go
@@ -134,7 +134,8 @@
 	heldAt       map[*tableGroup]float64 // when a note last told that a load holds them
 	others       decay                   // commands of other controllers, by its reports
 	util, disk   decay
-	granted      float64 // share of memory, by the last report; negative: not told
+	granted      decay   // share of its memory, by reports
+	memThen      float64 // mem at the last report
 	reportAt     float64
 	slow         decay  // time taken over the time alone
 	outcomes     uint64 // the last outcomes, a bit each, 1 for success
@@ -430,7 +431,10 @@
 	if l == nil {
 		return
 	}
-	e.reportAt, e.granted = r.now, l.Memory
+	e.reportAt, e.memThen = r.now, e.mem
+	if l.Memory >= 0 {
+		e.granted.add(r.now, l.Memory, 1)
+	}
 	if l.Util >= 0 {
 		e.util.add(r.now, l.Util, 1)
 	}
