--- a/router/design_test.go
+++ b/router/design_test.go
@@ -183,7 +183,8 @@
 		d.step(ev)
 		d.wait(500)
 		actions := d.step(Noted{ID: 1, What: NoteProgress, Level: c.done})
-		if got := slices.ContainsFunc(actions, func(a Action) bool { _, ok := a.(Cancel); return ok }); got != c.cancels {
+		isCancel := func(a Action) bool { _, ok := a.(Cancel); return ok }
+		if got := slices.ContainsFunc(actions, isCancel); got != c.cancels {
 			t.Errorf("%+v: cancelled: %v", c, got)
 		}
 	}
@@ -199,3 +200,35 @@
 		}
 	}
 }
+
+// Found on dundee-main: retries, nearer to their client timeout, went before first tries and made those late too.
+func TestLateRetryMakesRoom(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  float64
+		short bool
+		sheds int
+	}{{"a first try in a jam", 4000, true, 0}, {"a late retry in a jam", 2500, true, 1}, {"at ease", 2500, false, 0}} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		first, again := command1(1), command1(2)
+		first.Left, again.Left = 4000, c.left
+		d.step(first)
+		if d.r.scarceAt = 0; c.short {
+			d.r.scarceAt = d.now
+		}
+		if s, _ := answers(d.step(again), 2); s != c.sheds {
+			t.Errorf("%s: shed %d", c.name, s)
+		}
+	}
+}
+
+// Found on dundee-main: by its mean run time, one slow answer shut a profile out for good.
+func TestOneSlowAnswerShutsNobodyOut(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	d.r.profiles[0].best = 100
+	d.r.profiles[0].run.add(d.now, 3, 1)
+	cmd := &command{profile: d.r.profiles[0], arrived: d.now, timeout: d.now + 5000}
+	if by := d.r.giveUpAt(cmd); by < d.now+leastHold*lookup.Target {
+		t.Errorf("given up %g ms after it came", by-d.now)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -147,9 +147,7 @@
 		return
 	}
 	r.enlist(ev)
-	for k := range r.owners {
-		r.settle(k)
-	}
+	r.settleAll()
 }
 
 // portion is this controller's part of the traffic, by what engines hold; an equal part until that is known.
@@ -182,11 +180,10 @@
 func (r *Router) footprints(k int) map[*tableGroup]float64 {
 	sizes, total, n := map[*tableGroup]float64{}, 0.0, float64(len(r.ready(k)))
 	for _, g := range r.groups {
-		sizes[g] = g.held.rate(r.now) / r.portion() * n / float64(len(r.order))
-		total += sizes[g]
+		total += g.held.rate(r.now)
 	}
 	for _, g := range r.groups {
-		if total == 0 {
+		if sizes[g] = g.held.rate(r.now) / r.portion() * n / float64(len(r.order)); total == 0 {
 			sizes[g] = blindShare * r.kinds[k].MemoryMB * n / float64(len(r.groups))
 		}
 	}
@@ -309,13 +306,6 @@
 	r.allot(k, owners)
 }
 
-func (r *Router) mean(o *owner) (sum float64) {
-	for _, e := range o.engines {
-		sum += r.load(e) / float64(len(o.engines))
-	}
-	return sum
-}
-
 // future is the load of an owner that gives up an engine; one that can't is never the lowest.
 func (r *Router) future(o *owner) float64 {
 	if n := float64(len(o.engines)); n > 1 {
@@ -443,11 +433,9 @@
 	}
 	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
 	if p := c.profile; p.HoldsTables || p.Waits { // who would stand still behind a load finds another engine
-		held := float64(e.loads[c.tables])
-		if held == 0 && r.now-e.heldAt[c.tables] < heldFor {
-			held = 1
+		if x += heldTable * float64(e.loads[c.tables]); r.now-e.heldAt[c.tables] < heldFor {
+			x += heldTable
 		}
-		x += heldTable * held
 	}
 	return x + leaning*(1-likes(c.tables, e))
 }
@@ -517,8 +505,8 @@
 	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
 )
 
-// startBy is the latest that c may start and still be worth its work, if it runs as alone: it could then only miss
-// its latency target or, where late answers keep most of their benefit, its client timeout.
+// startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss its
+// latency target or, where late answers keep most of their benefit, its client timeout.
 func (r *Router) startBy(c *command) float64 {
 	p, alone := c.profile, c.profile.alone(c, r.now)
 	if p.LateShare >= lateShare {
@@ -527,9 +515,9 @@
 	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
 }
 
-// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately, since in
-// overload all would else be sent at the last moment for an idle engine. A part of the target it is held at least,
-// or one slow answer could shut a profile out for good.
+// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately; in overload
+// all would else be sent at the last moment for an idle engine. It is held for a part of its target at least, or
+// one slow answer could shut a profile out for good.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
 	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
@@ -543,16 +531,13 @@
 	}
 }
 
-// short tells that latency targets are being missed.
-func (r *Router) short() bool { return r.now-r.scarceAt < shortFor }
-
-// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only be late
-// and the largest of each profile, by estimate, make room for others. Against overload, costs that swing and waves
-// of retries, which by their early client timeouts would go before first tries and make those late too. Harm: after
-// a short jam a few are shed that could have run.
+// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only be
+// late and the largest of each profile, by estimate, make room for others. Against overload, costs that swing and
+// waves of retries, which by their early client timeouts would go before first tries and make those late too.
+// Harm: after a short jam a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
-	return len(c.sends) == 0 && (r.short() && r.now > r.startBy(c) || c.estimate > 0 &&
+	return len(c.sends) == 0 && (r.now-r.scarceAt < shortFor && r.now > r.startBy(c) || c.estimate > 0 &&
 		(r.now > r.endBy(c)-p.alone(c, r.now) || p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now)))
 }
 
@@ -570,10 +555,8 @@
 
 func (r *Router) arrived(ev Arrived) {
 	c, isNew := r.take(ev)
-	for k := range r.owners {
-		if isNew {
-			r.settle(k)
-		}
+	if isNew {
+		r.settleAll()
 	}
 	c.tables.demand.add(r.now, c.profile.alone(c, r.now)*c.profile.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
@@ -683,14 +666,14 @@
 			best, r.dense = x, p
 		}
 	}
-	if r.firstAt > 0 && !r.packed && r.now >= r.firstAt+firstPack {
-		r.packed, r.moveAt = true, r.now+period
-		for k := range r.owners {
-			r.repack(k)
-		}
-	} else if r.now >= r.moveAt {
+	if r.now >= r.moveAt {
 		r.moveAt = r.now + period
+		pack := !r.packed && r.firstAt > 0 && r.now >= r.firstAt+firstPack
+		r.packed = r.packed || pack
 		for k := range r.owners {
+			if pack {
+				r.repack(k)
+			}
 			r.rebalance(k)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -230,8 +230,8 @@
 func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
-		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize, share: decay{life: shareLife},
-		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{}, engines: map[EngineID]*engine{},
+		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
+		share: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{}, engines: map[EngineID]*engine{},
 		tables: map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
 		scale := decay{life: scaleLife}
@@ -277,7 +277,7 @@
 		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
 	}
 	p, asked := r.profiles[ev.Profile], r.now
-	if p.fullLeft = max(p.fullLeft, ev.Left); ev.Left < p.fullLeft-1 { // a retry: its client has waited before
+	if p.fullLeft = max(p.fullLeft, ev.Left); ev.Left < p.fullLeft-1 { // a retry: its client has waited
 		asked -= max(0, p.Timeout-ev.Left)
 	}
 	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: asked,
@@ -495,3 +495,17 @@
 		r.report(e, ev.Load)
 	}
 }
+
+// mean is an owner's load: that of its engines, on average.
+func (r *Router) mean(o *owner) (sum float64) {
+	for _, e := range o.engines {
+		sum += r.load(e) / float64(len(o.engines))
+	}
+	return sum
+}
+
+func (r *Router) settleAll() {
+	for k := range r.owners {
+		r.settle(k)
+	}
+}
--- a/router/types.go
+++ b/router/types.go
@@ -218,7 +218,7 @@
 		Engine EngineID
 		Until  float64
 	}
-	// Terms sets a command's priority, also for what is out, and the memory of its next send; 0: the engine's choice.
+	// Terms sets a command's priority, also for what is out, and its next send's memory; 0: the engine's choice.
 	Terms struct {
 		ID       CommandID
 		Priority int
@@ -229,7 +229,7 @@
 		ID   CommandID
 		Send SendID
 	}
-	// Shed is the final answer that tells the client to try again if it likes, after a while if After is above 0.
+	// Shed is the final answer that allows the client to try again, after a while if After is above 0.
 	Shed struct {
 		ID    CommandID
 		After float64
