--- a/router/router.go
+++ b/router/router.go
@@ -505,8 +505,8 @@
 	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
 )
 
-// startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss its
-// latency target or, where late answers keep most of their benefit, its client timeout.
+// startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss
+// its latency target or, where late answers keep most of their benefit, its client timeout.
 func (r *Router) startBy(c *command) float64 {
 	p, alone := c.profile, c.profile.alone(c, r.now)
 	if p.LateShare >= lateShare {
@@ -515,9 +515,9 @@
 	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
 }
 
-// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately; in overload
-// all would else be sent at the last moment for an idle engine. It is held for a part of its target at least, or
-// one slow answer could shut a profile out for good.
+// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately; in
+// overload all would else be sent at the last moment for an idle engine. It is held for a part of its target
+// at least, or one slow answer could shut a profile out for good.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
 	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
@@ -531,10 +531,10 @@
 	}
 }
 
-// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only be
-// late and the largest of each profile, by estimate, make room for others. Against overload, costs that swing and
-// waves of retries, which by their early client timeouts would go before first tries and make those late too.
-// Harm: after a short jam a few are shed that could have run.
+// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only
+// be late and the largest of each profile, by estimate, make room for others. Against overload, costs that
+// swing and waves of retries, which by their early client timeouts would go before first tries and make those
+// late too. Harm: after a short jam a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
 	return len(c.sends) == 0 && (r.now-r.scarceAt < shortFor && r.now > r.startBy(c) || c.estimate > 0 &&
--- a/router/state.go
+++ b/router/state.go
@@ -231,8 +231,9 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
-		share: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{}, engines: map[EngineID]*engine{},
-		tables: map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
+		share: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
+		engines: map[EngineID]*engine{},
+		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
 		scale := decay{life: scaleLife}
 		r.profiles = append(r.profiles, &profile{Profile: p, unit: decay{life: unitLife},
--- a/router/types.go
+++ b/router/types.go
@@ -218,7 +218,7 @@
 		Engine EngineID
 		Until  float64
 	}
-	// Terms sets a command's priority, also for what is out, and its next send's memory; 0: the engine's choice.
+	// Terms sets a command's priority, also for what is out, and its next send's memory (0: engine's choice).
 	Terms struct {
 		ID       CommandID
 		Priority int
