--- a/router/router.go
+++ b/router/router.go
@@ -108,6 +108,8 @@
 	reportStale = 4000.0 // ms after which a report no longer counts
 	probePace   = 400.0  // ms between probes of an engine by all controllers together
 	probeMost   = 1000.0 // ms between probes of an engine by one controller, at most
+	leastPart   = 0.2    // of an equal part of the traffic
+	partWeight  = 20.0   // commands that an equal part weighs as
 	askAgain    = 1000.0 // ms, and up to as much again
 	spareCores  = 8.0    // taken for a kind that the settings don't name
 )
@@ -128,7 +130,7 @@
 func (e *engine) fresh() {
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
 	e.others, e.util, e.disk = decay{life: reportLife}, decay{life: reportLife}, decay{life: reportLife}
-	e.slow, e.granted, e.reportAt, e.width = decay{life: reportLife}, decay{life: reportLife}, 0, startWidth
+	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
 }
 
 // ramp is the share of its capacity that a cold engine is taken to have.
@@ -153,7 +155,10 @@
 // portion is this controller's part of the traffic, by what engines hold; an equal part until that is known.
 // Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
-	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 20)))
+	if r.controllers == 1 {
+		return 1
+	}
+	return min(1, max(leastPart/r.controllers, r.share.mean(r.now, 1/r.controllers, partWeight)))
 }
 
 // load is the design's, with its fallbacks in order.
@@ -401,25 +406,19 @@
 
 const (
 	roomy     = 0.75   // filled up to this share of its bound an engine takes what others can't
-	memFull   = 0.97   // granted share of memory from which an engine takes nothing more
 	leaning   = 0.3    // what a table group's fixed leaning to an engine weighs, in threads a core
 	heldTable = 1.5    // the same, for a load that holds the command's tables there
 	heldFor   = 1500.0 // ms for which a note that a load holds them counts
 	scanMost  = 100    // held commands that one step tries
-	grantOver = 1.15   // grant over need: what is short spills, what is over is lost to others
 )
 
-// hasRoom is an engine's thread bound and memory, filled up to a share. One command may always run where
+// hasRoom is an engine's thread bound, filled up to a share. One command may always run where
 // this controller has none, and the last may overhang: a small controller's bound is less than one command.
-func (r *Router) hasRoom(c *command, e *engine, fill float64) bool {
+func (r *Router) hasRoom(e *engine, fill float64) bool {
 	if !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
-	need, free := r.needOf(c), e.memMB*r.portion()*fill-e.mem
-	if e.granted.n > 0 { // reports tell what others hold too
-		free = e.memMB*(memFull*math.Sqrt(fill)-e.granted.mean(r.now, 0, 0)) - (e.mem - e.memThen)
-	}
-	return e.out == 0 && (need == 0 || free > 0) || e.threads <= fill*r.bound(e) && need <= free
+	return e.out == 0 || e.threads <= fill*r.bound(e)
 }
 
 func (r *Router) needOf(c *command) float64 { return c.need * c.profile.needScale.mean(r.now, 1, 3) }
@@ -445,7 +444,7 @@
 	least := math.Inf(1)
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
-			if x := r.pressure(c, e); x < least && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
+			if x := r.pressure(c, e); x < least && r.hasRoom(e, fill) && r.mayGo(c, e) {
 				best, least = e, x
 			}
 		}
@@ -472,14 +471,11 @@
 			r.end(c)
 			return true
 		}
-		e, p, need := r.choose(c), c.profile, r.needOf(c)
+		e, p := r.choose(c), c.profile
 		if e == nil {
 			return false
 		}
-		r.book(c, e, need, p.usualWork(r.now))
-		if r.allowed.Grants && need > 0 {
-			c.wantGrant = min(need*grantOver, e.memMB*max(r.allowed.GrantCap, 0.1))
-		}
+		r.book(c, e, r.needOf(c), p.usualWork(r.now))
 		if p == r.dense && r.allowed.Priorities { // most benefit for its work goes first
 			c.wantPriority = 3
 		} else if p.HoldsTables && r.allowed.Priorities { // others may wait on it
@@ -496,7 +492,7 @@
 	badPlanGap = 1.5  // and its rest must be this many times what a new try would take
 	leastDone  = 0.01 // share done, at the least, that a note is taken to tell
 	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
-	leastSize  = 2.0  // and this when engines are short
+	leastSize  = 4.0  // and this when engines are short
 	sizeCut    = 0.9
 	shortFor   = 1000.0 // ms after a missed latency target for which engines count as short
 	sizeGrow   = 1.005
@@ -695,9 +691,9 @@
 	for _, c := range r.touched {
 		c.touched = false
 		if c.wantEngine != nil {
-			if c.priority != c.wantPriority || c.grant != c.wantGrant {
-				c.priority, c.grant = c.wantPriority, c.wantGrant
-				actions = append(actions, Terms{c.id, c.priority, c.grant})
+			if c.priority != c.wantPriority { // memory is left to the engine: what was tried did no better
+				c.priority = c.wantPriority
+				actions = append(actions, Terms{c.id, c.priority, 0})
 			}
 			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
 			c.wantEngine = nil
--- a/router/state.go
+++ b/router/state.go
@@ -91,13 +91,11 @@
 	doubtAt        float64 // when the first send left that may have run; 0: none did
 	doubt          *engine // where it went
 	priority       int     // as last told
-	grant          float64 // as last told
 
 	wantEngine   *engine
 	wantEnd      ending
 	wantCancel   bool
 	wantPriority int
-	wantGrant    float64
 	touched      bool
 }
 
@@ -127,15 +125,13 @@
 	kind         KindID
 	cell         CellID
 	since        float64
-	cores, memMB float64
+	cores        float64
 	out          int                     // own sends out
 	threads, mem float64                 // of these
 	loads        map[*tableGroup]int     // own loads out, by what they hold
 	heldAt       map[*tableGroup]float64 // when a note last told that a load holds them
 	others       decay                   // commands of other controllers, by its reports
 	util, disk   decay
-	granted      decay   // share of its memory, by reports
-	memThen      float64 // mem at the last report
 	reportAt     float64
 	slow         decay  // time taken over the time alone
 	outcomes     uint64 // the last outcomes, a bit each, 1 for success
@@ -315,7 +311,7 @@
 	}
 	c.sends = append(c.sends, attempt{engine: e, at: r.now, out: true, mem: mem})
 	c.out, e.out = c.out+1, e.out+1
-	e.threads, e.mem = e.threads+c.profile.Threads, e.mem+mem
+	e.threads += c.profile.Threads
 	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
 		e.coldSent.add(r.now, work)
 	}
@@ -338,10 +334,7 @@
 		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
 	}
 	c.out, e.out = c.out-1, e.out-1
-	e.threads, e.mem = e.threads-c.profile.Threads, e.mem-s.mem
-	if e.out == 0 {
-		e.threads, e.mem = 0, 0
-	}
+	e.threads -= c.profile.Threads
 	if c.profile.HoldsTables {
 		if e.loads[c.tables]--; e.loads[c.tables] == 0 {
 			delete(e.loads, c.tables)
@@ -432,10 +425,7 @@
 	if l == nil {
 		return
 	}
-	e.reportAt, e.memThen = r.now, e.mem
-	if l.Memory >= 0 {
-		e.granted.add(r.now, l.Memory, 1)
-	}
+	e.reportAt = r.now
 	if l.Util >= 0 {
 		e.util.add(r.now, l.Util, 1)
 	}
@@ -463,9 +453,9 @@
 		}
 		e.state, e.zone, e.kind, e.cell = entry.State, entry.Zone, entry.Kind, entry.Cell
 		e.since = entry.Since
-		e.cores, e.memMB = spareCores, math.Inf(1)
+		e.cores = spareCores
 		if e.kind >= 0 {
-			e.cores, e.memMB = r.kinds[e.kind].Cores, r.kinds[e.kind].MemoryMB
+			e.cores = r.kinds[e.kind].Cores
 		}
 	}
 	for _, e := range r.order {
