--- a/router/design_test.go
+++ b/router/design_test.go
@@ -213,8 +213,8 @@
 		first, again := command1(1), command1(2)
 		first.Left, again.Left = 4000, c.left
 		d.step(first)
-		if d.r.scarceAt = 0; c.short {
-			d.r.scarceAt = d.now
+		if d.r.jamAt = 0; c.short {
+			d.r.jamAt = d.now
 		}
 		if s, _ := answers(d.step(again), 2); s != c.sheds {
 			t.Errorf("%s: shed %d", c.name, s)
@@ -227,8 +227,25 @@
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
 	d.r.profiles[0].best = 100
 	d.r.profiles[0].run.add(d.now, 3, 1)
-	cmd := &command{profile: d.r.profiles[0], arrived: d.now, timeout: d.now + 5000}
+	cmd := &command{profile: d.r.profiles[0], arrived: d.now, asked: d.now, timeout: d.now + 5000}
 	if by := d.r.giveUpAt(cmd); by < d.now+leastHold*lookup.Target {
 		t.Errorf("given up %g ms after it came", by-d.now)
 	}
 }
+
+// Found on dundee-main: clients that all leave less time were taken for retries, and shed by idle engines for good.
+func TestShorterPatienceIsNoJam(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	sheds := 0
+	for id := range CommandID(1000) {
+		ev := command1(id)
+		if id > 200 {
+			ev.Left = 2500
+		}
+		s, _ := answers(append(d.step(ev), d.step(outcome(id, 0, Answered))...), id)
+		sheds += s
+	}
+	if sheds > 0 {
+		t.Errorf("%d commands were shed by an idle engine", sheds)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -496,9 +496,11 @@
 	sizeCut    = 0.9
 	shortFor   = 1000.0 // ms after a missed latency target for which engines count as short
 	sizeGrow   = 1.005
-	runOver    = 1.2 // time to run, over what commands of the profile took lately
-	leastHold  = 0.5 // of the latency target
-	lateShare  = 0.5 // a profile that keeps this much of its benefit when late is held past its target
+	patience   = 0.997 // for each command: how fast the client timeout of first tries is taken to fall
+	retryLeft  = 0.95  // of it: who leaves less has waited before
+	runOver    = 1.2   // time to run, over what commands of the profile took lately
+	leastHold  = 0.5   // of the latency target
+	lateShare  = 0.5   // a profile that keeps this much of its benefit when late is held past its target
 )
 
 // startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss
@@ -508,7 +510,7 @@
 	if p.LateShare >= lateShare {
 		return r.endBy(c) - 1.5*alone
 	}
-	return min(c.arrived+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
+	return min(c.asked+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
 }
 
 // giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately; in
@@ -517,14 +519,18 @@
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
 	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
-	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.arrived+leastHold*p.Target))
+	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
 }
 
-// scarce takes in that a command missed its latency target for want of engines.
-func (r *Router) scarce() {
+// scarce takes in that c misses its latency target for want of engines. Only who came fresh counts as a jam: else
+// shedding who seems to be late would itself keep it up.
+func (r *Router) scarce(c *command) {
 	if r.now-r.scarceAt >= tendEvery {
 		r.scarceAt, r.sizeCap = r.now, max(leastSize, r.sizeCap*sizeCut)
 	}
+	if c.asked == c.arrived {
+		r.jamAt = r.now
+	}
 }
 
 // unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only
@@ -533,7 +539,7 @@
 // late too. Harm: after a short jam a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
-	return len(c.sends) == 0 && (r.now-r.scarceAt < shortFor && r.now > r.startBy(c) || c.estimate > 0 &&
+	return len(c.sends) == 0 && (r.now-r.jamAt < shortFor && r.now > r.startBy(c) || c.estimate > 0 &&
 		(r.now > r.endBy(c)-p.alone(c, r.now) || p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now)))
 }
 
@@ -571,8 +577,8 @@
 	switch ev.Outcome {
 	case Answered:
 		s.engine.judge(r.now, true)
-		if r.now > c.arrived+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now) {
-			r.scarce()
+		if r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now) {
+			r.scarce(c)
 		}
 		r.learn(c, s.engine, ev)
 	case Full: // it is up and holds all that it can: less of it is the cure, not a rest
@@ -651,7 +657,7 @@
 	r.sizeCap = min(mostSize, r.sizeCap*sizeGrow)
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
-			r.scarce()
+			r.scarce(c)
 			r.end(c)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -82,7 +82,8 @@
 	tenant         TenantID
 	overShare      bool
 	key            OrderKey
-	arrived        float64 // when its client first asked, as far as its client timeout tells
+	arrived        float64
+	asked          float64 // when its client first did, as far as its client timeout tells
 	timeout        float64
 	estimate, need float64
 	sends          []attempt
@@ -213,7 +214,8 @@
 	moveAt             float64
 	packed             bool // by learned footprints
 	wakeAt             float64
-	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile
+	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile, and when it was cut
+	jamAt              float64 // when a fresh command last missed its latency target
 }
 
 // tenant is one that shares the fleet, with what it has left of its share here.
@@ -274,10 +276,10 @@
 		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
 	}
 	p, asked := r.profiles[ev.Profile], r.now
-	if p.fullLeft = max(p.fullLeft, ev.Left); ev.Left < p.fullLeft-1 { // a retry: its client has waited
+	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		asked -= max(0, p.Timeout-ev.Left)
 	}
-	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: asked,
+	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, asked: asked,
 		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, tenant: ev.Tenant, priority: 1,
 		wantPriority: 1}
 	r.cmds[c.id] = c
