--- a/router/router.go
+++ b/router/router.go
@@ -522,15 +522,11 @@
 	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
 }
 
-// scarce takes in that c misses its latency target for want of engines. Only who came fresh counts as a jam: else
-// shedding who seems to be late would itself keep it up.
-func (r *Router) scarce(c *command) {
+// scarce takes in that a command misses its latency target for want of engines.
+func (r *Router) scarce() {
 	if r.now-r.scarceAt >= tendEvery {
 		r.scarceAt, r.sizeCap = r.now, max(leastSize, r.sizeCap*sizeCut)
 	}
-	if c.asked == c.arrived {
-		r.jamAt = r.now
-	}
 }
 
 // unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only
@@ -578,7 +574,7 @@
 	case Answered:
 		s.engine.judge(r.now, true)
 		if r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now) {
-			r.scarce(c)
+			r.scarce()
 		}
 		r.learn(c, s.engine, ev)
 	case Full: // it is up and holds all that it can: less of it is the cure, not a rest
@@ -657,7 +653,9 @@
 	r.sizeCap = min(mostSize, r.sizeCap*sizeGrow)
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
-			r.scarce(c)
+			if r.scarce(); c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
+				r.jamAt = r.now
+			}
 			r.end(c)
 		}
 	}
