--- a/router/design_test.go
+++ b/router/design_test.go
@@ -213,8 +213,8 @@
 		first, again := command1(1), command1(2)
 		first.Left, again.Left = 4000, c.left
 		d.step(first)
-		if d.r.jamAt = 0; c.short {
-			d.r.jamAt = d.now
+		if d.r.jamUntil = 0; c.short {
+			d.r.jamUntil = d.now + shortFor
 		}
 		if s, _ := answers(d.step(again), 2); s != c.sheds {
 			t.Errorf("%s: shed %d", c.name, s)
@@ -249,3 +249,15 @@
 		t.Errorf("%d commands were shed by an idle engine", sheds)
 	}
 }
+
+// Found on trapani-sosta: a full engine was sent the same commands again at once, until they had no sends left.
+func TestFullEngineRests(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	d.step(command1(1))
+	if actions := d.step(outcome(1, 0, Full)); sent(actions, 1) != "" {
+		t.Error("sent again at once")
+	}
+	if actions := append(d.wait(fullRest/2), d.wait(fullRest)...); sent(actions, 1) != "a" {
+		t.Error("not sent again after the rest")
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -47,7 +47,7 @@
 	p := c.profile
 	return e.state == Ready && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
 		(p.Zones == nil || slices.Contains(p.Zones, e.zone)) && r.mayStart(c) &&
-		(c.doubtAt == 0 || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c, e)
+		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c, e)
 }
 
 // mayStart is the part of mayGo that is the same for all engines.
@@ -65,7 +65,7 @@
 // spent tells that no further send of c can ever be allowed.
 func (r *Router) spent(c *command) bool {
 	p := c.profile
-	return len(c.sends) >= r.allowed.MaxSends || c.doubtAt != 0 && (p.Effect == NonReplayable ||
+	return len(c.sends) >= r.allowed.MaxSends || c.doubt != nil && (p.Effect == NonReplayable ||
 		p.Effect == Uniqued && r.now > c.doubtAt+p.RepeatWindow-netSlack)
 }
 
@@ -93,7 +93,7 @@
 
 // mayShed tells whether the client may be told that trying again is harmless.
 func (r *Router) mayShed(c *command) bool {
-	p, doubt := c.profile, c.doubtAt != 0 || c.out > 0
+	p, doubt := c.profile, c.doubt != nil || c.out > 0
 	return p.Effect == Replayable || !doubt || p.Effect == Uniqued && p.Scope == ScopeAll
 }
 
@@ -407,15 +407,16 @@
 const (
 	roomy     = 0.75   // filled up to this share of its bound an engine takes what others can't
 	leaning   = 0.3    // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable = 1.5    // the same, for a load that holds the command's tables there
+	heldTable = 4.0    // the same, for a load that holds the command's tables there
 	heldFor   = 1500.0 // ms for which a note that a load holds them counts
+	fullRest  = 200.0  // ms for which an engine that turned a command away gets none
 	scanMost  = 100    // held commands that one step tries
 )
 
 // hasRoom is an engine's thread bound, filled up to a share. One command may always run where
 // this controller has none, and the last may overhang: a small controller's bound is less than one command.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
-	if !e.well() && (e.out > 0 || r.now < e.retryAt) {
+	if r.now < e.fullUntil || !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
 	return e.out == 0 || e.threads <= fill*r.bound(e)
@@ -432,7 +433,7 @@
 	}
 	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
 	if p := c.profile; p.HoldsTables || p.Waits { // who would stand still behind a load finds another engine
-		if x += heldTable * float64(e.loads[c.tables]); r.now-e.heldAt[c.tables] < heldFor {
+		if x += heldTable * float64(e.loads[c.tables]); r.now < e.heldUntil[c.tables] {
 			x += heldTable
 		}
 	}
@@ -535,7 +536,7 @@
 // late too. Harm: after a short jam a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
-	return len(c.sends) == 0 && (r.now-r.jamAt < shortFor && r.now > r.startBy(c) || c.estimate > 0 &&
+	return len(c.sends) == 0 && (r.now < r.jamUntil && r.now > r.startBy(c) || c.estimate > 0 &&
 		(r.now > r.endBy(c)-p.alone(c, r.now) || p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now)))
 }
 
@@ -577,8 +578,8 @@
 			r.scarce()
 		}
 		r.learn(c, s.engine, ev)
-	case Full: // it is up and holds all that it can: less of it is the cure, not a rest
-		s.engine.width = max(leastWidth, s.engine.width*cutBy)
+	case Full: // it is up, but others hold all its sessions: sending on would only use up the command's sends
+		s.engine.fullUntil, s.engine.width = r.now+fullRest, max(leastWidth, s.engine.width*cutBy)
 	case Errored, Refused, Reset, TimedOut:
 		s.engine.judge(r.now, false)
 	}
@@ -599,7 +600,7 @@
 	}
 	s := c.sends[ev.Send]
 	if ev.What == NoteWaitsTables {
-		s.engine.heldAt[c.tables] = r.now
+		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
 	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, leastDone)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
@@ -654,7 +655,7 @@
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
 			if r.scarce(); c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
-				r.jamAt = r.now
+				r.jamUntil = r.now + shortFor
 			}
 			r.end(c)
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -90,7 +90,7 @@
 	out            int
 	over, begun    bool
 	doubtAt        float64 // when the first send left that may have run; 0: none did
-	doubt          *engine // where it went
+	doubt          *engine // where it went; nil: none may have run
 	priority       int     // as last told
 
 	wantEngine   *engine
@@ -120,30 +120,30 @@
 
 // engine is one of the list, or one that left it with sends still out.
 type engine struct {
-	id           EngineID
-	state        State
-	zone         Zone
-	kind         KindID
-	cell         CellID
-	since        float64
-	cores        float64
-	out          int                     // own sends out
-	threads, mem float64                 // of these
-	loads        map[*tableGroup]int     // own loads out, by what they hold
-	heldAt       map[*tableGroup]float64 // when a note last told that a load holds them
-	others       decay                   // commands of other controllers, by its reports
-	util, disk   decay
-	reportAt     float64
-	slow         decay  // time taken over the time alone
-	outcomes     uint64 // the last outcomes, a bit each, 1 for success
-	retryAt      float64
-	retryWait    float64
-	probing      bool
-	wantProbe    bool
-	probeAt      float64
-	width        float64 // threads a core that all controllers together may run here, by what this one sees
-	cutAt        float64
-	coldSent     stamps
+	id               EngineID
+	state            State
+	zone             Zone
+	kind             KindID
+	cell             CellID
+	since            float64
+	cores            float64
+	out              int                     // own sends out
+	threads, mem     float64                 // of these
+	loads            map[*tableGroup]int     // own loads out, by what they hold
+	heldUntil        map[*tableGroup]float64 // by a note that a load holds them
+	others           decay                   // commands of other controllers, by its reports
+	util, disk       decay
+	reportAt         float64
+	slow             decay  // time taken over the time alone
+	outcomes         uint64 // the last outcomes, a bit each, 1 for success
+	retryAt          float64
+	retryWait        float64
+	probing          bool
+	wantProbe        bool
+	probeAt          float64
+	width            float64 // threads a core that all controllers together may run here, by what this one sees
+	cutAt, fullUntil float64
+	coldSent         stamps
 }
 
 // tableGroup is a group of tables with its learned demand.
@@ -215,7 +215,7 @@
 	packed             bool // by learned footprints
 	wakeAt             float64
 	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile, and when it was cut
-	jamAt              float64 // when a fresh command last missed its latency target
+	jamUntil           float64 // by the last fresh command given up while held
 }
 
 // tenant is one that shares the fleet, with what it has left of its share here.
@@ -328,7 +328,7 @@
 func (r *Router) unbook(c *command, s *attempt, ev Ended) {
 	e := s.engine
 	s.out, c.over = false, c.over || ev.Over
-	if !ev.Outcome.NeverRan() && c.doubtAt == 0 {
+	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, e
 	}
 	mayRun := ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled
@@ -447,7 +447,7 @@
 		named[entry.Engine] = true
 		e := r.engines[entry.Engine]
 		if e == nil {
-			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldAt: map[*tableGroup]float64{}}
+			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldUntil: map[*tableGroup]float64{}}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 			e.fresh()
 		} else if entry.Since > e.since {
