--- a/router/router.go
+++ b/router/router.go
@@ -406,7 +406,7 @@
 
 const (
 	roomy     = 0.75   // filled up to this share of its bound an engine takes what others can't
-	leaning   = 0.3    // what a table group's fixed leaning to an engine weighs, in threads a core
+	leaning   = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
 	heldTable = 4.0    // the same, for a load that holds the command's tables there
 	heldFor   = 1500.0 // ms for which a note that a load holds them counts
 	fullRest  = 200.0  // ms for which an engine that turned a command away gets none
@@ -437,7 +437,10 @@
 			x += heldTable
 		}
 	}
-	return x + leaning*(1-likes(c.tables, e))
+	if !c.profile.HoldsTables { // those don't meet, or they would stand still behind each other
+		x += leaning * (1 - likes(c.tables, e))
+	}
+	return x
 }
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
