--- a/router/router.go
+++ b/router/router.go
@@ -422,8 +422,6 @@
 	return e.out == 0 || e.threads <= fill*r.bound(e)
 }
 
-func (r *Router) needOf(c *command) float64 { return c.need * c.profile.needScale.mean(r.now, 1, 3) }
-
 // pressure ranks engines for a command: threads a core by own sends and reports, the load reported, how slow
 // answers are, loads that hold the tables, and the leaning of the tables.
 func (r *Router) pressure(c *command, e *engine) float64 {
@@ -479,7 +477,7 @@
 		if e == nil {
 			return false
 		}
-		r.book(c, e, r.needOf(c), p.usualWork(r.now))
+		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
 		if p == r.dense && r.allowed.Priorities { // most benefit for its work goes first
 			c.wantPriority = 3
 		} else if p.HoldsTables && r.allowed.Priorities { // others may wait on it
@@ -566,11 +564,10 @@
 }
 
 func (r *Router) ended(ev Ended) {
-	c := r.cmds[ev.ID]
-	if c == nil || int(ev.Send) >= len(c.sends) || !c.sends[ev.Send].out {
+	c, s := r.sendOf(ev.ID, ev.Send)
+	if s == nil {
 		return
 	}
-	s := &c.sends[ev.Send]
 	r.unbook(c, s, ev)
 	r.report(s.engine, ev.Load)
 	c.tables.held.add(r.now, s.mem*ev.Took, 1)
@@ -597,17 +594,16 @@
 // noted looks for bad plans. Against a plan drawn badly, but also an engine that has all but stopped. Harm:
 // work thrown away on a command that is truly large, so it acts only with an estimate.
 func (r *Router) noted(ev Noted) {
-	c := r.cmds[ev.ID]
-	if c == nil || int(ev.Send) >= len(c.sends) {
+	c, s := r.sendOf(ev.ID, ev.Send)
+	if s == nil {
 		return
 	}
-	s := c.sends[ev.Send]
 	if ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
 	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, leastDone)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
-	if ev.What == NoteProgress && c.estimate > 0 && !c.over && s.out && c.profile.Effect == Replayable &&
+	if ev.What == NoteProgress && c.estimate > 0 && !c.over && c.profile.Effect == Replayable &&
 		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
 		c.wantCancel = true
 		r.touch(c)
--- a/router/state.go
+++ b/router/state.go
@@ -502,3 +502,12 @@
 		r.settle(k)
 	}
 }
+
+// sendOf finds a send that is out; nil if there is none such.
+func (r *Router) sendOf(id CommandID, send SendID) (*command, *attempt) {
+	c := r.cmds[id]
+	if c == nil || send < 0 || int(send) >= len(c.sends) || !c.sends[send].out {
+		return nil, nil
+	}
+	return c, &c.sends[send]
+}
