--- a/cmd/mintkeel-sim/main.go
+++ b/cmd/mintkeel-sim/main.go
@@ -1,5 +1,5 @@
-// Command mintkeel-sim reaches the decision module over the simulator's wire: it keeps the instances by number and
-// turns lines into the module's types and back. It decides nothing.
+// Command mintkeel-sim reaches the decision module over the simulator's wire: it keeps the instances by number
+// and turns lines into the module's types and back. It decides nothing.
 package main
 
 import (
@@ -75,7 +75,8 @@
 	number := controllerOf(m.Body)
 	inst := instances[number]
 	if inst == nil {
-		return number, &simwire.FieldError{Line: m.Line, Field: "controller", Why: fmt.Sprintf("%d is not up", number)}
+		why := fmt.Sprintf("%d is not up", number)
+		return number, &simwire.FieldError{Line: m.Line, Field: "controller", Why: why}
 	}
 	event, err := inst.names.event(m)
 	if event != nil {
--- a/cmd/mintkeel-sim/main_test.go
+++ b/cmd/mintkeel-sim/main_test.go
@@ -27,7 +27,8 @@
 	for _, c := range []struct{ name, in, has, lacks string }{
 		{"an empty batch", begin("1"), "end\t1\n", "\t3\t"},
 		{"a send", begin("1", up, list("a:1"), "view\t3\t1\t2\t0\n", incoming), "submit_to\t3\t9\ta:1\t501", "bug"},
-		{"a list number used again in the batch", begin("1", up, list("a:1"), list("b:2"), "view\t3\t1\t2\t0\n", incoming),
+		{"a list number used again in the batch",
+			begin("1", up, list("a:1"), list("b:2"), "view\t3\t1\t2\t0\n", incoming),
 			"submit_to\t3\t9\tb:2", "a:1"},
 		{"retired and up in one batch", begin("1", up) + begin("2", list("a:1"), "view\t3\t1\t2\t0\n", incoming,
 			"retire\t3\n", up), "end\t2\n", "submit_to"},
@@ -63,11 +64,12 @@
 	}
 }
 
-// A timer never rings early and a send's time-out is never late, whatever the fraction; a panic becomes a bug.
+// A timer never rings early and a send's time-out is never late; a panic becomes a bug.
 func TestActRounds(t *testing.T) {
 	var out strings.Builder
 	w := simwire.NewWriter(&out)
-	write(w, 3, []router.Action{router.Wake{After: 0.0000011}, router.Send{ID: 1, Engine: "a", Until: 1.9999999}})
+	write(w, 3, []router.Action{router.Wake{After: 0.0000011},
+		router.Send{ID: 1, Engine: "a", Until: 1.9999999}})
 	act(w, 4, &instance{}, 0)
 	w.End("1")
 	want := "set_timer\t3\t2\t0\nsubmit_to\t3\t1\ta\t1999999\nbug\t4\t"
--- a/cmd/mintkeel-sim/names.go
+++ b/cmd/mintkeel-sim/names.go
@@ -44,7 +44,8 @@
 func (o *options) bool(key string) bool {
 	text := o.values[key]
 	if text != "" && text != "true" && text != "false" && text != "1" && text != "0" && o.err == nil {
-		o.err = &simwire.FieldError{Line: o.line, Field: key, Why: fmt.Sprintf("%q is neither true nor false", text)}
+		why := fmt.Sprintf("%q is neither true nor false", text)
+		o.err = &simwire.FieldError{Line: o.line, Field: key, Why: why}
 	}
 	return text == "true" || text == "1"
 }
@@ -140,10 +141,11 @@
 		return router.Profile{}, &simwire.FieldError{Line: o.line, Field: at + "dedup_scope", Why: "is not known"}
 	}
 	p := router.Profile{Effect: effect, Scope: scope, RepeatWindow: o.ms(at + "repeat_window_ns"),
-		InOrder: o.bool(at + "in_order"), Target: o.ms(at + "promise_ns"), TargetStretch: o.float(at + "aim_stretch"),
-		Timeout: o.ms(at + "hard_limit_ns"), Benefit: o.float(at + "worth"), LateShare: o.float(at + "late_worth"),
+		InOrder: o.bool(at + "in_order"), Target: o.ms(at + "promise_ns"),
+		TargetStretch: o.float(at + "aim_stretch"), Timeout: o.ms(at + "hard_limit_ns"), Benefit: o.float(at + "worth"), LateShare: o.float(at + "late_worth"),
 		Threads:     max(1, o.floatAt("family_info.width_by_class", i)),
-		HoldsTables: o.at("family_info.holds_tables", i) == "true", Waits: o.at("family_info.class_waits", i) == "true"}
+		HoldsTables: o.at("family_info.holds_tables", i) == "true",
+		Waits:       o.at("family_info.class_waits", i) == "true"}
 	if o.has(at + "bound_to") {
 		p.Kinds = []router.KindID{}
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -1,5 +1,5 @@
-// Package simwire reads and writes the lines of the simulator's wire. It knows their form and nothing of what they
-// are for.
+// Package simwire reads and writes the lines of the simulator's wire. It knows their form and nothing of what
+// they are for.
 package simwire
 
 import (
--- a/router/design_test.go
+++ b/router/design_test.go
@@ -201,14 +201,15 @@
 	}
 }
 
-// Found on dundee-main: retries, nearer to their client timeout, went before first tries and made those late too.
+// Found on dundee-main: retries, nearer to their client timeout, went before first tries and made them late.
 func TestLateRetryMakesRoom(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		left  float64
 		short bool
 		sheds int
-	}{{"a first try in a jam", 4000, true, 0}, {"a late retry in a jam", 2500, true, 1}, {"at ease", 2500, false, 0}} {
+	}{{"a first try in a jam", 4000, true, 0}, {"a late retry in a jam", 2500, true, 1},
+		{"at ease", 2500, false, 0}} {
 		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
 		first, again := command1(1), command1(2)
 		first.Left, again.Left = 4000, c.left
@@ -233,7 +234,7 @@
 	}
 }
 
-// Found on dundee-main: clients that all leave less time were taken for retries, and shed by idle engines for good.
+// Found on dundee-main: clients that all leave less time were taken for retries, and shed with engines idle.
 func TestShorterPatienceIsNoJam(t *testing.T) {
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
 	sheds := 0
@@ -250,7 +251,7 @@
 	}
 }
 
-// Found on trapani-sosta: a full engine was sent the same commands again at once, until they had no sends left.
+// Found on trapani-sosta: a full engine was sent the same commands again at once, until no send was left.
 func TestFullEngineRests(t *testing.T) {
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
 	d.step(command1(1))
@@ -261,3 +262,30 @@
 		t.Error("not sent again after the rest")
 	}
 }
+
+// Found on tacoma-east: a tenant's surge past its share took the engines from the others.
+func TestTenantPastItsShare(t *testing.T) {
+	for _, c := range []struct {
+		perSecond   float64
+		jam         bool
+		least, most int
+	}{{100, true, 60, 120}, {100, false, 0, 0}, {5000, true, 0, 0}, {0, true, 0, 0}} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		d.r.tenants = []*tenant{{Tenant: Tenant{PerSecond: c.perSecond}, took: decay{life: tenantLife}}}
+		sheds := 0
+		for id := range CommandID(3000) { // 500 a second, of which the last 100 count
+			ev := command1(id)
+			ev.Tenant = 0
+			if c.jam {
+				d.r.jamUntil = d.now + shortFor
+			}
+			s, _ := answers(append(d.step(ev), d.step(outcome(id, 0, Answered))...), id)
+			if id >= 2900 {
+				sheds += s
+			}
+		}
+		if sheds < c.least || sheds > c.most {
+			t.Errorf("%+v: %d shed", c, sheds)
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -13,8 +13,9 @@
 
 // Commands and the rules' guards.
 
-// ms that learning goes back: time taken, the same lately, work, estimates' scale, part of traffic.
-const unitLife, runLife, workLife, scaleLife, shareLife = 10000.0, 1000.0, 20000.0, 30000.0, 5000.0
+// ms that learning goes back.
+const unitLife, runLife, workLife, scaleLife = 10000.0, 1000.0, 20000.0, 30000.0
+const shareLife, tenantLife = 5000.0, 2000.0
 
 const (
 	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
@@ -220,9 +221,8 @@
 const (
 	period     = 2000.0 // ms between moves
 	moveMargin = 1.25
-	fastMargin = 2.5    // the busiest this far over the lowest future load: counts are solved at once
-	underused  = 0.25   // load of a lone engine that may be shared
-	firstPack  = 3000.0 // ms of traffic before groups are packed by learned footprints
+	fastMargin = 2.5  // the busiest this far over the lowest future load: counts are solved at once
+	underused  = 0.25 // load of a lone engine that may be shared
 )
 
 // each is the demand for each engine that an owner is to have.
@@ -492,9 +492,9 @@
 const (
 	badPlan    = 4.0  // times the time it should take here, from which a plan counts as bad
 	badPlanGap = 1.5  // and its rest must be this many times what a new try would take
-	leastDone  = 0.01 // share done, at the least, that a note is taken to tell
 	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
 	leastSize  = 4.0  // and this when engines are short
+	shareOver  = 1.2  // times a tenant's share that passes as its share
 	sizeCut    = 0.9
 	shortFor   = 1000.0 // ms after a missed latency target for which engines count as short
 	sizeGrow   = 1.005
@@ -531,13 +531,13 @@
 	}
 }
 
-// unwise tells whether c asks for more than its benefit is worth now. While engines are short, who can only
-// be late and the largest of each profile, by estimate, make room for others. Against overload, costs that
-// swing and waves of retries, which by their early client timeouts would go before first tries and make those
-// late too. Harm: after a short jam a few are shed that could have run.
+// unwise tells whether c asks for more than its benefit is worth now. In a jam, who can only be late, who is
+// past its tenant's share and the largest of each profile, by estimate, make room for others. Against
+// overload, costs and tenants that swing, and waves of retries, which by their early client timeouts would go
+// before first tries and make those late too. Harm: after a short jam a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
-	return len(c.sends) == 0 && (r.now < r.jamUntil && r.now > r.startBy(c) || c.estimate > 0 &&
+	return len(c.sends) == 0 && (r.now < r.jamUntil && (c.overShare || r.now > r.startBy(c)) || c.estimate > 0 &&
 		(r.now > r.endBy(c)-p.alone(c, r.now) || p.unitOf(c, r.now)*p.Threads > r.sizeCap*p.usualWork(r.now)))
 }
 
@@ -555,6 +555,11 @@
 
 func (r *Router) arrived(ev Arrived) {
 	c, isNew := r.take(ev)
+	if ev.Tenant >= 0 { // of a tenant past its share here, so many commands are worth little
+		t := r.tenants[ev.Tenant]
+		t.took.add(r.now, 1, 0)
+		c.overShare = t.PerSecond > 0 && r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
+	}
 	if isNew {
 		r.settleAll()
 	}
@@ -601,7 +606,7 @@
 	if ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
-	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, leastDone)
+	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, 0.01)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
 	if ev.What == NoteProgress && c.estimate > 0 && !c.over && c.profile.Effect == Replayable &&
 		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
@@ -616,9 +621,7 @@
 
 // Step takes in what happened by now and returns what to do.
 func (r *Router) Step(now float64, events []Event) []Action {
-	if r.now = now; r.born < 0 {
-		r.born = now
-	}
+	r.setClock(now)
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case Listed:
@@ -668,7 +671,7 @@
 	}
 	if r.now >= r.moveAt {
 		r.moveAt = r.now + period
-		pack := !r.packed && r.firstAt > 0 && r.now >= r.firstAt+firstPack
+		pack := !r.packed && r.firstAt > 0 && r.now >= r.firstAt+period
 		r.packed = r.packed || pack
 		for k := range r.owners {
 			if pack {
@@ -729,10 +732,7 @@
 		actions = append(actions, Subscribe{})
 	}
 	r.touched = r.touched[:0]
-	wake := r.tendAt
-	if len(r.alarms) > 0 {
-		wake = min(wake, r.alarms[0].at)
-	}
+	wake := min(r.tendAt, r.nextAlarm())
 	if r.wakeAt <= r.now || wake < r.wakeAt {
 		r.wakeAt = wake
 		actions = append(actions, Wake{max(0.001, wake-r.now)})
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -7,8 +7,8 @@
 
 // Rule 2, with rule 7: what may follow the first send's outcome, and where.
 func TestFurtherSends(t *testing.T) {
-	here, sameZone, sameCell, far := engineAt("a", 0, "z1", 1), engineAt("b", 0, "z1", 2), engineAt("c", 0, "z2", 1),
-		engineAt("d", 0, "z2", 2)
+	here, sameZone := engineAt("a", 0, "z1", 1), engineAt("b", 0, "z1", 2)
+	sameCell, far := engineAt("c", 0, "z2", 1), engineAt("d", 0, "z2", 2)
 	with := func(e Effect, s Scope) Profile {
 		p := lookup
 		p.Effect, p.Scope, p.RepeatWindow, p.LateShare = e, s, 2000, 1 // so late that only its rule ends it
@@ -35,7 +35,7 @@
 		{"uniqued in its cell", with(Uniqued, ScopeCell), tight, Reset, 0, []Entry{sameCell}, true, 0, 0},
 		{"uniqued out of its cell", with(Uniqued, ScopeCell), tight, Reset, 0, []Entry{sameZone, far}, false, 0, 0},
 		{"uniqued past its window", with(Uniqued, ScopeAll), tight, Reset, 2100, []Entry{far}, false, 1, 0},
-		{"uniqued in a zone past its window", with(Uniqued, ScopeZone), tight, Reset, 2100, []Entry{sameZone}, false, 0, 1},
+		{"zoned, past its window", with(Uniqued, ScopeZone), tight, Reset, 2100, []Entry{sameZone}, false, 0, 1},
 		{"no budget left", with(Replayable, ScopeAll), rationed, Reset, 0, []Entry{far}, false, 0, 0},
 	} {
 		d := newDesk(t, c.p, loose, c.g, here)
@@ -193,7 +193,8 @@
 // Same events, same actions, and odd but legal ones do no harm.
 func TestOddEvents(t *testing.T) {
 	run := func() string {
-		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1), engineAt("b", 1, "z", 2), engineAt("c", -1, "z", 2))
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1), engineAt("b", 1, "z", 2),
+			engineAt("c", -1, "z", 2))
 		log := ""
 		for i := range CommandID(200) {
 			ev := command1(i)
--- a/router/state.go
+++ b/router/state.go
@@ -79,7 +79,6 @@
 	id             CommandID
 	profile        *profile
 	tables         *tableGroup
-	tenant         TenantID
 	overShare      bool
 	key            OrderKey
 	arrived        float64
@@ -218,10 +217,10 @@
 	jamUntil           float64 // by the last fresh command given up while held
 }
 
-// tenant is one that shares the fleet, with what it has left of its share here.
+// tenant is one that shares the fleet, with what it asks for here.
 type tenant struct {
-	perSecond  float64
-	credit, at float64
+	Tenant
+	took decay // commands taken
 }
 
 // New makes the module of a controller that has just started.
@@ -239,7 +238,7 @@
 			work: decay{life: workLife}, workScale: scale, needScale: scale})
 	}
 	for _, t := range tenants {
-		r.tenants = append(r.tenants, &tenant{perSecond: t.PerSecond})
+		r.tenants = append(r.tenants, &tenant{Tenant: t, took: decay{life: tenantLife}})
 	}
 	if !allowed.RetryAfter {
 		r.allowed.MaxRetryAfter = 0
@@ -280,7 +279,7 @@
 		asked -= max(0, p.Timeout-ev.Left)
 	}
 	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, asked: asked,
-		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, tenant: ev.Tenant, priority: 1,
+		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, priority: 1,
 		wantPriority: 1}
 	r.cmds[c.id] = c
 	if r.firstAt == 0 {
@@ -511,3 +510,16 @@
 	}
 	return c, &c.sends[send]
 }
+
+func (r *Router) setClock(now float64) {
+	if r.now = now; r.born < 0 {
+		r.born = now
+	}
+}
+
+func (r *Router) nextAlarm() float64 {
+	if len(r.alarms) == 0 {
+		return math.Inf(1)
+	}
+	return r.alarms[0].at
+}
