--- a/router/router.go
+++ b/router/router.go
@@ -228,8 +228,7 @@
 // each is the demand for each engine that an owner is to have.
 func (r *Router) each(o *owner) float64 { return r.demand(o) / float64(max(1, o.want)) }
 
-// apportion makes the counts wanted sum to n, one at least each: up where demand for each engine is highest,
-// down where it would stay lowest.
+// apportion makes the counts wanted sum to n, one at least each, by what demand leaves for each engine.
 func (r *Router) apportion(owners []*owner, n int) {
 	for _, o := range owners {
 		o.want = max(1, o.want)
@@ -366,6 +365,7 @@
 	mostWidth  = 2.5
 	nearBest   = 1.8 // time taken over time alone up to which the bound widens
 	farFrom    = 3.0 // from which it is cut
+	idleLoad   = 0.5 // reported load up to which slow answers are not the engine's load
 	widenBy    = 0.5 // threads for each answer
 	cutBy      = 0.85
 	cutEvery   = 400.0  // ms
@@ -375,7 +375,8 @@
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
 
-// learn takes in the time of an answered send: what the profile takes alone, and by it the engine's bound.
+// learn takes in the time of an answered send: what the profile takes alone, and by it the engine's bound. Slow
+// answers of an engine that reports little load don't narrow it: they are slow on the way, or stand still.
 func (r *Router) learn(c *command, e *engine, ev Ended) {
 	p, unit := c.profile, c.profile.unitOf(c, r.now)
 	if ev.Work > 0 && c.estimate > 0 {
@@ -395,9 +396,10 @@
 		p.run.add(r.now, math.Log(max(1, ev.Took/(p.best*unit))), 1)
 	}
 	slow, bound := e.slow.mean(r.now, 1, 1), r.bound(e)
-	if slow < nearBest && e.threads+p.Threads >= 0.7*bound {
+	idle := e.reportAt > 0 && r.now-e.reportAt < reportStale && r.load(e) < idleLoad
+	if (slow < nearBest || idle) && e.threads+p.Threads >= 0.7*bound {
 		e.width = min(mostWidth, e.width*(1+widenBy/max(1, bound)))
-	} else if slow > farFrom && r.now-e.cutAt > cutEvery {
+	} else if slow > farFrom && !idle && r.now-e.cutAt > cutEvery {
 		e.width, e.cutAt = max(leastWidth, e.width*cutBy), r.now
 	}
 }
@@ -689,8 +691,7 @@
 			e.wantProbe, e.probeAt = true, r.now+pace*(0.9+0.2*r.rng.Float64())
 		}
 	}
-	r.forgetEngines()
-	r.forgetLines()
+	r.forgetOld()
 }
 
 // emit is the one place where the wanted state meets the present: it returns what makes them equal.
--- a/router/state.go
+++ b/router/state.go
@@ -355,6 +355,12 @@
 	}
 }
 
+// forgetOld drops what no rule needs any more.
+func (r *Router) forgetOld() {
+	r.forgetLines()
+	r.forgetEngines()
+}
+
 // forgetLines drops empty lines that have rested.
 func (r *Router) forgetLines() {
 	r.resting = slices.DeleteFunc(r.resting, func(key OrderKey) bool {
