--- a/router/router.go
+++ b/router/router.go
@@ -13,11 +13,10 @@
 
 // Commands and the rules' guards.
 
-// ms that learning goes back.
-const unitLife, runLife, workLife, scaleLife = 10000.0, 1000.0, 20000.0, 30000.0
-const shareLife, tenantLife = 5000.0, 2000.0
-
 const (
+	unitLife, runLife, workLife, scaleLife = 10000.0, 1000.0, 20000.0, 30000.0 // ms that learning goes back
+	shareLife, tenantLife                  = 5000.0, 2000.0
+
 	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
 	roundsToEnd   = 2.0  // a command is ended this many rounds before its client timeout
 	coldShareUsed = 0.6  // of a cold engine's allowance: the rest covers what the guess of usual work misses
@@ -103,14 +102,12 @@
 const (
 	judgeOver   = 8      // outcomes that an engine is judged by
 	judgeLeast  = 5      // fewer successes among them: unwell
-	firstTrial  = 250.0  // ms until an unwell engine gets a trial send; doubled by each failure
+	firstTrial  = 250.0  // ms until an unwell engine gets a trial send; doubled by each failure,
 	longTrial   = 2000.0 // up to this
 	reportLife  = 1000.0 // ms over which reports are smoothed
 	reportStale = 4000.0 // ms after which a report no longer counts
 	probePace   = 400.0  // ms between probes of an engine by all controllers together
 	probeMost   = 1000.0 // ms between probes of an engine by one controller, at most
-	leastPart   = 0.2    // of an equal part of the traffic
-	partWeight  = 20.0   // commands that an equal part weighs as
 	askAgain    = 1000.0 // ms, and up to as much again
 	spareCores  = 8.0    // taken for a kind that the settings don't name
 )
@@ -153,13 +150,13 @@
 	r.settleAll()
 }
 
-// portion is this controller's part of the traffic, by what engines hold; an equal part until that is known.
-// Against controllers that carry very unequal parts.
+// portion is this controller's part of the traffic, by what engines hold: at first an equal part, which weighs
+// as 20 commands, and a fifth of one at least. Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
 	if r.controllers == 1 {
 		return 1
 	}
-	return min(1, max(leastPart/r.controllers, r.share.mean(r.now, 1/r.controllers, partWeight)))
+	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 20)))
 }
 
 // load is the design's, with its fallbacks in order.
@@ -375,8 +372,8 @@
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
 
-// learn takes in the time of an answered send: what the profile takes alone, and by it the engine's bound. Slow
-// answers of an engine that reports little load don't narrow it: they are slow on the way, or stand still.
+// learn takes in the time of an answered send: what the profile takes alone, and by it the engine's bound.
+// Slow answers of an engine with little load don't narrow it: they are slow on the way, or stand still.
 func (r *Router) learn(c *command, e *engine, ev Ended) {
 	p, unit := c.profile, c.profile.unitOf(c, r.now)
 	if ev.Work > 0 && c.estimate > 0 {
