--- a/router/router.go
+++ b/router/router.go
@@ -147,7 +147,9 @@
 		return
 	}
 	r.enlist(ev)
-	r.settleAll()
+	for k := range r.owners {
+		r.settle(k)
+	}
 }
 
 // portion is this controller's part of the traffic, by what engines hold: at first an equal part, which weighs
@@ -245,20 +247,20 @@
 // warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
 func (r *Router) allot(k int, owners []*owner) {
 	r.apportion(owners, len(r.ready(k)))
-	fit := func(o *owner, e *engine) (sum float64) {
-		for _, g := range o.groups() {
-			weight := g.demand.rate(r.now) + 1e-9
-			if sum += weight * likes(g, e); g.homes[k] != nil && slices.Contains(g.homes[k].engines, e) {
-				sum += weight
-			}
-		}
-		return sum
-	}
 	free, turn := r.ready(k), slices.Clone(owners)
 	growth := func(o *owner) int { return o.want - len(o.engines) }
 	slices.SortStableFunc(turn, func(a, b *owner) int { return growth(a) - growth(b) })
 	for _, o := range turn {
-		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fit(o, b), fit(o, a)) })
+		fits := map[*engine]float64{}
+		for _, g := range o.groups() {
+			weight, home := g.demand.rate(r.now)+1e-9, g.homes[k]
+			for _, e := range free {
+				if fits[e] += weight * likes(g, e); home != nil && slices.Contains(home.engines, e) {
+					fits[e] += weight
+				}
+			}
+		}
+		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fits[b], fits[a]) })
 		o.engines, free = slices.Clone(free[:o.want]), free[o.want:]
 	}
 	r.owners[k] = owners
@@ -278,6 +280,17 @@
 	r.settle(k)
 }
 
+// join gives a new group to the owner with least demand for each engine.
+func (r *Router) join(k int, g *tableGroup) {
+	if len(r.owners[k]) == 0 {
+		r.owners[k] = []*owner{{packs: make([][]*tableGroup, 1)}}
+	}
+	o := slices.MinFunc(r.owners[k], func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) })
+	if o.packs[0], g.homes[k] = append(o.packs[0], g), o; len(o.engines) == 0 {
+		r.settle(k)
+	}
+}
+
 // settle mends ownership after the list, the groups or the packs have changed: surplus light packs share as
 // merged, who has engines keeps them, and the rest go by learned demand.
 func (r *Router) settle(k int) {
@@ -285,15 +298,6 @@
 	if len(ready) == 0 || len(r.groups) == 0 {
 		return
 	}
-	if len(owners) == 0 {
-		owners = []*owner{{packs: make([][]*tableGroup, 1)}}
-	}
-	for _, g := range r.groups { // a new group joins the owner with least demand for each engine
-		if g.homes[k] == nil {
-			o := slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) })
-			o.packs[0], g.homes[k] = append(o.packs[0], g), o
-		}
-	}
 	for len(owners) > len(ready) {
 		slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
 		last := len(owners) - 1
@@ -553,15 +557,12 @@
 }
 
 func (r *Router) arrived(ev Arrived) {
-	c, isNew := r.take(ev)
+	c := r.take(ev)
 	if ev.Tenant >= 0 { // of a tenant past its share here, so many commands are worth little
 		t := r.tenants[ev.Tenant]
 		t.took.add(r.now, 1, 0)
 		c.overShare = t.PerSecond > 0 && r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
 	}
-	if isNew {
-		r.settleAll()
-	}
 	c.tables.demand.add(r.now, c.profile.alone(c, r.now)*c.profile.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
 	r.held = insert(r.held, c, byTimeout)
--- a/router/state.go
+++ b/router/state.go
@@ -266,19 +266,22 @@
 	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
 }
 
-// take files a new command, in the line of its key if it has one, and tells whether its table group is new.
-func (r *Router) take(ev Arrived) (c *command, isNew bool) {
+// take files a new command, in the line of its key if it has one; a new table group finds its owners.
+func (r *Router) take(ev Arrived) *command {
 	g := r.tables[ev.Tables]
-	if isNew = g == nil; isNew {
+	if g == nil {
 		g = &tableGroup{id: ev.Tables, demand: decay{life: demandLife}, held: decay{life: demandLife},
 			homes: make([]*owner, len(r.kinds))}
 		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
+		for k := range r.owners {
+			r.join(k, g)
+		}
 	}
 	p, asked := r.profiles[ev.Profile], r.now
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		asked -= max(0, p.Timeout-ev.Left)
 	}
-	c = &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, asked: asked,
+	c := &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, asked: asked,
 		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, priority: 1,
 		wantPriority: 1}
 	r.cmds[c.id] = c
@@ -294,7 +297,7 @@
 		}
 		r.lines[c.key].cmds = append(r.lines[c.key].cmds, c)
 	}
-	return c, isNew
+	return c
 }
 
 // lineOf is the line that c stands in; nil if it keeps no order.
@@ -502,12 +505,6 @@
 	return sum
 }
 
-func (r *Router) settleAll() {
-	for k := range r.owners {
-		r.settle(k)
-	}
-}
-
 // sendOf finds a send that is out; nil if there is none such.
 func (r *Router) sendOf(id CommandID, send SendID) (*command, *attempt) {
 	c := r.cmds[id]
