--- a/router/router.go
+++ b/router/router.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// portion is this controller's part of the traffic, by what engines hold: at first an equal part, which weighs
-// as 20 commands, and a fifth of one at least. Against controllers that carry very unequal parts.
+// portion is this controller's part of the traffic, by what engines hold: at first an equal part, weighing as 20
+// commands, and a fifth of that at least. Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
 	if r.controllers == 1 {
 		return 1
--- a/router/state.go
+++ b/router/state.go
@@ -65,8 +65,8 @@
 	failed
 )
 
-// attempt is one send of a command.
-type attempt struct {
+// sendState is one send of a command.
+type sendState struct {
 	engine         *engine
 	at             float64
 	out, cancelled bool
@@ -85,7 +85,7 @@
 	asked          float64 // when its client first did, as far as its client timeout tells
 	timeout        float64
 	estimate, need float64
-	sends          []attempt
+	sends          []sendState
 	out            int
 	over, begun    bool
 	doubtAt        float64 // when the first send left that may have run; 0: none did
@@ -313,7 +313,7 @@
 	if len(c.sends) > 0 && r.guards.Budgeted {
 		r.resends.add(r.now, 1)
 	}
-	c.sends = append(c.sends, attempt{engine: e, at: r.now, out: true, mem: mem})
+	c.sends = append(c.sends, sendState{engine: e, at: r.now, out: true, mem: mem})
 	c.out, e.out = c.out+1, e.out+1
 	e.threads += c.profile.Threads
 	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
@@ -327,7 +327,7 @@
 }
 
 // unbook takes in that a send has its outcome: what may have run by it, and whether its key must rest.
-func (r *Router) unbook(c *command, s *attempt, ev Ended) {
+func (r *Router) unbook(c *command, s *sendState, ev Ended) {
 	e := s.engine
 	s.out, c.over = false, c.over || ev.Over
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
@@ -506,7 +506,7 @@
 }
 
 // sendOf finds a send that is out; nil if there is none such.
-func (r *Router) sendOf(id CommandID, send SendID) (*command, *attempt) {
+func (r *Router) sendOf(id CommandID, send SendID) (*command, *sendState) {
 	c := r.cmds[id]
 	if c == nil || send < 0 || int(send) >= len(c.sends) || !c.sends[send].out {
 		return nil, nil
