--- a/router/router.go
+++ b/router/router.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// portion is this controller's part of the traffic, by what engines hold: at first an equal part, weighing as 20
+// portion is this controller's part of the traffic, by what engines hold: first an equal part, weighing as 20
 // commands, and a fifth of that at least. Against controllers that carry very unequal parts.
 func (r *Router) portion() float64 {
 	if r.controllers == 1 {
