Read-through: retry guess back in the module, engine ids hashed once, dead state out

The guess whether a command is a retry is a decision and had strayed into state.go. The leaning hashed an engine's id for every choice; it is now hashed when the engine is listed. An unused field, a second look-up of ready engines and a stale comment go.

--- a/router/router.go
+++ b/router/router.go
@@ -246,8 +246,8 @@
 // its tables are warm, else goes by a leaning that is the same at all controllers, so that they
 // warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
 func (r *Router) allot(k int, owners []*owner) {
-	r.apportion(owners, len(r.ready(k)))
 	free, turn := r.ready(k), slices.Clone(owners)
+	r.apportion(owners, len(free))
 	growth := func(o *owner) int { return o.want - len(o.engines) }
 	slices.SortStableFunc(turn, func(a, b *owner) int { return growth(a) - growth(b) })
 	for _, o := range turn {
@@ -419,10 +419,8 @@
 // hasRoom is an engine's thread bound, filled up to a share. One command may always run where
 // this controller has none, and the last may overhang: a small controller's bound is less than one command.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
-	if r.now < e.fullUntil || !e.well() && (e.out > 0 || r.now < e.retryAt) {
-		return false
-	}
-	return e.out == 0 || e.threads <= fill*r.bound(e)
+	return r.now >= e.fullUntil && (e.well() || e.out == 0 && r.now >= e.retryAt) &&
+		(e.out == 0 || e.threads <= fill*r.bound(e))
 }
 
 // pressure ranks engines for a command: threads a core by own sends and reports, the load reported, how slow
@@ -493,19 +491,19 @@
 // Resend, cancel, shed.
 
 const (
-	badPlan    = 4.0  // times the time it should take here, from which a plan counts as bad
-	badPlanGap = 1.5  // and its rest must be this many times what a new try would take
-	mostSize   = 64.0 // times a profile's usual work that a command may have: this at ease,
-	leastSize  = 4.0  // and this when engines are short
-	shareOver  = 1.2  // times a tenant's share that passes as its share
-	sizeCut    = 0.9
-	shortFor   = 1000.0 // ms after a missed latency target for which engines count as short
-	sizeGrow   = 1.005
-	patience   = 0.997 // for each command: how fast the client timeout of first tries is taken to fall
-	retryLeft  = 0.95  // of it: who leaves less has waited before
-	runOver    = 1.2   // time to run, over what commands of the profile took lately
-	leastHold  = 0.5   // of the latency target
-	lateShare  = 0.5   // a profile that keeps this much of its benefit when late is held past its target
+	badPlan           = 4.0        // times the time it should take here, from which a plan counts as bad
+	badPlanGap        = 1.5        // and its rest must be this many times what a new try would take
+	sizeCut, sizeGrow = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
+
+	mostSize  = 64.0   // times a profile's usual work that a command may have: this at ease,
+	leastSize = 4.0    // and this when engines are short
+	shareOver = 1.2    // times a tenant's share that passes as its share
+	shortFor  = 1000.0 // ms after a missed latency target for which engines count as short
+	patience  = 0.997  // for each command: how fast the client timeout of first tries is taken to fall
+	retryLeft = 0.95   // of it: who leaves less has waited before
+	runOver   = 1.2    // time to run, over what commands of the profile took lately
+	leastHold = 0.5    // of the latency target
+	lateShare = 0.5    // a profile that keeps this much of its benefit when late is held past its target
 )
 
 // startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss
@@ -558,12 +556,16 @@
 
 func (r *Router) arrived(ev Arrived) {
 	c := r.take(ev)
+	p := c.profile
+	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
+		c.asked -= max(0, p.Timeout-ev.Left)
+	}
 	if ev.Tenant >= 0 { // of a tenant past its share here, so many commands are worth little
 		t := r.tenants[ev.Tenant]
 		t.took.add(r.now, 1, 0)
 		c.overShare = t.PerSecond > 0 && r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
 	}
-	c.tables.demand.add(r.now, c.profile.alone(c, r.now)*c.profile.Threads, 1)
+	c.tables.demand.add(r.now, p.alone(c, r.now)*p.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
 	r.held = insert(r.held, c, byTimeout)
 }
@@ -606,7 +608,8 @@
 	if ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
-	passed, total := r.now-s.at, (r.now-s.at)/max(ev.Level, 0.01)
+	passed := r.now - s.at
+	total := passed / max(ev.Level, 0.01)
 	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
 	if ev.What == NoteProgress && c.estimate > 0 && !c.over && c.profile.Effect == Replayable &&
 		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
--- a/router/state.go
+++ b/router/state.go
@@ -88,7 +88,7 @@
 	sends          []sendState
 	out            int
 	over, begun    bool
-	doubtAt        float64 // when the first send left that may have run; 0: none did
+	doubtAt        float64 // when the first send left that may have run
 	doubt          *engine // where it went; nil: none may have run
 	priority       int     // as last told
 
@@ -120,6 +120,7 @@
 // engine is one of the list, or one that left it with sends still out.
 type engine struct {
 	id               EngineID
+	hash             uint64 // of the id
 	state            State
 	zone             Zone
 	kind             KindID
@@ -127,7 +128,7 @@
 	since            float64
 	cores            float64
 	out              int                     // own sends out
-	threads, mem     float64                 // of these
+	threads          float64                 // of these
 	loads            map[*tableGroup]int     // own loads out, by what they hold
 	heldUntil        map[*tableGroup]float64 // by a note that a load holds them
 	others           decay                   // commands of other controllers, by its reports
@@ -277,13 +278,8 @@
 			r.join(k, g)
 		}
 	}
-	p, asked := r.profiles[ev.Profile], r.now
-	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
-		asked -= max(0, p.Timeout-ev.Left)
-	}
-	c := &command{id: ev.ID, profile: p, tables: g, key: ev.Key, arrived: r.now, asked: asked,
-		timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, priority: 1,
-		wantPriority: 1}
+	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
+		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, priority: 1, wantPriority: 1}
 	r.cmds[c.id] = c
 	if r.firstAt == 0 {
 		r.firstAt = r.now
@@ -409,9 +405,7 @@
 
 // likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
 func likes(g *tableGroup, e *engine) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(e.id))
-	x := h.Sum64() ^ uint64(g.id)*0x9e3779b97f4a7c15
+	x := e.hash ^ uint64(g.id)*0x9e3779b97f4a7c15
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 29
@@ -455,7 +449,10 @@
 		named[entry.Engine] = true
 		e := r.engines[entry.Engine]
 		if e == nil {
-			e = &engine{id: entry.Engine, loads: map[*tableGroup]int{}, heldUntil: map[*tableGroup]float64{}}
+			h := fnv.New64a()
+			h.Write([]byte(entry.Engine))
+			e = &engine{id: entry.Engine, hash: h.Sum64(), loads: map[*tableGroup]int{},
+				heldUntil: map[*tableGroup]float64{}}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 			e.fresh()
 		} else if entry.Since > e.since {
