--- a/router/state.go
+++ b/router/state.go
@@ -279,7 +279,8 @@
 		}
 	}
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
-		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, priority: 1, wantPriority: 1}
+		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB,
+		priority: 1, wantPriority: 1}
 	r.cmds[c.id] = c
 	if r.firstAt == 0 {
 		r.firstAt = r.now
