Pool the thread bound over all engines: at full size it no longer binds for each alone

Cause: with a hundred controllers a part of one engine's bound is far below one thread, and the one command that may run where a controller has none lets each have as many out as there are engines. A controller's sends out are now also held under the sum of its parts, and the part of the traffic is all own sends over all that engines hold.

--- a/router/router.go
+++ b/router/router.go
@@ -444,6 +444,9 @@
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
 func (r *Router) choose(c *command) (best *engine) {
+	if r.out > 0 && r.threads > r.pool {
+		return nil
+	}
 	least := math.Inf(1)
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
@@ -686,7 +689,11 @@
 	if r.allowed.MustAsk && !r.subscribed && r.now >= r.askAt {
 		r.askAt, r.wantList = r.now+max(askAgain, r.guards.AskWithin/3), true
 	}
+	r.pool, r.cores = 0, 0
 	for _, e := range r.order {
+		if e.state == Ready {
+			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
+		}
 		if r.allowed.Probes && e.state == Ready && !e.probing && r.now >= e.probeAt {
 			pace := min(probeMost, probePace*r.controllers)
 			e.wantProbe, e.probeAt = true, r.now+pace*(0.9+0.2*r.rng.Float64())
--- a/router/state.go
+++ b/router/state.go
@@ -202,6 +202,9 @@
 	engines            map[EngineID]*engine
 	order              []*engine // by id
 	share              decay     // own commands over all, by reports
+	out                int       // own sends out, on all engines,
+	threads, pool      float64   // their threads, and the bound on these
+	cores              float64   // of the engines that are ready
 	tables             map[TableGroup]*tableGroup
 	groups             []*tableGroup // by id
 	owners             [][]*owner    // by kind
@@ -311,8 +314,8 @@
 		r.resends.add(r.now, 1)
 	}
 	c.sends = append(c.sends, sendState{engine: e, at: r.now, out: true, mem: mem})
-	c.out, e.out = c.out+1, e.out+1
-	e.threads += c.profile.Threads
+	c.out, e.out, r.out = c.out+1, e.out+1, r.out+1
+	e.threads, r.threads = e.threads+c.profile.Threads, r.threads+c.profile.Threads
 	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
 		e.coldSent.add(r.now, work)
 	}
@@ -334,8 +337,8 @@
 	if l := r.lineOf(c); l != nil && mayRun {
 		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
 	}
-	c.out, e.out = c.out-1, e.out-1
-	e.threads -= c.profile.Threads
+	c.out, e.out, r.out = c.out-1, e.out-1, r.out-1
+	e.threads, r.threads = e.threads-c.profile.Threads, r.threads-c.profile.Threads
 	if c.profile.HoldsTables {
 		if e.loads[c.tables]--; e.loads[c.tables] == 0 {
 			delete(e.loads, c.tables)
@@ -439,7 +442,9 @@
 	}
 	if l.Inflight >= 0 {
 		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
-		r.share.add(r.now, min(float64(e.out), l.Inflight), l.Inflight)
+		if r.cores > 0 {
+			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
+		}
 	}
 }
 
