Probe in relation to commands, and just ahead of a send on old news

Each command now pays for one probe, and an engine chosen on a report older than 1.2 s is asked first. Engines not heard of are taken to hold what engines hold on average.

--- a/router/router.go
+++ b/router/router.go
@@ -108,6 +108,9 @@
 	reportStale = 4000.0 // ms after which a report no longer counts
 	probePace   = 400.0  // ms between probes of an engine by all controllers together
 	probeMost   = 1000.0 // ms between probes of an engine by one controller, at most
+	askOver     = 1200.0 // ms that a report may be old before an engine is asked ahead of a send
+	probeShare  = 1.0    // probes for each command taken, at most,
+	probeSaved  = 10.0   // saved up to so many; half of them is kept for engines about to be sent something
 	askAgain    = 1000.0 // ms, and up to as much again
 	spareCores  = 8.0    // taken for a kind that the settings don't name
 )
@@ -161,6 +164,17 @@
 	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 20)))
 }
 
+// ask has an engine probed. Probes keep a fixed relation to commands: paced by time alone, a hundred controllers
+// would probe more than they send.
+func (r *Router) ask(e *engine) bool {
+	if !r.allowed.Probes || e.probing || r.credit < 1 {
+		return false
+	}
+	r.credit, e.probing, r.asked = r.credit-1, true, append(r.asked, e)
+	e.probeAt = r.now + min(probeMost, probePace*r.controllers)*(0.9+0.2*r.rng.Float64())
+	return true
+}
+
 // load is the design's, with its fallbacks in order.
 func (r *Router) load(e *engine) float64 {
 	if e.reportAt == 0 || r.now-e.reportAt > reportStale {
@@ -426,7 +440,7 @@
 // pressure ranks engines for a command: threads a core by own sends and reports, the load reported, how slow
 // answers are, loads that hold the tables, and the leaning of the tables.
 func (r *Router) pressure(c *command, e *engine) float64 {
-	x := (e.threads + c.profile.Threads + 1.2*e.others.mean(r.now, 0, 0.5)) / (e.cores * r.ramp(e))
+	x := (e.threads + c.profile.Threads + 1.2*e.others.mean(r.now, e.cores*r.busy.mean(r.now, 0, 1), 0.5)) / (e.cores * r.ramp(e))
 	if r.now-e.reportAt < reportStale {
 		x += 0.5 * r.load(e)
 	}
@@ -478,7 +492,7 @@
 			return true
 		}
 		e, p := r.choose(c), c.profile
-		if e == nil {
+		if e == nil || r.now-e.reportAt > askOver && (e.probing || r.now > e.probeAt && r.ask(e)) {
 			return false
 		}
 		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
@@ -560,6 +574,7 @@
 func (r *Router) arrived(ev Arrived) {
 	c := r.take(ev)
 	p := c.profile
+	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
 	}
@@ -694,9 +709,8 @@
 		if e.state == Ready {
 			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
 		}
-		if r.allowed.Probes && e.state == Ready && !e.probing && r.now >= e.probeAt {
-			pace := min(probeMost, probePace*r.controllers)
-			e.wantProbe, e.probeAt = true, r.now+pace*(0.9+0.2*r.rng.Float64())
+		if e.state == Ready && r.now >= e.probeAt && r.credit > probeSaved/2 {
+			r.ask(e)
 		}
 	}
 	r.forgetOld()
@@ -730,12 +744,10 @@
 			r.forget(c)
 		}
 	}
-	for _, e := range r.order {
-		if e.wantProbe {
-			e.wantProbe, e.probing = false, true
-			actions = append(actions, Probe{e.id})
-		}
+	for _, e := range r.asked {
+		actions = append(actions, Probe{e.id})
 	}
+	r.asked = r.asked[:0]
 	if r.wantList {
 		r.wantList = false
 		actions = append(actions, Subscribe{})
--- a/router/state.go
+++ b/router/state.go
@@ -139,7 +139,6 @@
 	retryAt          float64
 	retryWait        float64
 	probing          bool
-	wantProbe        bool
 	probeAt          float64
 	width            float64 // threads a core that all controllers together may run here, by what this one sees
 	cutAt, fullUntil float64
@@ -213,6 +212,9 @@
 	alarms             alarms
 	subscribed         bool
 	wantList           bool
+	asked              []*engine // to be probed
+	credit             float64   // probes that may be made
+	busy               decay     // commands a core that others hold, by all reports
 	askAt, tendAt      float64
 	moveAt             float64
 	packed             bool // by learned footprints
@@ -232,7 +234,7 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
-		share: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
+		share: decay{life: shareLife}, busy: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
@@ -442,6 +444,7 @@
 	}
 	if l.Inflight >= 0 {
 		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
+		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
 		if r.cores > 0 {
 			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
 		}
