What is known of an engine lasts until it is likely heard of again

Cause: at full size a controller sends an engine one command in several seconds, but forgot its pace within one. How slow an engine is is learned over four times the time between own commands to it (1 to 10 s), and what others hold there fades over 5 s towards the mean of all engines; a new report counts for half at least.

--- a/router/router.go
+++ b/router/router.go
@@ -100,19 +100,22 @@
 // The engine view.
 
 const (
-	judgeOver   = 8      // outcomes that an engine is judged by
-	judgeLeast  = 5      // fewer successes among them: unwell
-	firstTrial  = 250.0  // ms until an unwell engine gets a trial send; doubled by each failure,
-	longTrial   = 2000.0 // up to this
-	reportLife  = 1000.0 // ms over which reports are smoothed
-	reportStale = 4000.0 // ms after which a report no longer counts
-	probePace   = 400.0  // ms between probes of an engine by all controllers together
-	probeMost   = 1000.0 // ms between probes of an engine by one controller, at most
-	askOver     = 1200.0 // ms that a report may be old before an engine is asked ahead of a send
-	probeShare  = 1.0    // probes for each command taken, at most,
-	probeSaved  = 10.0   // saved up to so many; half of them is kept for engines about to be sent something
-	askAgain    = 1000.0 // ms, and up to as much again
-	spareCores  = 8.0    // taken for a kind that the settings don't name
+	judgeOver   = 8       // outcomes that an engine is judged by
+	judgeLeast  = 5       // fewer successes among them: unwell
+	firstTrial  = 250.0   // ms until an unwell engine gets a trial send; doubled by each failure,
+	longTrial   = 2000.0  // up to this
+	reportLife  = 1000.0  // ms over which reports are smoothed
+	othersLife  = 5000.0  // ms over which a report of what an engine holds gives way to the mean of all engines
+	slowLife    = 4.0     // times the time between own commands to an engine: what its pace is learned over,
+	slowLongest = 10000.0 // up to this
+	reportStale = 4000.0  // ms after which a report no longer counts
+	probePace   = 400.0   // ms between probes of an engine by all controllers together
+	probeMost   = 1000.0  // ms between probes of an engine by one controller, at most
+	askOver     = 1200.0  // ms that a report may be old before an engine is asked ahead of a send
+	probeShare  = 1.0     // probes for each command taken, at most,
+	probeSaved  = 10.0    // saved up to so many; half of them is kept for engines about to be sent something
+	askAgain    = 1000.0  // ms, and up to as much again
+	spareCores  = 8.0     // taken for a kind that the settings don't name
 )
 
 func (e *engine) well() bool { return bits.OnesCount64(e.outcomes<<(64-judgeOver)) >= judgeLeast }
@@ -130,7 +133,7 @@
 // fresh forgets what was learned of an engine's earlier process.
 func (e *engine) fresh() {
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
-	e.others, e.util, e.disk = decay{life: reportLife}, decay{life: reportLife}, decay{life: reportLife}
+	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
 	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
 }
 
@@ -574,6 +577,7 @@
 func (r *Router) arrived(ev Arrived) {
 	c := r.take(ev)
 	p := c.profile
+	r.rate.add(r.now, 1, 0)
 	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
@@ -706,6 +710,7 @@
 	}
 	r.pool, r.cores = 0, 0
 	for _, e := range r.order {
+		e.slow.life = min(slowLongest, max(reportLife, slowLife*float64(len(r.order))/(r.rate.rate(r.now)+1e-9)))
 		if e.state == Ready {
 			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -23,6 +23,13 @@
 
 func (d *decay) add(now, x, n float64) { d.fade(now); d.sum += x; d.n += n }
 
+// cap makes what is there weigh as much as n additions at most.
+func (d *decay) cap(now, n float64) {
+	if d.fade(now); d.n > n {
+		d.sum, d.n = d.sum*n/d.n, n
+	}
+}
+
 // mean leans on a prior that counts as much as weight of what was added.
 func (d *decay) mean(now, prior, weight float64) float64 {
 	d.fade(now)
@@ -202,6 +209,7 @@
 	order              []*engine // by id
 	share              decay     // own commands over all, by reports
 	out                int       // own sends out, on all engines,
+	rate               decay     // commands taken
 	threads, pool      float64   // their threads, and the bound on these
 	cores              float64   // of the engines that are ready
 	tables             map[TableGroup]*tableGroup
@@ -234,7 +242,7 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
-		share: decay{life: shareLife}, busy: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
+		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
@@ -443,6 +451,7 @@
 		e.disk.add(r.now, l.Disk, 1)
 	}
 	if l.Inflight >= 0 {
+		e.others.cap(r.now, 1)
 		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
 		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
 		if r.cores > 0 {
