--- a/router/router.go
+++ b/router/router.go
@@ -425,17 +425,21 @@
 // Release, choice and spill.
 
 const (
-	roomy     = 0.75   // filled up to this share of its bound an engine takes what others can't
-	leaning   = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable = 4.0    // the same, for a load that holds the command's tables there
-	heldFor   = 1500.0 // ms for which a note that a load holds them counts
-	fullRest  = 200.0  // ms for which an engine that turned a command away gets none
-	scanMost  = 100    // held commands that one step tries
+	roomy      = 0.75   // filled up to this share of its bound an engine takes what others can't
+	leaning    = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
+	heldTable  = 4.0    // the same, for a load that holds the command's tables there
+	heldFor    = 1500.0 // ms for which a note that a load holds them counts
+	fullRest   = 200.0  // ms for which an engine that turned a command away gets none
+	memoryMost = 0.9    // share of its memory granted, by report, above which an engine gets no more
+	scanMost   = 100    // held commands that one step tries
 )
 
 // hasRoom is an engine's thread bound, filled up to a share. One command may always run where
 // this controller has none, and the last may overhang: a small controller's bound is less than one command.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
+	if e.granted > memoryMost && r.now-e.reportAt < reportStale && r.out > 0 {
+		return false
+	}
 	return r.now >= e.fullUntil && (e.well() || e.out == 0 && r.now >= e.retryAt) &&
 		(e.out == 0 || e.threads <= fill*r.bound(e))
 }
--- a/router/state.go
+++ b/router/state.go
@@ -140,6 +140,7 @@
 	heldUntil        map[*tableGroup]float64 // by a note that a load holds them
 	others           decay                   // commands of other controllers, by its reports
 	util, disk       decay
+	granted          float64 // share of its memory, by its last report
 	reportAt         float64
 	slow             decay  // time taken over the time alone
 	outcomes         uint64 // the last outcomes, a bit each, 1 for success
@@ -443,7 +444,7 @@
 	if l == nil {
 		return
 	}
-	e.reportAt = r.now
+	e.reportAt, e.granted = r.now, max(0, l.Memory)
 	if l.Util >= 0 {
 		e.util.add(r.now, l.Util, 1)
 	}
