By reports of room a controller may go three threads past its part

Where a report tells that an engine is filled to three quarters of the starting width, a controller may run three threads more than its part; a large one hardly notices.

--- a/router/router.go
+++ b/router/router.go
@@ -425,29 +425,45 @@
 // Release, choice and spill.
 
 const (
-	roomy      = 0.75   // filled up to this share of its bound an engine takes what others can't
-	leaning    = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable  = 4.0    // the same, for a load that holds the command's tables there
-	heldFor    = 1500.0 // ms for which a note that a load holds them counts
-	fullRest   = 200.0  // ms for which an engine that turned a command away gets none
-	memoryMost = 0.9    // share of its memory granted, by report, above which an engine gets no more
-	scanMost   = 100    // held commands that one step tries
+	roomy       = 0.75   // filled up to this share of its bound an engine takes what others can't
+	leaning     = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
+	heldTable   = 4.0    // the same, for a load that holds the command's tables there
+	heldFor     = 1500.0 // ms for which a note that a load holds them counts
+	fullRest    = 200.0  // ms for which an engine that turned a command away gets none
+	overhang    = 3.0    // threads past its part that a controller may run by reports of room
+	threadsEach = 1.2    // threads that a command of others is taken to run on
+	memoryMost  = 0.9    // share of its memory granted, by report, above which an engine gets no more
+	scanMost    = 100    // held commands that one step tries
 )
 
-// hasRoom is an engine's thread bound, filled up to a share. One command may always run where
-// this controller has none, and the last may overhang: a small controller's bound is less than one command.
+// hasRoom is the thread bound: own threads under this controller's part, for the engine and over all engines.
+// One command may always run where it has none, and the last may overhang. A small controller's part is too
+// coarse to be its only guide: by a report that tells of room it may go a little past it.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
-	if e.granted > memoryMost && r.now-e.reportAt < reportStale && r.out > 0 {
+	if r.now < e.fullUntil || !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
-	return r.now >= e.fullUntil && (e.well() || e.out == 0 && r.now >= e.retryAt) &&
-		(e.out == 0 || e.threads <= fill*r.bound(e))
+	known := r.now-e.reportAt < reportStale
+	if known && e.granted > memoryMost && r.out > 0 {
+		return false
+	}
+	pool := r.pool
+	if known && r.filled(e) < roomy*startWidth {
+		pool += overhang
+	}
+	return r.out == 0 || r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e))
+}
+
+// filled is the threads a core that an engine is taken to run, own and others', by its reports.
+func (r *Router) filled(e *engine) float64 {
+	others := e.others.mean(r.now, e.cores*r.busy.mean(r.now, 0, 1), 0.5)
+	return (e.threads + threadsEach*others) / (e.cores * r.ramp(e))
 }
 
 // pressure ranks engines for a command: threads a core by own sends and reports, the load reported, how slow
 // answers are, loads that hold the tables, and the leaning of the tables.
 func (r *Router) pressure(c *command, e *engine) float64 {
-	x := (e.threads + c.profile.Threads + 1.2*e.others.mean(r.now, e.cores*r.busy.mean(r.now, 0, 1), 0.5)) / (e.cores * r.ramp(e))
+	x := r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))
 	if r.now-e.reportAt < reportStale {
 		x += 0.5 * r.load(e)
 	}
