--- a/router/router.go
+++ b/router/router.go
@@ -481,9 +481,6 @@
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
 func (r *Router) choose(c *command) (best *engine) {
-	if r.out > 0 && r.threads > 1.5*r.pool {
-		return nil
-	}
 	least := math.Inf(1)
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
