Sends gone quiet for over 1.6 paces of notes are sent again

Cause: where answers are lost a send was waited for until its client timeout, holding a small controller's few threads. Notes of a send that runs come within 1.5 paces, so a send without word for longer is over: it is cancelled or, where that is not allowed and second copies are, no longer waited for. It counts against the engine, so that good probes don't hide it.

--- a/router/router.go
+++ b/router/router.go
@@ -515,6 +515,7 @@
 		if e == nil || r.now-e.reportAt > askOver && (e.probing || r.now > e.probeAt && r.ask(e)) {
 			return false
 		}
+		r.setAlarm(r.now+r.quiet(), c)
 		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
 		if p == r.dense && r.allowed.Priorities { // most benefit for its work goes first
 			c.wantPriority = 3
@@ -528,6 +529,7 @@
 // Resend, cancel, shed.
 
 const (
+	quietPaces        = 1.6        // times the pace of notes that a send may be quiet: they come within 1.5
 	badPlan           = 4.0        // times the time it should take here, from which a plan counts as bad
 	badPlanGap        = 1.5        // and its rest must be this many times what a new try would take
 	sizeCut, sizeGrow = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
@@ -629,7 +631,7 @@
 	case Errored, Refused, Reset, TimedOut:
 		s.engine.judge(r.now, false)
 	}
-	if c.over || c.wantEnd != open || c.begun || c.out > 0 {
+	if c.over || c.wantEnd != open || c.begun || c.out > 0 || s.lost {
 		return
 	}
 	if r.held = insert(r.held, c, byTimeout); r.now >= r.endBy(c) || r.spent(c) {
@@ -644,6 +646,7 @@
 	if s == nil {
 		return
 	}
+	s.word = r.now
 	if ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
@@ -657,6 +660,44 @@
 	}
 }
 
+// quiet is how long a send may go without word and still be taken to run.
+func (r *Router) quiet() float64 {
+	if r.allowed.NotePace == 0 {
+		return math.Inf(1)
+	}
+	return quietPaces*r.allowed.NotePace + netSlack
+}
+
+// look is what a command's alarm asks for: its end or, if a send has gone quiet, another. Against answers that
+// are lost while probes are answered, engines that hang, and notes that stop: whatever the cause, a quiet send
+// holds threads that others could use. Harm: where notes alone are lost, work is done twice.
+func (r *Router) look(c *command) {
+	if r.now >= r.endBy(c) {
+		r.end(c)
+	}
+	for i := range c.sends {
+		s, p := &c.sends[i], c.profile
+		if quiet := s.word + r.quiet(); c.over || c.wantEnd != open || !s.out || s.lost || s.cancelled {
+			continue
+		} else if r.now < quiet {
+			r.setAlarm(quiet, c)
+			continue
+		}
+		again := p.Effect == Replayable || p.Effect == Uniqued && r.now < s.at+p.RepeatWindow-netSlack
+		if !again || len(c.sends) >= r.allowed.MaxSends || !r.budgetAllows() {
+			continue
+		}
+		s.engine.judge(r.now, false)
+		if r.allowed.Cancel {
+			c.wantCancel = true
+			r.touch(c)
+		} else if r.allowed.SecondCopies {
+			r.lose(c, s)
+			r.held = insert(r.held, c, byTimeout)
+		}
+	}
+}
+
 // The step.
 
 const tendEvery = 50.0 // ms between looks at held commands, probes and the period
@@ -683,7 +724,7 @@
 		}
 	}
 	for c := r.due(); c != nil; c = r.due() {
-		r.end(c)
+		r.look(c)
 	}
 	if now >= r.tendAt {
 		r.tend()
@@ -762,7 +803,7 @@
 				actions = append(actions, Cancel{c.id, SendID(i)})
 			}
 		}
-		if c.wantCancel = false; c.over && c.out == 0 {
+		if c.wantCancel = false; c.over && c.pending == 0 {
 			r.forget(c)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -75,8 +75,9 @@
 // sendState is one send of a command.
 type sendState struct {
 	engine         *engine
-	at             float64
+	at, word       float64 // when it left, and when last heard of
 	out, cancelled bool
+	lost           bool // out, but not waited for
 	mem            float64
 }
 
@@ -93,7 +94,8 @@
 	timeout        float64
 	estimate, need float64
 	sends          []sendState
-	out            int
+	out            int // sends that are waited for
+	pending        int // and all without an outcome
 	over, begun    bool
 	doubtAt        float64 // when the first send left that may have run
 	doubt          *engine // where it went; nil: none may have run
@@ -324,7 +326,8 @@
 	if len(c.sends) > 0 && r.guards.Budgeted {
 		r.resends.add(r.now, 1)
 	}
-	c.sends = append(c.sends, sendState{engine: e, at: r.now, out: true, mem: mem})
+	c.sends = append(c.sends, sendState{engine: e, at: r.now, word: r.now, out: true, mem: mem})
+	c.pending++
 	c.out, e.out, r.out = c.out+1, e.out+1, r.out+1
 	e.threads, r.threads = e.threads+c.profile.Threads, r.threads+c.profile.Threads
 	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
@@ -339,15 +342,33 @@
 
 // unbook takes in that a send has its outcome: what may have run by it, and whether its key must rest.
 func (r *Router) unbook(c *command, s *sendState, ev Ended) {
-	e := s.engine
+	if !s.lost {
+		r.free(c, s)
+	}
+	c.pending--
 	s.out, c.over = false, c.over || ev.Over
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
-		c.doubtAt, c.doubt = s.at, e
+		c.doubtAt, c.doubt = s.at, s.engine
 	}
 	mayRun := ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled
 	if l := r.lineOf(c); l != nil && mayRun {
 		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
 	}
+	r.touch(c)
+}
+
+// lose takes in that a send's answer is not waited for any more; it may have run.
+func (r *Router) lose(c *command, s *sendState) {
+	s.lost = true
+	r.free(c, s)
+	if c.doubt == nil {
+		c.doubtAt, c.doubt = s.at, s.engine
+	}
+}
+
+// free gives back what a send that is waited for holds.
+func (r *Router) free(c *command, s *sendState) {
+	e := s.engine
 	c.out, e.out, r.out = c.out-1, e.out-1, r.out-1
 	e.threads, r.threads = e.threads-c.profile.Threads, r.threads-c.profile.Threads
 	if c.profile.HoldsTables {
@@ -355,7 +376,6 @@
 			delete(e.loads, c.tables)
 		}
 	}
-	r.touch(c)
 }
 
 // forget drops a command that no rule needs any more; a line that still rests is kept until it has.
@@ -398,7 +418,11 @@
 }
 
 // setAlarm has c looked at when its time has come.
-func (r *Router) setAlarm(at float64, c *command) { heap.Push(&r.alarms, alarm{at, c}) }
+func (r *Router) setAlarm(at float64, c *command) {
+	if !math.IsInf(at, 1) {
+		heap.Push(&r.alarms, alarm{at, c})
+	}
+}
 
 // due is the next command whose time has come, or nil.
 func (r *Router) due() *command {
--- a/router/types.go
+++ b/router/types.go
@@ -71,6 +71,7 @@
 	MaxSends      int
 	MaxRetryAfter float64
 	GrantCap      float64 // share of an engine's memory that one command gets at most
+	NotePace      float64 // between notes of a send that runs; 0: there are none
 	MustAsk       bool    // the list comes only when asked for
 }
 
