--- a/router/router.go
+++ b/router/router.go
@@ -122,7 +122,6 @@
 	probePace   = 400.0   // ms between probes of an engine by all controllers together
 	probeMost   = 1000.0  // ms between probes of an engine by one controller, at most
 	askOver     = 1200.0  // ms that a report may be old before an engine is asked ahead of a send
-	askFull     = 2000.0  // ms after which an engine without free memory is asked again
 	probeShare  = 1.0     // probes for each command taken, at most,
 	probeSaved  = 10.0    // saved up to so many; half of them is kept for engines about to be sent something
 	askAgain    = 1000.0  // ms, and up to as much again
@@ -145,7 +144,7 @@
 func (e *engine) fresh() {
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
 	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
-	e.granted, e.slow, e.reportAt, e.width = 0, decay{life: reportLife}, 0, startWidth
+	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
 }
 
 // ramp is the share of its capacity that a cold engine is taken to have.
@@ -455,7 +454,7 @@
 		return false
 	}
 	known := r.now-e.reportAt < reportStale
-	if e.granted > memoryMost {
+	if known && e.granted > memoryMost && r.out > 0 {
 		return false
 	}
 	pool := r.pool
@@ -783,8 +782,7 @@
 		if e.state == Ready {
 			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
 		}
-		if full := e.granted > memoryMost && r.now > e.reportAt+askFull; e.state == Ready && r.now >= e.probeAt &&
-			(full || r.credit > probeSaved/2) {
+		if e.state == Ready && r.now >= e.probeAt && r.credit > probeSaved/2 {
 			r.ask(e)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -246,7 +246,7 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		number: place.Number,
-		kinds:  kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize, credit: probeSaved,
+		kinds:  kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
 		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
