--- a/router/router.go
+++ b/router/router.go
@@ -19,7 +19,6 @@
 
 	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
 	roundsToEnd   = 2.0  // a command is ended this many rounds before its client timeout
-	coldTurns     = 8    // controllers that may use a cold engine at once: more than so many take turns
 	coldShareUsed = 0.6  // of a cold engine's allowance: the rest covers what the guess of usual work misses
 )
 
@@ -78,27 +77,18 @@
 }
 
 // coldAllows keeps this controller's part of what a cold engine may be sent within the window, as if it had
-// only its least stated capacity until it is warm and every other controller used its own part in full. Where
-// an equal part is less than one command controllers take turns, by number, engine and time since its start:
-// a few in each stretch a little longer than the window, which touches two stretches at most.
+// only its least stated capacity until it is warm and every other controller used its own part in full.
 func (r *Router) coldAllows(c *command, e *engine) bool {
 	g := r.guards
 	if e.since == 0 || r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
 		return true
 	}
-	stretch := g.ColdWindow + 2*netSlack
-	if r.now < r.born+stretch {
+	if r.now < r.born+g.ColdWindow+netSlack {
 		return false // what an earlier life of this controller sent is not known
 	}
-	part := coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow / r.controllers
-	if r.controllers > coldTurns {
-		turns := uint64(math.Ceil(r.controllers / coldTurns))
-		turn := e.hash + uint64(r.number) + uint64(max(0, (r.now-e.since)/stretch))
-		if part *= r.controllers / coldTurns / 2; turn%turns != 0 {
-			return false
-		}
-	}
-	return e.coldSent.since(r.now-stretch)+c.profile.usualWork(r.now) <= part
+	whole := g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow
+	sent := e.coldSent.since(r.now - g.ColdWindow - netSlack)
+	return sent+c.profile.usualWork(r.now) <= coldShareUsed*whole/r.controllers
 }
 
 // mayShed tells whether the client may be told that trying again is harmless.
--- a/router/state.go
+++ b/router/state.go
@@ -196,7 +196,6 @@
 type Router struct {
 	rng         *rand.Rand
 	controllers float64
-	number      int
 	kinds       []Kind
 	profiles    []*profile
 	tenants     []*tenant
@@ -245,8 +244,7 @@
 func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
-		number: place.Number,
-		kinds:  kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
+		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
 		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
