--- a/cmd/mintkeel-sim/main.go
+++ b/cmd/mintkeel-sim/main.go
@@ -101,8 +101,6 @@
 		switch a := action.(type) {
 		case router.Send:
 			w.Line("submit_to", number, uint32(a.ID), string(a.Engine), int64(math.Floor(a.Until*1e6)))
-		case router.Terms:
-			w.Line("set_terms", number, uint32(a.ID), a.Priority, a.GrantMB)
 		case router.Cancel:
 			w.Line("recall", number, uint32(a.ID), int(a.Send))
 		case router.Shed:
--- a/cmd/mintkeel-sim/names.go
+++ b/cmd/mintkeel-sim/names.go
@@ -113,7 +113,6 @@
 	place := router.Place{Controllers: o.int("n_instances"), Zone: router.Zone(o.values["zone"])}
 	allowed := router.Allowed{Cancel: o.bool("bounds.cancel"), Probes: o.bool("bounds.probes"),
 		SecondCopies: o.bool("bounds.parallel_tries"), RetryAfter: o.bool("bounds.retry_after"),
-		Grants: o.bool("family_info.grants_count"), Priorities: o.bool("family_info.lanes_count"),
 		NotePace: o.ms("family_info.progress_pace_ns"), MaxSends: o.int("bounds.send_cap"), MaxRetryAfter: o.ms("bounds.max_retry_after_ns"),
 		GrantCap: o.float("family_info.grant_cap"), MustAsk: o.values["registry_mode"] == "subscribe"}
 	guards := router.Guards{Round: o.ms("round_ns"), ColdShare: o.float("contract.cold_share"),
--- a/router/router.go
+++ b/router/router.go
@@ -517,11 +517,6 @@
 		}
 		r.setAlarm(r.now+r.quiet(), c)
 		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
-		if p == r.dense && r.allowed.Priorities { // most benefit for its work goes first
-			c.wantPriority = 3
-		} else if p.HoldsTables && r.allowed.Priorities { // others may wait on it
-			c.wantPriority = 2
-		}
 		return true
 	})
 }
@@ -745,12 +740,8 @@
 			r.end(c)
 		}
 	}
-	best := 0.0
 	for _, p := range r.profiles {
 		p.best *= bestDrift
-		if x := p.Benefit / p.usualWork(r.now); x > best {
-			best, r.dense = x, p
-		}
 	}
 	if r.now >= r.moveAt {
 		r.moveAt = r.now + period
@@ -784,10 +775,6 @@
 	for _, c := range r.touched {
 		c.touched = false
 		if c.wantEngine != nil {
-			if c.priority != c.wantPriority { // memory is left to the engine: what was tried did no better
-				c.priority = c.wantPriority
-				actions = append(actions, Terms{c.id, c.priority, 0})
-			}
 			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
 			c.wantEngine = nil
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -99,13 +99,11 @@
 	over, begun    bool
 	doubtAt        float64 // when the first send left that may have run
 	doubt          *engine // where it went; nil: none may have run
-	priority       int     // as last told
 
-	wantEngine   *engine
-	wantEnd      ending
-	wantCancel   bool
-	wantPriority int
-	touched      bool
+	wantEngine *engine
+	wantEnd    ending
+	wantCancel bool
+	touched    bool
 }
 
 // profile is what is stated of a profile, with what was learned of it.
@@ -218,7 +216,6 @@
 	tables             map[TableGroup]*tableGroup
 	groups             []*tableGroup // by id
 	owners             [][]*owner    // by kind
-	dense              *profile      // most benefit for its work
 	touched            []*command
 	alarms             alarms
 	subscribed         bool
@@ -295,8 +292,7 @@
 		}
 	}
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
-		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB,
-		priority: 1, wantPriority: 1}
+		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB}
 	r.cmds[c.id] = c
 	if r.firstAt == 0 {
 		r.firstAt = r.now
--- a/router/types.go
+++ b/router/types.go
@@ -66,7 +66,7 @@
 
 // Allowed says what the deployment lets a controller do.
 type Allowed struct {
-	Cancel, Probes, SecondCopies, RetryAfter, Grants, Priorities bool
+	Cancel, Probes, SecondCopies, RetryAfter bool
 
 	MaxSends      int
 	MaxRetryAfter float64
@@ -219,12 +219,6 @@
 		Engine EngineID
 		Until  float64
 	}
-	// Terms sets a command's priority, also for what is out, and its next send's memory (0: engine's choice).
-	Terms struct {
-		ID       CommandID
-		Priority int
-		GrantMB  float64
-	}
 	// Cancel stops waiting for a send.
 	Cancel struct {
 		ID   CommandID
@@ -246,7 +240,6 @@
 )
 
 func (Send) action()      {}
-func (Terms) action()     {}
 func (Cancel) action()    {}
 func (Shed) action()      {}
 func (Fail) action()      {}
