--- a/router/router.go
+++ b/router/router.go
@@ -1,7 +1,6 @@
-// Every decision of a controller stands here with its tables and tuned values. A caller gets a Router by New,
-// hands each batch of events to Step, from one goroutine, and carries out what comes back, in order. The
-// interface (ids, facts, events, actions) is types.go beside this file; state.go keeps the books.
-// It reads top down; the step comes last, and there emit diffs wanted and present.
+// Every decision of a controller stands here with its tuned values. A caller gets a Router by New, hands each
+// batch of events to Step, from one goroutine, and carries out what comes back, in order. The interface is
+// types.go; state.go keeps the books. The step comes last, and there emit diffs wanted and present.
 package router
 
 import (
@@ -80,15 +79,14 @@
 // only its least stated capacity until it is warm and every other controller used its own part in full.
 func (r *Router) coldAllows(c *command, e *engine) bool {
 	g := r.guards
-	if e.since == 0 || r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
+	if r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
 		return true
 	}
 	if r.now < r.born+g.ColdWindow+netSlack {
 		return false // what an earlier life of this controller sent is not known
 	}
-	whole := g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow
-	sent := e.coldSent.since(r.now - g.ColdWindow - netSlack)
-	return sent+c.profile.usualWork(r.now) <= coldShareUsed*whole/r.controllers
+	part := coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow / r.controllers
+	return e.coldSent.since(r.now-g.ColdWindow-netSlack)+c.profile.usualWork(r.now) <= part
 }
 
 // mayShed tells whether the client may be told that trying again is harmless.
@@ -100,22 +98,18 @@
 // The engine view.
 
 const (
-	judgeOver   = 8       // outcomes that an engine is judged by
-	judgeLeast  = 5       // fewer successes among them: unwell
-	firstTrial  = 250.0   // ms until an unwell engine gets a trial send; doubled by each failure,
-	longTrial   = 2000.0  // up to this
-	reportLife  = 1000.0  // ms over which reports are smoothed
-	othersLife  = 5000.0  // ms over which a report of what an engine holds gives way to the mean of all engines
-	slowLife    = 4.0     // times the time between own commands to an engine: what its pace is learned over,
-	slowLongest = 10000.0 // up to this
-	reportStale = 4000.0  // ms after which a report no longer counts
-	probePace   = 400.0   // ms between probes of an engine by all controllers together
-	probeMost   = 1000.0  // ms between probes of an engine by one controller, at most
-	askOver     = 1200.0  // ms that a report may be old before an engine is asked ahead of a send
-	probeShare  = 1.0     // probes for each command taken, at most,
-	probeSaved  = 10.0    // saved up to so many; half of them is kept for engines about to be sent something
-	askAgain    = 1000.0  // ms, and up to as much again
-	spareCores  = 8.0     // taken for a kind that the settings don't name
+	judgeOver, judgeLeast = 8, 5          // last outcomes to judge an engine by; fewer successes: unwell
+	firstTrial, longTrial = 250.0, 2000.0 // ms until an unwell engine's trial send; doubled by failures
+	reportLife            = 1000.0        // ms over which reports are smoothed
+	othersLife            = 5000.0        // ms over which what an engine was told to hold gives way to the mean
+	slowLife, slowLongest = 4.0, 10000.0  // its pace is learned over so many times own commands' distance
+	reportStale           = 4000.0        // ms after which a report no longer counts
+	probePace, probeMost  = 400.0, 1000.0 // ms between probes of an engine: by all, by one at most
+	askOver               = 1200.0        // ms from which a report is asked for anew ahead of a send
+	probeShare            = 1.0           // probes for each command taken, at most,
+	probeSaved            = 10.0          // saved up to so many; half are kept for asking ahead of a send
+	askAgain              = 1000.0        // ms, and up to as much again
+	spareCores            = 8.0           // taken for a kind that the settings don't name
 )
 
 func (e *engine) well() bool { return bits.OnesCount64(e.outcomes<<(64-judgeOver)) >= judgeLeast }
@@ -139,11 +133,7 @@
 
 // ramp is the share of its capacity that a cold engine is taken to have.
 func (r *Router) ramp(e *engine) float64 {
-	g := r.guards
-	if e.since == 0 || r.now >= e.since+g.ColdTime {
-		return 1
-	}
-	return g.ColdShare + (1-g.ColdShare)*max(0, r.now-e.since)/g.ColdTime
+	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
 }
 
 // listed takes in news of the list. A failed question is asked again before the old list counts as told.
@@ -167,8 +157,7 @@
 	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 20)))
 }
 
-// ask has an engine probed. Probes keep a fixed relation to commands: paced by time alone, a hundred controllers
-// would probe more than they send.
+// ask has an engine probed, in relation to commands: by time, a hundred controllers would probe all day.
 func (r *Router) ask(e *engine) bool {
 	if !r.allowed.Probes || e.probing || r.credit < 1 {
 		return false
@@ -259,9 +248,8 @@
 	}
 }
 
-// allot hands the engines of a kind out as wanted; all changes of ownership pass here. An engine stays where
-// its tables are warm, else goes by a leaning that is the same at all controllers, so that they
-// warm the same engines. Who gives up engines chooses first, so that one move moves one engine.
+// allot hands the engines of a kind out as wanted. An engine stays where its tables are warm, else goes by a
+// leaning that all controllers share. Who gives up engines chooses first, so that one move moves one engine.
 func (r *Router) allot(k int, owners []*owner) {
 	free, turn := r.ready(k), slices.Clone(owners)
 	r.apportion(owners, len(free))
@@ -308,8 +296,7 @@
 	}
 }
 
-// settle mends ownership after the list, the groups or the packs have changed: surplus light packs share as
-// merged, who has engines keeps them, and the rest go by learned demand.
+// settle mends ownership after a change: surplus light packs share as merged, who has engines keeps them.
 func (r *Router) settle(k int) {
 	owners, ready := r.owners[k], r.ready(k)
 	if len(ready) == 0 || len(r.groups) == 0 {
@@ -378,46 +365,35 @@
 // Thread bound.
 
 const (
-	startWidth = 2.0 // threads a core
-	leastWidth = 1.5
-	mostWidth  = 2.5
-	nearBest   = 1.8 // time taken over time alone up to which the bound widens
-	farFrom    = 3.0 // from which it is cut
-	idleLoad   = 0.5 // reported load up to which slow answers are not the engine's load
-	widenBy    = 0.5 // threads for each answer
-	cutBy      = 0.85
-	cutEvery   = 400.0  // ms
-	bestDrift  = 1.0002 // each tendEvery: a fleet that has grown slower is not held to its past for ever
-	bestOver   = 25.0   // answers that a best time must rest on
+	startWidth, leastWidth, mostWidth = 2.0, 1.5, 2.5 // threads a core
+	nearBest, farFrom                 = 1.8, 3.0      // time over time alone: widens up to one, cut from other
+	widenBy                           = 0.5           // threads for each answer
+	cutBy, cutEvery                   = 0.85, 400.0   // and ms between cuts
+	bestDrift                         = 1.0001        // with each answer: who grew slower is not held to it
+	bestOver                          = 25.0          // answers that a best time must rest on
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
 
 // learn takes in the time of an answered send: what the profile takes alone, and by it the engine's bound.
-// Slow answers of an engine with little load don't narrow it: they are slow on the way, or stand still.
 func (r *Router) learn(c *command, e *engine, ev Ended) {
 	p, unit := c.profile, c.profile.unitOf(c, r.now)
-	if ev.Work > 0 && c.estimate > 0 {
-		p.workScale.add(r.now, ev.Work/c.estimate, 1)
+	if p.told(r.now, c, ev) {
 		unit = max(1, ev.Work/p.Threads)
 	}
-	if ev.NeedMB > 0 && c.need > 0 {
-		p.needScale.add(r.now, ev.NeedMB/c.need, 1)
-	}
 	p.work.add(r.now, cmp.Or(ev.Work, c.estimate, ev.Took*p.Threads), 1)
 	p.unit.add(r.now, ev.Took/unit, 1)
-	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver && (p.best == 0 || m < p.best) {
-		p.best = m
+	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver {
+		p.best = cmp.Or(min(p.best*bestDrift, m), m)
 	}
 	if p.best > 0 {
 		e.slow.add(r.now, min(20, ev.Took/(p.best*unit)), 1)
 		p.run.add(r.now, math.Log(max(1, ev.Took/(p.best*unit))), 1)
 	}
 	slow, bound := e.slow.mean(r.now, 1, 1), r.bound(e)
-	idle := e.reportAt > 0 && r.now-e.reportAt < reportStale && r.load(e) < idleLoad
-	if (slow < nearBest || idle) && e.threads+p.Threads >= 0.7*bound {
+	if slow < nearBest && e.threads+p.Threads >= 0.7*bound {
 		e.width = min(mostWidth, e.width*(1+widenBy/max(1, bound)))
-	} else if slow > farFrom && !idle && r.now-e.cutAt > cutEvery {
+	} else if slow > farFrom && r.now-e.cutAt > cutEvery {
 		e.width, e.cutAt = max(leastWidth, e.width*cutBy), r.now
 	}
 }
@@ -425,33 +401,29 @@
 // Release, choice and spill.
 
 const (
-	roomy       = 0.75   // filled up to this share of its bound an engine takes what others can't
-	leaning     = 0.7    // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable   = 4.0    // the same, for a load that holds the command's tables there
-	heldFor     = 1500.0 // ms for which a note that a load holds them counts
-	fullRest    = 200.0  // ms for which an engine that turned a command away gets none
-	overhang    = 3.0    // threads past its part that a controller may run by reports of room
-	threadsEach = 1.2    // threads that a command of others is taken to run on
-	memoryMost  = 0.9    // share of its memory granted, by report, above which an engine gets no more
-	scanMost    = 100    // held commands that one step tries
+	roomy              = 0.75        // filled up to this share of its bound an engine takes what others can't
+	leaning            = 0.7         // what a table group's fixed leaning to an engine weighs, in threads a core
+	heldTable, heldFor = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
+	fullRest           = 200.0       // ms for which an engine that turned a command away gets none
+	overhang           = 3.0         // threads past its part that a controller may run by reports of room
+	threadsEach        = 1.2         // threads that a command of others is taken to run on
+	memoryMost         = 0.9         // share of its memory granted above which an engine gets no more
+	scanMost           = 100         // held commands that one step tries
 )
 
-// hasRoom is the thread bound: own threads under this controller's part, for the engine and over all engines.
-// One command may always run where it has none, and the last may overhang. A small controller's part is too
-// coarse to be its only guide: by a report that tells of room it may go a little past it.
+// hasRoom is the thread bound, for the engine and pooled over all: a small controller's part of one engine is
+// less than a command, of which one may always run, and the last may overhang. Its part of all is coarse too:
+// it may go a little past it where a report tells of room, and nothing goes where one tells of no memory.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
 	if r.now < e.fullUntil || !e.well() && (e.out > 0 || r.now < e.retryAt) {
 		return false
 	}
-	known := r.now-e.reportAt < reportStale
-	if known && e.granted > memoryMost && r.out > 0 {
-		return false
-	}
-	pool := r.pool
+	known, pool := r.now-e.reportAt < reportStale, r.pool
 	if known && r.filled(e) < roomy*startWidth {
 		pool += overhang
 	}
-	return r.out == 0 || r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e))
+	return r.out == 0 || r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e)) &&
+		(!known || e.granted <= memoryMost)
 }
 
 // filled is the threads a core that an engine is taken to run, own and others', by its reports.
@@ -524,20 +496,17 @@
 // Resend, cancel, shed.
 
 const (
-	quietPaces        = 1.6        // times the pace of notes that a send may be quiet: they come within 1.5
-	badPlan           = 4.0        // times the time it should take here, from which a plan counts as bad
-	badPlanGap        = 1.5        // and its rest must be this many times what a new try would take
-	sizeCut, sizeGrow = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
-
-	mostSize  = 64.0   // times a profile's usual work that a command may have: this at ease,
-	leastSize = 4.0    // and this when engines are short
-	shareOver = 1.2    // times a tenant's share that passes as its share
-	shortFor  = 1000.0 // ms after a missed latency target for which engines count as short
-	patience  = 0.997  // for each command: how fast the client timeout of first tries is taken to fall
-	retryLeft = 0.95   // of it: who leaves less has waited before
-	runOver   = 1.2    // time to run, over what commands of the profile took lately
-	leastHold = 0.5    // of the latency target
-	lateShare = 0.5    // a profile that keeps this much of its benefit when late is held past its target
+	quietPaces          = 1.6        // times the pace of notes that a send may be quiet: they come within 1.5
+	badPlan, badPlanGap = 4.0, 1.5   // a plan is bad from so many times its time here, so much of it left
+	sizeCut, sizeGrow   = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
+
+	mostSize, leastSize = 64.0, 4.0   // times the usual work that a command may have: at ease, when short
+	shareOver           = 1.2         // times a tenant's share that passes as its share
+	shortFor            = 1000.0      // ms after a missed latency target for which engines count as short
+	patience, retryLeft = 0.997, 0.95 // how what first tries leave falls by command; retries leave less
+	runOver             = 1.2         // time to run, over what commands of the profile took lately
+	leastHold           = 0.5         // of the latency target
+	lateShare           = 0.5         // who keeps this much of its benefit when late is held past its target
 )
 
 // startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss
@@ -550,26 +519,17 @@
 	return min(c.asked+p.Target+p.TargetStretch*alone, r.endBy(c)) - alone
 }
 
-// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately; in
-// overload all would else be sent at the last moment for an idle engine. It is held for a part of its target
-// at least, or one slow answer could shut a profile out for good.
+// giveUpAt is when a held command is given up: as startBy, but by how long such commands run lately, or
+// overload would send all at the last moment. A part of its target is waited: one slow answer shuts none out.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
 	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
 	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
 }
 
-// scarce takes in that a command misses its latency target for want of engines.
-func (r *Router) scarce() {
-	if r.now-r.scarceAt >= tendEvery {
-		r.scarceAt, r.sizeCap = r.now, max(leastSize, r.sizeCap*sizeCut)
-	}
-}
-
-// unwise tells whether c asks for more than its benefit is worth now. In a jam, who can only be late, who is
-// past its tenant's share and the largest of each profile, by estimate, make room for others. Against
-// overload, costs and tenants that swing, and waves of retries, which by their early client timeouts would go
-// before first tries and make those late too. Harm: after a short jam a few are shed that could have run.
+// unwise tells whether c asks for more than it is worth now. In a jam, who can only be late, who is past its
+// tenant's share and the largest of a profile make room. Against overload, costs and tenants that swing, and
+// retries, which by early client timeouts go before first tries. Harm: a few are shed that could have run.
 func (r *Router) unwise(c *command) bool {
 	p := c.profile
 	return len(c.sends) == 0 && (r.now < r.jamUntil && (c.overShare || r.now > r.startBy(c)) || c.estimate > 0 &&
@@ -591,15 +551,12 @@
 func (r *Router) arrived(ev Arrived) {
 	c := r.take(ev)
 	p := c.profile
-	r.rate.add(r.now, 1, 0)
 	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
 	}
-	if ev.Tenant >= 0 { // of a tenant past its share here, so many commands are worth little
-		t := r.tenants[ev.Tenant]
-		t.took.add(r.now, 1, 0)
-		c.overShare = t.PerSecond > 0 && r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
+	if t := c.tenant; t != nil && t.PerSecond > 0 { // past its share here, so many commands are worth little
+		c.overShare = r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
 	}
 	c.tables.demand.add(r.now, p.alone(c, r.now)*p.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
@@ -613,13 +570,10 @@
 	}
 	r.unbook(c, s, ev)
 	r.report(s.engine, ev.Load)
-	c.tables.held.add(r.now, s.mem*ev.Took, 1)
 	switch ev.Outcome {
 	case Answered:
 		s.engine.judge(r.now, true)
-		if r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now) {
-			r.scarce()
-		}
+		r.missed = r.missed || r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now)
 		r.learn(c, s.engine, ev)
 	case Full: // it is up, but others hold all its sessions: sending on would only use up the command's sends
 		s.engine.fullUntil, s.engine.width = r.now+fullRest, max(leastWidth, s.engine.width*cutBy)
@@ -634,8 +588,8 @@
 	}
 }
 
-// noted looks for bad plans. Against a plan drawn badly, but also an engine that has all but stopped. Harm:
-// work thrown away on a command that is truly large, so it acts only with an estimate.
+// noted cancels a plan drawn badly, or a send on an engine that has all but stopped. Harm: work is lost of
+// a command that is truly large, so it acts only with an estimate.
 func (r *Router) noted(ev Noted) {
 	c, s := r.sendOf(ev.ID, ev.Send)
 	if s == nil {
@@ -656,39 +610,31 @@
 }
 
 // quiet is how long a send may go without word and still be taken to run.
-func (r *Router) quiet() float64 {
-	if r.allowed.NotePace == 0 {
-		return math.Inf(1)
-	}
-	return quietPaces*r.allowed.NotePace + netSlack
-}
+func (r *Router) quiet() float64 { return quietPaces*r.allowed.NotePace + netSlack }
 
-// look is what a command's alarm asks for: its end or, if a send has gone quiet, another. Against answers that
-// are lost while probes are answered, engines that hang, and notes that stop: whatever the cause, a quiet send
-// holds threads that others could use. Harm: where notes alone are lost, work is done twice.
+// look is what a command's alarm asks for: its end or, if a send has gone quiet, another. Against answers
+// that are lost and engines that hang, though they answer probes. Harm: if only notes are lost, it runs twice.
 func (r *Router) look(c *command) {
 	if r.now >= r.endBy(c) {
 		r.end(c)
 	}
 	for i := range c.sends {
 		s, p := &c.sends[i], c.profile
-		if quiet := s.word + r.quiet(); c.over || c.wantEnd != open || !s.out || s.lost || s.cancelled {
-			continue
-		} else if r.now < quiet {
-			r.setAlarm(quiet, c)
+		if c.over || c.wantEnd != open || !s.out || s.lost || s.cancelled {
 			continue
 		}
 		again := p.Effect == Replayable || p.Effect == Uniqued && r.now < s.at+p.RepeatWindow-netSlack
-		if !again || len(c.sends) >= r.allowed.MaxSends || !r.budgetAllows() {
-			continue
-		}
-		s.engine.judge(r.now, false)
-		if r.allowed.Cancel {
-			c.wantCancel = true
-			r.touch(c)
-		} else if r.allowed.SecondCopies {
-			r.lose(c, s)
-			r.held = insert(r.held, c, byTimeout)
+		if quiet := s.word + r.quiet(); r.now < quiet {
+			r.setAlarm(quiet, c)
+		} else if again && len(c.sends) < r.allowed.MaxSends && r.budgetAllows() {
+			s.engine.judge(r.now, false)
+			if r.allowed.Cancel {
+				c.wantCancel = true
+				r.touch(c)
+			} else if r.allowed.SecondCopies {
+				r.lose(c, s)
+				r.held = insert(r.held, c, byTimeout)
+			}
 		}
 	}
 }
@@ -728,21 +674,20 @@
 	return r.emit()
 }
 
-// tend is what goes by time and not by event: it gives up held commands, keeps the period and asks for news.
+// tend is what goes by time: it gives up held commands, keeps the period and asks for news.
 func (r *Router) tend() {
 	r.tendAt = r.now + tendEvery
-	r.sizeCap = min(mostSize, r.sizeCap*sizeGrow)
+	if r.sizeCap = min(mostSize, r.sizeCap*sizeGrow); r.missed {
+		r.sizeCap, r.missed = max(leastSize, r.sizeCap*sizeCut), false
+	}
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
-			if r.scarce(); c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
+			if r.missed = true; c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
 				r.jamUntil = r.now + shortFor
 			}
 			r.end(c)
 		}
 	}
-	for _, p := range r.profiles {
-		p.best *= bestDrift
-	}
 	if r.now >= r.moveAt {
 		r.moveAt = r.now + period
 		pack := !r.packed && r.firstAt > 0 && r.now >= r.firstAt+period
@@ -762,15 +707,15 @@
 		e.slow.life = min(slowLongest, max(reportLife, slowLife*float64(len(r.order))/(r.rate.rate(r.now)+1e-9)))
 		if e.state == Ready {
 			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
-		}
-		if e.state == Ready && r.now >= e.probeAt && r.credit > probeSaved/2 {
-			r.ask(e)
+			if r.now >= e.probeAt && r.credit > probeSaved/2 {
+				r.ask(e)
+			}
 		}
 	}
 	r.forgetOld()
 }
 
-// emit is the one place where the wanted state meets the present: it returns what makes them equal.
+// emit is the one place where the wanted state meets the present.
 func (r *Router) emit() (actions []Action) {
 	for _, c := range r.touched {
 		c.touched = false
--- a/router/state.go
+++ b/router/state.go
@@ -87,6 +87,7 @@
 	id             CommandID
 	profile        *profile
 	tables         *tableGroup
+	tenant         *tenant // nil: none
 	overShare      bool
 	key            OrderKey
 	arrived        float64
@@ -227,7 +228,8 @@
 	moveAt             float64
 	packed             bool // by learned footprints
 	wakeAt             float64
-	sizeCap, scarceAt  float64 // the largest command taken, in usual work of its profile, and when it was cut
+	sizeCap            float64 // the largest command taken, in usual work of its profile
+	missed             bool    // a latency target, since it was last looked at
 	jamUntil           float64 // by the last fresh command given up while held
 }
 
@@ -242,7 +244,8 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
-		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife}, cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
+		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife},
+		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	for _, p := range profiles {
@@ -257,6 +260,9 @@
 	if !allowed.RetryAfter {
 		r.allowed.MaxRetryAfter = 0
 	}
+	if allowed.NotePace == 0 {
+		r.allowed.NotePace = math.Inf(1)
+	}
 	return r
 }
 
@@ -294,6 +300,11 @@
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
 		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB}
 	r.cmds[c.id] = c
+	r.rate.add(r.now, 1, 0)
+	if ev.Tenant >= 0 {
+		c.tenant = r.tenants[ev.Tenant]
+		c.tenant.took.add(r.now, 1, 0)
+	}
 	if r.firstAt == 0 {
 		r.firstAt = r.now
 	}
@@ -342,6 +353,7 @@
 		r.free(c, s)
 	}
 	c.pending--
+	c.tables.held.add(r.now, s.mem*ev.Took, 1)
 	s.out, c.over = false, c.over || ev.Over
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, s.engine
@@ -353,6 +365,17 @@
 	r.touch(c)
 }
 
+// told files what an answer tells of a command's true work and memory, and reports whether it told the work.
+func (p *profile) told(now float64, c *command, ev Ended) bool {
+	if ev.NeedMB > 0 && c.need > 0 {
+		p.needScale.add(now, ev.NeedMB/c.need, 1)
+	}
+	if ev.Work > 0 && c.estimate > 0 {
+		p.workScale.add(now, ev.Work/c.estimate, 1)
+	}
+	return ev.Work > 0 && c.estimate > 0
+}
+
 // lose takes in that a send's answer is not waited for any more; it may have run.
 func (r *Router) lose(c *command, s *sendState) {
 	s.lost = true
@@ -486,7 +509,10 @@
 	named := map[EngineID]bool{}
 	for _, entry := range ev.Entries {
 		named[entry.Engine] = true
-		e := r.engines[entry.Engine]
+		e, since := r.engines[entry.Engine], entry.Since
+		if since == 0 {
+			since = math.Inf(-1)
+		}
 		if e == nil {
 			h := fnv.New64a()
 			h.Write([]byte(entry.Engine))
@@ -494,11 +520,11 @@
 				heldUntil: map[*tableGroup]float64{}}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 			e.fresh()
-		} else if entry.Since > e.since {
+		} else if since > e.since {
 			e.fresh()
 		}
 		e.state, e.zone, e.kind, e.cell = entry.State, entry.Zone, entry.Kind, entry.Cell
-		e.since = entry.Since
+		e.since = since
 		e.cores = spareCores
 		if e.kind >= 0 {
 			e.cores = r.kinds[e.kind].Cores
