Reported load no longer weighs beside what engines hold in the choice of engine

Cause: only engines heard of in the last 4 s paid for it, so a controller that hears of an engine every ten seconds preferred those that it knew nothing of.

--- a/router/router.go
+++ b/router/router.go
@@ -436,9 +436,6 @@
 // answers are, loads that hold the tables, and the leaning of the tables.
 func (r *Router) pressure(c *command, e *engine) float64 {
 	x := r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))
-	if r.now-e.reportAt < reportStale {
-		x += 0.5 * r.load(e)
-	}
 	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
 	if p := c.profile; p.HoldsTables || p.Waits { // who would stand still behind a load finds another engine
 		if x += heldTable * float64(e.loads[c.tables]); r.now < e.heldUntil[c.tables] {
@@ -613,7 +610,7 @@
 func (r *Router) quiet() float64 { return quietPaces*r.allowed.NotePace + netSlack }
 
 // look is what a command's alarm asks for: its end or, if a send has gone quiet, another. Against answers
-// that are lost and engines that hang, though they answer probes. Harm: if only notes are lost, it runs twice.
+// that are lost and engines that hang, though they answer probes. Harm: if only notes are lost it runs twice.
 func (r *Router) look(c *command) {
 	if r.now >= r.endBy(c) {
 		r.end(c)
