A send's first note tells how slow its engine is, before any answer

Cause: engines that grow slower answer late and then die with all they hold; by answers alone a controller of a hundred learns of it too late. Against any engine that slows; harm: a bad plan makes its engine look slow.

--- a/router/router.go
+++ b/router/router.go
@@ -494,6 +494,7 @@
 
 const (
 	quietPaces          = 1.6        // times the pace of notes that a send may be quiet: they come within 1.5
+	noteWeight          = 0.5        // of a send's first note of its pace, against an answer
 	badPlan, badPlanGap = 4.0, 1.5   // a plan is bad from so many times its time here, so much of it left
 	sizeCut, sizeGrow   = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
 
@@ -592,13 +593,17 @@
 	if s == nil {
 		return
 	}
-	s.word = r.now
-	if ev.What == NoteWaitsTables {
+	first := s.word == s.at
+	if s.word = r.now; ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
 	passed := r.now - s.at
 	total := passed / max(ev.Level, 0.01)
-	should := c.profile.alone(c, r.now) * max(1, s.engine.slow.mean(r.now, 1, 1))
+	alone := c.profile.alone(c, r.now)
+	should := alone * max(1, s.engine.slow.mean(r.now, 1, 1))
+	if ev.What == NoteProgress && c.profile.best > 0 && first {
+		s.engine.slow.add(r.now, noteWeight*min(20, total/alone), noteWeight)
+	}
 	if ev.What == NoteProgress && c.estimate > 0 && !c.over && c.profile.Effect == Replayable &&
 		!r.spent(c) && r.budgetAllows() && total > badPlan*should && total-passed > badPlanGap*should {
 		c.wantCancel = true
