--- a/router/router.go
+++ b/router/router.go
@@ -395,7 +395,7 @@
 
 const (
 	roomy              = 0.75        // filled up to this share of its bound an engine takes what others can't
-	leaning            = 0.7         // what a table group's fixed leaning to an engine weighs, in threads a core
+	leaning            = 1.0         // what a table group's fixed leaning to an engine weighs, in threads a core
 	heldTable, heldFor = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
 	fullRest           = 200.0       // ms for which an engine that turned a command away gets none
 	overhang           = 3.0         // threads past its part that a controller may run by reports of room
