--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -1,6 +1,10 @@
 package router
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
 
 // desk is a controller at a clock of its own, for tables of cases.
 type desk struct {
@@ -64,3 +68,25 @@
 	}
 	return sheds, fails
 }
+
+func cancels(actions []Action) bool {
+	return slices.ContainsFunc(actions, func(a Action) bool { _, ok := a.(Cancel); return ok })
+}
+
+func sum(counts []int) (n int) {
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// crowd is a desk of one controller among many, with many engines of the first kind.
+func crowd(t *testing.T, a Allowed, controllers, engines int) *desk {
+	d := newDesk(t, lookup, a, tight)
+	d.r.controllers = float64(controllers)
+	for i := range engines {
+		d.step(Listed{Entries: []Entry{engineAt(EngineID(fmt.Sprint("e", i)), 0, "z", CellID(i))}})
+	}
+	d.wait(tendEvery)
+	return d
+}
