--- a/router/scale_test.go
+++ b/router/scale_test.go
@@ -6,7 +6,7 @@
 func TestPoolBindsManyControllers(t *testing.T) {
 	for _, c := range []struct {
 		controllers int
-		inflight    float64 // reported by all engines; negative: no report
+		inflight    float64
 		least, most int
 	}{{100, -1, 1, 7}, {100, 4, 8, 11}, {100, 16, 1, 7}, {1000, -1, 1, 1}, {1, -1, 60, 60}} {
 		d, n := crowd(t, loose, c.controllers, 40), 0
