Cold engines that may get nothing are no room in the pool

Cause: at full size an equal part of a cold engine's allowance is less than a command, so it gets nothing until warm, but its bound counted in the pool and the warm ones were overfilled.

--- a/router/router.go
+++ b/router/router.go
@@ -46,7 +46,7 @@
 	p := c.profile
 	return e.state == Ready && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
 		(p.Zones == nil || slices.Contains(p.Zones, e.zone)) && r.mayStart(c) &&
-		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c, e)
+		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
 // mayStart is the part of mayGo that is the same for all engines.
@@ -75,16 +75,19 @@
 		g.ResendFree+g.ResendShare*r.taken.since(r.now-g.ResendWindow+netSlack)
 }
 
-// coldAllows keeps this controller's part of what a cold engine may be sent within the window, as if it had
-// only its least stated capacity until it is warm and every other controller used its own part in full.
-func (r *Router) coldAllows(c *command, e *engine) bool {
+// coldPart is this controller's part of what a cold engine may be sent within the window, as if it had only
+// its least stated capacity until it is warm and every other controller used its own part in full.
+func (r *Router) coldPart(e *engine) float64 {
 	g := r.guards
 	if r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
-		return true
+		return math.Inf(1)
 	}
-	part := coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow / r.controllers
-	return r.now >= r.born+g.ColdWindow+netSlack && // what its earlier life sent is not known
-		e.coldSent.since(r.now-g.ColdWindow-netSlack)+c.profile.usualWork(r.now) <= part
+	return coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow / r.controllers
+}
+
+func (r *Router) coldAllows(p *profile, e *engine) bool {
+	part, from := r.coldPart(e), r.now-r.guards.ColdWindow-netSlack // what an earlier life sent is not known
+	return math.IsInf(part, 1) || r.born <= from && e.coldSent.since(from)+p.usualWork(r.now) <= part
 }
 
 // mayShed tells whether the client may be told that trying again is harmless.
@@ -96,24 +99,22 @@
 // The engine view.
 
 const (
-	judgeOver, judgeLeast = 8, 5          // last outcomes to judge an engine by; fewer successes: unwell
-	firstTrial, longTrial = 250.0, 2000.0 // ms until an unwell engine's trial send; doubled by failures
-	reportLife            = 1000.0        // ms over which reports are smoothed
-	othersLife            = 5000.0        // ms over which what an engine was told to hold gives way to the mean
-	slowLife, slowLongest = 4.0, 10000.0  // its pace is learned over so many times own commands' distance
-	reportStale           = 4000.0        // ms after which a report no longer counts
-	probePace, probeMost  = 400.0, 1000.0 // ms between probes of an engine: by all, by one at most
-	askOver               = 1200.0        // ms from which a report is asked for anew ahead of a send
-	probeShare            = 1.0           // probes for each command taken, at most,
-	probeSaved            = 10.0          // saved up to so many; half are kept for asking ahead of a send
-	askAgain              = 1000.0        // ms, and up to as much again
-	spareCores            = 8.0           // taken for a kind that the settings don't name
+	judgeOver, judgeLeast  = 8, 5          // last outcomes to judge an engine by; fewer successes: unwell
+	firstTrial, longTrial  = 250.0, 2000.0 // ms until an unwell engine's trial send; doubled by failures
+	reportLife             = 1000.0        // ms over which reports are smoothed
+	othersLife             = 5000.0        // ms over which what an engine was told to hold gives way to the mean
+	slowLife, slowLongest  = 4.0, 10000.0  // its pace is learned over so many times own commands' distance
+	reportStale            = 4000.0        // ms after which a report no longer counts
+	probePace, probeMost   = 400.0, 1000.0 // ms between probes of an engine: by all, by one at most
+	askOver                = 1200.0        // ms from which a report is asked for anew ahead of a send
+	probeShare, probeSaved = 1.0, 10.0     // probes a command; saved up, half for asking ahead of a send
+	askAgain               = 1000.0        // ms, and up to as much again
+	spareCores             = 8.0           // taken for a kind that the settings don't name
 )
 
 func (e *engine) well() bool { return bits.OnesCount64(e.outcomes<<(64-judgeOver)) >= judgeLeast }
 
-// judge takes in an outcome. Against engines that died, hang or refuse, whatever the cause; probes count too.
-// Harm: a short spell of errors idles an engine for a trial's wait.
+// judge takes in an outcome, of probes too, against engines that died or hang. Harm: a short spell idles one.
 func (e *engine) judge(now float64, good bool) {
 	if e.outcomes <<= 1; good {
 		e.outcomes, e.retryWait = e.outcomes|1, firstTrial
@@ -221,13 +222,11 @@
 // Ownership.
 
 const (
-	period     = 2000.0 // ms between moves
-	moveMargin = 1.25
-	fastMargin = 2.5  // the busiest this far over the lowest future load: counts are solved at once
-	underused  = 0.25 // load of a lone engine that may be shared
+	period, moveMargin = 2000.0, 1.25 // ms between moves, and the margin for one
+	fastMargin         = 2.5          // the busiest so far over the lowest future load: counts are solved
+	underused          = 0.25         // load of a lone engine that may be shared
 )
 
-// each is the demand for each engine that an owner is to have.
 func (r *Router) each(o *owner) float64 { return r.demand(o) / float64(max(1, o.want)) }
 
 // apportion makes the counts wanted sum to n, one at least each, by what demand leaves for each engine.
@@ -269,7 +268,6 @@
 	r.owners[k] = owners
 }
 
-// repack packs the groups anew for one kind.
 func (r *Router) repack(k int) {
 	r.owners[k] = nil
 	for _, bin := range pack(r.groups, r.footprints(k), r.kinds[k].MemoryMB*(1-reserve)) {
@@ -491,8 +489,7 @@
 	shareOver           = 1.2         // times a tenant's share that passes as its share
 	shortFor            = 1000.0      // ms after a missed latency target for which engines count as short
 	patience, retryLeft = 0.997, 0.95 // how what first tries leave falls by command; retries leave less
-	runOver             = 1.2         // time to run, over what commands of the profile took lately
-	leastHold           = 0.5         // of the latency target
+	runOver, leastHold  = 1.2, 0.5    // over what commands took lately; of the latency target
 	lateShare           = 0.5         // who keeps this much of its benefit when late is held past its target
 )
 
@@ -694,7 +691,10 @@
 	for _, e := range r.order {
 		e.slow.life = min(slowLongest, max(reportLife, slowLife*float64(len(r.order))/(r.rate.rate(r.now)+1e-9)))
 		if e.state == Ready {
-			r.pool, r.cores = r.pool+r.bound(e), r.cores+e.cores
+			r.cores += e.cores // a cold one that may get nothing is no room
+			if slices.ContainsFunc(r.profiles, func(p *profile) bool { return p.usualWork(r.now) < r.coldPart(e) }) {
+				r.pool += r.bound(e)
+			}
 			if r.now >= e.probeAt && r.credit > probeSaved/2 {
 				r.ask(e)
 			}
--- a/router/scale_test.go
+++ b/router/scale_test.go
@@ -131,3 +131,16 @@
 		t.Errorf("an engine at the mean presses %g, one not heard of %g", x, y)
 	}
 }
+
+// Found on dundee-main-later: cold engines that may get nothing made the pool larger, so warm ones overfilled.
+func TestColdEngineIsNoRoom(t *testing.T) {
+	for _, c := range []struct{ controllers, more int }{{1, 1}, {100, 0}} {
+		d := crowd(t, loose, c.controllers, 2)
+		before, cold := d.r.pool, engineAt("x", 0, "z", 9)
+		cold.Since = d.now
+		d.step(Listed{Entries: []Entry{cold}})
+		if d.wait(tendEvery); (d.r.pool > before) != (c.more > 0) {
+			t.Errorf("%d controllers: the pool went from %g to %g", c.controllers, before, d.r.pool)
+		}
+	}
+}
