--- a/router/scale_test.go
+++ b/router/scale_test.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// Found on dundee-main-later: cold engines that may get nothing made the pool larger, so warm ones overfilled.
+// Found on dundee-main-later: cold engines that may get nothing made the pool larger, so warm ones filled.
 func TestColdEngineIsNoRoom(t *testing.T) {
 	for _, c := range []struct{ controllers, more int }{{1, 1}, {100, 0}} {
 		d := crowd(t, loose, c.controllers, 2)
