--- a/router/router.go
+++ b/router/router.go
@@ -147,12 +147,12 @@
 	}
 }
 
-// portion is this controller's part of the traffic, by what engines hold; first, weighing 400, an equal one.
+// portion is this controller's part of the traffic, by what engines hold; first, weighing 200, an equal one.
 func (r *Router) portion() float64 {
 	if r.controllers == 1 {
 		return 1
 	}
-	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 400)))
+	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 200)))
 }
 
 // ask has an engine probed, in relation to commands: by time, a hundred controllers would probe all day.
