Controllers take turns at cold engines, long enough for a command, three threads past the pool

Cause: among a hundred controllers an equal part of a cold engine's allowance is under a lookup, so in a deploy each new engine idled for 14 s while the warm ones shed.

--- a/cmd/mintkeel-sim/names.go
+++ b/cmd/mintkeel-sim/names.go
@@ -110,7 +110,7 @@
 		n.tenants[o.values[at+"name"]] = router.TenantID(i)
 		tenants = append(tenants, router.Tenant{PerSecond: o.float(at + "quota_per_s")})
 	}
-	place := router.Place{Controllers: o.int("n_instances"), Zone: router.Zone(o.values["zone"])}
+	place := router.Place{Controllers: o.int("n_instances"), Number: o.int("me"), Zone: router.Zone(o.values["zone"])}
 	allowed := router.Allowed{Cancel: o.bool("bounds.cancel"), Probes: o.bool("bounds.probes"),
 		SecondCopies: o.bool("bounds.parallel_tries"), RetryAfter: o.bool("bounds.retry_after"),
 		NotePace: o.ms("family_info.progress_pace_ns"), MaxSends: o.int("bounds.send_cap"), MaxRetryAfter: o.ms("bounds.max_retry_after_ns"),
--- a/router/router.go
+++ b/router/router.go
@@ -16,9 +16,8 @@
 	unitLife, runLife, workLife, scaleLife = 10000.0, 1000.0, 20000.0, 30000.0 // ms that learning goes back
 	shareLife, tenantLife                  = 5000.0, 2000.0
 
-	netSlack      = 60.0 // ms for the way to an engine: the rules' windows are kept so much wider or narrower
-	roundsToEnd   = 2.0  // a command is ended this many rounds before its client timeout
-	coldShareUsed = 0.6  // of a cold engine's allowance: the rest covers what the guess of usual work misses
+	netSlack, roundsToEnd    = 60.0, 2.0  // ms by which windows are kept wider; rounds before a client timeout
+	coldShareUsed, coldLeast = 0.6, 500.0 // of a cold engine's allowance; ms of work in a part, or turns
 )
 
 // unitOf is the time that c's estimate gives it alone; without estimates all commands of a profile are alike.
@@ -75,14 +74,24 @@
 		g.ResendFree+g.ResendShare*r.taken.since(r.now-g.ResendWindow+netSlack)
 }
 
-// coldPart is this controller's part of what a cold engine may be sent within the window, as if it had only
-// its least stated capacity until it is warm and every other controller used its own part in full.
+// coldPart is this controller's part of what a cold engine may be sent within the window, as if it had its
+// least stated capacity until warm and all used theirs. Where an equal part is under a command, controllers
+// take turns by number, engine and time since its start, in stretches longer than the window.
 func (r *Router) coldPart(e *engine) float64 {
 	g := r.guards
 	if r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
 		return math.Inf(1)
 	}
-	return coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow / r.controllers
+	whole := coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow
+	if whole >= coldLeast*r.controllers {
+		return whole / r.controllers
+	}
+	turns := math.Ceil(2 * coldLeast * r.controllers / whole)
+	stretch := uint64(max(0, r.now-e.since) / (g.ColdWindow + 2*netSlack))
+	if (e.hash+uint64(r.number)+stretch)%uint64(turns) != 0 {
+		return 0
+	}
+	return whole / 2 / math.Ceil(r.controllers/turns) // a window touches two stretches
 }
 
 func (r *Router) coldAllows(p *profile, e *engine) bool {
@@ -108,8 +117,7 @@
 	probePace, probeMost   = 400.0, 1000.0 // ms between probes of an engine: by all, by one at most
 	askOver                = 1200.0        // ms from which a report is asked for anew ahead of a send
 	probeShare, probeSaved = 1.0, 10.0     // probes a command; saved up, half for asking ahead of a send
-	askAgain               = 1000.0        // ms, and up to as much again
-	spareCores             = 8.0           // taken for a kind that the settings don't name
+	askAgain, spareCores   = 1000.0, 8.0   // ms, and up to as much again; for a kind not named
 )
 
 func (e *engine) well() bool { return bits.OnesCount64(e.outcomes<<(64-judgeOver)) >= judgeLeast }
@@ -179,9 +187,8 @@
 // Footprints and packing.
 
 const (
-	reserve    = 0.1     // share of an engine's memory that packing leaves free
-	demandLife = 10000.0 // ms over which demand and footprints are learned
-	blindShare = 0.5     // share of memory taken as used where no estimate tells
+	reserve, blindShare = 0.1, 0.5 // of memory: left free by packing; taken as used without estimates
+	demandLife          = 10000.0  // ms over which demand and footprints are learned
 )
 
 // footprints are mean memory times commands running at once, over all controllers and one kind's part of the
@@ -219,8 +226,6 @@
 	return bins
 }
 
-// Ownership.
-
 const (
 	period, moveMargin = 2000.0, 1.25 // ms between moves, and the margin for one
 	fastMargin         = 2.5          // the busiest so far over the lowest future load: counts are solved
@@ -358,10 +363,9 @@
 const (
 	startWidth, leastWidth, mostWidth = 2.0, 1.5, 2.5 // threads a core
 	nearBest, farFrom                 = 1.8, 3.0      // time over time alone: widens up to one, cut from other
-	widenBy                           = 0.5           // threads for each answer
+	widenBy, bestOver                 = 0.5, 25.0     // threads for each answer; answers behind a best time
 	cutBy, cutEvery                   = 0.85, 400.0   // and ms between cuts
 	bestDrift                         = 1.0001        // with each answer: who grew slower is not held to it
-	bestOver                          = 25.0          // answers that a best time must rest on
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
@@ -392,14 +396,13 @@
 // Release, choice and spill.
 
 const (
-	roomy              = 0.75        // filled up to this share of its bound an engine takes what others can't
-	leaning            = 1.0         // what a table group's fixed leaning to an engine weighs, in threads a core
-	heldTable, heldFor = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
-	fullRest           = 200.0       // ms for which an engine that turned a command away gets none
-	overhang           = 3.0         // threads past its part that a controller may run by reports of room
-	threadsEach        = 1.2         // threads that a command of others is taken to run on
-	memoryMost         = 0.9         // share of its memory granted above which an engine gets no more
-	scanMost           = 100         // held commands that one step tries
+	roomy                   = 0.75        // filled up to this share an engine takes what others can't
+	leaning                 = 1.0         // weight of a table group's fixed leaning, in threads a core
+	heldTable, heldFor      = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
+	fullRest                = 200.0       // ms for which an engine that turned a command away gets none
+	overhang                = 3.0         // threads past its part that a controller may run by reports of room
+	threadsEach, memoryMost = 1.2, 0.9    // of a command of others; share granted that stops sends
+	scanMost                = 100         // held commands that one step tries
 )
 
 // hasRoom is the thread bound, for the engine and pooled over all: a small controller's part of one engine is
@@ -407,8 +410,8 @@
 // it may go a little past it where a report tells of room, and nothing goes where one tells of no memory.
 func (r *Router) hasRoom(e *engine, fill float64) bool {
 	known, pool := r.now-e.reportAt < reportStale, r.pool
-	if known && r.filled(e) < roomy*startWidth {
-		pool += overhang
+	if known && r.filled(e) < roomy*startWidth || r.bound(e) < 1 && !math.IsInf(r.coldPart(e), 1) {
+		pool += overhang // a cold one's guard is its part
 	}
 	return r.now >= e.fullUntil && (e.well() || e.out == 0 && r.now >= e.retryAt) && (r.out == 0 ||
 		r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e)) && (!known || e.granted <= memoryMost))
@@ -480,14 +483,12 @@
 // Resend, cancel, shed.
 
 const (
-	quietPaces          = 1.6        // times the pace of notes that a send may be quiet: they come within 1.5
-	noteWeight          = 0.5        // of a send's first note of its pace, against an answer
-	badPlan, badPlanGap = 4.0, 1.5   // a plan is bad from so many times its time here, so much of it left
-	sizeCut, sizeGrow   = 0.9, 1.005 // how the limit between the next two moves: at a miss, and each tendEvery
+	quietPaces, noteWeight = 1.6, 0.5   // notes come within 1.5 paces; a first note against an answer
+	badPlan, badPlanGap    = 4.0, 1.5   // a plan is bad from so many times its time here, so much of it left
+	sizeCut, sizeGrow      = 0.9, 1.005 // the limit between the next two: at a miss, each tendEvery
 
 	mostSize, leastSize = 64.0, 4.0   // times the usual work that a command may have: at ease, when short
-	shareOver           = 1.2         // times a tenant's share that passes as its share
-	shortFor            = 1000.0      // ms after a missed latency target for which engines count as short
+	shareOver, shortFor = 1.2, 1000.0 // times a tenant's share that passes as it; ms that a jam lasts
 	patience, retryLeft = 0.997, 0.95 // how what first tries leave falls by command; retries leave less
 	runOver, leastHold  = 1.2, 0.5    // over what commands took lately; of the latency target
 	lateShare           = 0.5         // who keeps this much of its benefit when late is held past its target
--- a/router/state.go
+++ b/router/state.go
@@ -195,6 +195,7 @@
 type Router struct {
 	rng         *rand.Rand
 	controllers float64
+	number      int
 	kinds       []Kind
 	profiles    []*profile
 	tenants     []*tenant
@@ -243,7 +244,8 @@
 func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
-		kinds: kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
+		number: place.Number,
+		kinds:  kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
 		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife},
 		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
--- a/router/types.go
+++ b/router/types.go
@@ -61,6 +61,7 @@
 // Place is a controller's own position.
 type Place struct {
 	Controllers int
+	Number      int // its own among them, from 0
 	Zone        Zone
 }
 
