--- a/router/scale_test.go
+++ b/router/scale_test.go
@@ -1,6 +1,9 @@
 package router
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // Found on trapani-sosta-later: each of a hundred controllers had one command out on every engine.
 func TestPoolBindsManyControllers(t *testing.T) {
@@ -144,3 +147,33 @@
 		}
 	}
 }
+
+// Rule 4 at size: in any window all controllers together stay under the allowance, and somebody may send at all.
+func TestColdTurns(t *testing.T) {
+	const controllers = 150
+	var parts [controllers][]float64 // of each controller, every 10 ms
+	whole := tight.ColdMultiple * tight.ColdShare * 8 * tight.ColdWindow
+	d := crowd(t, loose, controllers, 1)
+	e := d.r.order[0]
+	e.since = d.now
+	for range 600 {
+		for n := range controllers {
+			d.r.number = n
+			parts[n] = append(parts[n], d.r.coldPart(e))
+		}
+		d.r.now += 10
+	}
+	window, used := int(tight.ColdWindow/10), 0.0
+	for from := range 600 - window {
+		sum := 0.0
+		for n := range controllers { // each may use its part once within a window, and again in a later turn
+			sum += slices.Max(parts[n][from : from+window])
+		}
+		if used = max(used, sum); sum > whole {
+			t.Fatalf("%g ms of work may be sent within a window, of %g", sum, whole)
+		}
+	}
+	if used < whole/4 {
+		t.Errorf("only %g ms of work of %g may be sent", used, whole)
+	}
+}
