Read-through: one place for how long a send may be quiet; facts nobody reads are out

The quiet time was computed in two places. A command's benefit and the cap on memory grants had been left in the interface when priorities and grants went. Long lines of the adapter and a table row are mended.

--- a/cmd/mintkeel-sim/names.go
+++ b/cmd/mintkeel-sim/names.go
@@ -110,11 +110,12 @@
 		n.tenants[o.values[at+"name"]] = router.TenantID(i)
 		tenants = append(tenants, router.Tenant{PerSecond: o.float(at + "quota_per_s")})
 	}
-	place := router.Place{Controllers: o.int("n_instances"), Number: o.int("me"), Zone: router.Zone(o.values["zone"])}
+	place := router.Place{Controllers: o.int("n_instances"), Number: o.int("me"),
+		Zone: router.Zone(o.values["zone"])}
 	allowed := router.Allowed{Cancel: o.bool("bounds.cancel"), Probes: o.bool("bounds.probes"),
 		SecondCopies: o.bool("bounds.parallel_tries"), RetryAfter: o.bool("bounds.retry_after"),
-		NotePace: o.ms("family_info.progress_pace_ns"), MaxSends: o.int("bounds.send_cap"), MaxRetryAfter: o.ms("bounds.max_retry_after_ns"),
-		GrantCap: o.float("family_info.grant_cap"), MustAsk: o.values["registry_mode"] == "subscribe"}
+		NotePace: o.ms("family_info.progress_pace_ns"), MaxSends: o.int("bounds.send_cap"),
+		MaxRetryAfter: o.ms("bounds.max_retry_after_ns"), MustAsk: o.values["registry_mode"] == "subscribe"}
 	guards := router.Guards{Round: o.ms("round_ns"), ColdShare: o.float("contract.cold_share"),
 		ColdTime: o.ms("contract.cold_ns"), ColdMultiple: o.float("contract.overload_factor"),
 		ColdWindow: o.ms("contract.tip_after_ns"), OrderRest: o.ms("contract.order_settle_ns"),
@@ -141,7 +142,8 @@
 	}
 	p := router.Profile{Effect: effect, Scope: scope, RepeatWindow: o.ms(at + "repeat_window_ns"),
 		InOrder: o.bool(at + "in_order"), Target: o.ms(at + "promise_ns"),
-		TargetStretch: o.float(at + "aim_stretch"), Timeout: o.ms(at + "hard_limit_ns"), Benefit: o.float(at + "worth"), LateShare: o.float(at + "late_worth"),
+		TargetStretch: o.float(at + "aim_stretch"), Timeout: o.ms(at + "hard_limit_ns"),
+		LateShare:   o.float(at + "late_worth"),
 		Threads:     max(1, o.floatAt("family_info.width_by_class", i)),
 		HoldsTables: o.at("family_info.holds_tables", i) == "true",
 		Waits:       o.at("family_info.class_waits", i) == "true"}
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -15,7 +15,7 @@
 
 var (
 	twoKinds = []Kind{{Cores: 8, MemoryMB: 16000}, {Cores: 4, MemoryMB: 8000}}
-	lookup   = Profile{Target: 1000, TargetStretch: 2, Timeout: 5000, Benefit: 1, Threads: 1}
+	lookup   = Profile{Target: 1000, TargetStretch: 2, Timeout: 5000, Threads: 1}
 	loose    = Allowed{Cancel: true, MaxSends: 6}
 	tight    = Guards{Round: 5, ColdShare: 0.3, ColdTime: 10000, ColdMultiple: 4, ColdWindow: 1500}
 )
--- a/router/router.go
+++ b/router/router.go
@@ -474,7 +474,7 @@
 		if e == nil || r.now-e.reportAt > askOver && (e.probing || r.now > e.probeAt && r.ask(e)) {
 			return false
 		}
-		r.setAlarm(r.now+quietPaces*r.allowed.NotePace+netSlack, c)
+		r.setAlarm(r.now+r.quiet(), c)
 		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
 		return true
 	})
@@ -584,9 +584,8 @@
 	if s.word = r.now; ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
-	passed := r.now - s.at
+	alone, passed := c.profile.alone(c, r.now), r.now-s.at
 	total := passed / max(ev.Level, 0.01)
-	alone := c.profile.alone(c, r.now)
 	should := alone * max(1, s.engine.slow.mean(r.now, 1, 1))
 	if ev.What == NoteProgress && c.profile.best > 0 && first {
 		s.engine.slow.add(r.now, noteWeight*min(20, total/alone), noteWeight)
@@ -598,6 +597,8 @@
 	}
 }
 
+func (r *Router) quiet() float64 { return quietPaces*r.allowed.NotePace + netSlack }
+
 // look is what a command's alarm asks for: its end or, if a send has gone quiet, another. Against answers
 // that are lost and engines that hang, though they answer probes. Harm: if only notes are lost it runs twice.
 func (r *Router) look(c *command) {
@@ -610,7 +611,7 @@
 			continue
 		}
 		again := p.Effect == Replayable || p.Effect == Uniqued && r.now < s.at+p.RepeatWindow-netSlack
-		if quiet := s.word + quietPaces*r.allowed.NotePace + netSlack; r.now < quiet {
+		if quiet := s.word + r.quiet(); r.now < quiet {
 			r.setAlarm(quiet, c)
 		} else if again && len(c.sends) < r.allowed.MaxSends && r.budgetAllows() {
 			s.engine.judge(r.now, false)
--- a/router/scale_test.go
+++ b/router/scale_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// Rule 4 at size: in any window all controllers together stay under the allowance, and somebody may send at all.
+// Rule 4 at size: in any window all controllers together stay under the allowance, and some may send.
 func TestColdTurns(t *testing.T) {
 	const controllers = 150
 	var parts [controllers][]float64 // of each controller, every 10 ms
--- a/router/types.go
+++ b/router/types.go
@@ -45,8 +45,7 @@
 	Target        float64  // latency target, before the part that grows with the work
 	TargetStretch float64  // added to the latency target for each millisecond of work over threads
 	Timeout       float64  // client timeout
-	Benefit       float64
-	LateShare     float64 // share of the benefit left after the latency target
+	LateShare     float64  // share of the benefit left after the latency target
 	Threads       float64
 	HoldsTables   bool // it holds its table group on its engine while it runs
 	Waits         bool // it stands still while its table group is held on its engine
@@ -71,7 +70,6 @@
 
 	MaxSends      int
 	MaxRetryAfter float64
-	GrantCap      float64 // share of an engine's memory that one command gets at most
 	NotePace      float64 // between notes of a send that runs; 0: there are none
 	MustAsk       bool    // the list comes only when asked for
 }
