--- /dev/null
+++ b/internal/bulletin/bulletin.go
@@ -0,0 +1,192 @@
+// Package bulletin follows the feed that tells of engines, and reads what was known of it at start.
+package bulletin
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"mintkeel/internal/limits"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
+)
+
+// Entry is an engine as the feed tells of it.
+type Entry struct {
+	router.Entry
+	Dial string
+}
+
+// News is one event of the feed.
+type News struct {
+	No      uint64
+	Whole   bool
+	Entries []Entry
+}
+
+// Known is what a configuration holds of the feed: the events so far.
+type Known struct {
+	No    uint64 `json:"no"`
+	Items []struct {
+		No     uint64 `json:"no"`
+		Roster *struct {
+			Whole bool   `json:"whole"`
+			Hosts []Host `json:"hosts"`
+		} `json:"roster"`
+	} `json:"items"`
+}
+
+// Host is an engine in a configuration.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	BornMS float64 `json:"born_ms"`
+}
+
+var states = map[string]router.State{"active": router.Ready, "leaving": router.Draining, "left": router.Gone}
+
+// Read turns what was known at start into news, in the feed's order.
+func (k *Known) Read(names *settings.Names) ([]News, error) {
+	var all []News
+	for i, item := range k.Items {
+		if item.Roster == nil {
+			continue
+		}
+		news := News{No: item.No, Whole: item.Roster.Whole}
+		for j, h := range item.Roster.Hosts {
+			at := fmt.Sprintf("known.items.%d.roster.hosts.%d.", i, j)
+			state, known := states[h.Health]
+			if !known {
+				return nil, &settings.FieldError{Field: at + "health", Why: fmt.Sprintf("%q is not known", h.Health)}
+			}
+			if _, _, err := net.SplitHostPort(h.Dial); err != nil && state != router.Gone {
+				return nil, &settings.FieldError{Field: at + "dial", Why: fmt.Sprintf("%q is no address", h.Dial)}
+			}
+			if h.Host == "" {
+				return nil, &settings.FieldError{Field: at + "host", Why: "is missing"}
+			}
+			news.Entries = append(news.Entries, Entry{Dial: h.Dial, Entry: router.Entry{
+				Engine: router.EngineID(h.Host), State: state, Zone: router.Zone(h.Site), Kind: names.Kind(h.Class),
+				Cell: router.CellID(h.Block), Since: h.BornMS}})
+		}
+		all = append(all, news)
+	}
+	return all, nil
+}
+
+// ErrMalformed is what no feed says.
+var ErrMalformed = errors.New("malformed frame")
+
+const (
+	frameHead  = 13 // length, number and kind
+	recordSize = 27
+	mostFrame  = 1 << 20
+	kindNone   = 0
+	kindWhole  = 1
+	kindChange = 2
+)
+
+// ReadFrame takes one frame; fresh is false where it holds nothing new.
+func ReadFrame(r *bufio.Reader, names *settings.Names) (news News, fresh bool, err error) {
+	head, err := r.Peek(frameHead)
+	if err != nil {
+		return news, false, err
+	}
+	length, kind := int(binary.BigEndian.Uint32(head)), head[12]
+	news.No, news.Whole = binary.BigEndian.Uint64(head[4:]), kind == kindWhole
+	size := length - (frameHead - 4)
+	if length > mostFrame || size < 0 || kind > kindChange || size%recordSize != 0 || kind == kindNone && size != 0 {
+		return news, false, fmt.Errorf("%w: length %d, kind %d", ErrMalformed, length, kind)
+	}
+	r.Discard(frameHead)
+	record := make([]byte, recordSize)
+	for range size / recordSize {
+		for have := 0; have < recordSize; {
+			n, err := r.Read(record[have:])
+			if have += n; err != nil {
+				return news, false, err
+			}
+		}
+		entry, err := parse(record, names)
+		if err != nil {
+			return news, false, err
+		}
+		news.Entries = append(news.Entries, entry)
+	}
+	return news, kind != kindNone, nil
+}
+
+func parse(b []byte, names *settings.Names) (e Entry, err error) {
+	state, zone, kind := b[10], int(b[11]), int(b[12])
+	if state > byte(router.Gone) || zone >= max(1, len(names.ZoneAt)) {
+		return e, fmt.Errorf("%w: state %d, zone %d", ErrMalformed, state, zone)
+	}
+	e.Engine = router.EngineID(fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(b)))
+	e.Dial = net.JoinHostPort(net.IP(b[4:8]).String(), strconv.Itoa(int(binary.BigEndian.Uint16(b[8:]))))
+	if e.State = router.State(state); len(names.ZoneAt) > 0 {
+		e.Zone = router.Zone(names.ZoneAt[zone])
+	}
+	if e.Kind = router.KindID(kind); kind >= len(names.KindAt) {
+		e.Kind = -1
+	}
+	e.Cell = router.CellID(binary.BigEndian.Uint16(b[13:]))
+	e.Since = float64(binary.BigEndian.Uint64(b[19:]))
+	return e, nil
+}
+
+// Follow keeps a connection to the feed until ctx ends, and hands on what comes after the last number it has, in
+// order and once. A connection that is silent, malformed or skips a number is begun anew from that number.
+func Follow(ctx context.Context, addr string, last uint64, names *settings.Names, l *limits.Limits,
+	post func(News), log *slog.Logger) {
+	for ctx.Err() == nil {
+		err := follow(ctx, addr, &last, names, l, post)
+		if ctx.Err() == nil {
+			log.Warn("feed connection ended", "why", err, "last", last)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(l.FeedRetry):
+		}
+	}
+}
+
+func follow(ctx context.Context, addr string, last *uint64, names *settings.Names, l *limits.Limits,
+	post func(News)) error {
+	dialer := net.Dialer{Timeout: l.ConnectTime}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(l.FeedSilence))
+	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, *last)); err != nil {
+		return err
+	}
+	r := bufio.NewReader(conn)
+	for {
+		conn.SetDeadline(time.Now().Add(l.FeedSilence))
+		news, fresh, err := ReadFrame(r, names)
+		if err != nil {
+			return err
+		}
+		if !fresh || news.No <= *last {
+			continue
+		}
+		if news.No != *last+1 && !news.Whole {
+			return fmt.Errorf("%w: number %d after %d", ErrMalformed, news.No, *last)
+		}
+		*last = news.No
+		post(news)
+	}
+}
--- /dev/null
+++ b/internal/clients/session.go
@@ -0,0 +1,270 @@
+package clients
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/pgwire"
+	"mintkeel/router"
+)
+
+// session is one client's connection, run by one goroutine. While a command is open it goes on reading, to notice
+// that its client leaves, and is woken from its read by the answer.
+type session struct {
+	server *Server
+	conn   net.Conn
+	r      *bufio.Reader
+	key    pgwire.Key
+	readAt time.Time // when what stands next in the buffer came, if it came while a command was open
+
+	mu   sync.Mutex
+	open *exchange.Command
+}
+
+func newSession(s *Server, conn net.Conn) *session {
+	return &session{server: s, conn: conn, r: bufio.NewReaderSize(conn, s.limits.MessageBytes)}
+}
+
+// past is a deadline that has gone by: it wakes a goroutine that reads.
+var past = time.Unix(1, 0)
+
+func (ses *session) run() {
+	l := ses.server.limits
+	ses.conn.SetReadDeadline(time.Now().Add(l.StartTime))
+	for {
+		start, err := pgwire.ReadStartUp(ses.r)
+		switch {
+		case errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong):
+			ses.refuse(pgwire.CodeProtocol, "malformed start-up message")
+			return
+		case err != nil:
+			return
+		case start.Kind == pgwire.Cancel:
+			ses.server.cancel(start.Key)
+			return
+		case start.Kind == pgwire.Encrypt:
+			if ses.write(pgwire.NoEncryption) != nil {
+				return
+			}
+			continue
+		}
+		break
+	}
+	if !ses.server.admit(ses) {
+		ses.refuse(pgwire.CodeTooMany, "too many sessions: trying again is harmless")
+		return
+	}
+	defer ses.server.leave(ses)
+	if ses.write(pgwire.AppendWelcome(nil, ses.key)) != nil {
+		return
+	}
+	for skip := false; ; {
+		ses.conn.SetReadDeadline(time.Now().Add(l.IdleTime))
+		kind, body, size, err := pgwire.Peek(ses.r)
+		if errors.Is(err, pgwire.ErrMalformed) {
+			ses.refuse(pgwire.CodeProtocol, "malformed message")
+			return
+		}
+		if errors.Is(err, pgwire.ErrTooLong) {
+			ses.refuse(pgwire.CodeTooLong, fmt.Sprintf("a message holds %d bytes at most", l.MessageBytes))
+			return
+		}
+		if err != nil {
+			return
+		}
+		now := time.Now()
+		if ses.server.touch(now); !ses.readAt.IsZero() {
+			now, ses.readAt = ses.readAt, time.Time{}
+		}
+		switch kind {
+		case 'X':
+			return
+		case 'Q':
+			text, whole := pgwire.Text(body)
+			if !whole {
+				ses.refuse(pgwire.CodeProtocol, "malformed query")
+				return
+			}
+			cmd, reply := ses.command(text, now)
+			ses.r.Discard(size)
+			if cmd != nil {
+				err = ses.wait(cmd)
+			} else {
+				err = ses.write(pgwire.AppendReady(reply))
+			}
+		case 'P', 'B', 'E', 'D', 'C', 'H', 'F', 'd', 'c', 'f':
+			ses.r.Discard(size)
+			if !skip && kind != 'd' && kind != 'c' && kind != 'f' {
+				reply := pgwire.AppendError(nil, false, pgwire.CodeUnsupported, "only simple queries are served")
+				if skip = kind != 'F'; !skip {
+					reply = pgwire.AppendReady(reply)
+				}
+				err = ses.write(reply)
+			}
+		case 'S':
+			ses.r.Discard(size)
+			skip = false
+			err = ses.write(pgwire.AppendReady(nil))
+		default:
+			ses.refuse(pgwire.CodeProtocol, "unknown message type")
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// command makes a command of a query, or tells what to reply in its place.
+func (ses *session) command(text []byte, now time.Time) (*exchange.Command, []byte) {
+	if blank(text) {
+		return nil, pgwire.AppendEmpty(nil)
+	}
+	no := func(code, why string) (*exchange.Command, []byte) {
+		return nil, pgwire.AppendError(nil, false, code, why)
+	}
+	f, err := pgwire.ParseQuery(text)
+	var field *pgwire.FieldError
+	if errors.As(err, &field) {
+		if field.Missing {
+			return no(pgwire.CodeMissing, err.Error())
+		}
+		return no(pgwire.CodeField, err.Error())
+	}
+	names := ses.server.names
+	profile, known := names.Profiles[f.Verb]
+	if !known {
+		return no(pgwire.CodeField, fmt.Sprintf("field verb: %.60q is no profile", f.Verb))
+	}
+	tenant, known := names.Tenants[f.Team]
+	if !known {
+		if tenant = -1; f.Team != "" && len(names.Tenants) > 0 {
+			return no(pgwire.CodeField, fmt.Sprintf("field team: %.60q is no tenant", f.Team))
+		}
+	}
+	p := ses.server.profiles[profile]
+	if p.Effect == router.Uniqued && f.Unique == "" {
+		return no(pgwire.CodeMissing, "field unique: is missing")
+	}
+	tables, found := pgwire.TableGroup(f.Statement)
+	if !found {
+		return no(pgwire.CodeField, "the statement names no group of tables")
+	}
+	return &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
+		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(tables),
+		Statement: append([]byte(nil), f.Statement...), Read: now,
+		Left: time.Duration(f.LimitMS * float64(time.Millisecond))}, nil
+}
+
+func blank(text []byte) bool {
+	for _, c := range text {
+		if c != ' ' && c != '\t' && c != '\r' && c != '\n' && c != ';' {
+			return false
+		}
+	}
+	return true
+}
+
+// wait posts a command, waits for its answer and writes it. A client that writes its next query before the answer
+// has that kept, with the time at which it came; one that closes its connection has left.
+func (ses *session) wait(cmd *exchange.Command) error {
+	ses.mu.Lock()
+	ses.open = cmd
+	ses.mu.Unlock()
+	ready := make(chan struct{})
+	ses.conn.SetReadDeadline(time.Time{})
+	cmd.OnAnswer(func() {
+		ses.conn.SetReadDeadline(past) // first: after ready, the next read has a deadline of its own
+		close(ready)
+	})
+	ses.server.post(Taken{cmd})
+	for more := 1; ; {
+		_, err := ses.r.Peek(more)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			ses.giveUp()
+			return err
+		}
+		kind, _, _, err := pgwire.Peek(ses.r)
+		if err == nil && kind == 'X' {
+			ses.giveUp()
+			return net.ErrClosed
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if err == nil || errors.Is(err, pgwire.ErrMalformed) || errors.Is(err, pgwire.ErrTooLong) {
+			ses.readAt = time.Now()
+			break
+		}
+		ses.giveUp()
+		return err
+	}
+	<-ready
+	ses.mu.Lock()
+	ses.open = nil
+	ses.mu.Unlock()
+	return ses.answer(cmd.Answer())
+}
+
+// giveUp takes in that the client no longer waits for what is open.
+func (ses *session) giveUp() {
+	ses.mu.Lock()
+	cmd := ses.open
+	ses.mu.Unlock()
+	if cmd != nil && cmd.Finish(exchange.Answer{Verdict: exchange.Left}) {
+		ses.server.post(Gone{cmd})
+	}
+}
+
+func (ses *session) answer(a exchange.Answer) error {
+	switch a.Verdict {
+	case exchange.Shed:
+		return ses.write(pgwire.AppendReady(pgwire.AppendShed(nil, a.After)))
+	case exchange.Failed:
+		return ses.write(pgwire.AppendReady(pgwire.AppendError(nil, false, pgwire.CodeFailed, "the command failed")))
+	case exchange.Left:
+		const why = "the command was given up at its client's request"
+		return ses.write(pgwire.AppendReady(pgwire.AppendError(nil, false, pgwire.CodeCancelled, why)))
+	}
+	parts := net.Buffers{pgwire.AppendRowDescription(nil)}
+	rows := 0
+	for _, page := range a.Pages {
+		b, n := pgwire.AppendRows(make([]byte, 0, 2*len(page)), page)
+		parts, rows = append(parts, b), rows+n
+	}
+	return ses.write(append(parts, pgwire.AppendReady(pgwire.AppendComplete(nil, rows)))...)
+}
+
+func (ses *session) write(parts ...[]byte) error {
+	ses.conn.SetWriteDeadline(time.Now().Add(ses.server.limits.WriteTime))
+	buffers := net.Buffers(parts)
+	_, err := buffers.WriteTo(ses.conn)
+	return err
+}
+
+// refuse ends the session with an error, and waits a little for the client to take it in: closing with bytes
+// unread would reset the connection and could lose the error.
+func (ses *session) refuse(code, why string) {
+	if ses.write(pgwire.AppendError(nil, true, code, why)) != nil {
+		return
+	}
+	if half, ok := ses.conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	ses.conn.SetReadDeadline(time.Now().Add(ses.server.limits.CloseTime))
+	for range ses.server.limits.MessageBytes { // bounded, should it go on writing
+		if _, err := ses.r.Discard(1); err != nil {
+			return
+		}
+		ses.r.Discard(ses.r.Buffered())
+	}
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,265 @@
+// Package controller is the loop of the daemon: one goroutine that owns the decision module. What clients, engines
+// and the feed tell becomes the module's events, and its actions are carried out in order. It decides nothing.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"mintkeel/internal/bulletin"
+	"mintkeel/internal/clients"
+	"mintkeel/internal/engines"
+	"mintkeel/internal/exchange"
+	"mintkeel/router"
+)
+
+// Clock tells the time in milliseconds since 1970, only forward.
+type Clock func() float64
+
+// SystemClock is the system's time at start, carried on by its monotonic clock.
+func SystemClock() Clock {
+	start := time.Now()
+	base := float64(start.UnixNano()) / 1e6
+	return func() float64 { return base + float64(time.Since(start))/1e6 }
+}
+
+// Engines is what carries out what concerns engines. None of its methods blocks.
+type Engines interface {
+	List(addresses []engines.Address, whole bool)
+	Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within time.Duration)
+	Cancel(cmd *exchange.Command, number router.SendID, to router.EngineID)
+	Probe(id router.EngineID)
+}
+
+// command is one that the module holds, with where its sends went.
+type command struct {
+	*exchange.Command
+	over  bool // it has its final answer
+	sends []router.EngineID
+	open  int // sends without an outcome
+}
+
+// Loop is the goroutine's state.
+type Loop struct {
+	module  *router.Router
+	engines Engines
+	clock   Clock
+	inbox   chan any
+	log     *slog.Logger
+
+	counts   Counts
+	events   []router.Event
+	commands map[router.CommandID]*command
+	ids      map[string]router.CommandID // of commands that the module holds, by the clients' ids
+	serial   router.CommandID
+	wake     *time.Timer
+}
+
+// Counts are what the loop has seen and done.
+type Counts struct {
+	Taken, Answered, Shed, Failed, Left, Duplicate int64
+	Open                                           int64 // now
+	Sends, Cancels, Probes, News                   int64
+	Ends                                           [router.NotSent + 1]int64
+}
+
+// New makes a loop; Post is how others reach it. e may be set later, by SetEngines, as it posts to the loop.
+func New(module *router.Router, clock Clock, inbox int, log *slog.Logger) *Loop {
+	wake := time.NewTimer(time.Hour)
+	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), log: log, wake: wake,
+		commands: map[router.CommandID]*command{}, ids: map[string]router.CommandID{}}
+}
+
+// SetEngines hands over what carries out actions, before Run.
+func (l *Loop) SetEngines(e Engines) { l.engines = e }
+
+// Post hands an event to the loop; it blocks while the inbox is full, and so slows its caller's connection alone.
+func (l *Loop) Post(event any) { l.inbox <- event }
+
+// ask is posted by Counts.
+type ask struct{ reply chan Counts }
+
+// Counts asks for the counts so far.
+func (l *Loop) Counts() Counts {
+	reply := make(chan Counts, 1)
+	l.Post(ask{reply})
+	return <-reply
+}
+
+// Idle tells that no command waits for its answer.
+func (l *Loop) Idle() bool { return l.Counts().Open == 0 }
+
+// Run takes events until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	l.step() // the first actions need no event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.inbox:
+			l.take(event)
+		case <-l.wake.C:
+			l.events = append(l.events, router.Woke{})
+		}
+		for more := true; more; { // what else is there belongs to the same step
+			select {
+			case event := <-l.inbox:
+				l.take(event)
+			default:
+				more = false
+			}
+		}
+		l.step()
+	}
+}
+
+// take turns what others tell into the module's events.
+func (l *Loop) take(event any) {
+	switch ev := event.(type) {
+	case clients.Taken:
+		l.taken(ev.Command)
+	case clients.Gone:
+		if c := l.commands[ev.Command.Number]; c != nil && c.Command == ev.Command {
+			l.counts.Left++
+			c.over = true
+			l.events = append(l.events, router.Left{ID: c.Number})
+			l.forget(c)
+		}
+	case engines.Ended:
+		l.ended(ev)
+	case engines.Noted:
+		if l.commands[ev.Command.Number] != nil {
+			l.events = append(l.events, router.Noted{ID: ev.Command.Number, Send: ev.Send, What: ev.What,
+				Level: ev.Level})
+		}
+	case engines.Probed:
+		l.events = append(l.events, router.Probed{Engine: ev.Engine, Outcome: ev.Outcome})
+	case bulletin.News:
+		l.News(ev, false)
+	case ask:
+		counts := l.counts
+		for _, c := range l.commands {
+			if !c.over {
+				counts.Open++
+			}
+		}
+		ev.reply <- counts
+	}
+}
+
+// taken files a command. One whose id is open already is not told from that by engines, so it fails at once.
+func (l *Loop) taken(cmd *exchange.Command) {
+	if _, open := l.ids[cmd.ID]; open {
+		l.counts.Duplicate++
+		cmd.Finish(exchange.Answer{Verdict: exchange.Failed})
+		return
+	}
+	if cmd.Answer().Verdict != exchange.None { // its client was gone before it came here
+		return
+	}
+	for l.serial++; l.commands[l.serial] != nil; {
+		l.serial++
+	}
+	cmd.Number = l.serial
+	l.commands[cmd.Number], l.ids[cmd.ID] = &command{Command: cmd}, cmd.Number
+	l.counts.Taken++
+	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
+		Tables: cmd.Tables, Key: cmd.Key, Left: float64(cmd.Left-time.Since(cmd.Read)) / 1e6,
+		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB})
+}
+
+func (l *Loop) ended(ev engines.Ended) {
+	c := l.commands[ev.Command.Number]
+	if c == nil || int(ev.Send) >= len(c.sends) {
+		return
+	}
+	c.open--
+	l.counts.Ends[ev.Outcome]++
+	if ev.Outcome == router.Answered && !c.over {
+		l.finish(c, exchange.Answer{Verdict: exchange.Answered, Pages: ev.Pages})
+	}
+	l.events = append(l.events, router.Ended{ID: c.Number, Send: ev.Send, Outcome: ev.Outcome, Over: c.over,
+		Took: float64(ev.Took) / 1e6, Load: ev.Load})
+	l.forget(c)
+}
+
+// finish gives a command its final answer.
+func (l *Loop) finish(c *command, a exchange.Answer) {
+	if c.over = true; !c.Finish(a) {
+		return
+	}
+	switch a.Verdict {
+	case exchange.Answered:
+		l.counts.Answered++
+	case exchange.Shed:
+		l.counts.Shed++
+	case exchange.Failed:
+		l.counts.Failed++
+	}
+}
+
+// forget drops a command that is over and has no send without an outcome.
+func (l *Loop) forget(c *command) {
+	if c.over && c.open == 0 {
+		delete(l.commands, c.Number)
+		delete(l.ids, c.ID)
+	}
+}
+
+// News takes in what the feed tells, first where engines are and then what the module decides by it. Before Run,
+// cached tells that it was known at start.
+func (l *Loop) News(news bulletin.News, cached bool) {
+	l.counts.News++
+	listed := router.Listed{Whole: news.Whole, Cached: cached}
+	var addresses []engines.Address
+	for _, e := range news.Entries {
+		listed.Entries = append(listed.Entries, e.Entry)
+		addresses = append(addresses, engines.Address{Engine: e.Engine, Dial: e.Dial, State: e.State})
+	}
+	l.engines.List(addresses, news.Whole)
+	l.events = append(l.events, listed)
+}
+
+// step has the module decide and carries its actions out in order.
+func (l *Loop) step() {
+	now := l.clock()
+	actions := l.module.Step(now, l.events)
+	clear(l.events)
+	l.events = l.events[:0]
+	for _, action := range actions {
+		switch a := action.(type) {
+		case router.Send:
+			c := l.commands[a.ID]
+			c.sends, c.open = append(c.sends, a.Engine), c.open+1
+			l.counts.Sends++
+			l.engines.Send(c.Command, router.SendID(len(c.sends)-1), a.Engine, duration(a.Until-now))
+		case router.Cancel:
+			if c := l.commands[a.ID]; c != nil && int(a.Send) < len(c.sends) {
+				l.counts.Cancels++
+				l.engines.Cancel(c.Command, a.Send, c.sends[a.Send])
+			}
+		case router.Shed:
+			l.end(a.ID, exchange.Answer{Verdict: exchange.Shed, After: duration(a.After)})
+		case router.Fail:
+			l.end(a.ID, exchange.Answer{Verdict: exchange.Failed})
+		case router.Probe:
+			l.counts.Probes++
+			l.engines.Probe(a.Engine)
+		case router.Wake:
+			l.wake.Reset(max(0, duration(a.After)))
+		case router.Subscribe: // the feed is followed at all times
+		}
+	}
+}
+
+// end gives a command the module's final answer. The command is kept until its sends have their outcomes, and
+// actions that follow in the same step may still name it.
+func (l *Loop) end(id router.CommandID, a exchange.Answer) {
+	if c := l.commands[id]; c != nil && !c.over {
+		l.finish(c, a)
+		l.forget(c)
+	}
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/engines/conn.go
@@ -0,0 +1,440 @@
+package engines
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"mintkeel/internal/enginewire"
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
+)
+
+// send is one send on its connection.
+type send struct {
+	cmd       *exchange.Command
+	number    router.SendID
+	at, until time.Time
+	written   bool // its first byte may have gone out
+	undone    bool // given up, but the engine may not know yet
+	outcome   router.Outcome
+	heardBy   time.Time // when undone: by then the engine had time to hear of it
+	tag       string    // of the ping that follows the undo
+	pages     [][]byte
+	missing   int // pages
+	size      int // bytes of the pages
+	load      *router.Load
+}
+
+// item is something to be written; send is the one that it starts, if any.
+type item struct {
+	parts net.Buffers
+	send  *send
+}
+
+// conn is one connection. One goroutine runs it, which reads, and is woken from its read to write. All below mu is
+// shared with the loop, which never waits for more than mu. Nobody tells the loop anything while holding it.
+type conn struct {
+	pool   *Pool
+	engine router.EngineID
+	addr   string
+	cancel context.CancelFunc
+	ctx    context.Context
+
+	mu     sync.Mutex
+	net    net.Conn // nil until it is up
+	out    []item
+	queued int                  // bytes in out
+	sends  map[string]*send     // by command id: all without an outcome
+	used   map[string]time.Time // ids that have been on this connection, until their clients have given up
+	sweep  int                  // how many of these call for a look at which may go
+	pings  map[string]time.Time
+	idleAt time.Time // when it was last of use
+	mute   bool      // it left a ping unanswered and has said nothing since
+	over   bool
+}
+
+func newConn(p *Pool, id router.EngineID, addr string) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &conn{pool: p, engine: id, addr: addr, ctx: ctx, cancel: cancel, idleAt: time.Now(),
+		sends: map[string]*send{}, used: map[string]time.Time{}, sweep: leastSweep, pings: map[string]time.Time{}}
+}
+
+func (c *conn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.over
+}
+
+// stop ends the connection; what is out on it ends as its state tells.
+func (c *conn) stop() {
+	c.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wake(c.net)
+}
+
+// put takes a send on, unless this connection is full, at its end, silent or has had the command before.
+func (c *conn) put(s *send, streams int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || c.mute || c.ctx.Err() != nil || !c.used[s.cmd.ID].IsZero() || len(c.sends) >= streams ||
+		c.queued+len(s.cmd.Statement) > c.pool.limits.QueueBytes {
+		return false
+	}
+	if len(c.used) >= c.sweep {
+		now := time.Now()
+		maps.DeleteFunc(c.used, func(_ string, until time.Time) bool { return now.After(until) })
+		c.sweep = 2*len(c.used) + leastSweep
+	}
+	c.used[s.cmd.ID], c.sends[s.cmd.ID] = s.cmd.Read.Add(s.cmd.Left+time.Minute), s
+	head := enginewire.AppendDo(nil, s.cmd.ID, s.cmd.Verb, time.Until(s.until).Milliseconds(), s.cmd.Unique,
+		len(s.cmd.Statement))
+	c.write(item{net.Buffers{head, s.cmd.Statement, lineEnd}, s})
+	return true
+}
+
+const leastSweep = 64
+
+var lineEnd = []byte("\r\n")
+
+// write queues something and wakes the goroutine; mu is held.
+func (c *conn) write(it item) {
+	for _, part := range it.parts {
+		c.queued += len(part)
+	}
+	c.out = append(c.out, it)
+	wake(c.net)
+}
+
+func (c *conn) say(b []byte) { c.write(item{parts: net.Buffers{b}}) }
+
+func (c *conn) ping(tag string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || c.mute || c.ctx.Err() != nil {
+		return false
+	}
+	c.pings[tag] = time.Now().Add(c.pool.limits.GiveUpTime)
+	c.say(enginewire.AppendPing(nil, tag))
+	return true
+}
+
+// withdraw ends the sends that no byte has left of.
+func (c *conn) withdraw(gone bool) {
+	c.mu.Lock()
+	var ends []any
+	for _, s := range c.sends {
+		if !s.written {
+			ends = append(ends, c.finish(s, router.NotSent))
+		}
+	}
+	if gone && len(c.sends) == 0 {
+		c.cancel()
+		wake(c.net)
+	}
+	c.mu.Unlock()
+	if len(ends) > 0 { // the loop calls this
+		go c.tell(ends)
+	}
+}
+
+// giveUp gives a send up if it is out here.
+func (c *conn) giveUp(cmd *exchange.Command, number router.SendID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.sends[cmd.ID]; s != nil && s.cmd == cmd && s.number == number {
+		c.undo(s, router.Cancelled)
+	}
+}
+
+// undo tells the engine that a send is given up, and asks to hear that it knows: until then its command may not be
+// sent anew, or two sends of it could be out at once. A send that no byte has left of needs neither.
+func (c *conn) undo(s *send, outcome router.Outcome) {
+	if s.undone {
+		return
+	}
+	s.undone, s.outcome, s.heardBy = true, outcome, time.Now().Add(c.pool.limits.GiveUpTime)
+	if !s.written {
+		s.outcome, s.heardBy = router.NotSent, past
+		wake(c.net)
+		return
+	}
+	s.tag = "u" + s.cmd.ID
+	b := enginewire.AppendUndo(nil, s.cmd.ID)
+	if s.pages != nil {
+		b = enginewire.AppendForget(b, s.cmd.ID)
+	}
+	c.say(enginewire.AppendPing(b, s.tag))
+}
+
+// finish takes a send off and makes its Ended; mu is held.
+func (c *conn) finish(s *send, outcome router.Outcome) any {
+	delete(c.sends, s.cmd.ID)
+	now := time.Now()
+	c.idleAt = now
+	if !s.written {
+		for i := range c.out {
+			if c.out[i].send == s {
+				c.out = append(c.out[:i], c.out[i+1:]...)
+				break
+			}
+		}
+	}
+	end := Ended{Command: s.cmd, Send: s.number, Outcome: outcome, Took: now.Sub(s.at), Load: s.load}
+	if outcome == router.Answered {
+		end.Pages = s.pages
+	}
+	return end
+}
+
+func (c *conn) tell(events []any) {
+	for _, ev := range events {
+		c.pool.post(ev)
+	}
+}
+
+// run dials, then reads until the connection ends.
+func (c *conn) run() {
+	dialer := net.Dialer{Timeout: c.pool.limits.ConnectTime, KeepAlive: -1}
+	up, err := dialer.DialContext(c.ctx, "tcp", c.addr)
+	if err != nil {
+		c.end(err, router.Refused)
+		return
+	}
+	c.mu.Lock()
+	c.net = up
+	c.mu.Unlock()
+	err = c.serve(up)
+	up.Close()
+	c.end(err, router.Reset)
+}
+
+// errIdle ends a connection that is of no use.
+var errIdle = errors.New("idle")
+
+func (c *conn) serve(up net.Conn) error {
+	l := c.pool.limits
+	r := bufio.NewReaderSize(up, l.LineBytes+l.PageBytes+len(lineEnd))
+	for c.ctx.Err() == nil {
+		now := time.Now()
+		batch, ends, err := c.next(now, up)
+		c.tell(ends)
+		if err != nil {
+			return err
+		}
+		if len(batch) > 0 {
+			up.SetWriteDeadline(now.Add(l.EngineWrite))
+			if _, err := batch.WriteTo(up); err != nil {
+				return err
+			}
+			continue
+		}
+		answer, size, err := enginewire.Peek(r, l.LineBytes, l.PageBytes)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		ends, err = c.take(answer)
+		c.tell(ends)
+		if err != nil {
+			return err
+		}
+		r.Discard(size)
+	}
+	return c.ctx.Err()
+}
+
+// next ends what has had its time and returns what is to be written or, if that is nothing, lets the next read wait
+// until something else is due.
+func (c *conn) next(now time.Time, up net.Conn) (batch net.Buffers, ends []any, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due := c.idleAt.Add(c.pool.limits.EngineIdle)
+	if len(c.sends)+len(c.pings)+len(c.out) > 0 {
+		due = now.Add(time.Minute)
+	} else if now.After(due) {
+		c.over = true // so that nothing is put on it any more
+		return nil, nil, errIdle
+	}
+	for _, s := range c.sends {
+		if !s.undone && !now.Before(s.until) {
+			c.undo(s, router.TimedOut)
+		}
+		at := s.until
+		if s.undone {
+			at = s.heardBy
+		}
+		if s.undone && !now.Before(at) {
+			c.mute = c.mute || s.tag != ""
+			ends = append(ends, c.finish(s, s.outcome))
+		} else if at.Before(due) {
+			due = at
+		}
+	}
+	for tag, at := range c.pings {
+		if !now.Before(at) {
+			delete(c.pings, tag)
+			c.mute = true
+			ends = append(ends, Probed{c.engine, router.TimedOut})
+		} else if at.Before(due) {
+			due = at
+		}
+	}
+	for _, it := range c.out {
+		batch = append(batch, it.parts...)
+		if it.send != nil {
+			it.send.written = true
+		}
+	}
+	c.out, c.queued = nil, 0
+	if len(batch) == 0 {
+		up.SetReadDeadline(due)
+	}
+	return batch, ends, nil
+}
+
+// take files one answer. One to an id that is not out here crossed the end of its send, and tells nothing.
+func (c *conn) take(a enginewire.Answer) (events []any, err error) {
+	var load *router.Load
+	if a.Report != nil {
+		load = settings.NoLoad()
+		set := func(name string, x float64) { settings.SetLoad(load, name, x) }
+		if err := enginewire.Report(a.Report, set); err != nil {
+			return nil, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mute = false
+	if a.Word == enginewire.Ready {
+		return c.heard(string(a.ID)), nil
+	}
+	s := c.sends[string(a.ID)]
+	if s == nil {
+		return nil, nil
+	}
+	if load != nil {
+		s.load = load
+	}
+	switch a.Word {
+	case enginewire.Full, enginewire.Stale:
+		if s.pages != nil {
+			return nil, enginewire.ErrMalformed
+		}
+		if a.Word == enginewire.Stale {
+			return one(c.finish(s, router.NotSent)), nil
+		}
+		return one(c.finish(s, router.Full)), nil
+	case enginewire.Error:
+		return one(c.finish(s, router.Errored)), nil
+	case enginewire.Note:
+		if what, known := note(a); known {
+			return one(Noted{s.cmd, s.number, what, a.Value}), nil
+		}
+		return nil, nil
+	}
+	return c.page(s, a)
+}
+
+// heard takes in that the engine has read all that came before a ping.
+func (c *conn) heard(tag string) []any {
+	if _, probe := c.pings[tag]; probe {
+		delete(c.pings, tag)
+		c.idleAt = time.Now()
+		return one(Probed{c.engine, router.Answered})
+	}
+	for _, s := range c.sends {
+		if s.undone && s.tag == tag {
+			return one(c.finish(s, s.outcome))
+		}
+	}
+	return nil
+}
+
+// page gathers a result. After an undo the engine no longer has further pages, so only a whole result counts.
+func (c *conn) page(s *send, a enginewire.Answer) ([]any, error) {
+	l, at := c.pool.limits, a.PartNo
+	if a.Word == enginewire.OK {
+		if at = 0; s.pages != nil || a.Parts > l.ResultBytes/2 {
+			return nil, enginewire.ErrMalformed
+		}
+		s.pages, s.missing = make([][]byte, max(1, a.Parts)), max(1, a.Parts)
+		if s.undone && s.missing > 1 {
+			return one(c.finish(s, s.outcome)), nil
+		}
+		var b []byte
+		for n := 1; n < a.Parts; n++ {
+			b = enginewire.AppendPage(b, s.cmd.ID, n)
+		}
+		if b != nil {
+			c.say(b)
+		}
+	}
+	if at >= len(s.pages) || s.pages[at] != nil || !enginewire.Whole(a.Body) || s.size+len(a.Body) > l.ResultBytes {
+		return nil, enginewire.ErrMalformed
+	}
+	s.pages[at] = append(make([]byte, 0, max(1, len(a.Body))), a.Body...)
+	s.size += len(a.Body)
+	if s.missing--; s.missing > 0 {
+		return nil, nil
+	}
+	if len(s.pages) > 1 {
+		c.say(enginewire.AppendForget(nil, s.cmd.ID))
+	}
+	return one(c.finish(s, router.Answered)), nil
+}
+
+func one(event any) []any { return []any{event} }
+
+func note(a enginewire.Answer) (what router.NoteKind, known bool) {
+	switch {
+	case len(a.Remark) == 0:
+		return 0, false
+	case bytes.Equal(a.Remark, []byte("progress")):
+		return router.NoteProgress, true
+	case bytes.Equal(a.Remark, []byte("spill_mb")):
+		return router.NoteSpills, true
+	case bytes.Equal(a.Remark, []byte("blocked")) && a.Value == 2:
+		return router.NoteWaitsTables, true
+	case bytes.Equal(a.Remark, []byte("blocked")):
+		return router.NoteWaitsMemory, true
+	}
+	return router.NoteOther, true
+}
+
+// end ends all that is left: what no byte has left of never ran, and of the rest nobody knows.
+func (c *conn) end(err error, written router.Outcome) {
+	c.mu.Lock()
+	c.over = true
+	var ends []any
+	for _, s := range c.sends {
+		outcome := written
+		switch {
+		case s.undone && s.written:
+			outcome = s.outcome
+		case !s.written:
+			outcome = router.Refused
+		}
+		ends = append(ends, c.finish(s, outcome))
+	}
+	for tag := range c.pings {
+		delete(c.pings, tag)
+		ends = append(ends, Probed{c.engine, router.Refused})
+	}
+	c.mu.Unlock()
+	c.cancel()
+	if !errors.Is(err, errIdle) && !errors.Is(err, context.Canceled) {
+		c.pool.log.Info("engine connection ended", "engine", c.engine, "why", err, "open", len(ends))
+	}
+	c.tell(ends)
+}
--- /dev/null
+++ b/internal/engines/engines.go
@@ -0,0 +1,202 @@
+// Package engines keeps the connections to engines, by engine id: it writes sends, gathers their results and tells
+// the loop how each one ended. It decides nothing. A command's id goes over one connection at most once, so that an
+// answer that crosses its undo can't pass for that of a later send.
+package engines
+
+import (
+	"log/slog"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/limits"
+	"mintkeel/router"
+)
+
+// What the loop is told.
+type (
+	// Ended is the outcome of a send; with Answered it comes when all pages are in.
+	Ended struct {
+		Command *exchange.Command
+		Send    router.SendID
+		Outcome router.Outcome
+		Took    time.Duration
+		Pages   [][]byte
+		Load    *router.Load
+	}
+	// Noted is word of a send that is out.
+	Noted struct {
+		Command *exchange.Command
+		Send    router.SendID
+		What    router.NoteKind
+		Level   float64
+	}
+	// Probed is what a ping found.
+	Probed struct {
+		Engine  router.EngineID
+		Outcome router.Outcome
+	}
+)
+
+// Address is where an engine listens, and whether it may get new sends.
+type Address struct {
+	Engine router.EngineID
+	Dial   string
+	State  router.State
+}
+
+// Pool is the connections to all engines. Its methods are for one goroutine, the loop's; none of them blocks.
+type Pool struct {
+	limits  *limits.Limits
+	streams int // sends that one connection carries
+	post    func(event any)
+	log     *slog.Logger
+	engines map[router.EngineID]*engine
+	open    atomic.Int64 // connections, dialled or being dialled
+	tags    uint64
+}
+
+type engine struct {
+	Address
+	conns []*conn
+}
+
+// New makes a pool that tells post what happens; post may block its caller, which is never the loop.
+func New(l *limits.Limits, streams int, post func(event any), log *slog.Logger) *Pool {
+	if streams <= 0 {
+		streams = 100
+	}
+	return &Pool{limits: l, streams: streams, post: post, log: log, engines: map[router.EngineID]*engine{}}
+}
+
+// List takes in where engines are. Sends that wait for a connection to one that drains or is gone are withdrawn:
+// they would go out after the list had told.
+func (p *Pool) List(addresses []Address, whole bool) {
+	named := map[router.EngineID]bool{}
+	for _, a := range addresses {
+		named[a.Engine] = true
+		e := p.engines[a.Engine]
+		if e == nil {
+			e = &engine{}
+			p.engines[a.Engine] = e
+		}
+		if e.Dial != "" && e.Dial != a.Dial {
+			for _, c := range e.conns {
+				c.stop()
+			}
+		}
+		if e.Address = a; a.State != router.Ready {
+			e.withdraw()
+		}
+	}
+	for id, e := range p.engines {
+		if whole && !named[id] {
+			e.State = router.Gone
+			e.withdraw()
+		}
+		if e.live(); e.State == router.Gone && len(e.conns) == 0 {
+			delete(p.engines, id)
+		}
+	}
+}
+
+// live drops connections that have ended.
+func (e *engine) live() []*conn {
+	kept := e.conns[:0]
+	for _, c := range e.conns {
+		if !c.ended() {
+			kept = append(kept, c)
+		}
+	}
+	clear(e.conns[len(kept):])
+	e.conns = kept
+	return kept
+}
+
+func (e *engine) withdraw() {
+	for _, c := range e.live() {
+		c.withdraw(e.State == router.Gone)
+	}
+}
+
+// Send writes a command to an engine, over a connection that it has not been on; its end is told by an Ended.
+func (p *Pool) Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within time.Duration) {
+	s := &send{cmd: cmd, number: number, at: time.Now(), until: time.Now().Add(within)}
+	e := p.engines[to]
+	if e != nil && e.State == router.Ready && e.Dial != "" && within > 0 {
+		for _, c := range e.live() {
+			if c.put(s, p.streams) {
+				return
+			}
+		}
+		if int(p.open.Load()) < p.limits.EngineConns {
+			c := p.connect(e)
+			if c.put(s, p.streams) {
+				return
+			}
+		}
+	}
+	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
+}
+
+func (p *Pool) connect(e *engine) *conn {
+	c := newConn(p, e.Engine, e.Dial)
+	e.conns = append(e.conns, c)
+	p.open.Add(1)
+	go func() {
+		defer p.open.Add(-1)
+		c.run()
+	}()
+	return c
+}
+
+// Cancel gives a send up. Its Ended still comes: when the engine is known to have heard, or has had time to.
+func (p *Pool) Cancel(cmd *exchange.Command, number router.SendID, to router.EngineID) {
+	if e := p.engines[to]; e != nil {
+		for _, c := range e.conns {
+			c.giveUp(cmd, number)
+		}
+	}
+}
+
+// Probe pings an engine, which tells only that a connection works.
+func (p *Pool) Probe(id router.EngineID) {
+	e := p.engines[id]
+	if e != nil && e.Dial != "" {
+		for _, c := range e.live() {
+			if c.ping(p.tag("p")) {
+				return
+			}
+		}
+		if int(p.open.Load()) < p.limits.EngineConns && p.connect(e).ping(p.tag("p")) {
+			return
+		}
+	}
+	go p.post(Probed{id, router.NotSent})
+}
+
+// tag names a ping; command ids are longer.
+func (p *Pool) tag(kind string) string {
+	p.tags++
+	return kind + strconv.FormatUint(p.tags, 10)
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	for _, e := range p.engines {
+		for _, c := range e.conns {
+			c.stop()
+		}
+	}
+}
+
+// past is a deadline that has gone by: it wakes a goroutine that reads.
+var past = time.Unix(1, 0)
+
+func wake(c net.Conn) {
+	if c != nil {
+		c.SetReadDeadline(past)
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,79 @@
+// Package exchange holds the command: the one object in which the client's side and the engines' side meet. The
+// client's side fills it and waits on it, the controller's loop ends it, the engines' side reads its statement.
+package exchange
+
+import (
+	"sync"
+	"time"
+
+	"mintkeel/router"
+)
+
+// Verdict is how a command was answered.
+type Verdict int
+
+const (
+	None     Verdict = iota
+	Answered         // with rows
+	Shed             // trying again is harmless
+	Failed           // no promise
+	Left             // its client has gone, and is owed nothing
+)
+
+// Answer is a command's final answer.
+type Answer struct {
+	Verdict Verdict
+	Pages   [][]byte      // rows as an engine sent them
+	After   time.Duration // with Shed: how long to stay away; 0: no advice
+}
+
+// Command is one that a client wrote whole. The fields above mu don't change once it is posted.
+type Command struct {
+	Number    router.CommandID // the loop's, set before anyone else has it
+	ID        string           // the client's, which goes on unchanged
+	Profile   router.ProfileID
+	Verb      string // the profile's name
+	Tenant    router.TenantID
+	Unique    string // mark by which a repeat is known; empty: none
+	Key       router.OrderKey
+	Estimate  float64
+	NeedMB    float64
+	Tables    router.TableGroup
+	Statement []byte
+	Read      time.Time     // when its last byte was read
+	Left      time.Duration // from then until its client gives up
+
+	mu     sync.Mutex
+	answer Answer
+	wake   func()
+}
+
+// OnAnswer has wake called, once, when the answer is there. It must not block.
+func (c *Command) OnAnswer(wake func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake = wake
+}
+
+// Finish gives the final answer and reports whether it is the first: no later one takes effect, against a second
+// answer when a client leaves, a send ends and a timeout passes at one moment.
+func (c *Command) Finish(a Answer) bool {
+	c.mu.Lock()
+	first := c.answer.Verdict == None
+	if first {
+		c.answer = a
+	}
+	wake := c.wake
+	c.mu.Unlock()
+	if first && wake != nil {
+		wake()
+	}
+	return first
+}
+
+// Answer is the final answer; its verdict is None until there is one.
+func (c *Command) Answer() Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,65 @@
+// Package limits holds the sizes, counts and times of the network code, in one type that is filled at start from
+// what the platform grants and then handed down. The decision module's values are not here.
+package limits
+
+import "time"
+
+// Limits bound what the network code holds and how long it waits.
+type Limits struct {
+	Sessions     int           // client connections that are served; the platform's clients hold a third at most
+	Connections  int           // of clients, served or turned away
+	EngineConns  int           // connections to all engines
+	MessageBytes int           // the longest message of a client
+	LineBytes    int           // the longest head of an engine's answer
+	PageBytes    int           // the longest page
+	ResultBytes  int           // the longest result
+	QueueBytes   int           // what waits to be written to one engine
+	Inbox        int           // events that wait for the loop
+	StartTime    time.Duration // for a client to finish its start-up message
+	IdleTime     time.Duration // after which a silent client's connection is closed
+	WriteTime    time.Duration // for a client to take an answer
+	CloseTime    time.Duration // for a client that was turned away to take that in
+	EngineWrite  time.Duration // for an engine to take what is written to it
+	ConnectTime  time.Duration // for a connection to an engine to come up
+	EngineIdle   time.Duration // after which an unused connection to an engine is closed
+	GiveUpTime   time.Duration // for an engine to confirm that it gave a send up
+	FeedSilence  time.Duration // after which the feed's connection counts as dead
+	FeedRetry    time.Duration // between tries to reach the feed
+	StopTime     time.Duration // from being told to stop until all must be answered
+	StopQuiet    time.Duration // without a new command, after which a controller told to stop may end
+	MemoryBytes  int64         // at which the garbage collector works harder
+}
+
+// For fills the limits for a controller with so many descriptors and so much memory.
+func For(descriptors, memoryMB int, connect, idle time.Duration) *Limits {
+	if connect <= 0 {
+		connect = 250 * time.Millisecond
+	}
+	if idle <= 0 {
+		idle = 10 * time.Second
+	}
+	return &Limits{
+		Sessions:     descriptors * 2 / 5,
+		Connections:  descriptors * 3 / 5,
+		EngineConns:  descriptors / 4,
+		MessageBytes: 32 << 10,
+		LineBytes:    2 << 10,
+		PageBytes:    6000,
+		ResultBytes:  48000,
+		QueueBytes:   1 << 20,
+		Inbox:        1024,
+		StartTime:    10 * time.Second,
+		IdleTime:     60 * time.Second,
+		WriteTime:    2 * time.Second,
+		CloseTime:    time.Second,
+		EngineWrite:  time.Second,
+		ConnectTime:  connect,
+		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
+		GiveUpTime:   connect,
+		FeedSilence:  3500 * time.Millisecond,
+		FeedRetry:    100 * time.Millisecond,
+		StopTime:     3500 * time.Millisecond,
+		StopQuiet:    800 * time.Millisecond,
+		MemoryBytes:  int64(memoryMB) << 20 * 6 / 10,
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,262 @@
+// Package settings reads a deployment's settings, given by key, into what the decision module takes. It owns the
+// names of those keys; the simulator's adapter and the daemon both read through it.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"mintkeel/router"
+)
+
+// Values are settings by key: a list of plain values is joined by commas, a list of objects has its length under
+// .count and its items under .0, .1 and so on. An absent key is its zero value.
+type Values map[string]string
+
+// FieldError names the setting that can't be used.
+type FieldError struct{ Field, Why string }
+
+func (e *FieldError) Error() string { return fmt.Sprintf("field %s: %s", e.Field, e.Why) }
+
+// Flatten brings nested JSON to the same keys.
+func Flatten(nested map[string]any) Values {
+	v := Values{}
+	for key, item := range nested {
+		v.flatten(key, item)
+	}
+	return v
+}
+
+func (v Values) flatten(at string, item any) {
+	switch item := item.(type) {
+	case map[string]any:
+		for key, inner := range item {
+			v.flatten(at+"."+key, inner)
+		}
+	case []any:
+		var plain []string
+		for i, inner := range item {
+			if _, object := inner.(map[string]any); object {
+				v.flatten(fmt.Sprintf("%s.%d", at, i), inner)
+				v[at+".count"] = strconv.Itoa(i + 1)
+			} else {
+				plain = append(plain, text(inner))
+			}
+		}
+		v[at] = strings.Join(plain, ",")
+	default:
+		v[at] = text(item)
+	}
+}
+
+func text(item any) string {
+	switch item := item.(type) {
+	case nil:
+		return ""
+	case json.Number:
+		return item.String()
+	case string: // as on the simulator's wire, so that a name can stand in a list
+		return strings.NewReplacer(" ", "_", ",", "_").Replace(item)
+	}
+	return fmt.Sprint(item)
+}
+
+// Facts are what the settings say.
+type Facts struct {
+	Place    router.Place
+	Kinds    []router.Kind
+	Profiles []router.Profile
+	Tenants  []router.Tenant
+	Allowed  router.Allowed
+	Guards   router.Guards
+	Names    Names
+	Links    Links
+}
+
+// Names turn the names that stand on the wires into the module's ids.
+type Names struct {
+	Kinds    map[string]router.KindID
+	Profiles map[string]router.ProfileID
+	Tenants  map[string]router.TenantID
+	KindAt   []string
+	ZoneAt   []string
+	Reports  []string // fields of a load report
+	Bills    bool     // answers tell what a command cost
+}
+
+// Links is what the settings say of connections to engines, in milliseconds.
+type Links struct {
+	ConnectTimeout, Idle float64
+	Streams              int // sends that one connection carries
+}
+
+// Router makes the module of a controller with these facts.
+func (f *Facts) Router(seed int64) *router.Router {
+	return router.New(seed, f.Place, f.Kinds, f.Profiles, f.Tenants, f.Allowed, f.Guards)
+}
+
+// reading keeps the first error.
+type reading struct {
+	values Values
+	err    error
+}
+
+func (o *reading) fail(key, why string) {
+	if o.err == nil {
+		o.err = &FieldError{key, why}
+	}
+}
+
+func (o *reading) number(key, text string) float64 {
+	if text == "" {
+		return 0
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || x != x {
+		o.fail(key, fmt.Sprintf("%q is no number", text))
+	}
+	return x
+}
+
+func (o *reading) float(key string) float64 { return o.number(key, o.values[key]) }
+func (o *reading) ms(key string) float64    { return o.float(key) / 1e6 }
+func (o *reading) int(key string) int       { return int(o.float(key)) }
+func (o *reading) has(key string) bool      { _, found := o.values[key]; return found }
+
+// count is the length of a list of objects.
+func (o *reading) count(key string) int {
+	n := o.float(key + ".count")
+	if n < 0 || n > 1e6 {
+		o.fail(key+".count", "is not from 0 to a million")
+		return 0
+	}
+	return int(n)
+}
+
+func (o *reading) bool(key string) bool {
+	text := o.values[key]
+	if text != "" && text != "true" && text != "false" && text != "1" && text != "0" {
+		o.fail(key, fmt.Sprintf("%q is neither true nor false", text))
+	}
+	return text == "true" || text == "1"
+}
+
+func (o *reading) list(key string) []string {
+	if o.values[key] == "" {
+		return nil
+	}
+	return strings.Split(o.values[key], ",")
+}
+
+// at is the i-th value of a list of plain values.
+func (o *reading) at(key string, i int) string {
+	if list := o.list(key); i < len(list) {
+		return list[i]
+	}
+	return ""
+}
+
+func (o *reading) floatAt(key string, i int) float64 { return o.number(key, o.at(key, i)) }
+
+var (
+	effects = map[string]router.Effect{"free": router.Replayable, "guarded": router.Uniqued,
+		"single_shot": router.NonReplayable}
+	scopes = map[string]router.Scope{"all": router.ScopeAll, "zone": router.ScopeZone, "cell": router.ScopeCell}
+)
+
+// Read turns settings into facts; the first that can't be used is a FieldError.
+func Read(values Values) (*Facts, error) {
+	o := &reading{values: values}
+	f := &Facts{Names: Names{Kinds: map[string]router.KindID{}, Profiles: map[string]router.ProfileID{},
+		Tenants: map[string]router.TenantID{}, KindAt: o.list("kinds"), ZoneAt: o.list("failure_domains"),
+		Reports: o.list("report.fields"), Bills: o.bool("family_info.bills")}}
+	for i, name := range f.Names.KindAt {
+		f.Names.Kinds[name] = router.KindID(i)
+		f.Kinds = append(f.Kinds, router.Kind{Cores: o.floatAt("family_info.size_cores", i),
+			MemoryMB: o.floatAt("family_info.size_mb", i)})
+	}
+	for i := range o.count("services") {
+		f.Profiles = append(f.Profiles, o.profile(i, &f.Names))
+	}
+	for i := range o.count("accounts") {
+		at := fmt.Sprintf("accounts.%d.", i)
+		f.Names.Tenants[values[at+"name"]] = router.TenantID(i)
+		f.Tenants = append(f.Tenants, router.Tenant{PerSecond: o.float(at + "quota_per_s")})
+	}
+	f.Place = router.Place{Controllers: o.int("n_instances"), Number: o.int("me"), Zone: router.Zone(values["zone"])}
+	f.Allowed = router.Allowed{Cancel: o.bool("bounds.cancel"), Probes: o.bool("bounds.probes"),
+		SecondCopies: o.bool("bounds.parallel_tries"), RetryAfter: o.bool("bounds.retry_after"),
+		NotePace: o.ms("family_info.progress_pace_ns"), MaxSends: o.int("bounds.send_cap"),
+		MaxRetryAfter: o.ms("bounds.max_retry_after_ns"), MustAsk: values["registry_mode"] == "subscribe"}
+	f.Guards = router.Guards{Round: o.ms("round_ns"), ColdShare: o.float("contract.cold_share"),
+		ColdTime: o.ms("contract.cold_ns"), ColdMultiple: o.float("contract.overload_factor"),
+		ColdWindow: o.ms("contract.tip_after_ns"), OrderRest: o.ms("contract.order_settle_ns"),
+		Budgeted: o.has("contract.resend_span_ns"), ResendFree: o.float("contract.budget_free"),
+		ResendShare: o.float("contract.resend_ratio"), ResendWindow: o.ms("contract.resend_span_ns"),
+		AskWithin: o.ms("contract.ask_within_ns"), OverShare: o.float("over_share_worth")}
+	f.Links = Links{ConnectTimeout: o.ms("bounds.connect_timeout_ns"), Idle: o.ms("bounds.conn_idle_ns"),
+		Streams: o.int("bounds.max_streams")}
+	return f, o.err
+}
+
+func (o *reading) profile(i int, n *Names) router.Profile {
+	at := fmt.Sprintf("services.%d.", i)
+	n.Profiles[o.values[at+"name"]] = router.ProfileID(i)
+	effect, known := effects[o.values[at+"effect"]]
+	if !known {
+		o.fail(at+"effect", "is not known")
+	}
+	scope, known := scopes[o.values[at+"dedup_scope"]]
+	if !known && effect == router.Uniqued {
+		o.fail(at+"dedup_scope", "is not known")
+	}
+	p := router.Profile{Effect: effect, Scope: scope, RepeatWindow: o.ms(at + "repeat_window_ns"),
+		InOrder: o.bool(at + "in_order"), Target: o.ms(at + "promise_ns"),
+		TargetStretch: o.float(at + "aim_stretch"), Timeout: o.ms(at + "hard_limit_ns"),
+		LateShare:   o.float(at + "late_worth"),
+		Threads:     max(1, o.floatAt("family_info.width_by_class", i)),
+		HoldsTables: o.at("family_info.holds_tables", i) == "true",
+		Waits:       o.at("family_info.class_waits", i) == "true"}
+	if o.has(at + "bound_to") {
+		p.Kinds = []router.KindID{}
+	}
+	for _, name := range o.list(at + "bound_to") {
+		if kind, known := n.Kinds[name]; known {
+			p.Kinds = append(p.Kinds, kind)
+		}
+	}
+	if o.has(at + "failure_domains_allowed") {
+		p.Zones = []router.Zone{}
+	}
+	for _, name := range o.list(at + "failure_domains_allowed") {
+		p.Zones = append(p.Zones, router.Zone(name))
+	}
+	return p
+}
+
+// Kind is the id of a kind's name; -1 for one that the settings don't list.
+func (n *Names) Kind(name string) router.KindID {
+	if kind, known := n.Kinds[name]; known {
+		return kind
+	}
+	return -1
+}
+
+// NoLoad is a report that holds nothing yet.
+func NoLoad() *router.Load { return &router.Load{Inflight: -1, Util: -1, Memory: -1, Disk: -1} }
+
+// SetLoad files one value of a report under its name; names that no decision reads are passed over.
+func SetLoad(l *router.Load, name string, x float64) {
+	switch name {
+	case "inflight":
+		l.Inflight = x
+	case "util":
+		l.Util = x
+	case "x0":
+		l.Memory = x
+	case "x1":
+		l.Disk = x
+	}
+}
