--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -102,7 +102,8 @@
 	defer cancel()
 	server := clients.New(l, s.facts, loop.Post, log)
 	go loop.Run(ctx)
-	go bulletin.Follow(ctx, s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
+	feed := bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
+	go feed.Follow(ctx)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	log.Info("serving", "name", s.Name, "listen", s.Listen)
@@ -118,7 +119,8 @@
 // stop goes on serving while commands come and until all are answered, as long as there is time.
 func stop(loop *controller.Loop, server *clients.Server, pool *engines.Pool, listener net.Listener,
 	l *limits.Limits, log *slog.Logger) error {
-	until := time.Now().Add(l.StopTime)
+	loop.Post(controller.Stop{Within: l.StopTime})
+	until := time.Now().Add(l.EndTime)
 	for time.Now().Before(until) {
 		time.Sleep(20 * time.Millisecond)
 		if server.Quiet() > l.StopQuiet && loop.Idle() {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -27,6 +27,7 @@
 type News struct {
 	No      uint64
 	Whole   bool
+	Expired bool // nothing new, but nothing heard either for so long that all counts as told
 	Entries []Entry
 }
 
@@ -144,49 +145,84 @@
 	return e, nil
 }
 
-// Follow keeps a connection to the feed until ctx ends, and hands on what comes after the last number it has, in
-// order and once. A connection that is silent, malformed or skips a number is begun anew from that number.
-func Follow(ctx context.Context, addr string, last uint64, names *settings.Names, l *limits.Limits,
-	post func(News), log *slog.Logger) {
+// Feed is a follower of the feed.
+type Feed struct {
+	addr    string
+	last    uint64 // number of the last event that it has
+	names   *settings.Names
+	limits  *limits.Limits
+	post    func(News)
+	log     *slog.Logger
+	heard   time.Time // when the feed last said anything
+	expired bool
+}
+
+// NewFeed makes a follower that has all events up to last.
+func NewFeed(addr string, last uint64, names *settings.Names, l *limits.Limits, post func(News),
+	log *slog.Logger) *Feed {
+	return &Feed{addr: addr, last: last, names: names, limits: l, post: post, log: log, heard: time.Now()}
+}
+
+// Follow keeps a connection to the feed until ctx ends, and hands on what comes after the last event, in order and
+// once. A connection that is silent, malformed or skips a number is begun anew from that event.
+func (f *Feed) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := follow(ctx, addr, &last, names, l, post)
-		if ctx.Err() == nil {
-			log.Warn("feed connection ended", "why", err, "last", last)
+		err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.log.Warn("feed connection ended", "why", err, "last", f.last)
+		if !f.expired && !time.Now().Before(f.heard.Add(f.limits.FeedTold)) {
+			f.expired = true
+			f.post(News{Expired: true})
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(l.FeedRetry):
+		case <-time.After(f.limits.FeedRetry):
 		}
 	}
 }
 
-func follow(ctx context.Context, addr string, last *uint64, names *settings.Names, l *limits.Limits,
-	post func(News)) error {
-	dialer := net.Dialer{Timeout: l.ConnectTime}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+// silence is until when the feed may say nothing: no longer than its connection may be trusted or, the first time,
+// than the list may be.
+func (f *Feed) silence() time.Time {
+	until := time.Now().Add(f.limits.FeedSilence)
+	if told := f.heard.Add(f.limits.FeedTold); !f.expired && told.Before(until) {
+		return told
+	}
+	return until
+}
+
+func (f *Feed) follow(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: f.limits.ConnectTime}
+	conn, err := dialer.DialContext(ctx, "tcp", f.addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(l.FeedSilence))
-	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, *last)); err != nil {
+	conn.SetDeadline(f.silence())
+	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, f.last)); err != nil {
 		return err
 	}
 	r := bufio.NewReader(conn)
 	for {
-		conn.SetDeadline(time.Now().Add(l.FeedSilence))
-		news, fresh, err := ReadFrame(r, names)
+		conn.SetDeadline(f.silence())
+		news, fresh, err := ReadFrame(r, f.names)
 		if err != nil {
 			return err
 		}
-		if !fresh || news.No <= *last {
-			continue
+		f.heard = time.Now()
+		fresh = fresh && news.No > f.last
+		if fresh && news.No != f.last+1 && !news.Whole {
+			return fmt.Errorf("%w: number %d after %d", ErrMalformed, news.No, f.last)
 		}
-		if news.No != *last+1 && !news.Whole {
-			return fmt.Errorf("%w: number %d after %d", ErrMalformed, news.No, *last)
+		if fresh {
+			f.last = news.No
+			f.post(news)
+		} else if f.expired {
+			f.post(News{No: f.last})
 		}
-		*last = news.No
-		post(news)
+		f.expired = false
 	}
 }
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,360 @@
+package clients
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/pgwire"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
+)
+
+const (
+	patience = 10 * time.Second // for what must come
+	head     = "/* verb=report,txn=9b1f03aa5c7e2d41,limit=1500 */ "
+	query    = head + "SELECT 1 FROM sales_17.orders"
+)
+
+func startUp(code uint32, rest string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(8+len(rest)))
+	return append(binary.BigEndian.AppendUint32(b, code), rest...)
+}
+
+func message(kind byte, body string) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{kind}, uint32(4+len(body))), body...)
+}
+
+func ask(text string) []byte { return message('Q', text+"\x00") }
+
+var hello = startUp(3<<16, "user\x00app\x00database\x00core\x00\x00")
+
+// front is a server with what it tells the loop.
+type front struct {
+	t      *testing.T
+	server *Server
+	addr   string
+	events chan any
+}
+
+func newFront(t *testing.T, change func(*limits.Limits)) *front {
+	l := limits.For(1024, 192, 0, 0)
+	if change != nil {
+		change(l)
+	}
+	facts := &settings.Facts{Profiles: []router.Profile{{}, {Effect: router.Uniqued}},
+		Names: settings.Names{Profiles: map[string]router.ProfileID{"report": 0, "load": 1},
+			Tenants: map[string]router.TenantID{"acme": 0}}}
+	f := &front{t: t, events: make(chan any, 100)}
+	f.server = New(l, facts, func(ev any) { f.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addr = listener.Addr().String()
+	go f.server.Serve(listener)
+	t.Cleanup(func() { listener.Close(); f.server.Close() })
+	return f
+}
+
+func (f *front) dial(bytes ...[]byte) net.Conn {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	for _, b := range bytes {
+		conn.Write(b)
+	}
+	return conn
+}
+
+// hears reads messages until one of a kind in until comes, and returns their kinds with errors' codes; the cancel
+// key, if it came.
+func (f *front) hears(conn net.Conn, until string) (said string, key []byte) {
+	f.t.Helper()
+	for {
+		head := make([]byte, 5)
+		if _, err := io.ReadFull(conn, head); err != nil {
+			return said + "$", key
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+		io.ReadFull(conn, body)
+		switch said += string(head[:1]); head[0] {
+		case 'E':
+			_, code, _ := bytes.Cut(body, []byte("\x00C"))
+			said += string(code[:5])
+		case 'K':
+			key = body
+		}
+		if strings.Contains(until, string(head[:1])) {
+			return said, key
+		}
+	}
+}
+
+func (f *front) taken() *exchange.Command {
+	f.t.Helper()
+	select {
+	case ev := <-f.events:
+		if t, ok := ev.(Taken); ok {
+			return t.Command
+		}
+		f.t.Fatalf("told %+v", ev)
+	case <-time.After(patience):
+		f.t.Fatal("nothing was taken")
+	}
+	return nil
+}
+
+const welcome = "RSSSSSSKZ"
+
+// A command with its first query right behind the start-up message; each kind of answer, on one session.
+func TestAnswers(t *testing.T) {
+	f := newFront(t, nil)
+	conn := f.dial(startUp(80877103, ""))
+	one := make([]byte, 1)
+	if io.ReadFull(conn, one); one[0] != 'N' {
+		t.Fatalf("encryption answered by %q", one)
+	}
+	conn.Write(append(hello, ask(query)...))
+	for _, c := range []struct {
+		answer exchange.Answer
+		said   string
+	}{
+		{exchange.Answer{Verdict: exchange.Answered, Pages: [][]byte{[]byte("a\tb\tc\nd\te\tf\n"), []byte("\t\t\n")}},
+			"TDDDCZ"},
+		{exchange.Answer{Verdict: exchange.Answered}, "TCZ"},
+		{exchange.Answer{Verdict: exchange.Shed, After: time.Second}, "E53000Z"},
+		{exchange.Answer{Verdict: exchange.Failed}, "E58000Z"},
+	} {
+		cmd := f.taken()
+		if cmd.Tables != 17 || cmd.Left != 1500*time.Millisecond || string(cmd.Statement) != query[len(head):] {
+			t.Errorf("took %+v", cmd)
+		}
+		if !cmd.Finish(c.answer) || cmd.Finish(exchange.Answer{Verdict: exchange.Failed}) {
+			t.Error("not one final answer")
+		}
+		said, _ := f.hears(conn, "Z")
+		if said == welcome {
+			said, _ = f.hears(conn, "Z")
+		}
+		if said != c.said {
+			t.Errorf("%+v: said %s", c.answer, said)
+		}
+		conn.Write(ask(query))
+	}
+}
+
+func TestRows(t *testing.T) {
+	f := newFront(t, nil)
+	conn := f.dial(hello, ask(query))
+	f.taken().Finish(exchange.Answer{Verdict: exchange.Answered, Pages: [][]byte{[]byte("one\t\tthree\n")}})
+	f.hears(conn, "Z")
+	want := append(pgwire.AppendRowDescription(nil), message('D', "\x00\x03\x00\x00\x00\x03one\x00\x00\x00\x00\x00\x00\x00\x05three")...)
+	want = append(append(want, message('C', "SELECT 1\x00")...), message('Z', "I")...)
+	got := make([]byte, len(want))
+	if io.ReadFull(conn, got); !bytes.Equal(got, want) {
+		t.Errorf("wrote %q", got)
+	}
+}
+
+// What no client should write gets a proper error, and nothing is taken.
+func TestBadInput(t *testing.T) {
+	load := strings.Replace(query, "report", "load", 1)
+	with := func(from, to string) []byte { return ask(strings.Replace(query, from, to, 1)) }
+	f := newFront(t, nil)
+	for _, c := range []struct {
+		name  string
+		bytes []byte
+		said  string
+	}{
+		{"empty query", ask(""), "IZ"},
+		{"blanks alone", ask(" ;\n"), "IZ"},
+		{"no fields", ask("SELECT 1 FROM sales_17.orders"), "E22004Z"},
+		{"comment without end", ask("/* verb=report"), "E22023Z"},
+		{"no statement", ask(head), "E22004Z"},
+		{"no profile", with("verb=report,", ""), "E22004Z"},
+		{"another profile", with("report", "what"), "E22023Z"},
+		{"no id", with("txn=9b1f03aa5c7e2d41,", ""), "E22004Z"},
+		{"short id", with("9b1f", "9b1"), "E22023Z"},
+		{"id of no hex", with("9b1f", "9b1g"), "E22023Z"},
+		{"no limit", with(",limit=1500", ""), "E22004Z"},
+		{"limit of no number", with("1500", "soon"), "E22023Z"},
+		{"negative limit", with("1500", "-1"), "E22023Z"},
+		{"infinite limit", with("1500", "+Inf"), "E22023Z"},
+		{"field twice", with("limit=1500", "limit=1,limit=2"), "E22023Z"},
+		{"field without value", with("limit=1500", "limit=1500,cpu"), "E22023Z"},
+		{"another tenant", with("limit", "team=none,limit"), "E22023Z"},
+		{"mark that is no word", with("limit", "unique=a b,limit"), "E22023Z"},
+		{"uniqued without mark", ask(load), "E22004Z"},
+		{"no tables", with("sales_17", "staging"), "E22023Z"},
+		{"extended query", append(append(message('P', "\x00x\x00\x00\x00"), message('D', "S\x00")...), message('S', "")...),
+			"E0A000Z"},
+		{"function call", message('F', ""), "E0A000Z"},
+		{"copy data out of turn", append(message('d', "x"), message('S', "")...), "Z"},
+		{"query without end", message('Q', "SELECT 1"), "E08P01$"},
+		{"query of two texts", message('Q', "a\x00b\x00"), "E08P01$"},
+		{"unknown message", message('!', ""), "E08P01$"},
+		{"length under its own size", []byte{'Q', 0, 0, 0, 3}, "E08P01$"},
+		{"too long", ask(query + strings.Repeat(" ", 1<<20)), "E54000$"},
+		{"good bye", message('X', ""), "$"},
+	} {
+		conn := f.dial(hello)
+		f.hears(conn, "Z")
+		conn.Write(c.bytes)
+		if said, _ := f.hears(conn, "Z"); said != c.said {
+			t.Errorf("%s: said %s", c.name, said)
+		}
+	}
+	for _, start := range [][]byte{startUp(2<<16, ""), startUp(3<<16, "user"), []byte("GET / HTTP/1.1\r\n\r\n"),
+		{0, 0, 0, 4, 0, 0, 0, 0}, startUp(80877102, "short")} {
+		if said, _ := f.hears(f.dial(start), "Z"); said != "E08P01$" {
+			t.Errorf("start %q: said %s", start, said)
+		}
+	}
+	if len(f.events) > 0 {
+		t.Errorf("told %+v", <-f.events)
+	}
+}
+
+// A client that leaves is owed nothing more; a key that is not its own gives nothing up.
+func TestLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(f *front, conn net.Conn, key []byte)
+		said  string
+	}{
+		{"cancel", func(f *front, _ net.Conn, key []byte) { f.dial(startUp(80877102, string(key))) }, "E57014Z"},
+		{"close", func(_ *front, conn net.Conn, _ []byte) { conn.Close() }, "$"},
+		{"good bye", func(_ *front, conn net.Conn, _ []byte) { conn.Write(message('X', "")) }, "$"},
+		{"cut within the next query", func(_ *front, conn net.Conn, _ []byte) {
+			conn.Write(ask(query)[:9])
+			conn.(*net.TCPConn).CloseWrite()
+		}, "$"},
+	} {
+		f := newFront(t, nil)
+		conn := f.dial(hello)
+		_, key := f.hears(conn, "Z")
+		conn.Write(ask(query))
+		cmd := f.taken()
+		wrong := append(bytes.Clone(key[:4]), key[4]^1, key[5], key[6], key[7])
+		f.hears(f.dial(startUp(80877102, string(wrong))), "") // until it is closed, so has been read
+		c.leave(f, conn, key)
+		if ev := <-f.events; ev != any(Gone{cmd}) {
+			t.Errorf("%s: told %+v", c.name, ev)
+		}
+		if cmd.Finish(exchange.Answer{Verdict: exchange.Answered}) {
+			t.Errorf("%s: answered after its client had left", c.name)
+		}
+		if said, _ := f.hears(conn, "Z"); said != c.said {
+			t.Errorf("%s: said %s", c.name, said)
+		}
+	}
+}
+
+// A query written before the answer to the last one is taken after it, and its time counts from when it came.
+func TestEarlyQuery(t *testing.T) {
+	f := newFront(t, nil)
+	conn := f.dial(hello, ask(query))
+	first := f.taken()
+	heard := func() time.Time {
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
+		return f.server.heard
+	}
+	before := heard()
+	conn.Write(ask(query))
+	for heard() == before { // until the second has been read
+		runtime.Gosched()
+	}
+	if len(f.events) > 0 {
+		t.Error("taken before the first was answered")
+	}
+	answeredAt := time.Now()
+	first.Finish(exchange.Answer{Verdict: exchange.Shed})
+	if second := f.taken(); !second.Read.Before(answeredAt) {
+		t.Error("its time counts from its turn")
+	}
+}
+
+// Past the limit of sessions a client is shed; past that of connections it is closed; who leaves makes room.
+func TestTooMany(t *testing.T) {
+	f := newFront(t, func(l *limits.Limits) { l.Sessions, l.Connections = 1, 2 })
+	first := f.dial(hello)
+	f.hears(first, "Z")
+	second := f.dial(hello, ask(query))
+	if said, _ := f.hears(second, "Z"); said != "E53300$" {
+		t.Errorf("said %s", said)
+	}
+	first.Write(message('X', ""))
+	f.hears(first, "")
+	second.Close()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if said, _ := f.hears(f.dial(hello), "Z"); said == welcome {
+			return
+		}
+	}
+	t.Error("no room after the first had left")
+}
+
+func TestTableGroup(t *testing.T) {
+	for _, c := range []struct {
+		statement string
+		group     int64
+		found     bool
+	}{
+		{"SELECT day, count(*) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17, true},
+		{"INSERT INTO sales_5.orders SELECT * FROM staging.batch_9", 5, true},
+		{"SELECT 1 FROM staging.b_3 JOIN Sales_5.orders ON true", 5, true},
+		{"SELECT 'from a_1.b' FROM c_2.d", 2, true},
+		{"SELECT 'it''s from a_1.b' FROM c_2.d", 2, true},
+		{`SELECT E'\' from a_1.b' FROM c_2.d`, 2, true},
+		{"SELECT $$ from a_1.b $$, $x$ from a_3.b $x$ FROM c_2.d", 2, true},
+		{"/* from a_1.b /* nested */ from a_3.b */ SELECT 1 -- from a_4.b\nFROM c_2.d", 2, true},
+		{`SELECT "from a_1.b" FROM "c_2"."d"`, 2, true},
+		{"SELECT t_9.note FROM c_2.d AS t_9", 2, true},
+		{"SELECT 1.5 FROM x, c_2.d", 2, true},
+		{"UPDATE ONLY c_2.d SET x = 1", 2, true},
+		{"DELETE FROM c_2.d", 2, true},
+		{"SELECT 1 FROM staging.d", 0, false},
+		{"SELECT 1 FROM staging_4.d", 0, false},
+		{"SELECT 1", 0, false},
+		{"SELECT 'open FROM c_2.d", 0, false},
+		{"SELECT 1 FROM c_x.d", 0, false},
+		{"SELECT 1 FROM c_99999999999999999999.d", 0, false},
+	} {
+		if group, found := pgwire.TableGroup([]byte(c.statement)); group != c.group || found != c.found {
+			t.Errorf("%s: %d, %t", c.statement, group, found)
+		}
+	}
+}
+
+func FuzzSession(f *testing.F) {
+	f.Add(append(bytes.Clone(hello), ask(query)...))
+	f.Add([]byte(fmt.Sprint(head)))
+	server := New(limits.For(64, 32, 0, 0), &settings.Facts{Profiles: []router.Profile{{}},
+		Names: settings.Names{Profiles: map[string]router.ProfileID{"report": 0}}}, nil, slog.Default())
+	server.post = func(ev any) {
+		if t, ok := ev.(Taken); ok {
+			t.Command.Finish(exchange.Answer{Verdict: exchange.Answered})
+		}
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		ours, theirs := net.Pipe()
+		go func() { theirs.Write(in); theirs.Close() }()
+		go io.Copy(io.Discard, theirs)
+		newSession(server, ours).run()
+	})
+}
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -184,27 +184,15 @@
 		close(ready)
 	})
 	ses.server.post(Taken{cmd})
-	for more := 1; ; {
-		_, err := ses.r.Peek(more)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			break
-		}
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			ses.giveUp()
-			return err
-		}
-		kind, _, _, err := pgwire.Peek(ses.r)
-		if err == nil && kind == 'X' {
-			ses.giveUp()
-			return net.ErrClosed
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			break
-		}
-		if err == nil || errors.Is(err, pgwire.ErrMalformed) || errors.Is(err, pgwire.ErrTooLong) {
-			ses.readAt = time.Now()
-			break
-		}
+	switch kind, _, _, err := pgwire.Peek(ses.r); {
+	case errors.Is(err, os.ErrDeadlineExceeded): // the answer is there
+	case err == nil && kind == 'X':
+		ses.giveUp()
+		return net.ErrClosed
+	case err == nil, errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong):
+		ses.readAt = time.Now()
+		ses.server.touch(ses.readAt)
+	default:
 		ses.giveUp()
 		return err
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -80,6 +80,9 @@
 // ask is posted by Counts.
 type ask struct{ reply chan Counts }
 
+// Stop tells the loop that all must be answered within this long.
+type Stop struct{ Within time.Duration }
+
 // Counts asks for the counts so far.
 func (l *Loop) Counts() Counts {
 	reply := make(chan Counts, 1)
@@ -137,6 +140,8 @@
 		l.events = append(l.events, router.Probed{Engine: ev.Engine, Outcome: ev.Outcome})
 	case bulletin.News:
 		l.News(ev, false)
+	case Stop:
+		l.events = append(l.events, router.Stopping{Within: float64(ev.Within) / 1e6})
 	case ask:
 		counts := l.counts
 		for _, c := range l.commands {
@@ -158,7 +163,7 @@
 	if cmd.Answer().Verdict != exchange.None { // its client was gone before it came here
 		return
 	}
-	for l.serial++; l.commands[l.serial] != nil; {
+	for l.serial++; l.serial == 0 || l.commands[l.serial] != nil; {
 		l.serial++
 	}
 	cmd.Number = l.serial
@@ -211,7 +216,7 @@
 // cached tells that it was known at start.
 func (l *Loop) News(news bulletin.News, cached bool) {
 	l.counts.News++
-	listed := router.Listed{Whole: news.Whole, Cached: cached}
+	listed := router.Listed{Whole: news.Whole, Cached: cached, Expired: news.Expired}
 	var addresses []engines.Address
 	for _, e := range news.Entries {
 		listed.Entries = append(listed.Entries, e.Entry)
@@ -230,7 +235,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case router.Send:
-			c := l.commands[a.ID]
+			c := l.commands[a.ID] // the module sends only what it was given and has not ended
 			c.sends, c.open = append(c.sends, a.Engine), c.open+1
 			l.counts.Sends++
 			l.engines.Send(c.Command, router.SendID(len(c.sends)-1), a.Engine, duration(a.Until-now))
--- /dev/null
+++ b/internal/engines/engines_test.go
@@ -0,0 +1,377 @@
+package engines
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/limits"
+	"mintkeel/router"
+)
+
+const patience = 10 * time.Second // for what must come
+
+// rig is a pool with one stand-in engine, which says what the test has it say.
+type rig struct {
+	t        *testing.T
+	pool     *Pool
+	events   chan any
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+func newRig(t *testing.T, change func(*limits.Limits)) *rig {
+	l := limits.For(1024, 192, time.Second, 20*time.Second)
+	if change != nil {
+		change(l)
+	}
+	r := &rig{t: t, events: make(chan any, 100), conns: make(chan net.Conn, 10)}
+	r.pool = New(l, 100, func(ev any) { r.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	var err error
+	if r.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := r.listener.Accept()
+			if err != nil {
+				return
+			}
+			r.conns <- conn
+		}
+	}()
+	t.Cleanup(func() { r.pool.Close(); r.listener.Close() })
+	r.list(router.Ready)
+	return r
+}
+
+func (r *rig) list(state router.State) {
+	r.pool.List([]Address{{Engine: "e", Dial: r.listener.Addr().String(), State: state}}, true)
+}
+
+func (r *rig) send(cmd *exchange.Command, number router.SendID) {
+	r.pool.Send(cmd, number, "e", time.Minute)
+}
+
+// peer is the engine's side of a connection.
+type peer struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (r *rig) accept() *peer {
+	r.t.Helper()
+	select {
+	case conn := <-r.conns:
+		conn.SetDeadline(time.Now().Add(patience))
+		r.t.Cleanup(func() { conn.Close() })
+		return &peer{r.t, conn, bufio.NewReader(conn)}
+	case <-time.After(patience):
+		r.t.Fatal("no connection came")
+		return nil
+	}
+}
+
+// hears checks the next line, which may be given by its beginning.
+func (p *peer) hears(want string) string {
+	p.t.Helper()
+	line, err := p.r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, want) {
+		p.t.Fatalf("heard %q, %v, not %q", line, err, want)
+	}
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+func (p *peer) hearsDo(id string) {
+	p.t.Helper()
+	p.hears("do " + id + " profile=report,max=")
+	p.hears("SELECT 1 FROM s_1.t\r\n")
+}
+
+func (p *peer) says(format string, args ...any) { fmt.Fprintf(p, format, args...) }
+
+func (p *peer) answers(id, word, fields, body string) {
+	p.says("%s %s %s %d\r\n%s\r\n", id, word, fields, len(body), body)
+}
+
+func (r *rig) ended(number router.SendID, want router.Outcome) Ended {
+	r.t.Helper()
+	select {
+	case ev := <-r.events:
+		end, ok := ev.(Ended)
+		if !ok || end.Send != number || end.Outcome != want {
+			r.t.Fatalf("told %+v, not the end of %d by %v", ev, number, want)
+		}
+		return end
+	case <-time.After(patience):
+		r.t.Fatalf("not told the end of %d by %v", number, want)
+		return Ended{}
+	}
+}
+
+func command(id string) *exchange.Command {
+	return &exchange.Command{ID: id, Verb: "report", Statement: []byte("SELECT 1 FROM s_1.t"), Read: time.Now(),
+		Left: time.Minute}
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		hangUp     bool
+		want       router.Outcome
+		pages      string
+	}{
+		{name: "one page", says: "c1 ACK parts=1,report=inflight:7;util:0.5 6\r\na\tb\tc\n\r\n", pages: "a\tb\tc\n"},
+		{name: "no rows", says: "c1 ACK - 0\r\n\r\n"},
+		{name: "full", says: "c1 AGAIN - 0\r\n\r\n", want: router.Full},
+		{name: "over already", says: "c1 STALE - 0\r\n\r\n", want: router.NotSent},
+		{name: "error", says: "c1 EIO - 4\r\nsome\r\n", want: router.Errored},
+		{name: "reset", hangUp: true, want: router.Reset},
+		{name: "not a word", says: "c1 WHAT - 0\r\n\r\n", want: router.Reset},
+		{name: "no length", says: "c1 ACK - x\r\n\r\n", want: router.Reset},
+		{name: "no line end after the body", says: "c1 ACK - 0\r\nxx", want: router.Reset},
+		{name: "a bare line feed", says: "c1 ACK - 0\n", want: router.Reset},
+		{name: "a field without a value", says: "c1 ACK parts 0\r\n\r\n", want: router.Reset},
+		{name: "a report of no numbers", says: "c1 ACK report=util:x 0\r\n\r\n", want: router.Reset},
+		{name: "a row of two columns", says: "c1 ACK - 4\r\na\tb\n\r\n", want: router.Reset},
+		{name: "a row without an end", says: "c1 ACK - 5\r\na\tb\tc\r\n", want: router.Reset},
+		{name: "a page too long", says: "c1 ACK - 6001\r\n", want: router.Reset},
+		{name: "a line too long", says: "c1 ACK x=" + strings.Repeat("y", 4000), want: router.Reset},
+		{name: "too many pages", says: "c1 ACK parts=1000000 0\r\n\r\n", want: router.Reset},
+		{name: "a page before the first", says: "c1 BLOCK part_no=1 6\r\na\tb\tc\n\r\n", want: router.Reset},
+		{name: "a note, then nothing", says: "c9 EVENT remark=x 0\r\n\r\n", hangUp: true, want: router.Reset},
+	} {
+		r := newRig(t, nil)
+		cmd := command("c1")
+		r.send(cmd, 0)
+		p := r.accept()
+		p.hearsDo("c1")
+		if p.says("%s", c.says); c.hangUp {
+			p.Close()
+		}
+		t.Log(c.name)
+		end := r.ended(0, c.want)
+		if got := string(join(end.Pages)); got != c.pages {
+			t.Errorf("%s: pages %q", c.name, got)
+		}
+		if c.pages != "" && (end.Load == nil || end.Load.Inflight != 7 || end.Load.Util != 0.5 || end.Load.Disk != -1) {
+			t.Errorf("%s: load %+v", c.name, end.Load)
+		}
+	}
+}
+
+func join(pages [][]byte) (all []byte) {
+	for _, page := range pages {
+		all = append(all, page...)
+	}
+	return all
+}
+
+// A result counts when all its pages are in, in their order; a page that is lost is a send that failed.
+func TestPages(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		says []string
+		want router.Outcome
+	}{
+		{"out of order", []string{"c1 BLOCK part_no=2 6\r\n3\t3\t3\n\r\n", "c1 BLOCK part_no=1 6\r\n2\t2\t2\n\r\n"},
+			router.Answered},
+		{"one lost", []string{"c1 BLOCK part_no=1 6\r\n2\t2\t2\n\r\n", "c1 EIO - 0\r\n\r\n"}, router.Errored},
+		{"one twice", []string{"c1 BLOCK part_no=1 6\r\n2\t2\t2\n\r\n", "c1 BLOCK part_no=1 6\r\n2\t2\t2\n\r\n"},
+			router.Reset},
+		{"one not asked for", []string{"c1 BLOCK part_no=3 6\r\n2\t2\t2\n\r\n"}, router.Reset},
+		{"the first again", []string{"c1 ACK parts=3 6\r\n1\t1\t1\n\r\n"}, router.Reset},
+		{"more than a result holds", []string{"c1 BLOCK part_no=1 6\r\n2\t2\t2\n\r\nc1 BLOCK part_no=2 39\r\n" +
+			strings.Repeat("long", 9) + "\t\t\n\r\n"}, router.Reset},
+	} {
+		r := newRig(t, func(l *limits.Limits) { l.ResultBytes = 48 })
+		r.send(command("c1"), 0)
+		p := r.accept()
+		p.hearsDo("c1")
+		p.answers("c1", "ACK", "parts=3", "1\t1\t1\n")
+		p.hears("page c1 1\r\n")
+		p.hears("page c1 2\r\n")
+		for _, s := range c.says {
+			p.says("%s", s)
+		}
+		t.Log(c.name)
+		end := r.ended(0, c.want)
+		if got := string(join(end.Pages)); c.want == router.Answered && got != "1\t1\t1\n2\t2\t2\n3\t3\t3\n" {
+			t.Errorf("%s: pages %q", c.name, got)
+		}
+		if c.want == router.Answered {
+			p.hears("forget c1\r\n")
+		}
+	}
+}
+
+// An answer that crosses an undo must not pass for that of the next send: the id goes over another connection, and
+// until the engine is known to have heard of the undo its send has no outcome, so that no two are out at once.
+func TestAnswerThatCrossesUndo(t *testing.T) {
+	r := newRig(t, nil)
+	cmd := command("c1")
+	r.send(cmd, 0)
+	first := r.accept()
+	first.hearsDo("c1")
+	r.pool.Cancel(cmd, 0, "e")
+	first.hears("undo c1\r\n")
+	tag := strings.TrimPrefix(first.hears("ping "), "ping ")
+	select {
+	case ev := <-r.events:
+		t.Fatalf("told %+v before the engine heard of the undo", ev)
+	default:
+	}
+	first.answers(tag, "READY", "-", "")
+	r.ended(0, router.Cancelled)
+
+	r.send(cmd, 1)
+	second := r.accept()
+	second.hearsDo("c1")
+	first.answers("c1", "ACK", "parts=1", "old\told\told\n")
+	other := command("c2") // the first connection still serves others
+	r.send(other, 0)
+	first.hearsDo("c2")
+	first.answers("c2", "ACK", "parts=1", "2\t2\t2\n")
+	if end := r.ended(0, router.Answered); end.Command != other {
+		t.Fatalf("the end of %s", end.Command.ID)
+	}
+	second.answers("c1", "ACK", "parts=1", "new\tnew\tnew\n")
+	if end := r.ended(1, router.Answered); string(join(end.Pages)) != "new\tnew\tnew\n" {
+		t.Fatalf("pages %q", end.Pages)
+	}
+}
+
+// What an engine says before it hears of an undo still tells how the send ended.
+func TestEndThatCrossesUndo(t *testing.T) {
+	for _, c := range []struct {
+		word, fields, body string
+		want               router.Outcome
+	}{
+		{"ACK", "parts=1", "1\t1\t1\n", router.Answered},
+		{"ACK", "parts=2", "1\t1\t1\n", router.Cancelled}, // the rest can't be had any more
+		{"AGAIN", "-", "", router.Full},
+		{"EIO", "-", "", router.Errored},
+	} {
+		r := newRig(t, nil)
+		cmd := command("c1")
+		r.send(cmd, 0)
+		p := r.accept()
+		p.hearsDo("c1")
+		r.pool.Cancel(cmd, 0, "e")
+		p.hears("undo c1\r\n")
+		p.answers("c1", c.word, c.fields, c.body)
+		r.ended(0, c.want)
+	}
+}
+
+// An engine that is cut off says nothing: a send given up there ends all the same, the next goes over a new
+// connection, and one whose connection never comes up never ran.
+func TestSilentEngine(t *testing.T) {
+	r := newRig(t, func(l *limits.Limits) { l.GiveUpTime = 20 * time.Millisecond })
+	cmd := command("c1")
+	r.send(cmd, 0)
+	p := r.accept()
+	p.hearsDo("c1")
+	r.pool.Cancel(cmd, 0, "e")
+	r.ended(0, router.Cancelled)
+	r.listener.Close()
+	r.send(command("c2"), 0)
+	r.ended(0, router.Refused)
+	p.answers("any", "READY", "-", "") // it is back
+	r.pool.Probe("e")
+	p.hears("undo")
+	p.hears("ping")
+}
+
+func TestTimeOut(t *testing.T) {
+	r := newRig(t, nil)
+	cmd := command("c1")
+	r.pool.Send(cmd, 0, "e", 30*time.Millisecond)
+	p := r.accept()
+	p.hearsDo("c1")
+	p.hears("undo c1\r\n")
+	p.answers(strings.TrimPrefix(p.hears("ping "), "ping "), "READY", "-", "")
+	r.ended(0, router.TimedOut)
+}
+
+// What waits for a connection to an engine that comes to drain must not go out; what is out there goes on.
+func TestDrain(t *testing.T) {
+	r := newRig(t, nil)
+	r.send(command("c1"), 0)
+	p := r.accept()
+	p.hearsDo("c1")
+	c := newConn(r.pool, "e", "127.0.0.1:1") // never run: it stays as while being dialled
+	r.pool.engines["e"].conns = append(r.pool.engines["e"].conns, c)
+	waiting := &send{cmd: command("c2"), number: 5, until: time.Now().Add(time.Minute)}
+	if !c.put(waiting, 100) {
+		t.Fatal("not taken on")
+	}
+	r.list(router.Draining)
+	r.ended(5, router.NotSent)
+	if len(c.out) != 0 {
+		t.Errorf("%d things left to write", len(c.out))
+	}
+	r.send(command("c3"), 0)
+	r.ended(0, router.NotSent)
+	p.answers("c1", "ACK", "-", "")
+	r.ended(0, router.Answered)
+}
+
+// At a limit a send ends as one that never went out.
+func TestLimits(t *testing.T) {
+	r := newRig(t, func(l *limits.Limits) { l.EngineConns = 1 })
+	cmd := command("c1")
+	r.send(cmd, 0)
+	r.accept().hearsDo("c1")
+	r.send(cmd, 1) // needs a second connection
+	r.ended(1, router.NotSent)
+	big := command("c2")
+	big.Statement = make([]byte, r.pool.limits.QueueBytes+1)
+	r.send(big, 2)
+	r.ended(2, router.NotSent)
+}
+
+// Ids that a connection has carried are not kept for ever, and not dropped while their commands may live.
+func TestUsedIDs(t *testing.T) {
+	c := newConn(newRig(t, nil).pool, "e", "")
+	live := command("live")
+	c.put(&send{cmd: live}, 1e6)
+	for i := range 10 * leastSweep {
+		old := command(fmt.Sprint(i))
+		old.Read = time.Now().Add(-time.Hour)
+		c.put(&send{cmd: old}, 1e6)
+	}
+	if len(c.used) > 2*leastSweep || c.put(&send{cmd: live}, 1e6) {
+		t.Errorf("%d ids kept", len(c.used))
+	}
+}
+
+func TestNotes(t *testing.T) {
+	r := newRig(t, nil)
+	cmd := command("c1")
+	r.send(cmd, 3)
+	p := r.accept()
+	p.hearsDo("c1")
+	for _, c := range []struct {
+		fields string
+		want   Noted
+	}{
+		{"remark=progress,value=0.25", Noted{cmd, 3, router.NoteProgress, 0.25}},
+		{"remark=spill_mb,value=12", Noted{cmd, 3, router.NoteSpills, 12}},
+		{"remark=blocked,value=1", Noted{cmd, 3, router.NoteWaitsMemory, 1}},
+		{"remark=blocked,value=2", Noted{cmd, 3, router.NoteWaitsTables, 2}},
+	} {
+		p.answers("c1", "EVENT", "-", "") // not yet over, and no note
+		p.answers("c1", "EVENT", c.fields, "")
+		if got := <-r.events; got != any(c.want) {
+			t.Errorf("%s: %+v", c.fields, got)
+		}
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,12 +24,19 @@
 	EngineIdle   time.Duration // after which an unused connection to an engine is closed
 	GiveUpTime   time.Duration // for an engine to confirm that it gave a send up
 	FeedSilence  time.Duration // after which the feed's connection counts as dead
+	FeedTold     time.Duration // of silence, after which what the feed has to tell may count as told
 	FeedRetry    time.Duration // between tries to reach the feed
 	StopTime     time.Duration // from being told to stop until all must be answered
+	EndTime      time.Duration // and until the process ends, answered or not
 	StopQuiet    time.Duration // without a new command, after which a controller told to stop may end
 	MemoryBytes  int64         // at which the garbage collector works harder
 }
 
+// mostHeld is what one session may hold of memory: a message, and a result as it came and as it goes out.
+const mostHeld = messageBytes + 3*resultBytes
+
+const messageBytes, resultBytes = 32 << 10, 48000
+
 // For fills the limits for a controller with so many descriptors and so much memory.
 func For(descriptors, memoryMB int, connect, idle time.Duration) *Limits {
 	if connect <= 0 {
@@ -39,13 +46,13 @@
 		idle = 10 * time.Second
 	}
 	return &Limits{
-		Sessions:     descriptors * 2 / 5,
+		Sessions:     min(descriptors*2/5, memoryMB<<20*6/10/mostHeld),
 		Connections:  descriptors * 3 / 5,
 		EngineConns:  descriptors / 4,
-		MessageBytes: 32 << 10,
+		MessageBytes: messageBytes,
 		LineBytes:    2 << 10,
 		PageBytes:    6000,
-		ResultBytes:  48000,
+		ResultBytes:  resultBytes,
 		QueueBytes:   1 << 20,
 		Inbox:        1024,
 		StartTime:    10 * time.Second,
@@ -57,8 +64,10 @@
 		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
 		GiveUpTime:   connect,
 		FeedSilence:  3500 * time.Millisecond,
+		FeedTold:     6500 * time.Millisecond,
 		FeedRetry:    100 * time.Millisecond,
-		StopTime:     3500 * time.Millisecond,
+		StopTime:     3300 * time.Millisecond,
+		EndTime:      3600 * time.Millisecond,
 		StopQuiet:    800 * time.Millisecond,
 		MemoryBytes:  int64(memoryMB) << 20 * 6 / 10,
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -53,12 +53,15 @@
 	if l := r.lineOf(c); l != nil && (l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest) {
 		return false
 	}
-	return !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
+	return !r.blind && !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
 		(len(c.sends) == 0 || r.budgetAllows())
 }
 
-// endBy is when a command is ended at the latest.
-func (r *Router) endBy(c *command) float64 { return c.timeout - roundsToEnd*r.guards.Round - 5 }
+// endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
+// controller, so that who cannot be done by then is told at once and can try another.
+func (r *Router) endBy(c *command) float64 {
+	return min(c.timeout, r.stopAt) - roundsToEnd*r.guards.Round - 5
+}
 
 // spent tells that no further send of c can ever be allowed.
 func (r *Router) spent(c *command) bool {
@@ -143,7 +146,8 @@
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
 }
 
-// listed takes in news of the list. A failed question is asked again before the old list counts as told.
+// listed takes in news of the list. A failed question is asked again before the old list counts as told. While
+// the list has expired nothing is sent at all: any engine may be one that drains.
 func (r *Router) listed(ev Listed) {
 	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
 		r.askAt = r.now + askAgain*(1+r.rng.Float64())
@@ -643,12 +647,8 @@
 			r.ended(ev)
 		case Noted:
 			r.noted(ev)
-		case Began:
-			r.begun(ev.ID)
-		case Left:
-			r.left(ev.ID)
-		case Probed:
-			r.probed(ev)
+		default:
+			r.file(ev)
 		}
 	}
 	for c := r.due(); c != nil; c = r.due() {
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -208,3 +208,37 @@
 		t.Errorf("the same events led to other actions:\n%s\n%s", first, again)
 	}
 }
+
+// Rule 1 at a planned end: all is answered by then, and who can't be done by then is told at once.
+func TestStopping(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	if to := sent(d.step(command1(1)), 1); to != "a" {
+		t.Fatal("not sent")
+	}
+	if s, f := answers(d.step(Stopping{Within: 1000}), 1); s+f != 0 {
+		t.Fatal("answered when told to stop, though there is time")
+	}
+	late := command1(2)
+	late.Estimate = 2000
+	if s, _ := answers(append(d.step(late), d.wait(tendEvery)...), 2); s != 1 {
+		t.Error("a command that can't be done by then is not shed at once")
+	}
+	if s, _ := answers(d.wait(900), 1); s != 0 {
+		t.Error("shed too early")
+	}
+	if s, _ := answers(d.wait(50), 1); s != 1 {
+		t.Error("not answered by the end")
+	}
+}
+
+// Rule 3 while the feed is out of reach: what counts as told is not known, so nothing is sent.
+func TestExpiredList(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	d.step(Listed{Expired: true})
+	if to := sent(append(d.step(command1(1)), d.wait(tendEvery)...), 1); to != "" {
+		t.Error("sent by an expired list")
+	}
+	if to := sent(d.step(Listed{}), 1); to != "a" {
+		t.Error("not sent when news came")
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -232,6 +232,8 @@
 	sizeCap            float64 // the largest command taken, in usual work of its profile
 	missed             bool    // a latency target, since it was last looked at
 	jamUntil           float64 // by the last fresh command given up while held
+	stopAt             float64 // when this controller ends
+	blind              bool    // the list has expired
 }
 
 // tenant is one that shares the fleet, with what it asks for here.
@@ -245,7 +247,7 @@
 	guards Guards) *Router {
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		number: place.Number,
-		kinds:  kinds, allowed: allowed, guards: guards, born: -1, sizeCap: mostSize,
+		kinds:  kinds, allowed: allowed, guards: guards, born: -1, stopAt: math.Inf(1), sizeCap: mostSize,
 		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife},
 		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
@@ -508,6 +510,7 @@
 
 // enlist takes in the entries of a list; what a whole list doesn't name has left.
 func (r *Router) enlist(ev Listed) {
+	r.blind = ev.Expired
 	named := map[EngineID]bool{}
 	for _, entry := range ev.Entries {
 		named[entry.Engine] = true
@@ -539,6 +542,28 @@
 	}
 }
 
+// file takes in the events that ask for no decision of their own.
+func (r *Router) file(event Event) {
+	switch ev := event.(type) {
+	case Began:
+		r.begun(ev.ID)
+	case Left:
+		r.left(ev.ID)
+	case Probed:
+		r.probed(ev)
+	case Stopping:
+		r.stopping(ev.Within)
+	}
+}
+
+// stopping has every command looked at by the time that this controller ends.
+func (r *Router) stopping(within float64) {
+	r.stopAt = r.now + within
+	for _, c := range r.cmds { // alarms have an order of their own
+		r.setAlarm(r.endBy(c), c)
+	}
+}
+
 func (r *Router) begun(id CommandID) {
 	if c := r.cmds[id]; c != nil {
 		c.begun = true
--- a/router/types.go
+++ b/router/types.go
@@ -140,6 +140,7 @@
 		Whole   bool // what is absent has left
 		Cached  bool // the list as last had before this start
 		Failed  bool // the question failed or the subscription broke; the old list stands
+		Expired bool // too long without news: engines may have been told to drain, and this controller counts as told
 		Entries []Entry
 	}
 	// Arrived is a command taken from a client.
@@ -184,6 +185,8 @@
 		Outcome Outcome
 		Load    *Load
 	}
+	// Stopping says that the controller is to end: what has no answer within this long will have none.
+	Stopping struct{ Within float64 }
 	// Woke says that the time of a Wake has come.
 	Woke struct{}
 )
@@ -199,14 +202,15 @@
 	NoteOther
 )
 
-func (Listed) event()  {}
-func (Arrived) event() {}
-func (Began) event()   {}
-func (Noted) event()   {}
-func (Ended) event()   {}
-func (Left) event()    {}
-func (Probed) event()  {}
-func (Woke) event()    {}
+func (Listed) event()   {}
+func (Arrived) event()  {}
+func (Began) event()    {}
+func (Noted) event()    {}
+func (Ended) event()    {}
+func (Left) event()     {}
+func (Probed) event()   {}
+func (Stopping) event() {}
+func (Woke) event()     {}
 
 // Action is one of the types below that ends in the method action.
 type Action interface{ action() }
