--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -81,17 +81,20 @@
 		named[a.Engine] = true
 		e := p.engines[a.Engine]
 		if e == nil {
-			e = &engine{}
+			e = &engine{Address: a}
 			p.engines[a.Engine] = e
 		}
-		if e.Dial != "" && e.Dial != a.Dial {
+		if a.State != router.Ready { // where it was is not told any more, and what is out there may still end
+			e.State = a.State
+			e.withdraw()
+			continue
+		}
+		if e.Dial != a.Dial {
 			for _, c := range e.conns {
 				c.stop()
 			}
 		}
-		if e.Address = a; a.State != router.Ready {
-			e.withdraw()
-		}
+		e.Address = a
 	}
 	for id, e := range p.engines {
 		if whole && !named[id] {
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -320,6 +320,7 @@
 	}
 	r.send(command("c3"), 0)
 	r.ended(0, router.NotSent)
+	r.pool.List([]Address{{Engine: "e", Dial: "0.0.0.0:0", State: router.Gone}}, false)
 	p.answers("c1", "ACK", "-", "")
 	r.ended(0, router.Answered)
 }
