--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -91,14 +91,13 @@
 const (
 	frameHead  = 13 // length, number and kind
 	recordSize = 27
-	mostFrame  = 1 << 20
 	kindNone   = 0
 	kindWhole  = 1
 	kindChange = 2
 )
 
-// ReadFrame takes one frame; fresh is false where it holds nothing new.
-func ReadFrame(r *bufio.Reader, names *settings.Names) (news News, fresh bool, err error) {
+// ReadFrame takes one frame, which holds most bytes at most; fresh is false where it holds nothing new.
+func ReadFrame(r *bufio.Reader, most int, names *settings.Names) (news News, fresh bool, err error) {
 	head, err := r.Peek(frameHead)
 	if err != nil {
 		return news, false, err
@@ -106,7 +105,7 @@
 	length, kind := int(binary.BigEndian.Uint32(head)), head[12]
 	news.No, news.Whole = binary.BigEndian.Uint64(head[4:]), kind == kindWhole
 	size := length - (frameHead - 4)
-	if length > mostFrame || size < 0 || kind > kindChange || size%recordSize != 0 || kind == kindNone && size != 0 {
+	if length > most || size < 0 || kind > kindChange || size%recordSize != 0 || kind == kindNone && size != 0 {
 		return news, false, fmt.Errorf("%w: length %d, kind %d", ErrMalformed, length, kind)
 	}
 	r.Discard(frameHead)
@@ -208,7 +207,7 @@
 	r := bufio.NewReader(conn)
 	for {
 		conn.SetDeadline(f.silence())
-		news, fresh, err := ReadFrame(r, f.names)
+		news, fresh, err := ReadFrame(r, f.limits.FrameBytes, f.names)
 		if err != nil {
 			return err
 		}
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -68,7 +68,7 @@
 		{"far too long", append([]byte{0xff, 0xff, 0xff, 0xff}, whole[4:]...), nil, false, true},
 		{"cut", whole[:30], nil, false, true},
 	} {
-		news, fresh, err := ReadFrame(bufio.NewReader(bytes.NewReader(c.bytes)), names)
+		news, fresh, err := ReadFrame(bufio.NewReader(bytes.NewReader(c.bytes)), 1000, names)
 		if c.bad != (err != nil) || !c.bad && (fresh != c.fresh || !reflect.DeepEqual(news.Entries, c.want)) {
 			t.Errorf("%s: %+v, %t, %v", c.name, news, fresh, err)
 		}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -71,7 +71,7 @@
 		}
 		if err != nil { // short of descriptors, say: those that are closed make room
 			s.log.Warn("accept failed", "why", err)
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(s.limits.AcceptRetry)
 			continue
 		}
 		s.counts.connections.Add(1)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,7 +14,9 @@
 	PageBytes    int           // the longest page
 	ResultBytes  int           // the longest result
 	QueueBytes   int           // what waits to be written to one engine
+	FrameBytes   int           // the longest frame of the feed
 	Inbox        int           // events that wait for the loop
+	AcceptRetry  time.Duration // after an accept failed, for descriptors to come free
 	StartTime    time.Duration // for a client to finish its start-up message
 	IdleTime     time.Duration // after which a silent client's connection is closed
 	WriteTime    time.Duration // for a client to take an answer
@@ -54,7 +56,9 @@
 		PageBytes:    6000,
 		ResultBytes:  resultBytes,
 		QueueBytes:   1 << 20,
+		FrameBytes:   1 << 20,
 		Inbox:        1024,
+		AcceptRetry:  5 * time.Millisecond,
 		StartTime:    10 * time.Second,
 		IdleTime:     60 * time.Second,
 		WriteTime:    2 * time.Second,
