--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -187,6 +187,7 @@
 		{"no statement", ask(head), "E22004Z"},
 		{"no profile", with("verb=report,", ""), "E22004Z"},
 		{"another profile", with("report", "what"), "E22023Z"},
+		{"profile that is no word", with("report", "re port"), "E22023Z"},
 		{"no id", with("txn=9b1f03aa5c7e2d41,", ""), "E22004Z"},
 		{"short id", with("9b1f", "9b1"), "E22023Z"},
 		{"id of no hex", with("9b1f", "9b1g"), "E22023Z"},
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -148,7 +148,7 @@
 				Level: ev.Level})
 		}
 	case engines.Probed:
-		l.events = append(l.events, router.Probed{Engine: ev.Engine, Outcome: ev.Outcome})
+		l.events = append(l.events, router.Probed{Engine: ev.Engine, Outcome: ev.Outcome, Load: ev.Load})
 	case bulletin.News:
 		l.News(ev, false)
 	case Stop:
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -268,6 +268,10 @@
 	}
 	for _, s := range c.sends {
 		if !s.undone && !now.Before(s.until) {
+			if !c.pool.cancels {
+				ends = append(ends, c.finish(s, router.TimedOut))
+				continue
+			}
 			c.undo(s, router.TimedOut)
 		}
 		at := s.until
@@ -285,7 +289,7 @@
 		if !now.Before(at) {
 			delete(c.pings, tag)
 			c.mute = true
-			ends = append(ends, Probed{c.engine, router.TimedOut})
+			ends = append(ends, Probed{Engine: c.engine, Outcome: router.TimedOut})
 		} else if at.Before(due) {
 			due = at
 		}
@@ -317,7 +321,7 @@
 	defer c.mu.Unlock()
 	c.mute = false
 	if a.Word == enginewire.Ready {
-		return c.heard(string(a.ID)), nil
+		return c.heard(string(a.ID), load), nil
 	}
 	s := c.sends[string(a.ID)]
 	if s == nil {
@@ -347,11 +351,11 @@
 }
 
 // heard takes in that the engine has read all that came before a ping.
-func (c *conn) heard(tag string) []any {
+func (c *conn) heard(tag string, load *router.Load) []any {
 	if _, probe := c.pings[tag]; probe {
 		delete(c.pings, tag)
 		c.idleAt = time.Now()
-		return one(Probed{c.engine, router.Answered})
+		return one(Probed{c.engine, router.Answered, load})
 	}
 	for _, s := range c.sends {
 		if s.undone && s.tag == tag {
@@ -429,7 +433,7 @@
 	}
 	for tag := range c.pings {
 		delete(c.pings, tag)
-		ends = append(ends, Probed{c.engine, router.Refused})
+		ends = append(ends, Probed{Engine: c.engine, Outcome: router.Refused})
 	}
 	c.mu.Unlock()
 	c.cancel()
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -37,6 +37,7 @@
 	Probed struct {
 		Engine  router.EngineID
 		Outcome router.Outcome
+		Load    *router.Load
 	}
 )
 
@@ -50,7 +51,8 @@
 // Pool is the connections to all engines. Its methods are for one goroutine, the loop's; none of them blocks.
 type Pool struct {
 	limits  *limits.Limits
-	streams int // sends that one connection carries
+	streams int  // sends that one connection carries
+	cancels bool // engines may be told to give a send up
 	post    func(event any)
 	log     *slog.Logger
 	engines map[router.EngineID]*engine
@@ -66,11 +68,11 @@
 }
 
 // New makes a pool that tells post what happens; post may block its caller, which is never the loop.
-func New(l *limits.Limits, streams int, post func(event any), log *slog.Logger) *Pool {
+func New(l *limits.Limits, streams int, cancels bool, post func(event any), log *slog.Logger) *Pool {
 	if streams <= 0 {
 		streams = 100
 	}
-	return &Pool{limits: l, streams: streams, post: post, log: log, engines: map[router.EngineID]*engine{}}
+	return &Pool{limits: l, streams: streams, cancels: cancels, post: post, log: log, engines: map[router.EngineID]*engine{}}
 }
 
 // List takes in where engines are. Sends that wait for a connection to one that drains or is gone are withdrawn:
@@ -180,7 +182,7 @@
 			return
 		}
 	}
-	go p.post(Probed{id, router.NotSent})
+	go p.post(Probed{Engine: id, Outcome: router.NotSent})
 }
 
 // tag names a ping; command ids are longer.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -61,7 +61,7 @@
 		AcceptRetry:  5 * time.Millisecond,
 		StartTime:    10 * time.Second,
 		IdleTime:     60 * time.Second,
-		WriteTime:    2 * time.Second,
+		WriteTime:    5 * time.Second,
 		CloseTime:    time.Second,
 		EngineWrite:  time.Second,
 		ConnectTime:  connect,
--- a/internal/pgwire/query.go
+++ b/internal/pgwire/query.go
@@ -64,10 +64,13 @@
 func (f *Fields) set(name, value string) (err error) {
 	switch name {
 	case "verb":
-		f.Verb = value
+		if f.Verb = value; !plain(value) {
+			err = &FieldError{name, "is no word", false}
+		}
 	case "txn":
-		f.ID = value
-		err = hex(name, value, 16)
+		if f.ID = value; len(value) != 16 || strings.Trim(value, "0123456789abcdefABCDEF") != "" {
+			err = &FieldError{name, "is not of 16 hex digits", false}
+		}
 	case "team":
 		f.Team = value
 	case "unique":
@@ -90,13 +93,6 @@
 	return err
 }
 
-func hex(name, value string, digits int) error {
-	if len(value) != digits || strings.Trim(value, "0123456789abcdefABCDEF") != "" {
-		return &FieldError{name, fmt.Sprintf("is not of %d hex digits", digits), false}
-	}
-	return nil
-}
-
 // plain tells that a value can go on in an engine's list of fields.
 func plain(value string) bool {
 	return len(value) <= 128 && strings.IndexFunc(value, func(c rune) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,7 +42,7 @@
 				v.flatten(fmt.Sprintf("%s.%d", at, i), inner)
 				v[at+".count"] = strconv.Itoa(i + 1)
 			} else {
-				plain = append(plain, text(inner))
+				plain = append(plain, strings.ReplaceAll(text(inner), ",", "_"))
 			}
 		}
 		v[at] = strings.Join(plain, ",")
@@ -57,8 +57,6 @@
 		return ""
 	case json.Number:
 		return item.String()
-	case string: // as on the simulator's wire, so that a name can stand in a list
-		return strings.NewReplacer(" ", "_", ",", "_").Replace(item)
 	}
 	return fmt.Sprint(item)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -18,7 +18,7 @@
 		"family_info": map[string]any{"size_cores": []any{8.0, 4.0}, "holds_tables": []any{false, true}},
 		"services": []any{map[string]any{"name": "x", "effect": "free", "promise_ns": 1500000},
 			map[string]any{"name": "y", "effect": "guarded", "dedup_scope": "all", "bound_to": []any{"b"}}},
-		"accounts": []any{map[string]any{"name": "big one", "quota_per_s": 2.5}},
+		"accounts": []any{map[string]any{"name": "big_one", "quota_per_s": 2.5}},
 		"contract": map[string]any{"resend_span_ns": 1e9}}
 	if flat := Flatten(nested); !reflect.DeepEqual(flat["services.1.bound_to"], "b") {
 		t.Errorf("%v", flat)
