--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -54,7 +54,7 @@
 	flag.NewFlagSet("version", flag.ExitOnError).Parse(args)
 	build, revision := "unknown build", ""
 	if info, ok := debug.ReadBuildInfo(); ok {
-		build = info.GoVersion
+		build = info.Main.Version + " " + info.GoVersion
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
 				revision += " " + s.Key + "=" + s.Value
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -153,6 +153,7 @@
 	post    func(News)
 	log     *slog.Logger
 	heard   time.Time // when the feed last said anything
+	logged  time.Time // when its absence was last logged
 	expired bool
 }
 
@@ -170,9 +171,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.log.Warn("feed connection ended", "why", err, "last", f.last)
+		if now := time.Now(); now.Sub(f.logged) >= f.limits.LogEvery {
+			f.logged = now
+			f.log.Warn("feed connection ended", "why", err, "last", f.last)
+		}
 		if !f.expired && !time.Now().Before(f.heard.Add(f.limits.FeedTold)) {
 			f.expired = true
+			f.log.Warn("nothing heard from the feed for too long: nothing is sent until it speaks")
 			f.post(News{Expired: true})
 		}
 		select {
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -438,8 +438,7 @@
 	c.mu.Unlock()
 	c.cancel()
 	if !errors.Is(err, errIdle) && !errors.Is(err, context.Canceled) {
-		c.pool.lost.Add(1)
-		c.pool.log.Info("engine connection ended", "engine", c.engine, "why", err, "open", len(ends))
+		c.pool.note(c.engine, err, len(ends))
 	}
 	c.tell(ends)
 }
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -5,8 +5,10 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +62,9 @@
 	dialled atomic.Int64
 	lost    atomic.Int64 // connections that ended otherwise than for being idle
 	tags    uint64
+
+	logMu  sync.Mutex
+	logged map[router.EngineID]time.Time
 }
 
 type engine struct {
@@ -72,7 +77,8 @@
 	if streams <= 0 {
 		streams = 100
 	}
-	return &Pool{limits: l, streams: streams, cancels: cancels, post: post, log: log, engines: map[router.EngineID]*engine{}}
+	return &Pool{limits: l, streams: streams, cancels: cancels, post: post, log: log, engines: map[router.EngineID]*engine{},
+		logged: map[router.EngineID]time.Time{}}
 }
 
 // List takes in where engines are. Sends that wait for a connection to one that drains or is gone are withdrawn:
@@ -191,6 +197,22 @@
 	return kind + strconv.FormatUint(p.tags, 10)
 }
 
+// note logs that a connection ended, if nothing was logged of its engine just now.
+func (p *Pool) note(id router.EngineID, err error, open int) {
+	p.lost.Add(1)
+	p.logMu.Lock()
+	now := time.Now()
+	due := now.Sub(p.logged[id]) >= p.limits.LogEvery
+	if due {
+		maps.DeleteFunc(p.logged, func(_ router.EngineID, at time.Time) bool { return now.Sub(at) >= p.limits.LogEvery })
+		p.logged[id] = now
+	}
+	p.logMu.Unlock()
+	if due {
+		p.log.Info("engine connection ended", "engine", id, "why", err, "open", open)
+	}
+}
+
 // LogValue prints what the pool has seen.
 func (p *Pool) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("connections", p.dialled.Load()), slog.Int64("lost", p.lost.Load()),
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -28,6 +28,7 @@
 	FeedSilence  time.Duration // after which the feed's connection counts as dead
 	FeedTold     time.Duration // of silence, after which what the feed has to tell may count as told
 	FeedRetry    time.Duration // between tries to reach the feed
+	LogEvery     time.Duration // between log lines of one kind, for an outage not to drown the rest
 	StopTime     time.Duration // from being told to stop until all must be answered
 	EndTime      time.Duration // and until the process ends, answered or not
 	StopQuiet    time.Duration // without a new command, after which a controller told to stop may end
@@ -70,6 +71,7 @@
 		FeedSilence:  3500 * time.Millisecond,
 		FeedTold:     6500 * time.Millisecond,
 		FeedRetry:    100 * time.Millisecond,
+		LogEvery:     time.Second,
 		StopTime:     3300 * time.Millisecond,
 		EndTime:      3600 * time.Millisecond,
 		StopQuiet:    800 * time.Millisecond,
