--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -182,3 +182,19 @@
 	}
 	return conn
 }
+
+func FuzzFrame(f *testing.F) {
+	f.Add(whole)
+	f.Add(frame(2, 2, record(1, 3, 0, 0)))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		for r := bufio.NewReader(bytes.NewReader(in)); ; {
+			news, _, err := ReadFrame(r, 1000, names)
+			if err != nil {
+				return
+			}
+			if len(news.Entries) > len(in)/recordSize {
+				t.Fatalf("%d entries of %d bytes", len(news.Entries), len(in))
+			}
+		}
+	})
+}
