--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,6 @@
 // Every decision of a controller stands here with its tuned values. A caller gets a Router by New, hands each
 // batch of events to Step, from one goroutine, and carries out what comes back, in order. The interface is
-// types.go; state.go keeps the books. The step comes last, and there emit diffs wanted and present.
+// types.go; state.go keeps the books, and its emit alone diffs wanted and present.
 package router
 
 import (
@@ -48,7 +48,7 @@
 		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
-// mayStart is the part of mayGo that is the same for all engines.
+// mayStart is the part of mayGo that is the same for all engines. By an expired list nobody gets anything.
 func (r *Router) mayStart(c *command) bool {
 	if l := r.lineOf(c); l != nil && (l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest) {
 		return false
@@ -57,6 +57,14 @@
 		(len(c.sends) == 0 || r.budgetAllows())
 }
 
+// restUntil is when the key of a send with this outcome may be used again: it may still be running.
+func (r *Router) restUntil(o Outcome) float64 {
+	if o == TimedOut || o == Reset || o == Cancelled {
+		return r.now + r.guards.OrderRest + r.guards.Round
+	}
+	return 0
+}
+
 // endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
 // controller, so that who cannot be done by then is told at once and can try another.
 func (r *Router) endBy(c *command) float64 {
@@ -108,6 +116,10 @@
 	return p.Effect == Replayable || !doubt || p.Effect == Uniqued && p.Scope == ScopeAll
 }
 
+func sameScope(s Scope, a, b *engine) bool {
+	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
+}
+
 // The engine view.
 
 const (
@@ -146,8 +158,7 @@
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
 }
 
-// listed takes in news of the list. A failed question is asked again before the old list counts as told. While
-// the list has expired nothing is sent at all: any engine may be one that drains.
+// listed takes in news of the list. A failed question is asked again before the old list counts as told.
 func (r *Router) listed(ev Listed) {
 	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
 		r.askAt = r.now + askAgain*(1+r.rng.Float64())
@@ -177,6 +188,27 @@
 	return true
 }
 
+func (r *Router) report(e *engine, l *Load) {
+	if l == nil {
+		return
+	}
+	e.reportAt, e.granted = r.now, max(0, l.Memory)
+	if l.Util >= 0 {
+		e.util.add(r.now, l.Util, 1)
+	}
+	if l.Disk >= 0 {
+		e.disk.add(r.now, l.Disk, 1)
+	}
+	if l.Inflight >= 0 {
+		e.others.cap(r.now, 1)
+		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
+		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
+		if r.cores > 0 {
+			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
+		}
+	}
+}
+
 // load is the design's, with its fallbacks in order.
 func (r *Router) load(e *engine) float64 {
 	if e.reportAt == 0 || r.now-e.reportAt > reportStale {
@@ -442,6 +474,15 @@
 	return x
 }
 
+// likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
+func likes(g *tableGroup, e *engine) float64 {
+	x := e.hash ^ uint64(g.id)*0x9e3779b97f4a7c15
+	x ^= x >> 31
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 29
+	return float64(x>>11) / (1 << 53)
+}
+
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
 func (r *Router) choose(c *command) (best *engine) {
 	least := math.Inf(1)
@@ -537,6 +578,9 @@
 	r.touch(c)
 }
 
+// comeBack is how long a client that is shed should stay away: long, and not all together.
+func (r *Router) comeBack() float64 { return r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64()) }
+
 func (r *Router) arrived(ev Arrived) {
 	c := r.take(ev)
 	p := c.profile
@@ -704,43 +748,3 @@
 	}
 	r.forgetOld()
 }
-
-// emit is the one place where the wanted state meets the present.
-func (r *Router) emit() (actions []Action) {
-	for _, c := range r.touched {
-		c.touched = false
-		if c.wantEngine != nil {
-			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
-			c.wantEngine = nil
-		}
-		if c.wantEnd == shed && !c.over { // come back later, and not all together
-			actions = append(actions, Shed{c.id, r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64())})
-		} else if c.wantEnd == failed && !c.over {
-			actions = append(actions, Fail{c.id})
-		}
-		c.over = c.over || c.wantEnd != open
-		for i := range c.sends {
-			if s := &c.sends[i]; c.wantCancel && r.allowed.Cancel && s.out && !s.cancelled {
-				s.cancelled = true
-				actions = append(actions, Cancel{c.id, SendID(i)})
-			}
-		}
-		if c.wantCancel = false; c.over && c.pending == 0 {
-			r.forget(c)
-		}
-	}
-	for _, e := range r.asked {
-		actions = append(actions, Probe{e.id})
-	}
-	if r.wantList {
-		r.wantList = false
-		actions = append(actions, Subscribe{})
-	}
-	r.asked, r.touched = r.asked[:0], r.touched[:0]
-	wake := min(r.tendAt, r.nextAlarm())
-	if r.wakeAt <= r.now || wake < r.wakeAt {
-		r.wakeAt = wake
-		actions = append(actions, Wake{max(0.001, wake-r.now)})
-	}
-	return actions
-}
--- a/router/state.go
+++ b/router/state.go
@@ -362,9 +362,8 @@
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, s.engine
 	}
-	mayRun := ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled
-	if l := r.lineOf(c); l != nil && mayRun {
-		l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
+	if l := r.lineOf(c); l != nil {
+		l.rest = max(l.rest, r.restUntil(ev.Outcome))
 	}
 	r.touch(c)
 }
@@ -465,15 +464,6 @@
 	return list
 }
 
-// likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
-func likes(g *tableGroup, e *engine) float64 {
-	x := e.hash ^ uint64(g.id)*0x9e3779b97f4a7c15
-	x ^= x >> 31
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 29
-	return float64(x>>11) / (1 << 53)
-}
-
 // demand is the work asked of an owner's groups, for each millisecond.
 func (r *Router) demand(o *owner) float64 {
 	sum := 1e-9
@@ -483,31 +473,6 @@
 	return sum
 }
 
-func sameScope(s Scope, a, b *engine) bool {
-	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
-}
-
-func (r *Router) report(e *engine, l *Load) {
-	if l == nil {
-		return
-	}
-	e.reportAt, e.granted = r.now, max(0, l.Memory)
-	if l.Util >= 0 {
-		e.util.add(r.now, l.Util, 1)
-	}
-	if l.Disk >= 0 {
-		e.disk.add(r.now, l.Disk, 1)
-	}
-	if l.Inflight >= 0 {
-		e.others.cap(r.now, 1)
-		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
-		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
-		if r.cores > 0 {
-			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
-		}
-	}
-}
-
 // enlist takes in the entries of a list; what a whole list doesn't name has left.
 func (r *Router) enlist(ev Listed) {
 	r.blind = ev.Expired
@@ -615,3 +580,43 @@
 	}
 	return r.alarms[0].at
 }
+
+// emit is the one place where the wanted state meets the present.
+func (r *Router) emit() (actions []Action) {
+	for _, c := range r.touched {
+		c.touched = false
+		if c.wantEngine != nil {
+			actions = append(actions, Send{c.id, c.wantEngine.id, c.timeout})
+			c.wantEngine = nil
+		}
+		if c.wantEnd == shed && !c.over {
+			actions = append(actions, Shed{c.id, r.comeBack()})
+		} else if c.wantEnd == failed && !c.over {
+			actions = append(actions, Fail{c.id})
+		}
+		c.over = c.over || c.wantEnd != open
+		for i := range c.sends {
+			if s := &c.sends[i]; c.wantCancel && r.allowed.Cancel && s.out && !s.cancelled {
+				s.cancelled = true
+				actions = append(actions, Cancel{c.id, SendID(i)})
+			}
+		}
+		if c.wantCancel = false; c.over && c.pending == 0 {
+			r.forget(c)
+		}
+	}
+	for _, e := range r.asked {
+		actions = append(actions, Probe{e.id})
+	}
+	if r.wantList {
+		r.wantList = false
+		actions = append(actions, Subscribe{})
+	}
+	r.asked, r.touched = r.asked[:0], r.touched[:0]
+	wake := min(r.tendAt, r.nextAlarm())
+	if r.wakeAt <= r.now || wake < r.wakeAt {
+		r.wakeAt = wake
+		actions = append(actions, Wake{max(0.001, wake-r.now)})
+	}
+	return actions
+}
--- a/router/types.go
+++ b/router/types.go
@@ -140,7 +140,7 @@
 		Whole   bool // what is absent has left
 		Cached  bool // the list as last had before this start
 		Failed  bool // the question failed or the subscription broke; the old list stands
-		Expired bool // too long without news: engines may have been told to drain, and this controller counts as told
+		Expired bool // too long without news: any engine may drain by now, and this controller counts as told
 		Entries []Entry
 	}
 	// Arrived is a command taken from a client.
