--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -99,7 +99,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := clients.New(l, s.facts, loop.Post, log)
+	server := clients.New(l, &s.facts.Names, s.facts.Profiles, loop.Post, log)
 	go loop.Run(ctx)
 	feed := bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
 	go feed.Follow(ctx)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -57,8 +57,9 @@
 }
 
 // New makes a server that tells post of commands; post may block its caller.
-func New(l *limits.Limits, facts *settings.Facts, post func(event any), log *slog.Logger) *Server {
-	return &Server{limits: l, names: &facts.Names, profiles: facts.Profiles, post: post, log: log,
+func New(l *limits.Limits, names *settings.Names, profiles []router.Profile, post func(event any),
+	log *slog.Logger) *Server {
+	return &Server{limits: l, names: names, profiles: profiles, post: post, log: log,
 		conns: map[net.Conn]bool{}, sessions: map[uint32]*session{}, heard: time.Now()}
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -51,11 +51,11 @@
 	if change != nil {
 		change(l)
 	}
-	facts := &settings.Facts{Profiles: []router.Profile{{}, {Effect: router.Uniqued}},
-		Names: settings.Names{Profiles: map[string]router.ProfileID{"report": 0, "load": 1},
-			Tenants: map[string]router.TenantID{"acme": 0}}}
+	names := &settings.Names{Profiles: map[string]router.ProfileID{"report": 0, "load": 1},
+		Tenants: map[string]router.TenantID{"acme": 0}}
 	f := &front{t: t, events: make(chan any, 100)}
-	f.server = New(l, facts, func(ev any) { f.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f.server = New(l, names, []router.Profile{{}, {Effect: router.Uniqued}}, func(ev any) { f.events <- ev },
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -345,8 +345,8 @@
 func FuzzSession(f *testing.F) {
 	f.Add(append(bytes.Clone(hello), ask(query)...))
 	f.Add([]byte(fmt.Sprint(head)))
-	server := New(limits.For(64, 32, 0, 0), &settings.Facts{Profiles: []router.Profile{{}},
-		Names: settings.Names{Profiles: map[string]router.ProfileID{"report": 0}}}, nil, slog.Default())
+	server := New(limits.For(64, 32, 0, 0), &settings.Names{Profiles: map[string]router.ProfileID{"report": 0}},
+		[]router.Profile{{}}, nil, slog.Default())
 	server.post = func(ev any) {
 		if t, ok := ev.(Taken); ok {
 			t.Command.Finish(exchange.Answer{Verdict: exchange.Answered})
