While the feed is out of reach, engines that go on answering still get commands

Holding everything back keeps the rule and loses all service. An engine that drains turns new work away, so one that answered a command sent within the time did not drain before; a lost connection ends that trust, and new connections are opened only beside one that is up, as another engine may have come to the address. Harm: an engine that idles for that long gets nothing until there is news.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -27,7 +27,7 @@
 type News struct {
 	No      uint64
 	Whole   bool
-	Expired bool // nothing new, but nothing heard either for so long that all counts as told
+	Expired time.Duration // above 0: nothing new, but nothing heard either for so long that what is older counts as told
 	Entries []Entry
 }
 
@@ -178,8 +178,8 @@
 		}
 		if !f.expired && !time.Now().Before(f.heard.Add(f.limits.FeedTold)) {
 			f.expired = true
-			f.log.Warn("nothing heard from the feed for too long: nothing is sent until it speaks")
-			f.post(News{Expired: true})
+			f.log.Warn("nothing heard from the feed for too long: only engines that go on answering get commands")
+			f.post(News{Expired: f.limits.FeedTold})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,7 @@
 // Engines is what carries out what concerns engines. None of its methods blocks.
 type Engines interface {
 	List(addresses []engines.Address, whole bool)
+	Expire(expired bool)
 	Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within time.Duration)
 	Cancel(cmd *exchange.Command, number router.SendID, to router.EngineID)
 	Probe(id router.EngineID)
@@ -227,13 +228,14 @@
 // cached tells that it was known at start.
 func (l *Loop) News(news bulletin.News, cached bool) {
 	l.counts.News++
-	listed := router.Listed{Whole: news.Whole, Cached: cached, Expired: news.Expired}
+	listed := router.Listed{Whole: news.Whole, Cached: cached, Expired: float64(news.Expired) / 1e6}
 	var addresses []engines.Address
 	for _, e := range news.Entries {
 		listed.Entries = append(listed.Entries, e.Entry)
 		addresses = append(addresses, engines.Address{Engine: e.Engine, Dial: e.Dial, State: e.State})
 	}
 	l.engines.List(addresses, news.Whole)
+	l.engines.Expire(news.Expired > 0)
 	l.events = append(l.events, listed)
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -21,6 +21,7 @@
 }
 
 func (h *hands) List([]engines.Address, bool) {}
+func (h *hands) Expire(bool)                  {}
 func (h *hands) Send(cmd *exchange.Command, _ router.SendID, _ router.EngineID, _ time.Duration) {
 	h.sent <- cmd
 }
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -73,6 +73,13 @@
 	return c.over
 }
 
+// works tells that the connection is up, as far as is known.
+func (c *conn) works() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.over && !c.mute && c.net != nil
+}
+
 // stop ends the connection; what is out on it ends as its state tells.
 func (c *conn) stop() {
 	c.cancel()
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,7 @@
 	post    func(event any)
 	log     *slog.Logger
 	engines map[router.EngineID]*engine
+	expired bool         // where engines are may have changed
 	open    atomic.Int64 // connections, dialled or being dialled
 	dialled atomic.Int64
 	lost    atomic.Int64 // connections that ended otherwise than for being idle
@@ -115,6 +117,16 @@
 	}
 }
 
+// Expire tells that where engines are may have changed unheard, or that it is known again. Until then connections
+// are opened only beside one that is up, which shows that the same process is still there: another engine may have
+// come to the address of one that has gone, or the same one back cold.
+func (p *Pool) Expire(expired bool) { p.expired = expired }
+
+// mayDial tells whether a new connection may be opened.
+func (p *Pool) mayDial(e *engine) bool {
+	return int(p.open.Load()) < p.limits.EngineConns && (!p.expired || slices.ContainsFunc(e.live(), (*conn).works))
+}
+
 // live drops connections that have ended.
 func (e *engine) live() []*conn {
 	kept := e.conns[:0]
@@ -144,11 +156,8 @@
 				return
 			}
 		}
-		if int(p.open.Load()) < p.limits.EngineConns {
-			c := p.connect(e)
-			if c.put(s, p.streams) {
-				return
-			}
+		if p.mayDial(e) && p.connect(e).put(s, p.streams) {
+			return
 		}
 	}
 	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
@@ -184,7 +193,7 @@
 				return
 			}
 		}
-		if int(p.open.Load()) < p.limits.EngineConns && p.connect(e).ping(p.tag("p")) {
+		if p.mayDial(e) && p.connect(e).ping(p.tag("p")) {
 			return
 		}
 	}
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -330,6 +331,32 @@
 	r.ended(0, router.Answered)
 }
 
+// While the list has expired, a connection is opened only beside one that is up.
+func TestExpired(t *testing.T) {
+	r := newRig(t, nil)
+	r.pool.Expire(true)
+	r.send(command("c1"), 0)
+	r.ended(0, router.NotSent)
+	r.pool.Expire(false)
+	again := command("c2")
+	r.send(again, 1)
+	first := r.accept()
+	first.hearsDo("c2")
+	r.pool.Expire(true)
+	r.send(again, 2)
+	second := r.accept()
+	second.hearsDo("c2")
+	first.Close()
+	second.Close()
+	<-r.events
+	<-r.events
+	for len(r.pool.engines["e"].live()) > 0 {
+		runtime.Gosched()
+	}
+	r.send(command("c3"), 3)
+	r.ended(3, router.NotSent)
+}
+
 // At a limit a send ends as one that never went out.
 func TestLimits(t *testing.T) {
 	r := newRig(t, func(l *limits.Limits) { l.EngineConns = 1 })
--- a/router/router.go
+++ b/router/router.go
@@ -43,17 +43,24 @@
 // on drains, repeats, order, placement, the sends budget and cold engines.
 func (r *Router) mayGo(c *command, e *engine) bool {
 	p := c.profile
-	return e.state == Ready && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
+	return e.state == Ready && r.listHolds(e) && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
 		(p.Zones == nil || slices.Contains(p.Zones, e.zone)) && r.mayStart(c) &&
 		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
-// mayStart is the part of mayGo that is the same for all engines. By an expired list nobody gets anything.
+// listHolds tells whether the list may be trusted of e. Once it has expired, it may for one that answered what
+// was sent so lately that no later drain counts as told: who drains turns new work away. One that was seen to
+// break may have come back cold, or have another in its place.
+func (r *Router) listHolds(e *engine) bool {
+	return r.expired == 0 || e.brokeAt < r.heardAt && r.now-e.tookAt < r.expired
+}
+
+// mayStart is the part of mayGo that is the same for all engines.
 func (r *Router) mayStart(c *command) bool {
 	if l := r.lineOf(c); l != nil && (l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest) {
 		return false
 	}
-	return !r.blind && !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
+	return !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
 		(len(c.sends) == 0 || r.budgetAllows())
 }
 
@@ -146,13 +153,6 @@
 	}
 }
 
-// fresh forgets what was learned of an engine's earlier process.
-func (e *engine) fresh() {
-	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
-	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
-	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
-}
-
 // ramp is the share of its capacity that a cold engine is taken to have.
 func (r *Router) ramp(e *engine) float64 {
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
--- a/router/state.go
+++ b/router/state.go
@@ -152,6 +152,8 @@
 	width            float64 // threads a core that all controllers together may run here, by what this one sees
 	cutAt, fullUntil float64
 	coldSent         stamps
+	tookAt           float64 // when what it last answered was sent to it
+	brokeAt          float64 // when a connection to it was last lost, or not to be had
 }
 
 // tableGroup is a group of tables with its learned demand.
@@ -233,7 +235,8 @@
 	missed             bool    // a latency target, since it was last looked at
 	jamUntil           float64 // by the last fresh command given up while held
 	stopAt             float64 // when this controller ends
-	blind              bool    // the list has expired
+	heardAt            float64 // when there was last news of the list
+	expired            float64 // it has expired: drains older than this count as told; 0: it has not
 }
 
 // tenant is one that shares the fleet, with what it asks for here.
@@ -359,6 +362,12 @@
 	c.pending--
 	c.tables.held.add(r.now, s.mem*ev.Took, 1)
 	s.out, c.over = false, c.over || ev.Over
+	switch ev.Outcome {
+	case Answered:
+		s.engine.tookAt = max(s.engine.tookAt, s.at)
+	case Refused, Reset, NotSent:
+		s.engine.brokeAt = r.now
+	}
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, s.engine
 	}
@@ -473,9 +482,18 @@
 	return sum
 }
 
+// fresh forgets what was learned of an engine's earlier process.
+func (e *engine) fresh() {
+	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
+	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
+	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
+}
+
 // enlist takes in the entries of a list; what a whole list doesn't name has left.
 func (r *Router) enlist(ev Listed) {
-	r.blind = ev.Expired
+	if r.expired = ev.Expired; r.expired == 0 {
+		r.heardAt = r.now
+	}
 	named := map[EngineID]bool{}
 	for _, entry := range ev.Entries {
 		named[entry.Engine] = true
--- a/router/types.go
+++ b/router/types.go
@@ -137,10 +137,10 @@
 type (
 	// Listed is news of the engine list.
 	Listed struct {
-		Whole   bool // what is absent has left
-		Cached  bool // the list as last had before this start
-		Failed  bool // the question failed or the subscription broke; the old list stands
-		Expired bool // too long without news: any engine may drain by now, and this controller counts as told
+		Whole   bool    // what is absent has left
+		Cached  bool    // the list as last had before this start
+		Failed  bool    // the question failed or the subscription broke; the old list stands
+		Expired float64 // above 0: so long without news that whatever is older than this counts as told
 		Entries []Entry
 	}
 	// Arrived is a command taken from a client.
