--- a/router/router.go
+++ b/router/router.go
@@ -48,9 +48,9 @@
 		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
-// listHolds tells whether the list may be trusted of e. Once expired, it may for one that answered what was sent
-// so lately that no later drain counts as told: who drains turns new work away. One that was seen to break may
-// have come back cold, or have another in its place.
+// listHolds tells whether the list may be trusted of e. Once expired, it may for one that answered what was
+// sent so lately that no later drain counts as told: who drains turns new work away. One that was seen to
+// break may have come back cold, or have another in its place.
 func (r *Router) listHolds(e *engine) bool {
 	return r.expired == 0 || e.brokeAt < r.heardAt && r.now-e.tookAt < r.expired
 }
