--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,7 +47,6 @@
 	engines Engines
 	clock   Clock
 	inbox   chan any
-	log     *slog.Logger
 
 	counts   Counts
 	events   []router.Event
@@ -79,10 +78,10 @@
 		slog.Int64("probes", c.Probes), slog.Int64("news", c.News), slog.Attr{Key: "ends", Value: slog.GroupValue(ends...)})
 }
 
-// New makes a loop; Post is how others reach it. e may be set later, by SetEngines, as it posts to the loop.
-func New(module *router.Router, clock Clock, inbox int, log *slog.Logger) *Loop {
+// New makes a loop; Post is how others reach it. SetEngines completes it, as engines post to the loop.
+func New(module *router.Router, clock Clock, inbox int) *Loop {
 	wake := time.NewTimer(time.Hour)
-	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), log: log, wake: wake,
+	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), wake: wake,
 		commands: map[router.CommandID]*command{}, ids: map[string]router.CommandID{}}
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -35,7 +33,7 @@
 		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{Cancel: true, MaxSends: 3},
 		router.Guards{Round: 5, ColdShare: 0.3, ColdTime: 1000, ColdMultiple: 4, ColdWindow: 1000})
 	h := &hands{make(chan *exchange.Command, 10), make(chan router.SendID, 10)}
-	l := New(module, SystemClock(), 10, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l := New(module, SystemClock(), 10)
 	l.SetEngines(h)
 	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -160,6 +160,7 @@
 			return
 		}
 	}
+	// The loop must not wait for room in its own inbox.
 	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
 }
 
