--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -86,7 +86,7 @@
 // run is the daemon: it puts the parts together, serves until told to stop, and then until all is answered.
 func run(s *start, l *limits.Limits, signals <-chan os.Signal, log *slog.Logger) error {
 	loop := controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox)
-	pool := engines.New(l, s.facts.Links.Streams, s.facts.Allowed.Cancel, loop.Post, log)
+	pool := engines.New(l, s.facts.Links.Streams, loop.Post, log)
 	loop.SetEngines(pool)
 	last := s.Known.No
 	for i, news := range s.news {
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -275,10 +275,6 @@
 	}
 	for _, s := range c.sends {
 		if !s.undone && !now.Before(s.until) {
-			if !c.pool.cancels {
-				ends = append(ends, c.finish(s, router.TimedOut))
-				continue
-			}
 			c.undo(s, router.TimedOut)
 		}
 		at := s.until
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -54,8 +54,7 @@
 // Pool is the connections to all engines. Its methods are for one goroutine, the loop's; none of them blocks.
 type Pool struct {
 	limits  *limits.Limits
-	streams int  // sends that one connection carries
-	cancels bool // engines may be told to give a send up
+	streams int // sends that one connection carries
 	post    func(event any)
 	log     *slog.Logger
 	engines map[router.EngineID]*engine
@@ -75,11 +74,11 @@
 }
 
 // New makes a pool that tells post what happens; post may block its caller, which is never the loop.
-func New(l *limits.Limits, streams int, cancels bool, post func(event any), log *slog.Logger) *Pool {
+func New(l *limits.Limits, streams int, post func(event any), log *slog.Logger) *Pool {
 	if streams <= 0 {
 		streams = 100
 	}
-	return &Pool{limits: l, streams: streams, cancels: cancels, post: post, log: log, engines: map[router.EngineID]*engine{},
+	return &Pool{limits: l, streams: streams, post: post, log: log, engines: map[router.EngineID]*engine{},
 		logged: map[router.EngineID]time.Time{}}
 }
 
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -33,7 +33,7 @@
 		change(l)
 	}
 	r := &rig{t: t, events: make(chan any, 100), conns: make(chan net.Conn, 10)}
-	r.pool = New(l, 100, true, func(ev any) { r.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r.pool = New(l, 100, func(ev any) { r.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	var err error
 	if r.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -299,12 +299,6 @@
 	p.hears("undo c1\r\n")
 	p.answers(strings.TrimPrefix(p.hears("ping "), "ping "), "READY", "-", "")
 	r.ended(0, router.TimedOut)
-	r.pool.cancels = false // then nothing is said of it
-	r.pool.Send(command("c2"), 1, "e", 30*time.Millisecond)
-	p.hearsDo("c2")
-	r.ended(1, router.TimedOut)
-	r.send(command("c3"), 2)
-	p.hearsDo("c3")
 }
 
 // What waits for a connection to an engine that comes to drain must not go out; what is out there goes on.
