Commands are answered 60 ms before their clients give up

Ruled out by logs: missing answers (each was written), slow steps of the module (none over 5 ms), closed connections. At fault: the time between a client's last byte and our reading, and the way back, were left to the module's 15 ms.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -140,7 +140,7 @@
 		{exchange.Answer{Verdict: exchange.Failed}, "E58000Z"},
 	} {
 		cmd := f.taken()
-		if cmd.Tables != 17 || cmd.Left != 1500*time.Millisecond || string(cmd.Statement) != query[len(head):] {
+		if cmd.Tables != 17 || cmd.Left != 1500*time.Millisecond-f.server.limits.AnswerTime || string(cmd.Statement) != query[len(head):] {
 			t.Errorf("took %+v", cmd)
 		}
 		if !cmd.Finish(c.answer) || cmd.Finish(exchange.Answer{Verdict: exchange.Failed}) {
@@ -265,6 +265,16 @@
 	}
 }
 
+// A command must be answered a little before its client gives up, so that the answer comes in time.
+func TestWithin(t *testing.T) {
+	ses := newSession(newFront(t, func(l *limits.Limits) { l.AnswerTime = 50 * time.Millisecond }).server, nil)
+	for _, c := range []struct{ limitMS, want float64 }{{6000, 5950}, {400, 350}, {80, 70}, {0, 0}} {
+		if got := ses.within(c.limitMS); got != time.Duration(c.want*1e6) {
+			t.Errorf("of %v ms: %v", c.limitMS, got)
+		}
+	}
+}
+
 // A query written before the answer to the last one is taken after it, and its time counts from when it came.
 func TestEarlyQuery(t *testing.T) {
 	f := newFront(t, nil)
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -162,8 +162,14 @@
 	}
 	return &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(tables),
-		Statement: append([]byte(nil), f.Statement...), Read: now,
-		Left: time.Duration(f.LimitMS * float64(time.Millisecond))}, nil
+		Statement: append([]byte(nil), f.Statement...), Read: now, Left: ses.within(f.LimitMS)}, nil
+}
+
+// within is how long after its reading a command must be answered at the latest. Against answers at the last moment
+// that come too late: on a crowded day some of thousands did, though written ahead of the client's timeout.
+func (ses *session) within(limitMS float64) time.Duration {
+	limit := time.Duration(limitMS * float64(time.Millisecond))
+	return limit - min(ses.server.limits.AnswerTime, limit/8)
 }
 
 func blank(text []byte) bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,7 +41,7 @@
 	Tables    router.TableGroup
 	Statement []byte
 	Read      time.Time     // when its last byte was read
-	Left      time.Duration // from then until its client gives up
+	Left      time.Duration // from then until it must be answered, a little before its client gives up
 
 	mu     sync.Mutex
 	answer Answer
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,6 +20,7 @@
 	StartTime    time.Duration // for a client to finish its start-up message
 	IdleTime     time.Duration // after which a silent client's connection is closed
 	WriteTime    time.Duration // for a client to take an answer
+	AnswerTime   time.Duration // taken off what a client waits: for its command to be read, and the answer to reach it
 	CloseTime    time.Duration // for a client that was turned away to take that in
 	EngineWrite  time.Duration // for an engine to take what is written to it
 	ConnectTime  time.Duration // for a connection to an engine to come up
@@ -63,6 +64,7 @@
 		StartTime:    10 * time.Second,
 		IdleTime:     60 * time.Second,
 		WriteTime:    5 * time.Second,
+		AnswerTime:   60 * time.Millisecond,
 		CloseTime:    time.Second,
 		EngineWrite:  time.Second,
 		ConnectTime:  connect,
