--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -200,7 +200,7 @@
 	go p.post(Probed{Engine: id, Outcome: router.NotSent})
 }
 
-// tag names a ping; command ids are longer.
+// tag names a ping; no command's id begins with these letters, as those are hex digits.
 func (p *Pool) tag(kind string) string {
 	p.tags++
 	return kind + strconv.FormatUint(p.tags, 10)
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -21,11 +21,11 @@
 
 // Codes of start-up messages.
 const (
-	protocol3     = 3 << 16
-	cancelCode    = 80877102
-	sslCode       = 80877103
-	gssCode       = 80877104
-	longestInPart = 1 << 30
+	protocol3   = 3 << 16
+	cancelCode  = 80877102
+	sslCode     = 80877103
+	gssCode     = 80877104
+	mostClaimed = 1 << 30 // a length past this is no length
 )
 
 // Codes of errors.
@@ -67,7 +67,7 @@
 		return StartUp{}, err
 	}
 	size, code := int(binary.BigEndian.Uint32(head)), binary.BigEndian.Uint32(head[4:])
-	if size < 8 || size > longestInPart {
+	if size < 8 || size > mostClaimed {
 		return StartUp{}, ErrMalformed
 	}
 	if size > r.Size() {
@@ -97,7 +97,7 @@
 		return 0, nil, 0, err
 	}
 	kind, size = head[0], int(binary.BigEndian.Uint32(head[1:]))+1
-	if size < 5 || size > longestInPart {
+	if size < 5 || size > mostClaimed {
 		return kind, nil, size, ErrMalformed
 	}
 	if size > r.Size() {
