Read-through: one way to use or dial a connection, derived undo tags, start-up apart

Sends and pings chose or opened a connection by two copies of one loop; an undo's tag was kept and searched for, though the command's id gives it; check and serve read the configuration by the same lines; times of links went to milliseconds and back; a record was read by a loop that the standard library has. Behaviour is meant to stay; a connection that is being stopped no longer counts as one that shows its engine is there.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -22,26 +22,22 @@
 	"mintkeel/internal/limits"
 )
 
-// configPath is where a configuration is, by flag or the platform's variable.
-func configPath(name string, args []string) (string, error) {
+// configured reads the configuration that a flag or the platform's variable names.
+func configured(name string, args []string) (*start, error) {
 	flags := flag.NewFlagSet(name, flag.ExitOnError)
 	path := flags.String("config", os.Getenv("PROXY_CONFIG"), "`file` with the configuration, as JSON")
 	flags.Parse(args)
 	if flags.NArg() > 0 {
-		return "", fmt.Errorf("%s takes no argument %q", name, flags.Arg(0))
+		return nil, fmt.Errorf("%s takes no argument %q", name, flags.Arg(0))
 	}
 	if *path == "" {
-		return "", errors.New("no configuration: set -config or PROXY_CONFIG")
+		return nil, errors.New("no configuration: set -config or PROXY_CONFIG")
 	}
-	return *path, nil
+	return readStart(*path)
 }
 
 func check(args []string) error {
-	path, err := configPath("check", args)
-	if err != nil {
-		return err
-	}
-	s, err := readStart(path)
+	s, err := configured("check", args)
 	if err != nil {
 		return err
 	}
@@ -66,16 +62,11 @@
 }
 
 func serve(args []string) error {
-	path, err := configPath("serve", args)
+	s, err := configured("serve", args)
 	if err != nil {
 		return err
 	}
-	s, err := readStart(path)
-	if err != nil {
-		return err
-	}
-	l := limits.For(s.Grants.Descriptors, s.Grants.MemoryMB, duration(s.facts.Links.ConnectTimeout),
-		duration(s.facts.Links.Idle))
+	l := limits.For(s.Grants.Descriptors, s.Grants.MemoryMB, s.facts.Links.ConnectTimeout, s.facts.Links.Idle)
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(max(1, int(s.Grants.Cores+0.5)))
 	signals := make(chan os.Signal, 4)
@@ -137,5 +128,3 @@
 		}
 	}
 }
-
-func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strconv"
@@ -111,11 +112,8 @@
 	r.Discard(frameHead)
 	record := make([]byte, recordSize)
 	for range size / recordSize {
-		for have := 0; have < recordSize; {
-			n, err := r.Read(record[have:])
-			if have += n; err != nil {
-				return news, false, err
-			}
+		if _, err := io.ReadFull(r, record); err != nil {
+			return news, false, err
 		}
 		entry, err := parse(record, names)
 		if err != nil {
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -34,27 +34,32 @@
 // past is a deadline that has gone by: it wakes a goroutine that reads.
 var past = time.Unix(1, 0)
 
-func (ses *session) run() {
-	l := ses.server.limits
-	ses.conn.SetReadDeadline(time.Now().Add(l.StartTime))
+// greet takes the start-up messages and reports whether they open a session.
+func (ses *session) greet() bool {
+	ses.conn.SetReadDeadline(time.Now().Add(ses.server.limits.StartTime))
 	for {
 		start, err := pgwire.ReadStartUp(ses.r)
 		switch {
 		case errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong):
 			ses.refuse(pgwire.CodeProtocol, "malformed start-up message")
-			return
+			return false
 		case err != nil:
-			return
+			return false
+		case start.Kind == pgwire.Start:
+			return true
 		case start.Kind == pgwire.Cancel:
 			ses.server.cancel(start.Key)
-			return
-		case start.Kind == pgwire.Encrypt:
-			if ses.write(pgwire.NoEncryption) != nil {
-				return
-			}
-			continue
+			return false
+		}
+		if ses.write(pgwire.NoEncryption) != nil {
+			return false
 		}
-		break
+	}
+}
+
+func (ses *session) run() {
+	if !ses.greet() {
+		return
 	}
 	if !ses.server.admit(ses) {
 		ses.server.counts.turnedAway.Add(1)
@@ -66,6 +71,7 @@
 	if ses.write(pgwire.AppendWelcome(nil, ses.key)) != nil {
 		return
 	}
+	l := ses.server.limits
 	for skip := false; ; {
 		ses.conn.SetReadDeadline(time.Now().Add(l.IdleTime))
 		kind, body, size, err := pgwire.Peek(ses.r)
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +27,6 @@
 	undone    bool // given up, but the engine may not know yet
 	outcome   router.Outcome
 	heardBy   time.Time // when undone: by then the engine had time to hear of it
-	tag       string    // of the ping that follows the undo
 	pages     [][]byte
 	missing   int // pages
 	size      int // bytes of the pages
@@ -73,11 +73,14 @@
 	return c.over
 }
 
+// usable tells that something may be put on the connection, up or being dialled; mu is held.
+func (c *conn) usable() bool { return !c.over && !c.mute && c.ctx.Err() == nil }
+
 // works tells that the connection is up, as far as is known.
 func (c *conn) works() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.over && !c.mute && c.net != nil
+	return c.usable() && c.net != nil
 }
 
 // stop ends the connection; what is out on it ends as its state tells.
@@ -92,7 +95,7 @@
 func (c *conn) put(s *send, streams int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over || c.mute || c.ctx.Err() != nil || !c.used[s.cmd.ID].IsZero() || len(c.sends) >= streams ||
+	if !c.usable() || !c.used[s.cmd.ID].IsZero() || len(c.sends) >= streams ||
 		c.queued+len(s.cmd.Statement) > c.pool.limits.QueueBytes {
 		return false
 	}
@@ -126,7 +129,7 @@
 func (c *conn) ping(tag string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over || c.mute || c.ctx.Err() != nil {
+	if !c.usable() {
 		return false
 	}
 	c.pings[tag] = time.Now().Add(c.pool.limits.GiveUpTime)
@@ -162,6 +165,9 @@
 	}
 }
 
+// undoTag begins the tag of the ping that follows an undo; the command's id is the rest.
+const undoTag = "u"
+
 // undo tells the engine that a send is given up, and asks to hear that it knows: until then its command may not be
 // sent anew, or two sends of it could be out at once. A send that no byte has left of needs neither.
 func (c *conn) undo(s *send, outcome router.Outcome) {
@@ -174,12 +180,11 @@
 		wake(c.net)
 		return
 	}
-	s.tag = "u" + s.cmd.ID
 	b := enginewire.AppendUndo(nil, s.cmd.ID)
 	if s.pages != nil {
 		b = enginewire.AppendForget(b, s.cmd.ID)
 	}
-	c.say(enginewire.AppendPing(b, s.tag))
+	c.say(enginewire.AppendPing(b, undoTag+s.cmd.ID))
 }
 
 // finish takes a send off and makes its Ended; mu is held.
@@ -282,7 +287,7 @@
 			at = s.heardBy
 		}
 		if s.undone && !now.Before(at) {
-			c.mute = c.mute || s.tag != ""
+			c.mute = c.mute || s.written
 			ends = append(ends, c.finish(s, s.outcome))
 		} else if at.Before(due) {
 			due = at
@@ -360,10 +365,9 @@
 		c.idleAt = time.Now()
 		return one(Probed{c.engine, router.Answered, load})
 	}
-	for _, s := range c.sends {
-		if s.undone && s.tag == tag {
-			return one(c.finish(s, s.outcome))
-		}
+	id, undo := strings.CutPrefix(tag, undoTag)
+	if s := c.sends[id]; undo && s != nil && s.undone && s.written {
+		return one(c.finish(s, s.outcome))
 	}
 	return nil
 }
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -62,7 +62,7 @@
 	open    atomic.Int64 // connections, dialled or being dialled
 	dialled atomic.Int64
 	lost    atomic.Int64 // connections that ended otherwise than for being idle
-	tags    uint64
+	tags    uint64       // of pings
 
 	logMu  sync.Mutex
 	logged map[router.EngineID]time.Time
@@ -149,20 +149,19 @@
 func (p *Pool) Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within time.Duration) {
 	s := &send{cmd: cmd, number: number, at: time.Now(), until: time.Now().Add(within)}
 	e := p.engines[to]
-	if e != nil && e.State == router.Ready && e.Dial != "" && within > 0 {
-		for _, c := range e.live() {
-			if c.put(s, p.streams) {
-				return
-			}
-		}
-		if p.mayDial(e) && p.connect(e).put(s, p.streams) {
-			return
-		}
+	put := func(c *conn) bool { return c.put(s, p.streams) }
+	if e != nil && e.State == router.Ready && within > 0 && p.use(e, put) {
+		return
 	}
 	// The loop must not wait for room in its own inbox.
 	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
 }
 
+// use has a connection to e take something on: one that is there, or else a new one.
+func (p *Pool) use(e *engine, take func(*conn) bool) bool {
+	return e.Dial != "" && (slices.ContainsFunc(e.live(), take) || p.mayDial(e) && take(p.connect(e)))
+}
+
 func (p *Pool) connect(e *engine) *conn {
 	c := newConn(p, e.Engine, e.Dial)
 	e.conns = append(e.conns, c)
@@ -186,26 +185,14 @@
 
 // Probe pings an engine, which tells only that a connection works.
 func (p *Pool) Probe(id router.EngineID) {
-	e := p.engines[id]
-	if e != nil && e.Dial != "" {
-		for _, c := range e.live() {
-			if c.ping(p.tag("p")) {
-				return
-			}
-		}
-		if p.mayDial(e) && p.connect(e).ping(p.tag("p")) {
-			return
-		}
+	p.tags++
+	tag := "p" + strconv.FormatUint(p.tags, 10) // no tag of an undo begins so
+	if e := p.engines[id]; e != nil && p.use(e, func(c *conn) bool { return c.ping(tag) }) {
+		return
 	}
 	go p.post(Probed{Engine: id, Outcome: router.NotSent})
 }
 
-// tag names a ping; no command's id begins with these letters, as those are hex digits.
-func (p *Pool) tag(kind string) string {
-	p.tags++
-	return kind + strconv.FormatUint(p.tags, 10)
-}
-
 // note logs that a connection ended, if nothing was logged of its engine just now.
 func (p *Pool) note(id router.EngineID, err error, open int) {
 	p.lost.Add(1)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -49,8 +49,9 @@
 	if idle <= 0 {
 		idle = 10 * time.Second
 	}
+	memory := memoryMB << 20 * 6 / 10
 	return &Limits{
-		Sessions:     min(descriptors*2/5, memoryMB<<20*6/10/mostHeld),
+		Sessions:     min(descriptors*2/5, memory/mostHeld),
 		Connections:  descriptors * 3 / 5,
 		EngineConns:  descriptors / 4,
 		MessageBytes: messageBytes,
@@ -77,6 +78,6 @@
 		StopTime:     3300 * time.Millisecond,
 		EndTime:      3600 * time.Millisecond,
 		StopQuiet:    800 * time.Millisecond,
-		MemoryBytes:  int64(memoryMB) << 20 * 6 / 10,
+		MemoryBytes:  int64(memory),
 	}
 }
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -21,11 +21,11 @@
 
 // Codes of start-up messages.
 const (
-	protocol3   = 3 << 16
-	cancelCode  = 80877102
-	sslCode     = 80877103
-	gssCode     = 80877104
-	mostClaimed = 1 << 30 // a length past this is no length
+	majorVersion = 3
+	cancelCode   = 80877102
+	sslCode      = 80877103
+	gssCode      = 80877104
+	mostClaimed  = 1 << 30 // a length past this is no length
 )
 
 // Codes of errors.
@@ -83,7 +83,7 @@
 		return StartUp{Kind: Cancel, Key: Key{binary.BigEndian.Uint32(all[8:]), binary.BigEndian.Uint32(all[12:])}}, nil
 	case (code == sslCode || code == gssCode) && size == 8:
 		return StartUp{Kind: Encrypt}, nil
-	case code>>16 == protocol3>>16 && (size == 8 || all[size-1] == 0):
+	case code>>16 == majorVersion && (size == 8 || all[size-1] == 0):
 		return StartUp{Kind: Start}, nil
 	}
 	return StartUp{}, ErrMalformed
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"mintkeel/router"
 )
@@ -84,9 +85,9 @@
 	Bills    bool     // answers tell what a command cost
 }
 
-// Links is what the settings say of connections to engines, in milliseconds.
+// Links is what the settings say of connections to engines.
 type Links struct {
-	ConnectTimeout, Idle float64
+	ConnectTimeout, Idle time.Duration
 	Streams              int // sends that one connection carries
 }
 
@@ -194,7 +195,8 @@
 		Budgeted: o.has("contract.resend_span_ns"), ResendFree: o.float("contract.budget_free"),
 		ResendShare: o.float("contract.resend_ratio"), ResendWindow: o.ms("contract.resend_span_ns"),
 		AskWithin: o.ms("contract.ask_within_ns"), OverShare: o.float("over_share_worth")}
-	f.Links = Links{ConnectTimeout: o.ms("bounds.connect_timeout_ns"), Idle: o.ms("bounds.conn_idle_ns"),
+	f.Links = Links{ConnectTimeout: time.Duration(o.float("bounds.connect_timeout_ns")),
+		Idle:    time.Duration(o.float("bounds.conn_idle_ns")),
 		Streams: o.int("bounds.max_streams")}
 	return f, o.err
 }
