SIGHUP reads the configuration again; the feed is followed at its new address

Checked: the exit code is that of the signal's default; serve.go notified of SIGTERM, SIGINT and SIGUSR1 only. Now: the file is read again; the feed's address is taken over, the connection to the old one ends at once and the numbers go on. A file that can't be used, and fields that can't change, are logged and the old values stay.

--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -124,7 +125,8 @@
 	return said
 }
 
-// The daemon with all its parts: it answers, goes on while told to stop, gives up in time what hangs, and ends.
+// The daemon with all its parts: it answers, takes over a new configuration and stays with the old one if that is bad,
+// goes on while told to stop, gives up in time what hangs, and ends.
 func TestServe(t *testing.T) {
 	feed, engine, hangs := fleet(t)
 	reserve, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,14 +135,22 @@
 	}
 	addr := reserve.Addr().String()
 	reserve.Close()
-	s, err := parseStart([]byte(strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(good)))
+	path := filepath.Join(t.TempDir(), "config.json")
+	configure := func(text, feed string) {
+		text = strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(text)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	configure(good, feed)
+	s, err := readStart(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := limits.For(1024, 192, time.Second, time.Minute)
 	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 100*time.Millisecond
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- run(s, l, signals, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+	go func() { ended <- run(s, path, l, signals, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
 	dial := func() *client {
 		for deadline := time.Now().Add(patience); ; {
 			conn, err := net.Dial("tcp", addr)
@@ -163,6 +173,28 @@
 			t.Fatal("not answered")
 		}
 	}
+	moved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
+	configure("no configuration", "")
+	if addr := reread(s, path, slog.New(slog.NewTextHandler(io.Discard, nil))); addr != "" {
+		t.Errorf("a bad file gives the feed's address %q", addr)
+	}
+	signals <- syscall.SIGHUP
+	configure(strings.Replace(good, "192", "64", 1), moved.Addr().String())
+	signals <- syscall.SIGHUP
+	moved.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	conn, err := moved.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	last := make([]byte, 8)
+	if _, err := io.ReadFull(conn, last); err != nil || last[7] != 1 {
+		t.Errorf("the feed is asked for what follows %v, %v", last, err)
+	}
 	two.query(10, "hang")
 	<-hangs
 	one.query(10, "1") // an id that is open, which engines could not tell apart
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -22,22 +23,23 @@
 	"mintkeel/internal/limits"
 )
 
-// configured reads the configuration that a flag or the platform's variable names.
-func configured(name string, args []string) (*start, error) {
+// configured reads the configuration that a flag or the platform's variable names, and tells its path.
+func configured(name string, args []string) (s *start, path string, err error) {
 	flags := flag.NewFlagSet(name, flag.ExitOnError)
-	path := flags.String("config", os.Getenv("PROXY_CONFIG"), "`file` with the configuration, as JSON")
+	flags.StringVar(&path, "config", os.Getenv("PROXY_CONFIG"), "`file` with the configuration, as JSON")
 	flags.Parse(args)
 	if flags.NArg() > 0 {
-		return nil, fmt.Errorf("%s takes no argument %q", name, flags.Arg(0))
+		return nil, path, fmt.Errorf("%s takes no argument %q", name, flags.Arg(0))
 	}
-	if *path == "" {
-		return nil, errors.New("no configuration: set -config or PROXY_CONFIG")
+	if path == "" {
+		return nil, path, errors.New("no configuration: set -config or PROXY_CONFIG")
 	}
-	return readStart(*path)
+	s, err = readStart(path)
+	return s, path, err
 }
 
 func check(args []string) error {
-	s, err := configured("check", args)
+	s, _, err := configured("check", args)
 	if err != nil {
 		return err
 	}
@@ -62,20 +64,20 @@
 }
 
 func serve(args []string) error {
-	s, err := configured("serve", args)
+	signals := make(chan os.Signal, 4) // from the first moment: the default for SIGHUP is to end
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	s, path, err := configured("serve", args)
 	if err != nil {
 		return err
 	}
 	l := limits.For(s.Grants.Descriptors, s.Grants.MemoryMB, s.facts.Links.ConnectTimeout, s.facts.Links.Idle)
 	debug.SetMemoryLimit(l.MemoryBytes)
 	runtime.GOMAXPROCS(max(1, int(s.Grants.Cores+0.5)))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	return run(s, l, signals, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return run(s, path, l, signals, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 // run is the daemon: it puts the parts together, serves until told to stop, and then until all is answered.
-func run(s *start, l *limits.Limits, signals <-chan os.Signal, log *slog.Logger) error {
+func run(s *start, path string, l *limits.Limits, signals <-chan os.Signal, log *slog.Logger) error {
 	loop := controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox)
 	pool := engines.New(l, s.facts.Links.Streams, loop.Post, log)
 	loop.SetEngines(pool)
@@ -100,10 +102,13 @@
 		log.Info(message, "commands", loop.Counts(), "clients", server, "engines", pool)
 	}
 	for sig := range signals {
-		if sig != syscall.SIGUSR1 {
+		if sig == syscall.SIGUSR1 {
+			report("counts")
+		} else if sig != syscall.SIGHUP {
 			break
+		} else if addr := reread(s, path, log); addr != "" {
+			feed.Move(addr)
 		}
-		report("counts")
 	}
 	log.Info("told to stop")
 	loop.Post(controller.Stop{Within: l.StopTime})
@@ -115,6 +120,27 @@
 	return nil
 }
 
+// reread reads the configuration again for what may change while running, the feed's address; empty if that can't be
+// had. It logs what can't be used or taken over, by field: neither ends a controller that serves.
+func reread(s *start, path string, log *slog.Logger) string {
+	again, err := readStart(path)
+	if err != nil {
+		log.Error("new configuration not used", "why", err)
+		return ""
+	}
+	for _, kept := range []struct {
+		field string
+		same  bool
+	}{{"name", again.Name == s.Name}, {"listen", again.Listen == s.Listen}, {"limits", again.Grants == s.Grants},
+		{"settings", reflect.DeepEqual(again.Settings, s.Settings)}} {
+		if !kept.same {
+			log.Warn("field can't change while running", "field", kept.field)
+		}
+	}
+	log.Info("configuration read again", "bulletin", again.Feed)
+	return again.Feed
+}
+
 // drain goes on serving while commands come and until all answers are written, as long as there is time.
 func drain(server *clients.Server, l *limits.Limits) {
 	end := time.NewTimer(l.EndTime)
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -10,7 +10,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"mintkeel/internal/limits"
@@ -145,27 +147,55 @@
 
 // Feed is a follower of the feed.
 type Feed struct {
-	addr    string
 	last    uint64 // number of the last event that it has
 	names   *settings.Names
 	limits  *limits.Limits
 	post    func(News)
 	log     *slog.Logger
-	heard   time.Time // when the feed last said anything
 	logged  time.Time // when its absence was last logged
 	expired bool
+
+	mu    sync.Mutex
+	addr  string
+	conn  net.Conn  // nil while there is none
+	moved bool      // since conn was dialled
+	told  time.Time // by when what the feed has to tell may count as told, unless it speaks
 }
 
 // NewFeed makes a follower that has all events up to last.
 func NewFeed(addr string, last uint64, names *settings.Names, l *limits.Limits, post func(News),
 	log *slog.Logger) *Feed {
-	return &Feed{addr: addr, last: last, names: names, limits: l, post: post, log: log, heard: time.Now()}
+	return &Feed{addr: addr, last: last, names: names, limits: l, post: post, log: log,
+		told: time.Now().Add(l.FeedTold)}
+}
+
+// Move has the feed followed at another address, from the last event; the connection to the old one ends at once,
+// as nothing more is told there.
+func (f *Feed) Move(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if addr == f.addr {
+		return
+	}
+	f.addr, f.moved = addr, true
+	f.within(f.limits.FeedTold)
+	if f.conn != nil {
+		f.conn.Close()
+	}
+}
+
+// within takes in that what the feed has to tell may count as told after this long, if it didn't before; mu is held.
+func (f *Feed) within(long time.Duration) {
+	if told := time.Now().Add(long); told.Before(f.told) {
+		f.told = told
+	}
 }
 
 // Follow keeps a connection to the feed until ctx ends, and hands on what comes after the last event, in order and
 // once. A connection that is silent, malformed or skips a number is begun anew from that event.
 func (f *Feed) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return
@@ -174,14 +204,17 @@
 			f.logged = now
 			f.log.Warn("feed connection ended", "why", err, "last", f.last)
 		}
-		if !f.expired && !time.Now().Before(f.heard.Add(f.limits.FeedTold)) {
+		f.mu.Lock()
+		at := f.told
+		f.mu.Unlock()
+		if !f.expired && !time.Now().Before(at) {
 			f.expired = true
 			f.log.Warn("nothing heard from the feed for too long: only engines that go on answering get commands")
-			f.post(News{Expired: f.limits.FeedTold})
+			f.post(News{Expired: f.limits.FeedBroken})
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(f.limits.FeedRetry):
+		case <-time.After(f.limits.FeedRetry - time.Since(began)): // none after a connection that lasted
 		}
 	}
 }
@@ -189,21 +222,55 @@
 // silence is until when the feed may say nothing: no longer than its connection may be trusted or, the first time,
 // than the list may be.
 func (f *Feed) silence() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	until := time.Now().Add(f.limits.FeedSilence)
-	if told := f.heard.Add(f.limits.FeedTold); !f.expired && told.Before(until) {
-		return told
+	if !f.expired && f.told.Before(until) {
+		return f.told
 	}
 	return until
 }
 
-func (f *Feed) follow(ctx context.Context) error {
-	dialer := net.Dialer{Timeout: f.limits.ConnectTime}
-	conn, err := dialer.DialContext(ctx, "tcp", f.addr)
+// dial opens a connection where the feed is now, and closes it when ctx ends or the feed moves.
+func (f *Feed) dial(ctx context.Context) (net.Conn, error) {
+	f.mu.Lock()
+	addr := f.addr
+	f.moved = false
+	f.mu.Unlock()
+	dialer := net.Dialer{Timeout: min(f.limits.ConnectTime, max(time.Millisecond, time.Until(f.silence())))}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.moved {
+		conn.Close()
+		return nil, errMoved
+	}
+	f.conn = conn
+	return conn, nil
+}
+
+var errMoved = errors.New("the feed has another address now")
+
+// follow reads one connection to its end, which is a break, but for silence.
+func (f *Feed) follow(ctx context.Context) (err error) {
+	conn, err := f.dial(ctx)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	defer func() {
+		conn.Close()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.conn = nil; f.moved {
+			err = errMoved
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+			f.within(f.limits.FeedBroken)
+		}
+	}()
 	conn.SetDeadline(f.silence())
 	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, f.last)); err != nil {
 		return err
@@ -215,11 +282,13 @@
 		if err != nil {
 			return err
 		}
-		f.heard = time.Now()
 		fresh = fresh && news.No > f.last
 		if fresh && news.No != f.last+1 && !news.Whole {
 			return fmt.Errorf("%w: number %d after %d", ErrMalformed, news.No, f.last)
 		}
+		if !f.heard() {
+			return errMoved
+		}
 		if fresh {
 			f.last = news.No
 			f.post(news)
@@ -229,3 +298,13 @@
 		f.expired = false
 	}
 }
+
+// heard takes in that the feed spoke; false if it has moved since, and may have more to tell elsewhere.
+func (f *Feed) heard() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.moved {
+		f.told = time.Now().Add(f.limits.FeedTold)
+	}
+	return !f.moved
+}
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -108,7 +108,8 @@
 	}
 	defer listener.Close()
 	l := limits.For(1024, 192, time.Second, 0)
-	l.FeedRetry, l.FeedSilence, l.FeedTold = time.Millisecond, 50*time.Millisecond, 120*time.Millisecond
+	l.FeedRetry, l.FeedSilence = time.Millisecond, 50*time.Millisecond
+	l.FeedTold, l.FeedBroken = 120*time.Millisecond, 110*time.Millisecond
 	told := make(chan News, 10)
 	feed := NewFeed(listener.Addr().String(), 4, names, l, func(n News) { told <- n },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -148,7 +149,7 @@
 		conn.Close()
 	}
 	silent := accept(t, listener, 10) // and those after it stay unanswered
-	next(News{Expired: l.FeedTold})
+	next(News{Expired: l.FeedBroken})
 	for len(told) == 0 {
 		conn := accept(t, listener, 10)
 		conn.Write(frame(10, 0))
@@ -168,6 +169,50 @@
 	}
 }
 
+// At a new address the feed is followed at once from the last event, also while the old one holds its connection open
+// or can't be reached, and nothing that the old one still says is taken.
+func TestMove(t *testing.T) {
+	listen := func() net.Listener {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		return listener
+	}
+	first, second, third := listen(), listen(), listen()
+	told := make(chan News, 10)
+	feed := NewFeed(first.Addr().String(), 4, names, limits.For(1024, 192, time.Second, 0),
+		func(n News) { told <- n }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go feed.Follow(ctx)
+	change := func(no uint64) []byte { return frame(no, 2, record(0xc41f7a, 0, 0, 0)) }
+	old := accept(t, first, 4)
+	old.Write(change(5))
+	<-told
+	feed.Move(second.Addr().String())
+	at := accept(t, second, 5)
+	old.Write(change(6)) // crosses the move
+	at.Write(append(change(6), change(7)...))
+	for no := uint64(6); no < 8; no++ {
+		if got := <-told; got.No != no || got.Expired > 0 {
+			t.Fatalf("told %+v, not %d", got, no)
+		}
+	}
+	second.Close()
+	at.Close()
+	feed.Move("127.0.0.1:1") // nobody there
+	feed.Move(third.Addr().String())
+	accept(t, third, 7)
+	feed.mu.Lock()
+	conn := feed.conn
+	feed.mu.Unlock()
+	if feed.Move(third.Addr().String()); conn.SetDeadline(time.Time{}) != nil {
+		t.Error("the connection to where it is already was closed")
+	}
+}
+
 func accept(t *testing.T, listener net.Listener, last uint64) net.Conn {
 	t.Helper()
 	listener.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,9 +26,10 @@
 	ConnectTime  time.Duration // for a connection to an engine to come up
 	EngineIdle   time.Duration // after which an unused connection to an engine is closed
 	GiveUpTime   time.Duration // for an engine to confirm that it gave a send up
-	FeedSilence  time.Duration // after which the feed's connection counts as dead
-	FeedTold     time.Duration // of silence, after which what the feed has to tell may count as told
-	FeedRetry    time.Duration // between tries to reach the feed
+	FeedSilence  time.Duration // after which the feed's connection counts as dead: it speaks each second
+	FeedTold     time.Duration // of silence, or since its address changed, after which its news may count as told
+	FeedBroken   time.Duration // the same since its connection broke
+	FeedRetry    time.Duration // from one try to reach the feed to the next, at the least
 	LogEvery     time.Duration // between log lines of one kind, for an outage not to drown the rest
 	StopTime     time.Duration // from being told to stop until all must be answered
 	EndTime      time.Duration // and until the process ends, answered or not
@@ -71,9 +72,10 @@
 		ConnectTime:  connect,
 		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
 		GiveUpTime:   connect,
-		FeedSilence:  3500 * time.Millisecond,
-		FeedTold:     6500 * time.Millisecond,
-		FeedRetry:    100 * time.Millisecond,
+		FeedSilence:  1600 * time.Millisecond,
+		FeedTold:     4 * time.Second,
+		FeedBroken:   2 * time.Second,
+		FeedRetry:    50 * time.Millisecond,
 		LogEvery:     time.Second,
 		StopTime:     3300 * time.Millisecond,
 		EndTime:      3600 * time.Millisecond,
