Room for new clients is made from those who hold theirs without an open command

Checked: 102 sessions (two fifths of 256) is where descriptors stand; clients.go admit turned away whoever came then, and a silent session was kept for 60 s. Ruled out: engines (in-time answers of what was sent are as before), memory. Now: one bound on connections; in a full house the one of no use for longest goes, first those that never asked, and none within 50 ms of its start or with a command open. First whole query within 2 s of connecting, 2 s for the rest of a message, 5 s between two (clients close after 4 s). Buffers of 2 KB grow for the message that needs more; one that was refused may send 256 KB more, not without end. Bad input is counted by kind and logged at most once a second.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -37,22 +37,29 @@
 
 	counts   counts
 	mu       sync.Mutex
-	conns    map[net.Conn]bool
-	sessions map[uint32]*session // by the number in their cancel keys
+	sessions map[uint32]*session // by the number in their cancel keys: all that are connected
 	serial   uint32
 	closed   bool
-	heard    time.Time // when a client last connected or wrote
+	heard    time.Time // when a client last wrote a query
 	busy     int       // sessions with a command whose answer is not written yet
+	logged   time.Time // when a bad client was last logged
 }
 
 // counts are what the server has seen.
-type counts struct{ connections, sessions, turnedAway, queries, badQueries, cancels atomic.Int64 }
+type counts struct {
+	connections, turnedAway, madeRoom, silent, malformed, tooLong, queries, badQueries, cancels atomic.Int64
+}
 
 // LogValue prints what the server has seen.
 func (s *Server) LogValue() slog.Value {
 	c := &s.counts
-	return slog.GroupValue(slog.Int64("connections", c.connections.Load()), slog.Int64("sessions", c.sessions.Load()),
-		slog.Int64("turned_away", c.turnedAway.Load()), slog.Int64("queries", c.queries.Load()),
+	s.mu.Lock()
+	open := len(s.sessions)
+	s.mu.Unlock()
+	return slog.GroupValue(slog.Int64("connections", c.connections.Load()), slog.Int("open", open),
+		slog.Int64("turned_away", c.turnedAway.Load()), slog.Int64("made_room", c.madeRoom.Load()),
+		slog.Int64("silent", c.silent.Load()), slog.Int64("malformed", c.malformed.Load()),
+		slog.Int64("too_long", c.tooLong.Load()), slog.Int64("queries", c.queries.Load()),
 		slog.Int64("bad_queries", c.badQueries.Load()), slog.Int64("cancels", c.cancels.Load()))
 }
 
@@ -60,7 +67,7 @@
 func New(l *limits.Limits, names *settings.Names, profiles []router.Profile, post func(event any),
 	log *slog.Logger) *Server {
 	return &Server{limits: l, names: names, profiles: profiles, post: post, log: log,
-		conns: map[net.Conn]bool{}, sessions: map[uint32]*session{}, heard: time.Now()}
+		sessions: map[uint32]*session{}, heard: time.Now()}
 }
 
 // Serve accepts connections until the listener is closed, each served by a goroutine of its own.
@@ -76,58 +83,101 @@
 			continue
 		}
 		s.counts.connections.Add(1)
-		if !s.enter(conn) {
+		ses := newSession(s, conn)
+		if !s.enter(ses) {
 			s.counts.turnedAway.Add(1)
 			conn.Close()
 			continue
 		}
-		go s.serve(conn)
+		go func() {
+			defer s.leave(ses)
+			ses.run()
+		}()
 	}
 }
 
-// enter files a connection, unless there are too many to answer even with an error.
-func (s *Server) enter(conn net.Conn) bool {
+// enter files a connection and gives it its cancel key. In a full house room is made from those who hold it without
+// an open command; false if there are none.
+func (s *Server) enter(ses *session) bool {
+	var secret [4]byte
+	rand.Read(secret[:])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard = time.Now()
-	if s.closed || len(s.conns) >= s.limits.Connections {
+	if s.closed || len(s.sessions) >= s.limits.Connections && !s.makeRoom(ses.since) {
+		return false
+	}
+	for s.serial++; s.serial == 0 || s.sessions[s.serial] != nil; {
+		s.serial++
+	}
+	ses.key = pgwire.Key{Session: s.serial, Secret: binary.BigEndian.Uint32(secret[:])}
+	s.sessions[s.serial] = ses
+	return true
+}
+
+// makeRoom closes the connection that has been of no use for the longest time: one that never brought a command goes
+// ahead of those that did, against hundreds that say nothing and clients that ask once and stay. The newest are
+// spared, as what they have to say may be on its way. mu is held.
+func (s *Server) makeRoom(now time.Time) bool {
+	var least *session
+	for _, ses := range s.sessions {
+		if ses.busy || ses.closed || now.Sub(ses.since) < s.limits.FreshTime {
+			continue
+		}
+		if least == nil || ses.asked == least.asked && ses.since.Before(least.since) || !ses.asked && least.asked {
+			least = ses
+		}
+	}
+	if least == nil {
 		return false
 	}
-	s.conns[conn] = true
+	s.counts.madeRoom.Add(1)
+	s.drop(least)
 	return true
 }
 
-func (s *Server) serve(conn net.Conn) {
-	defer func() {
-		conn.Close()
-		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
-	}()
-	newSession(s, conn).run()
+// drop closes a connection and forgets it; mu is held.
+func (s *Server) drop(ses *session) {
+	ses.closed = true
+	ses.conn.Close()
+	delete(s.sessions, ses.key.Session)
 }
 
-// admit gives a session its cancel key, unless there are too many sessions.
-func (s *Server) admit(ses *session) bool {
-	var secret [4]byte
-	rand.Read(secret[:])
+func (s *Server) leave(ses *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.sessions) >= s.limits.Sessions {
+	if !ses.closed {
+		s.drop(ses)
+	}
+}
+
+// begin marks a session as one that is owed something; false if room was made of it, and nothing is.
+func (s *Server) begin(ses *session, asked bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ses.closed {
 		return false
 	}
-	for s.serial++; s.serial == 0 || s.sessions[s.serial] != nil; {
-		s.serial++
+	if ses.busy, ses.asked = true, ses.asked || asked; asked {
+		s.busy++
+		s.heard = time.Now()
 	}
-	ses.key = pgwire.Key{Session: s.serial, Secret: binary.BigEndian.Uint32(secret[:])}
-	s.sessions[s.serial] = ses
 	return true
 }
 
-func (s *Server) leave(ses *session) {
+// touch takes in that a client wrote a query.
+func (s *Server) touch(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, ses.key.Session)
+	s.heard = now
+}
+
+// end marks it as one that is owed nothing any more.
+func (s *Server) end(ses *session, asked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ses.busy, ses.since = false, time.Now(); asked {
+		s.busy--
+	}
 }
 
 // cancel gives up what the session of a key has open.
@@ -141,13 +191,7 @@
 	}
 }
 
-func (s *Server) touch(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heard = now
-}
-
-// Quiet is how long no client has connected or written; 0 while an answer is owed or not written yet.
+// Quiet is how long no client has written a query; 0 while an answer is owed or not written yet.
 func (s *Server) Quiet() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,10 +201,18 @@
 	return time.Since(s.heard)
 }
 
-func (s *Server) addBusy(n int) {
+// note logs what a client did wrong, unless another was logged just now.
+func (s *Server) note(ses *session, why string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy += n
+	now := time.Now()
+	due := now.Sub(s.logged) >= s.limits.LogEvery
+	if due {
+		s.logged = now
+	}
+	s.mu.Unlock()
+	if due {
+		s.log.Info("bad client", "from", ses.conn.RemoteAddr(), "why", why)
+	}
 }
 
 // Close ends all connections.
@@ -168,7 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for conn := range s.conns {
-		conn.Close()
+	for _, ses := range s.sessions {
+		s.drop(ses)
 	}
 }
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -19,16 +21,26 @@
 type session struct {
 	server *Server
 	conn   net.Conn
-	r      *bufio.Reader
+	small  *bufio.Reader // of the size that most messages need
+	r      *bufio.Reader // small, or a larger one for a while
 	key    pgwire.Key
 	readAt time.Time // when what stands next in the buffer came, if it came while a command was open
+	began  time.Time
+
+	// Under the server's mutex:
+	since  time.Time // when it was last of use
+	asked  bool      // it has brought a command
+	busy   bool      // it is owed something
+	closed bool
 
 	mu   sync.Mutex
 	open *exchange.Command
 }
 
 func newSession(s *Server, conn net.Conn) *session {
-	return &session{server: s, conn: conn, r: bufio.NewReaderSize(conn, s.limits.MessageBytes)}
+	now := time.Now()
+	r := bufio.NewReaderSize(conn, s.limits.ReadBytes)
+	return &session{server: s, conn: conn, small: r, r: r, began: now, since: now}
 }
 
 // past is a deadline that has gone by: it wakes a goroutine that reads.
@@ -36,14 +48,11 @@
 
 // greet takes the start-up messages and reports whether they open a session.
 func (ses *session) greet() bool {
-	ses.conn.SetReadDeadline(time.Now().Add(ses.server.limits.StartTime))
 	for {
 		start, err := pgwire.ReadStartUp(ses.r)
 		switch {
-		case errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong):
-			ses.refuse(pgwire.CodeProtocol, "malformed start-up message")
-			return false
 		case err != nil:
+			ses.bad(err, "start-up message")
 			return false
 		case start.Kind == pgwire.Start:
 			return true
@@ -57,56 +66,82 @@
 	}
 }
 
-func (ses *session) run() {
-	if !ses.greet() {
-		return
+// bad ends a session by what went wrong in reading: a proper error for what can't be used, nothing for one that has
+// gone or says nothing.
+func (ses *session) bad(err error, what string) {
+	c, l := &ses.server.counts, ses.server.limits
+	switch {
+	case errors.Is(err, pgwire.ErrMalformed):
+		c.malformed.Add(1)
+		ses.refuse(pgwire.CodeProtocol, "malformed "+what)
+	case errors.Is(err, pgwire.ErrTooLong):
+		c.tooLong.Add(1)
+		ses.refuse(pgwire.CodeTooLong, fmt.Sprintf("%s: holds %d bytes at most", what, l.MessageBytes))
+	case errors.Is(err, os.ErrDeadlineExceeded) && (ses.r.Buffered() > 0 || !ses.asked):
+		c.silent.Add(1) // half a message or, from one that never asked, none
+		ses.refuse(pgwire.CodeProtocol, what+": not whole in time")
 	}
-	if !ses.server.admit(ses) {
-		ses.server.counts.turnedAway.Add(1)
-		ses.refuse(pgwire.CodeTooMany, "too many sessions: trying again is harmless")
-		return
+}
+
+// next waits for a whole message. A client that has never asked anything has little time for all it does, one that
+// began a message for the rest of that, and one between two commands some more.
+func (ses *session) next() (kind byte, body []byte, size int, err error) {
+	l, first := ses.server.limits, ses.began.Add(ses.server.limits.FirstTime)
+	deadline := func(after time.Duration) {
+		at := time.Now().Add(after)
+		if !ses.asked && first.Before(at) {
+			at = first
+		}
+		ses.conn.SetReadDeadline(at)
+	}
+	if ses.r != ses.small && ses.r.Buffered() == 0 { // against large buffers that are kept by those who sit still
+		ses.r = ses.small
+	}
+	deadline(l.IdleTime)
+	if _, err = ses.r.Peek(1); err != nil {
+		return 0, nil, 0, err
 	}
-	defer ses.server.leave(ses)
-	ses.server.counts.sessions.Add(1)
-	if ses.write(pgwire.AppendWelcome(nil, ses.key)) != nil {
+	deadline(l.MessageTime)
+	kind, body, size, err = pgwire.Peek(ses.r, l.MessageBytes)
+	if errors.Is(err, pgwire.ErrBuffer) {
+		ses.widen(size)
+		kind, body, size, err = pgwire.Peek(ses.r, l.MessageBytes)
+	}
+	return kind, body, size, err
+}
+
+// widen puts a larger buffer in place of the usual one, with what is there.
+func (ses *session) widen(size int) {
+	have, _ := ses.r.Peek(ses.r.Buffered())
+	ses.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(have)), ses.conn), size)
+	ses.small.Reset(ses.conn)
+}
+
+func (ses *session) run() {
+	ses.conn.SetReadDeadline(ses.began.Add(ses.server.limits.FirstTime))
+	if !ses.greet() || ses.write(pgwire.AppendWelcome(nil, ses.key)) != nil {
 		return
 	}
-	l := ses.server.limits
 	for skip := false; ; {
-		ses.conn.SetReadDeadline(time.Now().Add(l.IdleTime))
-		kind, body, size, err := pgwire.Peek(ses.r)
-		if errors.Is(err, pgwire.ErrMalformed) {
-			ses.refuse(pgwire.CodeProtocol, "malformed message")
-			return
-		}
-		if errors.Is(err, pgwire.ErrTooLong) {
-			ses.refuse(pgwire.CodeTooLong, fmt.Sprintf("a message holds %d bytes at most", l.MessageBytes))
-			return
-		}
+		kind, body, size, err := ses.next()
 		if err != nil {
+			ses.bad(err, "message")
 			return
 		}
 		now := time.Now()
-		if ses.server.touch(now); !ses.readAt.IsZero() {
+		if !ses.readAt.IsZero() {
 			now, ses.readAt = ses.readAt, time.Time{}
 		}
+		asked := kind == 'Q'
+		if !ses.server.begin(ses, asked) {
+			return
+		}
+		over := false
 		switch kind {
 		case 'X':
-			return
+			over = true
 		case 'Q':
-			text, whole := pgwire.Text(body)
-			if !whole {
-				ses.refuse(pgwire.CodeProtocol, "malformed query")
-				return
-			}
-			ses.server.counts.queries.Add(1)
-			cmd, reply := ses.command(text, now)
-			ses.r.Discard(size)
-			if cmd != nil {
-				err = ses.wait(cmd)
-			} else {
-				err = ses.write(pgwire.AppendReady(reply))
-			}
+			err = ses.query(body, size, now)
 		case 'P', 'B', 'E', 'D', 'C', 'H', 'F', 'd', 'c', 'f':
 			ses.r.Discard(size)
 			if !skip && kind != 'd' && kind != 'c' && kind != 'f' {
@@ -121,15 +156,32 @@
 			skip = false
 			err = ses.write(pgwire.AppendReady(nil))
 		default:
-			ses.refuse(pgwire.CodeProtocol, "unknown message type")
-			return
+			err = pgwire.ErrMalformed
 		}
-		if err != nil {
+		if errors.Is(err, pgwire.ErrMalformed) {
+			ses.bad(err, "message")
+		}
+		if ses.server.end(ses, asked); over || err != nil {
 			return
 		}
 	}
 }
 
+// query answers a query, by a command if it can be one.
+func (ses *session) query(body []byte, size int, now time.Time) error {
+	text, whole := pgwire.Text(body)
+	if !whole {
+		return pgwire.ErrMalformed
+	}
+	ses.server.counts.queries.Add(1)
+	cmd, reply := ses.command(text, now)
+	ses.r.Discard(size)
+	if cmd != nil {
+		return ses.wait(cmd)
+	}
+	return ses.write(pgwire.AppendReady(reply))
+}
+
 // command makes a command of a query, or tells what to reply in its place.
 func (ses *session) command(text []byte, now time.Time) (*exchange.Command, []byte) {
 	if blank(text) {
@@ -137,6 +189,7 @@
 	}
 	no := func(code, why string) (*exchange.Command, []byte) {
 		ses.server.counts.badQueries.Add(1)
+		ses.server.note(ses, why)
 		return nil, pgwire.AppendError(nil, false, code, why)
 	}
 	f, err := pgwire.ParseQuery(text)
@@ -190,8 +243,6 @@
 // wait posts a command, waits for its answer and writes it. A client that writes its next query before the answer
 // has that kept, with the time at which it came; one that closes its connection has left.
 func (ses *session) wait(cmd *exchange.Command) error {
-	ses.server.addBusy(1)
-	defer ses.server.addBusy(-1)
 	ses.mu.Lock()
 	ses.open = cmd
 	ses.mu.Unlock()
@@ -202,12 +253,13 @@
 		close(ready)
 	})
 	ses.server.post(Taken{cmd})
-	switch kind, _, _, err := pgwire.Peek(ses.r); {
+	switch kind, _, _, err := pgwire.Peek(ses.r, ses.server.limits.MessageBytes); {
 	case errors.Is(err, os.ErrDeadlineExceeded): // the answer is there
 	case err == nil && kind == 'X':
 		ses.giveUp()
 		return net.ErrClosed
-	case err == nil, errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong):
+	case err == nil, errors.Is(err, pgwire.ErrMalformed), errors.Is(err, pgwire.ErrTooLong),
+		errors.Is(err, pgwire.ErrBuffer):
 		ses.readAt = time.Now()
 		ses.server.touch(ses.readAt)
 	default:
@@ -258,19 +310,16 @@
 }
 
 // refuse ends the session with an error, and waits a little for the client to take it in: closing with bytes
-// unread would reset the connection and could lose the error.
+// unread would reset the connection and could lose the error. What comes without end is not waited for.
 func (ses *session) refuse(code, why string) {
+	l := ses.server.limits
+	ses.server.note(ses, why)
 	if ses.write(pgwire.AppendError(nil, true, code, why)) != nil {
 		return
 	}
 	if half, ok := ses.conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
-	ses.conn.SetReadDeadline(time.Now().Add(ses.server.limits.CloseTime))
-	for range ses.server.limits.MessageBytes { // bounded, should it go on writing
-		if _, err := ses.r.Discard(1); err != nil {
-			return
-		}
-		ses.r.Discard(ses.r.Buffered())
-	}
+	ses.conn.SetReadDeadline(time.Now().Add(l.CloseTime))
+	io.CopyN(io.Discard, ses.conn, l.CloseBytes)
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -6,10 +6,11 @@
 
 // Limits bound what the network code holds and how long it waits.
 type Limits struct {
-	Sessions     int           // client connections that are served; the platform's clients hold a third at most
-	Connections  int           // of clients, served or turned away
+	Connections  int           // of clients, who hold a third of the descriptors at most, and of strangers
 	EngineConns  int           // connections to all engines
 	MessageBytes int           // the longest message of a client
+	ReadBytes    int           // a connection's buffer until a message needs more
+	CloseBytes   int64         // that a client which was refused may still send before it is closed
 	LineBytes    int           // the longest head of an engine's answer
 	PageBytes    int           // the longest page
 	ResultBytes  int           // the longest result
@@ -17,8 +18,10 @@
 	FrameBytes   int           // the longest frame of the feed
 	Inbox        int           // events that wait for the loop
 	AcceptRetry  time.Duration // after an accept failed, for descriptors to come free
-	StartTime    time.Duration // for a client to finish its start-up message
-	IdleTime     time.Duration // after which a silent client's connection is closed
+	FirstTime    time.Duration // from connecting to the first whole query: a stranger must be told or closed in 3 s
+	MessageTime  time.Duration // for the rest of a message that was begun
+	IdleTime     time.Duration // between two queries; clients close their idle connections after 4 s themselves
+	FreshTime    time.Duration // in which a new connection is not closed to make room
 	WriteTime    time.Duration // for a client to take an answer
 	AnswerTime   time.Duration // taken off what a client waits: for its command to be read, and the answer to reach it
 	CloseTime    time.Duration // for a client that was turned away to take that in
@@ -37,10 +40,9 @@
 	MemoryBytes  int64         // at which the garbage collector works harder
 }
 
-// mostHeld is what one session may hold of memory: a message, and a result as it came and as it goes out.
-const mostHeld = messageBytes + 3*resultBytes
-
-const messageBytes, resultBytes = 32 << 10, 48000
+// mostHeld is what one session may hold of memory between commands: its goroutine, its buffer and its books. Results
+// are held by few sessions at a time: those whose pages are in and whose client reads.
+const mostHeld = 24 << 10
 
 // For fills the limits for a controller with so many descriptors and so much memory.
 func For(descriptors, memoryMB int, connect, idle time.Duration) *Limits {
@@ -52,22 +54,25 @@
 	}
 	memory := memoryMB << 20 * 6 / 10
 	return &Limits{
-		Sessions:     min(descriptors*2/5, memory/mostHeld),
-		Connections:  descriptors * 3 / 5,
+		Connections:  min(descriptors*11/20, memory/2/mostHeld),
 		EngineConns:  descriptors / 4,
-		MessageBytes: messageBytes,
+		MessageBytes: 32 << 10,
+		ReadBytes:    2 << 10,
+		CloseBytes:   256 << 10,
 		LineBytes:    2 << 10,
 		PageBytes:    6000,
-		ResultBytes:  resultBytes,
+		ResultBytes:  48000,
 		QueueBytes:   1 << 20,
 		FrameBytes:   1 << 20,
 		Inbox:        1024,
 		AcceptRetry:  5 * time.Millisecond,
-		StartTime:    10 * time.Second,
-		IdleTime:     60 * time.Second,
-		WriteTime:    5 * time.Second,
+		FirstTime:    2 * time.Second,
+		MessageTime:  2 * time.Second,
+		IdleTime:     5 * time.Second,
+		FreshTime:    50 * time.Millisecond,
+		WriteTime:    2 * time.Second,
 		AnswerTime:   60 * time.Millisecond,
-		CloseTime:    time.Second,
+		CloseTime:    300 * time.Millisecond,
 		EngineWrite:  time.Second,
 		ConnectTime:  connect,
 		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -13,9 +13,12 @@
 	"time"
 )
 
-// ErrTooLong is a message longer than the reader's buffer.
+// ErrTooLong is a message longer than is taken.
 var ErrTooLong = errors.New("message too long")
 
+// ErrBuffer is a message longer than the reader's buffer, but not too long.
+var ErrBuffer = errors.New("message longer than the buffer")
+
 // ErrMalformed is a message that is none of the protocol's.
 var ErrMalformed = errors.New("malformed message")
 
@@ -60,7 +63,7 @@
 	Key  Key
 }
 
-// ReadStartUp takes the first message of a connection.
+// ReadStartUp takes the first message of a connection, which must fit the reader's buffer.
 func ReadStartUp(r *bufio.Reader) (StartUp, error) {
 	head, err := r.Peek(8)
 	if err != nil {
@@ -89,9 +92,9 @@
 	return StartUp{}, ErrMalformed
 }
 
-// Peek returns the next message's type and body without taking it; size is what to discard. The body is good until
-// the reader is used again.
-func Peek(r *bufio.Reader) (kind byte, body []byte, size int, err error) {
+// Peek returns the type and body of the next message, of most bytes at most, without taking it; size is what to
+// discard. The body is good until the reader is used again.
+func Peek(r *bufio.Reader, most int) (kind byte, body []byte, size int, err error) {
 	head, err := r.Peek(5)
 	if err != nil {
 		return 0, nil, 0, err
@@ -100,9 +103,12 @@
 	if size < 5 || size > mostClaimed {
 		return kind, nil, size, ErrMalformed
 	}
-	if size > r.Size() {
+	if size > most {
 		return kind, nil, size, ErrTooLong
 	}
+	if size > r.Size() {
+		return kind, nil, size, ErrBuffer
+	}
 	all, err := r.Peek(size)
 	if err != nil {
 		return kind, nil, size, err
