Sends share a connection only when short of them; copies of answers are no fault

Checked: engines.go use took the first connection that was not full (100 sends); conn.go page took a second copy of a page or first answer for malformed. Ruled out: bad clients' commands, whose errors end that command alone. Now: an idle connection, else a new one within the engine's part of three tenths of the descriptors, else the one that carries least. A copy equal to what is there is passed over. An answer to a send that is not written yet is none.

--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -57,7 +57,8 @@
 	sweep  int                  // how many of these call for a look at which may go
 	pings  map[string]time.Time
 	idleAt time.Time // when it was last of use
-	mute   bool      // it left a ping unanswered and has said nothing since
+	heard  time.Time // when the engine last said anything, or came to owe something
+	asked  time.Time // when it was first asked since then whether it is still there; zero: it was not
 	over   bool
 }
 
@@ -74,7 +75,14 @@
 }
 
 // usable tells that something may be put on the connection, up or being dialled; mu is held.
-func (c *conn) usable() bool { return !c.over && !c.mute && c.ctx.Err() == nil }
+func (c *conn) usable() bool { return !c.over && c.ctx.Err() == nil }
+
+// load is the number of its sends without an outcome.
+func (c *conn) load() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sends)
+}
 
 // works tells that the connection is up, as far as is known.
 func (c *conn) works() bool {
@@ -104,7 +112,10 @@
 		maps.DeleteFunc(c.used, func(_ string, until time.Time) bool { return now.After(until) })
 		c.sweep = 2*len(c.used) + leastSweep
 	}
-	c.used[s.cmd.ID], c.sends[s.cmd.ID] = s.cmd.Read.Add(s.cmd.Left+time.Minute), s
+	if len(c.sends) == 0 {
+		c.heard = time.Now()
+	}
+	c.used[s.cmd.ID], c.sends[s.cmd.ID] = s.cmd.Read.Add(s.cmd.Left+c.pool.limits.LateTime), s
 	head := enginewire.AppendDo(nil, s.cmd.ID, s.cmd.Verb, time.Until(s.until).Milliseconds(), s.cmd.Unique,
 		len(s.cmd.Statement))
 	c.write(item{net.Buffers{head, s.cmd.Statement, lineEnd}, s})
@@ -133,10 +144,18 @@
 		return false
 	}
 	c.pings[tag] = time.Now().Add(c.pool.limits.GiveUpTime)
-	c.say(enginewire.AppendPing(nil, tag))
+	c.ask(nil, tag)
 	return true
 }
 
+// ask writes a ping behind what else there is; mu is held.
+func (c *conn) ask(b []byte, tag string) {
+	if c.asked.IsZero() {
+		c.asked = time.Now()
+	}
+	c.say(enginewire.AppendPing(b, tag))
+}
+
 // withdraw ends the sends that no byte has left of.
 func (c *conn) withdraw(gone bool) {
 	c.mu.Lock()
@@ -165,8 +184,9 @@
 	}
 }
 
-// undoTag begins the tag of the ping that follows an undo; the command's id is the rest.
-const undoTag = "u"
+// Tags of pings: undoTag begins that which follows an undo, the command's id is the rest; stillTag asks no more than
+// whether the connection still works.
+const undoTag, stillTag = "u", "k"
 
 // undo tells the engine that a send is given up, and asks to hear that it knows: until then its command may not be
 // sent anew, or two sends of it could be out at once. A send that no byte has left of needs neither.
@@ -184,7 +204,7 @@
 	if s.pages != nil {
 		b = enginewire.AppendForget(b, s.cmd.ID)
 	}
-	c.say(enginewire.AppendPing(b, undoTag+s.cmd.ID))
+	c.ask(b, undoTag+s.cmd.ID)
 }
 
 // finish takes a send off and makes its Ended; mu is held.
@@ -222,22 +242,26 @@
 		return
 	}
 	c.mu.Lock()
-	c.net = up
+	c.net, c.heard = up, time.Now()
 	c.mu.Unlock()
 	err = c.serve(up)
 	up.Close()
 	c.end(err, router.Reset)
 }
 
-// errIdle ends a connection that is of no use.
-var errIdle = errors.New("idle")
+var (
+	errIdle = errors.New("idle")                  // ends a connection that is of no use
+	errHalf = errors.New("the rest of an answer") // that did not come
+	errMute = errors.New("no answer to a ping")   // and no more use to what else is out on it
+)
 
 func (c *conn) serve(up net.Conn) error {
 	l := c.pool.limits
 	r := bufio.NewReaderSize(up, l.LineBytes+l.PageBytes+len(lineEnd))
+	var half time.Time // since when there is half an answer; zero: there is none
 	for c.ctx.Err() == nil {
 		now := time.Now()
-		batch, ends, err := c.next(now, up)
+		batch, ends, err := c.next(now, up, half)
 		c.tell(ends)
 		if err != nil {
 			return err
@@ -251,11 +275,15 @@
 		}
 		answer, size, err := enginewire.Peek(r, l.LineBytes, l.PageBytes)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if r.Buffered() > 0 && half.IsZero() {
+				half = time.Now()
+			}
 			continue
 		}
 		if err != nil {
 			return err
 		}
+		half = time.Time{}
 		ends, err = c.take(answer)
 		c.tell(ends)
 		if err != nil {
@@ -268,38 +296,46 @@
 
 // next ends what has had its time and returns what is to be written or, if that is nothing, lets the next read wait
 // until something else is due.
-func (c *conn) next(now time.Time, up net.Conn) (batch net.Buffers, ends []any, err error) {
+func (c *conn) next(now time.Time, up net.Conn, half time.Time) (batch net.Buffers, ends []any, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	due := c.idleAt.Add(c.pool.limits.EngineIdle)
+	l := c.pool.limits
+	due := c.idleAt.Add(l.EngineIdle)
 	if len(c.sends)+len(c.pings)+len(c.out) > 0 {
 		due = now.Add(time.Minute)
 	} else if now.After(due) {
 		c.over = true // so that nothing is put on it any more
 		return nil, nil, errIdle
 	}
+	by := func(at time.Time) (passed bool) {
+		if passed = !now.Before(at); !passed && at.Before(due) {
+			due = at
+		}
+		return passed
+	}
+	if !half.IsZero() && by(half.Add(l.RestTime)) {
+		return nil, nil, errHalf
+	}
+	if len(c.sends) > 0 && c.asked.IsZero() && by(c.heard.Add(l.PingAfter)) {
+		c.ask(nil, stillTag)
+	}
+	if !c.asked.IsZero() && by(c.asked.Add(l.GiveUpTime)) {
+		return nil, nil, errMute
+	}
 	for _, s := range c.sends {
 		if !s.undone && !now.Before(s.until) {
 			c.undo(s, router.TimedOut)
 		}
-		at := s.until
-		if s.undone {
-			at = s.heardBy
-		}
-		if s.undone && !now.Before(at) {
-			c.mute = c.mute || s.written
+		if !s.undone {
+			by(s.until)
+		} else if by(s.heardBy) {
 			ends = append(ends, c.finish(s, s.outcome))
-		} else if at.Before(due) {
-			due = at
 		}
 	}
 	for tag, at := range c.pings {
-		if !now.Before(at) {
+		if by(at) {
 			delete(c.pings, tag)
-			c.mute = true
 			ends = append(ends, Probed{Engine: c.engine, Outcome: router.TimedOut})
-		} else if at.Before(due) {
-			due = at
 		}
 	}
 	for _, it := range c.out {
@@ -327,12 +363,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.mute = false
+	c.heard, c.asked = time.Now(), time.Time{}
 	if a.Word == enginewire.Ready {
-		return c.heard(string(a.ID), load), nil
+		return c.ready(string(a.ID), load), nil
 	}
 	s := c.sends[string(a.ID)]
-	if s == nil {
+	if s == nil || !s.written {
 		return nil, nil
 	}
 	if load != nil {
@@ -358,8 +394,8 @@
 	return c.page(s, a)
 }
 
-// heard takes in that the engine has read all that came before a ping.
-func (c *conn) heard(tag string, load *router.Load) []any {
+// ready takes in that the engine has read all that came before a ping.
+func (c *conn) ready(tag string, load *router.Load) []any {
 	if _, probe := c.pings[tag]; probe {
 		delete(c.pings, tag)
 		c.idleAt = time.Now()
@@ -376,7 +412,13 @@
 func (c *conn) page(s *send, a enginewire.Answer) ([]any, error) {
 	l, at := c.pool.limits, a.PartNo
 	if a.Word == enginewire.OK {
-		if at = 0; s.pages != nil || a.Parts > l.ResultBytes/2 {
+		at = 0
+	}
+	if at < len(s.pages) && s.pages[at] != nil && bytes.Equal(s.pages[at], a.Body) {
+		return nil, nil // a second copy: it tells nothing, and is no reason to give up what else is out here
+	}
+	if a.Word == enginewire.OK {
+		if s.pages != nil || a.Parts > l.Pages {
 			return nil, enginewire.ErrMalformed
 		}
 		s.pages, s.missing = make([][]byte, max(1, a.Parts)), max(1, a.Parts)
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -4,6 +4,7 @@
 package engines
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"net"
@@ -58,6 +59,7 @@
 	post    func(event any)
 	log     *slog.Logger
 	engines map[router.EngineID]*engine
+	ready   int          // engines that may get sends
 	expired bool         // where engines are may have changed
 	open    atomic.Int64 // connections, dialled or being dialled
 	dialled atomic.Int64
@@ -105,7 +107,11 @@
 		}
 		e.Address = a
 	}
+	p.ready = 0
 	for id, e := range p.engines {
+		if e.State == router.Ready && (!whole || named[id]) {
+			p.ready++
+		}
 		if whole && !named[id] {
 			e.State = router.Gone
 			e.withdraw()
@@ -121,9 +127,10 @@
 // come to the address of one that has gone, or the same one back cold.
 func (p *Pool) Expire(expired bool) { p.expired = expired }
 
-// mayDial tells whether a new connection may be opened.
+// mayDial tells whether a new connection may be opened: an engine has an equal part of all that there may be.
 func (p *Pool) mayDial(e *engine) bool {
-	return int(p.open.Load()) < p.limits.EngineConns && (!p.expired || slices.ContainsFunc(e.live(), (*conn).works))
+	return len(e.conns) < max(1, p.limits.EngineConns/max(1, p.ready)) && int(p.open.Load()) < p.limits.EngineConns &&
+		(!p.expired || slices.ContainsFunc(e.conns, (*conn).works))
 }
 
 // live drops connections that have ended.
@@ -149,17 +156,24 @@
 func (p *Pool) Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within time.Duration) {
 	s := &send{cmd: cmd, number: number, at: time.Now(), until: time.Now().Add(within)}
 	e := p.engines[to]
-	put := func(c *conn) bool { return c.put(s, p.streams) }
-	if e != nil && e.State == router.Ready && within > 0 && p.use(e, put) {
+	if e != nil && e.State == router.Ready && within > 0 && e.Dial != "" && p.put(s, e) {
 		return
 	}
 	// The loop must not wait for room in its own inbox.
 	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
 }
 
-// use has a connection to e take something on: one that is there, or else a new one.
-func (p *Pool) use(e *engine, take func(*conn) bool) bool {
-	return e.Dial != "" && (slices.ContainsFunc(e.live(), take) || p.mayDial(e) && take(p.connect(e)))
+// put has a connection take a send on: an idle one, else a new one and, where there may be none, the one that
+// carries least. A connection that breaks or brings one bad answer takes all its sends with it, so they share one only
+// where descriptors are short.
+func (p *Pool) put(s *send, e *engine) bool {
+	least := e.live()
+	slices.SortStableFunc(least, func(a, b *conn) int { return cmp.Compare(a.load(), b.load()) })
+	if (len(least) == 0 || least[0].load() > 0) && p.mayDial(e) && p.connect(e).put(s, p.streams) {
+		return true
+	}
+	take := func(c *conn) bool { return c.put(s, p.streams) }
+	return slices.ContainsFunc(least, take) || p.mayDial(e) && take(p.connect(e))
 }
 
 func (p *Pool) connect(e *engine) *conn {
@@ -187,8 +201,11 @@
 func (p *Pool) Probe(id router.EngineID) {
 	p.tags++
 	tag := "p" + strconv.FormatUint(p.tags, 10) // no tag of an undo begins so
-	if e := p.engines[id]; e != nil && p.use(e, func(c *conn) bool { return c.ping(tag) }) {
-		return
+	if e := p.engines[id]; e != nil && e.Dial != "" {
+		ask := func(c *conn) bool { return c.ping(tag) }
+		if slices.ContainsFunc(e.live(), ask) || p.mayDial(e) && ask(p.connect(e)) {
+			return
+		}
 	}
 	go p.post(Probed{Engine: id, Outcome: router.NotSent})
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -13,6 +13,7 @@
 	CloseBytes   int64         // that a client which was refused may still send before it is closed
 	LineBytes    int           // the longest head of an engine's answer
 	PageBytes    int           // the longest page
+	Pages        int           // of a result
 	ResultBytes  int           // the longest result
 	QueueBytes   int           // what waits to be written to one engine
 	FrameBytes   int           // the longest frame of the feed
@@ -28,7 +29,10 @@
 	EngineWrite  time.Duration // for an engine to take what is written to it
 	ConnectTime  time.Duration // for a connection to an engine to come up
 	EngineIdle   time.Duration // after which an unused connection to an engine is closed
-	GiveUpTime   time.Duration // for an engine to confirm that it gave a send up
+	GiveUpTime   time.Duration // for an engine to answer a ping, which follows each undo
+	PingAfter    time.Duration // of an engine's silence while it owes something: is it still there?
+	RestTime     time.Duration // for the rest of an answer that was begun
+	LateTime     time.Duration // past its client's timeout, for which a command's id is not used again on a connection
 	FeedSilence  time.Duration // after which the feed's connection counts as dead: it speaks each second
 	FeedTold     time.Duration // of silence, or since its address changed, after which its news may count as told
 	FeedBroken   time.Duration // the same since its connection broke
@@ -55,12 +59,13 @@
 	memory := memoryMB << 20 * 6 / 10
 	return &Limits{
 		Connections:  min(descriptors*11/20, memory/2/mostHeld),
-		EngineConns:  descriptors / 4,
+		EngineConns:  min(descriptors*3/10, memory/4/mostHeld),
 		MessageBytes: 32 << 10,
 		ReadBytes:    2 << 10,
 		CloseBytes:   256 << 10,
 		LineBytes:    2 << 10,
 		PageBytes:    6000,
+		Pages:        256,
 		ResultBytes:  48000,
 		QueueBytes:   1 << 20,
 		FrameBytes:   1 << 20,
@@ -77,6 +82,9 @@
 		ConnectTime:  connect,
 		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
 		GiveUpTime:   connect,
+		PingAfter:    connect,
+		RestTime:     connect,
+		LateTime:     2 * time.Second,
 		FeedSilence:  1600 * time.Millisecond,
 		FeedTold:     4 * time.Second,
 		FeedBroken:   2 * time.Second,
