An engine that comes new finds room among the connections to engines

Checked (a line for each send): all of them go to the engine listed last; 115 connections, all that there may be, are held by the five others, whose equal parts were of five. Fault: mayDial's bound on all, reached before the new one had any.

--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -109,17 +109,19 @@
 	}
 	p.ready = 0
 	for id, e := range p.engines {
-		if e.State == router.Ready && (!whole || named[id]) {
-			p.ready++
-		}
 		if whole && !named[id] {
 			e.State = router.Gone
 			e.withdraw()
 		}
 		if e.live(); e.State == router.Gone && len(e.conns) == 0 {
 			delete(p.engines, id)
+		} else if e.State == router.Ready {
+			p.ready++
 		}
 	}
+	for _, e := range p.engines {
+		p.trim(e)
+	}
 }
 
 // Expire tells that where engines are may have changed unheard, or that it is known again. Until then connections
@@ -127,10 +129,27 @@
 // come to the address of one that has gone, or the same one back cold.
 func (p *Pool) Expire(expired bool) { p.expired = expired }
 
-// mayDial tells whether a new connection may be opened: an engine has an equal part of all that there may be.
+// mayDial tells whether a new connection may be opened.
 func (p *Pool) mayDial(e *engine) bool {
-	return len(e.conns) < max(1, p.limits.EngineConns/max(1, p.ready)) && int(p.open.Load()) < p.limits.EngineConns &&
-		(!p.expired || slices.ContainsFunc(e.conns, (*conn).works))
+	return int(p.open.Load()) < p.limits.EngineConns && (!p.expired || slices.ContainsFunc(e.conns, (*conn).works))
+}
+
+// share is how many connections an engine may have for its sends to have one each. Some are kept back, for engines
+// that come new and commands whose id has been on all connections.
+func (p *Pool) share() int { return max(1, p.limits.EngineConns*3/4/max(1, p.ready)) }
+
+// trim closes idle connections past an engine's share, which falls as engines come, and all of one that gets nothing.
+func (p *Pool) trim(e *engine) {
+	over := len(e.conns)
+	if e.State == router.Ready {
+		over -= p.share()
+	}
+	for _, c := range e.conns {
+		if over > 0 && c.load() == 0 {
+			c.stop()
+			over--
+		}
+	}
 }
 
 // live drops connections that have ended.
@@ -169,7 +188,8 @@
 func (p *Pool) put(s *send, e *engine) bool {
 	least := e.live()
 	slices.SortStableFunc(least, func(a, b *conn) int { return cmp.Compare(a.load(), b.load()) })
-	if (len(least) == 0 || least[0].load() > 0) && p.mayDial(e) && p.connect(e).put(s, p.streams) {
+	alone := len(least) == 0 || least[0].load() > 0 && len(least) < p.share()
+	if alone && p.mayDial(e) && p.connect(e).put(s, p.streams) {
 		return true
 	}
 	take := func(c *conn) bool { return c.put(s, p.streams) }
