Loads gather where their tables are held already; who waits for tables looks at all engines

Checked (a line for each send and note): all statements name one of two table groups, loads hold both on all engines, lookups stand still behind them and are sent again to the same engine, as choose looked at others only when the owner's had no room.

--- a/router/design_test.go
+++ b/router/design_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -139,6 +140,42 @@
 	}
 }
 
+// Found on a recorded day of tacoma-east, whose traffic met on two table groups: loads held them on every
+// engine, and lookups stood still behind them everywhere, at their owner's engines while others were free.
+func TestCrowdedTables(t *testing.T) {
+	load, waits := lookup, lookup
+	load.HoldsTables, waits.Waits = true, true
+	for _, c := range []struct {
+		name    string
+		engines int
+		most    int // that loads hold
+	}{{"two thirds", 6, 4}, {"one engine", 1, 1}} {
+		var entries []Entry
+		for i := range c.engines {
+			entries = append(entries, engineAt(EngineID(fmt.Sprint("e", i)), 0, "z", 1))
+		}
+		d := newDesk(t, load, loose, tight, entries...)
+		d.r.profiles = append(d.r.profiles, &profile{Profile: waits})
+		held := map[EngineID]int{}
+		for id := range CommandID(2 * c.engines) {
+			held[sent(d.step(command1(id)), id)]++
+		}
+		if len(held) != c.most || held[""] > 0 {
+			t.Errorf("%s: loads are at %v", c.name, held)
+		}
+		for _, o := range d.r.tables[7].homes { // the owner has one engine, and loads hold the tables there
+			if o != nil {
+				o.engines = []*engine{d.r.engines[d.r.cmds[0].sends[0].engine.id]}
+			}
+		}
+		ev := command1(100)
+		ev.Profile = 1
+		if to := sent(d.step(ev), 100); held[to] > 0 && c.most < c.engines || to == "" {
+			t.Errorf("%s: who waits for tables went to %q", c.name, to)
+		}
+	}
+}
+
 // Found on tacoma-east: a few commands of the heavy tail took the engines that many ordinary ones needed.
 func TestTooLarge(t *testing.T) {
 	for _, c := range []struct {
--- a/router/router.go
+++ b/router/router.go
@@ -45,7 +45,7 @@
 	p := c.profile
 	return e.state == Ready && r.listHolds(e) && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
 		(p.Zones == nil || slices.Contains(p.Zones, e.zone)) && r.mayStart(c) &&
-		(c.doubt == nil || p.Effect == Replayable || sameScope(p.Scope, c.doubt, e)) && r.coldAllows(c.profile, e)
+		(c.doubt == nil || p.Effect == Replayable || p.Scope.holds(c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
 // listHolds tells whether the list may be trusted of e. Once expired, it may for one that answered what was
@@ -123,10 +123,6 @@
 	return p.Effect == Replayable || !doubt || p.Effect == Uniqued && p.Scope == ScopeAll
 }
 
-func sameScope(s Scope, a, b *engine) bool {
-	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
-}
-
 // The engine view.
 
 const (
@@ -188,27 +184,6 @@
 	return true
 }
 
-func (r *Router) report(e *engine, l *Load) {
-	if l == nil {
-		return
-	}
-	e.reportAt, e.granted = r.now, max(0, l.Memory)
-	if l.Util >= 0 {
-		e.util.add(r.now, l.Util, 1)
-	}
-	if l.Disk >= 0 {
-		e.disk.add(r.now, l.Disk, 1)
-	}
-	if l.Inflight >= 0 {
-		e.others.cap(r.now, 1)
-		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
-		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
-		if r.cores > 0 {
-			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
-		}
-	}
-}
-
 // load is the design's, with its fallbacks in order.
 func (r *Router) load(e *engine) float64 {
 	if e.reportAt == 0 || r.now-e.reportAt > reportStale {
@@ -435,6 +410,7 @@
 	roomy                   = 0.75        // filled up to this share an engine takes what others can't
 	leaning                 = 1.0         // weight of a table group's fixed leaning, in threads a core
 	heldTable, heldFor      = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
+	crowdedFrom             = 2.0 / 3     // of the engines, on which loads hold the same tables
 	fullRest                = 200.0       // ms for which an engine that turned a command away gets none
 	overhang                = 3.0         // threads past its part that a controller may run by reports of room
 	threadsEach, memoryMost = 1.2, 0.9    // of a command of others; share granted that stops sends
@@ -463,17 +439,39 @@
 func (r *Router) pressure(c *command, e *engine) float64 {
 	x := r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))
 	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
-	if p := c.profile; p.HoldsTables || p.Waits { // who would stand still behind a load finds another engine
-		if x += heldTable * float64(e.loads[c.tables]); r.now < e.heldUntil[c.tables] {
-			x += heldTable
-		}
-	}
-	if !c.profile.HoldsTables { // those don't meet, or they would stand still behind each other
+	x += heldTable * r.behind(c, e) // who would stand still behind a load finds another engine
+	if !c.profile.HoldsTables {     // those don't meet, or they would stand still behind each other
 		x += leaning * (1 - likes(c.tables, e))
 	}
 	return x
 }
 
+// behind is how many loads are known that c would stand still behind on e.
+func (r *Router) behind(c *command, e *engine) float64 {
+	if !c.profile.HoldsTables && !c.profile.Waits {
+		return 0
+	}
+	if r.now < e.heldUntil[c.tables] {
+		return float64(e.loads[c.tables] + 1)
+	}
+	return float64(e.loads[c.tables])
+}
+
+// crowded tells whether loads hold c's tables on so many engines that another goes where they are held: it
+// waits its turn there, and who waits for tables finds engines where it need not. Against traffic that meets
+// on few tables, whose loads would hold them everywhere. Harm: loads queue up, and more of them are late.
+func (r *Router) crowded(c *command) bool {
+	held, all := 0.0, 0.0
+	for _, e := range r.order {
+		if e.state == Ready && e.well() {
+			if all++; r.behind(c, e) > 0 {
+				held++
+			}
+		}
+	}
+	return c.profile.HoldsTables && held > 0 && held >= crowdedFrom*all
+}
+
 // likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
 func likes(g *tableGroup, e *engine) float64 {
 	x := e.hash ^ uint64(g.id)*0x9e3779b97f4a7c15
@@ -485,10 +483,11 @@
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
 func (r *Router) choose(c *command) (best *engine) {
-	least := math.Inf(1)
+	least, crowded := math.Inf(1), r.crowded(c)
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
-			if x := r.pressure(c, e); x < least && r.hasRoom(e, fill) && r.mayGo(c, e) {
+			x := r.pressure(c, e)
+			if x < least && (!crowded || r.behind(c, e) > 0) && r.hasRoom(e, fill) && r.mayGo(c, e) {
 				best, least = e, x
 			}
 		}
@@ -498,7 +497,7 @@
 			consider(o.engines, 1)
 		}
 	}
-	if best == nil {
+	if best == nil || r.behind(c, best) > 0 {
 		consider(r.order, roomy)
 	}
 	return best
--- a/router/state.go
+++ b/router/state.go
@@ -569,6 +569,33 @@
 	}
 }
 
+// report files a load report.
+func (r *Router) report(e *engine, l *Load) {
+	if l == nil {
+		return
+	}
+	e.reportAt, e.granted = r.now, max(0, l.Memory)
+	if l.Util >= 0 {
+		e.util.add(r.now, l.Util, 1)
+	}
+	if l.Disk >= 0 {
+		e.disk.add(r.now, l.Disk, 1)
+	}
+	if l.Inflight >= 0 {
+		e.others.cap(r.now, 1)
+		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
+		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
+		if r.cores > 0 {
+			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
+		}
+	}
+}
+
+// holds tells whether two engines drop each other's repeats.
+func (s Scope) holds(a, b *engine) bool {
+	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
+}
+
 // mean is an owner's load: that of its engines, on average.
 func (r *Router) mean(o *owner) (sum float64) {
 	for _, e := range o.engines {
