An engine is unwell from 6 bad outcomes of 8, not 4

Checked (a line for each send): the three lose a quarter to a third of their answers, which made 4 bad of 8 within a few sends (judgeLeast); what they answer is fast.

--- a/router/router.go
+++ b/router/router.go
@@ -126,7 +126,7 @@
 // The engine view.
 
 const (
-	judgeOver, judgeLeast  = 8, 5          // last outcomes to judge an engine by; fewer successes: unwell
+	judgeOver, judgeLeast  = 8, 3          // last outcomes to judge an engine by; fewer successes: unwell
 	firstTrial, longTrial  = 250.0, 2000.0 // ms until an unwell engine's trial send; doubled by failures
 	reportLife             = 1000.0        // ms over which reports are smoothed
 	othersLife             = 5000.0        // ms over which what an engine was told to hold gives way to the mean
