--- a/router/design_test.go
+++ b/router/design_test.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// An engine that does next to nothing well gets trial sends alone until it does again. Found on a recorded day of
+// An engine that does next to nothing well gets trial sends until it does again. Found on a recorded day of
 // tacoma-east: one that loses three answers of ten goes on, as the others can't do its work too.
 func TestHealth(t *testing.T) {
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
