A profile that an engine turns away rests there, longer each time; other profiles don't

Checked (a line for each send): nine tenths of the lookups, and nothing else, are turned away by two or three engines, 54 or 98 ms after each send; loads and reports run there as ever. fullUntil rested the whole engine 200 ms and then let several lookups go at once.

--- a/router/design_test.go
+++ b/router/design_test.go
@@ -295,6 +295,58 @@
 	}
 }
 
+// Found on tacoma-east on sockets: engines turned away nine tenths of the lookups for fifteen seconds, and took
+// all else. Lookups went on being sent there, as who does little looks idle.
+func TestProfileTurnedAway(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	d.r.profiles = append(d.r.profiles, &profile{Profile: lookup})
+	offer := func(id CommandID, p ProfileID) bool { // a command, which leaves if it isn't sent at once
+		ev := command1(id)
+		ev.Profile = p
+		to := sent(d.step(ev), id)
+		if to == "" {
+			d.step(Left{ID: id})
+		}
+		return to != ""
+	}
+	id, tries, taken := CommandID(0), 0, 0
+	run := func(ms float64, takes bool) {
+		for until := d.now + ms; d.now < until; d.wait(10) {
+			if id++; offer(id, 0) {
+				tries++
+				if takes {
+					taken++
+					d.step(outcome(id, 0, Answered))
+				} else {
+					d.step(outcome(id, 0, Full), Left{ID: id})
+				}
+			}
+			if id++; !offer(id, 1) {
+				t.Fatal("another profile rests too")
+			}
+			d.step(outcome(id, 0, Answered))
+		}
+	}
+	if run(10000, false); tries > 14 || tries < 8 {
+		t.Errorf("%d tries in 10 s at an engine that turns the profile away", tries)
+	}
+	if run(5000, true); taken < 100 {
+		t.Errorf("%d commands in the 5 s after", taken)
+	}
+	burst := 0 // who left before the first was turned away does not make the rest longer
+	for range 5 {
+		if id++; offer(id, 0) {
+			burst++
+		}
+	}
+	for i := range CommandID(5) {
+		d.step(outcome(id-i, 0, Full), Left{ID: id - i})
+	}
+	if wait := d.r.engines["a"].turned(d.r.profiles[0]).wait; burst != 5 || wait != fullRest {
+		t.Errorf("after %d at once the rest is %g ms", burst, wait)
+	}
+}
+
 // Commands of strangers, which no engine can use, count against none; an error on what another can do does.
 func TestErrors(t *testing.T) {
 	for _, c := range []struct {
@@ -345,7 +397,7 @@
 	}
 }
 
-// Table groups go when nobody names them, those that strangers alone have named soon; so does what is kept by them.
+// Table groups go when nobody names them, those that strangers alone have named soon.
 func TestTablesGo(t *testing.T) {
 	load := lookup
 	load.HoldsTables = true
--- a/router/router.go
+++ b/router/router.go
@@ -57,11 +57,9 @@
 
 // mayStart is the part of mayGo that is the same for all engines.
 func (r *Router) mayStart(c *command) bool {
-	if l := r.lineOf(c); l != nil && (l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest) {
-		return false
-	}
-	return !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
-		(len(c.sends) == 0 || r.budgetAllows())
+	l := r.lineOf(c)
+	return (l == nil || l.cmds[0] == c && (len(c.sends) > 0 || r.now >= l.rest)) && !c.over &&
+		c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) && (len(c.sends) == 0 || r.budgetAllows())
 }
 
 // endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
@@ -237,7 +235,7 @@
 	period, moveMargin = 2000.0, 1.25 // ms between moves, and the margin for one
 	fastMargin         = 2.5          // the busiest so far over the lowest future load: counts are solved
 	underused          = 0.25         // load of a lone engine that may be shared
-	tablesLife         = 60000.0      // ms for which a table group is kept that nobody names; a stranger's: a period
+	tablesLife         = 60000.0      // ms for which a table group is kept that nobody names
 )
 
 func (r *Router) each(o *owner) float64 { return r.demand(o) / float64(max(1, o.want)) }
@@ -408,7 +406,7 @@
 	leaning                 = 1.0         // weight of a table group's fixed leaning, in threads a core
 	heldTable, heldFor      = 4.0, 1500.0 // the same of a load that holds the tables; ms that its note counts
 	crowdedFrom             = 2.0 / 3     // of the engines, on which loads hold the same tables
-	fullRest                = 200.0       // ms for which an engine that turned a command away gets none
+	fullRest, fullLongest   = 200.0, 1e3  // ms of rest of a profile at an engine that turned it away
 	overhang                = 3.0         // threads past its part that a controller may run by reports of room
 	threadsEach, memoryMost = 1.2, 0.9    // of a command of others; share granted that stops sends
 	scanMost                = 100         // held commands that one step tries
@@ -417,12 +415,12 @@
 // hasRoom is the thread bound, for the engine and pooled over all: a small controller's part of one engine is
 // less than a command, of which one may always run, and the last may overhang. Its part of all is coarse too:
 // it may go a little past it where a report tells of room, and nothing goes where one tells of no memory.
-func (r *Router) hasRoom(e *engine, fill float64) bool {
+func (r *Router) hasRoom(c *command, e *engine, fill float64) bool {
 	known, pool := r.now-e.reportAt < reportStale, r.pool
 	if known && r.filled(e) < roomy*startWidth || r.bound(e) < 1 && !math.IsInf(r.coldPart(e), 1) {
 		pool += overhang // a cold one's guard is its part
 	}
-	return r.now >= e.fullUntil && (e.well() || e.out == 0 && r.now >= e.retryAt) && (r.out == 0 ||
+	return r.now >= e.turned(c.profile).until && (e.well() || e.out == 0 && r.now >= e.retryAt) && (r.out == 0 ||
 		r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e)) && (!known || e.granted <= memoryMost))
 }
 
@@ -475,7 +473,7 @@
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
 			x := r.pressure(c, e)
-			if x < least && (!crowded || r.behind(c, e) > 0) && r.hasRoom(e, fill) && r.mayGo(c, e) {
+			if x < least && (!crowded || r.behind(c, e) > 0) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
 				best, least = e, x
 			}
 		}
@@ -506,6 +504,7 @@
 		if e == nil || r.now-e.reportAt > askOver && (e.probing || r.now > e.probeAt && r.ask(e)) {
 			return false
 		}
+		e.turned(p).try(r.now)
 		r.setAlarm(r.now+r.quiet(), c)
 		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
 		return true
@@ -594,6 +593,7 @@
 	switch ev.Outcome {
 	case Answered:
 		s.engine.judge(r.now, true)
+		s.engine.turned(c.profile).took(s.at, fullRest)
 		for _, o := range c.sends {
 			if o.erred && o.engine != s.engine { // on what another can do
 				o.engine.judge(r.now, false)
@@ -601,8 +601,9 @@
 		}
 		r.missed = r.missed || r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now)
 		r.learn(c, s.engine, ev)
-	case Full, NotSent: // no session or connection is to be had: sending on would use up the command's sends
-		s.engine.fullUntil, s.engine.width = r.now+fullRest, max(leastWidth, s.engine.width*cutBy)
+	case Full, NotSent: // sending on would use up the sends of commands, and others may fare well there
+		s.engine.turned(c.profile).away(r.now, s.at, fullRest, fullLongest)
+		s.engine.width = max(leastWidth, s.engine.width*cutBy)
 	case Errored, Refused, Reset, TimedOut: // an error may be the command's own fault, unless another answers it
 		if s.erred = ev.Outcome == Errored && c.profile.Effect != NonReplayable; !s.erred {
 			s.engine.judge(r.now, false)
@@ -628,8 +629,7 @@
 		s.engine.heldUntil[c.tables] = r.now + heldFor
 	}
 	alone, passed := c.profile.alone(c, r.now), r.now-s.at
-	total := passed / max(ev.Level, 0.01)
-	should := alone * max(1, s.engine.slow.mean(r.now, 1, 1))
+	total, should := passed/max(ev.Level, 0.01), alone*max(1, s.engine.slow.mean(r.now, 1, 1))
 	if ev.What != NoteProgress || ev.Level < 0 || ev.Level > 1 { // or no share that an engine can mean
 		return
 	}
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -254,6 +254,7 @@
 		if to := sent(append(d.step(command1(2)), d.wait(tendEvery)...), 2); (to != "") != c.sent {
 			t.Errorf("%s: sent to %q by an expired list", c.name, to)
 		}
+		d.step(Left{ID: 2})
 		if to := sent(append(d.step(Listed{}, command1(3)), d.wait(tendEvery)...), 3); to != "a" {
 			t.Errorf("%s: not sent when news came", c.name)
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -129,33 +129,69 @@
 
 // engine is one of the list, or one that left it with sends still out.
 type engine struct {
-	id               EngineID
-	hash             uint64 // of the id
-	state            State
-	zone             Zone
-	kind             KindID
-	cell             CellID
-	since            float64
-	cores            float64
-	out              int                     // own sends out
-	threads          float64                 // of these
-	loads            map[*tableGroup]int     // own loads out, by what they hold
-	heldUntil        map[*tableGroup]float64 // by a note that a load holds them
-	others           decay                   // commands of other controllers, by its reports
-	util, disk       decay
-	granted          float64 // share of its memory, by its last report
-	reportAt         float64
-	slow             decay  // time taken over the time alone
-	outcomes         uint64 // the last outcomes, a bit each, 1 for success
-	retryAt          float64
-	retryWait        float64
-	probing          bool
-	probeAt          float64
-	width            float64 // threads a core that all controllers together may run here, by what this one sees
-	cutAt, fullUntil float64
-	coldSent         stamps
-	tookAt           float64 // when what it last answered was sent to it
-	brokeAt          float64 // when a connection to it was last lost, or not to be had
+	id         EngineID
+	hash       uint64 // of the id
+	state      State
+	zone       Zone
+	kind       KindID
+	cell       CellID
+	since      float64
+	cores      float64
+	out        int                     // own sends out
+	threads    float64                 // of these
+	loads      map[*tableGroup]int     // own loads out, by what they hold
+	heldUntil  map[*tableGroup]float64 // by a note that a load holds them
+	others     decay                   // commands of other controllers, by its reports
+	util, disk decay
+	granted    float64 // share of its memory, by its last report
+	reportAt   float64
+	slow       decay  // time taken over the time alone
+	outcomes   uint64 // the last outcomes, a bit each, 1 for success
+	retryAt    float64
+	retryWait  float64
+	probing    bool
+	probeAt    float64
+	width      float64 // threads a core that all controllers together may run here, by what this one sees
+	cutAt      float64
+	rests      map[*profile]*rest // of profiles that it turned away
+	coldSent   stamps
+	tookAt     float64 // when what it last answered was sent to it
+	brokeAt    float64 // when a connection to it was last lost, or not to be had
+}
+
+// rest is how long something waits between tries: twice as long after each that fails, half as long after each
+// that does well. What left before the last change tells nothing of it.
+type rest struct{ changed, until, wait float64 }
+
+func (t *rest) away(now, sent, least, most float64) {
+	if sent >= t.changed {
+		t.changed, t.wait = now, min(most, max(least, 2*t.wait))
+		t.until = now + t.wait
+	}
+}
+
+func (t *rest) took(sent, least float64) {
+	if t.wait > 0 && sent >= t.changed {
+		if t.changed, t.wait = sent, t.wait/2; t.wait < least {
+			*t = rest{}
+		}
+		t.until = sent + t.wait
+	}
+}
+
+// try takes in that one try is made: until the rest is over, or this does well, it is the only one.
+func (t *rest) try(now float64) {
+	if t.wait > 0 {
+		t.until = now + t.wait
+	}
+}
+
+// turned is the rest of a profile at an engine.
+func (e *engine) turned(p *profile) *rest {
+	if e.rests[p] == nil {
+		e.rests[p] = &rest{}
+	}
+	return e.rests[p]
 }
 
 // tableGroup is a group of tables with its learned demand.
@@ -516,6 +552,7 @@
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
 	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
 	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
+	clear(e.rests)
 }
 
 // enlist takes in the entries of a list; what a whole list doesn't name has left.
@@ -534,7 +571,7 @@
 			h := fnv.New64a()
 			h.Write([]byte(entry.Engine))
 			e = &engine{id: entry.Engine, hash: h.Sum64(), loads: map[*tableGroup]int{},
-				heldUntil: map[*tableGroup]float64{}}
+				heldUntil: map[*tableGroup]float64{}, rests: map[*profile]*rest{}}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 			e.fresh()
 		} else if since > e.since {
