--- a/router/router.go
+++ b/router/router.go
@@ -58,8 +58,9 @@
 // mayStart is the part of mayGo that is the same for all engines.
 func (r *Router) mayStart(c *command) bool {
 	l := r.lineOf(c)
-	return (l == nil || l.cmds[0] == c && (len(c.sends) > 0 || r.now >= l.rest)) && !c.over &&
-		c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) && (len(c.sends) == 0 || r.budgetAllows())
+	inTurn := l == nil || l.cmds[0] == c && (len(c.sends) > 0 || r.now >= l.rest)
+	return inTurn && !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
+		(len(c.sends) == 0 || r.budgetAllows())
 }
 
 // endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
@@ -432,8 +433,7 @@
 
 // pressure ranks engines for a command: how filled and slow they are, loads that hold its tables, leaning.
 func (r *Router) pressure(c *command, e *engine) float64 {
-	x := r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))
-	x *= max(1, e.slow.mean(r.now, 1, 1)/nearBest)
+	x := (r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))) * max(1, e.slow.mean(r.now, 1, 1)/nearBest)
 	x += heldTable * r.behind(c, e) // who would stand still behind a load finds another engine
 	if !c.profile.HoldsTables {     // those don't meet, or they would stand still behind each other
 		x += leaning * (1 - likes(c.tables, e))
