Who failed on an engine goes to another; an error rests its profile there

Checked (a line for each send): two engines err on reports, and on nothing else; each such report is sent to the same engine three times, which looks idle, and is shed. choose knew nothing of a command's own failed sends.

--- a/router/router.go
+++ b/router/router.go
@@ -434,22 +434,20 @@
 // pressure ranks engines for a command: how filled and slow they are, loads that hold its tables, leaning.
 func (r *Router) pressure(c *command, e *engine) float64 {
 	x := (r.filled(e) + c.profile.Threads/(e.cores*r.ramp(e))) * max(1, e.slow.mean(r.now, 1, 1)/nearBest)
-	x += heldTable * r.behind(c, e) // who would stand still behind a load finds another engine
-	if !c.profile.HoldsTables {     // those don't meet, or they would stand still behind each other
+	x += heldTable * r.against(c, e) // who would stand still behind a load finds another engine
+	if !c.profile.HoldsTables {      // those don't meet, or they would stand still behind each other
 		x += leaning * (1 - likes(c.tables, e))
 	}
 	return x
 }
 
-// behind is how many loads are known that c would stand still behind on e.
-func (r *Router) behind(c *command, e *engine) float64 {
-	if !c.profile.HoldsTables && !c.profile.Waits {
-		return 0
-	}
-	if r.now < e.heldUntil[c.tables] {
-		return float64(e.loads[c.tables] + 1)
+// against is what is known against c on e: loads that it would stand still behind, its sends that failed
+// there.
+func (r *Router) against(c *command, e *engine) float64 {
+	if p := c.profile; p.HoldsTables || p.Waits {
+		return e.holds(c.tables, r.now) + c.failedAt(e)
 	}
-	return float64(e.loads[c.tables])
+	return c.failedAt(e)
 }
 
 // crowded tells whether loads hold c's tables on so many engines that another goes where they are held: it
@@ -459,7 +457,7 @@
 	held, all := 0.0, 0.0
 	for _, e := range r.order {
 		if e.state == Ready && e.well() {
-			if all++; r.behind(c, e) > 0 {
+			if all++; e.holds(c.tables, r.now) > 0 {
 				held++
 			}
 		}
@@ -473,7 +471,8 @@
 	consider := func(engines []*engine, fill float64) {
 		for _, e := range engines {
 			x := r.pressure(c, e)
-			if x < least && (!crowded || r.behind(c, e) > 0) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
+			goes := !crowded || e.holds(c.tables, r.now) > 0
+			if x < least && goes && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
 				best, least = e, x
 			}
 		}
@@ -483,7 +482,7 @@
 			consider(o.engines, 1)
 		}
 	}
-	if best == nil || r.behind(c, best) > 0 {
+	if best == nil || r.against(c, best) > 0 {
 		consider(r.order, roomy)
 	}
 	return best
@@ -596,7 +595,7 @@
 		s.engine.turned(c.profile).took(s.at, fullRest)
 		for _, o := range c.sends {
 			if o.erred && o.engine != s.engine { // on what another can do
-				o.engine.judge(r.now, false)
+				o.engine.turned(c.profile).away(r.now, o.at, fullRest, fullLongest)
 			}
 		}
 		r.missed = r.missed || r.now > c.asked+c.profile.Target+c.profile.TargetStretch*c.profile.alone(c, r.now)
@@ -661,6 +660,7 @@
 			r.setAlarm(quiet, c)
 		} else if again && len(c.sends) < r.allowed.MaxSends && r.budgetAllows() {
 			s.engine.judge(r.now, false)
+			s.failed = true
 			if r.allowed.Cancel {
 				c.wantCancel = true
 				r.touch(c)
--- a/router/state.go
+++ b/router/state.go
@@ -79,7 +79,8 @@
 	at, word       float64 // when it left, and when last heard of
 	out, cancelled bool
 	lost           bool // out, but not waited for
-	erred          bool // it ended as an error, which nobody is blamed for so far
+	failed         bool // by what is known of it, or its engine has gone quiet
+	erred          bool // it ended as an error, which may be the command's own fault
 	mem            float64
 }
 
@@ -159,8 +160,8 @@
 	brokeAt    float64 // when a connection to it was last lost, or not to be had
 }
 
-// rest is how long something waits between tries: twice as long after each that fails, half as long after each
-// that does well. What left before the last change tells nothing of it.
+// rest is how long something waits between tries: twice as long after each that fails, half as long after
+// each that does well. What left before the last change tells nothing of it.
 type rest struct{ changed, until, wait float64 }
 
 func (t *rest) away(now, sent, least, most float64) {
@@ -194,6 +195,24 @@
 	return e.rests[p]
 }
 
+// holds is how many loads are known to hold a table group on the engine.
+func (e *engine) holds(g *tableGroup, now float64) float64 {
+	if now < e.heldUntil[g] {
+		return float64(e.loads[g] + 1)
+	}
+	return float64(e.loads[g])
+}
+
+// failedAt is how many sends of c failed on e.
+func (c *command) failedAt(e *engine) (n float64) {
+	for _, s := range c.sends {
+		if s.failed && s.engine == e {
+			n++
+		}
+	}
+	return n
+}
+
 // tableGroup is a group of tables with its learned demand.
 type tableGroup struct {
 	id     TableGroup
@@ -406,6 +425,10 @@
 	c.tables.held.add(r.now, s.mem*ev.Took, 1)
 	s.out, c.over = false, c.over || ev.Over
 	switch ev.Outcome {
+	case Errored, Reset, TimedOut, Refused:
+		s.failed = true
+	}
+	switch ev.Outcome {
 	case Answered:
 		s.engine.tookAt, s.engine.brokeAt = max(s.engine.tookAt, s.at), math.Inf(-1) // the process is the same
 		c.tables.known = true
