A profile that fails on an engine rests there; one that does well goes on

Checked (a line for each send): the two lose the answers of six lookups in ten and of nothing else (13 of 20, 20 of 35 sends without a word); the engine is unwell by them, and loads and reports, which it runs well, go elsewhere too. Now: health is an engine's and, beside it, a profile's at the engine; see docs/design.md.

--- a/router/router.go
+++ b/router/router.go
@@ -119,6 +119,7 @@
 const (
 	judgeOver, judgeLeast  = 8, 3          // last outcomes to judge an engine by; fewer successes: unwell
 	firstTrial, longTrial  = 250.0, 2000.0 // ms until an unwell engine's trial send; doubled by failures
+	goodFor                = 5000.0        // ms for which a profile's own success speaks for an unwell engine
 	reportLife             = 1000.0        // ms over which reports are smoothed
 	othersLife             = 5000.0        // ms over which what an engine was told to hold gives way to the mean
 	slowLife, slowLongest  = 4.0, 10000.0  // its pace is learned over so many times own commands' distance
@@ -141,6 +142,18 @@
 	}
 }
 
+// mark takes in how a send did. Two failures of a profile in a row rest it there, its success speaks for it
+// where others fail: against engines that fail one profile alone, and were left out by all, or by none.
+func (r *Router) mark(c *command, s *sendState, good bool) {
+	t := s.engine.turned(c.profile)
+	if s.engine.judge(r.now, good); good {
+		t.took(r.now, s.at, fullRest)
+	} else if t.bad {
+		t.away(r.now, s.at, fullRest, fullLongest)
+	}
+	t.bad, s.failed = !good, s.failed || !good
+}
+
 // ramp is the share of its capacity that a cold engine is taken to have.
 func (r *Router) ramp(e *engine) float64 {
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
@@ -417,11 +430,12 @@
 // less than a command, of which one may always run, and the last may overhang. Its part of all is coarse too:
 // it may go a little past it where a report tells of room, and nothing goes where one tells of no memory.
 func (r *Router) hasRoom(c *command, e *engine, fill float64) bool {
-	known, pool := r.now-e.reportAt < reportStale, r.pool
+	known, pool, t := r.now-e.reportAt < reportStale, r.pool, e.turned(c.profile)
 	if known && r.filled(e) < roomy*startWidth || r.bound(e) < 1 && !math.IsInf(r.coldPart(e), 1) {
 		pool += overhang // a cold one's guard is its part
 	}
-	return r.now >= e.turned(c.profile).until && (e.well() || e.out == 0 && r.now >= e.retryAt) && (r.out == 0 ||
+	fit := e.well() || t.good(r.now-goodFor) || e.out == 0 && r.now >= e.retryAt
+	return fit && r.now >= t.until && (r.out == 0 ||
 		r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e)) && (!known || e.granted <= memoryMost))
 }
 
@@ -569,7 +583,7 @@
 func (r *Router) arrived(ev Arrived) {
 	p := r.profiles[ev.Profile]
 	ev.Left = min(ev.Left, p.Timeout) // a stranger may claim any
-	c := r.take(ev)
+	c := r.enrol(ev)
 	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
@@ -591,8 +605,7 @@
 	r.report(s.engine, ev.Load)
 	switch ev.Outcome {
 	case Answered:
-		s.engine.judge(r.now, true)
-		s.engine.turned(c.profile).took(s.at, fullRest)
+		r.mark(c, s, true)
 		for _, o := range c.sends {
 			if o.erred && o.engine != s.engine { // on what another can do
 				o.engine.turned(c.profile).away(r.now, o.at, fullRest, fullLongest)
@@ -605,7 +618,7 @@
 		s.engine.width = max(leastWidth, s.engine.width*cutBy)
 	case Errored, Refused, Reset, TimedOut: // an error may be the command's own fault, unless another answers it
 		if s.erred = ev.Outcome == Errored && c.profile.Effect != NonReplayable; !s.erred {
-			s.engine.judge(r.now, false)
+			r.mark(c, s, false)
 		}
 	}
 	if c.over || c.wantEnd != open || c.begun || c.out > 0 || s.lost {
@@ -659,8 +672,7 @@
 		if quiet := s.word + r.quiet(); r.now < quiet {
 			r.setAlarm(quiet, c)
 		} else if again && len(c.sends) < r.allowed.MaxSends && r.budgetAllows() {
-			s.engine.judge(r.now, false)
-			s.failed = true
+			r.mark(c, s, false)
 			if r.allowed.Cancel {
 				c.wantCancel = true
 				r.touch(c)
@@ -680,18 +692,7 @@
 func (r *Router) Step(now float64, events []Event) []Action {
 	r.setClock(now)
 	for _, ev := range events {
-		switch ev := ev.(type) {
-		case Listed:
-			r.listed(ev)
-		case Arrived:
-			r.arrived(ev)
-		case Ended:
-			r.ended(ev)
-		case Noted:
-			r.noted(ev)
-		default:
-			r.file(ev)
-		}
+		r.take(ev)
 	}
 	for c := r.due(); c != nil; c = r.due() {
 		r.look(c)
--- a/router/state.go
+++ b/router/state.go
@@ -162,7 +162,11 @@
 
 // rest is how long something waits between tries: twice as long after each that fails, half as long after
 // each that does well. What left before the last change tells nothing of it.
-type rest struct{ changed, until, wait float64 }
+type rest struct {
+	changed, until, wait float64
+	bad                  bool    // the last send failed
+	goodAt               float64 // when one last did well
+}
 
 func (t *rest) away(now, sent, least, most float64) {
 	if sent >= t.changed {
@@ -171,10 +175,11 @@
 	}
 }
 
-func (t *rest) took(sent, least float64) {
+func (t *rest) took(now, sent, least float64) {
+	t.goodAt = now
 	if t.wait > 0 && sent >= t.changed {
 		if t.changed, t.wait = sent, t.wait/2; t.wait < least {
-			*t = rest{}
+			t.wait = 0
 		}
 		t.until = sent + t.wait
 	}
@@ -187,6 +192,9 @@
 	}
 }
 
+// good tells whether the last send did well, since then.
+func (t *rest) good(since float64) bool { return !t.bad && t.goodAt > since }
+
 // turned is the rest of a profile at an engine.
 func (e *engine) turned(p *profile) *rest {
 	if e.rests[p] == nil {
@@ -353,8 +361,8 @@
 	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
 }
 
-// take files a new command, in the line of its key if it has one; a new table group finds its owners.
-func (r *Router) take(ev Arrived) *command {
+// enrol files a new command, in the line of its key if it has one; a new table group finds its owners.
+func (r *Router) enrol(ev Arrived) *command {
 	g := r.tables[ev.Tables]
 	if g == nil {
 		g = &tableGroup{id: ev.Tables, demand: decay{life: demandLife}, held: decay{life: demandLife},
@@ -614,9 +622,17 @@
 	}
 }
 
-// file takes in the events that ask for no decision of their own.
-func (r *Router) file(event Event) {
+// take hands an event to who decides by it, or files it.
+func (r *Router) take(event Event) {
 	switch ev := event.(type) {
+	case Listed:
+		r.listed(ev)
+	case Arrived:
+		r.arrived(ev)
+	case Ended:
+		r.ended(ev)
+	case Noted:
+		r.noted(ev)
 	case Began:
 		r.begun(ev.ID)
 	case Left:
