Memory past a restart: a thin path from the module to a folder and back

Need: a controller that restarts relearns all at its clients' cost.

Packing merges light packs in one sorting instead of one for each.

--- a/cmd/mintkeel/config.go
+++ b/cmd/mintkeel/config.go
@@ -35,6 +35,15 @@
 
 func bad(field, why string) error { return &settings.FieldError{Field: field, Why: why} }
 
+// fieldOf is the field that an error names; empty if it names none.
+func fieldOf(err error) string {
+	var f *settings.FieldError
+	if errors.As(err, &f) {
+		return f.Field
+	}
+	return ""
+}
+
 // readStart reads a configuration; its error names the field that can't be used.
 func readStart(path string) (*start, error) {
 	text, err := os.ReadFile(path)
--- a/cmd/mintkeel/main.go
+++ b/cmd/mintkeel/main.go
@@ -1,42 +1,65 @@
 // Command mintkeel is one controller of the gateway: it takes clients' commands on a socket, has the decision module
-// say what runs where, and answers.
+// say what runs where, and answers. Here are arguments and wiring only.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
 )
 
-func main() {
-	if len(os.Args) < 2 {
-		usage()
-		os.Exit(2)
-	}
-	var err error
-	switch os.Args[1] {
-	case "serve":
-		err = serve(os.Args[2:])
-	case "check":
-		err = check(os.Args[2:])
-	case "version":
-		err = version(os.Args[2:])
-	default:
-		usage()
-		os.Exit(2)
+// Exit codes.
+const (
+	exitFailed = 1 // it can't be done: a configuration that can't be used, a memory that can't be trusted
+	exitUsage  = 2 // it was not understood
+)
+
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// execute runs one command line and returns the exit code.
+func execute(args []string, out, errs io.Writer) int {
+	understood := false
+	root := &cobra.Command{
+		Use:   "mintkeel",
+		Short: "A query gateway that decides what runs where, and with how much memory",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			understood = false
+			c.SetOut(errs)
+			c.Help()
+			return fmt.Errorf("no command")
+		},
+		PersistentPreRun: func(*cobra.Command, []string) { understood = true },
+		SilenceErrors:    true,
+		SilenceUsage:     true,
 	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "mintkeel:", err)
-		os.Exit(1)
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), memoryCommand())
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.SetArgs(dashes(args))
+	if err := root.Execute(); err != nil {
+		for line := range strings.SplitSeq(err.Error(), "\n") {
+			fmt.Fprintln(errs, "mintkeel:", line)
+		}
+		if understood {
+			return exitFailed
+		}
+		fmt.Fprintln(errs, "mintkeel: see mintkeel --help")
+		return exitUsage
 	}
+	return 0
 }
 
-func usage() {
-	fmt.Fprint(os.Stderr, `usage: mintkeel COMMAND [flags]
-
-  serve     run a controller until SIGTERM
-  check     read a configuration and tell what is wrong with it
-  version   print what was built
-
-Each command takes -h.
-`)
+// dashes takes the flags of earlier versions, which had one dash, as the same with two.
+func dashes(args []string) []string {
+	out := make([]string, len(args))
+	for i, arg := range args {
+		if out[i] = arg; arg == "-config" || strings.HasPrefix(arg, "-config=") {
+			out[i] = "-" + arg
+		}
+	}
+	return out
 }
--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"mintkeel/internal/limits"
+	"mintkeel/internal/logs"
+	"mintkeel/internal/operator"
 )
 
 const (
@@ -150,7 +152,9 @@
 	l := limits.For(1024, 192, time.Second, time.Minute, 0)
 	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 100*time.Millisecond
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- run(s, path, l, signals, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+	d := &daemon{from: sources{config: path}, start: s, file: &operator.File{}, limits: l,
+		lines: logs.New(io.Discard, logs.Usual())}
+	go func() { ended <- d.run(signals) }()
 	dial := func() *client {
 		for deadline := time.Now().Add(patience); ; {
 			conn, err := net.Dial("tcp", addr)
--- /dev/null
+++ b/cmd/mintkeel/memory.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/memory"
+	"mintkeel/internal/store/disk"
+	"mintkeel/router"
+)
+
+func memoryCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "memory",
+		Short: "Look at, verify or prune what controllers keep past a restart",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(memoryShow(), memoryVerify(), memoryPrune())
+	return c
+}
+
+// usualLimits serve commands that run beside a controller, without what the platform grants.
+func usualLimits() *limits.Limits { return limits.For(64, 64, 0, 0, 0) }
+
+func memoryShow() *cobra.Command {
+	var asJSON, all bool
+	c := &cobra.Command{
+		Use:   "show FOLDER",
+		Short: "Tell what is kept in a folder, how old it is, and what it would weigh now",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			kept, _, err := memory.Load(disk.Folder(args[0]), memory.Bounds(usualLimits()))
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			shown := memory.Show(kept, float64(time.Now().UnixMilli()), recall.Usual())
+			if asJSON {
+				return printJSON(c, shown)
+			}
+			return printShown(c.OutOrStdout(), shown, all)
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print all records as JSON")
+	c.Flags().BoolVar(&all, "all", false, "print all records, not the first of each kind")
+	return c
+}
+
+// fewShown are printed of each kind unless all are asked for.
+const fewShown = 20
+
+func printShown(out io.Writer, s *memory.Shown, all bool) error {
+	fmt.Fprintf(out, "%s of %s, number %d, %s old, written by %s\n", s.File, s.Name, s.Serial,
+		(time.Duration(s.AgeMS) * time.Millisecond).Round(time.Millisecond), s.Build)
+	if !s.Whole {
+		fmt.Fprintln(out, "some of its sections could not be used and are left out")
+	}
+	fmt.Fprintf(out, "%d records: %d believed now, %d too old, %d from the future, %d with figures that can't be\n",
+		s.Records, s.Believed, s.Aged, s.Future, s.Wrong)
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	table := func(title, head string, n int, line func(i int)) {
+		if n == 0 {
+			return
+		}
+		fmt.Fprintf(t, "\n%s\n%s\n", title, head)
+		for i := range n {
+			if i == fewShown && !all {
+				fmt.Fprintf(t, "... %d more\n", n-i)
+				break
+			}
+			line(i)
+		}
+	}
+	table("Engines", "id\tage\tweighs\tpace\twidth\toutcomes\tshares with", len(s.Engines), func(i int) {
+		e := s.Engines[i]
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%08b\t%s\n", e.Engine, ms(e.AgeMS), e.Weighs, e.Pace, e.Width,
+			e.Outcomes, e.Lead)
+	})
+	table("Table groups", "id\tage\tweighs\tasks for\tat", len(s.Tables), func(i int) {
+		g := s.Tables[i]
+		fmt.Fprintf(t, "%d\t%s\t%.2f\t%.4g\t%v\n", g.Tables, ms(g.AgeMS), g.Weighs, g.Demand, g.Homes)
+	})
+	table("Profiles", "place\tage\tweighs\talone\twork over estimate\tmemory over estimate", len(s.Profiles),
+		func(i int) {
+			p := s.Profiles[i]
+			fmt.Fprintf(t, "%d\t%s\t%.2f\t%.4g\t%.3g\t%.3g\n", p.Profile, ms(p.AgeMS), p.Weighs, p.Best, p.WorkScale,
+				p.NeedScale)
+		})
+	table("Part of the traffic", "age\tweighs\tpart", len(s.Traffic), func(i int) {
+		p := s.Traffic[i]
+		fmt.Fprintf(t, "%s\t%.2f\t%.3f\n", ms(p.AgeMS), p.Weighs, p.Part)
+	})
+	return t.Flush()
+}
+
+func ms(x int64) time.Duration {
+	return (time.Duration(x) * time.Millisecond).Round(time.Millisecond)
+}
+
+// errUntrusted ends verify with code 1.
+var errUntrusted = errors.New("can't be trusted whole")
+
+func memoryVerify() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "verify FOLDER",
+		Short: "Tell whether what is kept in a folder can be trusted; exit code 1 if a file can't",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			checks, err := memory.Verify(disk.Folder(args[0]), memory.Bounds(usualLimits()))
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			bad := false
+			for _, check := range checks {
+				if bad = bad || !check.Whole; asJSON {
+					continue
+				}
+				if check.Whole {
+					fmt.Fprintf(c.OutOrStdout(), "%s is whole: %d records of %s\n", check.File, check.Records, check.Name)
+				} else {
+					fmt.Fprintf(c.OutOrStdout(), "%s %s\n", check.File, check.Why)
+				}
+			}
+			if asJSON {
+				if err := printJSON(c, checks); err != nil {
+					return err
+				}
+			}
+			if bad || len(checks) == 0 {
+				return fmt.Errorf("%s: %w", args[0], errUntrusted)
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print what was found as JSON")
+	return c
+}
+
+func memoryPrune() *cobra.Command {
+	var what memory.Pruning
+	var engines []string
+	var tables []int64
+	c := &cobra.Command{
+		Use:   "prune FOLDER",
+		Short: "Have an engine, a table group or all forgotten; no controller may have the folder",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, e := range engines {
+				what.Engines = append(what.Engines, router.EngineID(e))
+			}
+			for _, t := range tables {
+				what.Tables = append(what.Tables, router.TableGroup(t))
+			}
+			if !what.All && len(what.Engines)+len(what.Tables) == 0 {
+				return errors.New("name what to forget: --engine, --tables or --all")
+			}
+			n, err := memory.Prune(disk.Folder(args[0]), memory.Bounds(usualLimits()), what)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d records forgotten\n", n)
+			return nil
+		},
+	}
+	c.Flags().StringSliceVar(&engines, "engine", nil, "forget what is known of this engine")
+	c.Flags().Int64SliceVar(&tables, "tables", nil, "forget what is known of this table group")
+	c.Flags().BoolVar(&what.All, "all", false, "forget all")
+	return c
+}
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -16,79 +13,83 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
 	"mintkeel/internal/controller"
+	"mintkeel/internal/core/recall"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/limits"
+	"mintkeel/internal/logs"
+	"mintkeel/internal/memory"
+	"mintkeel/internal/operator"
+	"mintkeel/internal/settings"
+	"mintkeel/internal/store/disk"
+	"mintkeel/router"
 )
 
-// configured reads the configuration that a flag or the platform's variable names, and tells its path.
-func configured(name string, args []string) (s *start, path string, err error) {
-	flags := flag.NewFlagSet(name, flag.ExitOnError)
-	flags.StringVar(&path, "config", os.Getenv("PROXY_CONFIG"), "`file` with the configuration, as JSON")
-	flags.Parse(args)
-	if flags.NArg() > 0 {
-		return nil, path, fmt.Errorf("%s takes no argument %q", name, flags.Arg(0))
-	}
-	if path == "" {
-		return nil, path, errors.New("no configuration: set -config or PROXY_CONFIG")
-	}
-	s, err = readStart(path)
-	return s, path, err
-}
+func serveCommand() *cobra.Command {
+	var from sources
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Run a controller until SIGTERM",
+		Long: `Run a controller until SIGTERM.
 
-func check(args []string) error {
-	s, _, err := configured("check", args)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%s: %d profiles, %d tenants, %d kinds of engine, feed up to event %d\n", cmp.Or(s.Name, "unnamed"),
-		len(s.facts.Profiles), len(s.facts.Tenants), len(s.facts.Kinds), s.Known.No)
-	return nil
-}
-
-func version(args []string) error {
-	flag.NewFlagSet("version", flag.ExitOnError).Parse(args)
-	build, revision := "unknown build", ""
-	if info, ok := debug.ReadBuildInfo(); ok {
-		build = info.Main.Version + " " + info.GoVersion
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
-				revision += " " + s.Key + "=" + s.Value
+SIGHUP reads the configuration and the operator's file again, SIGUSR1 prints the
+counts so far. The log goes to standard error.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			signals := make(chan os.Signal, 4) // from the first moment: the default for SIGHUP is to end
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+			s, file, err := from.read()
+			if err != nil {
+				return err
 			}
-		}
+			longest := 0.0
+			for _, p := range s.facts.Profiles {
+				longest = max(longest, p.Timeout)
+			}
+			l := limits.For(s.Grants.Descriptors, s.Grants.MemoryMB, s.facts.Links.ConnectTimeout, s.facts.Links.Idle,
+				time.Duration(longest*float64(time.Millisecond)))
+			debug.SetMemoryLimit(l.MemoryBytes)
+			runtime.GOMAXPROCS(max(1, int(s.Grants.Cores+0.5)))
+			d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(os.Stderr, file.Log)}
+			return d.run(signals)
+		},
 	}
-	fmt.Printf("mintkeel %s%s\n", build, revision)
-	return nil
+	from.flags(c)
+	return c
 }
 
-func serve(args []string) error {
-	signals := make(chan os.Signal, 4) // from the first moment: the default for SIGHUP is to end
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	s, path, err := configured("serve", args)
-	if err != nil {
-		return err
-	}
-	longest := 0.0
-	for _, p := range s.facts.Profiles {
-		longest = max(longest, p.Timeout)
-	}
-	l := limits.For(s.Grants.Descriptors, s.Grants.MemoryMB, s.facts.Links.ConnectTimeout, s.facts.Links.Idle,
-		time.Duration(longest*float64(time.Millisecond)))
-	debug.SetMemoryLimit(l.MemoryBytes)
-	runtime.GOMAXPROCS(max(1, int(s.Grants.Cores+0.5)))
-	return run(s, path, l, signals, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+// daemon is a controller with all its parts, and what it was told.
+type daemon struct {
+	from   sources
+	start  *start
+	file   *operator.File
+	limits *limits.Limits
+	lines  *logs.Log
+
+	log    *slog.Logger
+	loop   *controller.Loop
+	feed   *bulletin.Feed
+	keeper *memory.Keeper // nil: memory is off
+	gone   []*memory.Keeper
 }
 
-// run is the daemon: it puts the parts together, serves until told to stop, and then until all is answered.
-func run(s *start, path string, l *limits.Limits, signals <-chan os.Signal, log *slog.Logger) error {
-	loop := controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox)
-	pool := engines.New(l, s.facts.Links.Streams, loop.Post, log)
-	loop.SetEngines(pool)
+// run puts the parts together, serves until told to stop, and then until all is answered.
+func (d *daemon) run(signals <-chan os.Signal) error {
+	s, l := d.start, d.limits
+	d.log = d.lines.Logger()
+	d.loop = controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox)
+	pool := engines.New(l, s.facts.Links.Streams, d.loop.Post, d.log)
+	d.loop.SetEngines(pool)
+	if d.file.Memory != nil {
+		d.recall()
+	}
 	last := s.Known.No
 	for i, news := range s.news {
-		loop.News(news, i == 0)
+		d.loop.News(news, i == 0)
 		last = max(last, news.No)
 	}
 	listener, err := net.Listen("tcp", s.Listen)
@@ -97,34 +98,143 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := clients.New(l, &s.facts.Names, s.facts.Profiles, loop.Post, log)
-	go loop.Run(ctx)
-	feed := bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
-	go feed.Follow(ctx)
+	server := clients.New(l, &s.facts.Names, s.facts.Profiles, d.loop.Post, d.log)
+	go d.loop.Run(ctx)
+	d.feed = bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { d.loop.Post(news) }, d.log)
+	go d.feed.Follow(ctx)
 	go server.Serve(listener)
-	log.Info("serving", "name", s.Name, "listen", listener.Addr())
+	d.keep(nil, d.file.Memory)
+	d.log.Info("serving", "name", s.Name, "listen", listener.Addr().String())
 	report := func(message string) {
-		log.Info(message, "commands", loop.Counts(), "clients", server, "engines", pool)
+		counts := []any{"commands", d.loop.Counts(), "clients", server, "engines", pool}
+		if d.keeper != nil {
+			counts = append(counts, "memory", d.keeper)
+		}
+		d.log.Info(message, counts...)
 	}
 	for sig := range signals {
 		if sig == syscall.SIGUSR1 {
 			report("counts")
 		} else if sig != syscall.SIGHUP {
 			break
-		} else if addr := reread(s, path, log); addr != "" {
-			feed.Move(addr)
+		} else {
+			d.reload()
 		}
 	}
-	log.Info("told to stop")
-	loop.Post(controller.Stop{Within: l.StopTime})
-	drain(server, l)
+	d.log.Info("told to stop")
+	end := time.Now().Add(l.EndTime)
+	if d.keeper != nil {
+		d.keeper.Last() // beside the commands that are still to be answered
+	}
+	d.loop.Post(controller.Stop{Within: l.StopTime})
+	drain(server, end, l.StopQuiet)
 	listener.Close()
 	server.Close()
 	pool.Close()
+	d.letGo(end)
 	report("stopped")
 	return nil
 }
 
+// identity tells whose memory this controller's is.
+func (d *daemon) identity() recall.Identity {
+	return recall.Identity{Name: d.start.Name, Settings: settings.Flatten(d.start.Settings).Sum()}
+}
+
+// recall has the loop told what an earlier run has learned, once the first engines are listed.
+func (d *daemon) recall() {
+	kept := memory.Recall(disk.Folder(d.file.Memory.Folder), d.limits, d.log)
+	if kept == nil {
+		return
+	}
+	d.loop.SetRecall(func(list []router.Entry) router.Learned {
+		now := float64(time.Now().UnixMicro()) / 1e3
+		learned, account := recall.Believe(&kept.Memory, d.identity(), list, now, recall.Usual())
+		d.log.Info("remembered", "file", kept.File, "age_ms", int64(now-kept.Taken), "believed", account.Believed,
+			"aged", account.Aged, "future", account.Future, "unknown", account.Unknown, "wrong", account.Wrong,
+			"foreign", account.Foreign)
+		return learned
+	})
+}
+
+// keep changes over from what is kept by one block to what is kept by another; nil stands for off.
+func (d *daemon) keep(from, to *memory.Block) {
+	if from != nil && to != nil && from.Folder == to.Folder {
+		d.keeper.SetPace(to.Pace)
+		return
+	}
+	if d.keeper != nil { // it ends by itself, with a last snapshot
+		d.keeper.Last()
+		d.gone, d.keeper = append(d.gone, d.keeper), nil
+	}
+	if to != nil {
+		if err := disk.Make(to.Folder); err != nil {
+			d.log.Warn("memory folder can't be made", "why", err)
+		}
+		d.keeper = memory.Start(disk.Folder(to.Folder), to.Pace, d.identity(), built().String(), d.loop, d.limits, d.log)
+	}
+}
+
+// letGo waits for folders to be let go of, as long as there is time.
+func (d *daemon) letGo(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	keepers := d.gone
+	if d.keeper != nil {
+		keepers = append(keepers, d.keeper)
+	}
+	for _, k := range keepers {
+		if err := k.Wait(ctx); err != nil {
+			d.log.Warn("memory not written in time at the end", "why", err)
+		}
+	}
+}
+
+// reload reads the operator's file and the configuration again. Each is taken over whole, as far as it may change
+// while running, or not at all; neither ends a controller that serves.
+func (d *daemon) reload() {
+	if file, err := operator.Read(d.from.operator); err != nil {
+		problems := operator.Problems(err)
+		for _, p := range problems {
+			d.log.Error("new operator's file not used", "why", p.Error())
+		}
+		if problems == nil {
+			d.log.Error("new operator's file not used", "why", err)
+		}
+	} else {
+		d.lines.Set(file.Log)
+		d.prune()
+		d.keep(d.file.Memory, file.Memory)
+		d.file = file
+		if d.from.operator != "" {
+			d.log.Info("operator's file read again", "memory", onOff(file.Memory != nil))
+		}
+	}
+	if addr := reread(d.start, d.from.config, d.log); addr != "" {
+		d.feed.Move(addr)
+	}
+}
+
+// mostGone bounds the keepers that are letting go of their folders, against reloads in quick turn on a disk that hangs.
+const mostGone = 8
+
+// prune forgets keepers that have ended and, past a bound, gives up the oldest.
+func (d *daemon) prune() {
+	now, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := 0; i < len(d.gone); {
+		if d.gone[i].Ended() {
+			d.gone = append(d.gone[:i], d.gone[i+1:]...)
+			continue
+		}
+		i++
+	}
+	for len(d.gone) >= mostGone {
+		d.gone[0].Wait(now)
+		d.gone = d.gone[1:]
+	}
+}
+
 // reread reads the configuration again for what may change while running, the feed's address; empty if that can't be
 // had. It logs what can't be used or taken over, by field: neither ends a controller that serves.
 func reread(s *start, path string, log *slog.Logger) string {
@@ -147,11 +257,12 @@
 }
 
 // drain goes on serving while commands come and until all answers are written, as long as there is time.
-func drain(server *clients.Server, l *limits.Limits) {
-	end := time.NewTimer(l.EndTime)
-	look := time.NewTicker(l.StopQuiet / 20)
+func drain(server *clients.Server, until time.Time, quiet time.Duration) {
+	end := time.NewTimer(time.Until(until))
+	defer end.Stop()
+	look := time.NewTicker(quiet / 20)
 	defer look.Stop()
-	for server.Quiet() < l.StopQuiet {
+	for server.Quiet() < quiet {
 		select {
 		case <-end.C:
 			return
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,18 @@
+# The operator's file: settings of one installation, beside what the platform tells a controller. A controller needs
+# none of it: what is not named here is off or at its usual value. Named by --operator or MINTKEEL_OPERATOR; read again
+# at SIGHUP, whole or not at all. `mintkeel check --operator FILE` tells what is wrong with one.
+#
+# As it stands, everything is off.
+
+# log {
+#   format = "text"   # "text" for people, "json" for programs
+#   level  = "info"   # "debug", "info", "warn" or "error"
+#   burst  = 20       # lines of one kind within the time below; the rest is counted as dropped
+#   every  = "1s"
+# }
+
+# What a controller has learned, kept past a restart: docs/memory.md. It needs a disk that outlives the process.
+# memory {
+#   folder = "/var/lib/mintkeel/n3"   # of this controller alone; made if its parent is there
+#   pace   = "5s"                     # between two snapshots, "100ms" to "1h"
+# }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"mintkeel/internal/clients"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
+	"mintkeel/internal/memory"
 	"mintkeel/router"
 )
 
@@ -54,6 +55,7 @@
 	ids      map[string]router.CommandID // of commands that the module holds, by the clients' ids
 	serial   router.CommandID
 	wake     *time.Timer
+	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
 }
 
 // Counts are what the loop has seen and done.
@@ -91,6 +93,34 @@
 // Post hands an event to the loop; it blocks while the inbox is full, and so slows its caller's connection alone.
 func (l *Loop) Post(event any) { l.inbox <- event }
 
+// SetRecall hands over, before Run and before any news, who tells what is still believed of an earlier run, once the
+// first engines of a list are there to be known by it.
+func (l *Loop) SetRecall(recall func(list []router.Entry) router.Learned) { l.recall = recall }
+
+// learned is posted by Learned.
+type learned struct {
+	from  router.Cursor
+	most  int
+	reply chan memory.Part
+}
+
+// Learned takes out a part of what the module has learned, of most records at most, which is the slice of the loop's
+// time that it costs. Its error is that of ctx, also if the loop has ended.
+func (l *Loop) Learned(ctx context.Context, from router.Cursor, most int) (memory.Part, error) {
+	reply := make(chan memory.Part, 1)
+	select {
+	case l.inbox <- learned{from, most, reply}:
+	case <-ctx.Done():
+		return memory.Part{}, ctx.Err()
+	}
+	select {
+	case part := <-reply:
+		return part, nil
+	case <-ctx.Done():
+		return memory.Part{}, ctx.Err()
+	}
+}
+
 // ask is posted by Counts.
 type ask struct{ reply chan Counts }
 
@@ -153,6 +183,10 @@
 		l.News(ev, false)
 	case Stop:
 		l.events = append(l.events, router.Stopping{Within: float64(ev.Within) / 1e6})
+	case learned:
+		var part memory.Part
+		part.Learned, part.Next, part.More = l.module.Learned(ev.from, ev.most)
+		ev.reply <- part
 	case ask:
 		counts := l.counts
 		for _, c := range l.commands {
@@ -236,6 +270,10 @@
 	l.engines.List(addresses, news.Whole)
 	l.engines.Expire(news.Expired > 0)
 	l.events = append(l.events, listed)
+	if l.recall != nil && len(listed.Entries) > 0 {
+		l.events = append(l.events, router.Recalled{Learned: l.recall(listed.Entries)})
+		l.recall = nil
+	}
 }
 
 // step has the module decide and carries its actions out in order.
--- /dev/null
+++ b/internal/core/recall/recall.go
@@ -0,0 +1,236 @@
+// Package recall decides what is still believed of what an earlier run of a controller learned. It is free of I/O and
+// clocks, and stands beside the loop: asked once, when the first list of engines is there. What it lets through can
+// only steer and guard: the module takes no figure of it into anything that a rule rests on.
+package recall
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"mintkeel/router"
+)
+
+// Identity tells whose memory it is. Memory of another controller, or from under other settings, is not believed:
+// profiles, kinds and tenants are known by their places in the settings.
+type Identity struct {
+	Name     string
+	Settings uint64 // a hash of the settings
+}
+
+// Memory is what was kept, as it was read.
+type Memory struct {
+	Of      Identity
+	Learned router.Learned
+}
+
+// Lives are the times in ms after which a record of each kind weighs half. Zero: it is not believed at all; infinite:
+// it never ages.
+type Lives struct {
+	Pace    float64 // how slow an engine is
+	Health  float64 // outcomes of its last sends
+	Width   float64 // threads a core that it bears
+	Homes   float64 // which engines have which table groups warm
+	Tables  float64 // how much is asked of a table group
+	Profile float64 // how a profile's commands run
+	Traffic float64 // this controller's part of the traffic
+}
+
+// Usual are the lives by which memory is believed. An engine's trouble passes or gets it replaced within a minute or
+// two; its caches hold as long as nobody else has filled them; what commands ask for changes over minutes, and how
+// they run over hours.
+func Usual() Lives {
+	const second, minute, hour = 1000.0, 60 * 1000.0, 60 * 60 * 1000.0
+	return Lives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * minute,
+		Profile: hour, Traffic: minute}
+}
+
+// Ageless are the lives of the plain baseline: all is believed as if it had just been learned.
+func Ageless() Lives {
+	inf := math.Inf(1)
+	return Lives{inf, inf, inf, inf, inf, inf, inf}
+}
+
+// Bounds on what is believed at once, whatever a file holds.
+const (
+	leastBelief = 1.0 / 16 // a record that is to weigh less is forgotten
+	clockSlack  = 1000.0   // ms into the future that pass as now: clocks are set, and kept records have times of parts
+	mostEngines = 10000
+	mostTables  = 20000
+	mostFits    = 300000 // table groups times engines: what the module must weigh in the step that puts them in
+	mostPaceN   = 4.0    // a remembered pace weighs as so many answers at the most, so that new ones soon outweigh it
+	mostScaleN  = 8.0
+	mostTraffic = 400.0 // the same of a part of the traffic, in commands told of by reports
+	usualWidth  = 2.0   // threads a core, towards which a width fades
+	mostRate    = 1e6   // ms of work for each ms that a table group may be said to ask for
+)
+
+// Account tells what became of the records.
+type Account struct {
+	Believed int
+	Aged     int // too old to weigh anything
+	Future   int // from a time that has not come: nobody knows how old they are
+	Unknown  int // of engines that the list does not hold, or of other processes under their ids
+	Wrong    int // with figures that can't be, named twice, or past what is believed at once
+	Foreign  int // all, as they are of another controller or from under other settings
+}
+
+// Factor is the share of its weight that a record still has after an age in ms; age below zero is the future.
+func Factor(age, life float64) float64 {
+	switch {
+	case math.IsNaN(age) || age < -clockSlack || !(life > 0):
+		return 0
+	case age <= 0 || math.IsInf(life, 1):
+		return 1
+	}
+	return math.Exp2(-age / life)
+}
+
+// judge ages records and keeps the account.
+type judge struct {
+	now     float64
+	lives   Lives
+	account Account
+}
+
+// factor is that of a record taken out at a time, or 0, which is then accounted for.
+func (j *judge) factor(at, life float64) float64 {
+	f := Factor(j.now-at, life)
+	if f < leastBelief {
+		if j.now-at < -clockSlack {
+			j.account.Future++
+		} else {
+			j.account.Aged++
+		}
+		return 0
+	}
+	return f
+}
+
+func finite(xs ...float64) bool {
+	return !slices.ContainsFunc(xs, func(x float64) bool { return math.IsNaN(x) || math.IsInf(x, 0) || x < 0 })
+}
+
+// Believe returns what is still believed of a memory: by this controller, with this list of engines, at a time in the
+// module's ms. The records come out ordered by id, each with the weight that is left.
+func Believe(m *Memory, of Identity, list []router.Entry, now float64, lives Lives) (router.Learned, Account) {
+	j := &judge{now: now, lives: lives}
+	if m.Of != of {
+		j.account.Foreign = m.Learned.Len()
+		return router.Learned{}, j.account
+	}
+	l := router.Learned{Engines: j.engines(m.Learned.Engines, list), Profiles: j.profiles(m.Learned.Profiles),
+		Traffic: j.traffic(m.Learned.Traffic)}
+	l.Tables = j.tables(m.Learned.Tables, len(list))
+	j.account.Believed = l.Len()
+	return l, j.account
+}
+
+// once passes each id once, in the records' order of ids; later ones are wrong.
+func once[T any, K cmp.Ordered](j *judge, records []T, id func(*T) K, most int) []T {
+	sorted := slices.Clone(records)
+	slices.SortStableFunc(sorted, func(a, b T) int { return cmp.Compare(id(&a), id(&b)) })
+	n := len(sorted)
+	sorted = slices.CompactFunc(sorted, func(a, b T) bool { return id(&a) == id(&b) })
+	if len(sorted) > most {
+		sorted = sorted[:most]
+	}
+	j.account.Wrong += n - len(sorted)
+	return sorted
+}
+
+func (j *judge) engines(records []router.LearnedEngine, list []router.Entry) (out []router.LearnedEngine) {
+	since := make(map[router.EngineID]float64, len(list))
+	for _, e := range list {
+		if e.State == router.Ready {
+			since[e.Engine] = e.Since
+		}
+	}
+	for _, e := range once(j, records, func(e *router.LearnedEngine) router.EngineID { return e.Engine }, mostEngines) {
+		started, listed := since[e.Engine]
+		switch {
+		case !finite(e.At, e.Since, e.Pace.Mean, e.Pace.Weight, e.Width):
+			j.account.Wrong++
+			continue
+		case !listed || started != e.Since:
+			j.account.Unknown++
+			continue
+		}
+		age := j.now - e.At
+		if j.factor(e.At, max(j.lives.Pace, j.lives.Health, j.lives.Width, j.lives.Homes)) == 0 {
+			continue
+		}
+		e.Pace.Weight = min(mostPaceN, e.Pace.Weight) * Factor(age, j.lives.Pace)
+		e.Width = usualWidth + (e.Width-usualWidth)*Factor(age, j.lives.Width)
+		e.Outcomes = fadeOutcomes(e.Outcomes, Factor(age, j.lives.Health))
+		if Factor(age, j.lives.Homes) < leastBelief {
+			e.Lead = ""
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// fadeOutcomes keeps the latest of eight outcomes and takes the others as good, as with an engine not known.
+func fadeOutcomes(outcomes uint8, f float64) uint8 {
+	kept := int(math.Round(8 * f))
+	return outcomes | uint8(0xff<<kept)
+}
+
+func (j *judge) profiles(records []router.LearnedProfile) (out []router.LearnedProfile) {
+	for _, p := range once(j, records, func(p *router.LearnedProfile) router.ProfileID { return p.Profile }, mostTables) {
+		if p.Profile < 0 || !finite(p.At, p.FullLeft, p.Best, p.WorkScale.Mean, p.WorkScale.Weight, p.NeedScale.Mean,
+			p.NeedScale.Weight) {
+			j.account.Wrong++
+			continue
+		}
+		f := j.factor(p.At, j.lives.Profile)
+		if f == 0 {
+			continue
+		}
+		p.WorkScale.Weight = min(mostScaleN, p.WorkScale.Weight) * f
+		p.NeedScale.Weight = min(mostScaleN, p.NeedScale.Weight) * f
+		out = append(out, p)
+	}
+	return out
+}
+
+func (j *judge) traffic(records []router.LearnedTraffic) (out []router.LearnedTraffic) {
+	for _, t := range records {
+		if len(out) > 0 || !finite(t.At, t.Part.Mean, t.Part.Weight) || t.Part.Mean > 1 {
+			j.account.Wrong++
+			continue
+		}
+		if f := j.factor(t.At, j.lives.Traffic); f > 0 {
+			t.Part.Weight = min(mostTraffic, t.Part.Weight) * f
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// tables passes those that are asked for most, as many as can be put in at once with so many engines.
+func (j *judge) tables(records []router.LearnedTables, engines int) (out []router.LearnedTables) {
+	for _, t := range once(j, records, func(t *router.LearnedTables) router.TableGroup { return t.Tables }, len(records)) {
+		if !finite(t.At, t.Demand, t.Held) || t.Demand > mostRate {
+			j.account.Wrong++
+			continue
+		}
+		f := j.factor(t.At, j.lives.Tables)
+		if f == 0 {
+			continue
+		}
+		t.Demand, t.Held = t.Demand*f, t.Held*f
+		if Factor(j.now-t.At, j.lives.Homes) < leastBelief {
+			t.Homes = nil
+		}
+		out = append(out, t)
+	}
+	if most := min(mostTables, mostFits/max(1, engines)); len(out) > most {
+		slices.SortStableFunc(out, func(a, b router.LearnedTables) int { return cmp.Compare(b.Demand, a.Demand) })
+		j.account.Wrong += len(out) - most
+		out = out[:most]
+		slices.SortFunc(out, func(a, b router.LearnedTables) int { return cmp.Compare(a.Tables, b.Tables) })
+	}
+	return out
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -42,6 +42,16 @@
 	EndTime      time.Duration // and until the process ends, answered or not
 	StopQuiet    time.Duration // without a new command, after which a controller told to stop may end
 	MemoryBytes  int64         // at which the garbage collector works harder
+
+	// Of what is kept past a restart, where the operator names a folder:
+	MemoryPart     int           // records that the loop takes out in one go
+	MemoryRest     time.Duration // from one such part to the next
+	MemoryRate     int           // bytes a second, by which large snapshots are written less often
+	MemoryRetry    time.Duration // between two tries to write, at the most
+	MemoryRead     time.Duration // for the folder to be read at a start: clients wait for it
+	MemorySection  int           // bytes of a section; one part fits, whatever ids and table groups it holds
+	MemorySections int           // of a file
+	MemoryFile     int64         // bytes of a file: ten thousand table groups take half a megabyte
 }
 
 // mostHeld is what one session may hold of memory between commands: its goroutine, its buffer and its books. Results
@@ -101,5 +111,14 @@
 		EndTime:      longest + 600*time.Millisecond,
 		StopQuiet:    800 * time.Millisecond,
 		MemoryBytes:  int64(memory),
+
+		MemoryPart:     256,
+		MemoryRest:     2 * time.Millisecond,
+		MemoryRate:     128 << 10,
+		MemoryRetry:    time.Minute,
+		MemoryRead:     500 * time.Millisecond,
+		MemorySection:  256 << 10,
+		MemorySections: 1024,
+		MemoryFile:     8 << 20,
 	}
 }
--- /dev/null
+++ b/internal/memory/inspect.go
@@ -0,0 +1,196 @@
+package memory
+
+import (
+	"errors"
+	"math"
+	"slices"
+
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/snapshots"
+	"mintkeel/router"
+)
+
+// Shown is what a snapshot holds, for people and programs. Weighs is the share of its weight that a record still has;
+// 0: it is forgotten.
+type Shown struct {
+	File     string         `json:"file"`
+	Serial   uint64         `json:"serial"`
+	Name     string         `json:"name"`
+	Build    string         `json:"build"`
+	AgeMS    int64          `json:"age_ms"`
+	Whole    bool           `json:"whole"`
+	Records  int            `json:"records"`
+	Believed int            `json:"believed"`
+	Aged     int            `json:"aged"`
+	Future   int            `json:"future"`
+	Wrong    int            `json:"wrong"`
+	Engines  []ShownEngine  `json:"engines"`
+	Tables   []ShownTables  `json:"tables"`
+	Profiles []ShownProfile `json:"profiles"`
+	Traffic  []ShownTraffic `json:"traffic"`
+}
+
+// ShownRecord is what all records have.
+type ShownRecord struct {
+	AgeMS  int64   `json:"age_ms"`
+	Weighs float64 `json:"weighs"`
+}
+
+// The records of each kind.
+type (
+	ShownEngine struct {
+		ShownRecord
+		Engine   string  `json:"engine"`
+		Pace     float64 `json:"pace"`
+		Width    float64 `json:"width"`
+		Outcomes uint8   `json:"outcomes"`
+		Lead     string  `json:"lead,omitempty"`
+	}
+	ShownTables struct {
+		ShownRecord
+		Tables int64    `json:"tables"`
+		Demand float64  `json:"demand"`
+		Homes  []string `json:"homes"`
+	}
+	ShownProfile struct {
+		ShownRecord
+		Profile   int     `json:"profile"`
+		Best      float64 `json:"best"`
+		WorkScale float64 `json:"work_scale"`
+		NeedScale float64 `json:"need_scale"`
+	}
+	ShownTraffic struct {
+		ShownRecord
+		Part float64 `json:"part"`
+	}
+)
+
+// Show judges a snapshot as a controller of its name and settings would at a time in ms since 1970, whose list holds
+// the same engines.
+func Show(k *Kept, now float64, lives recall.Lives) *Shown {
+	l := &k.Memory.Learned
+	var list []router.Entry
+	for _, e := range l.Engines {
+		list = append(list, router.Entry{Engine: e.Engine, Since: e.Since})
+	}
+	_, account := recall.Believe(&k.Memory, k.Memory.Of, list, now, lives)
+	s := &Shown{File: k.File, Serial: k.Serial, Name: k.Memory.Of.Name, Build: k.Build, AgeMS: int64(now - k.Taken),
+		Whole: k.Whole, Records: l.Len(), Believed: account.Believed, Aged: account.Aged, Future: account.Future,
+		Wrong: account.Wrong}
+	record := func(at float64, lives ...float64) ShownRecord {
+		r := ShownRecord{AgeMS: int64(now - at)}
+		for _, life := range lives {
+			r.Weighs = max(r.Weighs, recall.Factor(now-at, life))
+		}
+		return r
+	}
+	for _, e := range l.Engines {
+		s.Engines = append(s.Engines, ShownEngine{record(e.At, lives.Pace, lives.Health, lives.Width, lives.Homes),
+			string(e.Engine), plain(e.Pace.Mean), plain(e.Width), e.Outcomes, string(e.Lead)})
+	}
+	for _, t := range l.Tables {
+		s.Tables = append(s.Tables, ShownTables{record(t.At, lives.Tables), int64(t.Tables), plain(t.Demand),
+			texts(t.Homes)})
+	}
+	for _, p := range l.Profiles {
+		s.Profiles = append(s.Profiles, ShownProfile{record(p.At, lives.Profile), int(p.Profile), plain(p.Best),
+			plain(p.WorkScale.Mean), plain(p.NeedScale.Mean)})
+	}
+	for _, t := range l.Traffic {
+		s.Traffic = append(s.Traffic, ShownTraffic{record(t.At, lives.Traffic), plain(t.Part.Mean)})
+	}
+	return s
+}
+
+// plain is a figure that JSON can hold.
+func plain(x float64) float64 {
+	if math.IsNaN(x) || math.IsInf(x, 0) {
+		return -1
+	}
+	return x
+}
+
+// Check is what was found of one file.
+type Check struct {
+	File    string `json:"file"`
+	Whole   bool   `json:"whole"`
+	Why     string `json:"why,omitempty"`
+	Name    string `json:"name,omitempty"`
+	Records int    `json:"records"`
+}
+
+// Verify reads all files of a folder, the newest first.
+func Verify(d disk.Disk, b snapshots.Bounds) ([]Check, error) {
+	files, err := snapshots.Files(d)
+	if err != nil {
+		return nil, err
+	}
+	checks := []Check{}
+	for _, file := range files {
+		kept, err := read(d, file, b)
+		check := Check{File: file.Name, Whole: err == nil}
+		if err != nil {
+			check.Why = err.Error()
+		}
+		if kept != nil {
+			check.Name, check.Records = kept.Memory.Of.Name, kept.Memory.Learned.Len()
+		}
+		checks = append(checks, check)
+	}
+	return checks, nil
+}
+
+// Pruning says what to forget.
+type Pruning struct {
+	All     bool
+	Engines []router.EngineID
+	Tables  []router.TableGroup
+}
+
+// Prune writes a folder's newest snapshot anew without some records, under its old times, and returns how many went.
+// Older snapshots go too, so that nothing comes back by a file that can't be read. Its error is disk.ErrLocked while
+// a controller has the folder.
+func Prune(d disk.Disk, b snapshots.Bounds, what Pruning) (int, error) {
+	folder, err := snapshots.Open(d, b)
+	if err != nil {
+		return 0, err
+	}
+	defer folder.Close()
+	kept, _, err := Load(d, b)
+	if errors.Is(err, snapshots.ErrNone) || what.All {
+		n := 0
+		if kept != nil {
+			n = kept.Memory.Learned.Len()
+		}
+		return n, folder.Clear()
+	}
+	if err != nil {
+		return 0, err
+	}
+	l := &kept.Memory.Learned
+	before := l.Len()
+	l.Engines = slices.DeleteFunc(l.Engines, func(e router.LearnedEngine) bool {
+		return slices.Contains(what.Engines, e.Engine)
+	})
+	l.Tables = slices.DeleteFunc(l.Tables, func(t router.LearnedTables) bool {
+		return slices.Contains(what.Tables, t.Tables)
+	})
+	for range 2 { // so that none of the files that are kept has what was to be forgotten
+		_, err = folder.Write(func(add func(snapshots.Kind, []byte) error) error {
+			head, err := encoder.Marshal(headForm{Name: kept.Memory.Of.Name, Settings: kept.Memory.Of.Settings,
+				Taken: int64(kept.Taken), Build: kept.Build})
+			if err == nil {
+				err = add(sectionHead, head)
+			}
+			if err == nil {
+				err = encode(l, add)
+			}
+			return err
+		})
+		if err != nil {
+			return 0, err
+		}
+	}
+	return before - l.Len(), nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,10 +5,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mintkeel/router"
 )
 
@@ -16,6 +20,15 @@
 // .count and its items under .0, .1 and so on. An absent key is its zero value.
 type Values map[string]string
 
+// Sum is a hash by which other settings are told from these.
+func (v Values) Sum() uint64 {
+	d := xxhash.New()
+	for _, key := range slices.Sorted(maps.Keys(v)) {
+		fmt.Fprintf(d, "%q=%q\n", key, v[key])
+	}
+	return d.Sum64()
+}
+
 // FieldError names the setting that can't be used.
 type FieldError struct{ Field, Why string }
 
--- a/router/router.go
+++ b/router/router.go
@@ -289,6 +289,9 @@
 		}
 		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fits[b], fits[a]) })
 		o.engines, free = slices.Clone(free[:o.want]), free[o.want:]
+		for _, e := range o.engines {
+			e.owner = o
+		}
 	}
 	r.owners[k] = owners
 }
@@ -318,11 +321,20 @@
 	if len(ready) == 0 || len(r.groups) == 0 {
 		return
 	}
+	asks := map[*owner]float64{}
 	for len(owners) > len(ready) {
-		slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(r.demand(b), r.demand(a)) })
 		last := len(owners) - 1
+		if len(asks) == 0 {
+			for _, o := range owners {
+				asks[o] = r.demand(o)
+			}
+			slices.SortStableFunc(owners, func(a, b *owner) int { return cmp.Compare(asks[b], asks[a]) })
+		}
+		for i := last; i > 0 && asks[owners[i-1]] < asks[owners[i]]; i-- { // who shares by now asks for more
+			owners[i-1], owners[i] = owners[i], owners[i-1]
+		}
 		owners[last-1].packs = append(owners[last-1].packs, owners[last].packs...)
-		owners = owners[:last]
+		asks[owners[last-1]], owners = r.demand(owners[last-1]), owners[:last]
 	}
 	for _, o := range owners {
 		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return !slices.Contains(ready, e) })
@@ -386,6 +398,7 @@
 	widenBy, bestOver                 = 0.5, 25.0     // threads for each answer; answers behind a best time
 	cutBy, cutEvery                   = 0.85, 400.0   // and ms between cuts
 	bestDrift                         = 1.0001        // with each answer: who grew slower is not held to it
+	hearsayFor                        = 10000.0       // ms without an answer for which what is remembered stands
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
@@ -399,7 +412,12 @@
 	p.work.add(r.now, cmp.Or(ev.Work, c.estimate, ev.Took*p.Threads), 1)
 	p.unit.add(r.now, ev.Took/unit, 1)
 	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver {
-		p.best = cmp.Or(min(p.best*bestDrift, m), m)
+		if p.hearsayAt > 0 && m > farFrom*p.best { // commands have become others than they are remembered
+			p.best = m
+		}
+		p.best, p.hearsayAt = cmp.Or(min(p.best*bestDrift, m), m), 0
+	} else if p.hearsayAt > 0 {
+		p.hearsayAt = r.now
 	}
 	if p.best > 0 {
 		e.slow.add(r.now, min(20, ev.Took/(p.best*unit)), 1)
@@ -710,6 +728,11 @@
 	if r.sizeCap = min(mostSize, r.sizeCap*sizeGrow); r.missed {
 		r.sizeCap, r.missed = max(leastSize, r.sizeCap*sizeCut), false
 	}
+	for _, p := range r.profiles { // too long a time would shed all, and so never be corrected
+		if p.hearsayAt > 0 && r.now > p.hearsayAt+hearsayFor {
+			p.unlearn()
+		}
+	}
 	for _, c := range r.held {
 		if r.now > r.giveUpAt(c) {
 			if r.missed = true; c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
--- a/router/state.go
+++ b/router/state.go
@@ -120,6 +120,7 @@
 	work      decay   // what a command needs on one thread
 	workScale decay   // true work over estimate
 	needScale decay   // true memory over estimate
+	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
 }
 
 // line is the queue of one order key; rest is when its next command may start after a doubtful outcome.
@@ -158,6 +159,7 @@
 	coldSent   stamps
 	tookAt     float64 // when what it last answered was sent to it
 	brokeAt    float64 // when a connection to it was last lost, or not to be had
+	owner      *owner  // which it has
 }
 
 // rest is how long something waits between tries: twice as long after each that fails, half as long after
@@ -361,17 +363,23 @@
 	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
 }
 
-// enrol files a new command, in the line of its key if it has one; a new table group finds its owners.
-func (r *Router) enrol(ev Arrived) *command {
-	g := r.tables[ev.Tables]
+// groupOf is the table group of an id; a new one finds its owners.
+func (r *Router) groupOf(id TableGroup) *tableGroup {
+	g := r.tables[id]
 	if g == nil {
-		g = &tableGroup{id: ev.Tables, demand: decay{life: demandLife}, held: decay{life: demandLife},
+		g = &tableGroup{id: id, demand: decay{life: demandLife}, held: decay{life: demandLife},
 			homes: make([]*owner, len(r.kinds))}
-		r.tables[ev.Tables], r.groups = g, insert(r.groups, g, byGroup)
+		r.tables[id], r.groups = g, insert(r.groups, g, byGroup)
 		for k := range r.owners {
 			r.join(k, g)
 		}
 	}
+	return g
+}
+
+// enrol files a new command, in the line of its key if it has one.
+func (r *Router) enrol(ev Arrived) *command {
+	g := r.groupOf(ev.Tables)
 	g.asked = r.now
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
 		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB}
@@ -639,6 +647,8 @@
 		r.left(ev.ID)
 	case Probed:
 		r.probed(ev)
+	case Recalled:
+		r.recall(ev.Learned)
 	case Stopping:
 		r.stopping(ev.Within)
 	}
--- a/router/types.go
+++ b/router/types.go
@@ -188,6 +188,9 @@
 		Outcome Outcome
 		Load    *Load
 	}
+	// Recalled is what an earlier run of this controller learned, as far as it is still believed. It comes with or
+	// after the first list, as engines are known by it; whatever it says, the rules hold as without it.
+	Recalled struct{ Learned Learned }
 	// Stopping says that the controller is to end: what has no answer within this long will have none.
 	Stopping struct{ Within float64 }
 	// Woke says that the time of a Wake has come.
@@ -212,6 +215,7 @@
 func (Ended) event()    {}
 func (Left) event()     {}
 func (Probed) event()   {}
+func (Recalled) event() {}
 func (Stopping) event() {}
 func (Woke) event()     {}
 
