Random worlds with a referee of the seven rules, cold engines over all controllers

Need: proof that no remembered state loosens a rule, and that changes of the module which break one are noticed. Ten controllers made to break a rule each are found out.

--- /dev/null
+++ b/internal/lab/worlds/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package worlds
+
+const worldsTold = 240
--- /dev/null
+++ b/internal/lab/worlds/worlds_test.go
@@ -0,0 +1,260 @@
+package worlds
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mintkeel/internal/lab/referee"
+	"mintkeel/router"
+)
+
+// The library draws anew each time unless it is told a seed; a verdict must be the same each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	if worldsTold < 100 {
+		flag.Set("rapid.checks", "10")
+	}
+	os.Exit(m.Run())
+}
+
+// The seven rules hold in any world, with any memory; what breaks one is shrunk.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Drawn().Draw(t, "world")
+		for _, b := range Play(s, s.Module).Breaches() {
+			t.Errorf("%v", b)
+		}
+	})
+}
+
+// The same over many worlds, several at a time. Together they must do what rules are about, or they show nothing.
+func TestManyWorlds(t *testing.T) {
+	const worlds, parts = worldsTold, 8
+	var results [worlds]*Result
+	t.Run("worlds", func(t *testing.T) {
+		for part := range parts {
+			t.Run(fmt.Sprint(part), func(t *testing.T) {
+				t.Parallel()
+				for seed := part; seed < worlds; seed += parts {
+					s := FromSeed(seed)
+					results[seed] = Play(s, s.Module)
+					for _, b := range results[seed].Breaches() {
+						t.Errorf("world %d: %v", seed, b)
+					}
+				}
+			})
+		}
+	})
+	var further, cold, sheds, fails, restarts int
+	for _, r := range results {
+		further, cold, sheds = further+r.Further, cold+r.ColdSends, sheds+r.Sheds
+		fails, restarts = fails+r.Fails, restarts+r.Restarts
+	}
+	if n := worlds / 24; further < 30*n || cold < 30*n || sheds < 1000*n || fails < 10*n || restarts < 4*n {
+		t.Errorf("too little happens: %d further sends, %d to cold engines, %d shed, %d failed, %d restarts", further,
+			cold, sheds, fails, restarts)
+	}
+}
+
+// One spec is one history, and whether anyone takes out what was learned changes nothing.
+func TestSameActions(t *testing.T) {
+	for _, seed := range []int{2, 3, 7, 19} {
+		s := FromSeed(seed)
+		s.Memory = Nothing
+		var logs [2][]string
+		for i := range logs {
+			Play(s, func(seed int64, place router.Place) Controller {
+				return &scribe{Controller: s.Module(seed, place), log: &logs[i], takes: i == 1}
+			})
+		}
+		if len(logs[0]) < 100 || !slices.Equal(logs[0], logs[1]) {
+			t.Errorf("world %d: %d and %d steps, or other actions", seed, len(logs[0]), len(logs[1]))
+		}
+	}
+}
+
+// scribe writes down what a controller does.
+type scribe struct {
+	Controller
+	log   *[]string
+	takes bool
+}
+
+func (s *scribe) Step(now float64, events []router.Event) []router.Action {
+	actions := s.Controller.Step(now, events)
+	*s.log = append(*s.log, fmt.Sprint(now, actions))
+	if s.takes {
+		s.Learned(router.Cursor{}, 1000)
+	}
+	return actions
+}
+
+// broken is a controller that breaks rules, to see whether the referee and the worlds notice.
+type broken struct {
+	Controller
+	change func(b *broken, now float64, events []router.Event, actions []router.Action) []router.Action
+	seen   map[router.CommandID]bool
+	sent   map[router.CommandID]router.EngineID
+	listed router.EngineID
+	n      int
+}
+
+func (b *broken) Step(now float64, events []router.Event) []router.Action {
+	b.n++
+	return b.change(b, now, events, b.Controller.Step(now, events))
+}
+
+// drop leaves out the actions that fit.
+func drop(actions []router.Action, fits func(router.Action) bool) []router.Action {
+	return slices.DeleteFunc(slices.Clone(actions), fits)
+}
+
+// Each rule is missed when a controller is made to break it.
+func TestBrokenControllers(t *testing.T) {
+	isShed := func(a router.Action) bool { _, ok := a.(router.Shed); return ok }
+	for _, c := range []struct {
+		name   string
+		rule   referee.Rule
+		change func(b *broken, now float64, events []router.Event, actions []router.Action) []router.Action
+	}{
+		{"sheds nothing", referee.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+			return drop(a, isShed)
+		}},
+		{"sheds twice", referee.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+			for _, action := range a {
+				if isShed(action) {
+					return append(a, action)
+				}
+			}
+			return a
+		}},
+		{"sheds what is out", referee.Once, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+			for _, action := range a {
+				if s, ok := action.(router.Send); ok && b.n%5 == 0 {
+					return append(a, router.Shed{ID: s.ID})
+				}
+			}
+			return a
+		}},
+		{"sends all that it sends anew at once", referee.Once,
+			func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+				for _, action := range a {
+					if s, ok := action.(router.Send); ok {
+						return append(a, s)
+					}
+				}
+				return a
+			}},
+		{"sends to engines that left", referee.Drains,
+			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
+				for _, ev := range events {
+					if l, ok := ev.(router.Listed); ok {
+						for _, e := range l.Entries {
+							if e.State != router.Ready {
+								b.listed = e.Engine
+							}
+						}
+					}
+				}
+				return b.aim(a, b.listed)
+			}},
+		{"sends all to one engine", referee.Placement,
+			func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+				return b.aim(a, "e00")
+			}},
+		{"knows nothing of cold engines", referee.Cold,
+			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
+				for _, ev := range events {
+					if l, ok := ev.(router.Listed); ok {
+						for _, e := range l.Entries {
+							if e.State == router.Ready && e.Since > start {
+								b.listed = e.Engine
+							}
+						}
+					}
+				}
+				return b.aim(a, b.listed)
+			}},
+		{"sends what is ahead of its turn", referee.Order,
+			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
+				for _, ev := range events {
+					if arrived, ok := ev.(router.Arrived); ok && b.listed != "" {
+						return append(a, router.Send{ID: arrived.ID, Engine: b.listed, Until: arrived.Left})
+					}
+				}
+				for _, action := range a {
+					if s, ok := action.(router.Send); ok {
+						b.listed = s.Engine
+					}
+				}
+				return a
+			}},
+		{"sends as often as it likes", referee.Budget,
+			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
+				for _, ev := range events {
+					if e, ok := ev.(router.Ended); ok && e.Outcome.NeverRan() && b.sent[e.ID] != "" && !e.Over {
+						a = append(a, router.Send{ID: e.ID, Engine: b.sent[e.ID]})
+					}
+				}
+				for _, action := range a {
+					if s, ok := action.(router.Send); ok {
+						b.sent[s.ID] = s.Engine
+					}
+				}
+				return a
+			}},
+		{"names what it has not", referee.Form, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+			if b.n == 100 {
+				return append(a, router.Fail{ID: 1 << 30})
+			}
+			return a
+		}},
+	} {
+		found := 0
+		for seed := range 120 {
+			s := FromSeed(seed)
+			if s.Controllers > 5 {
+				continue
+			}
+			r := Play(s, func(seed int64, place router.Place) Controller {
+				return &broken{Controller: s.Module(seed, place), change: c.change,
+					sent: map[router.CommandID]router.EngineID{}}
+			})
+			if r.Count(c.rule) > 0 {
+				if found++; found == 3 {
+					break
+				}
+			}
+		}
+		if found < 3 {
+			t.Errorf("%s: %d worlds find rule %v broken", c.name, found, c.rule)
+		}
+	}
+}
+
+// aim sends all to one engine, whatever the module chose.
+func (b *broken) aim(actions []router.Action, to router.EngineID) []router.Action {
+	out := slices.Clone(actions)
+	for i, action := range out {
+		if s, ok := action.(router.Send); ok && to != "" {
+			s.Engine = to
+			out[i] = s
+		}
+	}
+	return out
+}
+
+// A world is drawn the same by the same seed.
+func TestFromSeed(t *testing.T) {
+	if a, b := FromSeed(5), FromSeed(5); !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
