--- /dev/null
+++ b/cmd/mintkeel-lab/rules.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/lab/mutants"
+	"mintkeel/internal/lab/worlds"
+)
+
+func worldsCommand() *cobra.Command {
+	n, seed := 1000, 0
+	c := &cobra.Command{
+		Use:   "worlds",
+		Short: "Play random worlds and judge the seven rules; exit code 1 if one is broken",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			broken, err := playWorlds(c.Context(), n, seed, func(at int, r *worlds.Result) {
+				for _, b := range r.Breaches() {
+					fmt.Fprintf(c.OutOrStdout(), "world %d: %v\n", at, b)
+				}
+			}, c)
+			if err == nil && broken > 0 {
+				err = fmt.Errorf("%d worlds broke a rule", broken)
+			}
+			return err
+		},
+	}
+	c.Flags().IntVar(&n, "n", n, "how many")
+	c.Flags().IntVar(&seed, "seed", seed, "of the first; the others follow")
+	return c
+}
+
+func playWorlds(ctx context.Context, n, seed int, tell func(int, *worlds.Result), c *cobra.Command) (int, error) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var commands, sends, further, cold, restarts, steps, broken, played int
+	jobs := make(chan int)
+	for range runtime.NumCPU() {
+		group.Go(func() {
+			for at := range jobs {
+				s := worlds.FromSeed(at)
+				r := worlds.Play(s, s.Module)
+				mu.Lock()
+				commands, sends, further = commands+r.Commands, sends+r.Sends, further+r.Further
+				cold, restarts, steps, played = cold+r.ColdSends, restarts+r.Restarts, steps+r.Steps, played+1
+				if len(r.Breaches()) > 0 {
+					broken++
+					tell(at, r)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range n {
+		if ctx.Err() != nil {
+			break
+		}
+		jobs <- seed + i
+	}
+	close(jobs)
+	group.Wait()
+	fmt.Fprintf(c.OutOrStdout(), "%d worlds: %d commands, %d sends, %d further sends, %d sends to cold engines, %d "+
+		"restarts, %d steps; %d broke a rule\n", played, commands, sends, further, cold, restarts, steps, broken)
+	return broken, ctx.Err()
+}
+
+func mutantsCommand() *cobra.Command {
+	n, seed, workers := 90, int64(1), max(1, runtime.NumCPU()/2)
+	file, within := "router/router.go", time.Minute
+	packages := []string{"./router", "./internal/lab/worlds"}
+	var funcs []string
+	c := &cobra.Command{
+		Use:   "mutants",
+		Short: "Change one operator of the module at a time and see whether a test notices; run at the repository's root",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			all, err := mutants.All(file)
+			if err != nil {
+				return err
+			}
+			if len(funcs) > 0 {
+				all = slices.DeleteFunc(all, func(m mutants.Mutant) bool { return !slices.Contains(funcs, m.Func) })
+			}
+			drawn := mutants.Some(all, n, seed)
+			if len(drawn) == 0 {
+				return errors.New("no operator to be changed")
+			}
+			counts := map[mutants.Verdict]int{}
+			var passed []mutants.Mutant
+			err = mutants.Try(c.Context(), ".", drawn, packages, workers, within,
+				func(m mutants.Mutant, v mutants.Verdict, _ string) {
+					if counts[v]++; v == mutants.Passed {
+						passed = append(passed, m)
+					}
+				})
+			slices.SortFunc(passed, func(a, b mutants.Mutant) int { return cmp.Compare(a.Line, b.Line) })
+			for _, m := range passed {
+				fmt.Fprintln(c.OutOrStdout(), m)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d of %d changes of %s pass every test; noticed %d, hung %d, invalid %d\n",
+				counts[mutants.Passed], len(drawn), file, counts[mutants.Noticed], counts[mutants.TimedOut],
+				counts[mutants.Invalid])
+			return err
+		},
+	}
+	c.Flags().IntVar(&n, "n", n, "how many")
+	c.Flags().Int64Var(&seed, "seed", seed, "by which they are drawn")
+	c.Flags().IntVar(&workers, "workers", workers, "tests that run at once")
+	c.Flags().StringVar(&file, "file", file, "source file to be changed")
+	c.Flags().DurationVar(&within, "within", within, "for the tests of one change")
+	c.Flags().StringSliceVar(&funcs, "func", nil, "functions to be changed; all if none is named")
+	c.Flags().StringSliceVar(&packages, "packages", packages, "packages whose tests are run")
+	return c
+}
--- /dev/null
+++ b/router/margins_test.go
@@ -0,0 +1,192 @@
+package router
+
+import "testing"
+
+// The margins by which windows are kept wider or narrower, against clocks and ways that differ by some ms: each case
+// lies between the rule's own time and the margin.
+
+// Rule 7: what lies up to the slack outside the window still counts as sent, and up to the slack within it no longer
+// as taken.
+func TestBudgetMargins(t *testing.T) {
+	const window = 1000.0
+	for _, c := range []struct {
+		name         string
+		resent, took float64 // ms ago
+		share        float64
+		allows       bool
+	}{
+		{"sent within the window", 900, 10, 0, false},
+		{"sent just before the window", window + netSlack/2, 10, 0, false},
+		{"sent well before the window", window + 2*netSlack, 10, 0, true},
+		{"taken just within the window", 10, window - netSlack/2, 2, false},
+		{"taken well within the window", 10, window - 2*netSlack, 2, true},
+	} {
+		g := tight
+		g.Budgeted, g.ResendFree, g.ResendShare, g.ResendWindow = true, 1, c.share, window
+		d := newDesk(t, lookup, loose, g)
+		if c.share > 0 {
+			g.ResendFree, d.r.guards.ResendFree = 0, 0
+		}
+		d.r.resends.add(d.r.now-c.resent, 1)
+		d.r.taken.add(d.r.now-c.took, 1)
+		if d.r.budgetAllows() != c.allows {
+			t.Errorf("%s: allowed is %v", c.name, !c.allows)
+		}
+	}
+}
+
+// Rule 2: a repeat must reach its engine before the window of the first doubtful send ends.
+func TestRepeatWindowMargin(t *testing.T) {
+	p := lookup
+	p.Effect, p.RepeatWindow = Uniqued, 1000
+	for _, c := range []struct {
+		after float64
+		spent bool
+	}{{900, false}, {1000 - netSlack/2, true}, {1000 + netSlack/2, true}} {
+		d := newDesk(t, p, loose, tight, engineAt("a", 0, "z", 1))
+		d.step(command1(1))
+		cmd := d.r.cmds[1]
+		cmd.doubt, cmd.doubtAt = d.r.engines["a"], d.r.now
+		d.r.now += c.after
+		if d.r.spent(cmd) != c.spent {
+			t.Errorf("%g ms after a doubtful send: spent is %v", c.after, !c.spent)
+		}
+	}
+}
+
+// Rule 2: a send that has gone quiet is not followed by another so late that this would reach its engine after the
+// window.
+func TestQuietWindowMargin(t *testing.T) {
+	for _, c := range []struct {
+		window float64
+		again  bool
+	}{{2000, true}, {880, false}} {
+		p, a := lookup, Allowed{MaxSends: 6, SecondCopies: true, NotePace: 500}
+		p.Effect, p.RepeatWindow = Uniqued, c.window
+		d := newDesk(t, p, a, tight, engineAt("a", 0, "z", 1), engineAt("b", 0, "z", 1))
+		d.step(command1(1))
+		actions := d.wait(d.r.quiet() + 5)
+		if (sent(actions, 1) != "") != c.again {
+			t.Errorf("window %g: sent again to %q", c.window, sent(actions, 1))
+		}
+	}
+}
+
+// Rule 1: the end leaves two rounds and some ms for the answer to be in time.
+func TestEndMargin(t *testing.T) {
+	for _, round := range []float64{0, 5, 50} {
+		g := tight
+		g.Round = round
+		d := newDesk(t, lookup, loose, g)
+		d.step(command1(1))
+		c := d.r.cmds[1]
+		if by := d.r.endBy(c); by > c.timeout-2*round-5 || by < c.timeout-2*round-10 {
+			t.Errorf("round %g: ended %g ms before its timeout", round, c.timeout-by)
+		}
+		d.r.stopAt = c.timeout - 1000
+		if by := d.r.endBy(c); by > d.r.stopAt-2*round-5 {
+			t.Errorf("round %g: ended %g ms before the planned end", round, d.r.stopAt-by)
+		}
+	}
+}
+
+// Rule 4: an engine counts as cold a little longer than stated, a window as longer, and its stretches outlast it.
+func TestColdMargins(t *testing.T) {
+	cold := engineAt("a", 0, "z", 1)
+	desk := func() *desk {
+		d := newDesk(t, lookup, loose, tight)
+		d.now += 5000
+		cold.Since = d.now
+		d.step(Listed{Entries: []Entry{cold}})
+		return d
+	}
+	for _, c := range []struct {
+		age  float64
+		cold bool
+	}{{0, true}, {tight.ColdTime - 10, true}, {tight.ColdTime + netSlack/2, true}, {tight.ColdTime + 2*netSlack, false}} {
+		d := desk()
+		d.r.now = cold.Since + c.age
+		if part := d.r.coldPart(d.r.engines["a"]); (part < 1e9) != c.cold {
+			t.Errorf("%g ms after its start: part %g", c.age, part)
+		}
+	}
+	for _, c := range []struct {
+		name string
+		ago  float64 // since all of its part was sent
+		may  bool
+	}{{"within the window", 1000, false}, {"just before the window", tight.ColdWindow + netSlack/2, false},
+		{"well before the window", tight.ColdWindow + 2*netSlack, true}} {
+		d := desk()
+		e := d.r.engines["a"]
+		d.r.now = cold.Since + 5000
+		e.coldSent.add(d.r.now-c.ago, d.r.coldPart(e))
+		if d.r.coldAllows(d.r.profiles[0], e) != c.may {
+			t.Errorf("%s: may is %v", c.name, !c.may)
+		}
+	}
+	for _, c := range []struct {
+		up  float64 // ms for which this controller has been up
+		may bool
+	}{{tight.ColdWindow, false}, {tight.ColdWindow + netSlack/2, false}, {tight.ColdWindow + 2*netSlack, true}} {
+		d := desk()
+		d.r.now, d.r.born = cold.Since+3000, cold.Since+3000-c.up
+		if d.r.coldAllows(d.r.profiles[0], d.r.engines["a"]) != c.may {
+			t.Errorf("up for %g ms: may is %v", c.up, !c.may)
+		}
+	}
+	for _, controllers := range []float64{60, 150, 300} { // who has its turn keeps it for longer than a window
+		d := desk()
+		d.r.controllers = controllers
+		e, turns, last := d.r.engines["a"], 0, 0.0
+		for at := 0.0; at < tight.ColdTime; at++ {
+			d.r.now = cold.Since + at
+			if mine := d.r.coldPart(e) > 0; mine && last == 0 {
+				last = at
+			} else if !mine && last > 0 {
+				if turns++; at-last < tight.ColdWindow+netSlack {
+					t.Errorf("%g controllers: a turn lasts %g ms", controllers, at-last)
+				}
+				last = 0
+			}
+		}
+	}
+	for _, controllers := range []float64{1, 7, 60} { // all parts of a stretch together
+		d := desk()
+		d.r.controllers = controllers
+		whole := coldShareUsed * tight.ColdMultiple * tight.ColdShare * 8 * tight.ColdWindow
+		sum := 0.0
+		for n := range int(controllers) {
+			d.r.number, d.r.now = n, cold.Since+100
+			sum += d.r.coldPart(d.r.engines["a"])
+		}
+		if sum > whole*1.001 || controllers < 10 && sum < whole*0.999 {
+			t.Errorf("%g controllers: %g ms of %g are handed out", controllers, sum, whole)
+		}
+	}
+}
+
+// Rule 3 by an expired list, at the margins: what was told of must be older than the answer, and the engine unbroken.
+func TestExpiredMargins(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		took  float64 // ms ago
+		broke float64 // ms ago; 0: not since it was heard of
+		holds bool
+	}{
+		{"answered within", 5900, 0, true},
+		{"answered before", 6000, 0, false},
+		{"answered, but broke since the last news", 100, 50, false},
+		{"broke when the last news came", 100, 200, false},
+		{"broke before the last news", 100, 201, true},
+	} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		e := d.r.engines["a"]
+		d.r.expired, d.r.heardAt, e.tookAt, e.brokeAt = 6000, d.r.now-200, d.r.now-c.took, -1e9
+		if c.broke > 0 {
+			e.brokeAt = d.r.now - c.broke
+		}
+		if d.r.listHolds(e) != c.holds {
+			t.Errorf("%s: holds is %v", c.name, !c.holds)
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -59,8 +59,8 @@
 func (r *Router) mayStart(c *command) bool {
 	l := r.lineOf(c)
 	inTurn := l == nil || l.cmds[0] == c && (len(c.sends) > 0 || r.now >= l.rest)
-	return inTurn && !c.over && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) && !r.spent(c) &&
-		(len(c.sends) == 0 || r.budgetAllows())
+	return inTurn && !c.over && !c.begun && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) &&
+		!r.spent(c) && (len(c.sends) == 0 || r.budgetAllows())
 }
 
 // endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
@@ -683,7 +683,7 @@
 	}
 	for i := range c.sends {
 		s, p := &c.sends[i], c.profile
-		if c.over || c.wantEnd != open || !s.out || s.lost || s.cancelled {
+		if c.over || c.begun || c.wantEnd != open || !s.out || s.lost || s.cancelled {
 			continue
 		}
 		again := p.Effect == Replayable || p.Effect == Uniqued && r.now < s.at+p.RepeatWindow-netSlack
