Memory, operator's file, logs and command line tested through their failures

Need: a disk that is full, hangs, fails or is another's must not touch serving; a bad file must name every field. Change: tests of keeper, forms, fall back, pruning, reload under load, HCL problems, log bounds, exit codes.

--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -226,3 +227,191 @@
 		t.Error("goes on for ever")
 	}
 }
+
+// TestMemoryUnderLoad runs the daemon with memory under load, through reloads that turn it on, off and to other folders, and
+// through a bad file; commands go on being answered, and what is kept at the end is whole.
+func TestMemoryUnderLoad(t *testing.T) {
+	feed, engine, _ := fleet(t)
+	dir := t.TempDir()
+	reserve, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := reserve.Addr().String()
+	reserve.Close()
+	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
+	put := func(path, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(good))
+	block := func(folder, pace string) string {
+		return fmt.Sprintf("memory {\n folder = %q\n pace = %q\n}\n", filepath.Join(dir, folder), pace)
+	}
+	put(hcl, block("a", "100ms"))
+	from := sources{config, hcl}
+	serve := func() (*daemon, chan os.Signal, chan error, *lines) {
+		s, file, err := from.read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := limits.For(1024, 192, time.Second, time.Minute, 0)
+		l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
+		log := &lines{}
+		d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
+		signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+		go func() { ended <- d.run(signals) }()
+		return d, signals, ended, log
+	}
+	_, signals, ended, log := serve()
+	stop, stopped := make(chan bool), make(chan int)
+	go func() {
+		n := 0
+		defer func() { stopped <- n }()
+		for conn := net.Conn(nil); ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			var err error
+			for end := time.Now().Add(patience); conn == nil; {
+				if conn, err = net.Dial("tcp", addr); err == nil {
+					conn.SetDeadline(time.Now().Add(patience))
+					io.WriteString(conn, hello)
+					(&client{t, conn}).hears()
+				} else if time.Now().After(end) {
+					t.Error(err)
+					return
+				}
+			}
+			c := &client{t, conn}
+			if c.query(n, "1"); c.hears() != "TDCZ" {
+				t.Errorf("command %d is not answered", n)
+				return
+			}
+		}
+	}()
+	log.wait(t, "serving")
+	reload := func(text, word string) {
+		t.Helper()
+		put(hcl, text)
+		seen := log.count(word)
+		signals <- syscall.SIGHUP
+		log.more(t, word, seen)
+	}
+	const again, refused = "operator's file read again", "operator's file not used"
+	for range 3 {
+		reload(block("b", "100ms"), again)
+		reload("memory {\n", refused)
+		reload(block("b", "200ms"), again)
+		reload("", again)
+		reload(block("a", "100ms"), again)
+	}
+	reload("memory {\n folder = 3\n}\nx = 1\n", refused)
+	close(stop)
+	if n := <-stopped; n < 20 {
+		t.Errorf("%d commands answered", n)
+	}
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	for _, folder := range []string{"a", "b"} {
+		if code := execute([]string{"memory", "verify", filepath.Join(dir, folder)}, io.Discard, io.Discard); code != 0 {
+			t.Errorf("folder %s: code %d", folder, code)
+		}
+	}
+	put(hcl, block("a", "1h"))
+	if _, signals, ended, log = serve(); true {
+		log.wait(t, "remembered")
+		log.wait(t, "serving")
+		signals <- syscall.SIGTERM
+		<-ended
+	}
+	if !strings.Contains(log.String(), "believed=") || strings.Contains(log.String(), "believed=0") {
+		t.Errorf("nothing is believed after a restart: %s", log)
+	}
+}
+
+// lines is a log that can be waited on.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func (l *lines) count(word string) int { return strings.Count(l.String(), word) }
+
+func (l *lines) wait(t *testing.T, word string) { t.Helper(); l.more(t, word, 0) }
+
+func (l *lines) more(t *testing.T, word string, than int) {
+	t.Helper()
+	for end := time.Now().Add(patience); l.count(word) <= than; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %q: %s", word, l)
+		}
+	}
+}
+
+// The command line: what is understood, what it prints, and its exit codes.
+func TestCommandLine(t *testing.T) {
+	dir := t.TempDir()
+	config, badHCL := filepath.Join(dir, "c.json"), filepath.Join(dir, "bad.hcl")
+	text := strings.NewReplacer("%FEED%", "127.0.0.1:1", "%ENGINE%", "127.0.0.1:1").Replace(good)
+	for path, text := range map[string]string{config: text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	empty := t.TempDir()
+	t.Setenv("PROXY_CONFIG", "")
+	t.Setenv("MINTKEEL_OPERATOR", "")
+	for _, c := range []struct {
+		args      string
+		code      int
+		out, errs string
+	}{
+		{"", 2, "", "no command"},
+		{"nonsense", 2, "", "unknown command"},
+		{"check --nonsense", 2, "", "unknown flag"},
+		{"check more", 2, "", "unknown command"},
+		{"check", 1, "", "set --config"},
+		{"check -config " + config, 0, "n1: 1 profiles", ""},
+		{"check -config=" + config, 0, "n1: 1 profiles", ""},
+		{"check --config " + config + " --json", 0, `"ok": true`, ""},
+		{"check --config " + config + " --operator " + badHCL, 1, "", "bad.hcl:2:10: field log.level"},
+		{"check --config " + config + " --operator " + badHCL + " --json", 1, `"field": "x"`, "field x"},
+		{"check --config " + config + " --operator " + badHCL + "x", 1, "", "no such file"},
+		{"check --config " + config + "x --json", 1, `"ok": false`, "no such file"},
+		{"version", 0, "mintkeel", ""},
+		{"version --json", 0, `"go": "go`, ""},
+		{"--help", 0, "serve", ""},
+		{"completion bash", 0, "mintkeel", ""},
+		{"memory", 0, "verify", ""},
+		{"memory show", 2, "", "arg"},
+		{"memory show " + empty, 1, "", "no snapshot"},
+		{"memory verify " + empty, 1, "", "trusted"},
+		{"memory verify " + empty + "/x", 1, "", "no such file"},
+		{"memory prune " + empty, 1, "", "name what"},
+		{"memory prune --all " + empty, 0, "0 records forgotten", ""},
+	} {
+		var out, errs strings.Builder
+		if code := execute(strings.Fields(c.args), &out, &errs); code != c.code || !strings.Contains(out.String(), c.out) ||
+			!strings.Contains(errs.String(), c.errs) || c.errs == "" && errs.Len() > 0 {
+			t.Errorf("%q: code %d\n%s\n%s", c.args, code, out.String(), errs.String())
+		}
+	}
+}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -9,6 +9,7 @@
 	"mintkeel/internal/clients"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
+	"mintkeel/internal/memory"
 	"mintkeel/router"
 )
 
@@ -123,3 +124,43 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// What was learned is taken out in parts through the loop, and nobody who asks waits for one that has ended. What is
+// remembered is put in once, with the first engines of a list.
+func TestMemory(t *testing.T) {
+	l, _ := newLoop(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	engines, parts := 0, 0
+	for part := (memory.Part{More: true}); part.More; parts++ {
+		var err error
+		if part, err = l.Learned(ctx, part.Next, 1); err != nil || part.Learned.Len() > 1 {
+			t.Fatal(part, err)
+		}
+		engines += len(part.Learned.Engines)
+	}
+	if engines != 1 || parts < 3 {
+		t.Errorf("%d engines in %d parts", engines, parts)
+	}
+	ended := New(nil, SystemClock(), 0)
+	soon, stop := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer stop()
+	if _, err := ended.Learned(soon, router.Cursor{}, 1); err == nil {
+		t.Error("a loop that does not run has told something")
+	}
+	fresh := New(router.New(1, router.Place{}, nil, nil, nil, router.Allowed{}, router.Guards{}), SystemClock(), 1)
+	fresh.SetEngines(&hands{})
+	asked := 0
+	fresh.SetRecall(func(list []router.Entry) router.Learned {
+		if asked++; len(list) != 1 {
+			t.Errorf("asked with %d engines", len(list))
+		}
+		return router.Learned{}
+	})
+	for _, entries := range [][]bulletin.Entry{nil, {{Entry: router.Entry{Engine: "e"}}}, {{}}} {
+		fresh.News(bulletin.News{Entries: entries}, true)
+	}
+	if _, recalled := fresh.events[2].(router.Recalled); asked != 1 || len(fresh.events) != 4 || !recalled {
+		t.Errorf("asked %d times: %v", asked, fresh.events)
+	}
+}
--- /dev/null
+++ b/internal/core/recall/recall_test.go
@@ -0,0 +1,226 @@
+package recall
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mintkeel/router"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "20261201") // the same verdict each time
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const now = 1.8e12
+
+var (
+	me   = Identity{Name: "n3", Settings: 77}
+	list = []router.Entry{{Engine: "a"}, {Engine: "b", Since: now - 1e6}, {Engine: "d", State: router.Draining}}
+)
+
+// memory is one of each record, taken out so many ms ago.
+func memory(age float64) *Memory {
+	at := now - age
+	return &Memory{Of: me, Learned: router.Learned{
+		Engines: []router.LearnedEngine{{At: at, Engine: "a", Pace: router.Weighed{Mean: 5, Weight: 3}, Width: 1.6,
+			Outcomes: 0b11110000, Lead: "a"}},
+		Tables:   []router.LearnedTables{{At: at, Tables: 7, Demand: 2, Held: 40, Homes: []router.EngineID{"a"}}},
+		Profiles: []router.LearnedProfile{{At: at, FullLeft: 900, Best: 20, WorkScale: router.Weighed{Mean: 2, Weight: 5}}},
+		Traffic:  []router.LearnedTraffic{{At: at, Part: router.Weighed{Mean: 0.4, Weight: 300}}},
+	}}
+}
+
+// What is left of each record by its age, and how the rest is accounted for.
+func TestAgeing(t *testing.T) {
+	u := Usual()
+	for _, c := range []struct {
+		name                              string
+		age                               float64
+		lives                             Lives
+		engines, tables, profiles, traffc int
+		account                           Account
+	}{
+		{"fresh", 0, u, 1, 1, 1, 1, Account{Believed: 4}},
+		{"a clock set back by half a second", -500, u, 1, 1, 1, 1, Account{Believed: 4}},
+		{"from the future", -5000, u, 0, 0, 0, 0, Account{Future: 4}},
+		{"a minute", 60e3, u, 1, 1, 1, 1, Account{Believed: 4}},
+		{"ten minutes", 600e3, u, 0, 1, 1, 0, Account{Believed: 2, Aged: 2}},
+		{"three hours", 3 * 3600e3, u, 0, 0, 1, 0, Account{Believed: 1, Aged: 3}},
+		{"a day", 24 * 3600e3, u, 0, 0, 0, 0, Account{Aged: 4}},
+		{"a day, by the plain baseline", 24 * 3600e3, Ageless(), 1, 1, 1, 1, Account{Believed: 4}},
+		{"no life at all", 0, Lives{}, 0, 0, 0, 0, Account{Aged: 4}},
+	} {
+		l, account := Believe(memory(c.age), me, list, now, c.lives)
+		if len(l.Engines) != c.engines || len(l.Tables) != c.tables || len(l.Profiles) != c.profiles ||
+			len(l.Traffic) != c.traffc || account != c.account {
+			t.Errorf("%s: %+v, %+v", c.name, l, account)
+		}
+	}
+}
+
+// Each figure fades towards what holds of an engine that is not known, by its own life.
+func TestFading(t *testing.T) {
+	u := Usual()
+	at := func(age float64) router.Learned { l, _ := Believe(memory(age), me, list, now, u); return l }
+	if e := at(0).Engines[0]; e.Pace.Weight != 3 || e.Width != 1.6 || e.Outcomes != 0b11110000 || e.Lead != "a" {
+		t.Errorf("fresh: %+v", e)
+	}
+	if e := at(u.Pace).Engines[0]; e.Pace.Weight != 1.5 || e.Pace.Mean != 5 {
+		t.Errorf("after the life of a pace: %+v", e)
+	}
+	if e := at(u.Width).Engines[0]; math.Abs(e.Width-1.8) > 1e-9 {
+		t.Errorf("after the life of a width: %+v", e)
+	}
+	if e := at(u.Health).Engines[0]; e.Outcomes != 0b11110000 {
+		t.Errorf("after the life of outcomes, of which the bad are the latest: %08b", e.Outcomes)
+	}
+	if e := at(2 * u.Health).Engines[0]; e.Outcomes != 0b11111100 {
+		t.Errorf("after twice the life of outcomes: %08b", e.Outcomes)
+	}
+	if e := at(5 * u.Health).Engines[0]; e.Outcomes != 0xff {
+		t.Errorf("after five times the life of outcomes: %08b", e.Outcomes)
+	}
+	if g := at(u.Tables).Tables[0]; math.Abs(g.Demand-1) > 1e-9 || math.Abs(g.Held-20) > 1e-9 {
+		t.Errorf("after the life of table groups: %+v", g)
+	}
+	if g := at(4.5 * u.Homes).Tables[0]; g.Homes != nil {
+		t.Errorf("after the life of homes: %+v", g)
+	}
+}
+
+// Whose memory it is, which engines it is of, and what can't be.
+func TestNotBelieved(t *testing.T) {
+	nan, inf := math.NaN(), math.Inf(1)
+	for _, c := range []struct {
+		name   string
+		change func(m *Memory)
+		left   int
+		tell   Account
+	}{
+		{"another controller's", func(m *Memory) { m.Of.Name = "n4" }, 0, Account{Foreign: 4}},
+		{"other settings", func(m *Memory) { m.Of.Settings++ }, 0, Account{Foreign: 4}},
+		{"an engine not listed", func(m *Memory) { m.Learned.Engines[0].Engine = "c" }, 3, Account{Believed: 3, Unknown: 1}},
+		{"an engine that drains", func(m *Memory) { m.Learned.Engines[0].Engine = "d" }, 3, Account{Believed: 3, Unknown: 1}},
+		{"another process", func(m *Memory) { m.Learned.Engines[0].Since = 5 }, 3, Account{Believed: 3, Unknown: 1}},
+		{"a pace that is no number", func(m *Memory) { m.Learned.Engines[0].Pace.Mean = nan }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a width without end", func(m *Memory) { m.Learned.Engines[0].Width = inf }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a weight below zero", func(m *Memory) { m.Learned.Engines[0].Pace.Weight = -1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a demand that can't be", func(m *Memory) { m.Learned.Tables[0].Demand = 1e9 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"no profile", func(m *Memory) { m.Learned.Profiles[0].Profile = -1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"more than all traffic", func(m *Memory) { m.Learned.Traffic[0].Part.Mean = 1.1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a time that is no number", func(m *Memory) { m.Learned.Traffic[0].At = nan }, 3, Account{Believed: 3, Wrong: 1}},
+		{"twice the same engine", func(m *Memory) {
+			m.Learned.Engines = append(m.Learned.Engines, m.Learned.Engines[0])
+		}, 4, Account{Believed: 4, Wrong: 1}},
+	} {
+		m := memory(0)
+		c.change(m)
+		if l, account := Believe(m, me, list, now, Usual()); l.Len() != c.left || account != c.tell {
+			t.Errorf("%s: %d left, %+v", c.name, l.Len(), account)
+		}
+	}
+}
+
+// Of more table groups than can be put in at once those are passed that are asked for most, by id.
+func TestMostTables(t *testing.T) {
+	m := &Memory{Of: me}
+	for i := range 1000 {
+		m.Learned.Tables = append(m.Learned.Tables, router.LearnedTables{At: now, Tables: router.TableGroup(i),
+			Demand: float64(i * 7919 % 1000)})
+	}
+	var many []router.Entry
+	for range mostFits / 100 {
+		many = append(many, router.Entry{})
+	}
+	l, account := Believe(m, me, many, now, Usual())
+	if len(l.Tables) != 100 || account.Wrong != 900 {
+		t.Fatalf("%d left, %+v", len(l.Tables), account)
+	}
+	for _, g := range l.Tables {
+		if g.Demand < 900 {
+			t.Errorf("%+v is left", g)
+		}
+	}
+	if !slices.IsSortedFunc(l.Tables, func(a, b router.LearnedTables) int { return int(a.Tables - b.Tables) }) {
+		t.Error("not by id")
+	}
+}
+
+// Whatever a memory holds: what is believed weighs no more than it did, less the older it is, names each engine once
+// and only as listed, and every figure is one.
+func TestAnyMemory(t *testing.T) {
+	odd := func(t *rapid.T, name string) float64 {
+		return rapid.OneOf(rapid.Float64(), rapid.Float64Range(0, 5), rapid.SampledFrom([]float64{math.NaN(),
+			math.Inf(1), math.Inf(-1), now, now - 1e4, now + 1e9, 0})).Draw(t, name)
+	}
+	weighed := func(t *rapid.T) router.Weighed { return router.Weighed{Mean: odd(t, "mean"), Weight: odd(t, "weight")} }
+	id := rapid.Map(rapid.SampledFrom([]string{"a", "b", "c", "d", ""}), func(s string) router.EngineID {
+		return router.EngineID(s)
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Memory{Of: me}
+		for range rapid.IntRange(0, 6).Draw(t, "engines") {
+			m.Learned.Engines = append(m.Learned.Engines, router.LearnedEngine{At: odd(t, "at"), Engine: id.Draw(t, "id"),
+				Since: rapid.SampledFrom([]float64{0, now - 1e6, 5}).Draw(t, "since"), Pace: weighed(t),
+				Width: odd(t, "width"), Outcomes: rapid.Uint8().Draw(t, "outcomes"), Lead: id.Draw(t, "lead")})
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "tables") {
+			m.Learned.Tables = append(m.Learned.Tables, router.LearnedTables{At: odd(t, "at"),
+				Tables: router.TableGroup(rapid.IntRange(-2, 2).Draw(t, "group")), Demand: odd(t, "demand"),
+				Held: odd(t, "held"), Homes: []router.EngineID{id.Draw(t, "home")}})
+		}
+		m.Learned.Profiles = []router.LearnedProfile{{At: odd(t, "at"), FullLeft: odd(t, "left"), Best: odd(t, "best"),
+			WorkScale: weighed(t), NeedScale: weighed(t)}}
+		m.Learned.Traffic = []router.LearnedTraffic{{At: odd(t, "at"), Part: weighed(t)}}
+		before := clone(m)
+		sooner, _ := Believe(m, me, list, now, Usual())
+		later, account := Believe(m, me, list, now+30000, Usual())
+		if before != clone(m) {
+			t.Fatal("the memory itself was changed")
+		}
+		if account.Believed != later.Len() || later.Len() > sooner.Len()+6 {
+			t.Fatalf("%+v of %d", account, later.Len())
+		}
+		seen := map[router.EngineID]bool{}
+		for _, e := range sooner.Engines {
+			if seen[e.Engine] || e.Engine != "a" && e.Engine != "b" || !finite(e.Pace.Mean, e.Pace.Weight, e.Width) ||
+				e.Pace.Weight > mostPaceN {
+				t.Fatalf("%+v", e)
+			}
+			seen[e.Engine] = true
+			for _, o := range later.Engines {
+				if o.Engine == e.Engine && o.At == e.At && (o.Pace.Weight > e.Pace.Weight ||
+					math.Abs(o.Width-usualWidth) > math.Abs(e.Width-usualWidth)+1e-9 || o.Outcomes|e.Outcomes != o.Outcomes) {
+					t.Fatalf("later %+v weighs more than %+v", o, e)
+				}
+			}
+		}
+		for _, g := range sooner.Tables {
+			if !finite(g.Demand, g.Held) || g.Demand > mostRate {
+				t.Fatalf("%+v", g)
+			}
+		}
+		for _, p := range sooner.Profiles {
+			if !finite(p.Best, p.FullLeft, p.WorkScale.Mean, p.NeedScale.Mean) || p.WorkScale.Weight > mostScaleN {
+				t.Fatalf("%+v", p)
+			}
+		}
+		for _, p := range sooner.Traffic {
+			if !(p.Part.Mean >= 0 && p.Part.Mean <= 1) || !(p.Part.Weight <= mostTraffic) {
+				t.Fatalf("%+v", p)
+			}
+		}
+	})
+}
+
+// clone is the text of a memory, in which what is no number equals itself.
+func clone(m *Memory) string { return fmt.Sprint(*m) }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mintkeel/internal/logs"
+	"mintkeel/internal/memory"
+)
+
+// Every problem is told with line, column and field, all at once.
+func TestProblems(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       []string // as line:column field; none: it is read
+	}{
+		{"empty", "", nil},
+		{"comments alone", "# nothing\n// here\n/* either */\n", nil},
+		{"all of it", "log {\n format = \"json\"\n level = \"warn\"\n burst = 3\n every = \"2s\"\n}\nmemory {\n folder = \"/a\"\n pace = \"250ms\"\n}\n", nil},
+		{"an unknown block", "memories {\n}\n", []string{"1:1 memories"}},
+		{"an unknown name", "x = 1\n", []string{"1:1 x"}},
+		{"an unknown field", "log {\n colour = 1\n}\n", []string{"2:2 log.colour"}},
+		{"an unknown block within", "log {\n more {\n }\n}\n", []string{"2:2 log.more"}},
+		{"a block with a label", "memory \"m\" {\n folder = \"/a\"\n}\n", []string{"1:8 "}},
+		{"twice", "log {\n}\nlog {\n}\n", []string{"3:1 log"}},
+		{"a field twice", "log {\n level = \"info\"\n level = \"info\"\n}\n", []string{"3:2 "}},
+		{"no word of the list", "log {\n format = \"yaml\"\n}\n", []string{"2:11 log.format"}},
+		{"another type", "log {\n format = 3\n burst = \"x\"\n every = 5\n}\n", []string{"2:11 log.format", "3:10 log.burst", "4:10 log.every"}},
+		{"a list", "log {\n format = [\"json\"]\n}\n", []string{"2:11 log.format"}},
+		{"null", "log {\n format = null\n}\n", []string{"2:11 log.format"}},
+		{"not whole", "log {\n burst = 1.5\n}\n", []string{"2:10 log.burst"}},
+		{"past its bounds", "log {\n burst = 0\n every = \"1000h\"\n}\n", []string{"2:10 log.burst", "3:10 log.every"}},
+		{"beyond all numbers", "log {\n burst = 1e999\n}\n", []string{"2:10 log.burst"}},
+		{"missing", "memory {\n}\n", []string{"1:1 memory.folder"}},
+		{"empty text", "memory {\n folder = \"\"\n}\n", []string{"2:11 memory.folder"}},
+		{"no absolute path", "memory {\n folder = \"a/b\"\n}\n", []string{"2:11 memory.folder"}},
+		{"no time", "memory {\n folder = \"/a\"\n pace = \"5\"\n}\n", []string{"3:9 memory.pace"}},
+		{"a variable", "memory {\n folder = home\n}\n", []string{"2:11 memory.folder"}},
+		{"a function", "memory {\n folder = file(\"x\")\n}\n", []string{"2:11 memory.folder"}},
+		{"several at once", "log {\n level = \"loud\"\n}\nx = 1\nmemory {\n pace = \"1ns\"\n}\n",
+			[]string{"2:10 log.level", "4:1 x", "5:1 memory.folder", "6:9 memory.pace"}},
+		{"no HCL", "log {\n", []string{"1:"}},
+		{"no text", "\xff\xfe\x00", []string{"1:"}},
+		{"a zero byte", "memory {\n folder = \"/a\\u0000b\"\n}\n", []string{"2:11 memory.folder"}},
+		{"deep brackets", "x = " + strings.Repeat("[", 100000), []string{"1:"}},
+		{"deep templates", "x = " + strings.Repeat("\"${", 30000), []string{"1:"}},
+		{"deep signs", "x = " + strings.Repeat("!", 100000) + "true", []string{"1:"}},
+		{"long choices", "x = " + strings.Repeat("true ? 1 : ", 20000) + "2", []string{"1:"}},
+		{"deep blocks", strings.Repeat("a {\n", 50000), []string{"33:"}},
+		{"too long", strings.Repeat("#\n", mostBytes), []string{"0:0 "}},
+	} {
+		file, err := Parse("f.hcl", []byte(c.text))
+		var got []string
+		for _, p := range Problems(err) {
+			got = append(got, fmt.Sprintf("%d:%d %s", p.Line, p.Column, p.Field))
+		}
+		if (err == nil) != (c.want == nil) || len(got) < len(c.want) || (file == nil) != (err != nil) {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		for i, want := range c.want {
+			if !strings.HasPrefix(got[i], want) || len(c.want) != len(got) && !strings.HasSuffix(want, ":") {
+				t.Errorf("%s: %q, not %q: %v", c.name, got, c.want, err)
+				break
+			}
+		}
+	}
+}
+
+// What stands in a file is what its owners get; what does not is off, or as usual.
+func TestRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.hcl")
+	text := "log {\n level = \"debug\"\n}\nmemory {\n folder = \"/a\"\n}\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	file, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := logs.Usual()
+	want.Level = -4
+	if file.Log != want || *file.Memory != (memory.Block{Folder: "/a", Pace: 5 * time.Second}) {
+		t.Errorf("%+v, %+v", file, file.Memory)
+	}
+	if file, err := Read(""); err != nil || file.Memory != nil || file.Log != logs.Usual() {
+		t.Errorf("no file: %+v, %v", file, err)
+	}
+	if _, err := Read(path + "x"); err == nil {
+		t.Error("a file that is not there is read")
+	}
+	if file, err := Read(filepath.Join("..", "..", "deploy", "operator.hcl")); err != nil || file.Memory != nil ||
+		file.Log != logs.Usual() {
+		t.Errorf("the example is not all off: %+v, %v", file, err)
+	}
+	example, err := os.ReadFile(filepath.Join("..", "..", "deploy", "operator.hcl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var on strings.Builder // what is commented out with a name behind it is to be read too
+	for line := range strings.Lines(string(example)) {
+		if rest, ok := strings.CutPrefix(line, "# "); ok && (strings.HasPrefix(rest, " ") || strings.HasSuffix(rest, "{\n") ||
+			rest == "}\n") {
+			line = rest
+		}
+		on.WriteString(line)
+	}
+	if file, err := Parse("example", []byte(on.String())); err != nil || file.Memory == nil {
+		t.Errorf("the example, turned on: %v", err)
+	}
+}
+
+// Whatever a file holds, it is read or refused.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("log {\n level = \"info\"\n}\n"))
+	f.Add([]byte("memory {\n folder = \"/a\"\n pace = \"5s\"\n}\n"))
+	f.Add([]byte("x = [1, {a = \"${b}\"}]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse("f", text)
+		if (file == nil) != (err != nil) || err != nil && len(Problems(err)) == 0 {
+			t.Errorf("%v, %v", file, err)
+		}
+	})
+}
