--- a/internal/core/recall/recall.go
+++ b/internal/core/recall/recall.go
@@ -38,11 +38,12 @@
 
 // Usual are the lives by which memory is believed. An engine's trouble passes or gets it replaced within a minute or
 // two; its caches hold as long as nobody else has filled them; what commands ask for changes over minutes, and how
-// they run over hours.
+// they run over days: that, a day old, was worth more at a restart than all the rest that fresh (docs/results.md), and
+// the module drops it at once where answers tell otherwise.
 func Usual() Lives {
-	const second, minute, hour = 1000.0, 60 * 1000.0, 60 * 60 * 1000.0
+	const second, minute, day = 1000.0, 60 * 1000.0, 24 * 60 * 60 * 1000.0
 	return Lives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * minute,
-		Profile: hour, Traffic: minute}
+		Profile: 3 * day, Traffic: minute}
 }
 
 // Ageless are the lives of the plain baseline: all is believed as if it had just been learned.
--- /dev/null
+++ b/internal/lab/restart/restart.go
@@ -0,0 +1,483 @@
+// Package restart measures what memory is worth: a real controller, as a process of its own, is killed in the middle of
+// a busy time and started again, with stand-ins for engines, feed and clients on loopback, and the benefit answered in
+// the first seconds is compared with that of runs without memory, with wrong memory, and without a kill.
+package restart
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/standin"
+	"mintkeel/internal/memory"
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/snapshots"
+	"mintkeel/router"
+)
+
+// Variant is what the controller finds when it starts again.
+type Variant int
+
+const (
+	Unbroken  Variant = iota // it was never killed
+	Without                  // nothing
+	With                     // what it had learned
+	Aged                     // the same, a day old
+	Swapped                  // the same, with every engine taken for another
+	Yesterday                // a day ago: another slow engine, another hot table group, tables warm elsewhere
+	Believed                 // the same, believed as if it were fresh: the plain baseline
+)
+
+var names = [...]string{"unbroken", "without", "with", "aged a day", "engines swapped", "yesterday's",
+	"yesterday's, believed without ageing"}
+
+func (v Variant) String() string { return names[v] }
+
+// Variants are all.
+func Variants() []Variant {
+	return []Variant{Unbroken, Without, With, Aged, Swapped, Yesterday, Believed}
+}
+
+// Scene is what is played. Times of the run are real ones.
+type Scene struct {
+	Mintkeel string // path of the daemon
+	Bounds   snapshots.Bounds
+	Seed     int64
+	Engines  int
+	Groups   int
+	Rate     float64 // commands a second
+	Learn    time.Duration
+	Measure  time.Duration
+	Slow     float64 // times the usual time at the slow engine
+	Hot      float64 // share of the commands on the hot table group
+	Cold     float64 // times the work of a command whose tables are not warm
+}
+
+// Usual is the scene that the results were taken with.
+func Usual() Scene {
+	return Scene{Engines: 8, Groups: 24, Rate: 420, Learn: 14 * time.Second, Measure: 10 * time.Second, Slow: 6, Hot: 0.3,
+		Cold: 3}
+}
+
+// Outcome is what one variant of a scene gave.
+type Outcome struct {
+	Benefit  float64 // of commands, 1 each at most, over their number
+	First    float64 // the same in the first 2 s
+	Commands int
+	Cold     int // commands that found their tables cold
+}
+
+const (
+	cores, sessions, warm = 4.0, 60, 5
+	lookupMS, reportMS    = 30.0, 140.0
+	lookupAim, reportAim  = 150 * time.Millisecond, 700 * time.Millisecond
+	lookupMax, reportMax  = 1200 * time.Millisecond, 3000 * time.Millisecond
+	lateShare             = 0.3
+	reportShare           = 0.15 // of the commands
+)
+
+// world is a scene's surroundings.
+type world struct {
+	Scene
+	engines []*standin.Engine
+	feed    *standin.Feed
+	addr    string
+	dir     string
+	shift   int // which engine is slow and which table group hot
+	idle    chan *standin.Client
+}
+
+// Run plays one variant.
+func Run(ctx context.Context, s Scene, v Variant) (out Outcome, err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Learn+s.Measure+20*time.Second)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "restart")
+	if err != nil {
+		return out, err
+	}
+	defer os.RemoveAll(dir)
+	if v == Yesterday || v == Believed { // first the day before
+		other, err := open(ctx, s, dir, 3)
+		if err != nil {
+			return out, err
+		}
+		p, err := other.start(ctx)
+		if err != nil {
+			return out, err
+		}
+		other.play(ctx, s.Learn, nil)
+		p.kill()
+		other.close()
+		if err := os.Rename(filepath.Join(dir, "kept"), filepath.Join(dir, "yesterday")); err != nil {
+			return out, err
+		}
+	}
+	w, err := open(ctx, s, dir, 0)
+	if err != nil {
+		return out, err
+	}
+	defer w.close()
+	p, err := w.start(ctx)
+	if err != nil {
+		return out, err
+	}
+	defer func() { p.kill() }()
+	w.play(ctx, s.Learn, nil)
+	if v != Unbroken {
+		p.kill()
+		w.drop()
+		if err := w.tamper(v); err != nil {
+			return out, err
+		}
+		if p, err = w.start(ctx); err != nil {
+			return out, err
+		}
+	}
+	cold := w.cold()
+	w.play(ctx, s.Measure, &out)
+	out.Cold = w.cold() - cold
+	return out, ctx.Err()
+}
+
+func open(ctx context.Context, s Scene, dir string, shift int) (*world, error) {
+	w := &world{Scene: s, dir: dir, shift: shift, idle: make(chan *standin.Client, 400)}
+	for i := range s.Engines {
+		m := standin.Model{Cores: cores, Slow: 1, Sessions: sessions, Warm: warm, ColdCost: s.Cold}
+		if i == (2+shift)%s.Engines {
+			m.Slow = s.Slow
+		}
+		e, err := standin.NewEngine(fmt.Sprintf("s-%08x", i+1), m, s.Seed)
+		if err != nil {
+			return nil, err
+		}
+		w.engines = append(w.engines, e)
+	}
+	var err error
+	if w.feed, err = standin.NewFeed(ctx); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.addr = listener.Addr().String()
+	return w, listener.Close()
+}
+
+func (w *world) close() {
+	w.drop()
+	for _, e := range w.engines {
+		e.Close()
+	}
+}
+
+// drop closes the clients' idle connections.
+func (w *world) drop() {
+	for {
+		select {
+		case c := <-w.idle:
+			c.Close()
+		default:
+			return
+		}
+	}
+}
+
+func (w *world) cold() (n int) {
+	for _, e := range w.engines {
+		_, cold, _ := e.Counts()
+		n += cold
+	}
+	return n
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	once sync.Once
+}
+
+func (p *process) kill() {
+	p.once.Do(func() {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+	})
+}
+
+// start writes a configuration, starts the daemon and waits until it answers.
+func (w *world) start(ctx context.Context) (*process, error) {
+	type object = map[string]any
+	var hosts []object
+	for _, e := range w.engines {
+		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
+	}
+	config, err := json.Marshal(object{"name": "n1", "listen": w.addr, "seed": fmt.Sprintf("%016x", w.Seed),
+		"limits":   object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"bulletin": w.feed.Addr,
+		"known":    object{"no": 1, "items": []object{{"no": 1, "roster": object{"seq": 1, "whole": true, "hosts": hosts}}}},
+		"settings": object{"n_instances": 1, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{"std"},
+			"report":      object{"fields": []string{"util", "inflight"}},
+			"family_info": object{"size_cores": []float64{cores}, "size_mb": []float64{16000}, "width_by_class": []int{1, 1}},
+			"bounds": object{"cancel": true, "probes": true, "send_cap": 3, "connect_timeout_ns": 250000000,
+				"max_streams": 100, "retry_after": true, "max_retry_after_ns": 500000000},
+			"contract": object{"cold_share": 0.5, "cold_ns": 2000000000, "overload_factor": 4, "tip_after_ns": 1000000000},
+			"services": []object{
+				{"name": "lookup", "effect": "free", "promise_ns": int64(lookupAim), "hard_limit_ns": int64(lookupMax),
+					"late_worth": lateShare},
+				{"name": "report", "effect": "free", "promise_ns": int64(reportAim), "hard_limit_ns": int64(reportMax),
+					"late_worth": lateShare}}}})
+	if err != nil {
+		return nil, err
+	}
+	path, hcl := filepath.Join(w.dir, "config.json"), filepath.Join(w.dir, "operator.hcl")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		return nil, err
+	}
+	block := fmt.Sprintf("memory {\n  folder = %q\n  pace = \"1s\"\n}\n", filepath.Join(w.dir, "kept"))
+	if err := os.WriteFile(hcl, []byte(block), 0o600); err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(w.Mintkeel, "serve", "--config", path, "--operator", hcl)}
+	log, err := os.OpenFile(filepath.Join(w.dir, "log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(10 * time.Second); ; {
+		if c, err := standin.Dial(ctx, w.addr, time.Second); err == nil {
+			w.idle <- c
+			return p, nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			p.kill()
+			return nil, errors.New("the daemon does not answer")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// play has commands arrive for so long and, if out is given, sums up their benefit.
+func (w *world) play(ctx context.Context, long time.Duration, out *Outcome) {
+	rng := rand.New(rand.NewSource(w.Seed + int64(long)))
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	sum, first, firsts := 0.0, 0.0, 0
+	began := time.Now()
+	for at := 0.0; ctx.Err() == nil; {
+		at += rng.ExpFloat64() / w.Rate
+		if at > long.Seconds() {
+			break
+		}
+		command := w.draw(rng)
+		time.Sleep(time.Until(began.Add(time.Duration(at * 1e9))))
+		early := at < 2
+		if early {
+			firsts++
+		}
+		if out != nil {
+			out.Commands++
+		}
+		group.Go(func() {
+			b := w.ask(ctx, command)
+			mu.Lock()
+			defer mu.Unlock()
+			if sum += b; early {
+				first += b
+			}
+		})
+	}
+	group.Wait()
+	if out != nil && out.Commands > 0 {
+		out.Benefit, out.First = sum/float64(out.Commands), first/float64(max(1, firsts))
+	}
+}
+
+type drawn struct {
+	fields, statement string
+	aim, limit        time.Duration
+}
+
+func (w *world) draw(rng *rand.Rand) drawn {
+	d := drawn{aim: lookupAim, limit: lookupMax}
+	verb, work := "lookup", lookupMS*(0.5+rng.Float64())
+	if rng.Float64() < reportShare {
+		verb, work, d.aim, d.limit = "report", reportMS*(0.5+rng.Float64()), reportAim, reportMax
+	}
+	group := rng.Intn(w.Groups)
+	if rng.Float64() < w.Hot {
+		group = w.shift
+	}
+	d.fields = fmt.Sprintf("verb=%s,txn=%016x,cpu=%.1f", verb, rng.Uint64(), work*(0.7+0.6*rng.Float64()))
+	d.statement = fmt.Sprintf("SELECT WORK(%.3f) FROM sales_%d.orders", work, group)
+	return d
+}
+
+// ask has one command answered on a connection of its own while it lasts.
+func (w *world) ask(ctx context.Context, d drawn) float64 {
+	var c *standin.Client
+	select {
+	case c = <-w.idle:
+	default:
+		var err error
+		if c, err = standin.Dial(ctx, w.addr, time.Second); err != nil {
+			return 0
+		}
+	}
+	began := time.Now()
+	verdict, err := c.Query(d.fields, d.statement, d.limit)
+	took := time.Since(began)
+	if err != nil {
+		c.Close()
+		return 0
+	}
+	select {
+	case w.idle <- c:
+	default:
+		c.Close()
+	}
+	switch {
+	case verdict != standin.Answered:
+		return 0
+	case took > d.aim:
+		return lateShare
+	}
+	return 1
+}
+
+// tamper makes of what was kept what the variant finds.
+func (w *world) tamper(v Variant) error {
+	kept := filepath.Join(w.dir, "kept")
+	switch v {
+	case Without:
+		return os.RemoveAll(kept)
+	case Yesterday, Believed:
+		if err := os.RemoveAll(kept); err != nil {
+			return err
+		}
+		if err := os.Rename(filepath.Join(w.dir, "yesterday"), kept); err != nil {
+			return err
+		}
+	}
+	now, day := float64(time.Now().UnixMilli()), float64(24*3600*1000)
+	return memory.Rewrite(disk.Folder(kept), w.Bounds, func(l *router.Learned) {
+		switch v {
+		case Aged, Yesterday:
+			shift(l, func(at float64) float64 { return at - day })
+		case Believed:
+			shift(l, func(float64) float64 { return now })
+		}
+		switch v {
+		case Swapped, Yesterday, Believed:
+			n := len(l.Engines)
+			next := map[router.EngineID]router.EngineID{}
+			for i, e := range l.Engines {
+				next[e.Engine] = l.Engines[(i+n/2)%n].Engine
+			}
+			for i := range l.Engines {
+				e := &l.Engines[i]
+				e.Engine, e.Lead = next[e.Engine], next[e.Lead]
+			}
+			for i := range l.Tables {
+				for k, home := range l.Tables[i].Homes {
+					l.Tables[i].Homes[k] = next[home]
+				}
+			}
+		}
+	})
+}
+
+func shift(l *router.Learned, to func(at float64) float64) {
+	for i := range l.Engines {
+		l.Engines[i].At = to(l.Engines[i].At)
+	}
+	for i := range l.Tables {
+		l.Tables[i].At = to(l.Tables[i].At)
+	}
+	for i := range l.Profiles {
+		l.Profiles[i].At = to(l.Profiles[i].At)
+	}
+	for i := range l.Traffic {
+		l.Traffic[i].At = to(l.Traffic[i].At)
+	}
+}
+
+// Summary is a variant over several seeds, paired with Without and Unbroken.
+type Summary struct {
+	Variant                Variant
+	Benefit, First         float64
+	Cold                   float64 // commands on cold tables, of all
+	OverWithout, Interval  float64 // mean of the differences by seed, and half of their 95% interval
+	Share                  float64 // of the gap from Without to Unbroken
+	FirstOver, FirstAround float64 // as OverWithout and Interval, in the first 2 s
+}
+
+// Summarize sums up outcomes by seed and variant.
+func Summarize(all []map[Variant]Outcome) (sums []Summary) {
+	gap := 0.0
+	for _, by := range all {
+		gap += by[Unbroken].Benefit - by[Without].Benefit
+	}
+	for _, v := range Variants() {
+		s := Summary{Variant: v}
+		var over, first []float64
+		for _, by := range all {
+			n := float64(len(all))
+			s.Benefit += by[v].Benefit / n
+			s.First += by[v].First / n
+			s.Cold += float64(by[v].Cold) / float64(max(1, by[v].Commands)) / n
+			over = append(over, by[v].Benefit-by[Without].Benefit)
+			first = append(first, by[v].First-by[Without].First)
+		}
+		s.OverWithout, s.Interval = around(over)
+		s.FirstOver, s.FirstAround = around(first)
+		if gap != 0 {
+			s.Share = s.OverWithout * float64(len(all)) / gap
+		}
+		sums = append(sums, s)
+	}
+	return sums
+}
+
+// studentT are the 97.5% points of Student's distribution for 1 degree of freedom and on.
+var studentT = []float64{12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13}
+
+// around is the mean of some differences and half of its 95% interval.
+func around(xs []float64) (mean, half float64) {
+	n := float64(len(xs))
+	for _, x := range xs {
+		mean += x / n
+	}
+	sum := 0.0
+	for _, x := range xs {
+		sum += (x - mean) * (x - mean)
+	}
+	if n < 2 {
+		return mean, math.Inf(1)
+	}
+	return mean, studentT[min(len(xs)-2, len(studentT)-1)] * math.Sqrt(sum/(n-1)/n)
+}
+
+// Table is the summaries as Markdown.
+func Table(sums []Summary) string {
+	var b strings.Builder
+	b.WriteString("| memory | benefit, 10 s | over without | share of the gap | benefit, first 2 s | over without | on cold tables |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range sums {
+		fmt.Fprintf(&b, "| %v | %.3f | %+.3f ±%.3f | %.2f | %.3f | %+.3f ±%.3f | %.3f |\n", s.Variant, s.Benefit,
+			s.OverWithout, s.Interval, s.Share, s.First, s.FirstOver, s.FirstAround, s.Cold)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/lab/standin/engine.go
@@ -0,0 +1,317 @@
+// Package standin holds stand-ins for what surrounds a controller on sockets: engines, the feed and clients, written
+// from the platform's protocol, on loopback. They serve rigs and tests; nothing of the daemon imports them.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Model is how an engine runs what it is sent: processor sharing over its cores. Work is ms on one core.
+type Model struct {
+	Cores    float64
+	Slow     float64 // times the usual time
+	Sessions int     // past which it turns commands away
+	Warm     int     // table groups that it keeps warm, the last used
+	ColdCost float64 // times the work of a command whose table group is not warm
+}
+
+// Engine is a stand-in for an engine. Its commands' work stands in their statement as WORK(ms), their table group in
+// the schema's number.
+type Engine struct {
+	ID       string
+	Addr     string
+	listener net.Listener
+	rng      *rand.Rand
+
+	mu     sync.Mutex
+	model  Model
+	runs   []*run
+	at     time.Time // when the runs were last brought up to date
+	busy   float64   // smoothed share of its cores in use
+	warm   []string
+	timer  *time.Timer
+	conns  map[net.Conn]bool
+	closed bool
+
+	Done, Cold, Turned int // commands
+}
+
+type run struct {
+	id    string
+	left  float64 // work
+	slow  float64
+	reply func(line string)
+}
+
+// NewEngine starts an engine on a loopback address.
+func NewEngine(id string, m Model, seed int64) (*Engine, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{ID: id, Addr: listener.Addr().String(), listener: listener, model: m, at: time.Now(),
+		rng: rand.New(rand.NewSource(seed)), conns: map[net.Conn]bool{}}
+	e.timer = time.AfterFunc(time.Hour, e.look)
+	go e.accept()
+	return e, nil
+}
+
+// Close ends the engine with all its connections.
+func (e *Engine) Close() {
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	e.timer.Stop()
+	for c := range e.conns {
+		c.Close()
+	}
+}
+
+// SetSlow changes how slow it is from now on.
+func (e *Engine) SetSlow(slow float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	e.model.Slow = slow
+	for _, r := range e.runs {
+		r.slow = slow
+	}
+	e.plan()
+}
+
+func (e *Engine) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		if e.closed {
+			c.Close()
+		}
+		e.conns[c] = true
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+// silence is after which a connection on which nothing is said ends.
+const silence = 30 * time.Second
+
+func (e *Engine) serve(c net.Conn) {
+	var writing sync.Mutex
+	reply := func(line string) {
+		writing.Lock()
+		defer writing.Unlock()
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		c.Write([]byte(line))
+	}
+	defer func() {
+		c.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.conns, c)
+	}()
+	for r := bufio.NewReaderSize(c, 64<<10); ; {
+		c.SetReadDeadline(time.Now().Add(silence))
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		if len(words) < 2 {
+			return
+		}
+		switch words[0] {
+		case "ping":
+			reply(fmt.Sprintf("%s READY %s 0\r\n\r\n", words[1], e.report()))
+		case "undo":
+			e.undo(words[1])
+		case "do":
+			length, err := strconv.Atoi(words[len(words)-1])
+			if err != nil || length < 0 || length > 1<<20 {
+				return
+			}
+			statement := make([]byte, length+2)
+			if _, err := readFull(r, statement); err != nil {
+				return
+			}
+			e.begin(words[1], string(statement), reply)
+		}
+	}
+}
+
+func readFull(r *bufio.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var m int
+		m, err = r.Read(b[n:])
+		n += m
+	}
+	return n, err
+}
+
+// between is what stands between two marks; empty if they are not there.
+func between(text, from, to string) string {
+	_, rest, ok := strings.Cut(text, from)
+	part, _, closed := strings.Cut(rest, to)
+	if !ok || !closed {
+		return ""
+	}
+	return part
+}
+
+func (e *Engine) begin(id, statement string, reply func(string)) {
+	work, err := strconv.ParseFloat(between(statement, "WORK(", ")"), 64)
+	if err != nil {
+		reply(id + " EIO - 0\r\n\r\n")
+		return
+	}
+	group := between(statement, "FROM ", ".")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	if len(e.runs) >= e.model.Sessions {
+		e.Turned++
+		go reply(id + " AGAIN " + e.reported() + " 0\r\n\r\n")
+		return
+	}
+	if at := slices.Index(e.warm, group); at >= 0 {
+		e.warm = append(slices.Delete(e.warm, at, at+1), group)
+	} else {
+		e.Cold++
+		work *= e.model.ColdCost
+		if e.warm = append(e.warm, group); len(e.warm) > e.model.Warm {
+			e.warm = e.warm[1:]
+		}
+	}
+	e.runs = append(e.runs, &run{id: id, left: work, slow: e.model.Slow, reply: reply})
+	e.plan()
+}
+
+func (e *Engine) undo(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool { return r.id == id })
+	e.plan()
+}
+
+// pace is the work that each run gets done in a ms.
+func (e *Engine) pace() float64 { return min(1, e.model.Cores/float64(max(1, len(e.runs)))) }
+
+// advance brings the runs up to now; mu is held.
+func (e *Engine) advance() {
+	now := time.Now()
+	passed := float64(now.Sub(e.at)) / 1e6
+	e.at = now
+	pace := e.pace()
+	for _, r := range e.runs {
+		r.left -= passed * pace / r.slow
+	}
+	share := min(1, float64(len(e.runs))/e.model.Cores)
+	keep := math.Exp(-passed / 300)
+	e.busy = e.busy*keep + share*(1-keep)
+}
+
+// plan has the next run that ends looked at when it does; mu is held.
+func (e *Engine) plan() {
+	next := math.Inf(1)
+	for _, r := range e.runs {
+		next = min(next, r.left*r.slow)
+	}
+	if next = next / e.pace(); math.IsInf(next, 1) {
+		next = 3600e3
+	}
+	e.timer.Reset(time.Duration(max(0, next) * 1e6))
+}
+
+// look ends the runs whose work is done.
+func (e *Engine) look() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
+	e.advance()
+	report := e.reported()
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool {
+		if r.left > 0.01 {
+			return false
+		}
+		e.Done++
+		go r.reply(fmt.Sprintf("%s ACK parts=1,%s 6\r\na\tb\tc\n\r\n", r.id, strings.TrimPrefix(report, "-")))
+		return true
+	})
+	e.plan()
+}
+
+// reported is the load report as fields; mu is held.
+func (e *Engine) reported() string {
+	return fmt.Sprintf("report=inflight:%d;util:%.3f", len(e.runs), e.busy)
+}
+
+func (e *Engine) report() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	return e.reported()
+}
+
+// Counts are the commands that were done, those of them that found their tables cold, and those turned away.
+func (e *Engine) Counts() (done, cold, turned int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Done, e.Cold, e.Turned
+}
+
+// Feed is a stand-in for the feed that has nothing new to tell, and says so.
+type Feed struct {
+	Addr     string
+	listener net.Listener
+}
+
+// NewFeed starts a feed on a loopback address.
+func NewFeed(ctx context.Context) (*Feed, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { listener.Close() })
+	f := &Feed{listener.Addr().String(), listener}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				defer context.AfterFunc(ctx, func() { c.Close() })()
+				last := make([]byte, 8)
+				if _, err := readFull(bufio.NewReader(c), last); err != nil {
+					return
+				}
+				for {
+					frame := slices.Concat([]byte{0, 0, 0, 9}, last, []byte{0})
+					c.SetWriteDeadline(time.Now().Add(time.Second))
+					if _, err := c.Write(frame); err != nil {
+						return
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	return f, nil
+}
--- a/internal/memory/inspect.go
+++ b/internal/memory/inspect.go
@@ -1,7 +1,6 @@
 package memory
 
 import (
-	"errors"
 	"math"
 	"slices"
 
@@ -148,35 +147,53 @@
 	Tables  []router.TableGroup
 }
 
-// Prune writes a folder's newest snapshot anew without some records, under its old times, and returns how many went.
-// Older snapshots go too, so that nothing comes back by a file that can't be read. Its error is disk.ErrLocked while
-// a controller has the folder.
+// Prune has some records forgotten and returns how many went. Its error is disk.ErrLocked while a controller has the
+// folder.
 func Prune(d disk.Disk, b snapshots.Bounds, what Pruning) (int, error) {
+	if what.All {
+		return clearAll(d, b)
+	}
+	n := 0
+	err := Rewrite(d, b, func(l *router.Learned) {
+		n = l.Len()
+		l.Engines = slices.DeleteFunc(l.Engines, func(e router.LearnedEngine) bool {
+			return slices.Contains(what.Engines, e.Engine)
+		})
+		l.Tables = slices.DeleteFunc(l.Tables, func(t router.LearnedTables) bool {
+			return slices.Contains(what.Tables, t.Tables)
+		})
+		n -= l.Len()
+	})
+	return n, err
+}
+
+func clearAll(d disk.Disk, b snapshots.Bounds) (int, error) {
 	folder, err := snapshots.Open(d, b)
 	if err != nil {
 		return 0, err
 	}
 	defer folder.Close()
-	kept, _, err := Load(d, b)
-	if errors.Is(err, snapshots.ErrNone) || what.All {
-		n := 0
-		if kept != nil {
-			n = kept.Memory.Learned.Len()
-		}
-		return n, folder.Clear()
+	n := 0
+	if kept, _, err := Load(d, b); err == nil {
+		n = kept.Memory.Learned.Len()
 	}
+	return n, folder.Clear()
+}
+
+// Rewrite writes a folder's newest snapshot anew with changed records, under its old times. The older one goes too, so
+// that nothing comes back by a file that can't be read.
+func Rewrite(d disk.Disk, b snapshots.Bounds, change func(*router.Learned)) error {
+	folder, err := snapshots.Open(d, b)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	l := &kept.Memory.Learned
-	before := l.Len()
-	l.Engines = slices.DeleteFunc(l.Engines, func(e router.LearnedEngine) bool {
-		return slices.Contains(what.Engines, e.Engine)
-	})
-	l.Tables = slices.DeleteFunc(l.Tables, func(t router.LearnedTables) bool {
-		return slices.Contains(what.Tables, t.Tables)
-	})
-	for range 2 { // so that none of the files that are kept has what was to be forgotten
+	defer folder.Close()
+	kept, _, err := Load(d, b)
+	if err != nil {
+		return err
+	}
+	change(&kept.Memory.Learned)
+	for range 2 { // so that none of the files that are kept has what was there before
 		_, err = folder.Write(func(add func(snapshots.Kind, []byte) error) error {
 			head, err := encoder.Marshal(headForm{Name: kept.Memory.Of.Name, Settings: kept.Memory.Of.Settings,
 				Taken: int64(kept.Taken), Build: kept.Build})
@@ -184,13 +201,13 @@
 				err = add(sectionHead, head)
 			}
 			if err == nil {
-				err = encode(l, add)
+				err = encode(&kept.Memory.Learned, add)
 			}
 			return err
 		})
 		if err != nil {
-			return 0, err
+			return err
 		}
 	}
-	return before - l.Len(), nil
+	return nil
 }
--- a/router/learned.go
+++ b/router/learned.go
@@ -245,11 +245,6 @@
 			}
 		}
 	}
-	if len(l.Tables) > 0 {
-		for k := range r.owners {
-			r.repack(k)
-		}
-	}
 }
 
 // unlearn forgets how a profile was said to run.
--- a/router/router.go
+++ b/router/router.go
@@ -171,6 +171,17 @@
 	}
 }
 
+// recalled takes in what is remembered. Engines go back to the owners of the table groups that they had, and
+// move on only by loads that are known: at first all are none, and any would do.
+func (r *Router) recalled(l Learned) {
+	if r.recall(l); len(l.Tables) > 0 {
+		r.moveAt = max(r.moveAt, r.now+period)
+		for k := range r.owners {
+			r.repack(k)
+		}
+	}
+}
+
 // portion is this controller's part of the traffic, by what engines hold; first, weighing 200, an equal one.
 func (r *Router) portion() float64 {
 	if r.controllers == 1 {
--- a/router/state.go
+++ b/router/state.go
@@ -648,7 +648,7 @@
 	case Probed:
 		r.probed(ev)
 	case Recalled:
-		r.recall(ev.Learned)
+		r.recalled(ev.Learned)
 	case Stopping:
 		r.stopping(ev.Within)
 	}
