--- a/internal/core/recall/recall.go
+++ b/internal/core/recall/recall.go
@@ -37,12 +37,13 @@
 }
 
 // Usual are the lives by which memory is believed. An engine's trouble passes or gets it replaced within a minute or
-// two; its caches hold as long as nobody else has filled them; what commands ask for changes over minutes, and how
-// they run over days: that, a day old, was worth more at a restart than all the rest that fresh (docs/results.md), and
-// the module drops it at once where answers tell otherwise.
+// two; its caches hold as long as nobody else has filled them. How commands run, and how much is asked of each table
+// group beside the others, holds for days: with it table groups are packed at once and not after the first seconds, in
+// which a controller without memory spreads all of them over all engines (docs/results.md). The module lets go of both
+// within seconds where answers tell otherwise.
 func Usual() Lives {
 	const second, minute, day = 1000.0, 60 * 1000.0, 24 * 60 * 60 * 1000.0
-	return Lives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * minute,
+	return Lives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * day,
 		Profile: 3 * day, Traffic: minute}
 }
 
