--- /dev/null
+++ b/internal/lab/kills/kills.go
@@ -0,0 +1,203 @@
+// Package kills kills a process that writes snapshots all the time, at random moments, and sees whether what it left
+// can be trusted: a real SIGKILL, the real keeper and the real file system.
+package kills
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/memory"
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/snapshots"
+	"mintkeel/router"
+)
+
+// Identity is that of the killed.
+var Identity = recall.Identity{Name: "killed", Settings: 1}
+
+// Records are those of each snapshot; each part carries the snapshot's generation, so that one of two would show.
+const Records = 400
+
+// teacher is a source whose n-th snapshot says n in every record. It tells after each that the one before was kept.
+type teacher struct {
+	module     *router.Router // with as many engines as there are records: a cursor is the module's own
+	generation atomic.Int64
+	kept       func(generation int64)
+}
+
+func (t *teacher) Learned(_ context.Context, from router.Cursor, most int) (memory.Part, error) {
+	if from == (router.Cursor{}) {
+		if n := t.generation.Add(1); n > 1 {
+			t.kept(n - 1)
+		}
+	}
+	n := float64(t.generation.Load())
+	part, next, more := t.module.Learned(from, most)
+	for i := range part.Engines {
+		part.Engines[i].Pace, part.Engines[i].At = router.Weighed{Mean: n, Weight: 1}, float64(time.Now().UnixMilli())
+	}
+	return memory.Part{Learned: part, Next: next, More: more}, nil
+}
+
+func newTeacher(kept func(int64)) *teacher {
+	entries := make([]router.Entry, Records)
+	for i := range entries {
+		entries[i] = router.Entry{Engine: router.EngineID(fmt.Sprintf("e%05d", i)), Kind: -1}
+	}
+	t := &teacher{kept: kept,
+		module: router.New(1, router.Place{}, nil, nil, nil, router.Allowed{}, router.Guards{})}
+	t.module.Step(1, []router.Event{router.Listed{Whole: true, Entries: entries}})
+	return t
+}
+
+// Child writes snapshots until it is killed, and a line with the generation to out for each that was kept.
+func Child(folder string, out io.Writer) error {
+	l := limits.For(64, 64, 0, 0, 0)
+	l.MemoryRate, l.MemoryRest, l.MemoryPart = 1<<30, 50*time.Microsecond, 64
+	lines := make(chan int64, 1000)
+	t := newTeacher(func(n int64) { lines <- n })
+	k := memory.Start(disk.Folder(folder), time.Microsecond, Identity, "kills", t, l,
+		slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	for n := range lines { // there is no end but the kill, or the reader's
+		if _, err := fmt.Fprintln(out, n); err != nil {
+			k.Last()
+			return err
+		}
+	}
+	return nil
+}
+
+// Tally is what was found after many kills.
+type Tally struct {
+	Kills     int
+	Corrupt   int // loads with records of two generations, of another's or of none
+	Nothing   int // kills after which nothing could be read though something was kept
+	Lost      int // kills after which what had been kept was not found
+	Within    int // kills that left something unfinished
+	FellBack  int // kills after which the newest file was not whole
+	MostBack  int64
+	Snapshots int64
+}
+
+// Run kills n processes one after another in one folder, each at a random moment, and checks the folder after each.
+func Run(ctx context.Context, n int, seed int64, command func(folder string) *exec.Cmd, bounds snapshots.Bounds) (t Tally, err error) {
+	folder, err := os.MkdirTemp("", "kills")
+	if err != nil {
+		return t, err
+	}
+	defer os.RemoveAll(folder)
+	rng := rand.New(rand.NewSource(seed))
+	for t.Kills < n && ctx.Err() == nil {
+		acked, err := kill(ctx, command(folder), time.Duration(rng.Float64()*25*float64(time.Millisecond)))
+		if err != nil {
+			return t, err
+		}
+		t.Kills++
+		t.Snapshots += acked
+		t.check(disk.Folder(folder), acked, bounds)
+	}
+	return t, ctx.Err()
+}
+
+// kill starts a process, lets it write for a while from its first snapshot on, kills it, and returns the last
+// generation that it told it had kept.
+func kill(ctx context.Context, cmd *exec.Cmd, after time.Duration) (acked int64, err error) {
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return 0, err
+	}
+	if err := cmd.Start(); err != nil {
+		return 0, err
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	first, done := make(chan bool, 1), make(chan int64, 1)
+	go func() {
+		last, lines := int64(0), bufio.NewScanner(out)
+		for lines.Scan() {
+			if last, _ = strconv.ParseInt(strings.TrimSpace(lines.Text()), 10, 64); last > 0 {
+				select {
+				case first <- true:
+				default:
+				}
+			}
+		}
+		done <- last
+	}()
+	limit := time.NewTimer(10 * time.Second)
+	defer limit.Stop()
+	select {
+	case <-first:
+	case <-limit.C:
+		return 0, errors.New("the process writes nothing")
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	time.Sleep(after)
+	cmd.Process.Kill()
+	return <-done, nil
+}
+
+// check reads what a killed process left.
+func (t *Tally) check(d disk.Disk, acked int64, bounds snapshots.Bounds) {
+	if names, err := d.Names(); err == nil {
+		for _, name := range names {
+			if strings.HasSuffix(name, ".new") {
+				t.Within++
+			}
+		}
+	}
+	kept, trials, err := memory.Load(d, bounds)
+	if err != nil {
+		t.Nothing++
+		return
+	}
+	if trials[0].Err != nil {
+		t.FellBack++
+	}
+	l := &kept.Memory.Learned
+	if kept.Memory.Of != Identity || len(l.Engines) != Records || !kept.Whole {
+		t.Corrupt++
+		return
+	}
+	generation := l.Engines[0].Pace.Mean
+	for _, e := range l.Engines {
+		if e.Pace.Mean != generation {
+			t.Corrupt++
+			return
+		}
+	}
+	if back := acked - int64(generation); back > 0 {
+		t.Lost++
+		t.MostBack = max(t.MostBack, back)
+	}
+}
+
+// Add sums up another tally.
+func (t *Tally) Add(o Tally) {
+	t.Kills, t.Corrupt, t.Nothing, t.Lost = t.Kills+o.Kills, t.Corrupt+o.Corrupt, t.Nothing+o.Nothing, t.Lost+o.Lost
+	t.Within, t.FellBack, t.Snapshots = t.Within+o.Within, t.FellBack+o.FellBack, t.Snapshots+o.Snapshots
+	t.MostBack = max(t.MostBack, o.MostBack)
+}
+
+// Bad tells whether a load was corrupt or something that was kept is gone.
+func (t Tally) Bad() bool { return t.Corrupt+t.Nothing+t.Lost > 0 }
+
+func (t Tally) String() string {
+	return fmt.Sprintf("%d kills, %d snapshots kept: %d corrupt loads, %d empty ones, %d that lost what was kept (%d "+
+		"snapshots back at the most); %d kills left an unfinished file, after %d the newest was not whole", t.Kills,
+		t.Snapshots, t.Corrupt, t.Nothing, t.Lost, t.MostBack, t.Within, t.FellBack)
+}
--- /dev/null
+++ b/internal/lab/kills/kills_test.go
@@ -0,0 +1,36 @@
+package kills
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"testing"
+
+	"mintkeel/internal/limits"
+	"mintkeel/internal/memory"
+)
+
+// The test's own program is the process that is killed.
+func TestMain(m *testing.M) {
+	if folder := os.Getenv("MINTKEEL_KILLS_FOLDER"); folder != "" {
+		Child(folder, os.Stdout)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A short one; mintkeel-lab kills does a thousand.
+func TestKills(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tally, err := Run(context.Background(), 25, 1, func(folder string) *exec.Cmd {
+		cmd := exec.Command(self)
+		cmd.Env = append(os.Environ(), "MINTKEEL_KILLS_FOLDER="+folder)
+		return cmd
+	}, memory.Bounds(limits.For(64, 64, 0, 0, 0)))
+	if err != nil || tally.Bad() || tally.Snapshots < 50 {
+		t.Errorf("%v, %v", tally, err)
+	}
+}
