--- /dev/null
+++ b/internal/memory/bench_test.go
@@ -0,0 +1,113 @@
+package memory
+
+import (
+	"fmt"
+	"testing"
+
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/snapshots"
+	"mintkeel/router"
+)
+
+// sizes are engines; there are ten table groups to each.
+var sizes = []int{10, 100, 1000}
+
+func sized(engines int) (router.Learned, []router.Entry) {
+	l := router.Learned{}
+	var list []router.Entry
+	for i := range engines {
+		id := router.EngineID(fmt.Sprintf("s-%08x", i))
+		l.Engines = append(l.Engines, router.LearnedEngine{At: 1e6, Engine: id, Pace: router.Weighed{Mean: 1.5, Weight: 2},
+			Width: 2.25, Outcomes: 0xff, Lead: id})
+		list = append(list, router.Entry{Engine: id})
+	}
+	for i := range 10 * engines {
+		l.Tables = append(l.Tables, router.LearnedTables{At: 1e6, Tables: router.TableGroup(i), Demand: float64(i%7) + 1,
+			Held: 100, Homes: []router.EngineID{l.Engines[i%engines].Engine}})
+	}
+	return l, list
+}
+
+func module(l router.Learned, list []router.Entry) *router.Router {
+	r := router.New(1, router.Place{}, []router.Kind{{Cores: 8, MemoryMB: 1000}}, nil, nil, router.Allowed{}, router.Guards{})
+	r.Step(1e6, []router.Event{router.Listed{Whole: true, Entries: list}, router.Recalled{Learned: l}})
+	return r
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, list := sized(n)
+			l.Tables = l.Tables[:min(len(l.Tables), 3000)] // putting more in at once is not what is measured
+			m := module(l, list)
+			b.ReportAllocs()
+			for b.Loop() {
+				for from, more := (router.Cursor{}), true; more; {
+					_, from, more = m.Learned(from, 256)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBelieve(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, list := sized(n)
+			m := &recall.Memory{Of: me, Learned: l}
+			b.ReportAllocs()
+			for b.Loop() {
+				recall.Believe(m, me, list, 1e6+5000, recall.Usual())
+			}
+		})
+	}
+}
+
+// BenchmarkPutIn is the step in which all that is believed at once is put in.
+func BenchmarkPutIn(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, list := sized(n)
+			believed, _ := recall.Believe(&recall.Memory{Of: me, Learned: l}, me, list, 1e6, recall.Usual())
+			for b.Loop() {
+				module(believed, list)
+			}
+		})
+	}
+}
+
+func BenchmarkWriteAndRead(b *testing.B) {
+	for _, n := range sizes {
+		l, _ := sized(n)
+		dir := disk.Folder(b.TempDir())
+		f, err := snapshots.Open(dir, Bounds(usual))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint("write/", n), func(b *testing.B) {
+			for b.Loop() {
+				size, err := f.Write(func(add func(snapshots.Kind, []byte) error) error {
+					head, _ := encoder.Marshal(headForm{Name: "n3", Settings: 77})
+					if err := add(sectionHead, head); err != nil {
+						return err
+					}
+					return encode(&l, add)
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(size), "bytes/file")
+			}
+		})
+		b.Run(fmt.Sprint("read/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, _, err := Load(dir, Bounds(usual)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		f.Close()
+	}
+}
