--- /dev/null
+++ b/internal/lab/mutants/mutants_test.go
@@ -0,0 +1,53 @@
+package mutants
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const source = `package p
+
+func Less(a, b int) bool { return a < b && !(a == b) }
+`
+
+// Each operator is changed alone, and what the tests of a package say of it is told.
+func TestMutants(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"p.go": source, "go.mod": "module p\n\ngo 1.26\n",
+		"p_test.go": "package p\n\nimport \"testing\"\n\nfunc TestLess(t *testing.T) {\n\tif !Less(1, 2) {\n\t\tt.Fatal()\n\t}\n}\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	all, err := All(filepath.Join(dir, "p.go"))
+	if err != nil || len(all) != 5 {
+		t.Fatal(all, err)
+	}
+	changed := map[string]bool{}
+	for _, m := range all {
+		if m.Func != "Less" || m.Line != 3 {
+			t.Errorf("%+v", m)
+		}
+		changed[string(m.apply([]byte(source)))] = true
+	}
+	for _, want := range []string{"a <= b && !(a == b)", "a > b && !(a == b)", "a < b || !(a == b)", "a < b && (a == b)",
+		"a < b && !(a != b)"} {
+		if !changed[strings.Replace(source, "a < b && !(a == b)", want, 1)] {
+			t.Errorf("not changed to %s", want)
+		}
+	}
+	passed := map[string]Verdict{}
+	if err := Try(context.Background(), dir, Some(all, 9, 1), []string{"."}, 2, time.Minute,
+		func(m Mutant, v Verdict, _ string) { passed[m.From+m.To] = v }); err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]Verdict{"<<=": Passed, "<>": Noticed, "&&||": Passed, "!": Noticed, "==!=": Noticed} {
+		if passed[change] != want {
+			t.Errorf("%s: %v", change, passed[change])
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/restart/restart_test.go
@@ -0,0 +1,38 @@
+package restart
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"mintkeel/router"
+)
+
+// Differences are paired by seed: noise that all variants of a seed share does not widen the interval.
+func TestSummarize(t *testing.T) {
+	var all []map[Variant]Outcome
+	for _, noise := range []float64{-0.2, 0, 0.2} {
+		all = append(all, map[Variant]Outcome{Unbroken: {Benefit: 0.7 + noise}, Without: {Benefit: 0.5 + noise},
+			With: {Benefit: 0.65 + noise}, Aged: {Benefit: 0.5 + 2*noise}})
+	}
+	sums := Summarize(all)
+	if s := sums[With]; math.Abs(s.OverWithout-0.15) > 1e-9 || s.Interval > 1e-9 || math.Abs(s.Share-0.75) > 1e-9 {
+		t.Errorf("%+v", s)
+	}
+	if s := sums[Aged]; math.Abs(s.OverWithout) > 1e-9 || math.Abs(s.Interval-4.30*0.2/math.Sqrt(3)) > 1e-3 {
+		t.Errorf("%+v", s)
+	}
+	if table := Table(sums); strings.Count(table, "\n") != len(Variants())+2 || !strings.Contains(table, "| with | 0.650 |") {
+		t.Error(table)
+	}
+}
+
+// All records are shifted, or their ages would differ.
+func TestShift(t *testing.T) {
+	l := router.Learned{Engines: make([]router.LearnedEngine, 1), Tables: make([]router.LearnedTables, 1),
+		Profiles: make([]router.LearnedProfile, 1), Traffic: make([]router.LearnedTraffic, 1)}
+	shift(&l, func(at float64) float64 { return at + 5 })
+	if l.Engines[0].At+l.Tables[0].At+l.Profiles[0].At+l.Traffic[0].At != 20 {
+		t.Errorf("%+v", l)
+	}
+}
--- /dev/null
+++ b/internal/lab/standin/standin_test.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// said is an engine spoken to by hand.
+type said struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func speak(t *testing.T, e *Engine) *said {
+	conn, err := net.Dial("tcp", e.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return &said{t, conn, bufio.NewReader(conn)}
+}
+
+func (s *said) do(id string, work float64, group int) {
+	statement := fmt.Sprintf("SELECT WORK(%g) FROM sales_%d.orders", work, group)
+	fmt.Fprintf(s, "do %s profile=lookup,max=1000 %d\r\n%s\r\n", id, len(statement), statement)
+}
+
+// hears is the id and the word of the next answer.
+func (s *said) hears() string {
+	s.t.Helper()
+	line, err := s.r.ReadString('\n')
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	words := strings.Fields(line)
+	var n int
+	fmt.Sscan(words[len(words)-1], &n)
+	if _, err := io.CopyN(io.Discard, s.r, int64(n)+2); err != nil {
+		s.t.Fatal(err)
+	}
+	return words[0] + " " + words[1]
+}
+
+// An engine answers what it is sent, the shorter first, turns away what is past its sessions, forgets what is undone,
+// and keeps the last table groups warm.
+func TestEngine(t *testing.T) {
+	e, err := NewEngine("e", Model{Cores: 2, Slow: 1, Sessions: 2, Warm: 1, ColdCost: 1}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	s := speak(t, e)
+	s.do("a", 60000, 1)
+	s.do("b", 5, 2)
+	s.do("c", 5, 2)
+	if got := s.hears(); got != "c AGAIN" {
+		t.Error(got)
+	}
+	if got := s.hears(); got != "b ACK" {
+		t.Error(got)
+	}
+	fmt.Fprint(s, "undo a\r\nping x\r\n")
+	if got := s.hears(); got != "x READY" {
+		t.Error(got)
+	}
+	s.do("d", 1, 2)
+	if got := s.hears(); got != "d ACK" {
+		t.Error(got)
+	}
+	s.do("f", 1, 1)
+	if got := s.hears(); got != "f ACK" {
+		t.Error(got)
+	}
+	if done, cold, turned := e.Counts(); done != 3 || cold != 3 || turned != 1 {
+		t.Errorf("%d done, %d cold, %d turned away", done, cold, turned)
+	}
+	s.do("g", 60000, 1)
+	e.SetSlow(1e-9)
+	if got := s.hears(); got != "g ACK" {
+		t.Error(got)
+	}
+}
+
+// The feed takes a number and says again and again that there is nothing new.
+func TestFeed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := NewFeed(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", f.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(conn, "\x00\x00\x00\x00\x00\x00\x00\x07")
+	frame := make([]byte, 13)
+	if _, err := io.ReadFull(conn, frame); err != nil || string(frame) != "\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x07\x00" {
+		t.Errorf("% x, %v", frame, err)
+	}
+}
