--- /dev/null
+++ b/internal/lab/exprs/exprs.go
@@ -0,0 +1,485 @@
+// Package exprs draws random expressions of the matching language, each with a plain evaluation of its own that shares
+// no code with the language: what is drawn is a tree, which is written out as source and walked by itself. It is for
+// rigs and tests.
+package exprs
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"mintkeel/match"
+)
+
+// Schema is the one that random expressions are drawn over: the commands' (docs/rules.md).
+var Schema = match.Schema{Fields: []match.Field{
+	{Name: "profile", Type: match.Text, Most: 32},
+	{Name: "tenant", Type: match.Text, Most: 32},
+	{Name: "table_name", Type: match.Text, Most: 64},
+	{Name: "table_group", Type: match.Number},
+	{Name: "estimate", Type: match.Duration},
+	{Name: "left", Type: match.Duration},
+	{Name: "urgent", Type: match.Bool},
+}, Labels: 4, Label: 24}
+
+// value is what a tree evaluates to.
+type value struct {
+	b bool
+	x float64
+	s string
+}
+
+// Expr is a random expression.
+type Expr struct {
+	Source string
+	Type   match.Type
+	eval   func(match.Row) value
+}
+
+// Bool, Number and Text are what the expression comes to on a row, by plain walking.
+func (e *Expr) Bool(r match.Row) bool { return e.eval(r).b }
+
+// Number is a number, or a duration in ms.
+func (e *Expr) Number(r match.Row) float64 { return e.eval(r).x }
+
+// Text is a text.
+func (e *Expr) Text(r match.Row) string { return e.eval(r).s }
+
+var words = []string{"", "load", "lookup", "report", "menu_17", "sales", "store-12-east", "acme", "Ümlaut", "a*b", "\xff\xfe",
+	"x", "AbC", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "-12.5", "7"}
+
+// quote writes a text as a literal.
+func quote(s string) string {
+	var b strings.Builder
+	b.WriteByte('"')
+	for i := range len(s) {
+		switch c := s[i]; c {
+		case '"', '\\':
+			b.WriteByte('\\')
+			b.WriteByte(c)
+		case '\n':
+			b.WriteString("\\n")
+		case '\t':
+			b.WriteString("\\t")
+		default:
+			b.WriteByte(c)
+		}
+	}
+	b.WriteByte('"')
+	return b.String()
+}
+
+func word(rng *rand.Rand) string { return words[rng.Intn(len(words))] }
+
+// Row draws a command, perhaps with too much of everything, or too little.
+func Row(rng *rand.Rand) match.Row {
+	var r match.Row
+	for _, f := range Schema.Fields {
+		switch x := rng.Intn(8); {
+		case x == 0:
+			r.Values = append(r.Values, match.Value{})
+		case f.Type == match.Text:
+			s := word(rng)
+			if rng.Intn(4) == 0 {
+				s += word(rng) + word(rng)
+			}
+			r.Values = append(r.Values, match.TextOf(s))
+		case f.Type == match.Bool:
+			r.Values = append(r.Values, match.BoolOf(rng.Intn(2) == 0))
+		default:
+			xs := []float64{0, 1, -1, 17, 250, 1e300, math.Inf(1), math.Inf(-1), math.NaN(), rng.Float64() * 5000}
+			r.Values = append(r.Values, match.NumberOf(xs[rng.Intn(len(xs))]))
+		}
+	}
+	if rng.Intn(10) == 0 {
+		r.Values = r.Values[:rng.Intn(len(r.Values))]
+	}
+	for range rng.Intn(7) {
+		r.Labels = append(r.Labels, match.Label{Name: []string{"store", "brand", "x"}[rng.Intn(3)], Text: word(rng)})
+	}
+	return r
+}
+
+// Draw draws a well-typed expression of a type, so many levels deep at the most.
+func Draw(rng *rand.Rand, typ match.Type, depth int) *Expr {
+	switch typ {
+	case match.Bool:
+		return boolean(rng, depth)
+	case match.Text:
+		return text(rng, depth)
+	}
+	return number(rng, typ, depth)
+}
+
+// Break damages an expression's source: a few bytes lost, doubled or changed.
+func Break(rng *rand.Rand, source string) string {
+	b := []byte(source)
+	for range 1 + rng.Intn(3) {
+		if len(b) == 0 {
+			break
+		}
+		at := rng.Intn(len(b))
+		switch rng.Intn(4) {
+		case 0:
+			b = append(b[:at], b[at+1:]...)
+		case 1:
+			b[at] = byte(rng.Intn(256))
+		case 2:
+			b = append(b[:at], append([]byte{b[at]}, b[at:]...)...)
+		case 3:
+			to := rng.Intn(len(b))
+			b[at], b[to] = b[to], b[at]
+		}
+	}
+	return string(b)
+}
+
+func field(r match.Row, i int) match.Value {
+	if i < len(r.Values) {
+		return r.Values[i]
+	}
+	return match.Value{}
+}
+
+func fieldOf(rng *rand.Rand, typ match.Type) int {
+	for {
+		if i := rng.Intn(len(Schema.Fields)); Schema.Fields[i].Type == typ {
+			return i
+		}
+	}
+}
+
+func leafOf(rng *rand.Rand, typ match.Type) *Expr {
+	i := fieldOf(rng, typ)
+	f := Schema.Fields[i]
+	return &Expr{f.Name, typ, func(r match.Row) value {
+		v := field(r, i)
+		s := v.Text
+		if len(s) > f.Most {
+			s = s[:f.Most]
+		}
+		return value{v.Number != 0 && v.Number == v.Number || v.Number != v.Number, plain(v.Number), s}
+	}}
+}
+
+// plain is a number as the language has it: none that is no number, none without end.
+func plain(x float64) float64 {
+	if math.IsNaN(x) {
+		return 0
+	}
+	return math.Max(-math.MaxFloat64, math.Min(math.MaxFloat64, x))
+}
+
+func choice(rng *rand.Rand, typ match.Type, depth int) *Expr {
+	c, a, b := boolean(rng, depth-1), Draw(rng, typ, depth-1), Draw(rng, typ, depth-1)
+	return &Expr{fmt.Sprintf("((%s) ? %s : %s)", c.Source, a.Source, b.Source), typ, func(r match.Row) value {
+		if c.Bool(r) {
+			return a.eval(r)
+		}
+		return b.eval(r)
+	}}
+}
+
+func truth(b bool) value { return value{b: b} }
+
+func boolean(rng *rand.Rand, depth int) *Expr {
+	make := func(source string, eval func(match.Row) bool) *Expr {
+		return &Expr{source, match.Bool, func(r match.Row) value { return truth(eval(r)) }}
+	}
+	if depth <= 0 {
+		switch rng.Intn(4) {
+		case 0:
+			b := rng.Intn(2) == 0
+			return make(strconv.FormatBool(b), func(match.Row) bool { return b })
+		case 1:
+			return leafOf(rng, match.Bool)
+		case 2:
+			i := rng.Intn(len(Schema.Fields))
+			return make("has("+Schema.Fields[i].Name+")", func(r match.Row) bool { return field(r, i).Has })
+		}
+		return make(`has(label("store"))`, func(r match.Row) bool { _, has := labelOf(r, "store"); return has })
+	}
+	d := depth - 1
+	switch rng.Intn(11) {
+	case 0:
+		a, b := boolean(rng, d), boolean(rng, d)
+		return make("("+a.Source+" && "+b.Source+")", func(r match.Row) bool { return a.Bool(r) && b.Bool(r) })
+	case 1:
+		a, b := boolean(rng, d), boolean(rng, d)
+		return make("("+a.Source+" || "+b.Source+")", func(r match.Row) bool { return a.Bool(r) || b.Bool(r) })
+	case 2:
+		a := boolean(rng, d)
+		return make("!("+a.Source+")", func(r match.Row) bool { return !a.Bool(r) })
+	case 3:
+		return choice(rng, match.Bool, depth)
+	case 4, 5: // numbers compared
+		typ := []match.Type{match.Number, match.Duration}[rng.Intn(2)]
+		a, b := number(rng, typ, d), number(rng, typ, d)
+		sign := []string{"==", "!=", "<", "<=", ">", ">="}[rng.Intn(6)]
+		return make("("+a.Source+" "+sign+" "+b.Source+")", func(r match.Row) bool {
+			return compared(sign, a.Number(r), b.Number(r))
+		})
+	case 6: // texts compared
+		a, b := text(rng, d), text(rng, d)
+		sign := []string{"==", "!=", "<", "<=", ">", ">=", "startswith", "endswith", "contains"}[rng.Intn(9)]
+		return make("("+a.Source+" "+sign+" "+b.Source+")", func(r match.Row) bool {
+			x, y := a.Text(r), b.Text(r)
+			switch sign {
+			case "startswith":
+				return strings.HasPrefix(x, y)
+			case "endswith":
+				return strings.HasSuffix(x, y)
+			case "contains":
+				return strings.Contains(x, y)
+			}
+			return compared(sign, float64(strings.Compare(x, y)), 0)
+		})
+	case 7:
+		a := text(rng, d)
+		var list, source []string
+		for range 1 + rng.Intn(5) {
+			w := word(rng)
+			list, source = append(list, w), append(source, quote(w))
+		}
+		return make("("+a.Source+" in ["+strings.Join(source, ", ")+"])", func(r match.Row) bool {
+			for _, w := range list {
+				if w == a.Text(r) {
+					return true
+				}
+			}
+			return false
+		})
+	case 8:
+		a := number(rng, match.Number, d)
+		xs := []float64{0, 1, 17, -1, 250}[:1+rng.Intn(5)]
+		var source []string
+		for _, x := range xs {
+			source = append(source, strconv.FormatFloat(x, 'f', -1, 64))
+		}
+		return make("("+a.Source+" in ["+strings.Join(source, ", ")+"])", func(r match.Row) bool {
+			for _, x := range xs {
+				if x == a.Number(r) {
+					return true
+				}
+			}
+			return false
+		})
+	case 9:
+		a := text(rng, d)
+		glob := []string{"*", "menu_*", "*a*a*b", "?oad", "", "a\\*b", "**x?", "*-*-*", "lo*d"}[rng.Intn(9)]
+		return make("("+a.Source+" like "+quote(glob)+")", func(r match.Row) bool { return globbed(glob, a.Text(r)) })
+	}
+	a := text(rng, d)
+	pattern := []string{"^menu_[0-9]+$", "(a+)+$", "x|load", "", "^(.*)-(.*)$", "[A-Z]"}[rng.Intn(6)]
+	r2 := regexp.MustCompile(pattern)
+	return make("("+a.Source+" matches "+quote(pattern)+")", func(r match.Row) bool { return r2.MatchString(a.Text(r)) })
+}
+
+func compared(sign string, a, b float64) bool {
+	switch sign {
+	case "==":
+		return a == b
+	case "!=":
+		return a != b
+	case "<":
+		return a < b
+	case "<=":
+		return a <= b
+	case ">":
+		return a > b
+	}
+	return a >= b
+}
+
+// globbed matches by trying all ways.
+func globbed(glob, s string) bool {
+	if glob == "" {
+		return s == ""
+	}
+	switch glob[0] {
+	case '*':
+		for i := 0; i <= len(s); i++ {
+			if globbed(glob[1:], s[i:]) {
+				return true
+			}
+		}
+		return false
+	case '?':
+		return s != "" && globbed(glob[1:], s[1:])
+	case '\\':
+		if len(glob) > 1 {
+			glob = glob[1:]
+		}
+	}
+	return s != "" && s[0] == glob[0] && globbed(glob[1:], s[1:])
+}
+
+func number(rng *rand.Rand, typ match.Type, depth int) *Expr {
+	make := func(source string, eval func(match.Row) float64) *Expr {
+		return &Expr{source, typ, func(r match.Row) value { return value{x: eval(r)} }}
+	}
+	if depth <= 0 {
+		if rng.Intn(2) == 0 {
+			return leafOf(rng, typ)
+		}
+		x := []float64{0, 1, 2.5, 17, 1000}[rng.Intn(5)]
+		source := strconv.FormatFloat(x, 'f', -1, 64)
+		if typ == match.Duration {
+			unit := []string{"ms", "s", "m"}[rng.Intn(3)]
+			source += unit
+			x *= map[string]float64{"ms": 1, "s": 1000, "m": 60000}[unit]
+		}
+		return make(source, func(match.Row) float64 { return x })
+	}
+	d := depth - 1
+	switch rng.Intn(7) {
+	case 0:
+		return choice(rng, typ, depth)
+	case 1:
+		a := number(rng, typ, d)
+		return make("-("+a.Source+")", func(r match.Row) float64 { return -a.Number(r) })
+	case 2:
+		a, b, f := number(rng, typ, d), number(rng, typ, d), "min"
+		if rng.Intn(2) == 0 {
+			f = "max"
+		}
+		return make(f+"("+a.Source+", "+b.Source+")", func(r match.Row) float64 {
+			if x, y := a.Number(r), b.Number(r); (x < y) == (f == "min") {
+				return x
+			} else {
+				return y
+			}
+		})
+	case 3:
+		if typ == match.Number {
+			return ofText(rng, d, make)
+		}
+	}
+	sign := []string{"+", "-", "%", "*", "/"}[rng.Intn(5)]
+	right := typ
+	if typ == match.Duration && (sign == "*" || sign == "/") {
+		right = match.Number
+	}
+	a, b := number(rng, typ, d), number(rng, right, d)
+	return make("("+a.Source+" "+sign+" "+b.Source+")", func(r match.Row) float64 {
+		x, y := a.Number(r), b.Number(r)
+		switch sign {
+		case "+":
+			return plain(x + y)
+		case "-":
+			return plain(x - y)
+		case "*":
+			return plain(x * y)
+		}
+		if y == 0 {
+			return 0
+		}
+		if sign == "/" {
+			return plain(x / y)
+		}
+		return plain(math.Mod(x, y))
+	})
+}
+
+// ofText is a number that a text comes to.
+func ofText(rng *rand.Rand, d int, make func(string, func(match.Row) float64) *Expr) *Expr {
+	a := text(rng, d)
+	if rng.Intn(2) == 0 {
+		return make("length("+a.Source+")", func(r match.Row) float64 { return float64(len(a.Text(r))) })
+	}
+	n := 1 + rng.Intn(50)
+	return make(fmt.Sprintf("bucket(%s, %d)", a.Source, n), func(r match.Row) float64 {
+		h := uint64(14695981039346656037)
+		for _, c := range []byte(a.Text(r)) {
+			h ^= uint64(c)
+			h *= 1099511628211
+		}
+		return float64((h ^ h>>32) % uint64(n))
+	})
+}
+
+func labelOf(r match.Row, name string) (string, bool) {
+	for i, l := range r.Labels {
+		if i < Schema.Labels && l.Name == name {
+			return l.Text[:min(len(l.Text), Schema.Label)], true
+		}
+	}
+	return "", false
+}
+
+func text(rng *rand.Rand, depth int) *Expr {
+	make := func(source string, eval func(match.Row) string) *Expr {
+		return &Expr{source, match.Text, func(r match.Row) value { return value{s: eval(r)} }}
+	}
+	if depth <= 0 {
+		switch rng.Intn(3) {
+		case 0:
+			return leafOf(rng, match.Text)
+		case 1:
+			name := []string{"store", "brand", "none"}[rng.Intn(3)]
+			return make("label("+quote(name)+")", func(r match.Row) string { s, _ := labelOf(r, name); return s })
+		}
+		w := word(rng)
+		return make(quote(w), func(match.Row) string { return w })
+	}
+	d := depth - 1
+	switch rng.Intn(5) {
+	case 0:
+		return choice(rng, match.Text, depth)
+	case 1:
+		a, b := text(rng, d), text(rng, d)
+		return make("("+a.Source+" + "+b.Source+")", func(r match.Row) string { return a.Text(r) + b.Text(r) })
+	case 2:
+		a, b, c := text(rng, d), text(rng, d), text(rng, d)
+		return make("concat("+a.Source+", "+b.Source+", "+c.Source+")", func(r match.Row) string {
+			return a.Text(r) + b.Text(r) + c.Text(r)
+		})
+	case 3:
+		a, up := text(rng, d), rng.Intn(2) == 0
+		f, from := "lower", byte('A')
+		if up {
+			f, from = "upper", 'a'
+		}
+		return make(f+"("+a.Source+")", func(r match.Row) string {
+			b := []byte(a.Text(r))
+			for i, c := range b {
+				if c >= from && c < from+26 {
+					b[i] = c ^ 32
+				}
+			}
+			return string(b)
+		})
+	}
+	a, sep, n := text(rng, d), []string{"-", "_", "a", "aa"}[rng.Intn(4)], rng.Intn(7)-3
+	return make(fmt.Sprintf("part(%s, %s, %d)", a.Source, quote(sep), n), func(r match.Row) string {
+		if n < 0 {
+			return fromEnd(a.Text(r), sep, -n)
+		}
+		parts := strings.Split(a.Text(r), sep)
+		if n >= len(parts) {
+			return ""
+		}
+		return parts[n]
+	})
+}
+
+// fromEnd is the n-th part from the end, with separators looked for from the end.
+func fromEnd(s, sep string, n int) string {
+	var parts []string
+	for {
+		at := strings.LastIndex(s, sep)
+		if at < 0 {
+			parts = append(parts, s)
+			break
+		}
+		parts = append(parts, s[at+len(sep):])
+		s = s[:at]
+	}
+	if n > len(parts) {
+		return ""
+	}
+	return parts[n-1]
+}
--- a/router/router.go
+++ b/router/router.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// recalled takes in what is remembered. Engines go back to the owners of the table groups that they had; owners
+// recalled takes in what is remembered. Engines go back to the owners of the table groups that they had; they
 // merge and move only by loads that are known: at first all are none, and lone engines would be shared.
 func (r *Router) recalled(l Learned) {
 	if r.recall(l); len(l.Tables) > 0 {
