Rules in service: blocks in the operator's file, ahead of the loop; the module holds what they narrow

Need: 'treat one brand's menu marts as hot', 'key these loads by store', refused at load if they could widen anything. Change: blocks rule, compiled with the settings; sessions apply them ahead of the post; Arrived carries kinds, zones and hot, which mayGo and the packing heed; refusals are code 42501; SIGHUP changes all or none, and not yet sets that give keys. Labels are the comment's unknown fields. docs/rules.md has the language whole.

--- a/cmd/mintkeel/check.go
+++ b/cmd/mintkeel/check.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	file, err := operator.Read(s.operator)
+	file, err := operator.Read(s.operator, told.facts)
 	return told, file, err
 }
 
@@ -54,7 +54,7 @@
 			fmt.Fprintf(c.OutOrStdout(), "%s: %d profiles, %d tenants, %d kinds of engine, feed up to event %d\n",
 				cmp.Or(s.Name, "unnamed"), len(s.facts.Profiles), len(s.facts.Tenants), len(s.facts.Kinds), s.Known.No)
 			if from.operator != "" {
-				fmt.Fprintf(c.OutOrStdout(), "%s: memory %s\n", from.operator, onOff(file.Memory != nil))
+				fmt.Fprintf(c.OutOrStdout(), "%s: memory %s, %d rules\n", from.operator, onOff(file.Memory != nil), ruleCount(file))
 			}
 			return nil
 		},
@@ -64,6 +64,13 @@
 	return c
 }
 
+func ruleCount(f *operator.File) int {
+	if f.Rules == nil {
+		return 0
+	}
+	return f.Rules.Len()
+}
+
 func onOff(on bool) string {
 	if on {
 		return "on"
--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -415,3 +415,80 @@
 		}
 	}
 }
+
+// Rules stand in front of the loop: they refuse with their text, change at a reload as a whole, and a set that gives
+// keys does not take the place of another while commands may be out.
+func TestRules(t *testing.T) {
+	feed, engine, _ := fleet(t)
+	dir := t.TempDir()
+	reserve, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := reserve.Addr().String()
+	reserve.Close()
+	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
+	put := func(path, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(
+		strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1)))
+	const no = "rule \"no\" {\n when = \"table_name == 't'\"\n refuse = \"not now\"\n}\n"
+	put(hcl, no)
+	from := sources{config, hcl}
+	s, file, err := from.read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limits.For(1024, 192, time.Second, time.Minute, 0)
+	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
+	log := &lines{}
+	d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- d.run(signals) }()
+	log.wait(t, "serving")
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, hello)
+	c := &client{t, conn}
+	c.hears()
+	reload := func(text, word string) {
+		t.Helper()
+		put(hcl, text)
+		seen := log.count(word)
+		signals <- syscall.SIGHUP
+		log.more(t, word, seen)
+	}
+	const again, refused = "operator's file read again", "operator's file not used"
+	for i, step := range []struct{ text, word, says string }{
+		{"", "", "EZ"},
+		{"rule \"no\" {\n when = \"table_name == 'u'\"\n refuse = \"not now\"\n}\n", again, "TDCZ"},
+		{no, again, "EZ"},
+		{"rule \"no\" {\n when = \"table_name = 't'\"\n}\n", refused, "EZ"},
+		{"rule \"k\" {\n key = \"'k' + tenant\"\n}\n", refused, "EZ"},
+		{"log {\n}\n", again, "TDCZ"},
+	} {
+		if step.word != "" {
+			reload(step.text, step.word)
+		}
+		if c.query(i, "1"); c.hears() != step.says {
+			t.Errorf("step %d: not %s", i, step.says)
+		}
+	}
+	reload(no, again)
+	c.query(99, "1")
+	c.hears()
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if !strings.Contains(log.String(), "rules.refused=1") || !strings.Contains(log.String(), "can't change while running") {
+		t.Error(log)
+	}
+}
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -19,6 +20,7 @@
 	"mintkeel/internal/clients"
 	"mintkeel/internal/controller"
 	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/logs"
@@ -73,6 +75,7 @@
 	log    *slog.Logger
 	loop   *controller.Loop
 	feed   *bulletin.Feed
+	server *clients.Server
 	keeper *memory.Keeper // nil: memory is off
 	gone   []*memory.Keeper
 }
@@ -102,6 +105,8 @@
 	go d.loop.Run(ctx)
 	d.feed = bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { d.loop.Post(news) }, d.log)
 	go d.feed.Follow(ctx)
+	d.server = server
+	server.SetRules(d.file.Rules)
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
 	d.log.Info("serving", "name", s.Name, "listen", listener.Addr().String())
@@ -110,6 +115,9 @@
 		if d.keeper != nil {
 			counts = append(counts, "memory", d.keeper)
 		}
+		if d.file.Rules != nil {
+			counts = append(counts, "rules", server.Rules())
+		}
 		d.log.Info(message, counts...)
 	}
 	for sig := range signals {
@@ -193,7 +201,11 @@
 // reload reads the operator's file and the configuration again. Each is taken over whole, as far as it may change
 // while running, or not at all; neither ends a controller that serves.
 func (d *daemon) reload() {
-	if file, err := operator.Read(d.from.operator); err != nil {
+	file, err := operator.Read(d.from.operator, d.start.facts)
+	if err == nil && !rules.MayFollow(d.file.Rules, file.Rules) {
+		err = errKeys
+	}
+	if err != nil {
 		problems := operator.Problems(err)
 		for _, p := range problems {
 			d.log.Error("new operator's file not used", "why", p.Error())
@@ -205,9 +217,10 @@
 		d.lines.Set(file.Log)
 		d.prune()
 		d.keep(d.file.Memory, file.Memory)
+		d.server.SetRules(file.Rules)
 		d.file = file
 		if d.from.operator != "" {
-			d.log.Info("operator's file read again", "memory", onOff(file.Memory != nil))
+			d.log.Info("operator's file read again", "memory", onOff(file.Memory != nil), "rules", ruleCount(file))
 		}
 	}
 	if addr := reread(d.start, d.from.config, d.log); addr != "" {
@@ -215,6 +228,9 @@
 	}
 }
 
+// errKeys is that of a reload that would change keys: commands keyed by the old rules may be held or out.
+var errKeys = errors.New("rules that give keys can't change while running: restart for that")
+
 // mostGone bounds the keepers that are letting go of their folders, against reloads in quick turn on a disk that hangs.
 const mostGone = 8
 
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -11,6 +11,12 @@
 #   every  = "1s"
 # }
 
+# Rules about commands, in order: docs/rules.md. They can only narrow what the settings allow.
+# rule "menu marts are hot" {
+#   when = "tenant == 'acme' && table_name startswith 'menu_'"
+#   hot  = true
+# }
+
 # What a controller has learned, kept past a restart: docs/memory.md. It needs a disk that outlives the process.
 # memory {
 #   folder = "/var/lib/mintkeel/n3"   # of this controller alone; made if its parent is there
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/pgwire"
@@ -35,6 +36,8 @@
 	post     func(event any)
 	log      *slog.Logger
 
+	rules atomic.Pointer[ruling] // nil: there are none
+
 	counts   counts
 	mu       sync.Mutex
 	sessions map[uint32]*session // by the number in their cancel keys: all that are connected
@@ -70,6 +73,65 @@
 		sessions: map[uint32]*session{}, heard: time.Now()}
 }
 
+// ruling is the operator's rules with what counts how often each matched.
+type ruling struct {
+	set     *rules.Set
+	matched []atomic.Int64
+	refused atomic.Int64
+	scratch sync.Pool // of *rules.Scratch: one for each query that is being looked at, not for each session
+}
+
+// SetRules has commands that are read from now on go by these rules; nil: by none.
+func (s *Server) SetRules(set *rules.Set) {
+	if set == nil || set.Len() == 0 {
+		s.rules.Store(nil)
+		return
+	}
+	s.rules.Store(&ruling{set: set, matched: make([]atomic.Int64, set.Len()),
+		scratch: sync.Pool{New: func() any { return &rules.Scratch{} }}})
+}
+
+// mostRulesShown bounds the counts by rule that are printed: those of the first that matched.
+const mostRulesShown = 50
+
+// Rules prints how often each rule matched since the rules were set.
+func (s *Server) Rules() slog.Value {
+	r := s.rules.Load()
+	if r == nil {
+		return slog.GroupValue()
+	}
+	all := []slog.Attr{slog.Int("rules", r.set.Len()), slog.Int64("refused", r.refused.Load())}
+	for i := range r.matched {
+		if n := r.matched[i].Load(); n > 0 && len(all) < mostRulesShown+2 {
+			all = append(all, slog.Int64(r.set.Name(i), n))
+		}
+	}
+	return slog.GroupValue(all...)
+}
+
+// rule has the operator's rules change a command that is not posted yet; its text is what they refuse it with, empty
+// if they don't. Nothing is decided here.
+func (s *Server) rule(cmd *exchange.Command, c rules.Command) (refused string) {
+	r := s.rules.Load()
+	if r == nil {
+		return ""
+	}
+	scratch := r.scratch.Get().(*rules.Scratch)
+	defer r.scratch.Put(scratch)
+	scratch.Trace = func(rule int, matched bool) {
+		if matched {
+			r.matched[rule].Add(1)
+		}
+	}
+	v := r.set.Apply(&c, scratch)
+	if v.Refuse != "" {
+		r.refused.Add(1)
+		return v.Refuse
+	}
+	cmd.Profile, cmd.Key, cmd.Hot, cmd.Kinds, cmd.Zones, cmd.Estimate = v.Profile, v.Key, v.Hot, v.Kinds, v.Zones, v.Estimate
+	return ""
+}
+
 // Serve accepts connections until the listener is closed, each served by a goroutine of its own.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -420,8 +420,8 @@
 		{"SELECT 1 FROM c_x.d", 0, false},
 		{"SELECT 1 FROM c_99999999999999999999.d", 0, false},
 	} {
-		if group, found := pgwire.TableGroup([]byte(c.statement)); group != c.group || found != c.found {
-			t.Errorf("%s: %d, %t", c.statement, group, found)
+		if group, found := pgwire.TableOf([]byte(c.statement)); group.Group != c.group || found != c.found {
+			t.Errorf("%s: %d, %t", c.statement, group.Group, found)
 		}
 	}
 }
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -11,8 +11,10 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/pgwire"
+	"mintkeel/match"
 	"mintkeel/router"
 )
 
@@ -26,6 +28,7 @@
 	key    pgwire.Key
 	readAt time.Time // when what stands next in the buffer came, if it came while a command was open
 	began  time.Time
+	name   string // of the client's application
 
 	// Under the server's mutex:
 	since  time.Time // when it was last of use
@@ -55,6 +58,7 @@
 			ses.bad(err, "start-up message")
 			return false
 		case start.Kind == pgwire.Start:
+			ses.name = start.Application
 			return true
 		case start.Kind == pgwire.Cancel:
 			ses.server.cancel(start.Key)
@@ -215,13 +219,26 @@
 	if p.Effect == router.Uniqued && f.Unique == "" {
 		return no(pgwire.CodeMissing, "field unique: is missing")
 	}
-	tables, found := pgwire.TableGroup(f.Statement)
+	table, found := pgwire.TableOf(f.Statement)
 	if !found {
 		return no(pgwire.CodeField, "the statement names no group of tables")
 	}
-	return &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
-		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(tables),
-		Statement: append([]byte(nil), f.Statement...), Read: now, Left: ses.within(f.LimitMS)}, nil
+	cmd := &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
+		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
+		Read: now, Left: ses.within(f.LimitMS)}
+	if ses.server.rules.Load() != nil {
+		c := rules.Command{Profile: profile, Tenant: f.Team, Schema: table.Schema, Table: table.Name, Tables: cmd.Tables,
+			Key: cmd.Key, Estimate: f.CPU, NeedMB: f.EstMB, Left: f.LimitMS, Front: "postgres", Application: ses.name,
+			Listener: ses.conn.LocalAddr().String()}
+		for _, l := range f.Labels {
+			c.Labels = append(c.Labels, match.Label{Name: l.Name, Text: l.Text})
+		}
+		if why := ses.server.rule(cmd, c); why != "" {
+			return no(pgwire.CodeRule, why)
+		}
+	}
+	cmd.Statement = append([]byte(nil), f.Statement...)
+	return cmd, nil
 }
 
 // within is how long after its reading a command must be answered at the latest. Against answers at the last moment
--- a/internal/core/rules/apply.go
+++ b/internal/core/rules/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -251,3 +252,21 @@
 	}
 	return max(-math.MaxFloat64, min(math.MaxFloat64, x))
 }
+
+// MayFollow tells whether one set may take the place of another while commands are held or out; either may be nil. Not
+// yet where a key is given: two commands that share one under either set must not run at once.
+func MayFollow(old, next *Set) bool {
+	return !old.keys() && !next.keys() || old.same(next)
+}
+
+func (s *Set) keys() bool {
+	return s != nil && slices.ContainsFunc(s.rules, func(r rule) bool { return r.key != nil })
+}
+
+// same tells whether two sets give each command the same: they were written the same.
+func (s *Set) same(o *Set) bool {
+	if s == nil || o == nil {
+		return s == o
+	}
+	return slices.EqualFunc(s.rules, o.rules, func(a, b rule) bool { return reflect.DeepEqual(a.Given, b.Given) })
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,9 @@
 	Estimate  float64
 	NeedMB    float64
 	Tables    router.TableGroup
+	Kinds     []router.KindID // by the operator's rules; nil: not narrowed
+	Zones     []router.Zone
+	Hot       bool
 	Statement []byte
 	Read      time.Time     // when its last byte was read
 	Left      time.Duration // from then until it must be answered, a little before its client gives up
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -387,7 +387,8 @@
 	}
 	r.drains(controller, now, l, c, e)
 	p := c.profile
-	if p.Kinds != nil && !contains(p.Kinds, e.Kind) || p.Zones != nil && !contains(p.Zones, e.Zone) {
+	if p.Kinds != nil && !contains(p.Kinds, e.Kind) || p.Zones != nil && !contains(p.Zones, e.Zone) ||
+		c.Kinds != nil && !contains(c.Kinds, e.Kind) || c.Zones != nil && !contains(c.Zones, e.Zone) {
 		r.breach(Placement, now, controller, "command %d sent to kind %d, zone %q", c.ID, e.Kind, e.Zone)
 	}
 	r.repeats(controller, now, c, e)
--- a/internal/lab/worlds/draw.go
+++ b/internal/lab/worlds/draw.go
@@ -49,6 +49,7 @@
 		Bad:         rate("bad", 0.9),
 		Young:       flag("young"),
 		Absurd:      flag("absurd"),
+		Narrowed:    flag("narrowed"),
 		Memory:      rapid.SampledFrom([]Memory{Nothing, Kept, Hostile}).Draw(t, "memory"),
 	}
 	f := &s.Facts
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/worlds/worlds.go
@@ -54,6 +54,7 @@
 	ListLag                float64 // the longest until a controller hears of a change
 	Bad                    float64 // share of sends that don't end well
 	Young                  bool    // all engines have just started
+	Narrowed               bool    // commands come narrowed to kinds or zones, or said to be hot
 	Absurd                 bool    // reports, notes and estimates that can't be
 	Memory                 Memory
 }
@@ -613,6 +614,12 @@
 			ev.Estimate, ev.NeedMB = cmd.work*math.Exp(3*w.rng.Float64()), w.rng.Float64()*1e6
 		}
 	}
+	if w.Narrowed && w.rng.Intn(3) == 0 { // as an operator's rules may
+		ev.Hot, ev.Kinds = w.rng.Intn(2) == 0, []router.KindID{router.KindID(w.rng.Intn(len(f.Kinds)))}
+		if w.rng.Intn(3) == 0 {
+			ev.Kinds, ev.Zones = nil, []router.Zone{router.Zone(fmt.Sprint("z", w.rng.Intn(w.Zones)))}
+		}
+	}
 	cmd.until, cmd.guess, cmd.needMB = w.now+left, ev.Estimate, ev.NeedMB
 	c.commands[cmd.id], w.works[cmd.id] = cmd, cmd.work
 	w.tell(c, ev)
--- a/internal/operator/block/block.go
+++ b/internal/operator/block/block.go
@@ -215,3 +215,68 @@
 	}
 	return fallback
 }
+
+// Texts is a list of texts, of so many bytes each at the most; nil if it is absent. An empty list is not nil.
+func (b *Block) Texts(field string, most int) []string {
+	a := b.fields[field]
+	if a == nil {
+		return nil
+	}
+	texts := []string{}
+	for _, v := range b.items(field, a) {
+		if text, ok := b.item(field, v, most); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
+// items are the values of a list.
+func (b *Block) items(field string, a *hcl.Attribute) (items []cty.Value) {
+	v, found := a.Expr.Value(nil)
+	if found.HasErrors() {
+		b.sheet.NoteAll(found, join(b.Name, field))
+		return nil
+	}
+	if v.IsNull() || !v.IsKnown() || !v.Type().IsTupleType() {
+		b.Note(field, "is no list")
+		return nil
+	}
+	return v.AsValueSlice()
+}
+
+func (b *Block) item(field string, v cty.Value, most int) (string, bool) {
+	switch {
+	case v.IsNull() || !v.IsKnown() || !v.Type().Equals(cty.String):
+		b.Note(field, "holds something that is no text in quotes")
+	case len(v.AsString()) > most:
+		b.Note(field, fmt.Sprintf("holds a text of over %d bytes", most))
+	default:
+		return v.AsString(), true
+	}
+	return "", false
+}
+
+// Map is texts by name; nil if it is absent.
+func (b *Block) Map(field string, most int) map[string]string {
+	a := b.fields[field]
+	if a == nil {
+		return nil
+	}
+	v, found := a.Expr.Value(nil)
+	if found.HasErrors() {
+		b.sheet.NoteAll(found, join(b.Name, field))
+		return nil
+	}
+	if v.IsNull() || !v.IsKnown() || !v.Type().IsObjectType() {
+		b.Note(field, `is no list of names and texts, such as { team = "\"a\"" }`)
+		return nil
+	}
+	texts := map[string]string{}
+	for name, v := range v.AsValueMap() {
+		if text, ok := b.item(field, v, most); ok {
+			texts[name] = text
+		}
+	}
+	return texts
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,23 +12,26 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/logs"
 	"mintkeel/internal/memory"
 	"mintkeel/internal/operator/block"
+	"mintkeel/internal/settings"
 )
 
 // File is what an operator's file says.
 type File struct {
 	Log    logs.Block
 	Memory *memory.Block // nil: off
+	Rules  *rules.Set    // nil: there are none
 }
 
 // mostBytes bounds a file, and with it what reading it can cost: a controller may have 32 MB.
 const mostBytes = 1 << 20
 
-// Read reads an operator's file; an empty path stands for no file, with all off. Its error is a block.Problems that
+// Read reads an operator's file for a controller with these settings; an empty path stands for no file, with all off. Its error is a block.Problems that
 // holds all that is wrong, unless the file can't be had at all.
-func Read(path string) (*File, error) {
+func Read(path string, facts *settings.Facts) (*File, error) {
 	if path == "" {
 		return &File{Log: logs.Usual()}, nil
 	}
@@ -41,11 +44,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
-	return Parse(path, text)
+	return Parse(path, text, facts)
 }
 
 // Parse reads the text of a file; path stands in the problems alone.
-func Parse(path string, text []byte) (*File, error) {
+func Parse(path string, text []byte, facts *settings.Facts) (*File, error) {
 	if len(text) > mostBytes {
 		return nil, block.Problems{{File: path, Why: fmt.Sprintf("has over %d bytes", mostBytes)}}
 	}
@@ -57,7 +60,7 @@
 	sheet.NoteAll(found, "")
 	file := &File{Log: logs.Usual()}
 	if parsed != nil && !found.HasErrors() {
-		file.read(parsed.Body, sheet)
+		file.read(parsed.Body, facts, sheet)
 	}
 	if problems := sheet.Problems(); problems != nil {
 		return nil, problems
@@ -65,14 +68,20 @@
 	return file, nil
 }
 
-func (f *File) read(body hcl.Body, sheet *block.Sheet) {
-	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"}}})
+func (f *File) read(body hcl.Body, facts *settings.Facts, sheet *block.Sheet) {
+	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"},
+		{Type: "rule", LabelNames: []string{"name"}}}})
 	sheet.NoteAll(found, "")
 	if content == nil {
 		return
 	}
 	seen := map[string]bool{}
+	var ruled hcl.Blocks
 	for _, b := range content.Blocks {
+		if b.Type == "rule" {
+			ruled = append(ruled, b)
+			continue
+		}
 		if seen[b.Type] {
 			sheet.Note(b.DefRange, b.Type, "stands here a second time")
 			continue
@@ -84,13 +93,14 @@
 			f.Memory = memory.ReadBlock(b, sheet)
 		}
 	}
+	f.Rules = readRules(ruled, facts, sheet)
 }
 
 // The library parses by recursion, so a small file of brackets or signs could take a stack that the process has no
 // memory for. The library's own scanner, which has none, counts them first.
 const (
 	mostDepth = 32
-	mostSigns = 2000
+	mostSigns = 2000 // outside of texts in quotes
 )
 
 func shape(path string, text []byte) *block.Problem {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,8 +10,15 @@
 
 	"mintkeel/internal/logs"
 	"mintkeel/internal/memory"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
 )
 
+// facts are settings with one profile that may go anywhere and one that may not.
+var facts = &settings.Facts{Profiles: []router.Profile{{}, {Kinds: []router.KindID{1}}},
+	Names: settings.Names{Kinds: map[string]router.KindID{"std": 0, "c16": 1}, ZoneAt: []string{"east"},
+		Profiles: map[string]router.ProfileID{"lookup": 0, "report": 1}}}
+
 // Every problem is told with line, column and field, all at once.
 func TestProblems(t *testing.T) {
 	for _, c := range []struct {
@@ -43,6 +50,13 @@
 		{"a function", "memory {\n folder = file(\"x\")\n}\n", []string{"2:11 memory.folder"}},
 		{"several at once", "log {\n level = \"loud\"\n}\nx = 1\nmemory {\n pace = \"1ns\"\n}\n",
 			[]string{"2:10 log.level", "4:1 x", "5:1 memory.folder", "6:9 memory.pace"}},
+		{"a rule", "rule \"a\" {\n when = \"tenant == 'x'\"\n hot = true\n kinds = [\"c16\"]\n labels = { team = \"tenant\" }\n most_estimate = \"1s\"\n last = true\n}\n", nil},
+		{"a rule without a name", "rule {\n}\n", []string{"1:6 "}},
+		{"rules of one name", "rule \"a\" {\n}\nrule \"a\" {\n}\n", []string{"3:1 rule \"a\".name"}},
+		{"a report elsewhere", "rule \"a\" {\n when = \"profile == 'report'\"\n kinds = [\"std\"]\n}\n", []string{"3:10 rule \"a\".kinds"}},
+		{"a bad condition", "rule \"a\" {\n when = \"tenant = 1\"\n key = \"1\"\n}\n", []string{"2:9 rule \"a\".when", "3:8 rule \"a\".key"}},
+		{"lists of other things", "rule \"a\" {\n kinds = \"c16\"\n zones = [1]\n labels = []\n}\n",
+			[]string{"2:10 rule \"a\".kinds", "2:10 rule", "3:10 rule \"a\".zones", "3:10 rule", "4:11 rule \"a\".labels"}},
 		{"no HCL", "log {\n", []string{"1:"}},
 		{"no text", "\xff\xfe\x00", []string{"1:"}},
 		{"a zero byte", "memory {\n folder = \"/a\\u0000b\"\n}\n", []string{"2:11 memory.folder"}},
@@ -53,7 +67,7 @@
 		{"deep blocks", strings.Repeat("a {\n", 50000), []string{"33:"}},
 		{"too long", strings.Repeat("#\n", mostBytes), []string{"0:0 "}},
 	} {
-		file, err := Parse("f.hcl", []byte(c.text))
+		file, err := Parse("f.hcl", []byte(c.text), facts)
 		var got []string
 		for _, p := range Problems(err) {
 			got = append(got, fmt.Sprintf("%d:%d %s", p.Line, p.Column, p.Field))
@@ -78,7 +92,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	file, err := Read(path)
+	file, err := Read(path, facts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,13 +101,13 @@
 	if file.Log != want || *file.Memory != (memory.Block{Folder: "/a", Pace: 5 * time.Second}) {
 		t.Errorf("%+v, %+v", file, file.Memory)
 	}
-	if file, err := Read(""); err != nil || file.Memory != nil || file.Log != logs.Usual() {
+	if file, err := Read("", facts); err != nil || file.Memory != nil || file.Log != logs.Usual() {
 		t.Errorf("no file: %+v, %v", file, err)
 	}
-	if _, err := Read(path + "x"); err == nil {
+	if _, err := Read(path+"x", facts); err == nil {
 		t.Error("a file that is not there is read")
 	}
-	if file, err := Read(filepath.Join("..", "..", "deploy", "operator.hcl")); err != nil || file.Memory != nil ||
+	if file, err := Read(filepath.Join("..", "..", "deploy", "operator.hcl"), facts); err != nil || file.Memory != nil ||
 		file.Log != logs.Usual() {
 		t.Errorf("the example is not all off: %+v, %v", file, err)
 	}
@@ -109,7 +123,7 @@
 		}
 		on.WriteString(line)
 	}
-	if file, err := Parse("example", []byte(on.String())); err != nil || file.Memory == nil {
+	if file, err := Parse("example", []byte(on.String()), facts); err != nil || file.Memory == nil {
 		t.Errorf("the example, turned on: %v", err)
 	}
 }
@@ -120,7 +134,7 @@
 	f.Add([]byte("memory {\n folder = \"/a\"\n pace = \"5s\"\n}\n"))
 	f.Add([]byte("x = [1, {a = \"${b}\"}]\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		file, err := Parse("f", text)
+		file, err := Parse("f", text, facts)
 		if (file == nil) != (err != nil) || err != nil && len(Problems(err)) == 0 {
 			t.Errorf("%v, %v", file, err)
 		}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -43,6 +43,7 @@
 	CodeCancelled   = "57014"
 	CodeFailed      = "58000"
 	CodeDuplicate   = "42710"
+	CodeRule        = "42501"
 )
 
 // Key names a session to a CancelRequest.
@@ -59,8 +60,9 @@
 
 // StartUp is the first message of a connection.
 type StartUp struct {
-	Kind StartKind
-	Key  Key
+	Kind        StartKind
+	Key         Key
+	Application string // with Start: the client's application_name
 }
 
 // ReadStartUp takes the first message of a connection, which must fit the reader's buffer.
@@ -87,11 +89,27 @@
 	case (code == sslCode || code == gssCode) && size == 8:
 		return StartUp{Kind: Encrypt}, nil
 	case code>>16 == majorVersion && (size == 8 || all[size-1] == 0):
-		return StartUp{Kind: Start}, nil
+		return StartUp{Kind: Start, Application: parameter(all[8:], "application_name")}, nil
 	}
 	return StartUp{}, ErrMalformed
 }
 
+// parameter is one of a start-up message's, which come as names and values that end in a zero.
+func parameter(body []byte, want string) string {
+	for len(body) > 0 {
+		name, rest, ok := bytes.Cut(body, []byte{0})
+		value, after, whole := bytes.Cut(rest, []byte{0})
+		if !ok || !whole {
+			return ""
+		}
+		if string(name) == want {
+			return string(value)
+		}
+		body = after
+	}
+	return ""
+}
+
 // Peek returns the type and body of the next message, of most bytes at most, without taking it; size is what to
 // discard. The body is good until the reader is used again.
 func Peek(r *bufio.Reader, most int) (kind byte, body []byte, size int, err error) {
--- a/internal/pgwire/query.go
+++ b/internal/pgwire/query.go
@@ -21,8 +21,15 @@
 	Verb, ID, Team, Unique, Item string
 	LimitMS, CPU, EstMB          float64
 	Statement                    []byte // what follows the comment, in the query's bytes
+	Labels                       []Label
 }
 
+// Label is a field of a name that the protocol does not know. Operators' rules may read it.
+type Label struct{ Name, Text string }
+
+// mostLabels of a query are kept, of so many bytes each.
+const mostLabels, mostLabel = 16, 128
+
 // ParseQuery takes a query's fields from the comment that it begins with.
 func ParseQuery(query []byte) (Fields, error) {
 	var f Fields
@@ -89,6 +96,10 @@
 		f.CPU, err = number(name, value, mostMS)
 	case "est_mb":
 		f.EstMB, err = number(name, value, mostMB)
+	default:
+		if len(f.Labels) < mostLabels && len(name) <= mostLabel && len(value) <= mostLabel {
+			f.Labels = append(f.Labels, Label{name, value})
+		}
 	}
 	return err
 }
@@ -212,11 +223,17 @@
 var beforeTable = map[string]bool{"from": true, "join": true, "into": true, "update": true, "table": true,
 	"using": true, "copy": true, "only": true, "truncate": true}
 
-// TableGroup is the number behind the underscore in the name of the schema that a statement reads or writes. What
-// stands where a table does goes first; a qualified name elsewhere, which could be a column's, only if none does.
-func TableGroup(statement []byte) (int64, bool) {
+// Table is what a statement reads or writes.
+type Table struct {
+	Group        int64 // the number behind the underscore in the schema's name
+	Schema, Name string
+}
+
+// TableOf is the table of a statement. What stands where a table does goes first; a qualified name elsewhere, which
+// could be a column's, only if none does.
+func TableOf(statement []byte) (Table, bool) {
 	list := tokens(statement)
-	var spare int64
+	var spare Table
 	found := false
 	for i := 0; i+2 < len(list); i++ {
 		if !list[i].name || list[i+1].text != "." || list[i+1].name || !list[i+2].name || i > 0 && list[i-1].text == "." {
@@ -226,11 +243,12 @@
 		if !numbered {
 			continue
 		}
+		table := Table{group, list[i].text, list[i+2].text}
 		if i > 0 && list[i-1].name && !list[i-1].quoted && beforeTable[list[i-1].text] {
-			return group, true
+			return table, true
 		}
 		if !found {
-			spare, found = group, true
+			spare, found = table, true
 		}
 	}
 	return spare, found
--- a/router/design_test.go
+++ b/router/design_test.go
@@ -501,3 +501,29 @@
 		}
 	}
 }
+
+// A table group that is said to be hot has more engines from the packing on, before any load tells.
+func TestHot(t *testing.T) {
+	var engines [2]int
+	for i, hot := range []bool{false, true} {
+		var entries []Entry
+		for n := range 8 {
+			entries = append(entries, engineAt(EngineID(rune('a'+n)), 0, "z", 1))
+		}
+		d := newDesk(t, lookup, loose, tight, entries...)
+		for id := range CommandID(80) {
+			ev := command1(id)
+			ev.Tables, ev.NeedMB = TableGroup(id%4), 500
+			ev.Hot = hot && ev.Tables == 0
+			d.step(ev)
+			end := outcome(id, 0, Answered)
+			end.Took = 20000 // so that each group is a pack of its own
+			d.step(end)
+			d.wait(30)
+		}
+		engines[i] = len(d.r.groups[0].homes[0].engines)
+	}
+	if engines[0] >= engines[1] || engines[1] < 3 {
+		t.Errorf("%d engines, and %d if it is hot", engines[0], engines[1])
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -43,8 +43,8 @@
 // on drains, repeats, order, placement, the sends budget and cold engines.
 func (r *Router) mayGo(c *command, e *engine) bool {
 	p := c.profile
-	return e.state == Ready && r.listHolds(e) && (p.Kinds == nil || slices.Contains(p.Kinds, e.kind)) &&
-		(p.Zones == nil || slices.Contains(p.Zones, e.zone)) && r.mayStart(c) &&
+	return e.state == Ready && r.listHolds(e) && allows(p.Kinds, e.kind) && allows(p.Zones, e.zone) &&
+		allows(c.kinds, e.kind) && allows(c.zones, e.zone) && r.mayStart(c) &&
 		(c.doubt == nil || p.Effect == Replayable || p.Scope.holds(c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
@@ -258,6 +258,7 @@
 
 const (
 	period, moveMargin = 2000.0, 1.25 // ms between moves, and the margin for one
+	hotWeight          = 3.0          // times its demand that a table group said to be hot counts when packed
 	fastMargin         = 2.5          // the busiest so far over the lowest future load: counts are solved
 	underused          = 0.25         // load of a lone engine that may be shared
 	tablesLife         = 60000.0      // ms for which a table group is kept that nobody names
@@ -620,6 +621,9 @@
 	if t := c.tenant; t != nil && t.PerSecond > 0 { // past its share here, so many commands are worth little
 		c.overShare = r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
 	}
+	if ev.Hot && !c.tables.hot { // loads take over from then on
+		c.tables.hot, r.packed = true, false
+	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
 	r.held = insert(r.held, c, byTimeout)
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -260,3 +260,32 @@
 		}
 	}
 }
+
+// Rule 6 for commands that come narrowed: they go where both they and their profile may, and nowhere if that is nothing.
+func TestNarrowed(t *testing.T) {
+	bound := lookup
+	bound.Kinds, bound.Zones = []KindID{1}, []Zone{"z1", "z2"}
+	entries := []Entry{engineAt("a", 0, "z1", 1), engineAt("b", 1, "z1", 1), engineAt("c", 1, "z2", 1), engineAt("d", 1, "z3", 1)}
+	for i, c := range []struct {
+		p     Profile
+		kinds []KindID
+		zones []Zone
+		want  EngineID
+	}{
+		{lookup, []KindID{0}, nil, "a"},
+		{lookup, nil, []Zone{"z2"}, "c"},
+		{lookup, []KindID{1}, []Zone{"z3"}, "d"},
+		{bound, nil, []Zone{"z2"}, "c"},
+		{bound, []KindID{0}, nil, ""},
+		{bound, []KindID{0, 1}, []Zone{"z1"}, "b"},
+		{bound, nil, []Zone{"z3"}, ""},
+		{lookup, []KindID{}, nil, ""},
+	} {
+		d := newDesk(t, c.p, loose, tight, entries...)
+		ev := command1(1)
+		ev.Kinds, ev.Zones = c.kinds, c.zones
+		if to := sent(append(d.step(ev), d.wait(tendEvery)...), 1); to != c.want {
+			t.Errorf("case %d: sent to %q, not %q", i, to, c.want)
+		}
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -97,6 +97,8 @@
 	asked          float64 // when its client first did, as far as its client timeout tells
 	timeout        float64
 	estimate, need float64
+	kinds          []KindID // that its profile's are narrowed to; nil: they are not
+	zones          []Zone
 	sends          []sendState
 	out            int // sends that are waited for
 	pending        int // and all without an outcome
@@ -228,6 +230,7 @@
 	id     TableGroup
 	asked  float64  // when it was last named
 	open   int      // commands on it in the books
+	hot    bool     // it was said to be
 	known  bool     // commands on it have been answered; else any stranger may have named it
 	demand decay    // work asked for
 	held   decay    // memory times time, of this controller's sends
@@ -382,7 +385,7 @@
 	g := r.groupOf(ev.Tables)
 	g.asked = r.now
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
-		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB}
+		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, kinds: ev.Kinds, zones: ev.Zones}
 	r.cmds[c.id] = c
 	g.open++
 	r.rate.add(r.now, 1, 0)
@@ -581,11 +584,16 @@
 func (r *Router) demand(o *owner) float64 {
 	sum := 1e-9
 	for _, g := range o.groups() {
-		sum += g.demand.rate(r.now)
+		if sum += g.demand.rate(r.now); g.hot {
+			sum += (hotWeight - 1) * g.demand.rate(r.now)
+		}
 	}
 	return sum
 }
 
+// allows tells whether a list, of which nil is all, holds something.
+func allows[T comparable](list []T, x T) bool { return list == nil || slices.Contains(list, x) }
+
 // fresh forgets what was learned of an engine's earlier process.
 func (e *engine) fresh() {
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
--- a/router/types.go
+++ b/router/types.go
@@ -153,9 +153,12 @@
 		Profile  ProfileID
 		Tables   TableGroup
 		Key      OrderKey
-		Left     float64 // until the client gives up
-		Estimate float64 // of its work on one thread; 0: none
-		NeedMB   float64 // estimated memory; 0: none
+		Left     float64  // until the client gives up
+		Estimate float64  // of its work on one thread; 0: none
+		NeedMB   float64  // estimated memory; 0: none
+		Kinds    []KindID // narrows the profile's; nil: it does not
+		Zones    []Zone   // the same
+		Hot      bool     // its table group is to be owned by more engines from the start
 	}
 	// Began is the first part of a streamed answer.
 	Began struct {
