--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -371,7 +371,14 @@
 	dir := t.TempDir()
 	config, badHCL := filepath.Join(dir, "c.json"), filepath.Join(dir, "bad.hcl")
 	text := strings.NewReplacer("%FEED%", "127.0.0.1:1", "%ENGINE%", "127.0.0.1:1").Replace(good)
-	for path, text := range map[string]string{config: text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
+	ruled, cases, badCases := filepath.Join(dir, "rules.hcl"), filepath.Join(dir, "cases.hcl"), filepath.Join(dir, "bad_cases.hcl")
+	const query = "/* verb=lookup,txn=9b1f03aa5c7e2d41,limit=1500,store=12-east */ SELECT 1 FROM menu_17.items"
+	for path, text := range map[string]string{
+		ruled: "rule \"hot\" {\n when = \"schema == 'menu_17' && label('store') startswith '12'\"\n hot = true\n}\n" +
+			"rule \"no\" {\n when = \"table_name == 'secrets'\"\n refuse = \"no\"\n}\n",
+		cases:    fmt.Sprintf("case \"a\" {\n query = %q\n hot = true\n matches = [\"hot\"]\n profile = \"lookup\"\n refuse = \"\"\n}\n", query),
+		badCases: fmt.Sprintf("case \"a\" {\n query = %q\n hot = false\n kinds = [\"std\"]\n}\n", query),
+		config:   text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -406,10 +413,21 @@
 		{"memory verify " + empty, 1, "", "trusted"},
 		{"memory verify " + empty + "/x", 1, "", "no such file"},
 		{"memory prune " + empty, 1, "", "name what"},
+		{"rules", 0, "explain", ""},
+		{"rules check --config " + config, 1, "", "no rules"},
+		{"rules check --config " + config + " --operator " + ruled, 0, "schema, one of 1", ""},
+		{"rules explain --config " + config + " --operator " + ruled + "|" + query, 0,
+			"hot: matches\n  ((schema == \"menu_17\") && (label(\"store\") startswith \"12\")) = true", ""},
+		{"rules explain --config " + config + " --operator " + ruled + "|" + strings.Replace(query, "items", "secrets", 1), 0, "refused: no", ""},
+		{"rules explain --config " + config + " --operator " + ruled + "|SELECT 1", 1, "", "field comment"},
+		{"rules test --config " + config + " --operator " + ruled + " " + cases, 0, "1 passed, 0 failed", ""},
+		{"rules test --config " + config + " --operator " + ruled + " " + badCases, 1, "hot is \"true\", not \"false\"", "1 cases"},
+		{"rules test --config " + config + " --operator " + ruled + " " + ruled, 1, "", "is not known"},
+		{"rules bench --for 10ms --config " + config + " --operator " + ruled + "|" + query, 0, "2 rules cost", ""},
 		{"memory prune --all " + empty, 0, "0 records forgotten", ""},
 	} {
 		var out, errs strings.Builder
-		if code := execute(strings.Fields(c.args), &out, &errs); code != c.code || !strings.Contains(out.String(), c.out) ||
+		if code := execute(split(c.args), &out, &errs); code != c.code || !strings.Contains(out.String(), c.out) ||
 			!strings.Contains(errs.String(), c.errs) || c.errs == "" && errs.Len() > 0 {
 			t.Errorf("%q: code %d\n%s\n%s", c.args, code, out.String(), errs.String())
 		}
@@ -492,3 +510,13 @@
 		t.Error(log)
 	}
 }
+
+// split is a command line's arguments; what stands behind a bar is one.
+func split(line string) []string {
+	words, last, found := strings.Cut(line, "|")
+	if args := strings.Fields(words); !found {
+		return args
+	} else {
+		return append(args, last)
+	}
+}
--- /dev/null
+++ b/cmd/mintkeel/rules.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/clients"
+	"mintkeel/internal/core/rules"
+	"mintkeel/internal/operator"
+	"mintkeel/internal/settings"
+)
+
+func rulesCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "rules",
+		Short: "Check, explain, test or time the operator's rules",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(rulesCheck(), rulesExplain(), rulesTest(), rulesBench())
+	return c
+}
+
+// ruled reads the rules that a command is about.
+func (s *sources) ruled() (*rules.Set, *settings.Facts, error) {
+	told, file, err := s.read()
+	if err != nil {
+		return nil, nil, err
+	}
+	if file.Rules == nil {
+		return nil, nil, errors.New("there are no rules: name a file with --operator")
+	}
+	return file.Rules, told.facts, nil
+}
+
+func rulesCheck() *cobra.Command {
+	var from sources
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "Tell what is wrong with the rules, or what each may cost",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			set, _, err := from.ruled()
+			if err != nil {
+				return err
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 2, 8, 2, ' ', 0)
+			fmt.Fprintln(t, "rule\tsteps at the most\tfound by")
+			for i := range set.Len() {
+				fmt.Fprintf(t, "%s\t%d\t%s\n", set.Name(i), set.Steps(i), set.FoundBy(i))
+			}
+			return t.Flush()
+		},
+	}
+	from.flags(c)
+	return c
+}
+
+func rulesExplain() *cobra.Command {
+	var from sources
+	var application, listener string
+	c := &cobra.Command{
+		Use:   "explain QUERY",
+		Short: "Tell which rules match a query as a client would write it, and why",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			set, facts, err := from.ruled()
+			if err != nil {
+				return err
+			}
+			command, err := clients.Describe([]byte(args[0]), &facts.Names, application, listener)
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			v, tried := set.Explain(&command)
+			for _, t := range tried {
+				fmt.Fprintf(out, "%s: %s\n", t.Name, map[bool]string{true: "matches", false: "does not match"}[t.Matched])
+				for _, s := range t.Steps {
+					fmt.Fprintf(out, "%s%s = %s\n", strings.Repeat("  ", s.Depth+1), s.Text, s.Value)
+				}
+			}
+			fmt.Fprintf(out, "%d of %d rules were tried; the others require something that it has not\n", len(tried), set.Len())
+			if v.Refuse != "" {
+				fmt.Fprintf(out, "refused: %s\n", v.Refuse)
+				return nil
+			}
+			fmt.Fprintf(out, "profile %s, key %q, hot %t, kinds %v, zones %v, estimate %gms, labels %v\n",
+				operator.RuleFacts(facts).Names[v.Profile], v.Key, v.Hot, v.Kinds, v.Zones, v.Estimate, v.Labels)
+			return nil
+		},
+	}
+	from.flags(c)
+	c.Flags().StringVar(&application, "application", "", "the client's application_name")
+	c.Flags().StringVar(&listener, "listener", "", "the address that the client came to")
+	return c
+}
+
+func rulesTest() *cobra.Command {
+	var from sources
+	c := &cobra.Command{
+		Use:   "test CASES",
+		Short: "Try the rules on a file of cases with expected effects; exit code 1 if one is otherwise",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			set, facts, err := from.ruled()
+			if err != nil {
+				return err
+			}
+			cases, err := operator.ReadCases(args[0], facts)
+			if err != nil {
+				return err
+			}
+			failed := 0
+			for i := range cases {
+				wrong := cases[i].Run(set)
+				if len(wrong) > 0 {
+					failed++
+				}
+				for _, why := range wrong {
+					fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", cases[i].Name, why)
+				}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d passed, %d failed\n", len(cases)-failed, failed)
+			if failed > 0 {
+				return fmt.Errorf("%d cases are not as expected", failed)
+			}
+			return nil
+		},
+	}
+	from.flags(c)
+	return c
+}
+
+func rulesBench() *cobra.Command {
+	var from sources
+	long := time.Second
+	c := &cobra.Command{
+		Use:   "bench QUERY",
+		Short: "Tell what the rules cost on a query, beside a set of one rule that never matches",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			set, facts, err := from.ruled()
+			if err != nil {
+				return err
+			}
+			command, err := clients.Describe([]byte(args[0]), &facts.Names, "", "")
+			if err != nil {
+				return err
+			}
+			one, problems := rules.Compile([]rules.Given{{Name: "one", When: `tenant == "\x"`}}, operator.RuleFacts(facts),
+				operator.RuleBounds())
+			if problems != nil {
+				return problems[0]
+			}
+			cost := func(s *rules.Set) float64 {
+				var scratch rules.Scratch
+				n, began := 0, time.Now()
+				for ; time.Since(began) < long/2; n += 100 {
+					for range 100 {
+						s.Apply(&command, &scratch)
+					}
+				}
+				return float64(time.Since(began).Nanoseconds()) / float64(n)
+			}
+			base, own := cost(one), cost(set)
+			fmt.Fprintf(c.OutOrStdout(), "%d rules cost %.1f times a rule that never matches\n", set.Len(), own/base)
+			return nil
+		},
+	}
+	from.flags(c)
+	c.Flags().DurationVar(&long, "for", long, "how long to look")
+	return c
+}
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -14,6 +14,7 @@
 	"mintkeel/internal/core/rules"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/pgwire"
+	"mintkeel/internal/settings"
 	"mintkeel/match"
 	"mintkeel/router"
 )
@@ -227,13 +228,7 @@
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
 		Read: now, Left: ses.within(f.LimitMS)}
 	if ses.server.rules.Load() != nil {
-		c := rules.Command{Profile: profile, Tenant: f.Team, Schema: table.Schema, Table: table.Name, Tables: cmd.Tables,
-			Key: cmd.Key, Estimate: f.CPU, NeedMB: f.EstMB, Left: f.LimitMS, Front: "postgres", Application: ses.name,
-			Listener: ses.conn.LocalAddr().String()}
-		for _, l := range f.Labels {
-			c.Labels = append(c.Labels, match.Label{Name: l.Name, Text: l.Text})
-		}
-		if why := ses.server.rule(cmd, c); why != "" {
+		if why := ses.server.rule(cmd, described(f, profile, table, ses.name, ses.conn.LocalAddr().String())); why != "" {
 			return no(pgwire.CodeRule, why)
 		}
 	}
@@ -241,6 +236,34 @@
 	return cmd, nil
 }
 
+// described is a command as rules see it.
+func described(f pgwire.Fields, profile router.ProfileID, table pgwire.Table, application, listener string) rules.Command {
+	c := rules.Command{Profile: profile, Tenant: f.Team, Schema: table.Schema, Table: table.Name,
+		Tables: router.TableGroup(table.Group), Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB,
+		Left: f.LimitMS, Front: "postgres", Application: application, Listener: listener}
+	for _, l := range f.Labels {
+		c.Labels = append(c.Labels, match.Label{Name: l.Name, Text: l.Text})
+	}
+	return c
+}
+
+// Describe is a query as rules see it, for those who try rules without a controller; its error names the field.
+func Describe(query []byte, names *settings.Names, application, listener string) (rules.Command, error) {
+	f, err := pgwire.ParseQuery(query)
+	if err != nil {
+		return rules.Command{}, err
+	}
+	profile, known := names.Profiles[f.Verb]
+	if !known {
+		return rules.Command{}, &pgwire.FieldError{Field: "verb", Why: fmt.Sprintf("%.60q is no profile", f.Verb)}
+	}
+	table, found := pgwire.TableOf(f.Statement)
+	if !found {
+		return rules.Command{}, &pgwire.FieldError{Field: "statement", Why: "names no group of tables"}
+	}
+	return described(f, profile, table, application, listener), nil
+}
+
 // within is how long after its reading a command must be answered at the latest. Against answers at the last moment
 // that come too late: on a crowded day some of thousands did, though written ahead of the client's timeout.
 func (ses *session) within(limitMS float64) time.Duration {
--- a/internal/core/rules/apply.go
+++ b/internal/core/rules/apply.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"slices"
@@ -21,6 +22,27 @@
 	Trace  func(rule int, matched bool) // is told of each rule that is tried; nil: nobody asks
 }
 
+// Tried is one rule that was tried on a command, and why it matched or did not.
+type Tried struct {
+	Rule    int
+	Name    string
+	Matched bool
+	Steps   []match.Step // of its condition; none: it has none
+}
+
+// Explain applies the rules as Apply does, and tells of each that was tried.
+func (s *Set) Explain(c *Command) (v Verdict, tried []Tried) {
+	var scratch Scratch
+	scratch.Trace = func(i int, matched bool) {
+		t := Tried{Rule: i, Name: s.rules[i].Name, Matched: matched}
+		if when := s.rules[i].when; when != nil {
+			t.Steps = when.Explain(match.Row{Values: scratch.values[:], Labels: scratch.labels})
+		}
+		tried = append(tried, t)
+	}
+	return s.Apply(c, &scratch), tried
+}
+
 // Apply tells what the rules do to a command. It never fails: what could was refused when they were compiled.
 func (s *Set) Apply(c *Command, scratch *Scratch) Verdict {
 	v := Verdict{Profile: c.Profile, Key: c.Key, Estimate: c.Estimate}
@@ -125,8 +147,12 @@
 	equal    [fields]map[string][]int32
 	numbers  [fields]map[uint64][]int32
 	prefixes [fields]*trie
+	by       []string // for people: what each rule is filed under
 }
 
+// FoundBy tells, for people, on which commands a rule is tried.
+func (s *Set) FoundBy(i int) string { return s.index.by[i] }
+
 // trie finds the prefixes of a text, byte by byte.
 type trie struct {
 	rules []int32
@@ -170,6 +196,14 @@
 			}
 		}
 		x.file(int32(i), best)
+		switch {
+		case best.Field == "":
+			x.by = append(x.by, "always tried")
+		case best.Equal == nil:
+			x.by = append(x.by, fmt.Sprintf("%s beginning with %q", best.Field, best.Prefix))
+		default:
+			x.by = append(x.by, fmt.Sprintf("%s, one of %d", best.Field, len(best.Equal)))
+		}
 	}
 	return x
 }
--- a/internal/operator/block/block.go
+++ b/internal/operator/block/block.go
@@ -280,3 +280,6 @@
 	}
 	return texts
 }
+
+// Has tells whether a field is there.
+func (b *Block) Has(field string) bool { return b.fields[field] != nil }
--- a/internal/operator/rules.go
+++ b/internal/operator/rules.go
@@ -39,7 +39,7 @@
 			Most:   float64(open.Duration("most_estimate", 0, time.Millisecond, time.Hour)) / 1e6,
 			Refuse: open.Text("refuse", "", false, longest), Last: open.Bool("last", false)})
 	}
-	set, problems := rules.Compile(given, RuleFacts(facts), match.Usual())
+	set, problems := rules.Compile(given, RuleFacts(facts), RuleBounds())
 	for _, p := range problems {
 		why := p.Why
 		if p.Place != nil {
@@ -52,6 +52,9 @@
 	return set
 }
 
+// RuleBounds are what one expression of a rule may cost.
+func RuleBounds() match.Bounds { return match.Usual() }
+
 // RuleFacts are what rules need to know of the settings.
 func RuleFacts(f *settings.Facts) rules.Facts {
 	facts := rules.Facts{Names: make([]string, len(f.Profiles)), Profiles: f.Profiles, Kinds: f.Names.Kinds,
--- a/match/glob.go
+++ b/match/glob.go
@@ -5,13 +5,14 @@
 // pattern is a glob: * stands for any bytes, ? for one, \ takes what follows as it is. Matching goes back to the last
 // star alone, so it costs a text's length times the pattern's at the most.
 type pattern struct {
-	text string
-	any  []bool // at each byte: it is a star
-	one  []bool // it is a question mark
+	source string
+	text   string
+	any    []bool // at each byte: it is a star
+	one    []bool // it is a question mark
 }
 
 func newPattern(source string) *pattern {
-	p := &pattern{}
+	p := &pattern{source: source}
 	var b strings.Builder
 	add := func(c byte, any, one bool) {
 		b.WriteByte(c)
