A command may stand in the turns of several keys, and be given more while held or out

Need: rules that give keys change while commands keyed by the old ones are held or out; no two that share a key under either set may run at once or out of turn. Change: lines hold commands by arrival, a command stands in several; it goes when it is the first of all and nobody of them is out. Arrived.Also and the event Keyed bring further keys. The referee judges each; random worlds rekey.

--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -93,11 +93,13 @@
 	router.Arrived
 	profile  *router.Profile
 	at       float64
+	number   int // by arrival
 	deadline float64
 	work     float64
 	sends    []send
 	over     bool
 	began    bool
+	keys     []router.OrderKey
 }
 
 type send struct {
@@ -107,6 +109,16 @@
 	outcome router.Outcome
 }
 
+// out tells whether a command has a send without an outcome.
+func (c *command) out() bool {
+	for _, s := range c.sends {
+		if !s.ended {
+			return true
+		}
+	}
+	return false
+}
+
 // New makes a referee for controllers under these settings.
 func New(f Facts) *Referee {
 	return &Referee{facts: f, lives: map[int]*life{}, work: map[process][]sent{}, count: map[Rule]int{},
@@ -165,13 +177,17 @@
 		case router.Listed:
 			l.listed(now, ev)
 		case router.Arrived:
-			c := &command{Arrived: ev, profile: &r.facts.Profiles[ev.Profile], at: now,
+			c := &command{Arrived: ev, profile: &r.facts.Profiles[ev.Profile], at: now, number: r.Commands,
 				deadline: now + ev.Left, work: work(ev.ID)}
 			r.Commands++
 			l.commands[ev.ID] = c
 			l.taken = append(l.taken, now)
-			if c.profile.InOrder && ev.Key != "" {
-				l.lines[ev.Key] = append(l.lines[ev.Key], c)
+			for _, key := range append([]router.OrderKey{ev.Key}, ev.Also...) {
+				l.stand(c, key)
+			}
+		case router.Keyed:
+			if c := l.commands[ev.ID]; c != nil {
+				l.stand(c, ev.Key)
 			}
 		case router.Began:
 			if c := l.commands[ev.ID]; c != nil {
@@ -226,8 +242,10 @@
 		}
 		c.over = true
 	}
-	if c.profile.InOrder && c.Key != "" && ev.Outcome.MayRunOn() {
-		l.rests[c.Key] = max(l.rests[c.Key], now+r.facts.Guards.OrderRest)
+	for _, key := range c.keys {
+		if ev.Outcome.MayRunOn() {
+			l.rests[key] = max(l.rests[key], now+r.facts.Guards.OrderRest)
+		}
 	}
 	l.settle(c)
 }
@@ -243,15 +261,30 @@
 		return
 	}
 	delete(l.commands, c.ID)
-	line := l.lines[c.Key]
-	for i, o := range line {
-		if o == c {
-			l.lines[c.Key] = append(line[:i:i], line[i+1:]...)
+	for _, key := range c.keys {
+		line := l.lines[key]
+		for i, o := range line {
+			if o == c {
+				l.lines[key] = append(line[:i:i], line[i+1:]...)
+			}
 		}
+		if len(l.lines[key]) == 0 {
+			delete(l.lines, key)
+		}
+	}
+}
+
+// stand files a command under one more key, by when it came.
+func (l *life) stand(c *command, key router.OrderKey) {
+	if !c.profile.InOrder || key == "" || contains(c.keys, key) {
+		return
 	}
-	if len(l.lines[c.Key]) == 0 {
-		delete(l.lines, c.Key)
+	c.keys = append(c.keys, key)
+	line := append(l.lines[key], c)
+	for i := len(line) - 1; i > 0 && line[i-1].number > c.number; i-- {
+		line[i-1], line[i] = line[i], line[i-1]
 	}
+	l.lines[key] = line
 }
 
 // by is when a command's answer is due; one that comes after a planned end is due at once.
@@ -460,17 +493,18 @@
 }
 
 func (r *Referee) order(controller int, now float64, l *life, c *command) {
-	if !c.profile.InOrder || c.Key == "" {
-		return
-	}
-	for _, o := range l.lines[c.Key] {
-		if o == c {
-			break
+	for _, key := range c.keys {
+		ahead := true
+		for _, o := range l.lines[key] {
+			if o == c {
+				ahead = false
+			} else if ahead || o.out() {
+				r.breach(Order, now, controller, "command %d sent while %d of key %q is ahead or out", c.ID, o.ID, key)
+			}
+		}
+		if len(c.sends) == 0 && now < l.rests[key]-slack {
+			r.breach(Order, now, controller, "command %d sent while key %q rests for %.1f ms", c.ID, key, l.rests[key]-now)
 		}
-		r.breach(Order, now, controller, "command %d sent while %d of its key is ahead", c.ID, o.ID)
-	}
-	if len(c.sends) == 0 && now < l.rests[c.Key]-slack {
-		r.breach(Order, now, controller, "command %d sent while its key rests for %.1f ms", c.ID, l.rests[c.Key]-now)
 	}
 }
 
--- a/internal/lab/worlds/draw.go
+++ b/internal/lab/worlds/draw.go
@@ -50,6 +50,7 @@
 		Young:       flag("young"),
 		Absurd:      flag("absurd"),
 		Narrowed:    flag("narrowed"),
+		Rekeyed:     flag("rekeyed"),
 		Memory:      rapid.SampledFrom([]Memory{Nothing, Kept, Hostile}).Draw(t, "memory"),
 	}
 	f := &s.Facts
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/worlds/worlds.go
@@ -55,6 +55,7 @@
 	Bad                    float64 // share of sends that don't end well
 	Young                  bool    // all engines have just started
 	Narrowed               bool    // commands come narrowed to kinds or zones, or said to be hot
+	Rekeyed                bool    // commands stand in the turns of several keys, and are given more
 	Absurd                 bool    // reports, notes and estimates that can't be
 	Memory                 Memory
 }
@@ -237,6 +238,9 @@
 		}
 	})
 	w.poisson(w.Outages, func() { w.outage(w.controllers[w.rng.Intn(w.Controllers)]) })
+	if w.Rekeyed { // as when rules change
+		w.poisson(3, w.rekey)
+	}
 	if w.Memory == Kept {
 		w.keep()
 	}
@@ -437,6 +441,19 @@
 	}
 }
 
+// rekey gives all that a controller has open one more key each.
+func (w *world) rekey() {
+	c := w.controllers[w.rng.Intn(w.Controllers)]
+	if !c.up {
+		return
+	}
+	for _, cmd := range w.open(c) {
+		if w.rng.Intn(3) > 0 {
+			w.tell(c, router.Keyed{ID: cmd.id, Key: router.OrderKey(fmt.Sprint("k", w.rng.Intn(w.Keys)))})
+		}
+	}
+}
+
 // down kills a controller; it comes back after a while.
 func (w *world) down(c *controller) {
 	if !c.up {
@@ -621,6 +638,9 @@
 		}
 	}
 	cmd.until, cmd.guess, cmd.needMB = w.now+left, ev.Estimate, ev.NeedMB
+	if w.Rekeyed && w.rng.Intn(3) == 0 {
+		ev.Also = []router.OrderKey{router.OrderKey(fmt.Sprint("k", w.rng.Intn(w.Keys)))}
+	}
 	c.commands[cmd.id], w.works[cmd.id] = cmd, cmd.work
 	w.tell(c, ev)
 	if w.rng.Float64() < w.Leaves {
--- a/router/router.go
+++ b/router/router.go
@@ -57,12 +57,21 @@
 
 // mayStart is the part of mayGo that is the same for all engines.
 func (r *Router) mayStart(c *command) bool {
-	l := r.lineOf(c)
-	inTurn := l == nil || l.cmds[0] == c && (len(c.sends) > 0 || r.now >= l.rest)
-	return inTurn && !c.over && !c.begun && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) &&
+	return r.inTurn(c) && !c.over && !c.begun && c.wantEnd == open && c.out == 0 && r.now < r.endBy(c) &&
 		!r.spent(c) && (len(c.sends) == 0 || r.budgetAllows())
 }
 
+// inTurn tells whether c is the first of all its keys, none of which rests. All stand by arrival, so who came first
+// of all is the first of each of its own, and nobody waits in a circle.
+func (r *Router) inTurn(c *command) bool {
+	for _, l := range c.lines {
+		if l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest || l.others() {
+			return false
+		}
+	}
+	return true
+}
+
 // endBy is when a command is ended at the latest: before its client timeout, and before a planned end of this
 // controller, so that who cannot be done by then is told at once and can try another.
 func (r *Router) endBy(c *command) float64 {
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -289,3 +290,45 @@
 		}
 	}
 }
+
+// Rule 5 for commands with several keys: each waits for all that came before it under any of them, also if they are
+// given it while held or out, and nobody waits for ever.
+func TestSeveralKeys(t *testing.T) {
+	p := lookup
+	p.InOrder = true
+	d := newDesk(t, p, Allowed{MaxSends: 1}, tight, engineAt("a", 0, "z", 1))
+	keyed := func(id CommandID, key OrderKey, also ...OrderKey) Arrived {
+		ev := command1(id)
+		ev.Key, ev.Also = key, also
+		return ev
+	}
+	out := func(actions []Action) (ids []CommandID) {
+		for id := range CommandID(10) {
+			if sent(actions, id) != "" {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+	expect := func(what string, actions []Action, want ...CommandID) {
+		t.Helper()
+		if got := out(append(actions, d.wait(tendEvery)...)); !slices.Equal(got, want) {
+			t.Errorf("%s: sent %v, not %v", what, got, want)
+		}
+	}
+	expect("old keys", d.step(keyed(1, "x"), keyed(2, "y")), 1, 2)
+	expect("new ones, in both turns", d.step(keyed(3, "m", "x"), keyed(4, "m", "y"), keyed(5, "n", "y")))
+	expect("those before under one key alone are over", d.step(outcome(2, 0, Answered)))
+	expect("first of all its keys", d.step(outcome(1, 0, Answered)), 3)
+	expect("next under the new key", d.step(outcome(3, 0, Answered)), 4)
+	expect("next under the old key", d.step(outcome(4, 0, Answered)), 5)
+	d.step(outcome(5, 0, Answered))
+	// given a key while out: one that came before waits for it
+	expect("two keys", d.step(keyed(6, "p"), keyed(7, "p"), keyed(8, "q")), 6, 8)
+	expect("8 is out under p too", d.step(Keyed{7, "q"}, Keyed{8, "p"}, outcome(6, 0, Answered)))
+	expect("nothing is out any more", d.step(outcome(8, 0, Answered)), 7)
+	d.step(outcome(7, 0, Answered))
+	if d.wait(500); len(d.r.lines) > 0 || len(d.r.resting) > 0 || len(d.r.cmds) > 0 {
+		t.Errorf("%d lines are left", len(d.r.lines))
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -92,7 +92,8 @@
 	tables         *tableGroup
 	tenant         *tenant // nil: none
 	overShare      bool
-	key            OrderKey
+	lines          []*line // of its order keys, in whose turns it stands
+	turn           uint64  // its place among all by arrival
 	arrived        float64
 	asked          float64 // when its client first did, as far as its client timeout tells
 	timeout        float64
@@ -125,10 +126,17 @@
 	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
 }
 
-// line is the queue of one order key; rest is when its next command may start after a doubtful outcome.
+// line is the queue of one order key, by arrival; rest is when its next command may start after a doubtful outcome.
 type line struct {
-	cmds []*command
-	rest float64
+	key   OrderKey
+	cmds  []*command
+	rest  float64
+	mixed bool // commands came to it that were held or out before, so one behind the first may be out
+}
+
+// others tells whether a command behind the first is out.
+func (l *line) others() bool {
+	return l.mixed && slices.ContainsFunc(l.cmds[1:], func(c *command) bool { return c.pending > 0 })
 }
 
 // engine is one of the list, or one that left it with sends still out.
@@ -281,6 +289,7 @@
 	cmds               map[CommandID]*command
 	held               []*command // by client timeout
 	lines              map[OrderKey]*line
+	turns              uint64     // commands taken
 	resting            []OrderKey // of empty lines that may not be forgotten yet
 	resends, taken     stamps
 	engines            map[EngineID]*engine
@@ -384,7 +393,7 @@
 func (r *Router) enrol(ev Arrived) *command {
 	g := r.groupOf(ev.Tables)
 	g.asked = r.now
-	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, key: ev.Key, arrived: r.now,
+	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, arrived: r.now,
 		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, kinds: ev.Kinds, zones: ev.Zones}
 	r.cmds[c.id] = c
 	g.open++
@@ -399,21 +408,31 @@
 	if r.guards.Budgeted {
 		r.taken.add(r.now, 1)
 	}
-	if c.profile.InOrder && c.key != "" {
-		if r.lines[c.key] == nil {
-			r.lines[c.key] = &line{}
-		}
-		r.lines[c.key].cmds = append(r.lines[c.key].cmds, c)
+	r.turns++
+	c.turn = r.turns
+	r.stand(c, ev.Key)
+	for _, key := range ev.Also {
+		r.stand(c, key)
 	}
 	return c
 }
 
-// lineOf is the line that c stands in; nil if it keeps no order.
-func (r *Router) lineOf(c *command) *line {
-	if !c.profile.InOrder || c.key == "" {
-		return nil
+func byTurn(a, b *command) int { return cmp.Compare(a.turn, b.turn) }
+
+// stand files a command in the line of a key, if its profile keeps order.
+func (r *Router) stand(c *command, key OrderKey) {
+	if !c.profile.InOrder || key == "" {
+		return
+	}
+	l := r.lines[key]
+	if l == nil {
+		l = &line{key: key}
+		r.lines[key] = l
+	}
+	if !slices.Contains(c.lines, l) {
+		l.mixed = l.mixed || len(l.cmds) > 0 && byTurn(c, l.cmds[len(l.cmds)-1]) < 0 || c.pending > 0
+		c.lines, l.cmds = append(c.lines, l), insert(l.cmds, c, byTurn)
 	}
-	return r.lines[c.key]
 }
 
 // book counts a send of c on e as out, so that the next choice of the same step sees it.
@@ -457,7 +476,7 @@
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, s.engine
 	}
-	if l := r.lineOf(c); l != nil {
+	for _, l := range c.lines {
 		if ev.Outcome.MayRunOn() {
 			l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
 		}
@@ -501,10 +520,11 @@
 func (r *Router) forget(c *command) {
 	delete(r.cmds, c.id)
 	c.tables.open--
-	if l := r.lineOf(c); l != nil {
+	for _, l := range c.lines {
 		l.cmds = slices.DeleteFunc(l.cmds, func(o *command) bool { return o == c })
 		if len(l.cmds) == 0 {
-			r.resting = append(r.resting, c.key)
+			l.mixed = false
+			r.resting = append(r.resting, l.key)
 		}
 	}
 }
@@ -655,6 +675,10 @@
 		r.left(ev.ID)
 	case Probed:
 		r.probed(ev)
+	case Keyed:
+		if c := r.cmds[ev.ID]; c != nil {
+			r.stand(c, ev.Key)
+		}
 	case Recalled:
 		r.recalled(ev.Learned)
 	case Stopping:
--- a/router/types.go
+++ b/router/types.go
@@ -153,12 +153,19 @@
 		Profile  ProfileID
 		Tables   TableGroup
 		Key      OrderKey
-		Left     float64  // until the client gives up
-		Estimate float64  // of its work on one thread; 0: none
-		NeedMB   float64  // estimated memory; 0: none
-		Kinds    []KindID // narrows the profile's; nil: it does not
-		Zones    []Zone   // the same
-		Hot      bool     // its table group is to be owned by more engines from the start
+		Also     []OrderKey // further keys in whose turn it stands, as other rules would key it
+		Left     float64    // until the client gives up
+		Estimate float64    // of its work on one thread; 0: none
+		NeedMB   float64    // estimated memory; 0: none
+		Kinds    []KindID   // narrows the profile's; nil: it does not
+		Zones    []Zone     // the same
+		Hot      bool       // its table group is to be owned by more engines from the start
+	}
+	// Keyed says that a command stands in the turn of one more key, at the place of its arrival: rules have changed
+	// while it is held or out.
+	Keyed struct {
+		ID  CommandID
+		Key OrderKey
 	}
 	// Began is the first part of a streamed answer.
 	Began struct {
@@ -213,6 +220,7 @@
 
 func (Listed) event()   {}
 func (Arrived) event()  {}
+func (Keyed) event()    {}
 func (Began) event()    {}
 func (Noted) event()    {}
 func (Ended) event()    {}
