Rules that give keys change while commands are held or out, and nothing overtakes

Need: no two commands that share a key under either set of rules may run at once or out of turn, also across a reload. A command that comes stands in the turn of its key under each, one that is open is given its new key.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -20,7 +20,6 @@
 	"mintkeel/internal/clients"
 	"mintkeel/internal/controller"
 	"mintkeel/internal/core/recall"
-	"mintkeel/internal/core/rules"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/logs"
@@ -103,9 +102,13 @@
 	defer cancel()
 	server := clients.New(l, &s.facts.Names, s.facts.Profiles, d.loop.Post, d.log)
 	go d.loop.Run(ctx)
+	d.loop.SetRules(d.file.Rules)
 	d.feed = bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { d.loop.Post(news) }, d.log)
 	go d.feed.Follow(ctx)
 	d.server = server
+	if d.from.operator != "" {
+		server.Describe()
+	}
 	server.SetRules(d.file.Rules)
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
@@ -202,8 +205,8 @@
 // while running, or not at all; neither ends a controller that serves.
 func (d *daemon) reload() {
 	file, err := operator.Read(d.from.operator, d.start.facts)
-	if err == nil && !rules.MayFollow(d.file.Rules, file.Rules) {
-		err = errKeys
+	if err == nil && !d.loop.SetRules(file.Rules) {
+		err = errRules
 	}
 	if err != nil {
 		problems := operator.Problems(err)
@@ -228,8 +231,8 @@
 	}
 }
 
-// errKeys is that of a reload that would change keys: commands keyed by the old rules may be held or out.
-var errKeys = errors.New("rules that give keys can't change while running: restart for that")
+// errRules is that of rules that change faster than commands end.
+var errRules = errors.New("rules have changed too often within the last seconds: try again")
 
 // mostGone bounds the keepers that are letting go of their folders, against reloads in quick turn on a disk that hangs.
 const mostGone = 8
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -36,7 +36,8 @@
 	post     func(event any)
 	log      *slog.Logger
 
-	rules atomic.Pointer[ruling] // nil: there are none
+	rules    atomic.Pointer[ruling] // nil: there are none
+	describe bool                   // there may be rules: commands are told as rules see them
 
 	counts   counts
 	mu       sync.Mutex
@@ -81,6 +82,10 @@
 	scratch sync.Pool // of *rules.Scratch: one for each query that is being looked at, not for each session
 }
 
+// Describe has commands told as rules see them, before Serve: keys are found where commands are taken, as rules may
+// change on the way.
+func (s *Server) Describe() { s.describe = true }
+
 // SetRules has commands that are read from now on go by these rules; nil: by none.
 func (s *Server) SetRules(set *rules.Set) {
 	if set == nil || set.Len() == 0 {
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -227,9 +227,12 @@
 	cmd := &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
 		Read: now, Left: ses.within(f.LimitMS)}
-	if ses.server.rules.Load() != nil {
-		if why := ses.server.rule(cmd, described(f, profile, table, ses.name, ses.conn.LocalAddr().String())); why != "" {
-			return no(pgwire.CodeRule, why)
+	if ses.server.describe {
+		c := described(f, profile, table, ses.name, ses.conn.LocalAddr().String())
+		if cmd.Described = &c; ses.server.rules.Load() != nil {
+			if why := ses.server.rule(cmd, c); why != "" {
+				return no(pgwire.CodeRule, why)
+			}
 		}
 	}
 	cmd.Statement = append([]byte(nil), f.Statement...)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
@@ -37,6 +40,7 @@
 // command is one that the module holds, with where its sends went.
 type command struct {
 	*exchange.Command
+	epoch rules.Epoch
 	over  bool // it has its final answer
 	sends []router.EngineID
 	open  int // sends without an outcome
@@ -54,6 +58,7 @@
 	commands map[router.CommandID]*command
 	ids      map[string]router.CommandID // of commands that the module holds, by the clients' ids
 	serial   router.CommandID
+	epochs   rules.Epochs // by which keys are given
 	wake     *time.Timer
 	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
 }
@@ -97,6 +102,35 @@
 // first engines of a list are there to be known by it.
 func (l *Loop) SetRecall(recall func(list []router.Entry) router.Learned) { l.recall = recall }
 
+// newRules is posted by SetRules.
+type newRules struct {
+	set   *rules.Set
+	reply chan bool
+}
+
+// SetRules has keys given by these rules from now on, and reports whether they are: not while too many sets that came
+// before have commands open. Before Run it must not be called.
+func (l *Loop) SetRules(set *rules.Set) bool {
+	reply := make(chan bool, 1)
+	l.Post(newRules{set, reply})
+	return <-reply
+}
+
+// rekey puts rules in force: who is held or out stands in the turn of its new key too.
+func (l *Loop) rekey(set *rules.Set) bool {
+	if !l.epochs.Begin(set) {
+		return false
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.commands)) { // in one order, for the same events
+		if c := l.commands[id]; c.Described != nil {
+			if key := l.epochs.Key(c.Described); key != "" {
+				l.events = append(l.events, router.Keyed{ID: id, Key: key})
+			}
+		}
+	}
+	return true
+}
+
 // learned is posted by Learned.
 type learned struct {
 	from  router.Cursor
@@ -183,6 +217,8 @@
 		l.News(ev, false)
 	case Stop:
 		l.events = append(l.events, router.Stopping{Within: float64(ev.Within) / 1e6})
+	case newRules:
+		ev.reply <- l.rekey(ev.set)
 	case learned:
 		var part memory.Part
 		part.Learned, part.Next, part.More = l.module.Learned(ev.from, ev.most)
@@ -212,10 +248,15 @@
 		l.serial++
 	}
 	cmd.Number = l.serial
-	l.commands[cmd.Number], l.ids[cmd.ID] = &command{Command: cmd}, cmd.Number
+	c := &command{Command: cmd}
+	key, also := cmd.Key, []router.OrderKey(nil)
+	if cmd.Described != nil {
+		c.epoch, key, also = l.epochs.Take(cmd.Described)
+	}
+	l.commands[cmd.Number], l.ids[cmd.ID] = c, cmd.Number
 	l.counts.Taken++
 	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
-		Tables: cmd.Tables, Key: cmd.Key, Left: float64(cmd.Left-time.Since(cmd.Read)) / 1e6,
+		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-time.Since(cmd.Read)) / 1e6,
 		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB, Kinds: cmd.Kinds, Zones: cmd.Zones, Hot: cmd.Hot})
 }
 
@@ -252,6 +293,9 @@
 // forget drops a command that is over and has no send without an outcome.
 func (l *Loop) forget(c *command) {
 	if c.over && c.open == 0 {
+		if c.Described != nil {
+			l.epochs.Over(c.epoch)
+		}
 		delete(l.commands, c.Number)
 		delete(l.ids, c.ID)
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
 	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
+	"mintkeel/internal/core/rules"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
+	"mintkeel/match"
 	"mintkeel/router"
 )
 
@@ -164,3 +169,112 @@
 		t.Errorf("asked %d times: %v", asked, fresh.events)
 	}
 }
+
+// While rules change, no command is sent that shares a key, under any set that has commands open, with one that came
+// before it or is out; and all are sent in the end. Random sets, reloads, commands and outcomes.
+func TestRekey(t *testing.T) {
+	facts := rules.Facts{Names: []string{"load"}, Profiles: []router.Profile{{InOrder: true}}}
+	sources := []string{"", `"s/" + label("store")`, `"b/" + label("brand")`, `"one" + profile`, `"x/" + part(label("store"), "-", 0)`}
+	sends, shared, refused := 0, 0, 0
+	for seed := range int64(60) {
+		rng := rand.New(rand.NewSource(seed))
+		h := &hands{make(chan *exchange.Command, 1000), make(chan router.SendID, 1000)}
+		now := 1e6
+		module := router.New(seed, router.Place{Controllers: 1}, nil, []router.Profile{{InOrder: true, Target: 1e6, Timeout: 1e7,
+			Threads: 1, LateShare: 1}}, nil, router.Allowed{MaxSends: 1}, router.Guards{OrderRest: 20})
+		l := New(module, func() float64 { return now }, 0)
+		l.SetEngines(h)
+		l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e", Kind: -1}}}}, true)
+		var active []*rules.Set // that were in force since the oldest command that is open came
+		var open, out []*exchange.Command
+		since := map[*exchange.Command]int{} // place in active
+		var scratch rules.Scratch
+		key := func(s *rules.Set, c *exchange.Command) router.OrderKey { return s.Key(c.Described, &scratch) }
+		active = append(active, nil)
+		check := func(c *exchange.Command) {
+			sends++
+			oldest := len(active) - 1
+			for _, o := range open {
+				oldest = min(oldest, since[o])
+			}
+			ahead := true
+			for _, o := range open {
+				if o == c {
+					ahead = false
+					continue
+				}
+				for _, s := range active[oldest:] {
+					if key(s, o) != key(s, c) || key(s, c) == "" {
+						continue
+					}
+					if shared++; ahead || slices.Contains(out, o) {
+						t.Fatalf("seed %d: %s is sent, and %s shares key %q", seed, c.ID, o.ID, key(s, c))
+					}
+				}
+			}
+			out = append(out, c)
+		}
+		step := func() {
+			now += 30
+			for l.step(); ; {
+				select {
+				case c := <-h.sent:
+					check(c)
+					continue
+				default:
+				}
+				return
+			}
+		}
+		end := func(at int) {
+			c := out[at]
+			out = slices.Delete(out, at, at+1)
+			outcome := []router.Outcome{router.Answered, router.Answered, router.Reset, router.Full}[rng.Intn(4)]
+			l.take(engines.Ended{Command: c, Outcome: outcome, Pages: [][]byte{nil}})
+			open = slices.DeleteFunc(open, func(o *exchange.Command) bool { return o == c })
+			if c.Answer().Verdict == exchange.None { // it had its only send; its answer comes with the step
+				now++
+			}
+		}
+		for i := range 300 {
+			switch x := rng.Intn(10); {
+			case x < 5:
+				store, brand := fmt.Sprintf("%d-%d", rng.Intn(2), rng.Intn(3)), fmt.Sprint(rng.Intn(3))
+				cmd := &exchange.Command{ID: fmt.Sprint("c", i), Tenant: -1, Read: time.Now(), Left: time.Hour,
+					Described: &rules.Command{Labels: []match.Label{{Name: "store", Text: store}, {Name: "brand", Text: brand}},
+						Key: router.OrderKey([]string{"", "k", "s/0-0"}[rng.Intn(3)])}}
+				cmd.Key = cmd.Described.Key
+				open, since[cmd] = append(open, cmd), len(active)-1
+				l.take(clients.Taken{Command: cmd})
+			case x < 9 && len(out) > 0:
+				end(rng.Intn(len(out)))
+			case x == 9:
+				var set *rules.Set
+				if source := sources[rng.Intn(len(sources))]; source != "" {
+					var problems []rules.Problem
+					if set, problems = rules.Compile([]rules.Given{{Name: "r", Key: source}}, facts, match.Usual()); problems != nil {
+						t.Fatal(problems)
+					}
+				}
+				if l.rekey(set) {
+					active = append(active, set)
+				} else {
+					refused++
+				}
+			}
+			step()
+		}
+		for n := 0; len(open) > 0 && n < 20000; n++ {
+			if len(out) > 0 {
+				end(0)
+			}
+			step()
+		}
+		if len(open) > 0 || len(l.commands) > 0 || l.epochs.Followed() != 1 {
+			t.Fatalf("seed %d: %d commands are left, %d sets are followed", seed, len(open), l.epochs.Followed())
+		}
+	}
+	if sends < 5000 || shared < 100 {
+		t.Errorf("%d sends, %d shared keys, %d reloads refused", sends, shared, refused)
+	}
+}
--- a/internal/core/rules/apply.go
+++ b/internal/core/rules/apply.go
@@ -287,18 +287,21 @@
 	return max(-math.MaxFloat64, min(math.MaxFloat64, x))
 }
 
-// MayFollow tells whether one set may take the place of another while commands are held or out; either may be nil. Not
-// yet where a key is given: two commands that share one under either set must not run at once.
-func MayFollow(old, next *Set) bool {
-	return !old.keys() && !next.keys() || old.same(next)
+// Key is the key that the rules give a command; the client's where there are none, or they give none.
+func (s *Set) Key(c *Command, scratch *Scratch) router.OrderKey {
+	if !s.GivesKeys() {
+		return c.Key
+	}
+	return s.Apply(c, scratch).Key
 }
 
-func (s *Set) keys() bool {
+// GivesKeys tells whether some rule gives a key; a nil set has none.
+func (s *Set) GivesKeys() bool {
 	return s != nil && slices.ContainsFunc(s.rules, func(r rule) bool { return r.key != nil })
 }
 
-// same tells whether two sets give each command the same: they were written the same.
-func (s *Set) same(o *Set) bool {
+// Same tells whether two sets, of which either may be nil, do the same to each command: they were written the same.
+func (s *Set) Same(o *Set) bool {
 	if s == nil || o == nil {
 		return s == o
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/core/rules"
 	"mintkeel/router"
 )
 
@@ -39,6 +40,7 @@
 	Estimate  float64
 	NeedMB    float64
 	Tables    router.TableGroup
+	Described *rules.Command  // as rules see it; nil where there can be none
 	Kinds     []router.KindID // by the operator's rules; nil: not narrowed
 	Zones     []router.Zone
 	Hot       bool
--- a/router/router.go
+++ b/router/router.go
@@ -61,8 +61,8 @@
 		!r.spent(c) && (len(c.sends) == 0 || r.budgetAllows())
 }
 
-// inTurn tells whether c is the first of all its keys, none of which rests. All stand by arrival, so who came first
-// of all is the first of each of its own, and nobody waits in a circle.
+// inTurn tells whether c is the first of all its keys, none of which rests. All stand by arrival, so who came
+// first of all is the first of each of its own, and nobody waits in a circle.
 func (r *Router) inTurn(c *command) bool {
 	for _, l := range c.lines {
 		if l.cmds[0] != c || len(c.sends) == 0 && r.now < l.rest || l.others() {
