SIGHUP many times a second under loads of few stores: no two of a store are out at once

Change: a test of the whole daemon: 12 clients, three stores, 40 reloads of good and bad rules, an engine that notes what is out side by side. It fails without the keys under older sets and those given to open commands.

--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -519,3 +519,153 @@
 		return append(args, last)
 	}
 }
+
+// orderly is a stand-in for an engine that takes 2 ms for a command and notes those of one store that are out at once.
+type orderly struct {
+	mu    sync.Mutex
+	out   map[string]int
+	both  int
+	taken int
+}
+
+func (o *orderly) serve(conn net.Conn) {
+	var writing sync.Mutex
+	for r := bufio.NewReader(conn); ; {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		reply := func(text string) {
+			writing.Lock()
+			defer writing.Unlock()
+			io.WriteString(conn, words[1]+text)
+		}
+		switch words[0] {
+		case "ping":
+			reply(" READY - 0\r\n\r\n")
+		case "do":
+			statement, _ := r.ReadString('\n')
+			store, _, _ := strings.Cut(statement[strings.Index(statement, "store_"):], " ")
+			o.mu.Lock()
+			if o.taken++; o.out[store] > 0 {
+				o.both++
+			}
+			o.out[store]++
+			o.mu.Unlock()
+			time.AfterFunc(2*time.Millisecond, func() {
+				o.mu.Lock()
+				o.out[store]--
+				o.mu.Unlock()
+				reply(" ACK parts=1 6\r\na\tb\tc\n\r\n")
+			})
+		}
+	}
+}
+
+// Good and bad rules in turn, many times a second, under loads of few stores: every set gives a store's loads one key,
+// each set another, and no two loads of a store are ever out at once.
+func TestRulesUnderLoad(t *testing.T) {
+	feed, _, _ := fleet(t)
+	engine := &orderly{out: map[string]int{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go engine.serve(conn)
+		}
+	}()
+	dir := t.TempDir()
+	reserve, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := reserve.Addr().String()
+	reserve.Close()
+	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
+	put := func(path, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", listener.Addr().String(), "127.0.0.1:0", addr).Replace(
+		strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1)))
+	rule := func(name string) string {
+		return fmt.Sprintf("rule %q {\n key = \"'%s/' + label('store')\"\n}\n", name, name)
+	}
+	put(hcl, rule("r0"))
+	from := sources{config, hcl}
+	s, file, err := from.read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limits.For(1024, 192, time.Second, time.Minute, 0)
+	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
+	log := &lines{}
+	d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- d.run(signals) }()
+	log.wait(t, "serving")
+	var group sync.WaitGroup
+	stop := make(chan bool)
+	for n := range 12 {
+		group.Go(func() {
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(patience))
+			io.WriteString(conn, hello)
+			c := &client{t, conn}
+			c.hears()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				store := fmt.Sprint("store_", (n+i)%3)
+				body := fmt.Sprintf("/* verb=lookup,txn=%08x%08x,limit=5000,store=%s */ SELECT 1 FROM s_1.%s WHERE x\x00", n, i, store, store)
+				fmt.Fprintf(c, "Q%s%s", binary.BigEndian.AppendUint32(nil, uint32(4+len(body))), body)
+				if said := c.hears(); said != "TDCZ" {
+					t.Errorf("client %d, command %d: %s", n, i, said)
+					return
+				}
+			}
+		})
+	}
+	for i := 1; i <= 40; i++ {
+		text, word := rule(fmt.Sprint("r", i)), "operator's file read again"
+		if i%4 == 0 {
+			text, word = "rule \"bad\" {\n key = \"label('store')\"\n}\n", "operator's file not used"
+		}
+		put(hcl, text)
+		seen := log.count(word)
+		signals <- syscall.SIGHUP
+		for end := time.Now().Add(patience); log.count(word) <= seen && log.count("changed too often") == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("no %q: %s", word, log)
+			}
+		}
+	}
+	close(stop)
+	group.Wait()
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if engine.both > 0 || engine.taken < 50 {
+		t.Errorf("%d of %d loads were out beside one of their store", engine.both, engine.taken)
+	}
+}
