--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -93,7 +93,8 @@
 	feed    *standin.Feed
 	addr    string
 	dir     string
-	shift   int // which engine is slow and which table group hot
+	rules   string // of the operator's file
+	shift   int    // which engine is slow and which table group hot
 	idle    chan *standin.Client
 }
 
@@ -242,7 +243,7 @@
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	block := fmt.Sprintf("memory {\n  folder = %q\n  pace = \"1s\"\n}\n", filepath.Join(w.dir, "kept"))
+	block := fmt.Sprintf("memory {\n  folder = %q\n  pace = \"1s\"\n}\n", filepath.Join(w.dir, "kept")) + w.rules
 	if err := os.WriteFile(hcl, []byte(block), 0o600); err != nil {
 		return nil, err
 	}
