Cut estimates don't loosen the cold guard; a key given late rests by what may still run

Change: the module learns by the stated estimate; rest goes with the command; five answers refute; only known groups.

--- a/cmd/mintkeel/rules.go
+++ b/cmd/mintkeel/rules.go
@@ -90,8 +90,8 @@
 				fmt.Fprintf(out, "refused: %s\n", v.Refuse)
 				return nil
 			}
-			fmt.Fprintf(out, "profile %s, key %q, hot %t, kinds %v, zones %v, estimate %gms, labels %v\n",
-				operator.RuleFacts(facts).Names[v.Profile], v.Key, v.Hot, v.Kinds, v.Zones, v.Estimate, v.Labels)
+			fmt.Fprintf(out, "profile %s, key %q, hot %t, kinds %v, zones %v, estimate at the most %gms, labels %v\n",
+				operator.RuleFacts(facts).Names[v.Profile], v.Key, v.Hot, v.Kinds, v.Zones, v.Most, v.Labels)
 			return nil
 		},
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -133,7 +133,7 @@
 		r.refused.Add(1)
 		return v.Refuse
 	}
-	cmd.Profile, cmd.Key, cmd.Hot, cmd.Kinds, cmd.Zones, cmd.Estimate = v.Profile, v.Key, v.Hot, v.Kinds, v.Zones, v.Estimate
+	cmd.Profile, cmd.Key, cmd.Hot, cmd.Kinds, cmd.Zones, cmd.Most = v.Profile, v.Key, v.Hot, v.Kinds, v.Zones, v.Most
 	return ""
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -257,7 +257,7 @@
 	l.counts.Taken++
 	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
 		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-time.Since(cmd.Read)) / 1e6,
-		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB, Kinds: cmd.Kinds, Zones: cmd.Zones, Hot: cmd.Hot})
+		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB, Kinds: cmd.Kinds, Zones: cmd.Zones, Hot: cmd.Hot, Most: cmd.Most})
 }
 
 func (l *Loop) ended(ev engines.Ended) {
--- a/internal/core/rules/apply.go
+++ b/internal/core/rules/apply.go
@@ -45,7 +45,7 @@
 
 // Apply tells what the rules do to a command. It never fails: what could was refused when they were compiled.
 func (s *Set) Apply(c *Command, scratch *Scratch) Verdict {
-	v := Verdict{Profile: c.Profile, Key: c.Key, Estimate: c.Estimate}
+	v := Verdict{Profile: c.Profile, Key: c.Key}
 	scratch.labels = append(scratch.labels[:0], c.Labels...)
 	if len(scratch.labels) > mostLabels {
 		scratch.labels = scratch.labels[:mostLabels]
@@ -103,8 +103,8 @@
 	if r.zones != nil {
 		v.Zones = narrowed(v.Zones, r.zones)
 	}
-	if r.Most > 0 && v.Estimate > r.Most {
-		v.Estimate = r.Most
+	if r.Most > 0 && (v.Most == 0 || r.Most < v.Most) {
+		v.Most = r.Most
 	}
 	for _, l := range r.labels {
 		set(scratch, l.name, strings.Clone(l.text.Text(row, &scratch.match)))
--- a/internal/core/rules/rules.go
+++ b/internal/core/rules/rules.go
@@ -104,15 +104,14 @@
 
 // Verdict is what the rules come to.
 type Verdict struct {
-	Refuse   string // not empty: the command is turned away with this
-	Profile  router.ProfileID
-	Key      router.OrderKey
-	Hot      bool
-	Kinds    []router.KindID // nil: not narrowed
-	Zones    []router.Zone   // nil: not narrowed
-	Estimate float64
-	Labels   []match.Label
-	Matched  []int // rules, in order, if they were asked for
+	Refuse  string // not empty: the command is turned away with this
+	Profile router.ProfileID
+	Key     router.OrderKey
+	Hot     bool
+	Kinds   []router.KindID // nil: not narrowed
+	Zones   []router.Zone   // nil: not narrowed
+	Most    float64         // past which the estimate counts as this; 0: it does not
+	Labels  []match.Label   // good until the scratch is used again
 }
 
 // rule is one compiled.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Kinds     []router.KindID // by the operator's rules; nil: not narrowed
 	Zones     []router.Zone
 	Hot       bool
+	Most      float64
 	Statement []byte
 	Read      time.Time     // when its last byte was read
 	Left      time.Duration // from then until it must be answered, a little before its client gives up
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -100,6 +100,7 @@
 	over     bool
 	began    bool
 	keys     []router.OrderKey
+	rest     float64 // until when nothing follows it, by its own doubtful outcomes
 }
 
 type send struct {
@@ -242,10 +243,11 @@
 		}
 		c.over = true
 	}
+	if ev.Outcome.MayRunOn() {
+		c.rest = max(c.rest, now+r.facts.Guards.OrderRest)
+	}
 	for _, key := range c.keys {
-		if ev.Outcome.MayRunOn() {
-			l.rests[key] = max(l.rests[key], now+r.facts.Guards.OrderRest)
-		}
+		l.rests[key] = max(l.rests[key], c.rest)
 	}
 	l.settle(c)
 }
@@ -280,6 +282,7 @@
 		return
 	}
 	c.keys = append(c.keys, key)
+	l.rests[key] = max(l.rests[key], c.rest) // what it left may still run
 	line := append(l.lines[key], c)
 	for i := len(line) - 1; i > 0 && line[i-1].number > c.number; i-- {
 		line[i-1], line[i] = line[i], line[i-1]
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/worlds/worlds.go
@@ -632,6 +632,7 @@
 		}
 	}
 	if w.Narrowed && w.rng.Intn(3) == 0 { // as an operator's rules may
+		ev.Most = cmd.work * w.rng.Float64() / 20
 		ev.Hot, ev.Kinds = w.rng.Intn(2) == 0, []router.KindID{router.KindID(w.rng.Intn(len(f.Kinds)))}
 		if w.rng.Intn(3) == 0 {
 			ev.Kinds, ev.Zones = nil, []router.Zone{router.Zone(fmt.Sprint("z", w.rng.Intn(w.Zones)))}
--- a/router/learned_test.go
+++ b/router/learned_test.go
@@ -198,6 +198,19 @@
 			t.Errorf("%s: best %g", c.name, best)
 		}
 	}
+	// few answers, which tell otherwise: it is dropped by them, though none is ever far from the next
+	for _, best := range []float64{1, 2000} {
+		d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+		d.step(Recalled{Learned: Learned{Profiles: []LearnedProfile{{Best: best}}}})
+		for id := range CommandID(40) {
+			d.wait(1000)
+			d.step(command1(id))
+			d.step(outcome(id, 0, Answered))
+		}
+		if d.r.profiles[0].best != 0 {
+			t.Errorf("%g ms are remembered of answers that take 100", best)
+		}
+	}
 	// few answers, none for long between two: what is borne out now and then stands
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
 	d.step(Recalled{Learned: Learned{Profiles: []LearnedProfile{{Best: 90}}}})
--- a/router/router.go
+++ b/router/router.go
@@ -419,7 +419,7 @@
 	widenBy, bestOver                 = 0.5, 25.0     // threads for each answer; answers behind a best time
 	cutBy, cutEvery                   = 0.85, 400.0   // and ms between cuts
 	bestDrift                         = 1.0001        // with each answer: who grew slower is not held to it
-	hearsayFor                        = 10000.0       // ms without an answer for which what is remembered stands
+	hearsayFor, hearsayOver           = 10000.0, 5.0  // ms for which memory stands unanswered; answers to refute it
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
@@ -430,12 +430,13 @@
 	if p.told(r.now, c, ev) {
 		unit = max(1, ev.Work/p.Threads)
 	}
-	p.work.add(r.now, cmp.Or(ev.Work, c.estimate, ev.Took*p.Threads), 1)
+	p.work.add(r.now, cmp.Or(ev.Work, c.stated, ev.Took*p.Threads), 1)
 	p.unit.add(r.now, ev.Took/unit, 1)
-	if m := p.unit.mean(r.now, 0, 0); p.unit.n > bestOver {
-		if p.hearsayAt > 0 && m > farFrom*p.best { // commands have become others than they are remembered
-			p.best = m
-		}
+	m := p.unit.mean(r.now, 0, 0)
+	if p.hearsayAt > 0 && p.unit.n > hearsayOver && (m > farFrom*p.best || m < p.best/farFrom) {
+		p.unlearn() // commands have become others than they are remembered
+	}
+	if p.unit.n > bestOver {
 		p.best, p.hearsayAt = cmp.Or(min(p.best*bestDrift, m), m), 0
 	} else if p.hearsayAt > 0 {
 		p.hearsayAt = r.now
@@ -630,7 +631,7 @@
 	if t := c.tenant; t != nil && t.PerSecond > 0 { // past its share here, so many commands are worth little
 		c.overShare = r.rng.Float64()*t.took.rate(r.now) > t.PerSecond/1000*r.portion()*shareOver
 	}
-	if ev.Hot && !c.tables.hot { // loads take over from then on
+	if ev.Hot && c.tables.known && !c.tables.hot { // of groups that are there; loads take over from then on
 		c.tables.hot, r.packed = true, false
 	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
--- a/router/rules_test.go
+++ b/router/rules_test.go
@@ -332,3 +332,36 @@
 		t.Errorf("%d lines are left", len(d.r.lines))
 	}
 }
+
+// Rule 4: a rule that cuts estimates does not make work look small to what guards cold engines.
+func TestCutEstimate(t *testing.T) {
+	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
+	for id := range CommandID(50) {
+		ev := command1(id)
+		ev.Estimate, ev.Most = 400, 1
+		d.step(ev)
+		d.step(outcome(id, 0, Answered))
+	}
+	if w := d.r.profiles[0].usualWork(d.now); w < 300 {
+		t.Errorf("commands of 400 ms are taken to need %g", w)
+	}
+}
+
+// Rule 5: a key that a command is given after a doubtful outcome rests by it, as the earlier send may still run.
+func TestRestComesAlong(t *testing.T) {
+	p, g := lookup, tight
+	p.InOrder, g.OrderRest = true, 300
+	d := newDesk(t, p, Allowed{MaxSends: 2}, g, engineAt("a", 0, "z", 1), engineAt("b", 0, "z", 1))
+	ev := command1(1)
+	ev.Key = "x"
+	d.step(ev)
+	d.step(outcome(1, 0, Reset))
+	d.step(Keyed{1, "y"}, outcome(1, 1, Answered))
+	ev.ID, ev.Key = 2, "y"
+	if sent(append(d.step(ev), d.wait(tendEvery)...), 2) != "" {
+		t.Error("sent while a send that was reset may still run under its key")
+	}
+	if sent(d.wait(400), 2) == "" {
+		t.Error("the key rests for ever")
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -94,10 +94,12 @@
 	overShare      bool
 	lines          []*line // of its order keys, in whose turns it stands
 	turn           uint64  // its place among all by arrival
+	rest           float64 // until when nothing may follow it under a key, by its doubtful outcomes
 	arrived        float64
 	asked          float64 // when its client first did, as far as its client timeout tells
 	timeout        float64
 	estimate, need float64
+	stated         float64  // its estimate before an operator's rule cut it: what guards cold engines learns by that
 	kinds          []KindID // that its profile's are narrowed to; nil: they are not
 	zones          []Zone
 	sends          []sendState
@@ -394,7 +396,10 @@
 	g := r.groupOf(ev.Tables)
 	g.asked = r.now
 	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, arrived: r.now,
-		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, need: ev.NeedMB, kinds: ev.Kinds, zones: ev.Zones}
+		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, stated: ev.Estimate, need: ev.NeedMB, kinds: ev.Kinds, zones: ev.Zones}
+	if ev.Most > 0 {
+		c.estimate = min(c.estimate, ev.Most)
+	}
 	r.cmds[c.id] = c
 	g.open++
 	r.rate.add(r.now, 1, 0)
@@ -432,6 +437,7 @@
 	if !slices.Contains(c.lines, l) {
 		l.mixed = l.mixed || len(l.cmds) > 0 && byTurn(c, l.cmds[len(l.cmds)-1]) < 0 || c.pending > 0
 		c.lines, l.cmds = append(c.lines, l), insert(l.cmds, c, byTurn)
+		l.rest = max(l.rest, c.rest)
 	}
 }
 
@@ -476,10 +482,11 @@
 	if !ev.Outcome.NeverRan() && c.doubt == nil {
 		c.doubtAt, c.doubt = s.at, s.engine
 	}
+	if ev.Outcome.MayRunOn() {
+		c.rest = r.now + r.guards.OrderRest + r.guards.Round
+	}
 	for _, l := range c.lines {
-		if ev.Outcome.MayRunOn() {
-			l.rest = max(l.rest, r.now+r.guards.OrderRest+r.guards.Round)
-		}
+		l.rest = max(l.rest, c.rest)
 	}
 	r.touch(c)
 }
@@ -489,10 +496,10 @@
 	if ev.NeedMB > 0 && c.need > 0 {
 		p.needScale.add(now, ev.NeedMB/c.need, 1)
 	}
-	if ev.Work > 0 && c.estimate > 0 {
-		p.workScale.add(now, ev.Work/c.estimate, 1)
+	if ev.Work > 0 && c.stated > 0 {
+		p.workScale.add(now, ev.Work/c.stated, 1)
 	}
-	return ev.Work > 0 && c.estimate > 0
+	return ev.Work > 0 && c.stated > 0
 }
 
 // lose takes in that a send's answer is not waited for any more; it may have run.
