Rules: proofs that give up are refused, keys rest on nothing fickle, sets have a bound together

Found in reading: states past a bound were dropped, so the proof could miss one; a key could follow what a retry changes by a label, a condition or an earlier last; thousands of dear rules were legal and would hold up sessions and the loop; an old set was let go while a send that was given up could still run; a reload keyed any number of commands in one step. Change: each refused with its reason; sets are followed for the rest of a key; four at most; sets without keys change in place.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -83,7 +83,8 @@
 func (d *daemon) run(signals <-chan os.Signal) error {
 	s, l := d.start, d.limits
 	d.log = d.lines.Logger()
-	d.loop = controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox)
+	guards := s.facts.Guards
+	d.loop = controller.New(s.facts.Router(s.seed), controller.SystemClock(), l.Inbox, guards.OrderRest+guards.Round)
 	pool := engines.New(l, s.facts.Links.Streams, d.loop.Post, d.log)
 	d.loop.SetEngines(pool)
 	if d.file.Memory != nil {
@@ -231,8 +232,8 @@
 	}
 }
 
-// errRules is that of rules that change faster than commands end.
-var errRules = errors.New("rules have changed too often within the last seconds: try again")
+// errRules is that of rules that can't change just now.
+var errRules = errors.New("rules have changed too often within the last seconds, or too many commands are held: try again")
 
 // mostGone bounds the keepers that are letting go of their folders, against reloads in quick turn on a disk that hangs.
 const mostGone = 8
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,9 +86,10 @@
 }
 
 // New makes a loop; Post is how others reach it. SetEngines completes it, as engines post to the loop.
-func New(module *router.Router, clock Clock, inbox int) *Loop {
+// rest is that of an order key after a doubtful outcome, in ms.
+func New(module *router.Router, clock Clock, inbox int, rest float64) *Loop {
 	wake := time.NewTimer(time.Hour)
-	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), wake: wake,
+	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), wake: wake, epochs: rules.Epochs{Rest: rest},
 		commands: map[router.CommandID]*command{}, ids: map[string]router.CommandID{}}
 }
 
@@ -118,8 +119,9 @@
 
 // rekey puts rules in force: who is held or out stands in the turn of its new key too.
 func (l *Loop) rekey(set *rules.Set) bool {
-	if !l.epochs.Begin(set) {
-		return false
+	ok, rekey := l.epochs.Begin(l.clock(), set, len(l.commands))
+	if !rekey {
+		return ok
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.commands)) { // in one order, for the same events
 		if c := l.commands[id]; c.Described != nil {
@@ -251,7 +253,7 @@
 	c := &command{Command: cmd}
 	key, also := cmd.Key, []router.OrderKey(nil)
 	if cmd.Described != nil {
-		c.epoch, key, also = l.epochs.Take(cmd.Described)
+		c.epoch, key, also = l.epochs.Take(l.clock(), cmd.Described)
 	}
 	l.commands[cmd.Number], l.ids[cmd.ID] = c, cmd.Number
 	l.counts.Taken++
@@ -294,7 +296,7 @@
 func (l *Loop) forget(c *command) {
 	if c.over && c.open == 0 {
 		if c.Described != nil {
-			l.epochs.Over(c.epoch)
+			l.epochs.Over(l.clock(), c.epoch)
 		}
 		delete(l.commands, c.Number)
 		delete(l.ids, c.ID)
--- a/internal/core/rules/apply.go
+++ b/internal/core/rules/apply.go
@@ -153,6 +153,58 @@
 // FoundBy tells, for people, on which commands a rule is tried.
 func (s *Set) FoundBy(i int) string { return s.index.by[i] }
 
+// most is what the rules tried on one command may take together, and the number of one of the dearest.
+func (x *index) most(rules []rule) (steps, at int) {
+	dear := 0
+	sum := func(list []int32) (n int) {
+		for _, i := range list {
+			own := rules[i].steps()
+			if n += own; own > dear {
+				dear, at = own, int(i)
+			}
+		}
+		return n
+	}
+	steps = sum(x.always)
+	for i := range fields {
+		longest := 0
+		for _, list := range x.equal[i] {
+			longest = max(longest, sum(list))
+		}
+		for _, list := range x.numbers[i] {
+			longest = max(longest, sum(list))
+		}
+		steps += longest + x.prefixes[i].most(sum)
+	}
+	return steps, at
+}
+
+// most is that of the dearest way down.
+func (t *trie) most(sum func([]int32) int) int {
+	if t == nil {
+		return 0
+	}
+	below := 0
+	for _, next := range t.next {
+		below = max(below, next.most(sum))
+	}
+	return sum(t.rules) + below
+}
+
+// steps is what a rule may take, its texts included.
+func (r *rule) steps() int {
+	n := 4
+	for _, e := range []*match.Expr{r.when, r.key} {
+		if e != nil {
+			n += e.Steps()
+		}
+	}
+	for _, l := range r.labels {
+		n += l.text.Steps()
+	}
+	return n
+}
+
 // trie finds the prefixes of a text, byte by byte.
 type trie struct {
 	rules []int32
--- a/internal/core/rules/epochs.go
+++ b/internal/core/rules/epochs.go
@@ -2,55 +2,69 @@
 
 import "mintkeel/router"
 
-// Epochs are the sets of rules under which commands are held or out. While rules change, a command that comes stands in
-// the turn of its key under the new set and under each older one that still has a command open; those that are open are
-// given their key under the new one. So of two commands that share a key under any of these sets, the later one waits.
-// It is for one goroutine.
+// Epochs are the sets of rules under which commands are held or out, or have been so lately that a send which was given
+// up may still run. While rules change, a command that comes stands in the turn of its key under the new set and under
+// each older one that is followed; those that are open are given their key under the new one. So of two commands that
+// share a key under any of these sets, the later one waits. It is for one goroutine; times are the module's.
 type Epochs struct {
+	Rest    float64 // of a key after a doubtful outcome
 	sets    []epoch // the last is in force
 	first   int     // number of sets[0]
 	scratch Scratch
 }
 
 type epoch struct {
-	set  *Set // nil: no rules
-	open int  // commands that came under it
+	set   *Set    // nil: no rules
+	open  int     // commands that came under it
+	until float64 // by when what was given up of them runs no more
 }
 
-// mostEpochs bounds the sets that are followed at once. Commands end at their client timeouts, so a set is done with
-// within seconds; who changes rules faster than that is told to wait.
-const mostEpochs = 8
+const (
+	// mostEpochs bounds the sets that are followed at once. Commands end at their client timeouts, so a set is done with
+	// within seconds; who changes rules faster than that is told to wait.
+	mostEpochs = 4
+	// mostRekeyed bounds the steps that keying all open commands anew may take: some 20 ms of the loop.
+	mostRekeyed = 5000000
+)
 
 // Epoch numbers a set of rules, from 0.
 type Epoch int
 
-// Begin puts a set in force and reports whether it did: not while too many older ones have commands open.
-func (e *Epochs) Begin(set *Set) bool {
-	e.forget()
-	if len(e.sets) > 0 && e.sets[len(e.sets)-1].set.Same(set) {
-		return true
-	}
-	if len(e.sets) >= mostEpochs {
-		return false
+// Begin puts a set in force while so many commands are open. It reports whether it did: not while too many older ones
+// are followed, or too many commands would have to be keyed anew; and whether these must be.
+func (e *Epochs) Begin(now float64, set *Set, open int) (ok, rekey bool) {
+	e.forget(now)
+	last := len(e.sets) - 1
+	switch {
+	case last < 0:
+		e.sets = append(e.sets, epoch{set: set})
+		return true, false
+	case e.sets[last].set.Same(set):
+		return true, false
+	case !e.sets[last].set.GivesKeys() && !set.GivesKeys(): // all keys stay their clients'
+		e.sets[last].set = set
+		return true, false
+	case len(e.sets) >= mostEpochs || set.GivesKeys() && open*max(1, set.most) > mostRekeyed:
+		return false, false
 	}
 	e.sets = append(e.sets, epoch{set: set})
-	e.forget()
-	return true
+	e.forget(now)
+	return true, true
 }
 
-// forget drops older sets that have no command open. One between two that have may go too, as those who came under it
-// are over.
-func (e *Epochs) forget() {
-	for len(e.sets) > 1 && e.sets[0].open == 0 {
+// forget drops the oldest sets once nothing of them is open or may still run.
+func (e *Epochs) forget(now float64) {
+	for len(e.sets) > 1 && e.sets[0].open == 0 && now >= e.sets[0].until {
 		e.sets, e.first = e.sets[1:], e.first+1
 	}
 }
 
 // Take counts a command in, and tells its keys: first that of the set in force, then those under older ones.
-func (e *Epochs) Take(c *Command) (number Epoch, key router.OrderKey, also []router.OrderKey) {
+func (e *Epochs) Take(now float64, c *Command) (number Epoch, key router.OrderKey, also []router.OrderKey) {
 	if len(e.sets) == 0 {
 		e.sets = append(e.sets, epoch{})
 	}
+	e.forget(now)
 	last := len(e.sets) - 1
 	e.sets[last].open++
 	key = e.sets[last].set.Key(c, &e.scratch)
@@ -70,11 +84,13 @@
 	return e.sets[len(e.sets)-1].set.Key(c, &e.scratch)
 }
 
-// Over counts a command out that is over and has no send without an outcome.
-func (e *Epochs) Over(number Epoch) {
+// Over counts a command out that is over and has no send without an outcome. What it left may run on for the rest of
+// its key.
+func (e *Epochs) Over(now float64, number Epoch) {
 	if at := int(number) - e.first; at >= 0 && at < len(e.sets) {
 		e.sets[at].open--
-		e.forget()
+		e.sets[at].until = now + e.Rest
+		e.forget(now)
 	}
 }
 
--- a/internal/core/rules/rules.go
+++ b/internal/core/rules/rules.go
@@ -52,7 +52,8 @@
 	mostName   = 64
 	mostText   = 200 // bytes of a refusal's text and of a label's value
 	mostLabels = 16
-	mostKey    = 128 // bytes of a key
+	mostKey    = 128   // bytes of a key
+	mostSteps  = 10000 // that all rules tried on one command may take together: some 50 microseconds
 )
 
 // Schema is the fields that rules may read. Those that a client's retry repeats may make a key.
@@ -135,6 +136,7 @@
 	facts Facts
 	rules []rule
 	index index
+	most  int // steps that one command may take
 }
 
 // Len is the number of rules.
@@ -157,6 +159,44 @@
 	bounds   match.Bounds
 	problems []Problem
 	at       int
+	fickle   fickle
+}
+
+// fickle is what may differ between two tries of one command, ahead of a rule: labels, the profile, whether the rule is
+// come to at all. A key must rest on none of it.
+type fickle struct {
+	labels        map[string]bool
+	profile, flow bool
+}
+
+// reads tells, in words, what of an expression may differ between two tries; empty if nothing does.
+func (f *fickle) reads(e *match.Expr) string {
+	if e == nil {
+		return ""
+	}
+	for _, name := range e.Names() {
+		if slices.Contains(changing, name) || name == "profile" && f.profile {
+			return name
+		}
+	}
+	for _, name := range e.Labels() {
+		if f.labels[name] {
+			return "label " + name
+		}
+	}
+	return ""
+}
+
+// after takes in what a rule may change from one try to the next.
+func (f *fickle) after(r *rule) {
+	by := f.flow || f.reads(r.when) != ""
+	for _, l := range r.labels {
+		if by || f.reads(l.text) != "" {
+			f.labels[l.name] = true
+		}
+	}
+	f.profile = f.profile || by && r.target >= 0
+	f.flow = f.flow || by && r.Last
 }
 
 func (c *compiler) note(field, why string, args ...any) {
@@ -179,11 +219,16 @@
 
 // Compile compiles rules, or tells all that is wrong with them.
 func Compile(given []Given, facts Facts, b match.Bounds) (*Set, []Problem) {
-	c := &compiler{facts: facts, bounds: b}
+	c := &compiler{facts: facts, bounds: b, fickle: fickle{labels: map[string]bool{}}}
 	if len(given) > mostRules {
 		c.note("rule", "there are over %d rules", mostRules)
 		return nil, c.problems
 	}
+	for _, name := range facts.Names { // as long as that, one could pass for another
+		if len(name) > Schema.Fields[fieldProfile].Most {
+			c.note("rule", "profile %.80q has too long a name for rules", name)
+		}
+	}
 	set, seen := &Set{facts: facts}, map[string]int{}
 	may := newReach(facts)
 	for i, g := range given {
@@ -200,6 +245,13 @@
 		return nil, c.problems
 	}
 	set.index = newIndex(set.rules)
+	var at int
+	if set.most, at = set.index.most(set.rules); set.most > mostSteps {
+		c.at = at
+		c.note("when", "rules tried on one command may take %d steps together, of %d allowed; this one is among the dearest. "+
+			"Rules that require a field to equal or begin with a text are tried only where it does", set.most, mostSteps)
+		return nil, c.problems
+	}
 	return set, nil
 }
 
@@ -222,7 +274,10 @@
 	c.key(&r, sources)
 	c.narrow(&r, sources)
 	c.profile(&r, sources, may)
-	may.narrow(&r, sources)
+	if !may.narrow(&r, sources) {
+		c.note("rule", "rules before it narrow in more than %d ways", mostStates)
+	}
+	c.fickle.after(&r)
 	return r
 }
 
@@ -253,10 +308,12 @@
 	if r.key = c.expr("key", r.Key, match.Text); r.key == nil {
 		return
 	}
-	for _, name := range r.key.Names() {
-		if slices.Contains(changing, name) {
-			c.note("key", "reads %s, which a client's retry need not repeat", name)
-		}
+	if what := c.fickle.reads(r.key); what != "" {
+		c.note("key", "reads %s, which a client's retry need not repeat", what)
+	} else if what := c.fickle.reads(r.when); what != "" {
+		c.note("key", "depends on %s, which a client's retry need not repeat", what)
+	} else if c.fickle.flow {
+		c.note("key", "an earlier rule is the last by something that a client's retry need not repeat")
 	}
 	if !r.key.NeverEmpty("profile") {
 		c.note("key", "may be empty: put a text beside what may be missing, as in \"store/\" + label(\"store\")")
@@ -390,16 +447,25 @@
 type reach struct {
 	facts  Facts
 	states []state
+	known  map[string]bool
 }
 
 func newReach(f Facts) *reach {
-	r := &reach{facts: f}
+	r := &reach{facts: f, known: map[string]bool{}}
 	for i, p := range f.Profiles {
-		r.states = append(r.states, state{router.ProfileID(i), router.ProfileID(i), p.Kinds, p.Zones})
+		r.add(state{router.ProfileID(i), router.ProfileID(i), p.Kinds, p.Zones})
 	}
 	return r
 }
 
+// add has a state followed, once.
+func (r *reach) add(s state) {
+	if key := fmt.Sprintf("%#v", s); !r.known[key] {
+		r.known[key] = true
+		r.states = append(r.states, s)
+	}
+}
+
 // sources are the states in which a condition may hold: what it requires of the profile is all that is used of it.
 func (r *reach) sources(when *match.Expr) []state {
 	sources := slices.Clone(r.states)
@@ -419,32 +485,23 @@
 	return sources
 }
 
-// mostStates bounds the states that are followed; past it a command may be anything that a state allows.
-const mostStates = 4096
+// mostStates bounds the states that are followed: past it nothing could be shown, so the rules are refused.
+const mostStates = 1000
 
-// narrow adds the states that a rule leads to. Those it came from stay, as the condition may not hold.
-func (r *reach) narrow(by *rule, sources []state) {
+// narrow adds the states that a rule leads to, and reports whether all can be followed. Those it came from stay, as the
+// condition may not hold.
+func (r *reach) narrow(by *rule, sources []state) bool {
 	if by.kinds == nil && by.zones == nil && by.target < 0 {
-		return
+		return true
 	}
 	for _, s := range sources {
-		if by.kinds != nil {
-			s.kinds = both(s.kinds, by.kinds)
-		}
-		if by.zones != nil {
-			s.zones = both(s.zones, by.zones)
-		}
+		s.kinds, s.zones = shared(s.kinds, by.kinds), shared(s.zones, by.zones)
 		if by.target >= 0 {
 			s.now = by.target
 			to := r.facts.Profiles[by.target]
 			s.kinds, s.zones = shared(s.kinds, to.Kinds), shared(s.zones, to.Zones)
 		}
-		same := func(o state) bool {
-			return o.first == s.first && o.now == s.now && slices.Equal(o.kinds, s.kinds) && (o.kinds == nil) == (s.kinds == nil) &&
-				slices.Equal(o.zones, s.zones) && (o.zones == nil) == (s.zones == nil)
-		}
-		if len(r.states) < mostStates && !slices.ContainsFunc(r.states, same) {
-			r.states = append(r.states, s)
-		}
+		r.add(s)
 	}
+	return len(r.states) <= mostStates
 }
--- a/internal/core/rules/rules_test.go
+++ b/internal/core/rules/rules_test.go
@@ -78,6 +78,18 @@
 		{"a key that may be empty", []Given{{Name: "a", When: `profile == "load"`, Key: `label("store")`}}, "key", "may be empty"},
 		{"a key that may be empty at times", []Given{{Name: "a", Key: `has(tenant) ? "x" : ""`}}, "key", "may be empty"},
 		{"a key that a retry changes", []Given{{Name: "a", Key: `"a" + (left > 1s ? "x" : "y")`}}, "key", "need not repeat"},
+		{"a key by a label that a retry changes", []Given{{Name: "l", Labels: map[string]string{"x": `left > 1s ? "a" : "b"`}},
+			{Name: "a", Key: `"k" + label("x")`}}, "key", "label x"},
+		{"a key by a label that is given by what a retry changes", []Given{{Name: "l", When: `estimate > 1s`,
+			Labels: map[string]string{"x": `"a"`}}, {Name: "a", Key: `"k" + label("x")`}}, "key", "label x"},
+		{"a key by a label of such a label", []Given{{Name: "l", Labels: map[string]string{"x": `front`}},
+			{Name: "m", Labels: map[string]string{"y": `label("x")`}}, {Name: "a", When: `has(label("y"))`, Key: `"k"`}}, "key", "label y"},
+		{"a key at times", []Given{{Name: "a", When: `estimate > 1s`, Key: `"k"`}}, "key", "depends on estimate"},
+		{"a key by a profile that a retry changes", []Given{{Name: "p", When: `profile == "lookup" && left > 1s`, Profile: "report"},
+			{Name: "a", When: `profile != "report"`, Key: `"k"`}}, "key", "depends on profile"},
+		{"a key that a retry may not come to", []Given{{Name: "l", When: `left > 1s`, Last: true}, {Name: "a", Key: `"k"`}}, "key", "is the last by"},
+		{"a key beside such things", []Given{{Name: "l", When: `left > 1s`, Labels: map[string]string{"x": `"a"`}},
+			{Name: "a", Key: `"k" + label("y")`}}, "", ""},
 		{"a key for what keeps no order", []Given{{Name: "a", When: `profile in ["lookup", "report"]`, Key: `"x"`}}, "key", "no profile keeps order"},
 		{"a key that is no text", []Given{{Name: "a", Key: `1`}}, "key", "number"},
 		{"a refusal of two lines", []Given{{Name: "a", Refuse: "no\nmore"}}, "refuse", "no line"},
@@ -102,6 +114,43 @@
 	if _, problems := Compile([]Given{{Name: "a", When: "x"}, {Name: "b", Key: "1", Kinds: []string{"x"}}}, facts, match.Usual()); len(problems) < 3 {
 		t.Errorf("not all problems at once: %v", problems)
 	}
+	many := func(when string) (rules []Given) {
+		for i := range 400 {
+			rules = append(rules, Given{Name: fmt.Sprint("r", i), When: fmt.Sprintf(when, i)})
+		}
+		return rules
+	}
+	if _, problems := Compile(many(`application like "*a*b%d"`), facts, match.Usual()); len(problems) != 1 ||
+		!strings.Contains(problems[0].Why, "together") {
+		t.Errorf("too dear together: %v", problems)
+	}
+	if _, problems := Compile(many(`tenant startswith "t" && application like "*a*b%d"`), facts, match.Usual()); problems == nil {
+		t.Error("too dear together by one prefix")
+	}
+	if _, problems := Compile(many(`tenant == "t%[1]d" && application like "*a*b%[1]d"`), facts, match.Usual()); problems != nil {
+		t.Errorf("each on its tenant alone: %v", problems)
+	}
+	long := facts
+	long.Names = []string{"lookup", strings.Repeat("r", 70), "load", "once"}
+	if _, problems := Compile([]Given{{Name: "a"}}, long, match.Usual()); problems == nil {
+		t.Error("a profile whose name can't be told from another's")
+	}
+	ways := facts
+	ways.Zones = nil
+	var narrowing []Given
+	for i := range 12 { // each may match or not, so that all subsets must be followed
+		ways.Zones = append(ways.Zones, fmt.Sprint("z", i))
+	}
+	ways.Profiles = []router.Profile{{}, {}, {}, {}}
+	for i := range 12 {
+		narrowing = append(narrowing, Given{Name: fmt.Sprint("n", i), When: `tenant == "x"`,
+			Zones: slices.Delete(slices.Clone(ways.Zones), i, i+1)})
+	}
+	if _, problems := Compile(narrowing, ways, match.Usual()); !slices.ContainsFunc(problems, func(p Problem) bool {
+		return strings.Contains(p.Why, "in more than")
+	}) {
+		t.Errorf("more ways than can be followed: %v", problems)
+	}
 	if _, problems := Compile(make([]Given, mostRules+1), facts, match.Usual()); problems == nil {
 		t.Error("too many rules")
 	}
--- a/match/requires.go
+++ b/match/requires.go
@@ -65,8 +65,12 @@
 	return false
 }
 
-// ReadsLabels tells whether the expression reads a label.
-func (e *Expr) ReadsLabels() (reads bool) {
-	e.tree.walk(func(n *node) { reads = reads || n.op == opLabel || n.op == opHasLabel })
-	return reads
+// Labels are those that the expression reads, in the order in which it names them.
+func (e *Expr) Labels() (names []string) {
+	e.tree.walk(func(n *node) {
+		if n.op == opLabel || n.op == opHasLabel {
+			names = append(names, n.name)
+		}
+	})
+	return names
 }
