Disks that hang keep nobody from hearing SIGTERM; files are read within a part of the memory

Found in reading: the memory folder was made, and configurations read again, by the goroutine that hears signals; a table group could bring a thousand homes into 16 bytes a byte of the file, past a 32 MB machine; a rule's refusal counted as a bad query. Change: the keeper makes its folder; a configuration has 2 s to be read again; 64 homes, files of a twelfth of the memory; refusals count under rules alone.

--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -184,7 +184,7 @@
 	}
 	defer moved.Close()
 	configure("no configuration", "")
-	if addr := reread(s, path, slog.New(slog.NewTextHandler(io.Discard, nil))); addr != "" {
+	if addr := reread(s, path, patience, slog.New(slog.NewTextHandler(io.Discard, nil))); addr != "" {
 		t.Errorf("a bad file gives the feed's address %q", addr)
 	}
 	signals <- syscall.SIGHUP
@@ -335,6 +335,25 @@
 	}
 }
 
+// What hangs is not waited for.
+func TestInTime(t *testing.T) {
+	pipe := filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := inTime(10*time.Millisecond, func() (*operator.File, error) { return operator.Read(pipe, nil) }); err == nil {
+		t.Error("a pipe that nobody writes to is read")
+	}
+	end, err := os.OpenFile(pipe, os.O_WRONLY, 0) // lets its goroutine end
+	if err != nil {
+		t.Fatal(err)
+	}
+	end.Close()
+	if x, err := inTime(patience, func() (int, error) { return 7, nil }); x != 7 || err != nil {
+		t.Error(x, err)
+	}
+}
+
 // lines is a log that can be waited on.
 type lines struct {
 	mu   sync.Mutex
--- a/cmd/mintkeel/memory.go
+++ b/cmd/mintkeel/memory.go
@@ -28,7 +28,7 @@
 }
 
 // usualLimits serve commands that run beside a controller, without what the platform grants.
-func usualLimits() *limits.Limits { return limits.For(64, 64, 0, 0, 0) }
+func usualLimits() *limits.Limits { return limits.For(64, 256, 0, 0, 0) }
 
 func memoryShow() *cobra.Command {
 	var asJSON, all bool
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -180,9 +180,6 @@
 		d.gone, d.keeper = append(d.gone, d.keeper), nil
 	}
 	if to != nil {
-		if err := disk.Make(to.Folder); err != nil {
-			d.log.Warn("memory folder can't be made", "why", err)
-		}
 		d.keeper = memory.Start(disk.Folder(to.Folder), to.Pace, d.identity(), built().String(), d.loop, d.limits, d.log)
 	}
 }
@@ -205,7 +202,9 @@
 // reload reads the operator's file and the configuration again. Each is taken over whole, as far as it may change
 // while running, or not at all; neither ends a controller that serves.
 func (d *daemon) reload() {
-	file, err := operator.Read(d.from.operator, d.start.facts)
+	file, err := inTime(d.limits.ReadTime, func() (*operator.File, error) {
+		return operator.Read(d.from.operator, d.start.facts)
+	})
 	if err == nil && !d.loop.SetRules(file.Rules) {
 		err = errRules
 	}
@@ -227,11 +226,34 @@
 			d.log.Info("operator's file read again", "memory", onOff(file.Memory != nil), "rules", ruleCount(file))
 		}
 	}
-	if addr := reread(d.start, d.from.config, d.log); addr != "" {
+	if addr := reread(d.start, d.from.config, d.limits.ReadTime, d.log); addr != "" {
 		d.feed.Move(addr)
 	}
 }
 
+// inTime reads something that may hang: a disk that is gone must not keep a controller from hearing that it is to stop.
+// What is read too late is dropped, with its goroutine.
+func inTime[T any](within time.Duration, read func() (T, error)) (T, error) {
+	type found struct {
+		what T
+		err  error
+	}
+	reply := make(chan found, 1)
+	go func() {
+		what, err := read()
+		reply <- found{what, err}
+	}()
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case f := <-reply:
+		return f.what, f.err
+	case <-timer.C:
+		var none T
+		return none, fmt.Errorf("not read within %v", within)
+	}
+}
+
 // errRules is that of rules that can't change just now.
 var errRules = errors.New("rules have changed too often within the last seconds, or too many commands are held: try again")
 
@@ -257,8 +279,8 @@
 
 // reread reads the configuration again for what may change while running, the feed's address; empty if that can't be
 // had. It logs what can't be used or taken over, by field: neither ends a controller that serves.
-func reread(s *start, path string, log *slog.Logger) string {
-	again, err := readStart(path)
+func reread(s *start, path string, within time.Duration, log *slog.Logger) string {
+	again, err := inTime(within, func() (*start, error) { return readStart(path) })
 	if err != nil {
 		log.Error("new configuration not used", "why", err)
 		return ""
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -231,7 +231,7 @@
 		c := described(f, profile, table, ses.name, ses.conn.LocalAddr().String())
 		if cmd.Described = &c; ses.server.rules.Load() != nil {
 			if why := ses.server.rule(cmd, c); why != "" {
-				return no(pgwire.CodeRule, why)
+				return nil, pgwire.AppendError(nil, false, pgwire.CodeRule, why)
 			}
 		}
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -37,6 +37,7 @@
 	FeedTold     time.Duration // of silence, or since its address changed, after which its news may count as told
 	FeedBroken   time.Duration // the same since its connection broke
 	FeedRetry    time.Duration // from one try to reach the feed to the next, at the least
+	ReadTime     time.Duration // for a configuration to be read again: meanwhile no other signal is heard
 	LogEvery     time.Duration // between log lines of one kind, for an outage not to drown the rest
 	StopTime     time.Duration // from being told to stop until all must be answered
 	EndTime      time.Duration // and until the process ends, answered or not
@@ -51,7 +52,7 @@
 	MemoryRead     time.Duration // for the folder to be read at a start: clients wait for it
 	MemorySection  int           // bytes of a section; one part fits, whatever ids and table groups it holds
 	MemorySections int           // of a file
-	MemoryFile     int64         // bytes of a file: ten thousand table groups take half a megabyte
+	MemoryFile     int64         // bytes of a file, which is read into several times as much; ten thousand groups take 0.4 MB
 }
 
 // mostHeld is what one session may hold of memory between commands: its goroutine, its buffer and its books. Results
@@ -106,6 +107,7 @@
 		FeedTold:     4 * time.Second,
 		FeedBroken:   2 * time.Second,
 		FeedRetry:    50 * time.Millisecond,
+		ReadTime:     2 * time.Second,
 		LogEvery:     time.Second,
 		StopTime:     longest + 300*time.Millisecond,
 		EndTime:      longest + 600*time.Millisecond,
@@ -119,6 +121,6 @@
 		MemoryRead:     500 * time.Millisecond,
 		MemorySection:  256 << 10,
 		MemorySections: 1024,
-		MemoryFile:     8 << 20,
+		MemoryFile:     min(8<<20, int64(memory/12)),
 	}
 }
--- a/internal/memory/form.go
+++ b/internal/memory/form.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -72,6 +73,13 @@
 // mostRecords is that of one section: a section that claims more is no section of ours.
 const mostRecords = 1024
 
+// mostHomes bounds those of a table group, which has one for each kind of engine.
+const mostHomes = 64
+
+func homely(homes []string) bool {
+	return len(homes) <= mostHomes && !slices.ContainsFunc(homes, func(id string) bool { return len(id) > mostText })
+}
+
 // mostText bounds names and ids in what is read.
 const mostText = 256
 
@@ -176,7 +184,7 @@
 	case sectionTables:
 		return records(s, &l.Tables, func(t tablesForm) (router.LearnedTables, bool) {
 			return router.LearnedTables{At: float64(t.At), Tables: router.TableGroup(t.Tables),
-				Demand: float64(t.Demand), Held: float64(t.Held), Homes: ids[router.EngineID](t.Homes)}, true
+				Demand: float64(t.Demand), Held: float64(t.Held), Homes: ids[router.EngineID](t.Homes)}, homely(t.Homes)
 		})
 	case sectionProfiles:
 		return records(s, &l.Profiles, func(p profileForm) (router.LearnedProfile, bool) {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -180,10 +180,12 @@
 	return wait
 }
 
-// keep writes a snapshot, in a folder that is opened first if it isn't yet. A folder that is gone and comes back is
-// opened anew.
+// keep writes a snapshot, in a folder that is made and opened first if it isn't yet. One that is gone is opened anew.
 func (k *Keeper) keep(folder *snapshots.Folder) (*snapshots.Folder, int64, error) {
 	if folder == nil {
+		if err := k.disk.Make(); err != nil {
+			return nil, 0, err
+		}
 		opened, err := snapshots.Open(k.disk, Bounds(k.limits))
 		if errors.Is(err, disk.ErrLocked) {
 			k.locked.Add(1)
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"math/rand"
+	"os"
+	"path/filepath"
 	"reflect"
 	"runtime"
 	"strings"
@@ -333,6 +335,15 @@
 	if mean := (after.TotalAlloc - before.TotalAlloc) / (5 * 309); mean > 1<<20 {
 		t.Errorf("%d bytes a file", mean)
 	}
+	homes, _ := encoder.Marshal([]tablesForm{{Homes: make([]string, mostHomes+1)}})
+	long, _ := encoder.Marshal([]tablesForm{{Homes: []string{strings.Repeat("x", mostText+1)}}})
+	for _, payload := range [][]byte{homes, long} {
+		kept, _, err := Load(write(snapshots.Section{Kind: sectionHead, Payload: head}, snapshots.Section{Kind: sectionTables,
+			Payload: payload}, snapshots.Section{Kind: sectionTraffic, Payload: good}), Bounds(usual))
+		if err != nil || len(kept.Memory.Learned.Tables) != 0 || kept.Whole {
+			t.Errorf("a table group with %d bytes of homes: %+v, %v", len(payload), kept, err)
+		}
+	}
 	if _, _, err := Load(write(snapshots.Section{Kind: sectionTraffic, Payload: good}), Bounds(usual)); err == nil {
 		t.Error("read without a head")
 	}
@@ -377,3 +388,38 @@
 		t.Errorf("after all was forgotten: %v", err)
 	}
 }
+
+// A folder that can't be made or written is counted and tried again, as one of a real file system; one that is there
+// again, or only now, is used.
+func TestRealFolders(t *testing.T) {
+	l := *usual
+	l.MemoryRetry = time.Millisecond
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"/proc/self/none", filepath.Join(file, "below"), filepath.Join(t.TempDir(), "no", "parent")} {
+		k := begin(disk.Folder(path), time.Millisecond, &pupil{records: 1}, &l)
+		until(t, path+": failures", func() bool { return k.failed.Load() > 2 })
+		stop(t, k)
+		if k.written.Load() > 0 || Recall(disk.Folder(path), &l, quiet) != nil {
+			t.Errorf("%s is written", path)
+		}
+	}
+	parent := filepath.Join(t.TempDir(), "parent")
+	folder := disk.Folder(filepath.Join(parent, "kept"))
+	k := begin(folder, time.Millisecond, &pupil{records: 1}, &l)
+	until(t, "failures without a parent", func() bool { return k.failed.Load() > 0 })
+	if err := os.Mkdir(parent, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the disk is there", func() bool { return k.written.Load() > 0 })
+	written := k.written.Load()
+	for os.RemoveAll(string(folder)) != nil { // it may be writing
+	}
+	until(t, "the folder is made anew", func() bool { return k.written.Load() > written+2 })
+	stop(t, k)
+	if _, _, err := Load(folder, Bounds(usual)); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -13,6 +13,7 @@
 
 // Disk is one folder. Names are plain, without separators. All errors are those of the system, or ErrLocked.
 type Disk interface {
+	Make() error                         // the folder itself, if it is not there and the one around it is
 	Create(name string) (File, error)    // a new file that must not be there yet, to be written
 	Open(name string) (File, error)      // to be read
 	Rename(from, to string) error        // a file that is at to is replaced
@@ -37,10 +38,10 @@
 // Folder is a folder of the system's file system.
 type Folder string
 
-// Make makes a folder, if it is not there yet, in one that is: whoever names a path that is not there at all may have
-// meant a disk that is not there yet.
-func Make(path string) error {
-	if err := os.Mkdir(path, 0o700); !errors.Is(err, os.ErrExist) {
+// Make makes the folder in one that is there alone: whoever names a path that is not there at all may have meant a disk
+// that is not there yet.
+func (d Folder) Make() error {
+	if err := os.Mkdir(string(d), 0o700); !errors.Is(err, os.ErrExist) {
 		return err
 	}
 	return nil
--- a/internal/store/disk/disktest/disktest.go
+++ b/internal/store/disk/disktest/disktest.go
@@ -236,6 +236,12 @@
 	return &file{disk: d, node: n}, nil
 }
 
+func (d *Disk) Make() error {
+	err := d.op()
+	d.mu.Unlock()
+	return err
+}
+
 func (d *Disk) Open(name string) (disk.File, error) {
 	err := d.op()
 	defer d.mu.Unlock()
