--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -228,110 +229,139 @@
 	}
 }
 
-// TestMemoryUnderLoad runs the daemon with memory under load, through reloads that turn it on, off and to other folders, and
-// through a bad file; commands go on being answered, and what is kept at the end is whole.
-func TestMemoryUnderLoad(t *testing.T) {
-	feed, engine, _ := fleet(t)
-	dir := t.TempDir()
+// house is a daemon under test with what it reads, on an address of its own.
+type house struct {
+	t       *testing.T
+	dir     string
+	addr    string
+	from    sources
+	log     *lines
+	signals chan os.Signal
+	ended   chan error
+}
+
+// found writes a configuration for a feed and an engine, and an operator's file.
+func found(t *testing.T, text, feed, engine, hcl string) *house {
+	t.Helper()
 	reserve, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := reserve.Addr().String()
+	h := &house{t: t, dir: t.TempDir(), addr: reserve.Addr().String()}
 	reserve.Close()
-	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
-	put := func(path, text string) {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
+	h.from = sources{filepath.Join(h.dir, "config.json"), filepath.Join(h.dir, "operator.hcl")}
+	h.put(h.from.config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", h.addr).Replace(text))
+	h.put(h.from.operator, hcl)
+	return h
+}
+
+func (h *house) put(path, text string) {
+	h.t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// serve starts the daemon and waits until it serves.
+func (h *house) serve() {
+	h.t.Helper()
+	s, file, err := h.from.read()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	l := limits.For(1024, 192, time.Second, time.Minute, 0)
+	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
+	h.log, h.signals, h.ended = &lines{}, make(chan os.Signal, 1), make(chan error, 1)
+	d := &daemon{from: h.from, start: s, file: file, limits: l, lines: logs.New(h.log, file.Log)}
+	go func(ended chan error, signals chan os.Signal) { ended <- d.run(signals) }(h.ended, h.signals)
+	h.log.wait(h.t, "serving")
+}
+
+// dial opens a session. It may be called by any goroutine.
+func (h *house) dial() *client {
+	conn, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Error(err)
+		runtime.Goexit()
+	}
+	h.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, hello)
+	c := &client{h.t, conn}
+	c.hears()
+	return c
+}
+
+// reload has another operator's file read, and waits for a word of the log.
+func (h *house) reload(text, word string) {
+	h.t.Helper()
+	h.put(h.from.operator, text)
+	seen := h.log.count(word)
+	h.signals <- syscall.SIGHUP
+	h.log.more(h.t, word, seen)
+}
+
+// stop ends the daemon as planned.
+func (h *house) stop() {
+	h.t.Helper()
+	h.signals <- syscall.SIGTERM
+	if err := <-h.ended; err != nil {
+		h.t.Error(err)
 	}
-	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(good))
+}
+
+// Words of the log at a reload.
+const again, refused = "operator's file read again", "operator's file not used"
+
+// The daemon with memory under load, through reloads that turn it on, off and to other folders, and through a bad file;
+// commands go on being answered, and what is kept at the end is whole.
+func TestMemoryUnderLoad(t *testing.T) {
+	feed, engine, _ := fleet(t)
+	h := found(t, good, feed, engine, "")
 	block := func(folder, pace string) string {
-		return fmt.Sprintf("memory {\n folder = %q\n pace = %q\n}\n", filepath.Join(dir, folder), pace)
+		return fmt.Sprintf("memory {\n folder = %q\n pace = %q\n}\n", filepath.Join(h.dir, folder), pace)
 	}
-	put(hcl, block("a", "100ms"))
-	from := sources{config, hcl}
-	serve := func() (*daemon, chan os.Signal, chan error, *lines) {
-		s, file, err := from.read()
-		if err != nil {
-			t.Fatal(err)
-		}
-		l := limits.For(1024, 192, time.Second, time.Minute, 0)
-		l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
-		log := &lines{}
-		d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
-		signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-		go func() { ended <- d.run(signals) }()
-		return d, signals, ended, log
-	}
-	_, signals, ended, log := serve()
+	h.put(h.from.operator, block("a", "100ms"))
+	h.serve()
 	stop, stopped := make(chan bool), make(chan int)
 	go func() {
 		n := 0
 		defer func() { stopped <- n }()
-		for conn := net.Conn(nil); ; n++ {
+		for c := h.dial(); ; n++ {
 			select {
 			case <-stop:
 				return
 			default:
 			}
-			var err error
-			for end := time.Now().Add(patience); conn == nil; {
-				if conn, err = net.Dial("tcp", addr); err == nil {
-					conn.SetDeadline(time.Now().Add(patience))
-					io.WriteString(conn, hello)
-					(&client{t, conn}).hears()
-				} else if time.Now().After(end) {
-					t.Error(err)
-					return
-				}
-			}
-			c := &client{t, conn}
 			if c.query(n, "1"); c.hears() != "TDCZ" {
 				t.Errorf("command %d is not answered", n)
 				return
 			}
 		}
 	}()
-	log.wait(t, "serving")
-	reload := func(text, word string) {
-		t.Helper()
-		put(hcl, text)
-		seen := log.count(word)
-		signals <- syscall.SIGHUP
-		log.more(t, word, seen)
-	}
-	const again, refused = "operator's file read again", "operator's file not used"
 	for range 3 {
-		reload(block("b", "100ms"), again)
-		reload("memory {\n", refused)
-		reload(block("b", "200ms"), again)
-		reload("", again)
-		reload(block("a", "100ms"), again)
+		h.reload(block("b", "100ms"), again)
+		h.reload("memory {\n", refused)
+		h.reload(block("b", "200ms"), again)
+		h.reload("", again)
+		h.reload(block("a", "100ms"), again)
 	}
-	reload("memory {\n folder = 3\n}\nx = 1\n", refused)
+	h.reload("memory {\n folder = 3\n}\nx = 1\n", refused)
 	close(stop)
 	if n := <-stopped; n < 20 {
 		t.Errorf("%d commands answered", n)
 	}
-	signals <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	h.stop()
 	for _, folder := range []string{"a", "b"} {
-		if code := execute([]string{"memory", "verify", filepath.Join(dir, folder)}, io.Discard, io.Discard); code != 0 {
+		if code := execute([]string{"memory", "verify", filepath.Join(h.dir, folder)}, io.Discard, io.Discard); code != 0 {
 			t.Errorf("folder %s: code %d", folder, code)
 		}
 	}
-	put(hcl, block("a", "1h"))
-	if _, signals, ended, log = serve(); true {
-		log.wait(t, "remembered")
-		log.wait(t, "serving")
-		signals <- syscall.SIGTERM
-		<-ended
-	}
-	if !strings.Contains(log.String(), "believed=") || strings.Contains(log.String(), "believed=0") {
-		t.Errorf("nothing is believed after a restart: %s", log)
+	h.put(h.from.operator, block("a", "1h"))
+	h.serve()
+	h.stop()
+	if text := h.log.String(); !strings.Contains(text, "believed=") || strings.Contains(text, "believed=0") {
+		t.Errorf("nothing is believed after a restart: %s", text)
 	}
 }
 
@@ -456,52 +486,10 @@
 // Rules stand in front of the loop: they refuse with their text, and change at a reload as a whole or not at all.
 func TestRules(t *testing.T) {
 	feed, engine, _ := fleet(t)
-	dir := t.TempDir()
-	reserve, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := reserve.Addr().String()
-	reserve.Close()
-	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
-	put := func(path, text string) {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(
-		strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1)))
 	const no = "rule \"no\" {\n when = \"table_name == 't'\"\n refuse = \"not now\"\n}\n"
-	put(hcl, no)
-	from := sources{config, hcl}
-	s, file, err := from.read()
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := limits.For(1024, 192, time.Second, time.Minute, 0)
-	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
-	log := &lines{}
-	d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
-	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- d.run(signals) }()
-	log.wait(t, "serving")
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patience))
-	io.WriteString(conn, hello)
-	c := &client{t, conn}
-	c.hears()
-	reload := func(text, word string) {
-		t.Helper()
-		put(hcl, text)
-		seen := log.count(word)
-		signals <- syscall.SIGHUP
-		log.more(t, word, seen)
-	}
-	const again, refused = "operator's file read again", "operator's file not used"
+	h := found(t, strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1), feed, engine, no)
+	h.serve()
+	c := h.dial()
 	for i, step := range []struct{ text, word, says string }{
 		{"", "", "EZ"},
 		{"rule \"no\" {\n when = \"table_name == 'u'\"\n refuse = \"not now\"\n}\n", again, "TDCZ"},
@@ -511,21 +499,18 @@
 		{"log {\n}\n", again, "TDCZ"},
 	} {
 		if step.word != "" {
-			reload(step.text, step.word)
+			h.reload(step.text, step.word)
 		}
 		if c.query(i, "1"); c.hears() != step.says {
 			t.Errorf("step %d: not %s", i, step.says)
 		}
 	}
-	reload(no, again)
+	h.reload(no, again)
 	c.query(99, "1")
 	c.hears()
-	signals <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
-	if !strings.Contains(log.String(), "rules.refused=1") {
-		t.Error(log)
+	h.stop()
+	if text := h.log.String(); !strings.Contains(text, "rules.refused=1") || !strings.Contains(text, "bad_queries=0") {
+		t.Error(text)
 	}
 }
 
@@ -601,51 +586,16 @@
 			go engine.serve(conn)
 		}
 	}()
-	dir := t.TempDir()
-	reserve, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := reserve.Addr().String()
-	reserve.Close()
-	config, hcl := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")
-	put := func(path, text string) {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	put(config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", listener.Addr().String(), "127.0.0.1:0", addr).Replace(
-		strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1)))
 	rule := func(name string) string {
 		return fmt.Sprintf("rule %q {\n key = \"'%s/' + label('store')\"\n}\n", name, name)
 	}
-	put(hcl, rule("r0"))
-	from := sources{config, hcl}
-	s, file, err := from.read()
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := limits.For(1024, 192, time.Second, time.Minute, 0)
-	l.StopTime, l.EndTime, l.StopQuiet = 300*time.Millisecond, patience, 50*time.Millisecond
-	log := &lines{}
-	d := &daemon{from: from, start: s, file: file, limits: l, lines: logs.New(log, file.Log)}
-	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- d.run(signals) }()
-	log.wait(t, "serving")
+	h := found(t, strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1), feed, listener.Addr().String(), rule("r0"))
+	h.serve()
 	var group sync.WaitGroup
 	stop := make(chan bool)
 	for n := range 12 {
 		group.Go(func() {
-			conn, err := net.Dial("tcp", addr)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
-			conn.SetDeadline(time.Now().Add(patience))
-			io.WriteString(conn, hello)
-			c := &client{t, conn}
-			c.hears()
+			c := h.dial()
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
@@ -663,31 +613,28 @@
 		})
 	}
 	for i := 1; i <= 40; i++ {
-		text, word := rule(fmt.Sprint("r", i)), "operator's file read again"
+		text, word := rule(fmt.Sprint("r", i)), again
 		if i%4 == 0 {
-			text, word = "rule \"bad\" {\n key = \"label('store')\"\n}\n", "operator's file not used"
+			text, word = "rule \"bad\" {\n key = \"label('store')\"\n}\n", refused
 		}
-		put(hcl, text)
+		h.put(h.from.operator, text)
 		const soon = "changed too often"
-		seen, early := log.count(word), log.count(soon)
-		signals <- syscall.SIGHUP
+		seen, early := h.log.count(word), h.log.count(soon)
+		h.signals <- syscall.SIGHUP
 		taken := func() int {
 			engine.mu.Lock()
 			defer engine.mu.Unlock()
 			return engine.taken
 		}
-		for end := time.Now().Add(patience); log.count(word) <= seen && log.count(soon) <= early || taken() < 4*i; {
+		for end := time.Now().Add(patience); h.log.count(word) <= seen && h.log.count(soon) <= early || taken() < 4*i; {
 			if time.Sleep(time.Millisecond); time.Now().After(end) {
-				t.Fatalf("no %q: %s", word, log)
+				t.Fatalf("no %q: %s", word, h.log)
 			}
 		}
 	}
 	close(stop)
 	group.Wait()
-	signals <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	h.stop()
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	if engine.both > 0 || engine.taken < 160 {
