--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,126 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// at is a log whose clock stands still until it is moved.
+func at(b Block) (*Log, *bytes.Buffer, *time.Time) {
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	l := New(&out, b)
+	l.now = func() time.Time { return now }
+	return l, &out, &now
+}
+
+// Text for people and JSON for programs say the same, with groups by dots and each attribute in the group it was set in.
+func TestForms(t *testing.T) {
+	for _, format := range []string{"text", "json"} {
+		b := Usual()
+		b.Format = format
+		l, out, _ := at(b)
+		log := l.Logger().With("a", 1).WithGroup("g").With("b", 2)
+		log.Warn("it happened", "c", slog.GroupValue(slog.Int("d", 3)), "why", fmt.Errorf("two words"))
+		if format == "text" {
+			for _, want := range []string{" WRN it happened ", "a=1", "g.b=2", "g.c.d=3", `g.why="two words"`} {
+				if !strings.Contains(out.String(), want) {
+					t.Errorf("no %q: %s", want, out)
+				}
+			}
+			continue
+		}
+		var line map[string]any
+		if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+			t.Fatal(err)
+		}
+		if line["level"] != "warn" || line["message"] != "it happened" || line["a"] != 1.0 || line["g.b"] != 2.0 ||
+			line["g.c.d"] != 3.0 || line["g.why"] != "two words" || line["time"] == nil {
+			t.Error(line)
+		}
+	}
+}
+
+// A kind past its burst is dropped and counted, others go on; the next line of the kind tells how many are missing.
+func TestBound(t *testing.T) {
+	b := Usual()
+	b.Burst = 3
+	l, out, now := at(b)
+	log := l.Logger()
+	for range 10 {
+		log.Info("often")
+	}
+	log.Info("seldom")
+	log.Warn("often") // of another level: another kind
+	if n := strings.Count(out.String(), "\n"); n != 5 {
+		t.Errorf("%d lines: %s", n, out)
+	}
+	out.Reset()
+	*now = now.Add(b.Every)
+	log.Info("often")
+	log.Info("often")
+	if n := strings.Count(out.String(), "dropped=7"); n != 1 {
+		t.Error(out.String())
+	}
+	*now = now.Add(-time.Hour) // a clock that is set back must not silence a kind until it has caught up
+	out.Reset()
+	log.Info("often")
+	if out.Len() == 0 {
+		t.Error("silent since the clock was set back")
+	}
+	for i := range 10 * mostKinds {
+		log.Info(fmt.Sprint("kind ", i))
+	}
+	if len(l.kinds) > mostKinds+1 {
+		t.Errorf("%d kinds are kept", len(l.kinds))
+	}
+}
+
+// What changes while running holds for loggers that were there before.
+func TestSet(t *testing.T) {
+	l, out, _ := at(Usual())
+	log := l.Logger()
+	log.Debug("quiet")
+	b := Usual()
+	b.Level, b.Format = slog.LevelDebug, "json"
+	l.Set(b)
+	log.Debug("loud")
+	b.Level = slog.LevelError
+	l.Set(b)
+	log.Warn("quiet")
+	if text := out.String(); strings.Contains(text, "quiet") || !strings.Contains(text, `"message":"loud"`) {
+		t.Error(text)
+	}
+}
+
+// Lines of many goroutines stay whole, also while the form changes.
+func TestApart(t *testing.T) {
+	b := Usual()
+	b.Format, b.Burst = "json", 1e6
+	l, out, _ := at(b)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 200 {
+				l.Logger().Info("line", "x", strings.Repeat("x", 100))
+				l.Set(b)
+			}
+		})
+	}
+	wg.Wait()
+	n := 0
+	for line := range strings.Lines(out.String()) {
+		if n++; !json.Valid([]byte(line)) {
+			t.Fatalf("no line: %s", line)
+		}
+	}
+	if n != 1600 {
+		t.Errorf("%d lines", n)
+	}
+}
