--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -442,8 +442,8 @@
 			over = append(over, by[v].Benefit-by[Without].Benefit)
 			first = append(first, by[v].First-by[Without].First)
 		}
-		s.OverWithout, s.Interval = around(over)
-		s.FirstOver, s.FirstAround = around(first)
+		s.OverWithout, s.Interval = Around(over)
+		s.FirstOver, s.FirstAround = Around(first)
 		if gap != 0 {
 			s.Share = s.OverWithout * float64(len(all)) / gap
 		}
@@ -455,8 +455,8 @@
 // studentT are the 97.5% points of Student's distribution for 1 degree of freedom and on.
 var studentT = []float64{12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13}
 
-// around is the mean of some differences and half of its 95% interval.
-func around(xs []float64) (mean, half float64) {
+// Around is the mean of some differences and half of its 95% interval.
+func Around(xs []float64) (mean, half float64) {
 	n := float64(len(xs))
 	for _, x := range xs {
 		mean += x / n
--- /dev/null
+++ b/internal/lab/worlds/twin_test.go
@@ -0,0 +1,37 @@
+package worlds
+
+import (
+	"fmt"
+	"testing"
+
+	"mintkeel/internal/lab/reference"
+	"mintkeel/router"
+)
+
+// The module orders what it did before its structures for a thousand engines, event by event, in every world.
+func TestAsReference(t *testing.T) {
+	const worlds, parts = worldsTold, 8
+	for part := range parts {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < worlds; seed += parts {
+				s := FromSeed(seed)
+				Play(s, s.twin(func(step int, now float64, module, old []router.Action) {
+					t.Errorf("world %d, step %d at %v: %s", seed, step, now, reference.Difference(module, old))
+				}))
+			}
+		})
+	}
+}
+
+// twin makes controllers of the module beside the reference.
+func (s Spec) twin(differs func(step int, now float64, module, old []router.Action)) func(int64, router.Place) Controller {
+	return func(seed int64, place router.Place) Controller {
+		f := s.Facts
+		t := reference.NewTwin(seed, place, f.Kinds, f.Profiles, nil, f.Allowed, f.Guards)
+		t.Differs = func(step int, now float64, _ []router.Event, module, old []router.Action) {
+			differs(step, now, module, old)
+		}
+		return t
+	}
+}
--- a/router/state.go
+++ b/router/state.go
@@ -12,12 +12,21 @@
 
 // This file holds what a controller remembers and the bookkeeping that keeps it whole. It decides nothing.
 
-// decay is a pair of sums that halve every life milliseconds, brought up to date when read.
+// decay is a pair of sums that halve every life milliseconds, brought up to date when something is added. Reading it
+// changes nothing, so that who reads more or less of them, or at other times, still reads the same to the last bit.
 type decay struct{ life, at, sum, n float64 }
 
+// faded is what is left of one by now.
+func (d *decay) faded(now float64) float64 {
+	if now > d.at {
+		return math.Exp2((d.at - now) / d.life)
+	}
+	return 1
+}
+
 func (d *decay) fade(now float64) {
 	if now > d.at {
-		f := math.Exp2((d.at - now) / d.life)
+		f := d.faded(now)
 		d.sum, d.n, d.at = d.sum*f, d.n*f, now
 	}
 }
@@ -33,15 +42,23 @@
 
 // mean leans on a prior that counts as much as weight of what was added.
 func (d *decay) mean(now, prior, weight float64) float64 {
-	d.fade(now)
-	if d.n+weight < 1e-9 {
+	if d.n == 0 && d.sum == 0 {
 		return prior
 	}
-	return (d.sum + prior*weight) / (d.n + weight)
+	f := d.faded(now)
+	if d.n*f+weight < 1e-9 {
+		return prior
+	}
+	return (d.sum*f + prior*weight) / (d.n*f + weight)
 }
 
 // rate is what was added for each millisecond, over about the last life.
-func (d *decay) rate(now float64) float64 { d.fade(now); return d.sum * math.Ln2 / d.life }
+func (d *decay) rate(now float64) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * d.faded(now) * math.Ln2 / d.life
+}
 
 // stamps are amounts at times within a sliding window.
 type stamps struct {
