Held commands and engines in structures: the same actions at a fraction of the cost

Need: one step looked through all held commands, and for each of a hundred of them through all engines. Change: held commands stand in B-trees by client timeout; who waits behind another in a line is parked there; a heap by lower bounds tells who may be past giving up. Engines carry bounds on their room and pressure until the next tend, so a choice reckons in full only who may win; a list in which none had room for a profile is not looked through again in the step. Measured: random worlds, some six times as large, order as the reference event by event.

--- a/internal/lab/worlds/twin_test.go
+++ b/internal/lab/worlds/twin_test.go
@@ -8,7 +8,8 @@
 	"mintkeel/router"
 )
 
-// The module orders what it did before its structures for a thousand engines, event by event, in every world.
+// The module orders what it did before its structures for a thousand engines, event by event: in every world, and in
+// some made larger, where all is full, queues are long and engines come and go by the dozen.
 func TestAsReference(t *testing.T) {
 	const worlds, parts = worldsTold, 8
 	for part := range parts {
@@ -16,14 +17,27 @@
 			t.Parallel()
 			for seed := part; seed < worlds; seed += parts {
 				s := FromSeed(seed)
+				name := "world"
+				if seed%12 == 3 {
+					s, name = s.larger(), "larger world"
+				}
 				Play(s, s.twin(func(step int, now float64, module, old []router.Action) {
-					t.Errorf("world %d, step %d at %v: %s", seed, step, now, reference.Difference(module, old))
+					t.Errorf("%s %d, step %d at %v: %s", name, seed, step, now, reference.Difference(module, old))
 				}))
 			}
 		})
 	}
 }
 
+// larger is a world with more of all.
+func (s Spec) larger() Spec {
+	s.Engines, s.Rate, s.Tables, s.Keys = 6*s.Engines, 4*s.Rate, 3*s.Tables, 10*s.Keys
+	s.Controllers = min(s.Controllers, 5)
+	s.Length = min(s.Length, 3000)
+	s.Starts, s.Deaths, s.Drains = 10*s.Starts, 10*s.Deaths, 10*s.Drains
+	return s
+}
+
 // twin makes controllers of the module beside the reference.
 func (s Spec) twin(differs func(step int, now float64, module, old []router.Action)) func(int64, router.Place) Controller {
 	return func(seed int64, place router.Place) Controller {
--- a/router/design_test.go
+++ b/router/design_test.go
@@ -155,7 +155,7 @@
 			entries = append(entries, engineAt(EngineID(fmt.Sprint("e", i)), 0, "z", 1))
 		}
 		d := newDesk(t, load, loose, tight, entries...)
-		d.r.profiles = append(d.r.profiles, &profile{Profile: waits})
+		d.more(waits)
 		held := map[EngineID]int{}
 		for id := range CommandID(2 * c.engines) {
 			held[sent(d.step(command1(id)), id)]++
@@ -234,7 +234,7 @@
 // either. A profile that fails twice in a row rests; one that does well is served where the others fail.
 func TestOneProfileFails(t *testing.T) {
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
-	d.r.profiles = append(d.r.profiles, &profile{Profile: lookup})
+	d.more(lookup)
 	id := CommandID(0)
 	try := func(p ProfileID, o Outcome) bool {
 		id++
@@ -333,7 +333,7 @@
 // took all else. Lookups went on being sent there, as who does little looks idle.
 func TestProfileTurnedAway(t *testing.T) {
 	d := newDesk(t, lookup, loose, tight, engineAt("a", 0, "z", 1))
-	d.r.profiles = append(d.r.profiles, &profile{Profile: lookup})
+	d.more(lookup)
 	offer := func(id CommandID, p ProfileID) bool { // a command, which leaves if it isn't sent at once
 		ev := command1(id)
 		ev.Profile = p
--- /dev/null
+++ b/router/held.go
@@ -0,0 +1,313 @@
+package router
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/tidwall/btree"
+)
+
+// This file keeps the books of held commands, so that a step looks only at those that could go and at those that may
+// have to be given up. Like state.go it decides nothing: what it leaves out is what router.go would pass over.
+
+// heap keeps what is least by less at place 0.
+type heap[T any] struct {
+	list []T
+	less func(a, b *T) bool
+}
+
+func (h *heap[T]) push(x T) {
+	h.list = append(h.list, x)
+	for i := len(h.list) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h.less(&h.list[i], &h.list[up]) {
+			break
+		}
+		h.list[i], h.list[up] = h.list[up], h.list[i]
+		i = up
+	}
+}
+
+func (h *heap[T]) pop() T {
+	top, last := h.list[0], len(h.list)-1
+	h.list[0] = h.list[last]
+	var none T
+	h.list[last] = none // it holds on to nothing
+	h.list = h.list[:last]
+	h.sink(0)
+	return top
+}
+
+func (h *heap[T]) sink(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(h.list); child++ {
+			if h.less(&h.list[child], &h.list[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		h.list[i], h.list[least] = h.list[least], h.list[i]
+		i = least
+	}
+}
+
+// mend makes a heap of a list in any order.
+func (h *heap[T]) mend() {
+	for i := len(h.list)/2 - 1; i >= 0; i-- {
+		h.sink(i)
+	}
+}
+
+// alarm is a time at which a command must be looked at.
+type alarm struct {
+	at  float64
+	cmd *command
+}
+
+func earlier(a, b *alarm) bool { return a.at < b.at || a.at == b.at && a.cmd.id < b.cmd.id }
+
+// heldTree has held commands by client timeout.
+type heldTree = btree.BTreeG[*command]
+
+func newHeldTree() *heldTree {
+	return btree.NewBTreeGOptions(func(a, b *command) bool { return byTimeout(a, b) < 0 },
+		btree.Options{NoLocks: true, Degree: 32})
+}
+
+// heldBooks are the held commands. Those that stand behind another in the line of one of their keys are parked: they
+// are in no tree until they are first. Fresh ones and those sent before stand apart, as the sends budget may bar all of
+// the latter.
+type heldBooks struct {
+	n            int
+	fresh, again *heldTree
+	watch        heap[alarm] // all of them, each by a time before which it is not given up
+	scan         []*command  // of release, kept for its room
+	due          []*command  // of tend
+}
+
+func (h *heldBooks) tree(c *command) *heldTree {
+	if len(c.sends) == 0 {
+		return h.fresh
+	}
+	return h.again
+}
+
+// hold takes c among the held.
+func (r *Router) hold(c *command) {
+	if c.held {
+		return
+	}
+	c.held = true
+	r.held.n++
+	r.park(c)
+	if !c.watched {
+		c.watched = true
+		r.held.watch.push(alarm{r.lookAt(c), c})
+	}
+}
+
+// park puts a held command into its tree or, where another is ahead of it in a line, leaves it to that line.
+func (r *Router) park(c *command) {
+	c.parked = slices.ContainsFunc(c.lines, func(l *line) bool { return l.cmds[0] != c })
+	if !c.parked {
+		r.held.tree(c).Set(c)
+	}
+}
+
+// unhold takes c out, before a send of it is booked.
+func (r *Router) unhold(c *command) {
+	if !c.held {
+		return
+	}
+	if !c.parked {
+		r.held.tree(c).Delete(c)
+	}
+	c.held, c.parked = false, false
+	r.held.n--
+}
+
+// sweep drops from the held what has ended in this step.
+func (r *Router) sweep() {
+	for _, c := range r.touched {
+		if c.over || c.wantEnd != open {
+			r.unhold(c)
+		}
+	}
+}
+
+// startable hands the held that may be let go to visit, by client timeout, until it returns false. Commands may leave
+// the held meanwhile.
+func (r *Router) startable(visit func(c *command) bool) {
+	trees := [2]*heldTree{r.held.fresh, r.held.again}
+	if trees[1].Len() > 0 && !r.budgetAllows() {
+		trees[1] = nil // a resend that is booked makes it no larger
+	}
+	var from [2]*command // the last that was handed over
+	next := func(i int) (c *command) {
+		if trees[i] == nil || trees[i].Len() == 0 {
+			return nil
+		}
+		if from[i] == nil {
+			c, _ = trees[i].Min()
+			return c
+		}
+		trees[i].Ascend(from[i], func(x *command) bool {
+			if x != from[i] {
+				c = x
+			}
+			return c == nil
+		})
+		return c
+	}
+	if trees[1] == nil || trees[1].Len() == 0 { // the usual case: a piece at a time
+		r.startableOf(trees[0], visit)
+		return
+	}
+	heads := [2]*command{next(0), next(1)}
+	for heads[0] != nil || heads[1] != nil {
+		i := 0
+		if heads[0] == nil || heads[1] != nil && byTimeout(heads[1], heads[0]) < 0 {
+			i = 1
+		}
+		from[i] = heads[i]
+		if !visit(heads[i]) {
+			return
+		}
+		heads[i] = next(i)
+	}
+}
+
+// startableOf is startable for one tree, which is read a piece at a time, as what is visited may leave it.
+func (r *Router) startableOf(t *heldTree, visit func(c *command) bool) {
+	var last *command
+	for size := 4; ; size = min(64, 2*size) {
+		piece := r.held.scan[:0]
+		take := func(x *command) bool {
+			if x != last {
+				piece = append(piece, x)
+			}
+			return len(piece) < size
+		}
+		if last == nil {
+			t.Scan(take)
+		} else {
+			t.Ascend(last, take)
+		}
+		r.held.scan = piece[:0]
+		for _, c := range piece {
+			if !visit(c) {
+				clear(piece)
+				return
+			}
+		}
+		if len(piece) < size {
+			clear(piece)
+			return
+		}
+		last = piece[len(piece)-1]
+	}
+}
+
+// Given up.
+
+// pace is what is learned of a profile that tells when its held commands are given up.
+type pace struct{ best, scale, run float64 }
+
+func (p *profile) pace(now float64) pace {
+	return pace{p.best, p.workScale.mean(now, 1, 2), math.Exp(p.run.mean(now, 0, 1))}
+}
+
+// Within these a pace may move, as a ratio, until what was reckoned by it is reckoned anew; slack is the ratio of times
+// alone that goes with it.
+const (
+	bestDrifts, scaleDrifts = 1.1, 1.1
+	runDrifts               = 1.6
+	alongDrifts             = bestDrifts * scaleDrifts
+)
+
+func within(a, b, ratio float64) bool { return a <= b*ratio && b <= a*ratio }
+
+// rewatch reckons anew, if the paces of some profiles have moved too far or all is asked for, when the held commands
+// must be looked at.
+func (r *Router) rewatch(all bool) {
+	moved := all
+	for _, p := range r.profiles {
+		now := p.pace(r.now)
+		if p.moved = all || !within(now.best, p.watched.best, bestDrifts) ||
+			!within(now.scale, p.watched.scale, scaleDrifts) || !within(now.run, p.watched.run, runDrifts); p.moved {
+			p.watched, moved = now, true
+		}
+	}
+	if !moved {
+		return
+	}
+	w := &r.held.watch
+	kept := w.list[:0]
+	for _, a := range w.list {
+		if !a.cmd.held {
+			a.cmd.watched = false
+			continue
+		}
+		if a.cmd.profile.moved {
+			a.at = r.lookAt(a.cmd)
+		}
+		kept = append(kept, a)
+	}
+	clear(w.list[len(kept):])
+	w.list = kept
+	w.mend()
+}
+
+// hopeless is the held commands that are past giving up, by client timeout.
+func (r *Router) hopeless() []*command {
+	r.rewatch(false)
+	due, w := r.held.due[:0], &r.held.watch
+	looked := r.held.scan[:0]
+	for len(w.list) > 0 && w.list[0].at < r.now {
+		c := w.pop().cmd
+		if !c.held {
+			c.watched = false
+			continue
+		}
+		if r.now > r.giveUpAt(c) {
+			due = append(due, c)
+		}
+		looked = append(looked, c)
+	}
+	for _, c := range looked { // one that can't be ended, as its answer has begun, is looked at again
+		w.push(alarm{max(r.now, r.lookAt(c)), c})
+	}
+	clear(looked)
+	slices.SortFunc(due, byTimeout)
+	r.held.due, r.held.scan = due[:0], looked[:0]
+	return due
+}
+
+// lookAt is a time before which c is not given up, whatever its profile's pace does within its drifts: giveUpAt at the
+// worst of these.
+func (r *Router) lookAt(c *command) float64 {
+	p := c.profile
+	short, long := p.aloneBy(c, p.watched)/alongDrifts, p.aloneBy(c, p.watched)*alongDrifts
+	by, later := r.endBy(c)-1.5*long, max(0, long*(runOver*p.watched.run*runDrifts-1))
+	if p.LateShare < lateShare {
+		grows := min((p.TargetStretch-1)*short, (p.TargetStretch-1)*long)
+		by = min(c.asked+p.Target+grows, r.endBy(c)-long)
+	}
+	return max(by-later, min(by, c.asked+leastHold*p.Target)) - 1e-6
+}
+
+// aloneBy is alone, by a pace.
+func (p *profile) aloneBy(c *command, by pace) float64 {
+	if by.best == 0 && c.estimate <= 0 {
+		return p.Target / 2
+	}
+	unit := 1.0
+	if c.estimate > 0 {
+		unit = max(1, c.estimate*by.scale/p.Threads)
+	}
+	return cmp.Or(by.best, 1) * unit
+}
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -26,6 +26,14 @@
 	return d
 }
 
+// more adds a profile of which nothing has been seen yet.
+func (d *desk) more(p Profile) {
+	d.r.profiles = append(d.r.profiles, &profile{Profile: p, number: len(d.r.profiles)})
+	for _, e := range d.r.order {
+		e.rests = append(e.rests, rest{})
+	}
+}
+
 func (d *desk) step(events ...Event) []Action {
 	d.now++
 	return d.r.Step(d.now, events)
--- a/router/learned.go
+++ b/router/learned.go
@@ -207,6 +207,7 @@
 			e.slow = m.Pace.refill(e.slow.life, r.now, 0, mostPace)
 			e.outcomes = math.MaxUint64&^0xff | uint64(m.Outcomes)
 			e.width = sane(m.Width, leastWidth, mostWidth)
+			r.weigh(e)
 		}
 		if m.Lead != "" {
 			if sets[m.Lead] == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -160,14 +160,18 @@
 	} else if t.bad {
 		t.away(r.now, s.at, fullRest, fullLongest)
 	}
-	t.bad, s.failed = !good, s.failed || !good
+	if t.bad, s.failed = !good, s.failed || !good; good {
+		s.engine.goodAt = r.now
+	}
 }
 
-// ramp is the share of its capacity that a cold engine is taken to have.
-func (r *Router) ramp(e *engine) float64 {
-	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, r.now-e.since)/max(1, r.guards.ColdTime))
+// rampAt is the share of its capacity that a cold engine is taken to have at some time.
+func (r *Router) rampAt(e *engine, at float64) float64 {
+	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, at-e.since)/max(1, r.guards.ColdTime))
 }
 
+func (r *Router) ramp(e *engine) float64 { return r.rampAt(e, r.now) }
+
 // listed takes in news of the list; a failed question is asked again before the old list counts as told.
 func (r *Router) listed(ev Listed) {
 	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
@@ -196,7 +200,11 @@
 	if r.controllers == 1 {
 		return 1
 	}
-	return min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 200)))
+	if r.shareAt != r.now || r.shareWas != r.share { // many ask at one moment
+		r.part = min(1, max(0.2/r.controllers, r.share.mean(r.now, 1/r.controllers, 200)))
+		r.shareAt, r.shareWas = r.now, r.share
+	}
+	return r.part
 }
 
 // ask has an engine probed, in relation to commands: by time, a hundred controllers would probe all day.
@@ -451,6 +459,7 @@
 	} else if slow > farFrom && r.now-e.cutAt > cutEvery {
 		e.width, e.cutAt = max(leastWidth, e.width*cutBy), r.now
 	}
+	r.weigh(e)
 }
 
 // Release, choice and spill.
@@ -508,59 +517,70 @@
 // waits its turn there, and who waits for tables finds engines where it need not. Against traffic that meets
 // on few tables, whose loads would hold them everywhere. Harm: loads queue up, and more of them are late.
 func (r *Router) crowded(c *command) bool {
-	held, all := 0.0, 0.0
-	for _, e := range r.order {
-		if e.state == Ready && e.well() {
-			if all++; e.holds(c.tables, r.now) > 0 {
-				held++
-			}
-		}
+	if !c.profile.HoldsTables || len(c.tables.holders) == 0 {
+		return false
 	}
-	return c.profile.HoldsTables && held > 0 && held >= crowdedFrom*all
+	held := r.heldAt(c.tables)
+	return held > 0 && held >= crowdedFrom*r.wellReady()
 }
 
-// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere.
+// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere. An engine
+// whose pressure can't be the least, by its bounds, is passed over, and so is a list in which none had room for
+// another of the profile just now.
 func (r *Router) choose(c *command) (best *engine) {
-	least, crowded := math.Inf(1), r.crowded(c)
-	consider := func(engines []*engine, fill float64) {
-		for _, e := range engines {
-			x := r.pressure(c, e)
-			goes := !crowded || e.holds(c.tables, r.now) > 0
-			if x < least && goes && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
+	least, crowded, part := math.Inf(1), r.crowded(c), r.portion()
+	if r.out > 0 && r.threads > r.pool+overhang {
+		return nil
+	}
+	consider := func(s *spare, engines []*engine, fill float64) {
+		if r.hasNone(s, c.profile) {
+			return
+		}
+		found := best
+		for _, e := range r.among(s, engines, fill, part) {
+			if c.atLeast(e) >= least || !r.mayHaveRoom(e, fill, part) || crowded && e.holds(c.tables, r.now) == 0 {
+				continue
+			}
+			if x := r.pressure(c, e); x < least && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
 				best, least = e, x
 			}
 		}
+		if found == nil && best == nil && !crowded && c.plain() {
+			r.setNone(s, c.profile)
+		}
 	}
 	for _, o := range c.tables.homes {
 		if o != nil {
-			consider(o.engines, 1)
+			consider(&o.spare, o.engines, 1)
 		}
 	}
 	if best == nil || r.against(c, best) > 0 {
-		consider(r.order, roomy)
+		consider(&r.spare, r.order, roomy)
 	}
 	return best
 }
 
 // release lets the held go, earliest client timeout first.
 func (r *Router) release() {
+	r.sweep()
+	if r.busy.mean(r.now, 0, 1) < r.busyLeast {
+		r.weighAll()
+	}
 	tried := 0
-	r.held = slices.DeleteFunc(r.held, func(c *command) bool {
-		if c.over || c.wantEnd != open || tried >= scanMost || !r.mayStart(c) {
-			return c.over || c.wantEnd != open
+	r.startable(func(c *command) bool {
+		if !r.mayStart(c) {
+			return true
 		}
 		if tried++; r.unwise(c) {
 			r.end(c)
-			return true
+			r.unhold(c)
+		} else if e, p := r.choose(c), c.profile; e != nil &&
+			(r.now-e.reportAt <= askOver || !e.probing && (r.now <= e.probeAt || !r.ask(e))) {
+			e.turned(p).try(r.now)
+			r.setAlarm(r.now+r.quiet(), c)
+			r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
 		}
-		e, p := r.choose(c), c.profile
-		if e == nil || r.now-e.reportAt > askOver && (e.probing || r.now > e.probeAt && r.ask(e)) {
-			return false
-		}
-		e.turned(p).try(r.now)
-		r.setAlarm(r.now+r.quiet(), c)
-		r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
-		return true
+		return tried < scanMost
 	})
 }
 
@@ -636,7 +656,7 @@
 	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
 	r.setAlarm(r.endBy(c), c)
-	r.held = insert(r.held, c, byTimeout)
+	r.hold(c)
 }
 
 func (r *Router) ended(ev Ended) {
@@ -659,6 +679,7 @@
 	case Full, NotSent: // sending on would use up the sends of commands, and others may fare well there
 		s.engine.turned(c.profile).away(r.now, s.at, fullRest, fullLongest)
 		s.engine.width = max(leastWidth, s.engine.width*cutBy)
+		r.weigh(s.engine)
 	case Errored, Refused, Reset, TimedOut: // an error may be the command's own fault, unless another answers it
 		if s.erred = ev.Outcome == Errored && c.profile.Effect != NonReplayable; !s.erred {
 			r.mark(c, s, false)
@@ -667,7 +688,7 @@
 	if c.over || c.wantEnd != open || c.begun || c.out > 0 || s.lost {
 		return
 	}
-	if r.held = insert(r.held, c, byTimeout); r.now >= r.endBy(c) || r.spent(c) {
+	if r.hold(c); r.now >= r.endBy(c) || r.spent(c) {
 		r.end(c)
 	}
 }
@@ -682,6 +703,7 @@
 	first := s.word == s.at
 	if s.word = r.now; ev.What == NoteWaitsTables {
 		s.engine.heldUntil[c.tables] = r.now + heldFor
+		c.tables.heldOn(s.engine)
 	}
 	alone, passed := c.profile.alone(c, r.now), r.now-s.at
 	total, should := passed/max(ev.Level, 0.01), alone*max(1, s.engine.slow.mean(r.now, 1, 1))
@@ -690,6 +712,7 @@
 	}
 	if c.profile.best > 0 && first {
 		s.engine.slow.add(r.now, noteWeight*min(20, total/alone), noteWeight)
+		r.weigh(s.engine)
 	}
 	if c.estimate > 0 && !c.over && c.profile.Effect == Replayable && !r.spent(c) && r.budgetAllows() &&
 		total > badPlan*should && total-passed > badPlanGap*should {
@@ -721,7 +744,7 @@
 				r.touch(c)
 			} else if r.allowed.SecondCopies {
 				r.lose(c, s)
-				r.held = insert(r.held, c, byTimeout)
+				r.hold(c)
 			}
 		}
 	}
@@ -734,6 +757,7 @@
 // Step takes in what happened by now and returns what to do.
 func (r *Router) Step(now float64, events []Event) []Action {
 	r.setClock(now)
+	r.steps++
 	for _, ev := range events {
 		r.take(ev)
 	}
@@ -758,13 +782,11 @@
 			p.unlearn()
 		}
 	}
-	for _, c := range r.held {
-		if r.now > r.giveUpAt(c) {
-			if r.missed = true; c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
-				r.jamUntil = r.now + shortFor
-			}
-			r.end(c)
+	for _, c := range r.hopeless() {
+		if r.missed = true; c.asked == c.arrived { // of late retries alone, shedding them would keep a jam up
+			r.jamUntil = r.now + shortFor
 		}
+		r.end(c)
 	}
 	if r.now >= r.moveAt {
 		r.moveAt = r.now + period
@@ -794,5 +816,6 @@
 			}
 		}
 	}
+	r.weighAll()
 	r.forgetOld()
 }
--- a/router/state.go
+++ b/router/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -14,20 +13,26 @@
 
 // decay is a pair of sums that halve every life milliseconds, brought up to date when something is added. Reading it
 // changes nothing, so that who reads more or less of them, or at other times, still reads the same to the last bit.
-type decay struct{ life, at, sum, n float64 }
+type decay struct {
+	life, at, sum, n float64
+	readAt, left     float64 // what faded last said, as many ask at one moment
+}
 
 // faded is what is left of one by now.
 func (d *decay) faded(now float64) float64 {
-	if now > d.at {
-		return math.Exp2((d.at - now) / d.life)
+	if now <= d.at {
+		return 1
 	}
-	return 1
+	if now != d.readAt {
+		d.readAt, d.left = now, math.Exp2((d.at-now)/d.life)
+	}
+	return d.left
 }
 
 func (d *decay) fade(now float64) {
 	if now > d.at {
 		f := d.faded(now)
-		d.sum, d.n, d.at = d.sum*f, d.n*f, now
+		d.sum, d.n, d.at, d.readAt = d.sum*f, d.n*f, now, 0
 	}
 }
 
@@ -130,11 +135,15 @@
 	wantEnd    ending
 	wantCancel bool
 	touched    bool
+	held       bool // it is among the held
+	parked     bool // and not the first in one of its lines
+	watched    bool // and looked at for giving up, when its time comes
 }
 
 // profile is what is stated of a profile, with what was learned of it.
 type profile struct {
 	Profile
+	number    int
 	fullLeft  float64 // what a first try leaves until its client gives up: the most seen
 	best      float64 // least mean, lately, of the time taken over the unit: how it runs alone
 	unit      decay   // time taken over the unit
@@ -143,6 +152,8 @@
 	workScale decay   // true work over estimate
 	needScale decay   // true memory over estimate
 	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
+	watched   pace    // by which its held commands were last reckoned,
+	moved     bool    // and whether that was just now
 }
 
 // line is the queue of one order key, by arrival; rest is when its next command may start after a doubtful outcome.
@@ -184,7 +195,9 @@
 	probeAt    float64
 	width      float64 // threads a core that all controllers together may run here, by what this one sees
 	cutAt      float64
-	rests      map[*profile]*rest // of profiles that it turned away
+	rests      []rest  // of profiles that it turned away, by number
+	goodAt     float64 // when a send last did well, whatever its profile
+	bounds     bounds
 	coldSent   stamps
 	tookAt     float64 // when what it last answered was sent to it
 	brokeAt    float64 // when a connection to it was last lost, or not to be had
@@ -228,14 +241,14 @@
 
 // turned is the rest of a profile at an engine.
 func (e *engine) turned(p *profile) *rest {
-	if e.rests[p] == nil {
-		e.rests[p] = &rest{}
-	}
-	return e.rests[p]
+	return &e.rests[p.number]
 }
 
 // holds is how many loads are known to hold a table group on the engine.
 func (e *engine) holds(g *tableGroup, now float64) float64 {
+	if len(g.holders) == 0 {
+		return 0
+	}
 	if now < e.heldUntil[g] {
 		return float64(e.loads[g] + 1)
 	}
@@ -254,14 +267,15 @@
 
 // tableGroup is a group of tables with its learned demand.
 type tableGroup struct {
-	id     TableGroup
-	asked  float64  // when it was last named
-	open   int      // commands on it in the books
-	hot    bool     // it was said to be
-	known  bool     // commands on it have been answered; else any stranger may have named it
-	demand decay    // work asked for
-	held   decay    // memory times time, of this controller's sends
-	homes  []*owner // by kind
+	id      TableGroup
+	asked   float64   // when it was last named
+	open    int       // commands on it in the books
+	hot     bool      // it was said to be
+	known   bool      // commands on it have been answered; else any stranger may have named it
+	demand  decay     // work asked for
+	held    decay     // memory times time, of this controller's sends
+	homes   []*owner  // by kind
+	holders []*engine // on which loads may hold it
 }
 
 // owner is a pack, or several packs that share as merged, with the engines of one kind that it owns.
@@ -269,30 +283,11 @@
 	packs   [][]*tableGroup
 	engines []*engine
 	want    int // how many it is to have
+	spare   spare
 }
 
 func (o *owner) groups() []*tableGroup { return slices.Concat(o.packs...) }
 
-// alarm is a time at which a command must be looked at.
-type alarm struct {
-	at  float64
-	cmd *command
-}
-
-type alarms []alarm
-
-func (a alarms) Len() int { return len(a) }
-func (a alarms) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(a[i].at, a[j].at), cmp.Compare(a[i].cmd.id, a[j].cmd.id)) < 0
-}
-func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(x any)   { *a = append(*a, x.(alarm)) }
-func (a *alarms) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // Router is the decision module of one controller.
 type Router struct {
 	rng         *rand.Rand
@@ -306,7 +301,9 @@
 
 	now, born, firstAt float64
 	cmds               map[CommandID]*command
-	held               []*command // by client timeout
+	held               heldBooks
+	spare              spare  // of all engines, filled up to roomy
+	steps              uint64 // taken
 	lines              map[OrderKey]*line
 	turns              uint64     // commands taken
 	resting            []OrderKey // of empty lines that may not be forgotten yet
@@ -322,12 +319,15 @@
 	groups             []*tableGroup // by id
 	owners             [][]*owner    // by kind
 	touched            []*command
-	alarms             alarms
+	alarms             heap[alarm]
 	subscribed         bool
 	wantList           bool
 	asked              []*engine // to be probed
 	credit             float64   // probes that may be made
 	busy               decay     // commands a core that others hold, by all reports
+	busyLeast          float64   // the least that it may be for engines' bounds to hold
+	shareWas           decay     // by which portion was last reckoned,
+	shareAt, part      float64   // when, and what it was
 	askAt, tendAt      float64
 	moveAt             float64
 	packed             bool // by learned footprints
@@ -356,9 +356,11 @@
 		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
-	for _, p := range profiles {
+	r.held.fresh, r.held.again = newHeldTree(), newHeldTree()
+	r.held.watch.less, r.alarms.less = earlier, earlier
+	for i, p := range profiles {
 		scale := decay{life: scaleLife}
-		r.profiles = append(r.profiles, &profile{Profile: p, unit: decay{life: unitLife},
+		r.profiles = append(r.profiles, &profile{Profile: p, number: i, unit: decay{life: unitLife},
 			run:  decay{life: runLife},
 			work: decay{life: workLife}, workScale: scale, needScale: scale})
 	}
@@ -463,6 +465,7 @@
 	if len(c.sends) > 0 && r.guards.Budgeted {
 		r.resends.add(r.now, 1)
 	}
+	r.unhold(c)
 	c.sends = append(c.sends, sendState{engine: e, at: r.now, word: r.now, out: true, mem: mem})
 	c.pending++
 	c.out, e.out, r.out = c.out+1, e.out+1, r.out+1
@@ -472,7 +475,9 @@
 	}
 	if c.profile.HoldsTables {
 		e.loads[c.tables]++
+		c.tables.heldOn(e)
 	}
+	r.weigh(e)
 	c.wantEngine = e
 	r.touch(c)
 }
@@ -538,6 +543,7 @@
 			delete(e.loads, c.tables)
 		}
 	}
+	r.weigh(e)
 }
 
 // forget drops a command that no rule needs any more; a line that still rests is kept until it has.
@@ -545,10 +551,16 @@
 	delete(r.cmds, c.id)
 	c.tables.open--
 	for _, l := range c.lines {
-		l.cmds = slices.DeleteFunc(l.cmds, func(o *command) bool { return o == c })
+		if l.cmds[0] == c { // the usual one; the rest need not be moved
+			l.cmds[0], l.cmds = nil, l.cmds[1:]
+		} else if at, found := slices.BinarySearchFunc(l.cmds, c, byTurn); found {
+			l.cmds = slices.Delete(l.cmds, at, at+1)
+		}
 		if len(l.cmds) == 0 {
-			l.mixed = false
+			l.mixed, l.cmds = false, nil
 			r.resting = append(r.resting, l.key)
+		} else if next := l.cmds[0]; next.held && next.parked {
+			r.park(next)
 		}
 	}
 }
@@ -602,16 +614,16 @@
 // setAlarm has c looked at when its time has come.
 func (r *Router) setAlarm(at float64, c *command) {
 	if !math.IsInf(at, 1) {
-		heap.Push(&r.alarms, alarm{at, c})
+		r.alarms.push(alarm{at, c})
 	}
 }
 
 // due is the next command whose time has come, or nil.
 func (r *Router) due() *command {
-	if len(r.alarms) == 0 || r.alarms[0].at > r.now {
+	if len(r.alarms.list) == 0 || r.alarms.list[0].at > r.now {
 		return nil
 	}
-	return heap.Pop(&r.alarms).(alarm).cmd
+	return r.alarms.pop().cmd
 }
 
 // ready is the engines of a kind that the list calls ready, by id.
@@ -643,6 +655,7 @@
 	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
 	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
 	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
+	e.goodAt = 0
 	clear(e.rests)
 }
 
@@ -662,7 +675,7 @@
 			h := fnv.New64a()
 			h.Write([]byte(entry.Engine))
 			e = &engine{id: entry.Engine, hash: h.Sum64(), loads: map[*tableGroup]int{},
-				heldUntil: map[*tableGroup]float64{}, rests: map[*profile]*rest{}}
+				heldUntil: map[*tableGroup]float64{}, rests: make([]rest, len(r.profiles))}
 			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
 			e.fresh()
 		} else if since > e.since {
@@ -674,10 +687,12 @@
 		if e.kind >= 0 {
 			e.cores = r.kinds[e.kind].Cores
 		}
+		r.weigh(e)
 	}
 	for _, e := range r.order {
 		if ev.Whole && !named[e.id] {
 			e.state = Gone
+			r.weigh(e)
 		}
 	}
 }
@@ -716,6 +731,7 @@
 	for _, c := range r.cmds { // alarms have an order of their own
 		r.setAlarm(r.endBy(c), c)
 	}
+	r.rewatch(true)
 }
 
 func (r *Router) begun(id CommandID) {
@@ -769,6 +785,7 @@
 			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
 		}
 	}
+	r.weigh(e)
 }
 
 // holds tells whether two engines drop each other's repeats.
@@ -800,10 +817,10 @@
 }
 
 func (r *Router) nextAlarm() float64 {
-	if len(r.alarms) == 0 {
+	if len(r.alarms.list) == 0 {
 		return math.Inf(1)
 	}
-	return r.alarms[0].at
+	return r.alarms.list[0].at
 }
 
 // emit is the one place where the wanted state meets the present.
