--- a/internal/lab/steps/ways_test.go
+++ b/internal/lab/steps/ways_test.go
@@ -65,9 +65,11 @@
 	less := func(x, y *item) bool { return order(x, y) < 0 }
 	for _, n := range []int{10, 1000, 100000} {
 		for name, make := range map[string]func() held{
-			"slice":   func() held { return &asSlice{} },
-			"google":  func() held { return &asGoogle{gbtree.NewG(32, less)} },
-			"tidwall": func() held { return &asTidwall{tbtree.NewBTreeGOptions(less, tbtree.Options{NoLocks: true, Degree: 32})} },
+			"slice":  func() held { return &asSlice{} },
+			"google": func() held { return &asGoogle{gbtree.NewG(32, less)} },
+			"tidwall": func() held {
+				return &asTidwall{tbtree.NewBTreeGOptions(less, tbtree.Options{NoLocks: true, Degree: 32})}
+			},
 		} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				h, rng, id := make(), rand.New(rand.NewSource(1)), uint32(0)
