Bounds to the last bit: the likeliest engine is reckoned first, ties need no exact look

Need: idle engines are alike, so bounds with slack let all of them through to the exact figure. Change: bounds repeat the exact reckoning operation by operation from parts that are no larger, so rounding keeps their order; the engine with the least bound is reckoned first; where the pool has no room a count of airy engines says so. Measured: random worlds and full fleets order as the reference.

--- /dev/null
+++ b/internal/lab/steps/steps_test.go
@@ -0,0 +1,63 @@
+package steps
+
+import (
+	"fmt"
+	"testing"
+
+	"mintkeel/internal/lab/reference"
+	"mintkeel/router"
+)
+
+func module(seed int64, place router.Place, kinds []router.Kind, profiles []router.Profile, tenants []router.Tenant,
+	allowed router.Allowed, guards router.Guards) Module {
+	return router.New(seed, place, kinds, profiles, tenants, allowed, guards)
+}
+
+// A step by the size of what it decides on.
+func BenchmarkStep(b *testing.B) {
+	for _, busy := range []Busy{Idle, Half, Full} {
+		for _, engines := range []int{10, 100, 1000} {
+			for _, held := range []int{10, 1000, 100000} {
+				if busy != Full && held > 10 {
+					continue
+				}
+				b.Run(fmt.Sprintf("%v/engines=%d/held=%d", busy, engines, held), func(b *testing.B) {
+					g := New(Scene{Engines: engines, Held: held, Tables: 10, Busy: busy}, module)
+					b.ReportAllocs()
+					for b.Loop() {
+						g.now += spacing
+						g.One()
+					}
+				})
+			}
+		}
+	}
+}
+
+// twin steps module and reference, and tells where they part.
+func twin(t *testing.T) Make {
+	return func(seed int64, place router.Place, kinds []router.Kind, profiles []router.Profile, tenants []router.Tenant,
+		allowed router.Allowed, guards router.Guards) Module {
+		m := reference.NewTwin(seed, place, kinds, profiles, tenants, allowed, guards)
+		m.Differs = func(step int, now float64, _ []router.Event, module, old []router.Action) {
+			t.Errorf("step %d at %v: %s", step, now, reference.Difference(module, old))
+		}
+		return m
+	}
+}
+
+// In full fleets the module orders what the reference does: with few engines and many, with keys, beside others.
+func TestAsReference(t *testing.T) {
+	for _, s := range []Scene{
+		{Engines: 10, Held: 400, Tables: 10, Busy: Full},
+		{Engines: 60, Held: 200, Tables: 30, Busy: Full, Keys: 20},
+		{Engines: 40, Held: 200, Tables: 5, Busy: Full, Controllers: 5},
+		{Engines: 60, Tables: 20, Busy: Half, Keys: 5},
+		{Engines: 120, Tables: 3, Busy: Idle},
+	} {
+		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
+			t.Parallel()
+			New(s, twin(t)).Run(400)
+		})
+	}
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,36 +1,59 @@
 package router
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // This file keeps bounds on what engines weigh, so that a choice among a thousand reckons only the few in full that may
 // be chosen. It decides nothing: a bound never says other than the exact figure would, which router.go alone uses to
 // choose. Bounds hold until the next tend, which reckons all anew; whatever changes an engine reckons its own anew.
 
-// bounds are those of an engine, until r.tendAt.
+// bounds are those of an engine, until r.tendAt. Each is reckoned as the exact figure is, operation by operation, from
+// parts that are no larger (or, under a division, no smaller): rounding keeps order, so it is a bound to the last bit.
 type bounds struct {
 	filled      float64 // at least so many threads a core is it taken to run
-	rests       float64 // at least this is its pressure, without a command's threads and leaning,
-	each        float64 // and at least so much more for each thread
+	capacity    float64 // at most so many cores does it have, as far as it is warm
+	slow        float64 // at least this is the factor of its pace
 	room        float64 // at most so many threads is its bound, for a part of the traffic of one
 	ready, cold bool
+	airy        bool // it may have room by reports, or as it is cold, where the pool has none
 }
 
-// rounding is how far sums of the same in another order may differ, and more.
-const rounding = 1e-9
+// rounding is how far a mean may lie outside of those at two times, when taken between these; and more.
+const rounding = 1e-12
+
+// least is the least that a mean may be between two times, for a prior that is no smaller.
+func (d *decay) least(now, until, prior, weight float64) float64 {
+	if d.n == 0 && d.sum == 0 {
+		return prior
+	}
+	if d.sum > prior*d.n { // it falls towards the prior
+		now = until
+	}
+	return d.mean(now, prior, weight) * (1 - rounding)
+}
 
 // weigh reckons an engine's bounds anew.
 func (r *Router) weigh(e *engine) {
 	until := max(r.now, r.tendAt)
 	b := &e.bounds
 	b.ready = e.state == Ready
-	capacity := e.cores * r.rampAt(e, until)
-	prior := e.cores * r.busyLeast
-	others := min(e.others.mean(r.now, prior, 0.5), e.others.mean(until, prior, 0.5))
-	slow := max(1, min(e.slow.mean(r.now, 1, 1), e.slow.mean(until, 1, 1))/nearBest)
-	b.filled = (e.threads + threadsEach*max(0, others)) / capacity * (1 - rounding)
-	b.rests, b.each = b.filled*slow*(1-rounding), slow/capacity*(1-rounding)
-	b.room = e.width * capacity * (1 + rounding)
+	b.capacity = e.cores * r.rampAt(e, until)
+	b.filled = (e.threads + threadsEach*max(0, e.others.least(r.now, until, e.cores*r.busyLeast, 0.5))) / b.capacity
+	b.slow = 1
+	if e.slow.sum > e.slow.n {
+		b.slow = max(1, e.slow.least(r.now, until, 1, 1)/nearBest)
+	}
+	b.room = e.width * b.capacity * (1 + rounding)
 	b.cold = r.now <= e.since+r.guards.ColdTime+netSlack
+	if was := b.airy; was != (b.ready && (b.cold || b.filled < roomy*startWidth)) {
+		if b.airy = !was; was {
+			r.airy--
+		} else {
+			r.airy++
+		}
+	}
 }
 
 // weighAll reckons all anew; busy, of which every engine takes a part where it has not been heard of, may fall by a
@@ -42,20 +65,35 @@
 	}
 }
 
-// atLeast is a bound on the pressure of c on e.
-func (c *command) atLeast(e *engine) float64 {
-	x := e.bounds.rests + c.profile.Threads*e.bounds.each
-	if !c.profile.HoldsTables {
-		x += leaning * (1 - likes(c.tables, e))
+// floors fills in, for each of some engines, a bound on the pressure of c on it, without end where it can't have room,
+// and tells where the least of them is.
+func (r *Router) floors(c *command, engines []*engine, fill, part float64) (list []float64, at int) {
+	if cap(r.floor) < len(engines) {
+		r.floor = make([]float64, len(engines)+len(engines)/2)
+	}
+	list = r.floor[:len(engines)]
+	least, threads, leans := math.Inf(1), c.profile.Threads, !c.profile.HoldsTables
+	for i, e := range engines {
+		x := math.Inf(1)
+		if r.mayHaveRoom(e, fill, part) {
+			x = (e.bounds.filled + threads/e.bounds.capacity) * e.bounds.slow
+			if leans {
+				x += leaning * (1 - likes(c.tables, e))
+			}
+			if x < least {
+				least, at = x, i
+			}
+		}
+		list[i] = x
 	}
-	return x * (1 - rounding)
+	return list, at
 }
 
 // mayHaveRoom tells whether hasRoom could say so, filled up to a share, for a part of the traffic.
 func (r *Router) mayHaveRoom(e *engine, fill, part float64) bool {
 	b := &e.bounds
 	return b.ready && (r.out == 0 || (e.out == 0 || e.threads <= fill*part*b.room) &&
-		(r.threads <= r.pool || b.cold || b.filled < roomy*startWidth)) && (e.well() || e.out == 0 || e.goodAt > r.now-goodFor)
+		(r.threads <= r.pool || b.airy)) && (e.well() || e.out == 0 || e.goodAt > r.now-goodFor)
 }
 
 // spare is a list of engines that may have room, kept for the step in which it was made: room only shrinks while held
@@ -97,6 +135,19 @@
 	s.none[p.number] = r.steps
 }
 
+// noneFor tells that it is known of this step that no engine has room for c.
+func (r *Router) noneFor(c *command) bool {
+	if !r.hasNone(&r.spare, c.profile) {
+		return false
+	}
+	for _, o := range c.tables.homes {
+		if o != nil && !r.hasNone(&o.spare, c.profile) {
+			return false
+		}
+	}
+	return true
+}
+
 // plain tells that nothing but its profile and table group narrows where c may go.
 func (c *command) plain() bool {
 	return c.kinds == nil && c.zones == nil && (c.doubt == nil || c.profile.Effect == Replayable)
--- a/router/router.go
+++ b/router/router.go
@@ -524,25 +524,34 @@
 	return held > 0 && held >= crowdedFrom*r.wellReady()
 }
 
-// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere. An engine
-// whose pressure can't be the least, by its bounds, is passed over, and so is a list in which none had room for
-// another of the profile just now.
+// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere; of two alike
+// the first. An engine whose pressure can't be the least, by its bounds, is passed over, and so is a list in which
+// none had room for another of the profile just now.
 func (r *Router) choose(c *command) (best *engine) {
-	least, crowded, part := math.Inf(1), r.crowded(c), r.portion()
-	if r.out > 0 && r.threads > r.pool+overhang {
+	if r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c) {
 		return nil
 	}
-	consider := func(s *spare, engines []*engine, fill float64) {
+	least, crowded, part := math.Inf(1), r.crowded(c), r.portion()
+	consider := func(s *spare, all []*engine, fill float64) {
 		if r.hasNone(s, c.profile) {
 			return
 		}
-		found := best
-		for _, e := range r.among(s, engines, fill, part) {
-			if c.atLeast(e) >= least || !r.mayHaveRoom(e, fill, part) || crowded && e.holds(c.tables, r.now) == 0 {
-				continue
+		engines, found, at := r.among(s, all, fill, part), best, -1 // at: the best's place, -1 if before all
+		try := func(i int) {
+			if e := engines[i]; !crowded || e.holds(c.tables, r.now) > 0 {
+				x := r.pressure(c, e)
+				if (x < least || x == least && i < at) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
+					best, least, at = e, x, i
+				}
 			}
-			if x := r.pressure(c, e); x < least && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
-				best, least = e, x
+		}
+		floors, first := r.floors(c, engines, fill, part)
+		if first < len(engines) { // who will hardly be beaten spares the others
+			try(first)
+		}
+		for i, x := range floors {
+			if i != first && (x < least || x == least && i < at) {
+				try(i)
 			}
 		}
 		if found == nil && best == nil && !crowded && c.plain() {
--- a/router/state.go
+++ b/router/state.go
@@ -325,6 +325,8 @@
 	asked              []*engine // to be probed
 	credit             float64   // probes that may be made
 	busy               decay     // commands a core that others hold, by all reports
+	airy               int       // engines that may have room where the pool has none
+	floor              []float64 // of the engines of one choice, kept for its room
 	busyLeast          float64   // the least that it may be for engines' bounds to hold
 	shareWas           decay     // by which portion was last reckoned,
 	shareAt, part      float64   // when, and what it was
