No spikes: giving up and handing engines out cost in proportion to what changes

Change: held commands are watched by profile, and a pace that moves brings all forward at no cost; homes are marked once instead of looked up for each pair; counts come from a heap, packs from a tree by room. Past 200,000 pairs of table group and engine only the groups asked for most choose an owner's engines (an exception of the design, off at today's sizes).

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"math"
 	"slices"
+
+	"github.com/tidwall/btree"
 )
 
 // This file keeps bounds on what engines weigh, so that a choice among a thousand reckons only the few in full that may
@@ -180,3 +183,86 @@
 	}
 	return n
 }
+
+// need is what an owner, by its place, asks for each engine.
+type need struct {
+	each float64
+	at   int
+}
+
+// needs files what each owner asks for, and tells how many engines they have among them, one at least each.
+func (r *Router) needs(owners []*owner) (n int) {
+	for _, o := range owners {
+		o.want, o.asks = max(1, o.want), r.demand(o)
+		n += o.want
+	}
+	return n
+}
+
+// markHome marks an owner's engines, and no others, as found there.
+func (r *Router) markHome(o *owner) {
+	if r.homed == o || o == nil {
+		return
+	}
+	if r.homed != nil {
+		for _, e := range r.homedEngines {
+			e.home = nil
+		}
+	}
+	r.homed, r.homedEngines = o, append(r.homedEngines[:0], o.engines...)
+	for _, e := range o.engines {
+		e.home = o
+	}
+}
+
+// unmarkHome forgets whose engines were marked: owners are about to be given others.
+func (r *Router) unmarkHome() {
+	for _, e := range r.homedEngines {
+		e.home = nil
+	}
+	clear(r.homedEngines)
+	r.homed, r.homedEngines = nil, r.homedEngines[:0]
+}
+
+// mostPairs is how many pairs of table group and engine are looked at when an owner's engines are chosen: some
+// milliseconds.
+const mostPairs = 200000
+
+// weightiest is all groups, or as many of those asked for most as can be looked at with so many engines.
+func (r *Router) weightiest(groups []*tableGroup, engines int) []*tableGroup {
+	most := mostPairs / max(1, engines)
+	if len(groups) <= most {
+		return groups
+	}
+	slices.SortStableFunc(groups, func(a, b *tableGroup) int { return cmp.Compare(b.demand.rate(r.now), a.demand.rate(r.now)) })
+	return groups[:most]
+}
+
+// bin is a pack of table groups by what it has left.
+type bin struct {
+	room   float64
+	number int
+}
+
+// rooms are bins by room, then number.
+type rooms struct{ tree *btree.BTreeG[bin] }
+
+func newRooms() rooms {
+	return rooms{btree.NewBTreeGOptions(func(a, b bin) bool {
+		return a.room < b.room || a.room == b.room && a.number < b.number
+	}, btree.Options{NoLocks: true})}
+}
+
+func (r rooms) put(b bin) { r.tree.Set(b) }
+
+// best takes out the bin with least room of those that have as much, the first of several; ok tells whether there is one.
+func (r rooms) best(size float64) (b bin, ok bool) {
+	r.tree.Ascend(bin{size, -1}, func(x bin) bool {
+		b, ok = x, true
+		return false
+	})
+	if ok {
+		r.tree.Delete(b)
+	}
+	return b, ok
+}
--- a/router/held.go
+++ b/router/held.go
@@ -84,9 +84,8 @@
 type heldBooks struct {
 	n            int
 	fresh, again *heldTree
-	watch        heap[alarm] // all of them, each by a time before which it is not given up
-	scan         []*command  // of release, kept for its room
-	due          []*command  // of tend
+	scan         []*command // of release, kept for its room
+	due          []*command // of tend
 }
 
 func (h *heldBooks) tree(c *command) *heldTree {
@@ -106,7 +105,7 @@
 	r.park(c)
 	if !c.watched {
 		c.watched = true
-		r.held.watch.push(alarm{r.lookAt(c), c})
+		r.watch(c)
 	}
 }
 
@@ -221,65 +220,79 @@
 	return pace{p.best, p.workScale.mean(now, 1, 2), math.Exp(p.run.mean(now, 0, 1))}
 }
 
-// Within these a pace may move, as a ratio, until what was reckoned by it is reckoned anew; slack is the ratio of times
-// alone that goes with it.
+// watches are a profile's commands that are held, or were, each by a time before which it is not given up. A pace may
+// move, by the ratios below, without these being wrong; if it moves farther all of them come earlier by as much as any
+// can, which costs nothing now, and those that are looked at for it are reckoned anew one by one.
+type watches struct {
+	heap    heap[alarm] // by that time, and shift
+	shift   float64     // taken off all
+	by      pace
+	largest float64 // estimate among them
+}
+
 const (
-	bestDrifts, scaleDrifts = 1.1, 1.1
-	runDrifts               = 1.6
-	alongDrifts             = bestDrifts * scaleDrifts
+	bestDrifts, scaleDrifts, runDrifts = 1.25, 1.25, 2.5
+	alongDrifts                        = bestDrifts * scaleDrifts // of the time alone
 )
 
 func within(a, b, ratio float64) bool { return a <= b*ratio && b <= a*ratio }
 
-// rewatch reckons anew, if the paces of some profiles have moved too far or all is asked for, when the held commands
-// must be looked at.
-func (r *Router) rewatch(all bool) {
-	moved := all
-	for _, p := range r.profiles {
-		now := p.pace(r.now)
-		if p.moved = all || !within(now.best, p.watched.best, bestDrifts) ||
-			!within(now.scale, p.watched.scale, scaleDrifts) || !within(now.run, p.watched.run, runDrifts); p.moved {
-			p.watched, moved = now, true
-		}
-	}
-	if !moved {
-		return
+// watch has c looked at in time.
+func (r *Router) watch(c *command) {
+	w := &c.profile.watches
+	w.largest = max(w.largest, c.estimate)
+	w.heap.push(alarm{r.lookAt(c) + w.shift, c})
+}
+
+// drift brings all forward if the profile's pace has moved too far.
+func (p *profile) drift(now float64) {
+	w, next := &p.watches, p.pace(now)
+	if len(w.heap.list) == 0 {
+		w.by, w.shift, w.largest = next, 0, 0
+	} else if !within(next.best, w.by.best, bestDrifts) || !within(next.scale, w.by.scale, scaleDrifts) ||
+		!within(next.run, w.by.run, runDrifts) {
+		before := p.reach(w.by)
+		w.by = next
+		w.shift += before + p.reach(next)
 	}
-	w := &r.held.watch
-	kept := w.list[:0]
-	for _, a := range w.list {
-		if !a.cmd.held {
-			a.cmd.watched = false
-			continue
-		}
-		if a.cmd.profile.moved {
-			a.at = r.lookAt(a.cmd)
+}
+
+// reach is how far lookAt may lie from what no pace moves, for the largest command watched.
+func (p *profile) reach(by pace) float64 {
+	steepest := max(1.5, p.TargetStretch, 1) + max(0, runOver*by.run*runDrifts-1)
+	return steepest * alongDrifts * max(p.aloneBy(0, by), p.aloneBy(max(p.watches.largest, 1), by))
+}
+
+// rewatch reckons all anew: the time by which this controller ends has changed.
+func (r *Router) rewatch() {
+	for _, p := range r.profiles {
+		w := &p.watches
+		for i := range w.heap.list {
+			w.heap.list[i].at = r.lookAt(w.heap.list[i].cmd) + w.shift
 		}
-		kept = append(kept, a)
+		w.heap.mend()
 	}
-	clear(w.list[len(kept):])
-	w.list = kept
-	w.mend()
 }
 
 // hopeless is the held commands that are past giving up, by client timeout.
 func (r *Router) hopeless() []*command {
-	r.rewatch(false)
-	due, w := r.held.due[:0], &r.held.watch
-	looked := r.held.scan[:0]
-	for len(w.list) > 0 && w.list[0].at < r.now {
-		c := w.pop().cmd
-		if !c.held {
-			c.watched = false
-			continue
-		}
-		if r.now > r.giveUpAt(c) {
-			due = append(due, c)
+	due, looked := r.held.due[:0], r.held.scan[:0]
+	for _, p := range r.profiles {
+		p.drift(r.now)
+		for h := &p.watches.heap; len(h.list) > 0 && h.list[0].at-p.watches.shift < r.now; {
+			c := h.pop().cmd
+			if !c.held {
+				c.watched = false
+				continue
+			}
+			if r.now > r.giveUpAt(c) {
+				due = append(due, c)
+			}
+			looked = append(looked, c)
 		}
-		looked = append(looked, c)
 	}
 	for _, c := range looked { // one that can't be ended, as its answer has begun, is looked at again
-		w.push(alarm{max(r.now, r.lookAt(c)), c})
+		c.profile.watches.heap.push(alarm{max(r.now, r.lookAt(c)) + c.profile.watches.shift, c})
 	}
 	clear(looked)
 	slices.SortFunc(due, byTimeout)
@@ -288,26 +301,26 @@
 }
 
 // lookAt is a time before which c is not given up, whatever its profile's pace does within its drifts: giveUpAt at the
-// worst of these.
+// worst of these, and a little earlier, as sums of times since 1970 are that coarse.
 func (r *Router) lookAt(c *command) float64 {
-	p := c.profile
-	short, long := p.aloneBy(c, p.watched)/alongDrifts, p.aloneBy(c, p.watched)*alongDrifts
-	by, later := r.endBy(c)-1.5*long, max(0, long*(runOver*p.watched.run*runDrifts-1))
+	p, alone := c.profile, c.profile.aloneBy(c.estimate, c.profile.watches.by)
+	short, long := alone/alongDrifts, alone*alongDrifts
+	by, later := r.endBy(c)-1.5*long, max(0, long*(runOver*p.watches.by.run*runDrifts-1))
 	if p.LateShare < lateShare {
 		grows := min((p.TargetStretch-1)*short, (p.TargetStretch-1)*long)
 		by = min(c.asked+p.Target+grows, r.endBy(c)-long)
 	}
-	return max(by-later, min(by, c.asked+leastHold*p.Target)) - 1e-6
+	return max(by-later, min(by, c.asked+leastHold*p.Target)) - 0.01
 }
 
-// aloneBy is alone, by a pace.
-func (p *profile) aloneBy(c *command, by pace) float64 {
-	if by.best == 0 && c.estimate <= 0 {
+// aloneBy is alone, by a pace, for an estimate.
+func (p *profile) aloneBy(estimate float64, by pace) float64 {
+	if by.best == 0 && estimate <= 0 {
 		return p.Target / 2
 	}
 	unit := 1.0
-	if c.estimate > 0 {
-		unit = max(1, c.estimate*by.scale/p.Threads)
+	if estimate > 0 {
+		unit = max(1, estimate*by.scale/p.Threads)
 	}
 	return cmp.Or(by.best, 1) * unit
 }
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -28,7 +28,7 @@
 
 // more adds a profile of which nothing has been seen yet.
 func (d *desk) more(p Profile) {
-	d.r.profiles = append(d.r.profiles, &profile{Profile: p, number: len(d.r.profiles)})
+	d.r.profiles = append(d.r.profiles, &profile{Profile: p, number: len(d.r.profiles), watches: watches{heap: heap[alarm]{less: earlier}}})
 	for _, e := range d.r.order {
 		e.rests = append(e.rests, rest{})
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -257,18 +257,14 @@
 func pack(groups []*tableGroup, size map[*tableGroup]float64, room float64) (bins [][]*tableGroup) {
 	sorted := slices.Clone(groups)
 	slices.SortStableFunc(sorted, func(a, b *tableGroup) int { return cmp.Compare(size[b], size[a]) })
-	var left []float64
+	left := newRooms()
 	for _, g := range sorted {
-		best := -1
-		for i := range bins {
-			if left[i] >= size[g] && (best < 0 || left[i] < left[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			bins, left, best = append(bins, nil), append(left, room), len(bins)
+		best, ok := left.best(size[g])
+		if !ok {
+			bins, best = append(bins, nil), bin{room, len(bins)}
 		}
-		bins[best], left[best] = append(bins[best], g), left[best]-size[g]
+		bins[best.number] = append(bins[best.number], g)
+		left.put(bin{best.room - size[g], best.number})
 	}
 	return bins
 }
@@ -285,15 +281,20 @@
 
 // apportion makes the counts wanted sum to n, one at least each, by what demand leaves for each engine.
 func (r *Router) apportion(owners []*owner, n int) {
-	for _, o := range owners {
-		o.want = max(1, o.want)
-		n -= o.want
-	}
-	for ; n > 0; n-- {
-		slices.MaxFunc(owners, func(a, b *owner) int { return cmp.Compare(r.each(a), r.each(b)) }).want++
+	if n -= r.needs(owners); n > 0 {
+		neediest := heap[need]{less: func(a, b *need) bool { return a.each > b.each || a.each == b.each && a.at < b.at }}
+		for i, o := range owners {
+			neediest.push(need{o.asks / float64(o.want), i})
+		}
+		for ; n > 0; n-- {
+			o := owners[neediest.list[0].at]
+			o.want++
+			neediest.list[0].each = o.asks / float64(o.want)
+			neediest.sink(0)
+		}
 	}
 	for ; n < 0; n++ {
-		after := func(o *owner) float64 { return r.demand(o) / (float64(o.want) - 1) }
+		after := func(o *owner) float64 { return o.asks / (float64(o.want) - 1) }
 		slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(after(a), after(b)) }).want--
 	}
 }
@@ -306,17 +307,24 @@
 	growth := func(o *owner) int { return o.want - len(o.engines) }
 	slices.SortStableFunc(turn, func(a, b *owner) int { return growth(a) - growth(b) })
 	for _, o := range turn {
-		fits := map[*engine]float64{}
-		for _, g := range o.groups() {
+		r.unmarkHome() // the last turn gave engines
+		groups := r.weightiest(o.groups(), len(free))
+		for _, e := range free {
+			e.fit = 0
+		}
+		for _, g := range groups {
 			weight, home := g.demand.rate(r.now)+1e-9, g.homes[k]
+			r.markHome(home)
 			for _, e := range free {
-				if fits[e] += weight * likes(g, e); home != nil && slices.Contains(home.engines, e) {
-					fits[e] += weight
+				if e.fit += weight * likes(g, e); e.home == home && home != nil {
+					e.fit += weight
 				}
 			}
+		}
+		for _, g := range o.groups() {
 			g.homes[k] = o
 		}
-		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(fits[b], fits[a]) })
+		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(b.fit, a.fit) })
 		o.engines, free = slices.Clone(free[:o.want]), free[o.want:]
 		for _, e := range o.engines {
 			e.owner = o
@@ -366,7 +374,7 @@
 		asks[owners[last-1]], owners = r.demand(owners[last-1]), owners[:last]
 	}
 	for _, o := range owners {
-		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return !slices.Contains(ready, e) })
+		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return e.state != Ready || int(e.kind) != k })
 		o.want = len(o.engines)
 	}
 	r.allot(k, owners)
--- a/router/state.go
+++ b/router/state.go
@@ -152,8 +152,7 @@
 	workScale decay   // true work over estimate
 	needScale decay   // true memory over estimate
 	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
-	watched   pace    // by which its held commands were last reckoned,
-	moved     bool    // and whether that was just now
+	watches   watches // its held commands, to be given up in time
 }
 
 // line is the queue of one order key, by arrival; rest is when its next command may start after a doubtful outcome.
@@ -202,6 +201,8 @@
 	tookAt     float64 // when what it last answered was sent to it
 	brokeAt    float64 // when a connection to it was last lost, or not to be had
 	owner      *owner  // which it has
+	home       *owner  // among whose engines it was found last, and
+	fit        float64 // how well it suits an owner, while engines are handed out
 }
 
 // rest is how long something waits between tries: twice as long after each that fails, half as long after
@@ -282,7 +283,8 @@
 type owner struct {
 	packs   [][]*tableGroup
 	engines []*engine
-	want    int // how many it is to have
+	want    int     // how many it is to have
+	asks    float64 // its demand, when counts were last made
 	spare   spare
 }
 
@@ -327,9 +329,11 @@
 	busy               decay     // commands a core that others hold, by all reports
 	airy               int       // engines that may have room where the pool has none
 	floor              []float64 // of the engines of one choice, kept for its room
-	busyLeast          float64   // the least that it may be for engines' bounds to hold
-	shareWas           decay     // by which portion was last reckoned,
-	shareAt, part      float64   // when, and what it was
+	homed              *owner    // whose engines are marked,
+	homedEngines       []*engine
+	busyLeast          float64 // the least that it may be for engines' bounds to hold
+	shareWas           decay   // by which portion was last reckoned,
+	shareAt, part      float64 // when, and what it was
 	askAt, tendAt      float64
 	moveAt             float64
 	packed             bool // by learned footprints
@@ -359,10 +363,10 @@
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
 	r.held.fresh, r.held.again = newHeldTree(), newHeldTree()
-	r.held.watch.less, r.alarms.less = earlier, earlier
+	r.alarms.less = earlier
 	for i, p := range profiles {
 		scale := decay{life: scaleLife}
-		r.profiles = append(r.profiles, &profile{Profile: p, number: i, unit: decay{life: unitLife},
+		r.profiles = append(r.profiles, &profile{Profile: p, number: i, watches: watches{heap: heap[alarm]{less: earlier}}, unit: decay{life: unitLife},
 			run:  decay{life: runLife},
 			work: decay{life: workLife}, workScale: scale, needScale: scale})
 	}
@@ -733,7 +737,7 @@
 	for _, c := range r.cmds { // alarms have an order of their own
 		r.setAlarm(r.endBy(c), c)
 	}
-	r.rewatch(true)
+	r.rewatch()
 }
 
 func (r *Router) begun(id CommandID) {
