Under pressure: what can't be decided in time is turned away, answers wait for nothing

Need: when more came than a core can decide, the inbox slowed engines' answers and the feed as much as clients, and commands were decided so late that nearly all answers were late. Change: commands wait in a queue of their own, and one that finds it full is shed at once by its session. Each arrival says how long it waited; past 20 ms the module turns away who can't be in time any more, then a growing share of all. After a step with many sends the loop lets the module go on before it takes new commands, so that what can't be decided waits where it is seen.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand"
 	"net"
 	"os"
 	"os/signal"
@@ -101,7 +102,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := clients.New(l, &s.facts.Names, s.facts.Profiles, d.loop.Post, d.log)
+	server := clients.New(l, &s.facts.Names, s.facts.Profiles, d.loop.Offer, func() time.Duration {
+		return time.Duration(s.facts.Allowed.ComeBack(rand.Float64()) * float64(time.Millisecond))
+	}, d.loop.Post, d.log)
 	go d.loop.Run(ctx)
 	d.loop.SetRules(d.file.Rules)
 	d.feed = bulletin.NewFeed(s.Feed, last, &s.facts.Names, l, func(news bulletin.News) { d.loop.Post(news) }, d.log)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -34,6 +34,8 @@
 	names    *settings.Names
 	profiles []router.Profile
 	post     func(event any)
+	offer    func(Taken) bool
+	away     func() time.Duration // how long who is refused should stay away
 	log      *slog.Logger
 
 	rules    atomic.Pointer[ruling] // nil: there are none
@@ -67,10 +69,11 @@
 		slog.Int64("bad_queries", c.badQueries.Load()), slog.Int64("cancels", c.cancels.Load()))
 }
 
-// New makes a server that tells post of commands; post may block its caller.
-func New(l *limits.Limits, names *settings.Names, profiles []router.Profile, post func(event any),
-	log *slog.Logger) *Server {
-	return &Server{limits: l, names: names, profiles: profiles, post: post, log: log,
+// New makes a server that offers commands, and sheds one that is not taken with the time for which away says to stay
+// away. It tells post of clients that leave; post may block its caller.
+func New(l *limits.Limits, names *settings.Names, profiles []router.Profile, offer func(Taken) bool,
+	away func() time.Duration, post func(event any), log *slog.Logger) *Server {
+	return &Server{limits: l, names: names, profiles: profiles, offer: offer, away: away, post: post, log: log,
 		sessions: map[uint32]*session{}, heard: time.Now()}
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -44,6 +44,7 @@
 	server *Server
 	addr   string
 	events chan any
+	full   chan bool // with something in it: the next command is not taken
 }
 
 func newFront(t *testing.T, change func(*limits.Limits)) *front {
@@ -53,9 +54,18 @@
 	}
 	names := &settings.Names{Profiles: map[string]router.ProfileID{"report": 0, "load": 1},
 		Tenants: map[string]router.TenantID{"acme": 0}}
-	f := &front{t: t, events: make(chan any, 100)}
-	f.server = New(l, names, []router.Profile{{}, {Effect: router.Uniqued}}, func(ev any) { f.events <- ev },
-		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f := &front{t: t, events: make(chan any, 100), full: make(chan bool, 1)}
+	offer := func(ev Taken) bool {
+		select {
+		case <-f.full:
+			return false
+		default:
+			f.events <- ev
+			return true
+		}
+	}
+	f.server = New(l, names, []router.Profile{{}, {Effect: router.Uniqued}}, offer,
+		func() time.Duration { return 250 * time.Millisecond }, func(ev any) { f.events <- ev }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -157,6 +167,26 @@
 	}
 }
 
+// A command that is not taken, as too many wait, is shed at once, with the time for which to stay away; the session
+// goes on.
+func TestNotTaken(t *testing.T) {
+	f := newFront(t, nil)
+	conn := f.dial(hello)
+	f.hears(conn, "Z")
+	f.full <- true
+	conn.Write(ask(query))
+	want := pgwire.AppendReady(pgwire.AppendShed(nil, 250*time.Millisecond))
+	got := make([]byte, len(want))
+	if io.ReadFull(conn, got); !bytes.Equal(got, want) {
+		t.Errorf("said %q", got)
+	}
+	conn.Write(ask(query))
+	f.taken().Finish(exchange.Answer{Verdict: exchange.Answered})
+	if said, _ := f.hears(conn, "Z"); said != "TCZ" {
+		t.Errorf("then said %s", said)
+	}
+}
+
 func TestRows(t *testing.T) {
 	f := newFront(t, nil)
 	conn := f.dial(hello, ask(query))
@@ -430,12 +460,10 @@
 	f.Add(append(bytes.Clone(hello), ask(query)...))
 	f.Add([]byte(fmt.Sprint(head)))
 	server := New(limits.For(64, 32, 0, 0, 0), &settings.Names{Profiles: map[string]router.ProfileID{"report": 0}},
-		[]router.Profile{{}}, nil, slog.Default())
-	server.post = func(ev any) {
-		if t, ok := ev.(Taken); ok {
+		[]router.Profile{{}}, func(t Taken) bool {
 			t.Command.Finish(exchange.Answer{Verdict: exchange.Answered})
-		}
-	}
+			return true
+		}, nil, func(any) {}, slog.Default())
 	f.Fuzz(func(t *testing.T, in []byte) {
 		ours, theirs := net.Pipe()
 		go func() { theirs.Write(in); theirs.Close() }()
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -295,7 +295,9 @@
 		ses.conn.SetReadDeadline(past) // first: after ready, the next read has a deadline of its own
 		close(ready)
 	})
-	ses.server.post(Taken{cmd})
+	if !ses.server.offer(Taken{cmd}) {
+		cmd.Finish(exchange.Answer{Verdict: exchange.Shed, After: ses.server.away()})
+	}
 	switch kind, _, _, err := pgwire.Peek(ses.r, ses.server.limits.MessageBytes); {
 	case errors.Is(err, os.ErrDeadlineExceeded): // the answer is there
 	case err == nil && kind == 'X':
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mintkeel/internal/bulletin"
@@ -52,6 +53,8 @@
 	engines Engines
 	clock   Clock
 	inbox   chan any
+	queue   chan clients.Taken // of commands, apart: what engines and the feed tell is never behind them
+	refused atomic.Int64       // commands that found the queue full
 
 	counts   Counts
 	events   []router.Event
@@ -66,6 +69,7 @@
 // Counts are what the loop has seen and done.
 type Counts struct {
 	Taken, Answered, Shed, Failed, Left, Duplicate int64
+	Refused                                        int64 // shed as too many waited to be looked at; not taken
 	Open                                           int64 // now
 	Sends, Cancels, Probes, News                   int64
 	Ends                                           [router.NotSent + 1]int64
@@ -81,15 +85,17 @@
 	}
 	return slog.GroupValue(slog.Int64("taken", c.Taken), slog.Int64("answered", c.Answered), slog.Int64("shed", c.Shed),
 		slog.Int64("failed", c.Failed), slog.Int64("left", c.Left), slog.Int64("duplicate", c.Duplicate),
+		slog.Int64("refused", c.Refused),
 		slog.Int64("open", c.Open), slog.Int64("sends", c.Sends), slog.Int64("cancels", c.Cancels),
 		slog.Int64("probes", c.Probes), slog.Int64("news", c.News), slog.Attr{Key: "ends", Value: slog.GroupValue(ends...)})
 }
 
-// New makes a loop; Post is how others reach it. SetEngines completes it, as engines post to the loop.
-// rest is that of an order key after a doubtful outcome, in ms.
+// New makes a loop; Post and Offer are how others reach it. SetEngines completes it, as engines post to the loop.
+// inbox bounds what waits of the one as of the other. rest is that of an order key after a doubtful outcome, in ms.
 func New(module *router.Router, clock Clock, inbox int, rest float64) *Loop {
 	wake := time.NewTimer(time.Hour)
-	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), wake: wake, epochs: rules.Epochs{Rest: rest},
+	return &Loop{module: module, clock: clock, inbox: make(chan any, inbox), queue: make(chan clients.Taken, inbox), wake: wake,
+		epochs:   rules.Epochs{Rest: rest},
 		commands: map[router.CommandID]*command{}, ids: map[string]router.CommandID{}}
 }
 
@@ -99,6 +105,18 @@
 // Post hands an event to the loop; it blocks while the inbox is full, and so slows its caller's connection alone.
 func (l *Loop) Post(event any) { l.inbox <- event }
 
+// Offer hands a command to the loop, or tells that too many wait already: then it was not taken, and its client may be
+// told so at once. It never blocks.
+func (l *Loop) Offer(taken clients.Taken) bool {
+	select {
+	case l.queue <- taken:
+		return true
+	default:
+		l.refused.Add(1)
+		return false
+	}
+}
+
 // SetRecall hands over, before Run and before any news, who tells what is still believed of an earlier run, once the
 // first engines of a list are there to be known by it.
 func (l *Loop) SetRecall(recall func(list []router.Entry) router.Learned) { l.recall = recall }
@@ -170,27 +188,46 @@
 	return <-reply
 }
 
+// stepMost is how many commands one step takes in: what it costs to look at them is some milliseconds. After a step with
+// stepMore sends or more the module may have more of them to let go, and does so before it is given new ones: so what
+// can't be decided in time waits in the queue, where it is seen to wait.
+const stepMost, stepMore = 512, 64
+
 // Run takes events until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	l.step() // the first actions need no event
-	for {
+	for sends := l.step(); ; sends = l.step() { // the first actions need no event
+		if sends >= stepMore {
+			l.events = append(l.events, router.Woke{})
+			drain(l, l.inbox, cap(l.inbox))
+			if ctx.Err() != nil {
+				return
+			}
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-l.inbox:
 			l.take(event)
+		case taken := <-l.queue:
+			l.take(taken)
 		case <-l.wake.C:
 			l.events = append(l.events, router.Woke{})
 		}
-		for more := true; more; { // what else is there belongs to the same step
-			select {
-			case event := <-l.inbox:
-				l.take(event)
-			default:
-				more = false
-			}
+		drain(l, l.inbox, cap(l.inbox)) // what else is there belongs to the same step,
+		drain(l, l.queue, stepMost)     // but not all that waits to be decided: answers and timeouts must not wait for it
+	}
+}
+
+// drain takes what is there, up to a number.
+func drain[T any](l *Loop, from chan T, most int) {
+	for range most {
+		select {
+		case event := <-from:
+			l.take(event)
+		default:
+			return
 		}
-		l.step()
 	}
 }
 
@@ -227,6 +264,7 @@
 		ev.reply <- part
 	case ask:
 		counts := l.counts
+		counts.Refused = l.refused.Load()
 		for _, c := range l.commands {
 			if !c.over {
 				counts.Open++
@@ -257,8 +295,9 @@
 	}
 	l.commands[cmd.Number], l.ids[cmd.ID] = c, cmd.Number
 	l.counts.Taken++
+	waited := time.Since(cmd.Read)
 	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
-		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-time.Since(cmd.Read)) / 1e6,
+		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-waited) / 1e6, Waited: float64(waited) / 1e6,
 		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB, Kinds: cmd.Kinds, Zones: cmd.Zones, Hot: cmd.Hot, Most: cmd.Most})
 }
 
@@ -322,8 +361,8 @@
 	}
 }
 
-// step has the module decide and carries its actions out in order.
-func (l *Loop) step() {
+// step has the module decide, carries its actions out in order and tells how many of them are sends.
+func (l *Loop) step() (sends int) {
 	now := l.clock()
 	actions := l.module.Step(now, l.events)
 	clear(l.events)
@@ -334,6 +373,7 @@
 			c := l.commands[a.ID] // the module sends only what it was given and has not ended
 			c.sends, c.open = append(c.sends, a.Engine), c.open+1
 			l.counts.Sends++
+			sends++
 			l.engines.Send(c.Command, router.SendID(len(c.sends)-1), a.Engine, duration(a.Until-now))
 		case router.Cancel:
 			if c := l.commands[a.ID]; c != nil && int(a.Send) < len(c.sends) {
@@ -352,6 +392,7 @@
 		case router.Subscribe: // the feed is followed at all times
 		}
 	}
+	return sends
 }
 
 // end gives a command the module's final answer. The command is kept until its sends have their outcomes, and
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -52,6 +52,42 @@
 	return &exchange.Command{ID: id, Tenant: -1, Read: time.Now(), Left: 5 * time.Second}
 }
 
+// However many commands wait, what engines tell is not behind them, one too many is refused at once, and none that was
+// taken goes without its answer.
+func TestQueue(t *testing.T) {
+	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
+		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{MaxSends: 3}, router.Guards{Round: 5})
+	h := &hands{make(chan *exchange.Command, 10000), make(chan router.SendID, 10)}
+	l := New(module, SystemClock(), 1000, 0)
+	l.SetEngines(h)
+	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	answers := make(chan exchange.Verdict, 2000)
+	offered := 0
+	for i := range 1200 {
+		cmd := fromClient(fmt.Sprint("c", i))
+		cmd.Left = 400 * time.Millisecond
+		cmd.OnAnswer(func() { answers <- cmd.Answer().Verdict })
+		if l.Offer(clients.Taken{Command: cmd}) {
+			offered++
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.Post(Stop{Within: time.Hour}) // behind a thousand commands by time, but not one of them
+	go l.Run(ctx)
+	first := l.Counts()
+	if offered != 1000 || first.Refused != 200 || first.Taken > stepMost {
+		t.Errorf("%d were offered, counts %+v", offered, first)
+	}
+	for range offered {
+		select {
+		case <-answers:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("an answer is missing: %+v", l.Counts())
+		}
+	}
+}
+
 // A command's life as the loop sees it, for each way in which it ends: it is answered once and then forgotten.
 func TestEnds(t *testing.T) {
 	rows := [][]byte{[]byte("a\tb\tc\n")}
--- a/internal/lab/steps/steps_test.go
+++ b/internal/lab/steps/steps_test.go
@@ -61,3 +61,23 @@
 		})
 	}
 }
+
+// However much more comes than can be decided, each command that was taken is answered before its client gives up, and
+// most of what can be decided is answered in time. A module that is not told of the waits answers late.
+func TestPressed(t *testing.T) {
+	for _, c := range []struct{ times, decide, least, blind float64 }{ // of what could be answered, without refusing any
+		{0.5, 0.05, 1, 1}, {1, 0.05, 0.99, 1}, {2, 0.05, 0.85, 1}, {5, 0.05, 0.75, 1}, {20, 0.05, 0.45, 1},
+		{1.2, 0.2, 0.75, 0.3}, {2, 0.2, 0.6, 0.2}, {5, 0.2, 0.4, 0.2},
+	} {
+		p := Pressed{Seed: 1, Times: c.times, Decide: c.decide, Away: c.decide / 10, Refused: c.decide / 50, Length: c.decide * 20000}
+		out := p.Play(module)
+		could := min(float64(out.Commands), p.Length/p.Decide)
+		if out.Missed > 0 || out.Failed > 0 || float64(out.InTime) < c.least*could {
+			t.Errorf("%+v: %+v, of %g", c, out, could)
+		}
+		p.Blind = true
+		if out := p.Play(module); float64(out.InTime) > c.blind*could*1.05 {
+			t.Errorf("%+v, not told of waits: %+v, of %g", c, out, could)
+		}
+	}
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -184,12 +184,32 @@
 	return n
 }
 
+// each is what an owner asked for each engine, when that was last reckoned.
+func (o *owner) each() float64 { return o.asks / float64(max(1, o.want)) }
+
 // need is what an owner, by its place, asks for each engine.
 type need struct {
 	each float64
 	at   int
 }
 
+// giveEach gives n engines out, one at a time, each to the first owner that asks for most for each that it has.
+func giveEach(owners []*owner, n int) {
+	neediest := heap[need]{less: func(a, b *need) bool { return a.each > b.each || a.each == b.each && a.at < b.at }}
+	for i, o := range owners {
+		neediest.push(need{o.each(), i})
+	}
+	for ; n > 0; n-- {
+		top := &neediest.list[0]
+		owners[top.at].want++
+		top.each = owners[top.at].each()
+		neediest.sink(0)
+	}
+}
+
+// readyOf tells whether the list calls an engine of a kind ready.
+func (e *engine) readyOf(k int) bool { return e.state == Ready && int(e.kind) == k }
+
 // needs files what each owner asks for.
 func (r *Router) needs(owners []*owner) {
 	for _, o := range owners {
--- a/router/router.go
+++ b/router/router.go
@@ -277,8 +277,6 @@
 	tablesLife         = 60000.0      // ms for which a table group is kept that nobody names
 )
 
-func (o *owner) each() float64 { return o.asks / float64(max(1, o.want)) }
-
 // apportion makes the counts wanted sum to n, one at least each, by what demand leaves for each engine.
 func (r *Router) apportion(owners []*owner, n int) {
 	r.needs(owners)
@@ -286,18 +284,7 @@
 		o.want = max(1, o.want)
 		n -= o.want
 	}
-	if n > 0 {
-		neediest := heap[need]{less: func(a, b *need) bool { return a.each > b.each || a.each == b.each && a.at < b.at }}
-		for i, o := range owners {
-			neediest.push(need{o.each(), i})
-		}
-		for ; n > 0; n-- {
-			o := owners[neediest.list[0].at]
-			o.want++
-			neediest.list[0].each = o.each()
-			neediest.sink(0)
-		}
-	}
+	giveEach(owners, n)
 	for ; n < 0; n++ {
 		after := func(o *owner) float64 { return o.asks / (float64(o.want) - 1) }
 		slices.MinFunc(owners, func(a, b *owner) int { return cmp.Compare(after(a), after(b)) }).want--
@@ -379,7 +366,7 @@
 		asks[owners[last-1]], owners = r.demand(owners[last-1]), owners[:last]
 	}
 	for _, o := range owners {
-		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return e.state != Ready || int(e.kind) != k })
+		o.engines = slices.DeleteFunc(o.engines, func(e *engine) bool { return !e.readyOf(k) })
 		o.want = len(o.engines)
 	}
 	r.allot(k, owners)
@@ -440,7 +427,7 @@
 	widenBy, bestOver                 = 0.5, 25.0     // threads for each answer; answers behind a best time
 	cutBy, cutEvery                   = 0.85, 400.0   // and ms between cuts
 	bestDrift                         = 1.0001        // with each answer: who grew slower is not held to it
-	hearsayFor, hearsayOver           = 10000.0, 5.0  // ms for which memory stands unanswered; answers to refute it
+	hearsayFor, hearsayOver           = 10000.0, 5.0  // ms that memory stands unanswered; answers to refute it
 )
 
 func (r *Router) bound(e *engine) float64 { return e.width * e.cores * r.ramp(e) * r.portion() }
@@ -537,9 +524,9 @@
 	return held > 0 && held >= crowdedFrom*r.wellReady()
 }
 
-// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere; of two alike
-// the first. An engine whose pressure can't be the least, by its bounds, is passed over, and so is a list in which
-// none had room for another of the profile just now.
+// choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere; of
+// two alike the first. An engine whose pressure can't be the least, by its bounds, is passed over, and so is
+// a list in which none had room for another of the profile just now.
 func (r *Router) choose(c *command) (best *engine) {
 	if r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c) {
 		return nil
@@ -613,11 +600,14 @@
 	badPlan, badPlanGap    = 4.0, 1.5   // a plan is bad from so many times its time here, so much of it left
 	sizeCut, sizeGrow      = 0.9, 1.005 // the limit between the next two: at a miss, each tendEvery
 
-	mostSize, leastSize = 64.0, 4.0   // times the usual work that a command may have: at ease, when short
-	shareOver, shortFor = 1.2, 1000.0 // times a tenant's share that passes as it; ms that a jam lasts
-	patience, retryLeft = 0.997, 0.95 // how what first tries leave falls by command; retries leave less
-	runOver, leastHold  = 1.2, 0.5    // over what commands took lately; of the latency target
-	lateShare           = 0.5         // who keeps this much of its benefit when late is held past its target
+	mostSize, leastSize = 64.0, 4.0    // times the usual work that a command may have: at ease, when short
+	shareOver, shortFor = 1.2, 1000.0  // times a tenant's share that passes as it; ms that a jam lasts
+	patience, retryLeft = 0.997, 0.95  // how what first tries leave falls by command; retries leave less
+	runOver, leastHold  = 1.2, 0.5     // over what commands took lately; of the latency target
+	waitsMost, waitLife = 20.0, 50.0   // ms that commands may wait to be looked at; over which that is seen
+	awayOver, mostSince = 2500.0, 20.0 // ms in which the share turned away moves as waits do; of one move
+	mostAway            = 0.98         // of that share
+	lateShare           = 0.5          // who keeps this much of its benefit when late is held past its target
 )
 
 // startBy is the latest that c may start and be worth its work, if it runs as alone: later it could only miss
@@ -659,8 +649,23 @@
 	r.touch(c)
 }
 
-// comeBack is how long a client that is shed should stay away: long, and not all together.
-func (r *Router) comeBack() float64 { return r.allowed.MaxRetryAfter * (0.5 + 0.5*r.rng.Float64()) }
+// behind tells whether c, which has waited so long to be looked at at all, is turned away at once: there is
+// more to decide than time for it. Who can't be in time after such a wait goes first, then a share of all,
+// until waits are short again. Harm: a few are turned away after a pause that was none of theirs.
+func (r *Router) behind(c *command, waited float64) bool {
+	r.waits.add(r.now, waited, 1)
+	late, since := r.waits.mean(r.now, 0, 1), min(mostSince, r.now-r.awayAt)
+	r.away, r.awayAt = min(mostAway, max(0, r.away+(late/waitsMost-1)*since/awayOver)), r.now
+	return late > waitsMost && r.now+late > r.startBy(c) || r.away > 0 && r.rng.Float64() < r.away
+}
+
+// ComeBack is how long a client that is shed should stay away, in ms: long, and not all together, by chance.
+func (a Allowed) ComeBack(chance float64) float64 {
+	if !a.RetryAfter {
+		return 0
+	}
+	return a.MaxRetryAfter * (0.5 + 0.5*chance)
+}
 
 func (r *Router) arrived(ev Arrived) {
 	p := r.profiles[ev.Profile]
@@ -677,6 +682,10 @@
 		c.tables.hot, r.packed = true, false
 	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
+	if r.behind(c, ev.Waited) {
+		r.end(c)
+		return
+	}
 	r.setAlarm(r.endBy(c), c)
 	r.hold(c)
 }
--- a/router/state.go
+++ b/router/state.go
@@ -342,6 +342,8 @@
 	missed             bool    // a latency target, since it was last looked at
 	jamUntil           float64 // by the last fresh command given up while held
 	stopAt             float64 // when this controller ends
+	waits              decay   // of commands that came, until they were looked at
+	away, awayAt       float64 // share that is turned away unseen, and when it last moved
 	heardAt            float64 // when there was last news of the list
 	expired            float64 // it has expired: drains older than this count as told; 0: it has not
 }
@@ -358,7 +360,7 @@
 	r := &Router{rng: rand.New(rand.NewSource(seed)), controllers: max(1, float64(place.Controllers)),
 		number: place.Number,
 		kinds:  kinds, allowed: allowed, guards: guards, born: -1, stopAt: math.Inf(1), sizeCap: mostSize,
-		share: decay{life: shareLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife},
+		share: decay{life: shareLife}, waits: decay{life: waitLife}, busy: decay{life: shareLife}, rate: decay{life: shareLife},
 		cmds: map[CommandID]*command{}, lines: map[OrderKey]*line{},
 		engines: map[EngineID]*engine{},
 		tables:  map[TableGroup]*tableGroup{}, owners: make([][]*owner, len(kinds))}
@@ -373,9 +375,6 @@
 	for _, t := range tenants {
 		r.tenants = append(r.tenants, &tenant{Tenant: t, took: decay{life: tenantLife}})
 	}
-	if !allowed.RetryAfter {
-		r.allowed.MaxRetryAfter = 0
-	}
 	if allowed.NotePace == 0 {
 		r.allowed.NotePace = math.Inf(1)
 	}
@@ -635,7 +634,7 @@
 // ready is the engines of a kind that the list calls ready, by id.
 func (r *Router) ready(k int) (list []*engine) {
 	for _, e := range r.order {
-		if e.state == Ready && int(e.kind) == k {
+		if e.readyOf(k) {
 			list = append(list, e)
 		}
 	}
@@ -840,7 +839,7 @@
 			c.wantEngine = nil
 		}
 		if c.wantEnd == shed && !c.over {
-			actions = append(actions, Shed{c.id, r.comeBack()})
+			actions = append(actions, Shed{c.id, r.allowed.ComeBack(r.rng.Float64())})
 		} else if c.wantEnd == failed && !c.over {
 			actions = append(actions, Fail{c.id})
 		}
