Engines past the number of connections are reached; room for clients without a search

Need: past the bound an engine without a connection got nothing, however idle the others' were; each send sorted its engine's connections under a lock each, and in a full house each new client cost a look at all sessions. Change: the connection that has been idle for the longest time yields to an engine that has none; loads and ends of connections are told by atomics; idle sessions stand in two lists by time. Measured: 12 engines by turns over 4 connections, none unreached and never over 4 open (the test fails without it).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,6 +3,7 @@
 package clients
 
 import (
+	"container/list"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -46,9 +47,10 @@
 	sessions map[uint32]*session // by the number in their cancel keys: all that are connected
 	serial   uint32
 	closed   bool
-	heard    time.Time // when a client last wrote a query
-	busy     int       // sessions with a command whose answer is not written yet
-	logged   time.Time // when a bad client was last logged
+	heard    time.Time    // when a client last wrote a query
+	busy     int          // sessions with a command whose answer is not written yet
+	idle     [2]list.List // those that are owed nothing, the longest so first: who never asked, and who did
+	logged   time.Time    // when a bad client was last logged
 }
 
 // counts are what the server has seen.
@@ -181,6 +183,7 @@
 	}
 	ses.key = pgwire.Key{Session: s.serial, Secret: binary.BigEndian.Uint32(secret[:])}
 	s.sessions[s.serial] = ses
+	s.rest(ses)
 	return true
 }
 
@@ -188,26 +191,39 @@
 // ahead of those that did, against hundreds that say nothing and clients that ask once and stay. The newest are
 // spared, as what they have to say may be on its way. mu is held.
 func (s *Server) makeRoom(now time.Time) bool {
-	var least *session
-	for _, ses := range s.sessions {
-		if ses.busy || ses.closed || now.Sub(ses.since) < s.limits.FreshTime {
-			continue
-		}
-		if least == nil || ses.asked == least.asked && ses.since.Before(least.since) || !ses.asked && least.asked {
-			least = ses
+	for i := range s.idle { // those that never brought one first; each by time
+		if front := s.idle[i].Front(); front != nil && now.Sub(front.Value.(*session).since) >= s.limits.FreshTime {
+			s.counts.madeRoom.Add(1)
+			s.drop(front.Value.(*session))
+			return true
 		}
 	}
-	if least == nil {
-		return false
+	return false
+}
+
+// rest files a session as one that is owed nothing; mu is held.
+func (s *Server) rest(ses *session) {
+	i := 0
+	if ses.asked {
+		i = 1
+	}
+	ses.idle = s.idle[i].PushBack(ses)
+}
+
+// unrest takes it off; mu is held.
+func (s *Server) unrest(ses *session) {
+	if ses.idle != nil {
+		for i := range s.idle { // from the list that it is on, and from no other
+			s.idle[i].Remove(ses.idle)
+		}
+		ses.idle = nil
 	}
-	s.counts.madeRoom.Add(1)
-	s.drop(least)
-	return true
 }
 
 // drop closes a connection and forgets it; mu is held.
 func (s *Server) drop(ses *session) {
 	ses.closed = true
+	s.unrest(ses)
 	ses.conn.Close()
 	delete(s.sessions, ses.key.Session)
 }
@@ -227,7 +243,8 @@
 	if ses.closed {
 		return false
 	}
-	if ses.busy, ses.asked = true, ses.asked || asked; asked {
+	s.unrest(ses)
+	if ses.asked = ses.asked || asked; asked {
 		s.busy++
 		s.heard = time.Now()
 	}
@@ -245,9 +262,12 @@
 func (s *Server) end(ses *session, asked bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ses.busy, ses.since = false, time.Now(); asked {
+	if ses.since = time.Now(); asked {
 		s.busy--
 	}
+	if !ses.closed {
+		s.rest(ses)
+	}
 }
 
 // cancel gives up what the session of a key has open.
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -32,9 +33,9 @@
 	name   string // of the client's application
 
 	// Under the server's mutex:
-	since  time.Time // when it was last of use
-	asked  bool      // it has brought a command
-	busy   bool      // it is owed something
+	since  time.Time     // when it was last of use
+	asked  bool          // it has brought a command
+	idle   *list.Element // among those that are owed nothing; nil: it is owed something
 	closed bool
 
 	mu   sync.Mutex
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mintkeel/internal/enginewire"
@@ -60,6 +61,10 @@
 	heard  time.Time // when the engine last said anything, or came to owe something
 	asked  time.Time // when it was first asked since then whether it is still there; zero: it was not
 	over   bool
+
+	gone  atomic.Bool  // as over, for the loop, which asks each time
+	busy  atomic.Int32 // as the number of sends
+	freed sync.Once    // it counts as open no more
 }
 
 func newConn(p *Pool, id router.EngineID, addr string) *conn {
@@ -68,21 +73,39 @@
 		sends: map[string]*send{}, used: map[string]time.Time{}, sweep: leastSweep, pings: map[string]time.Time{}}
 }
 
-func (c *conn) ended() bool {
+func (c *conn) ended() bool { return c.gone.Load() }
+
+// uncount has it no longer count among those that are open.
+func (c *conn) uncount() { c.freed.Do(func() { c.pool.open.Add(-1) }) }
+
+// idleSince tells since when it has been of no use, if it is up and nothing waits for it.
+func (c *conn) idleSince() (at time.Time, idle bool) {
+	if c.busy.Load() > 0 {
+		return at, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAt, c.usable() && c.net != nil && len(c.sends) == 0 && len(c.pings) == 0 && len(c.out) == 0
+}
+
+// yield ends it for another to take its place, unless it has come to be of use.
+func (c *conn) yield() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.over
+	if !c.usable() || len(c.sends) > 0 {
+		return false
+	}
+	c.cancel()
+	wake(c.net)
+	c.uncount()
+	return true
 }
 
 // usable tells that something may be put on the connection, up or being dialled; mu is held.
 func (c *conn) usable() bool { return !c.over && c.ctx.Err() == nil }
 
 // load is the number of its sends without an outcome.
-func (c *conn) load() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.sends)
-}
+func (c *conn) load() int { return int(c.busy.Load()) }
 
 // works tells that the connection is up, as far as is known.
 func (c *conn) works() bool {
@@ -118,6 +141,7 @@
 	c.used[s.cmd.ID], c.sends[s.cmd.ID] = s.cmd.Read.Add(s.cmd.Left+c.pool.limits.LateTime), s
 	within := max(1, time.Until(s.until).Milliseconds()) // no engine can use a time under 1
 	head := enginewire.AppendDo(nil, s.cmd.ID, s.cmd.Verb, within, s.cmd.Unique, len(s.cmd.Statement))
+	c.busy.Store(int32(len(c.sends)))
 	c.write(item{net.Buffers{head, s.cmd.Statement, lineEnd}, s})
 	return true
 }
@@ -210,6 +234,7 @@
 // finish takes a send off and makes its Ended; mu is held.
 func (c *conn) finish(s *send, outcome router.Outcome) any {
 	delete(c.sends, s.cmd.ID)
+	c.busy.Store(int32(len(c.sends)))
 	now := time.Now()
 	c.idleAt = now
 	if !s.written {
@@ -305,6 +330,7 @@
 		due = now.Add(time.Minute)
 	} else if now.After(due) {
 		c.over = true // so that nothing is put on it any more
+		c.gone.Store(true)
 		return nil, nil, errIdle
 	}
 	by := func(at time.Time) (passed bool) {
@@ -469,6 +495,7 @@
 func (c *conn) end(err error, written router.Outcome) {
 	c.mu.Lock()
 	c.over = true
+	c.gone.Store(true)
 	var ends []any
 	for _, s := range c.sends {
 		outcome := written
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -64,6 +64,7 @@
 	open    atomic.Int64 // connections, dialled or being dialled
 	dialled atomic.Int64
 	lost    atomic.Int64 // connections that ended otherwise than for being idle
+	yielded atomic.Int64 // connections that made room for others
 	tags    uint64       // of pings
 
 	logMu  sync.Mutex
@@ -129,9 +130,34 @@
 // come to the address of one that has gone, or the same one back cold.
 func (p *Pool) Expire(expired bool) { p.expired = expired }
 
-// mayDial tells whether a new connection may be opened.
-func (p *Pool) mayDial(e *engine) bool {
-	return int(p.open.Load()) < p.limits.EngineConns && (!p.expired || slices.ContainsFunc(e.conns, (*conn).works))
+// mayDial tells whether a new connection may be opened; first is for the first of an engine.
+func (p *Pool) mayDial(e *engine, first bool) bool {
+	if p.expired && !slices.ContainsFunc(e.conns, (*conn).works) {
+		return false
+	}
+	return int(p.open.Load()) < p.limits.EngineConns || first && p.makeRoom()
+}
+
+// makeRoom ends the connection that has been idle for the longest time, so that an engine that has none can be reached
+// though there are more engines than connections: those that are kept are the ones used last. One that carries a
+// send, waits for an answer to a ping or was of use just now stays. While the list has expired none is closed: an open
+// one is what shows that the same process is still there.
+func (p *Pool) makeRoom() bool {
+	var least *conn
+	var since time.Time
+	before := time.Now().Add(-p.limits.SpareTime)
+	for _, e := range p.engines {
+		for _, c := range e.conns {
+			if at, idle := c.idleSince(); idle && at.Before(before) && (least == nil || at.Before(since)) {
+				least, since = c, at
+			}
+		}
+	}
+	if least == nil || !least.yield() {
+		return false
+	}
+	p.yielded.Add(1)
+	return true
 }
 
 // share is how many connections an engine may have for its sends to have one each. Some are kept back, for engines
@@ -186,14 +212,19 @@
 // carries least. A connection that breaks or brings one bad answer takes all its sends with it, so they share one only
 // where descriptors are short.
 func (p *Pool) put(s *send, e *engine) bool {
-	least := e.live()
-	slices.SortStableFunc(least, func(a, b *conn) int { return cmp.Compare(a.load(), b.load()) })
-	alone := len(least) == 0 || least[0].load() > 0 && len(least) < p.share()
-	if alone && p.mayDial(e) && p.connect(e).put(s, p.streams) {
+	conns := e.live()
+	first, take := len(conns) == 0, func(c *conn) bool { return c.put(s, p.streams) }
+	for _, c := range conns {
+		if c.load() == 0 && take(c) {
+			return true
+		}
+	}
+	if (first || len(conns) < p.share()) && p.mayDial(e, first) && take(p.connect(e)) {
 		return true
 	}
-	take := func(c *conn) bool { return c.put(s, p.streams) }
-	return slices.ContainsFunc(least, take) || p.mayDial(e) && take(p.connect(e))
+	least := slices.Clone(conns)
+	slices.SortStableFunc(least, func(a, b *conn) int { return cmp.Compare(a.load(), b.load()) })
+	return slices.ContainsFunc(least, take) || p.mayDial(e, false) && take(p.connect(e))
 }
 
 func (p *Pool) connect(e *engine) *conn {
@@ -202,7 +233,7 @@
 	p.open.Add(1)
 	p.dialled.Add(1)
 	go func() {
-		defer p.open.Add(-1)
+		defer c.uncount()
 		c.run()
 	}()
 	return c
@@ -223,7 +254,7 @@
 	tag := "p" + strconv.FormatUint(p.tags, 10) // no tag of an undo begins so
 	if e := p.engines[id]; e != nil && e.Dial != "" {
 		ask := func(c *conn) bool { return c.ping(tag) }
-		if slices.ContainsFunc(e.live(), ask) || p.mayDial(e) && ask(p.connect(e)) {
+		if slices.ContainsFunc(e.live(), ask) || p.mayDial(e, false) && ask(p.connect(e)) {
 			return
 		}
 	}
@@ -249,7 +280,7 @@
 // LogValue prints what the pool has seen.
 func (p *Pool) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("connections", p.dialled.Load()), slog.Int64("lost", p.lost.Load()),
-		slog.Int64("open", p.open.Load()))
+		slog.Int64("open", p.open.Load()), slog.Int64("yielded", p.yielded.Load()))
 }
 
 // Close ends all connections.
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -344,6 +344,50 @@
 	}
 }
 
+// With more engines than connections each is reached: the connection that has been idle for the longest time makes room,
+// and never one that carries a send or waits for an answer to a ping.
+func TestMoreEngines(t *testing.T) {
+	r := newRig(t, func(l *limits.Limits) { l.EngineConns, l.SpareTime = 4, 0 })
+	dial := r.listener.Addr().String()
+	var list []Address
+	for i := range 12 {
+		list = append(list, Address{Engine: router.EngineID(fmt.Sprint("e", i)), Dial: dial})
+	}
+	r.pool.List(list, true)
+	reach := func(i int) *peer {
+		t.Helper()
+		r.pool.Send(command(fmt.Sprint("c", i)), router.SendID(i), list[i].Engine, time.Minute)
+		p := r.accept()
+		p.hearsDo(fmt.Sprint("c", i))
+		return p
+	}
+	busy, asked := reach(0), reach(1)
+	asked.answers("c1", "ACK", "-", "")
+	r.ended(1, router.Answered)
+	r.pool.Probe("e1")
+	asked.hears("ping ")
+	for i := 2; i < 12; i++ {
+		p := reach(i)
+		if open := r.pool.open.Load(); open > 4 {
+			t.Errorf("%d connections are open", open)
+		}
+		p.answers(fmt.Sprint("c", i), "ACK", "-", "")
+		r.ended(router.SendID(i), router.Answered)
+	}
+	if n := r.pool.yielded.Load(); n != 8 {
+		t.Errorf("%d connections made room", n)
+	}
+	busy.answers("c0", "ACK", "-", "")
+	r.ended(0, router.Answered)
+	r.pool.limits.SpareTime = time.Hour // all were of use just now
+	r.pool.Send(command("d"), 20, "e2", time.Minute)
+	r.ended(20, router.NotSent)
+	r.pool.limits.SpareTime = 0
+	r.pool.Expire(true)
+	r.pool.Send(command("e"), 21, "e3", time.Minute)
+	r.ended(21, router.NotSent)
+}
+
 // A connection that says nothing while it owes something is asked whether it still works. If it doesn't say so, or
 // leaves an answer half said, all that is out on it ends, long before it would be missed otherwise.
 func TestDeadConnection(t *testing.T) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,6 +29,7 @@
 	EngineWrite  time.Duration // for an engine to take what is written to it
 	ConnectTime  time.Duration // for a connection to an engine to come up
 	EngineIdle   time.Duration // after which an unused connection to an engine is closed
+	SpareTime    time.Duration // for which an unused connection is not closed for another engine's sake: no two in turn
 	GiveUpTime   time.Duration // for an engine to answer a ping, which follows each undo
 	PingAfter    time.Duration // of an engine's silence while it owes something: is it still there?
 	RestTime     time.Duration // for the rest of an answer that was begun
@@ -99,6 +100,7 @@
 		EngineWrite:  time.Second,
 		ConnectTime:  connect,
 		EngineIdle:   idle / 2, // ahead of the engine, or a send would cross its close and count as may have run
+		SpareTime:    connect,
 		GiveUpTime:   connect,
 		PingAfter:    connect,
 		RestTime:     connect,
