--- /dev/null
+++ b/internal/lab/relay/relay.go
@@ -0,0 +1,55 @@
+// Package relay is the daemon's network side without its decisions: each command goes to one engine at once, and its end
+// is its client's answer. What a controller costs over it is what deciding costs.
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"mintkeel/internal/clients"
+	"mintkeel/internal/engines"
+	"mintkeel/internal/exchange"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
+)
+
+const engine router.EngineID = "engine"
+
+// Serve relays until ctx ends. Profiles are named by the commands' verbs, in this order.
+func Serve(ctx context.Context, listener net.Listener, dial string, verbs []string, l *limits.Limits) error {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	events, taken := make(chan any, l.Inbox), make(chan clients.Taken, l.Inbox)
+	names := &settings.Names{Profiles: map[string]router.ProfileID{}}
+	for i, verb := range verbs {
+		names.Profiles[verb] = router.ProfileID(i)
+	}
+	pool := engines.New(l, 100, func(ev any) { events <- ev }, log)
+	pool.List([]engines.Address{{Engine: engine, Dial: dial}}, true)
+	server := clients.New(l, names, make([]router.Profile, len(verbs)), func(t clients.Taken) bool {
+		taken <- t
+		return true
+	}, func() time.Duration { return 0 }, func(ev any) { events <- ev }, log)
+	go server.Serve(listener)
+	defer pool.Close()
+	defer server.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return listener.Close()
+		case t := <-taken:
+			pool.Send(t.Command, 0, engine, t.Command.Left)
+		case ev := <-events:
+			if end, ok := ev.(engines.Ended); ok {
+				verdict := exchange.Shed
+				if end.Outcome == router.Answered {
+					verdict = exchange.Answered
+				}
+				end.Command.Finish(exchange.Answer{Verdict: verdict, Pages: end.Pages})
+			}
+		}
+	}
+}
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -4,6 +4,7 @@
 package restart
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -61,6 +62,9 @@
 	Slow     float64 // times the usual time at the slow engine
 	Hot      float64 // share of the commands on the hot table group
 	Cold     float64 // times the work of a command whose tables are not warm
+	Sockets  int     // that the daemon may have; 0: 1024
+	Work     float64 // ms on one core of a command; 0: as usual, 30 for a lookup and 140 for a report
+	Relay    bool    // the relay stands in place of the daemon, with one engine that can do all
 }
 
 // Usual is the scene that the results were taken with.
@@ -154,6 +158,9 @@
 	w := &world{Scene: s, dir: dir, shift: shift, idle: make(chan *standin.Client, 400)}
 	for i := range s.Engines {
 		m := standin.Model{Cores: cores, Slow: 1, Sessions: sessions, Warm: warm, ColdCost: s.Cold}
+		if s.Relay {
+			m.Cores, m.Sessions = 100000, 100000
+		}
 		if i == (2+shift)%s.Engines || shift > 0 && (i == (3+shift)%s.Engines || i == (4+shift)%s.Engines) {
 			m.Slow = s.Slow // on the other day, three of them
 		}
@@ -216,13 +223,20 @@
 
 // start writes a configuration, starts the daemon and waits until it answers.
 func (w *world) start(ctx context.Context) (*process, error) {
+	if w.Relay {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		return w.await(ctx, exec.Command(self, "relay", "--listen", w.addr, "--engine", w.engines[0].Addr))
+	}
 	type object = map[string]any
 	var hosts []object
 	for _, e := range w.engines {
 		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
 	}
 	config, err := json.Marshal(object{"name": "n1", "listen": w.addr, "seed": fmt.Sprintf("%016x", w.Seed),
-		"limits":   object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits":   object{"cores": 1, "memory_mb": max(192, w.Sockets/8), "sockets": cmp.Or(w.Sockets, 1024)},
 		"bulletin": w.feed.Addr,
 		"known":    object{"no": 1, "items": []object{{"no": 1, "roster": object{"seq": 1, "whole": true, "hosts": hosts}}}},
 		"settings": object{"n_instances": 1, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{"std"},
@@ -247,7 +261,12 @@
 	if err := os.WriteFile(hcl, []byte(block), 0o600); err != nil {
 		return nil, err
 	}
-	p := &process{cmd: exec.Command(w.Mintkeel, "serve", "--config", path, "--operator", hcl)}
+	return w.await(ctx, exec.Command(w.Mintkeel, "serve", "--config", path, "--operator", hcl))
+}
+
+// await starts a process and waits until it serves.
+func (w *world) await(ctx context.Context, cmd *exec.Cmd) (*process, error) {
+	p := &process{cmd: cmd}
 	log, err := os.OpenFile(filepath.Join(w.dir, "log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, err
@@ -317,6 +336,9 @@
 	if rng.Float64() < reportShare {
 		verb, work, d.aim, d.limit = "report", reportMS*(0.5+rng.Float64()), reportAim, reportMax
 	}
+	if w.Work > 0 {
+		work = w.Work * (0.5 + rng.Float64())
+	}
 	group := rng.Intn(w.Groups)
 	if rng.Float64() < w.Hot {
 		group = w.shift
