--- a/router/fleet.go
+++ b/router/fleet.go
@@ -74,6 +74,7 @@
 	if cap(r.floor) < len(engines) {
 		r.floor = make([]float64, len(engines)+len(engines)/2)
 	}
+	r.looked += len(engines)
 	list = r.floor[:len(engines)]
 	least, threads, leans := math.Inf(1), c.profile.Threads, !c.profile.HoldsTables
 	for i, e := range engines {
--- a/router/state.go
+++ b/router/state.go
@@ -327,6 +327,7 @@
 	asked              []*engine // to be probed
 	credit             float64   // probes that may be made
 	busy               decay     // commands a core that others hold, by all reports
+	looked             int       // at how many engines' bounds, ever
 	airy               int       // engines that may have room where the pool has none
 	floor              []float64 // of the engines of one choice, kept for its room
 	homed              *owner    // whose engines are marked,
