A choice leaves out engines where its command may not run before it reckons them

Need: commands bound to one kind reckoned all engines of the others exactly, to find that they may not go there. Change: owners of other kinds are passed over, placement is asked before pressure; fitness is part of the bounds; engines' books have what a look reads side by side.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -15,12 +15,12 @@
 // bounds are those of an engine, until r.tendAt. Each is reckoned as the exact figure is, operation by operation, from
 // parts that are no larger (or, under a division, no smaller): rounding keeps order, so it is a bound to the last bit.
 type bounds struct {
-	filled      float64 // at least so many threads a core is it taken to run
-	capacity    float64 // at most so many cores does it have, as far as it is warm
-	slow        float64 // at least this is the factor of its pace
-	room        float64 // at most so many threads is its bound, for a part of the traffic of one
-	ready, cold bool
-	airy        bool // it may have room by reports, or as it is cold, where the pool has none
+	filled    float64 // at least so many threads a core is it taken to run
+	capacity  float64 // at most so many cores does it have, as far as it is warm
+	slow      float64 // at least this is the factor of its pace
+	room      float64 // at most so many threads is its bound, for a part of the traffic of one
+	fit, cold bool    // it may be fit for some profile; it may be cold
+	airy      bool    // it may have room by reports, or as it is cold, where the pool has none
 }
 
 // rounding is how far a mean may lie outside of those at two times, when taken between these; and more.
@@ -37,11 +37,13 @@
 	return d.mean(now, prior, weight) * (1 - rounding)
 }
 
+func (r *Router) ramp(e *engine) float64 { return r.rampAt(e, r.now) }
+
 // weigh reckons an engine's bounds anew.
 func (r *Router) weigh(e *engine) {
 	until := max(r.now, r.tendAt)
 	b := &e.bounds
-	b.ready = e.state == Ready
+	b.fit = e.state == Ready && (e.well() || e.out == 0 || e.goodAt > r.now-goodFor)
 	b.capacity = e.cores * r.rampAt(e, until)
 	b.filled = (e.threads + threadsEach*max(0, e.others.least(r.now, until, e.cores*r.busyLeast, 0.5))) / b.capacity
 	b.slow = 1
@@ -50,7 +52,7 @@
 	}
 	b.room = e.width * b.capacity * (1 + rounding)
 	b.cold = r.now <= e.since+r.guards.ColdTime+netSlack
-	if was := b.airy; was != (b.ready && (b.cold || b.filled < roomy*startWidth)) {
+	if was := b.airy; was != (b.fit && (b.cold || b.filled < roomy*startWidth)) {
 		if b.airy = !was; was {
 			r.airy--
 		} else {
@@ -68,8 +70,17 @@
 	}
 }
 
+// atLeast is a bound on the pressure of c on e.
+func (c *command) atLeast(e *engine) float64 {
+	x := (e.bounds.filled + c.profile.Threads/e.bounds.capacity) * e.bounds.slow
+	if !c.profile.HoldsTables {
+		x += leaning * (1 - likes(c.tables, e))
+	}
+	return x
+}
+
 // floors fills in, for each of some engines, a bound on the pressure of c on it, without end where it can't have room,
-// and tells where the least of them is.
+// and tells where the least of them is. Where leaning can't make it the least it is left out.
 func (r *Router) floors(c *command, engines []*engine, fill, part float64) (list []float64, at int) {
 	if cap(r.floor) < len(engines) {
 		r.floor = make([]float64, len(engines)+len(engines)/2)
@@ -77,15 +88,18 @@
 	r.looked += len(engines)
 	list = r.floor[:len(engines)]
 	least, threads, leans := math.Inf(1), c.profile.Threads, !c.profile.HoldsTables
+	none, pooled, fill := r.out == 0, r.threads <= r.pool, fill*part
 	for i, e := range engines {
+		b := &e.bounds
 		x := math.Inf(1)
-		if r.mayHaveRoom(e, fill, part) {
-			x = (e.bounds.filled + threads/e.bounds.capacity) * e.bounds.slow
-			if leans {
-				x += leaning * (1 - likes(c.tables, e))
-			}
-			if x < least {
-				least, at = x, i
+		if b.fit && (none || (pooled || b.airy) && (e.out == 0 || e.threads <= fill*b.room)) {
+			if x = (b.filled + threads/b.capacity) * b.slow; x < least {
+				if leans {
+					x += leaning * (1 - likes(c.tables, e))
+				}
+				if x < least {
+					least, at = x, i
+				}
 			}
 		}
 		list[i] = x
@@ -96,8 +110,7 @@
 // mayHaveRoom tells whether hasRoom could say so, filled up to a share, for a part of the traffic.
 func (r *Router) mayHaveRoom(e *engine, fill, part float64) bool {
 	b := &e.bounds
-	return b.ready && (r.out == 0 || (e.out == 0 || e.threads <= fill*part*b.room) &&
-		(r.threads <= r.pool || b.airy)) && (e.well() || e.out == 0 || e.goodAt > r.now-goodFor)
+	return b.fit && (r.out == 0 || (r.threads <= r.pool || b.airy) && (e.out == 0 || e.threads <= fill*part*b.room))
 }
 
 // spare is a list of engines that may have room, kept for the step in which it was made: room only shrinks while held
@@ -144,8 +157,8 @@
 	if !r.hasNone(&r.spare, c.profile) {
 		return false
 	}
-	for _, o := range c.tables.homes {
-		if o != nil && !r.hasNone(&o.spare, c.profile) {
+	for k, o := range c.tables.homes {
+		if o != nil && allows(c.profile.Kinds, KindID(k)) && !r.hasNone(&o.spare, c.profile) {
 			return false
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -43,11 +43,15 @@
 // on drains, repeats, order, placement, the sends budget and cold engines.
 func (r *Router) mayGo(c *command, e *engine) bool {
 	p := c.profile
-	return e.state == Ready && r.listHolds(e) && allows(p.Kinds, e.kind) && allows(p.Zones, e.zone) &&
-		allows(c.kinds, e.kind) && allows(c.zones, e.zone) && r.mayStart(c) &&
+	return e.state == Ready && r.listHolds(e) && c.placed(e.kind, e.zone) && r.mayStart(c) &&
 		(c.doubt == nil || p.Effect == Replayable || p.Scope.holds(c.doubt, e)) && r.coldAllows(c.profile, e)
 }
 
+// placed tells whether c may run on engines of a kind in a zone.
+func (c *command) placed(k KindID, z Zone) bool {
+	return allows(c.profile.Kinds, k) && allows(c.profile.Zones, z) && allows(c.kinds, k) && allows(c.zones, z)
+}
+
 // listHolds tells whether the list may be trusted of e. Once expired, it may for one that answered what was
 // sent so lately that no later drain counts as told: who drains turns new work away. One that was seen to
 // break may have come back cold, or have another in its place.
@@ -157,12 +161,12 @@
 	t := s.engine.turned(c.profile)
 	if s.engine.judge(r.now, good); good {
 		t.took(r.now, s.at, fullRest)
+		s.engine.goodAt = r.now
 	} else if t.bad {
 		t.away(r.now, s.at, fullRest, fullLongest)
 	}
-	if t.bad, s.failed = !good, s.failed || !good; good {
-		s.engine.goodAt = r.now
-	}
+	t.bad, s.failed = !good, s.failed || !good
+	r.weigh(s.engine)
 }
 
 // rampAt is the share of its capacity that a cold engine is taken to have at some time.
@@ -170,8 +174,6 @@
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, at-e.since)/max(1, r.guards.ColdTime))
 }
 
-func (r *Router) ramp(e *engine) float64 { return r.rampAt(e, r.now) }
-
 // listed takes in news of the list; a failed question is asked again before the old list counts as told.
 func (r *Router) listed(ev Listed) {
 	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
@@ -525,8 +527,7 @@
 }
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere; of
-// two alike the first. An engine whose pressure can't be the least, by its bounds, is passed over, and so is
-// a list in which none had room for another of the profile just now.
+// two alike the first. Who can't be it by their bounds, or by another of the profile just now, are left out.
 func (r *Router) choose(c *command) (best *engine) {
 	if r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c) {
 		return nil
@@ -538,7 +539,7 @@
 		}
 		engines, found, at := r.among(s, all, fill, part), best, -1 // at: the best's place, -1 if before all
 		try := func(i int) {
-			if e := engines[i]; !crowded || e.holds(c.tables, r.now) > 0 {
+			if e := engines[i]; c.placed(e.kind, e.zone) && (!crowded || e.holds(c.tables, r.now) > 0) {
 				x := r.pressure(c, e)
 				if (x < least || x == least && i < at) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
 					best, least, at = e, x, i
@@ -550,7 +551,7 @@
 			try(first)
 		}
 		for i, x := range floors {
-			if i != first && (x < least || x == least && i < at) {
+			if i != first && (x < least || x == least && i < at) && c.atLeast(engines[i]) <= least {
 				try(i)
 			}
 		}
@@ -558,8 +559,8 @@
 			r.setNone(s, c.profile)
 		}
 	}
-	for _, o := range c.tables.homes {
-		if o != nil {
+	for k, o := range c.tables.homes {
+		if o != nil && allows(c.profile.Kinds, KindID(k)) {
 			consider(&o.spare, o.engines, 1)
 		}
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -170,16 +170,17 @@
 
 // engine is one of the list, or one that left it with sends still out.
 type engine struct {
-	id         EngineID
 	hash       uint64 // of the id
+	bounds     bounds
+	out        int     // own sends out
+	threads    float64 // of these
+	id         EngineID
 	state      State
 	zone       Zone
 	kind       KindID
 	cell       CellID
 	since      float64
 	cores      float64
-	out        int                     // own sends out
-	threads    float64                 // of these
 	loads      map[*tableGroup]int     // own loads out, by what they hold
 	heldUntil  map[*tableGroup]float64 // by a note that a load holds them
 	others     decay                   // commands of other controllers, by its reports
@@ -196,7 +197,6 @@
 	cutAt      float64
 	rests      []rest  // of profiles that it turned away, by number
 	goodAt     float64 // when a send last did well, whatever its profile
-	bounds     bounds
 	coldSent   stamps
 	tookAt     float64 // when what it last answered was sent to it
 	brokeAt    float64 // when a connection to it was last lost, or not to be had
@@ -761,6 +761,7 @@
 		e.probing = false
 		e.judge(r.now, ev.Outcome == Answered)
 		r.report(e, ev.Load)
+		r.weigh(e)
 	}
 }
 
