--- a/cmd/mintkeel-lab/daemon.go
+++ b/cmd/mintkeel-lab/daemon.go
@@ -27,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			return relay.Serve(c.Context(), listener, engine, []string{"lookup", "report"}, limits.For(8000, 1024, 0, 0, 0))
+			return relay.Serve(c.Context(), listener, engine, []string{"lookup", "report"}, limits.For(16000, 2048, 0, 0, 0))
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "", "where clients come")
@@ -40,7 +40,7 @@
 
 func daemonCommand() *cobra.Command {
 	scene, turns, seed := restart.Usual(), 3, int64(1)
-	scene.Learn, scene.Measure, scene.Slow, scene.Rate, scene.Sockets, scene.Hot = 3*time.Second, 6*time.Second, 1, 1000, 8000, 0.05
+	scene.Learn, scene.Measure, scene.Slow, scene.Rate, scene.Sockets, scene.Hot = 3*time.Second, 6*time.Second, 1, 1000, 16000, 0.05
 	engines, old, times := []int{10, 100, 1000}, "", 0.6
 	c := &cobra.Command{
 		Use:   "daemon",
@@ -109,6 +109,7 @@
 	c.Flags().IntVar(&turns, "turns", turns, "how often each is measured; medians are told")
 	c.Flags().Int64Var(&seed, "seed", seed, "of the first turn")
 	c.Flags().Float64Var(&scene.Rate, "rate", scene.Rate, "commands a second")
+	c.Flags().IntVar(&scene.Clients, "clients", scene.Clients, "connections of clients that are open at least")
 	c.Flags().IntSliceVar(&engines, "engines", engines, "how many")
 	return c
 }
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -63,6 +63,7 @@
 	Hot      float64 // share of the commands on the hot table group
 	Cold     float64 // times the work of a command whose tables are not warm
 	Sockets  int     // that the daemon may have; 0: 1024
+	Clients  int     // connections that are open at least, and take turns
 	Work     float64 // ms on one core of a command; 0: as usual, 30 for a lookup and 140 for a report
 	Relay    bool    // the relay stands in place of the daemon, with one engine that can do all
 }
@@ -155,7 +156,7 @@
 }
 
 func open(ctx context.Context, s Scene, dir string, shift int) (*world, error) {
-	w := &world{Scene: s, dir: dir, shift: shift, idle: make(chan *standin.Client, 400)}
+	w := &world{Scene: s, dir: dir, shift: shift, idle: make(chan *standin.Client, max(400, s.Clients))}
 	for i := range s.Engines {
 		m := standin.Model{Cores: cores, Slow: 1, Sessions: sessions, Warm: warm, ColdCost: s.Cold}
 		if s.Relay {
@@ -279,7 +280,7 @@
 	for end := time.Now().Add(10 * time.Second); ; {
 		if c, err := standin.Dial(ctx, w.addr, time.Second); err == nil {
 			w.idle <- c
-			return p, nil
+			return p, w.crowd(ctx)
 		}
 		if time.Now().After(end) || ctx.Err() != nil {
 			p.kill()
@@ -289,6 +290,18 @@
 	}
 }
 
+// crowd opens the connections that are to be there.
+func (w *world) crowd(ctx context.Context) error {
+	for len(w.idle) < w.Clients {
+		c, err := standin.Dial(ctx, w.addr, time.Second)
+		if err != nil {
+			return err
+		}
+		w.idle <- c
+	}
+	return nil
+}
+
 // play has commands arrive for so long and, if out is given, sums up their benefit.
 func (w *world) play(ctx context.Context, long time.Duration, out *Outcome) {
 	rng := rand.New(rand.NewSource(w.Seed + int64(long)))
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -48,6 +48,7 @@
 	Median, P99, Longest float64
 	Allocations          float64 // for each step
 	Held                 int     // really
+	Bytes                float64 // of memory for each held command, with the books of the rig
 	Steps                int
 }
 
@@ -79,6 +80,7 @@
 	loads  map[router.EngineID]int
 	wake   float64
 	events []router.Event
+	empty  uint64 // bytes of memory before commands were held
 }
 
 type sent struct {
@@ -111,6 +113,10 @@
 	case Full:
 		want = math.MaxInt
 	}
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	g.empty = before.HeapAlloc
 	for range 20 { // what is held goes when engines are found to bear more
 		if g.enough(want) {
 			break
@@ -219,6 +225,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
+	bytes := float64(before.HeapAlloc-min(before.HeapAlloc, g.empty)) / float64(max(1, len(g.held)))
 	for range n {
 		g.now += spacing
 		costs = append(costs, g.One())
@@ -226,7 +233,7 @@
 	runtime.ReadMemStats(&after)
 	slices.Sort(costs)
 	return Costs{Median: costs[n/2], P99: costs[n*99/100], Longest: costs[n-1],
-		Allocations: float64(after.Mallocs-before.Mallocs) / float64(n), Held: len(g.held), Steps: n}
+		Allocations: float64(after.Mallocs-before.Mallocs) / float64(n), Held: len(g.held), Steps: n, Bytes: bytes}
 }
 
 // One is one step of one arrival and one answer.
