The next command of a key goes at once when the one before is over

Change: the loop steps the module again at once after a step in which a keyed command was over. Engines on which no load holds a table group any more are forgotten each period, so replaced ones leave nothing behind.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,6 +42,7 @@
 type command struct {
 	*exchange.Command
 	epoch rules.Epoch
+	keyed bool
 	over  bool // it has its final answer
 	sends []router.EngineID
 	open  int // sends without an outcome
@@ -55,6 +56,7 @@
 	inbox   chan any
 	queue   chan clients.Taken // of commands, apart: what engines and the feed tell is never behind them
 	refused atomic.Int64       // commands that found the queue full
+	freed   bool               // a key, in this step
 
 	counts   Counts
 	events   []router.Event
@@ -195,8 +197,8 @@
 
 // Run takes events until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	for sends := l.step(); ; sends = l.step() { // the first actions need no event
-		if sends >= stepMore {
+	for more := l.step(); ; more = l.step() { // the first actions need no event
+		if more {
 			l.events = append(l.events, router.Woke{})
 			drain(l, l.inbox, cap(l.inbox))
 			if ctx.Err() != nil {
@@ -293,6 +295,7 @@
 	if cmd.Described != nil {
 		c.epoch, key, also = l.epochs.Take(l.clock(), cmd.Described)
 	}
+	c.keyed = key != "" || len(also) > 0
 	l.commands[cmd.Number], l.ids[cmd.ID] = c, cmd.Number
 	l.counts.Taken++
 	waited := time.Since(cmd.Read)
@@ -313,6 +316,7 @@
 	}
 	l.events = append(l.events, router.Ended{ID: c.Number, Send: ev.Send, Outcome: ev.Outcome, Over: c.over,
 		Took: float64(ev.Took) / 1e6, Load: ev.Load})
+	l.freed = l.freed || c.over && c.open == 0 && c.keyed
 	l.forget(c)
 }
 
@@ -361,10 +365,13 @@
 	}
 }
 
-// step has the module decide, carries its actions out in order and tells how many of them are sends.
-func (l *Loop) step() (sends int) {
+// step has the module decide, carries its actions out in order and tells whether there may be more to do at once: it
+// has sent many, or a key has come free for its next command, which the module sees at its next step.
+func (l *Loop) step() (more bool) {
 	now := l.clock()
 	actions := l.module.Step(now, l.events)
+	sends := 0
+	more, l.freed = l.freed, false
 	clear(l.events)
 	l.events = l.events[:0]
 	for _, action := range actions {
@@ -392,7 +399,7 @@
 		case router.Subscribe: // the feed is followed at all times
 		}
 	}
-	return sends
+	return more || sends >= stepMore
 }
 
 // end gives a command the module's final answer. The command is kept until its sends have their outcomes, and
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -88,6 +88,37 @@
 	}
 }
 
+// The next command of a key goes as soon as the one before is over, not when the module next looks round: 200 of one key,
+// each answered at once, would take ten seconds.
+func TestKeyComesFree(t *testing.T) {
+	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
+		[]router.Profile{{Target: 60000, Timeout: 60000, Threads: 1, InOrder: true, LateShare: 1}}, nil, router.Allowed{MaxSends: 3},
+		router.Guards{})
+	h := &hands{make(chan *exchange.Command, 1000), make(chan router.SendID, 10)}
+	l := New(module, SystemClock(), 1000, 0)
+	l.SetEngines(h)
+	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	for i := range 200 {
+		cmd := fromClient(fmt.Sprint("c", i))
+		cmd.Key, cmd.Left = "k", time.Minute
+		l.Offer(clients.Taken{Command: cmd})
+	}
+	began := time.Now()
+	for i := range 200 {
+		cmd := <-h.sent
+		if cmd.ID != fmt.Sprint("c", i) {
+			t.Fatalf("%s went as number %d", cmd.ID, i)
+		}
+		l.Post(engines.Ended{Command: cmd})
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("took %v", took)
+	}
+}
+
 // A command's life as the loop sees it, for each way in which it ends: it is answered once and then forgotten.
 func TestEnds(t *testing.T) {
 	rows := [][]byte{[]byte("a\tb\tc\n")}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -177,9 +177,16 @@
 	}
 }
 
-// heldAt counts the ready and well engines on which loads hold a table group, and forgets those on which none does.
+// release forgets the engines on which no load holds the table group any more, those that are gone among them.
+func (g *tableGroup) release(now float64) {
+	if len(g.holders) > 0 {
+		g.holders = slices.DeleteFunc(g.holders, func(e *engine) bool { return e.holds(g, now) == 0 })
+	}
+}
+
+// heldAt counts the ready and well engines on which loads hold a table group.
 func (r *Router) heldAt(g *tableGroup) (n float64) {
-	g.holders = slices.DeleteFunc(g.holders, func(e *engine) bool { return e.holds(g, r.now) == 0 })
+	g.release(r.now)
 	for _, e := range g.holders {
 		if e.state == Ready && e.well() {
 			n++
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// What is kept of engines and commands that are gone is forgotten, though new ones come for ever.
+func TestNothingGrows(t *testing.T) {
+	waits := lookup
+	waits.Waits = true
+	d := newDesk(t, waits, loose, tight)
+	id := CommandID(0)
+	for n := range 400 {
+		e := engineAt(EngineID(fmt.Sprint("e", n)), 0, "z", 1)
+		d.step(Listed{Whole: true, Entries: []Entry{e}})
+		for range 5 {
+			id++
+			d.step(command1(id))
+			d.step(Noted{ID: id, What: NoteWaitsTables}, outcome(id, 0, Answered))
+		}
+		d.wait(100)
+	}
+	d.wait(10000)
+	d.wait(period)
+	watched := len(d.r.profiles[0].watches.heap.list)
+	if g := d.r.tables[7]; len(d.r.order) > 2 || len(d.r.cmds) > 0 || d.r.held.n > 0 || watched > 0 ||
+		len(d.r.alarms.list) > 0 || g != nil && len(g.holders) > 0 {
+		t.Errorf("%d engines, %d commands, %d held, %d watched, %d alarms, %+v", len(d.r.order), len(d.r.cmds), d.r.held.n,
+			watched, len(d.r.alarms.list), g)
+	}
+}
+
 func TestHeap(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
 	h := heap[float64]{less: func(a, b *float64) bool { return *a < *b }}
--- a/router/state.go
+++ b/router/state.go
@@ -583,6 +583,9 @@
 	for _, e := range r.order {
 		maps.DeleteFunc(e.heldUntil, func(_ *tableGroup, until float64) bool { return r.now >= until })
 	}
+	for _, g := range r.groups {
+		g.release(r.now)
+	}
 	gone := func(g *tableGroup) bool {
 		return g.open == 0 && (g.asked < since || !g.known && g.asked < strange)
 	}
