Choices go by leaning in large fleets; who was found wise to hold is not asked again

Change: an owner keeps, for table groups looked for often, its engines by leaning, and a choice stops where the least that any engine may press is past the best; a held command has a time until which it is wise to hold it, by its profile's pace.

--- a/internal/lab/steps/steps_test.go
+++ b/internal/lab/steps/steps_test.go
@@ -54,6 +54,8 @@
 		{Engines: 40, Held: 200, Tables: 5, Busy: Full, Controllers: 5},
 		{Engines: 60, Tables: 20, Busy: Half, Keys: 5},
 		{Engines: 120, Tables: 3, Busy: Idle},
+		{Engines: 200, Tables: 2, Busy: Idle, Controllers: 3},
+		{Engines: 300, Tables: 4, Busy: Half},
 	} {
 		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
 			t.Parallel()
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -50,6 +50,9 @@
 	if e.slow.sum > e.slow.n {
 		b.slow = max(1, e.slow.least(r.now, until, 1, 1)/nearBest)
 	}
+	if b.fit {
+		r.leastFilled, r.mostCapacity = min(r.leastFilled, b.filled), max(r.mostCapacity, b.capacity)
+	}
 	b.room = e.width * b.capacity * (1 + rounding)
 	b.cold = r.now <= e.since+r.guards.ColdTime+netSlack
 	if was := b.airy; was != (b.fit && (b.cold || b.filled < roomy*startWidth)) {
@@ -65,6 +68,7 @@
 // tenth until then.
 func (r *Router) weighAll() {
 	r.busyLeast = 0.9 * r.busy.mean(r.now, 0, 1)
+	r.leastFilled, r.mostCapacity = math.Inf(1), 0
 	for _, e := range r.order {
 		r.weigh(e)
 	}
@@ -114,11 +118,100 @@
 }
 
 // spare is a list of engines that may have room, kept for the step in which it was made: room only shrinks while held
-// commands are let go. none are the profiles for which none has, by number.
+// commands are let go. none are the profiles for which none has, by number. It also keeps in which order table groups
+// lean to the engines, as long as these are the same.
 type spare struct {
 	step    uint64
 	engines []*engine
 	none    []uint64
+
+	fleet   int // by which the orders were made
+	orders  map[*tableGroup]*leanings
+	entries int
+}
+
+// leanings are the places of engines, the most liked first, once a group has been looked for often enough.
+type leanings struct {
+	uses   int
+	places []int32
+}
+
+const (
+	fewLeanings  = 64     // engines for which an order is worth making,
+	usesLeanings = 8      // for a table group that is looked for so often
+	mostLeanings = 200000 // entries that a list keeps: under a megabyte
+)
+
+// leaning is the order in which a table group leans to engines; nil: none is worth keeping.
+func (r *Router) leaning(s *spare, g *tableGroup, engines []*engine) []int32 {
+	if len(engines) < fewLeanings {
+		return nil
+	}
+	if s.fleet != r.fleet || s.orders == nil || s.entries > mostLeanings {
+		s.fleet, s.orders, s.entries = r.fleet, map[*tableGroup]*leanings{}, 0
+	}
+	l := s.orders[g]
+	if l == nil {
+		l = &leanings{}
+		s.orders[g] = l
+		s.entries++
+	}
+	if l.uses++; l.uses < usesLeanings {
+		return nil
+	}
+	if l.places == nil {
+		for i := range engines {
+			l.places = append(l.places, int32(i))
+		}
+		slices.SortFunc(l.places, func(a, b int32) int { return cmp.Compare(likes(g, engines[b]), likes(g, engines[a])) })
+		s.entries += len(engines)
+	}
+	return l.places
+}
+
+// winner is the engine that is pressed least so far, with its place in the list that is looked through.
+type winner struct {
+	engine *engine
+	press  float64
+	at     int
+}
+
+// loses tells whether another wins over it: of two alike the first.
+func (w *winner) loses(x float64, at int) bool { return x < w.press || x == w.press && at < w.at }
+
+// likely hands the engines to try that may win, by their bounds, the likeliest first. try makes the winner.
+func (r *Router) likely(c *command, s *spare, all []*engine, fill, part float64, best *winner, try func(e *engine, at int)) {
+	if r.held.n < fewHeld && !c.profile.HoldsTables {
+		if places := r.leaning(s, c.tables, all); places != nil {
+			least := r.leastFilled + c.profile.Threads/r.mostCapacity
+			for _, i := range places {
+				e := all[i]
+				if least+leaning*(1-likes(c.tables, e)) > best.press { // and so is it for all that are liked less
+					return
+				}
+				if r.mayHaveRoom(e, fill, part) && best.loses(c.atLeast(e), int(i)) {
+					try(e, int(i))
+				}
+			}
+			return
+		}
+	}
+	engines := r.among(s, all, fill, part)
+	floors, first := r.floors(c, engines, fill, part)
+	if first < len(engines) { // who will hardly be beaten spares the others
+		try(engines[first], first)
+	}
+	for i, x := range floors {
+		if i != first && best.loses(x, i) && best.loses(c.atLeast(engines[i]), i) {
+			try(engines[i], i)
+		}
+	}
+}
+
+// nowhere tells that no engine has room for c, as far as that is known without looking: the pool is used up and no
+// engine is excused, or none had room for another of its profile in this step.
+func (r *Router) nowhere(c *command) bool {
+	return r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c)
 }
 
 // among narrows engines to those that may have room, where the list will be used again in this step.
--- a/router/held.go
+++ b/router/held.go
@@ -267,6 +267,7 @@
 func (r *Router) rewatch() {
 	for _, p := range r.profiles {
 		w := &p.watches
+		p.wisdom.epoch++
 		for i := range w.heap.list {
 			w.heap.list[i].at = r.lookAt(w.heap.list[i].cmd) + w.shift
 		}
@@ -303,14 +304,21 @@
 // lookAt is a time before which c is not given up, whatever its profile's pace does within its drifts: giveUpAt at the
 // worst of these, and a little earlier, as sums of times since 1970 are that coarse.
 func (r *Router) lookAt(c *command) float64 {
+	p := c.profile
+	long := p.aloneBy(c.estimate, p.watches.by) * alongDrifts
+	by, later := r.startLeast(c), max(0, long*(runOver*p.watches.by.run*runDrifts-1))
+	return max(by-later, min(by, c.asked+leastHold*p.Target)) - 0.01
+}
+
+// startLeast is the least that startBy may say within the drifts.
+func (r *Router) startLeast(c *command) float64 {
 	p, alone := c.profile, c.profile.aloneBy(c.estimate, c.profile.watches.by)
 	short, long := alone/alongDrifts, alone*alongDrifts
-	by, later := r.endBy(c)-1.5*long, max(0, long*(runOver*p.watches.by.run*runDrifts-1))
-	if p.LateShare < lateShare {
-		grows := min((p.TargetStretch-1)*short, (p.TargetStretch-1)*long)
-		by = min(c.asked+p.Target+grows, r.endBy(c)-long)
+	if p.LateShare >= lateShare {
+		return r.endBy(c) - 1.5*long
 	}
-	return max(by-later, min(by, c.asked+leastHold*p.Target)) - 0.01
+	grows := min((p.TargetStretch-1)*short, (p.TargetStretch-1)*long)
+	return min(c.asked+p.Target+grows, r.endBy(c)-long)
 }
 
 // aloneBy is alone, by a pace, for an estimate.
@@ -324,3 +332,51 @@
 	}
 	return cmp.Or(by.best, 1) * unit
 }
+
+// wisdom is what a profile's held commands were found wise by.
+type wisdom struct {
+	step  uint64 // at which it was last looked at,
+	epoch int    // which counts how often it has changed,
+	limit float64
+}
+
+const limitDrifts = 1.3 // of the size that a command may have
+
+// renew begins another epoch if the profile's pace, or the size that it may have, has moved too far.
+func (p *profile) renew(r *Router) {
+	w := &p.wisdom
+	if w.step == r.steps {
+		return
+	}
+	was := p.watches.by
+	p.drift(r.now)
+	limit := r.sizeCap * p.usualWork(r.now)
+	if w.step = r.steps; was != p.watches.by || !within(limit, w.limit, limitDrifts) {
+		w.epoch, w.limit = w.epoch+1, limit
+	}
+}
+
+// wise tells that c is not unwise, from what was reckoned of it before where that still holds, else by asking. It may
+// say no of one that is.
+func (r *Router) wise(c *command) bool {
+	p := c.profile
+	if len(c.sends) > 0 {
+		return true
+	}
+	p.renew(r)
+	if c.overShare && r.now < r.jamUntil {
+		return false
+	}
+	if c.wiseEpoch == p.wisdom.epoch && r.now < c.wiseUntil {
+		return true
+	}
+	if r.unwise(c) {
+		return false
+	}
+	long := p.aloneBy(c.estimate, p.watches.by) * alongDrifts
+	if c.wiseEpoch, c.wiseUntil = p.wisdom.epoch, min(r.endBy(c)-long, r.startLeast(c))-0.01; c.estimate > 0 &&
+		max(1, c.estimate*p.watches.by.scale*scaleDrifts/p.Threads)*p.Threads > p.wisdom.limit/limitDrifts*(1-rounding) {
+		c.wiseUntil = math.Inf(-1) // it is too near the limit to be sure of it
+	}
+	return true
+}
--- a/router/router.go
+++ b/router/router.go
@@ -323,7 +323,7 @@
 			e.owner = o
 		}
 	}
-	r.owners[k] = owners
+	r.owners[k], r.fleet = owners, r.fleet+1
 }
 
 func (r *Router) repack(k int) {
@@ -528,34 +528,26 @@
 
 // choose finds the engine for c: the least pressed of its owners' with room, else a roomy one anywhere; of
 // two alike the first. Who can't be it by their bounds, or by another of the profile just now, are left out.
-func (r *Router) choose(c *command) (best *engine) {
-	if r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c) {
+func (r *Router) choose(c *command) *engine {
+	if r.nowhere(c) {
 		return nil
 	}
-	least, crowded, part := math.Inf(1), r.crowded(c), r.portion()
-	consider := func(s *spare, all []*engine, fill float64) {
+	best, crowded, part := winner{press: math.Inf(1)}, r.crowded(c), r.portion()
+	consider := func(s *spare, engines []*engine, fill float64) {
 		if r.hasNone(s, c.profile) {
 			return
 		}
-		engines, found, at := r.among(s, all, fill, part), best, -1 // at: the best's place, -1 if before all
-		try := func(i int) {
-			if e := engines[i]; c.placed(e.kind, e.zone) && (!crowded || e.holds(c.tables, r.now) > 0) {
+		found := best.engine
+		best.at = -1 // ahead of all others
+		r.likely(c, s, engines, fill, part, &best, func(e *engine, at int) {
+			if c.placed(e.kind, e.zone) && (!crowded || e.holds(c.tables, r.now) > 0) {
 				x := r.pressure(c, e)
-				if (x < least || x == least && i < at) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
-					best, least, at = e, x, i
+				if best.loses(x, at) && r.hasRoom(c, e, fill) && r.mayGo(c, e) {
+					best = winner{e, x, at}
 				}
 			}
-		}
-		floors, first := r.floors(c, engines, fill, part)
-		if first < len(engines) { // who will hardly be beaten spares the others
-			try(first)
-		}
-		for i, x := range floors {
-			if i != first && (x < least || x == least && i < at) && c.atLeast(engines[i]) <= least {
-				try(i)
-			}
-		}
-		if found == nil && best == nil && !crowded && c.plain() {
+		})
+		if found == nil && best.engine == nil && !crowded && c.plain() {
 			r.setNone(s, c.profile)
 		}
 	}
@@ -564,10 +556,10 @@
 			consider(&o.spare, o.engines, 1)
 		}
 	}
-	if best == nil || r.against(c, best) > 0 {
+	if best.engine == nil || r.against(c, best.engine) > 0 {
 		consider(&r.spare, r.order, roomy)
 	}
-	return best
+	return best.engine
 }
 
 // release lets the held go, earliest client timeout first.
@@ -581,7 +573,9 @@
 		if !r.mayStart(c) {
 			return true
 		}
-		if tried++; r.unwise(c) {
+		if tried++; r.nowhere(c) && r.wise(c) {
+			return tried < scanMost
+		} else if r.unwise(c) {
 			r.end(c)
 			r.unhold(c)
 		} else if e, p := r.choose(c), c.profile; e != nil &&
--- a/router/state.go
+++ b/router/state.go
@@ -135,9 +135,11 @@
 	wantEnd    ending
 	wantCancel bool
 	touched    bool
-	held       bool // it is among the held
-	parked     bool // and not the first in one of its lines
-	watched    bool // and looked at for giving up, when its time comes
+	held       bool    // it is among the held
+	parked     bool    // and not the first in one of its lines
+	wiseEpoch  int     // by which it was found wise to hold it on,
+	wiseUntil  float64 // and until when it is
+	watched    bool    // and looked at for giving up, when its time comes
 }
 
 // profile is what is stated of a profile, with what was learned of it.
@@ -153,6 +155,7 @@
 	needScale decay   // true memory over estimate
 	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
 	watches   watches // its held commands, to be given up in time
+	wisdom    wisdom
 }
 
 // line is the queue of one order key, by arrival; rest is when its next command may start after a doubtful outcome.
@@ -332,6 +335,9 @@
 	floor              []float64 // of the engines of one choice, kept for its room
 	homed              *owner    // whose engines are marked,
 	homedEngines       []*engine
+	leastFilled        float64 // of all engines' bounds,
+	mostCapacity       float64
+	fleet              int     // counts the changes of engines and of who has them
 	busyLeast          float64 // the least that it may be for engines' bounds to hold
 	shareWas           decay   // by which portion was last reckoned,
 	shareAt, part      float64 // when, and what it was
@@ -614,6 +620,7 @@
 	r.order = slices.DeleteFunc(r.order, func(e *engine) bool {
 		done := e.state == Gone && e.out == 0 && !e.probing
 		if done {
+			r.fleet++
 			delete(r.engines, e.id)
 		}
 		return done
@@ -672,6 +679,7 @@
 
 // enlist takes in the entries of a list; what a whole list doesn't name has left.
 func (r *Router) enlist(ev Listed) {
+	r.fleet++
 	if r.expired = ev.Expired; r.expired == 0 {
 		r.heardAt = r.now
 	}
