Engines of small owners are found one by one; ready engines are counted once a period

Change: up to eight engines are found by a look each; the count of ready engines stands outside of the loop over owners.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -371,8 +371,9 @@
 	return groups[:most]
 }
 
-// fewEngines are sorted whole, so that who finds engines alike takes them in the order that others left.
-const fewEngines = 256
+// fewEngines are sorted whole, so that who finds engines alike takes them in the order that others left; fewFittest are
+// found one by one.
+const fewEngines, fewFittest = 256, 8
 
 // fittest parts the engines that fit best, those first, from the others; of two alike the earlier fits better.
 func fittest(free []*engine, n int) (best, rest []*engine) {
@@ -380,6 +381,18 @@
 		slices.SortStableFunc(free, func(a, b *engine) int { return cmp.Compare(b.fit, a.fit) })
 		return slices.Clone(free[:n]), free[n:]
 	}
+	if n <= fewFittest { // as many owners as engines: a look each is less than a heap
+		for range n {
+			at := 0
+			for i, e := range free {
+				if e.fit > free[at].fit {
+					at = i
+				}
+			}
+			best, free = append(best, free[at]), slices.Delete(free, at, at+1)
+		}
+		return best, free
+	}
 	type fit struct {
 		*engine
 		at int
@@ -387,6 +400,7 @@
 	h := heap[fit]{less: func(a, b *fit) bool {
 		return a.engine.fit > b.engine.fit || a.engine.fit == b.engine.fit && a.at < b.at
 	}}
+	h.list = make([]fit, 0, len(free))
 	for i, e := range free {
 		h.list = append(h.list, fit{e, i})
 	}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -163,6 +163,30 @@
 	}
 }
 
+// However engines are parted, the fittest come first, of two alike the earlier, and the rest keep their order.
+func TestFittest(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	for _, c := range []struct{ engines, n int }{{5, 2}, {256, 256}, {300, 1}, {300, 8}, {300, 9}, {300, 300}, {1000, 500}} {
+		var free []*engine
+		for range c.engines {
+			free = append(free, &engine{fit: float64(rng.Intn(50))})
+		}
+		want := slices.Clone(free)
+		slices.SortStableFunc(want, func(a, b *engine) int { return int(b.fit - a.fit) })
+		order := map[*engine]int{}
+		for i, e := range free {
+			order[e] = i
+		}
+		best, rest := fittest(free, c.n)
+		if !slices.Equal(best, want[:c.n]) || len(rest) != c.engines-c.n {
+			t.Errorf("%+v: not the fittest", c)
+		}
+		if c.engines > fewEngines && !slices.IsSortedFunc(rest, func(a, b *engine) int { return order[a] - order[b] }) {
+			t.Errorf("%+v: the rest are in another order", c)
+		}
+	}
+}
+
 func TestHeap(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
 	h := heap[float64]{less: func(a, b *float64) bool { return *a < *b }}
--- a/router/router.go
+++ b/router/router.go
@@ -384,8 +384,8 @@
 
 // rebalance is the design's period for one kind: split, fast solve, move or merge.
 func (r *Router) rebalance(k int) {
-	owners := r.owners[k]
-	if len(owners) == 0 || len(r.ready(k)) < len(owners) {
+	owners, ready := r.owners[k], len(r.ready(k))
+	if len(owners) == 0 || ready < len(owners) {
 		return
 	}
 	busy := slices.MaxFunc(owners, func(a, b *owner) int { return cmp.Compare(r.mean(a), r.mean(b)) })
@@ -406,7 +406,7 @@
 	case donor != busy && high >= fastMargin*low: // equal load, rounded towards the present counts
 		for _, o := range owners {
 			n := float64(len(o.engines))
-			o.want = max(1, o.want+int(r.mean(o)*n/total*float64(len(r.ready(k)))-n))
+			o.want = max(1, o.want+int(r.mean(o)*n/total*float64(ready)-n))
 		}
 	case donor != busy && high >= moveMargin*low:
 		donor.want--
