Leanings of table groups that strangers name are bounded by memory; worlds draw waits

Cause: on a fleet of 64 engines or more a list kept a small record for every table group that was ever looked for, 200,000 of them, each holding its group; and no random world told the module that commands had waited. Change: each such record weighs as 64 entries, so some 3,000 are kept; one world in four has commands that waited.

--- a/internal/lab/worlds/draw.go
+++ b/internal/lab/worlds/draw.go
@@ -77,6 +77,7 @@
 		Budgeted: flag("budgeted"), ResendFree: float64(whole("free resends", 0, 5)),
 		ResendShare: number("resend share", 0, 1), ResendWindow: number("resend window", 300, 4000),
 		AskWithin: number("ask within", 7000, 20000)}
+	s.Pressed = rapid.IntRange(0, 3).Draw(t, "pressed") == 3 // last, so that earlier worlds stay what they were
 	return s
 }
 
--- a/internal/lab/worlds/twin_test.go
+++ b/internal/lab/worlds/twin_test.go
@@ -17,6 +17,7 @@
 			t.Parallel()
 			for seed := part; seed < worlds; seed += parts {
 				s := FromSeed(seed)
+				s.Pressed = false // the reference knows nothing of waits
 				name := "world"
 				if seed%12 == 3 {
 					s, name = s.larger(), "larger world"
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/worlds/worlds.go
@@ -56,6 +56,7 @@
 	Young                  bool    // all engines have just started
 	Narrowed               bool    // commands come narrowed to kinds or zones, or said to be hot
 	Rekeyed                bool    // commands stand in the turns of several keys, and are given more
+	Pressed                bool    // commands have waited before a controller looks at them
 	Absurd                 bool    // reports, notes and estimates that can't be
 	Memory                 Memory
 }
@@ -638,6 +639,9 @@
 			ev.Kinds, ev.Zones = nil, []router.Zone{router.Zone(fmt.Sprint("z", w.rng.Intn(w.Zones)))}
 		}
 	}
+	if w.Pressed {
+		ev.Waited = 40 * w.rng.ExpFloat64()
+	}
 	cmd.until, cmd.guess, cmd.needMB = w.now+left, ev.Estimate, ev.NeedMB
 	if w.Rekeyed && w.rng.Intn(3) == 0 {
 		ev.Also = []router.OrderKey{router.OrderKey(fmt.Sprint("k", w.rng.Intn(w.Keys)))}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -139,7 +139,9 @@
 const (
 	fewLeanings  = 64     // engines for which an order is worth making,
 	usesLeanings = 8      // for a table group that is looked for so often
-	mostLeanings = 200000 // entries that a list keeps: under a megabyte
+	mostLeanings = 200000 // entries that a list keeps: under two megabytes; any stranger may name a group, so
+	// that it was looked for weighs as what its books take
+	groupLeanings = 64
 )
 
 // leaning is the order in which a table group leans to engines; nil: none is worth keeping.
@@ -154,7 +156,7 @@
 	if l == nil {
 		l = &leanings{}
 		s.orders[g] = l
-		s.entries++
+		s.entries += groupLeanings
 	}
 	if l.uses++; l.uses < usesLeanings {
 		return nil
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// Whoever names table groups without end, what is kept of how they lean is bounded.
+func TestLeaningsBounded(t *testing.T) {
+	d := crowd(t, loose, 1, 2*fewLeanings)
+	for id := range CommandID(20000) {
+		g := &tableGroup{id: TableGroup(id)}
+		d.r.leaning(&d.r.spare, g, d.r.order)
+		if n := len(d.r.spare.orders); n > mostLeanings/groupLeanings+1 {
+			t.Fatalf("%d groups are kept", n)
+		}
+	}
+	g := &tableGroup{id: 7}
+	for range usesLeanings {
+		d.r.leaning(&d.r.spare, g, d.r.order)
+	}
+	if places := d.r.leaning(&d.r.spare, g, d.r.order); len(places) != len(d.r.order) {
+		t.Errorf("a group that is looked for often has %d places", len(places))
+	}
+}
+
 func TestHeap(t *testing.T) {
 	rng := rand.New(rand.NewSource(1))
 	h := heap[float64]{less: func(a, b *float64) bool { return *a < *b }}
