Commands that waited in a line at their client are answered before it leaves

A trace of each query in the daemon (one line when read, sent, ended, answered, left) showed all of them on three controllers that met a burst on one key, read 60 ms apart, or 250 ms after a first query on a connection, for up to 10 s: the spacing that clients keep for one key. All named 12.9 s, and their clients left after 10.0 to 12.7 s. Retries of those that had been shed proved that the clients had waited: what a retry named as left ended 0.1 to 1.4 s before the first try's time was up, growing along the burst, always under the time since its first command. Ruled out: answers written late (all read commands were answered by the time named), memory, descriptors, processor time.

At fault: `Left` in session.command took what a client names for the time since it wrote (internal/clients/session.go), and arrived in router/router.go held dozens of one key that run one at a time up to their end.

Change: core/spacing tells how long a command may have stood in its client's line, since the first of an unbroken run of such commands; the module brings its client timeout forward by that, to a quarter at the least.

Tests in router, controller and spacing, and random worlds with such lines, fail without it.

--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -31,6 +31,7 @@
 	readAt time.Time // when what stands next in the buffer came, if it came while a command was open
 	began  time.Time
 	name   string // of the client's application
+	used   bool   // it has brought a command that could be used
 
 	// Under the server's mutex:
 	since  time.Time     // when it was last of use
@@ -227,7 +228,7 @@
 	}
 	cmd := &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
-		Read: now, Left: ses.within(f.LimitMS)}
+		First: !ses.used, Read: now, Left: ses.within(f.LimitMS)}
 	if ses.server.describe {
 		c := described(f, profile, table, ses.name, ses.conn.LocalAddr().String())
 		if cmd.Described = &c; ses.server.rules.Load() != nil {
@@ -236,7 +237,7 @@
 			}
 		}
 	}
-	cmd.Statement = append([]byte(nil), f.Statement...)
+	cmd.Statement, ses.used = append([]byte(nil), f.Statement...), true
 	return cmd, nil
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
 	"mintkeel/internal/core/rules"
+	"mintkeel/internal/core/spacing"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
@@ -64,6 +65,7 @@
 	ids      map[string]router.CommandID // of commands that the module holds, by the clients' ids
 	serial   router.CommandID
 	epochs   rules.Epochs // by which keys are given
+	trains   spacing.Trains
 	wake     *time.Timer
 	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
 }
@@ -298,9 +300,12 @@
 	c.keyed = key != "" || len(also) > 0
 	l.commands[cmd.Number], l.ids[cmd.ID] = c, cmd.Number
 	l.counts.Taken++
-	waited := time.Since(cmd.Read)
+	waited, lined := time.Since(cmd.Read), time.Duration(0)
+	if cmd.Key != "" {
+		lined = l.trains.Came(cmd.Key, cmd.Read, cmd.First)
+	}
 	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
-		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-waited) / 1e6, Waited: float64(waited) / 1e6,
+		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-waited) / 1e6, Waited: float64(waited) / 1e6, Lined: float64(lined) / 1e6,
 		Estimate: cmd.Estimate, NeedMB: cmd.NeedMB, Kinds: cmd.Kinds, Zones: cmd.Zones, Hot: cmd.Hot, Most: cmd.Most})
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -120,6 +120,36 @@
 }
 
 // A command's life as the loop sees it, for each way in which it ends: it is answered once and then forgotten.
+// Commands of a key that come as close as clients write them may have waited for one another there: the last of them must
+// have its answer as long ahead of the time that it names as the first came ahead of it, though all name the same.
+func TestLineAtTheClient(t *testing.T) {
+	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
+		[]router.Profile{{Target: 1000, Timeout: 5000, LateShare: 1, Threads: 1, InOrder: true}}, nil, router.Allowed{Cancel: true, MaxSends: 3},
+		router.Guards{Round: 5})
+	const left, apart = 2000 * time.Millisecond, 50 * time.Millisecond
+	now := time.Now()
+	since := func() float64 { return float64(time.Since(now)) / 1e6 }
+	h := &hands{make(chan *exchange.Command, 100), make(chan router.SendID, 100)}
+	l := New(module, since, 100, 0)
+	l.SetEngines(h)
+	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answered := make(chan time.Duration, 1)
+	for i := range 20 { // all but the last are told to have been read earlier
+		cmd := fromClient(fmt.Sprint("c", i))
+		cmd.Key, cmd.Estimate, cmd.Left, cmd.Read = "k", 1, left, now.Add(-time.Duration(19-i)*apart)
+		if i == 19 {
+			cmd.OnAnswer(func() { answered <- time.Since(now) })
+		}
+		l.Offer(clients.Taken{Command: cmd})
+	}
+	go l.Run(ctx)
+	if took := <-answered; took > left-19*apart || took < left-19*apart-200*time.Millisecond {
+		t.Errorf("the last had its answer after %v, want just before %v", took, left-19*apart)
+	}
+}
+
 func TestEnds(t *testing.T) {
 	rows := [][]byte{[]byte("a\tb\tc\n")}
 	for _, c := range []struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,6 +46,7 @@
 	Hot       bool
 	Most      float64
 	Statement []byte
+	First     bool          // it is the first on its connection
 	Read      time.Time     // when its last byte was read
 	Left      time.Duration // from then until it must be answered, a little before its client gives up
 
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -179,7 +179,7 @@
 			l.listed(now, ev)
 		case router.Arrived:
 			c := &command{Arrived: ev, profile: &r.facts.Profiles[ev.Profile], at: now, number: r.Commands,
-				deadline: now + ev.Left, work: work(ev.ID)}
+				deadline: now + ev.Left - ev.Lined, work: work(ev.ID)}
 			r.Commands++
 			l.commands[ev.ID] = c
 			l.taken = append(l.taken, now)
--- a/internal/lab/reference/router.go
+++ b/internal/lab/reference/router.go
@@ -575,6 +575,7 @@
 	shareOver, shortFor = 1.2, 1000.0 // times a tenant's share that passes as it; ms that a jam lasts
 	patience, retryLeft = 0.997, 0.95 // how what first tries leave falls by command; retries leave less
 	runOver, leastHold  = 1.2, 0.5    // over what commands took lately; of the latency target
+	linedMost           = 0.75        // of what a client names, that may have passed in a line at the client
 	lateShare           = 0.5         // who keeps this much of its benefit when late is held past its target
 )
 
@@ -592,8 +593,30 @@
 // overload would send all at the last moment. A part of its target is waited: one slow answer shuts none out.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
-	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
-	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
+	return max(by-max(0, runOver*p.runs(c, r.now)-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
+}
+
+// runs is the time that c takes as such commands run lately.
+func (p *profile) runs(c *command, t float64) float64 {
+	return math.Exp(p.run.mean(t, 0, 1)) * p.alone(c, t)
+}
+
+// tooFar tells whether c stands so far back in the line of a key that its turn can't come in time.
+func (r *Router) tooFar(c *command) bool {
+	ahead, most := 0.0, r.startBy(c)-r.now
+	for _, l := range c.lines {
+		sum := 0.0
+		for _, o := range l.cmds {
+			if o == c || sum > most {
+				break
+			}
+			if o.profile.best > 0 || o.estimate > 0 {
+				sum += o.profile.runs(o, r.now)
+			}
+		}
+		ahead = max(ahead, sum)
+	}
+	return ahead > 0 && r.now+ahead > r.startBy(c)
 }
 
 // unwise tells whether c asks for more than it is worth now. In a jam, who can only be late, who is past its
@@ -624,6 +647,7 @@
 	p := r.profiles[ev.Profile]
 	ev.Left = min(ev.Left, p.Timeout) // a stranger may claim any
 	c := r.enrol(ev)
+	c.timeout -= min(ev.Lined, linedMost*ev.Left)
 	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
@@ -635,6 +659,10 @@
 		c.tables.hot, r.packed = true, false
 	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
+	if r.tooFar(c) {
+		r.end(c)
+		return
+	}
 	r.setAlarm(r.endBy(c), c)
 	r.held = insert(r.held, c, byTimeout)
 }
--- a/internal/lab/worlds/draw.go
+++ b/internal/lab/worlds/draw.go
@@ -78,6 +78,7 @@
 		ResendShare: number("resend share", 0, 1), ResendWindow: number("resend window", 300, 4000),
 		AskWithin: number("ask within", 7000, 20000)}
 	s.Pressed = rapid.IntRange(0, 3).Draw(t, "pressed") == 3 // last, so that earlier worlds stay what they were
+	s.Lined = rapid.IntRange(0, 3).Draw(t, "lined") == 3
 	return s
 }
 
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/worlds/worlds.go
@@ -57,6 +57,7 @@
 	Narrowed               bool    // commands come narrowed to kinds or zones, or said to be hot
 	Rekeyed                bool    // commands stand in the turns of several keys, and are given more
 	Pressed                bool    // commands have waited before a controller looks at them
+	Lined                  bool    // or in a line at their client, which eats of the time that they name
 	Absurd                 bool    // reports, notes and estimates that can't be
 	Memory                 Memory
 }
@@ -642,6 +643,10 @@
 	if w.Pressed {
 		ev.Waited = 40 * w.rng.ExpFloat64()
 	}
+	if w.Lined && w.rng.Intn(2) == 0 {
+		ev.Lined = w.rng.Float64() * 0.7 * left
+		left -= ev.Lined * w.rng.Float64()
+	}
 	cmd.until, cmd.guess, cmd.needMB = w.now+left, ev.Estimate, ev.NeedMB
 	if w.Rekeyed && w.rng.Intn(3) == 0 {
 		ev.Also = []router.OrderKey{router.OrderKey(fmt.Sprint("k", w.rng.Intn(w.Keys)))}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -37,6 +37,11 @@
 	return d.mean(now, prior, weight) * (1 - rounding)
 }
 
+// rampAt is the share of its capacity that a cold engine is taken to have at some time, by what is stated of such.
+func (r *Router) rampAt(e *engine, at float64) float64 {
+	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, at-e.since)/max(1, r.guards.ColdTime))
+}
+
 func (r *Router) ramp(e *engine) float64 { return r.rampAt(e, r.now) }
 
 // weigh reckons an engine's bounds anew.
--- a/router/held.go
+++ b/router/held.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// ahead is the time that those ahead of c in a line take one after another, as such run lately; that of the longest of
+// its lines, and no further than past most. Lines in which a command's time is not known count as none.
+func (r *Router) ahead(c *command, most float64) (longest float64) {
+	for _, l := range c.lines {
+		sum := 0.0
+		for _, o := range l.cmds {
+			if o == c || sum > most {
+				break
+			}
+			if o.profile.best > 0 || o.estimate > 0 {
+				sum += o.profile.runs(o, r.now)
+			}
+		}
+		longest = max(longest, sum)
+	}
+	return longest
+}
+
 // startable hands the held that may be let go to visit, by client timeout, until it returns false. Commands may leave
 // the held meanwhile.
 func (r *Router) startable(visit func(c *command) bool) {
@@ -321,6 +339,11 @@
 	return min(c.asked+p.Target+grows, r.endBy(c)-long)
 }
 
+// runs is the time that c takes, from its alone, as such commands run lately.
+func (p *profile) runs(c *command, now float64) float64 {
+	return math.Exp(p.run.mean(now, 0, 1)) * p.alone(c, now)
+}
+
 // aloneBy is alone, by a pace, for an estimate.
 func (p *profile) aloneBy(estimate float64, by pace) float64 {
 	if by.best == 0 && estimate <= 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -169,11 +169,6 @@
 	r.weigh(s.engine)
 }
 
-// rampAt is the share of its capacity that a cold engine is taken to have at some time.
-func (r *Router) rampAt(e *engine, at float64) float64 {
-	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, at-e.since)/max(1, r.guards.ColdTime))
-}
-
 // listed takes in news of the list; a failed question is asked again before the old list counts as told.
 func (r *Router) listed(ev Listed) {
 	if r.subscribed = !ev.Failed && (r.subscribed || !ev.Cached); ev.Failed {
@@ -602,6 +597,7 @@
 	waitsMost, waitLife = 20.0, 50.0   // ms that commands may wait to be looked at; over which that is seen
 	awayOver, mostSince = 2500.0, 20.0 // ms in which the share turned away moves as waits do; of one move
 	mostAway            = 0.98         // of that share
+	linedMost           = 0.75         // of what a client names, that may have passed in a line at the client
 	lateShare           = 0.5          // who keeps this much of its benefit when late is held past its target
 )
 
@@ -619,8 +615,14 @@
 // overload would send all at the last moment. A part of its target is waited: one slow answer shuts none out.
 func (r *Router) giveUpAt(c *command) float64 {
 	p, by := c.profile, r.startBy(c)
-	runs := math.Exp(p.run.mean(r.now, 0, 1)) * runOver * p.alone(c, r.now)
-	return max(by-max(0, runs-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
+	return max(by-max(0, runOver*p.runs(c, r.now)-p.alone(c, r.now)), min(by, c.asked+leastHold*p.Target))
+}
+
+// tooFar tells whether c stands so far back in the line of a key that its turn can't come in time: its client
+// is told at once, and can turn elsewhere. Against bursts on one key. Harm: some could have run in the end.
+func (r *Router) tooFar(c *command) bool {
+	ahead := r.ahead(c, r.startBy(c)-r.now)
+	return ahead > 0 && r.now+ahead > r.startBy(c)
 }
 
 // unwise tells whether c asks for more than it is worth now. In a jam, who can only be late, who is past its
@@ -666,6 +668,7 @@
 	p := r.profiles[ev.Profile]
 	ev.Left = min(ev.Left, p.Timeout) // a stranger may claim any
 	c := r.enrol(ev)
+	c.timeout -= min(ev.Lined, linedMost*ev.Left)
 	r.credit = min(probeSaved, r.credit+probeShare)
 	if p.fullLeft = max(p.fullLeft*patience, ev.Left); ev.Left < p.fullLeft*retryLeft { // a retry, it seems
 		c.asked -= max(0, p.Timeout-ev.Left)
@@ -677,7 +680,7 @@
 		c.tables.hot, r.packed = true, false
 	}
 	c.tables.demand.add(r.now, min(p.alone(c, r.now), p.Timeout)*p.Threads, 1)
-	if r.behind(c, ev.Waited) {
+	if r.behind(c, ev.Waited) || r.tooFar(c) {
 		r.end(c)
 		return
 	}
--- a/router/types.go
+++ b/router/types.go
@@ -156,6 +156,7 @@
 		Also     []OrderKey // further keys in whose turn it stands, as other rules would key it
 		Left     float64    // until the client gives up
 		Waited   float64    // since it was read: the controller has been busy with others so long
+		Lined    float64    // so long at the most has it stood in a line at its client, out of what Left says
 		Estimate float64    // of its work on one thread; 0: none
 		Most     float64    // past which the estimate counts as this; 0: it does not
 		NeedMB   float64    // estimated memory; 0: none
