Cold engines take parts of three sizes, and a turn at one is its own guard

An equal part of its allowance held 480 ms, so that no report (1.7 s) ever fitted, and the pool of threads was used up by what was out at warm engines, so that turns passed with nothing sent. At fault: coldPart and hasRoom in router.go. Ruled out: the choice of engines (turns were used to three quarters once the pool allowed), the list (1 to 2 s late, no more).

Change: stretches are half as long and touch a window by threes, each of a third of the allowance, in parts for small, middling and large commands in turn; the bound on what all send in a window stays 0.6 of the allowance. A turn's part alone guards a cold engine: not the pool. A command counts there by its estimate if that is more than usual.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -42,6 +42,9 @@
 	return r.guards.ColdShare + (1-r.guards.ColdShare)*min(1, max(0, at-e.since)/max(1, r.guards.ColdTime))
 }
 
+// coldWork is what c counts for at a cold engine: as its profile usually does, more if its estimate says so.
+func (c *command) coldWork(now float64) float64 { return max(c.profile.usualWork(now), c.stated) }
+
 func (r *Router) ramp(e *engine) float64 { return r.rampAt(e, r.now) }
 
 // weigh reckons an engine's bounds anew.
@@ -59,7 +62,9 @@
 		r.leastFilled, r.mostCapacity = min(r.leastFilled, b.filled), max(r.mostCapacity, b.capacity)
 	}
 	b.room = e.width * b.capacity * (1 + rounding)
-	b.cold = r.now <= e.since+r.guards.ColdTime+netSlack
+	if b.cold = r.now <= e.since+r.guards.ColdTime+netSlack; b.cold {
+		r.colds++ // at the least: it only tells that there is one
+	}
 	if was := b.airy; was != (b.fit && (b.cold || b.filled < roomy*startWidth)) {
 		if b.airy = !was; was {
 			r.airy--
@@ -73,7 +78,7 @@
 // tenth until then.
 func (r *Router) weighAll() {
 	r.busyLeast = 0.9 * r.busy.mean(r.now, 0, 1)
-	r.leastFilled, r.mostCapacity = math.Inf(1), 0
+	r.leastFilled, r.mostCapacity, r.colds = math.Inf(1), 0, 0
 	for _, e := range r.order {
 		r.weigh(e)
 	}
@@ -101,7 +106,7 @@
 	for i, e := range engines {
 		b := &e.bounds
 		x := math.Inf(1)
-		if b.fit && (none || (pooled || b.airy) && (e.out == 0 || e.threads <= fill*b.room)) {
+		if b.fit && (none || (pooled || b.airy) && (e.out == 0 || b.cold || e.threads <= fill*b.room)) {
 			if x = (b.filled + threads/b.capacity) * b.slow; x < least {
 				if leans {
 					x += leaning * (1 - likes(c.tables, e))
@@ -119,7 +124,8 @@
 // mayHaveRoom tells whether hasRoom could say so, filled up to a share, for a part of the traffic.
 func (r *Router) mayHaveRoom(e *engine, fill, part float64) bool {
 	b := &e.bounds
-	return b.fit && (r.out == 0 || (r.threads <= r.pool || b.airy) && (e.out == 0 || e.threads <= fill*part*b.room))
+	return b.fit && (r.out == 0 || (r.threads <= r.pool || b.airy) &&
+		(e.out == 0 || b.cold || e.threads <= fill*part*b.room))
 }
 
 // spare is a list of engines that may have room, kept for the step in which it was made: room only shrinks while held
@@ -218,7 +224,7 @@
 // nowhere tells that no engine has room for c, as far as that is known without looking: the pool is used up and no
 // engine is excused, or none had room for another of its profile in this step.
 func (r *Router) nowhere(c *command) bool {
-	return r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang || r.airy == 0) || r.noneFor(c)
+	return r.out > 0 && r.threads > r.pool && (r.threads > r.pool+overhang && r.colds == 0 || r.airy == 0) || r.noneFor(c)
 }
 
 // among narrows engines to those that may have room, where the list will be used again in this step.
@@ -265,9 +271,10 @@
 	return true
 }
 
-// plain tells that nothing but its profile and table group narrows where c may go.
-func (c *command) plain() bool {
-	return c.kinds == nil && c.zones == nil && (c.doubt == nil || c.profile.Effect == Replayable)
+// plain tells that nothing but its profile and table group narrows where c may go: no estimate that makes it more than
+// its profile's others to a cold engine.
+func (r *Router) plain(c *command) bool {
+	return (r.colds == 0 || c.stated <= c.profile.usualWork(r.now)) && c.kinds == nil && c.zones == nil && (c.doubt == nil || c.profile.Effect == Replayable)
 }
 
 // heldOn files that a load holds a table group on e, or that a note said so.
--- a/router/router.go
+++ b/router/router.go
@@ -16,10 +16,12 @@
 	unitLife, runLife, workLife, scaleLife = 10000.0, 1000.0, 20000.0, 30000.0 // ms that learning goes back
 	shareLife, tenantLife                  = 5000.0, 2000.0
 
-	netSlack, roundsToEnd    = 60.0, 2.0  // ms by which windows are kept wider; rounds before a client timeout
-	coldShareUsed, coldLeast = 0.6, 500.0 // of a cold engine's allowance; ms of work in a part, or turns
+	netSlack, roundsToEnd    = 60.0, 2.0 // ms by which windows are kept wider; rounds before a client timeout
+	coldShareUsed, coldSpans = 0.6, 2.0  // of a cold engine's allowance; stretches in a window
 )
 
+var coldParts = [...]float64{500, 2000, 8000} // ms of work that a part must hold, or turns are taken
+
 // unitOf is the time that c's estimate gives it alone; without estimates all commands of a profile are alike.
 func (p *profile) unitOf(c *command, now float64) float64 {
 	if c.estimate <= 0 {
@@ -44,7 +46,7 @@
 func (r *Router) mayGo(c *command, e *engine) bool {
 	p := c.profile
 	return e.state == Ready && r.listHolds(e) && c.placed(e.kind, e.zone) && r.mayStart(c) &&
-		(c.doubt == nil || p.Effect == Replayable || p.Scope.holds(c.doubt, e)) && r.coldAllows(c.profile, e)
+		(c.doubt == nil || p.Effect == Replayable || p.Scope.holds(c.doubt, e)) && r.coldAllows(c, e)
 }
 
 // placed tells whether c may run on engines of a kind in a zone.
@@ -98,27 +100,28 @@
 
 // coldPart is this controller's part of what a cold engine may be sent within the window, as if it had its
 // least stated capacity until warm and all used theirs. Where an equal part is under a command, controllers
-// take turns by number, engine and time since its start, in stretches longer than the window.
+// take turns by number, engine and time since its start, at parts for small, middling and large commands.
 func (r *Router) coldPart(e *engine) float64 {
 	g := r.guards
 	if r.now > e.since+g.ColdTime+netSlack || g.ColdMultiple <= 0 {
 		return math.Inf(1)
 	}
 	whole := coldShareUsed * g.ColdMultiple * g.ColdShare * e.cores * g.ColdWindow
-	if whole >= coldLeast*r.controllers {
+	if whole >= coldParts[0]*r.controllers {
 		return whole / r.controllers
 	}
-	turns := math.Ceil(2 * coldLeast * r.controllers / whole)
-	stretch := uint64(max(0, r.now-e.since) / (g.ColdWindow + 2*netSlack))
-	if (e.hash+uint64(r.number)+stretch)%uint64(turns) != 0 {
+	whole /= coldSpans + 1 // a window touches so many stretches
+	stretch := uint64(max(0, r.now-e.since) * coldSpans / (g.ColdWindow + 2*netSlack))
+	turns := math.Ceil(r.controllers / max(1, math.Floor(whole/coldParts[stretch%uint64(len(coldParts))])))
+	if (e.hash+uint64(r.number)+stretch/uint64(len(coldParts)))%uint64(turns) != 0 {
 		return 0
 	}
-	return whole / 2 / math.Ceil(r.controllers/turns) // a window touches two stretches
+	return whole / math.Ceil(r.controllers/turns)
 }
 
-func (r *Router) coldAllows(p *profile, e *engine) bool {
+func (r *Router) coldAllows(c *command, e *engine) bool {
 	part, from := r.coldPart(e), r.now-r.guards.ColdWindow-netSlack // what an earlier life sent is not known
-	return math.IsInf(part, 1) || r.born <= from && e.coldSent.since(from)+p.usualWork(r.now) <= part
+	return math.IsInf(part, 1) || r.born <= from && e.coldSent.since(from)+c.coldWork(r.now) <= part
 }
 
 // mayShed tells whether the client may be told that trying again is harmless.
@@ -476,13 +479,14 @@
 // less than a command, of which one may always run, and the last may overhang. Its part of all is coarse too:
 // it may go a little past it where a report tells of room, and nothing goes where one tells of no memory.
 func (r *Router) hasRoom(c *command, e *engine, fill float64) bool {
-	known, pool, t := r.now-e.reportAt < reportStale, r.pool, e.turned(c.profile)
-	if known && r.filled(e) < roomy*startWidth || r.bound(e) < 1 && !math.IsInf(r.coldPart(e), 1) {
-		pool += overhang // a cold one's guard is its part
+	told, pool, room, t := r.now-e.reportAt < reportStale, r.pool, fill*r.bound(e), e.turned(c.profile)
+	if room < 1 && !math.IsInf(r.coldPart(e), 1) { // a cold one's guard is its part
+		pool, room = math.Inf(1), room/r.portion()
+	} else if told && r.filled(e) < roomy*startWidth {
+		pool += overhang
 	}
-	fit := e.well() || t.good(r.now-goodFor) || e.out == 0 && r.now >= e.retryAt
-	return fit && r.now >= t.until && (r.out == 0 ||
-		r.threads <= pool && (e.out == 0 || e.threads <= fill*r.bound(e)) && (!known || e.granted <= memoryMost))
+	return r.now >= t.until && (e.well() || t.good(r.now-goodFor) || e.out == 0 && r.now >= e.retryAt) &&
+		(r.out == 0 || r.threads <= pool && (e.out == 0 || e.threads <= room) && (!told || e.granted <= memoryMost))
 }
 
 // filled is the threads a core that an engine is taken to run, own and others', by its reports.
@@ -542,7 +546,7 @@
 				}
 			}
 		})
-		if found == nil && best.engine == nil && !crowded && c.plain() {
+		if found == nil && best.engine == nil && !crowded && r.plain(c) {
 			r.setNone(s, c.profile)
 		}
 	}
@@ -577,7 +581,7 @@
 			(r.now-e.reportAt <= askOver || !e.probing && (r.now <= e.probeAt || !r.ask(e))) {
 			e.turned(p).try(r.now)
 			r.setAlarm(r.now+r.quiet(), c)
-			r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), p.usualWork(r.now))
+			r.book(c, e, c.need*p.needScale.mean(r.now, 1, 3), c.coldWork(r.now))
 		}
 		return tried < scanMost
 	})
--- a/router/state.go
+++ b/router/state.go
@@ -331,7 +331,7 @@
 	credit             float64   // probes that may be made
 	busy               decay     // commands a core that others hold, by all reports
 	looked             int       // at how many engines' bounds, ever
-	airy               int       // engines that may have room where the pool has none
+	airy, colds        int       // engines that may have room where the pool has none; looks at cold ones since all were
 	floor              []float64 // of the engines of one choice, kept for its room
 	homed              *owner    // whose engines are marked,
 	homedEngines       []*engine
