Lines at clients that no single controller sees bring client timeouts forward

At fault: Came in spacing.go counted only what this controller had read itself.

Change: where a key came here within a client's patience, three tenths of that may have passed in a line; the same for all keys of the first patience after a start, as what came before is not known.

TestUnseen fails without it.

--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -228,7 +228,8 @@
 	}
 	cmd := &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
-		First: !ses.used, Read: now, Left: ses.within(f.LimitMS)}
+		First: !ses.used, Read: now, Left: ses.within(f.LimitMS),
+		Patience: time.Duration(p.Timeout * float64(time.Millisecond))}
 	if ses.server.describe {
 		c := described(f, profile, table, ses.name, ses.conn.LocalAddr().String())
 		if cmd.Described = &c; ses.server.rules.Load() != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -302,7 +302,7 @@
 	l.counts.Taken++
 	waited, lined := time.Since(cmd.Read), time.Duration(0)
 	if cmd.Key != "" {
-		lined = l.trains.Came(cmd.Key, cmd.Read, cmd.First)
+		lined = l.trains.Came(cmd.Key, cmd.Read, cmd.First, cmd.Patience)
 	}
 	l.events = append(l.events, router.Arrived{ID: cmd.Number, Tenant: cmd.Tenant, Profile: cmd.Profile,
 		Tables: cmd.Tables, Key: key, Also: also, Left: float64(cmd.Left-waited) / 1e6, Waited: float64(waited) / 1e6, Lined: float64(lined) / 1e6,
--- a/internal/core/spacing/spacing_test.go
+++ b/internal/core/spacing/spacing_test.go
@@ -32,7 +32,7 @@
 	} {
 		var trains Trains
 		for i, c := range list {
-			if got := trains.Came("k", ms(c.at), c.first); got != time.Duration(c.want)*time.Millisecond {
+			if got := trains.Came("k", ms(c.at), c.first, 0); got != time.Duration(c.want)*time.Millisecond {
 				t.Errorf("%s: command %d waited %v at most, want %d ms", name, i, got, c.want)
 			}
 		}
@@ -54,7 +54,7 @@
 				free = sent + 250
 			}
 			read := sent + 40*rng.Float64()
-			got := float64(trains.Came("k", zero.Add(time.Duration(read*1e6)), first)) / 1e6
+			got := float64(trains.Came("k", zero.Add(time.Duration(read*1e6)), first, 0)) / 1e6
 			if waited := sent - due; got < waited-41 { // the first of the train may have been read late itself
 				t.Fatalf("seed %d: it waited %.0f ms, and was told to have waited %.0f at most", seed, waited, got)
 			}
@@ -62,12 +62,48 @@
 	}
 }
 
+// Of a line that all controllers together see, each sees a part. A key that came within a client's patience may stand in
+// one; another that came for the first time does not, but for right after the start.
+func TestUnseen(t *testing.T) {
+	const patience = 8 * time.Second
+	share := time.Duration(unseen * float64(patience))
+	var trains Trains
+	for _, c := range []struct {
+		name string
+		key  router.OrderKey
+		at   int
+		want time.Duration
+	}{
+		{"the first after the start", "a", 0, share},
+		{"another right after the start", "b", 7000, share},
+		{"the first of a key", "c", 9000, 0},
+		{"its second, later than the pace of a line", "c", 10200, share},
+		{"its third, within its patience", "c", 18000, share},
+		{"its fourth, past it", "c", 26100, 0},
+		{"one that follows at the pace", "c", 26160, share},
+	} {
+		if got := trains.Came(c.key, ms(c.at), false, patience); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestBounded(t *testing.T) {
 	var trains Trains
 	for i := range 100000 {
-		trains.Came(router.OrderKey(fmt.Sprint("key ", i)), ms(i), true)
+		trains.Came(router.OrderKey(fmt.Sprint("key ", i)), ms(i), true, 0)
 	}
 	if n := len(trains.keys); n > 1000 {
 		t.Errorf("%d keys are kept of which none came within the last second but 310", n)
 	}
+	trains = Trains{}
+	for i := range 100000 {
+		trains.Came(router.OrderKey(fmt.Sprint("key ", i)), ms(i/1000), true, time.Minute)
+	}
+	if n := len(trains.keys); n > mostKeys {
+		t.Errorf("%d keys are kept", n)
+	}
+	if got := trains.Came("one that may not have been kept", ms(100), false, time.Minute); got == 0 {
+		t.Error("a key that may have come before is told to have waited for nothing")
+	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,7 @@
 	First     bool          // it is the first on its connection
 	Read      time.Time     // when its last byte was read
 	Left      time.Duration // from then until it must be answered, a little before its client gives up
+	Patience  time.Duration // how long clients wait for such a command from when they want it, by the settings
 
 	mu     sync.Mutex
 	answer Answer
