Fleet cores: membership, council, ownership and fencing, and histories in virtual time

Change: core/fleet has members (SWIM with suspicion, incarnations and awareness of one's own slowness), council (an agreement on a library's pure state machine; a member whose disk does not hold all it said comes back as another life), works (leases by steady clocks, epochs, gates) and node, which puts them together; store/records keeps what has to be durable. lab/fleet drives the same cores in virtual time under faults drawn from a seed, judges from what receivers took, shrinks what breaks, and looks at a small case of ownership whole. Nothing of it is in the daemon yet.

What the histories found while this was written: a newcomer that could not answer whoever took it in, a restart that nobody was told of, so that works were given to a run that was gone for ever.

--- /dev/null
+++ b/internal/lab/fleet/model_test.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+)
+
+// The small case: within these bounds no order of what may happen lets two act at once, and each mutant is found.
+func TestSmallCase(t *testing.T) {
+	p := Small{Nodes: 2, Works: 1, Lease: 2, Horizon: 5, Crashes: 0, Losses: 0, Leaders: 1, Flight: 2, Most: 1500000}
+	for _, c := range []struct {
+		name   string
+		change func(*Small)
+		broken bool
+	}{
+		{"as it is", func(*Small) {}, false},
+		{"receivers that don't look", func(p *Small) { p.Ungated = true }, true},
+	} {
+		p := p
+		c.change(&p)
+		got := p.Search()
+		t.Logf("%s: %d states, %d moves, whole %v, %d overlaps", c.name, got.States, got.Moves, got.Whole, got.Overlaps)
+		if (got.Broken != "") != c.broken || !c.broken && !got.Whole {
+			t.Errorf("%s: broken %q, whole %v\n%s", c.name, got.Broken, got.Whole, strings.Join(got.Path, "\n"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleet
+
+const historiesPlayed = 100
--- /dev/null
+++ b/internal/lab/fleet/script.go
@@ -0,0 +1,137 @@
+// Package fleet is the rig on which many controllers are made to get along while parts of the system break: in virtual
+// time, hundreds of them in one process, every message and timer by a seed; and as processes on loopback with a switch
+// between each pair. What is checked is judged from what receivers wrote down, never from what a controller says of itself.
+package fleet
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+)
+
+// FaultKind is what breaks.
+type FaultKind int
+
+const (
+	Kill     FaultKind = iota // the process ends at once; it starts again after For, with its folder
+	Pause                     // the process stands still for For
+	Cut                       // nothing gets from A to B for For
+	CutBoth                   // nor from B to A
+	Isolate                   // A hears and is heard by nobody
+	Deaf                      // A is heard and hears nobody
+	Mute                      // A hears and is heard by nobody
+	Split                     // those below N and the others don't hear each other
+	Drop                      // a share of all messages is lost
+	Delay                     // messages take up to so many ms more, and pass each other
+	Empty                     // killed, and its folder is empty when it starts again
+	OldCopy                   // killed, and its folder is as it was some time ago
+	Slow                      // its disk takes Amount ms for each record
+	Clock                     // its clock runs Amount times as fast
+	Jump                      // its wall clock jumps; steady clocks do not, so it stands for nothing but a check that none is used
+	KillAll                   // all but N end at once
+	HandOver                  // an operator names another owner
+	Loop                      // it restarts every second for For
+)
+
+var faultNames = [...]string{"kill", "pause", "cut", "cut both", "isolate", "deaf", "mute", "split", "drop", "delay", "empty",
+	"old copy", "slow disk", "clock", "jump", "kill all but", "hand over", "restart loop"}
+
+func (k FaultKind) String() string { return faultNames[k] }
+
+// Fault is one entry of a script. Times are ms from the beginning.
+type Fault struct {
+	At, For float64
+	Kind    FaultKind
+	A, B, N int // nodes, by number
+	Amount  float64
+}
+
+func (f Fault) String() string {
+	text := fmt.Sprintf("%7.0f ms  %-12v", f.At, f.Kind)
+	switch f.Kind {
+	case Cut, CutBoth, HandOver:
+		text += fmt.Sprintf(" n%d n%d", f.A, f.B)
+	case Split, KillAll:
+		text += fmt.Sprintf(" n%d", f.N)
+	case Drop, Delay:
+		text += fmt.Sprintf(" %.2f", f.Amount)
+	case Slow, Clock, OldCopy:
+		text += fmt.Sprintf(" n%d %.2f", f.A, f.Amount)
+	default:
+		text += fmt.Sprintf(" n%d", f.A)
+	}
+	if f.For > 0 {
+		text += fmt.Sprintf(" for %.0f ms", f.For)
+	}
+	return text
+}
+
+// Script is a history's faults, in order.
+type Script []Fault
+
+func (s Script) String() string {
+	lines := make([]string, len(s))
+	for i, f := range s {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// End is when the last fault is over.
+func (s Script) End() (end float64) {
+	for _, f := range s {
+		end = max(end, f.At+f.For)
+	}
+	return end
+}
+
+// DrawScript draws a script of n faults within a time, on a fleet of so many nodes with so many in its council. At most
+// a minority of the council loses its folder: what happens past that needs an operator's word.
+func DrawScript(rng *rand.Rand, nodes, council, n int, within float64) (s Script) {
+	lost := map[int]bool{}
+	for range n {
+		f := Fault{At: 3000 + rng.Float64()*within, Kind: FaultKind(rng.Intn(len(faultNames))), A: rng.Intn(nodes), B: rng.Intn(nodes)}
+		if rng.Intn(3) > 0 { // the council is where it hurts
+			f.A = rng.Intn(council)
+		}
+		if f.B == f.A {
+			f.B = (f.A + 1) % nodes
+		}
+		f.For = []float64{200, 1500, 4000, 12000, 25000}[rng.Intn(5)] * (0.5 + rng.Float64())
+		switch f.Kind {
+		case Kill, Empty, OldCopy:
+			f.For = 100 + rng.Float64()*5000
+			f.Amount = rng.Float64() * 10000 // how old the copy is, for OldCopy
+			if f.Kind != Kill && f.A < council {
+				if len(lost) >= (council-1)/2 && !lost[f.A] {
+					f.Kind = Kill
+				} else {
+					lost[f.A] = true
+				}
+			}
+		case Split:
+			f.N = 1 + rng.Intn(nodes-1)
+		case Drop:
+			f.Amount = 0.02 + rng.Float64()*0.3
+		case Delay:
+			f.Amount = 50 + rng.Float64()*1500
+		case Slow:
+			f.Amount = []float64{20, 300, 5000}[rng.Intn(3)]
+		case Clock:
+			f.Amount = 0.8 + rng.Float64()*0.4
+		case KillAll:
+			f.N, f.For = rng.Intn(nodes), 500+rng.Float64()*3000
+		case HandOver:
+			f.For = 0
+		}
+		s = append(s, f)
+	}
+	slices.SortStableFunc(s, func(a, b Fault) int {
+		if a.At < b.At {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
--- /dev/null
+++ b/internal/lab/fleet/virtual.go
@@ -0,0 +1,562 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
+)
+
+// Plan is what is played in virtual time.
+type Plan struct {
+	Seed    int64
+	Nodes   int
+	Council int
+	Works   int
+	Lease   float64
+	Pace    members.Pace
+	Script  Script
+	Settle  float64 // ms after the last fault within which all must be well again
+	Mutant  string  // a check that is left out, to see whether that is noticed; empty: none
+}
+
+// UsualPlan is one whose script is drawn from a seed.
+func UsualPlan(seed int64, nodes, works_, faults int) Plan {
+	rng := rand.New(rand.NewSource(seed))
+	p := Plan{Seed: seed, Nodes: nodes, Council: 3, Works: works_, Lease: 4000, Pace: members.Usual(), Settle: 90000}
+	if nodes >= 5 && rng.Intn(2) == 0 {
+		p.Council = 5
+	}
+	p.Script = DrawScript(rng, nodes, p.Council, faults, 40000)
+	return p
+}
+
+// Event is something in virtual time.
+type event struct {
+	at    float64
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// machine is one controller with its process, disk, clock and part of the network.
+type machine struct {
+	number   int
+	id       members.ID
+	core     *node.Node // nil: the process does not run
+	run      uint64
+	kept     []council.Record // durable
+	copies   []copyOf
+	rate     float64 // of its clock
+	offset   float64
+	paused   float64 // until when it stands still
+	diskMS   float64
+	wake     uint64 // of the timer that counts
+	restarts int
+	seen     map[works.Work]works.Epoch
+	gated    *works.Gate // an endpoint beside the controller, that lasts
+	effects  uint64
+	inbox    []func()
+	workAt   float64
+}
+
+type copyOf struct {
+	at   float64
+	kept []council.Record
+}
+
+// World is a fleet in virtual time.
+type World struct {
+	plan    Plan
+	rng     *rand.Rand
+	now     float64
+	queue   events
+	order   uint64
+	nodes   []*machine
+	blocked map[[2]int]float64 // until when nothing gets from one to another
+	drop    float64
+	dropTo  float64
+	delay   float64
+	delayTo float64
+	ended   bool
+
+	Judge    *Judge
+	Messages int
+	Bytes    int
+	Wakes    int
+	Whole    float64 // ms from the last fault until all was well
+	False    int     // suspicions of one that ran and was not cut off
+	Trace    func(string)
+}
+
+// NewWorld sets a fleet up.
+func NewWorld(p Plan) *World {
+	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Judge: NewJudge()}
+	for i := range p.Nodes {
+		m := &machine{number: i, id: members.ID(fmt.Sprintf("n%d", i)), rate: 1, offset: w.rng.Float64() * 1e6, diskMS: 2,
+			gated: works.NewGate(nil)}
+		w.nodes = append(w.nodes, m)
+	}
+	for _, m := range w.nodes {
+		w.at(w.rng.Float64()*500, func() { w.start(m) })
+	}
+	for _, f := range p.Script {
+		w.at(f.At, func() { w.fault(f) })
+	}
+	return w
+}
+
+func (w *World) at(t float64, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{max(t, w.now), w.order, do})
+}
+
+func (w *World) trace(format string, args ...any) {
+	if w.Trace != nil {
+		w.Trace(fmt.Sprintf("%9.1f ", w.now) + fmt.Sprintf(format, args...))
+	}
+}
+
+// Run plays until a time.
+func (w *World) Run(until float64) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && w.Judge.Broken == "" {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = max(w.now, until)
+}
+
+// Play plays the whole plan and tells what broke; empty: nothing. It ends when all has been well for some seconds after the
+// last fault, and Whole is how long that took.
+func (w *World) Play() string {
+	end := w.plan.Script.End()
+	w.Run(end)
+	const look, lasting = 500.0, 5000.0
+	well, why := 0.0, "it has just ended"
+	for w.Judge.Broken == "" {
+		if why = w.whole(); why != "" {
+			well = 0
+		} else if well == 0 {
+			well, w.Whole = w.now, w.now-end
+		}
+		if well > 0 && w.now >= well+lasting {
+			return ""
+		}
+		if w.now > end+w.plan.Settle {
+			return fmt.Sprintf("not whole %.0f s after the last fault: %s", w.plan.Settle/1e3, why)
+		}
+		w.Run(w.now + look)
+	}
+	return w.Judge.Broken
+}
+
+// whole tells what is missing to a fleet that is well: all known as alive by all, an owner that acts for every work.
+func (w *World) whole() string {
+	owners := map[works.Work]int{}
+	for _, m := range w.nodes {
+		if m.core == nil {
+			return fmt.Sprintf("n%d does not run", m.number)
+		}
+		alive := 0
+		for _, about := range m.core.Members() {
+			if about.State == members.Alive {
+				alive++
+			}
+		}
+		if alive != len(w.nodes) {
+			return fmt.Sprintf("n%d takes %d of %d as alive", m.number, alive, len(w.nodes))
+		}
+		for _, c := range m.core.Works(w.local(m)) {
+			owners[c.Work]++
+		}
+		if s, why := m.core.Council().Standing(); m.number < w.plan.Council && s != council.Voting {
+			return fmt.Sprintf("n%d is %v in the council: %s", m.number, s, why)
+		}
+	}
+	for _, name := range w.works() {
+		if owners[name] != 1 {
+			return fmt.Sprintf("%s has %d owners", name, owners[name])
+		}
+	}
+	return ""
+}
+
+func (w *World) works() (names []works.Work) {
+	for i := range w.plan.Works {
+		names = append(names, works.Work(fmt.Sprintf("work-%d", i)))
+	}
+	return names
+}
+
+func (w *World) local(m *machine) float64 { return m.offset + w.now*m.rate }
+
+func (w *World) start(m *machine) {
+	if m.core != nil {
+		return
+	}
+	var seeds []members.Member
+	var founders []members.ID
+	for i := range w.plan.Council {
+		founders = append(founders, w.nodes[i].id)
+		seeds = append(seeds, members.Member{ID: w.nodes[i].id, Addr: string(w.nodes[i].id)})
+	}
+	m.run = w.rng.Uint64()
+	core, err := node.New(node.Facts{Self: members.Member{ID: m.id, Addr: string(m.id), Willing: true, Run: m.run}, Seeds: seeds,
+		Founders: founders, Works: w.works(), Terms: works.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
+		Seed: w.rng.Int63()}, slices.Clone(m.kept), nil, w.local(m))
+	if err != nil {
+		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
+		return
+	}
+	m.core, m.inbox = core, nil
+	m.restarts++
+	w.trace("n%d starts, run %x, %d records", m.number, m.run, len(m.kept))
+	w.turn(m)
+	w.busy(m, m.run)
+}
+
+func (w *World) stop(m *machine) {
+	if m.core == nil {
+		return
+	}
+	w.trace("n%d ends", m.number)
+	w.Judge.gone(m.run, w.now)
+	m.core = nil
+	m.wake++
+}
+
+// turn does what a core asks for after some input.
+func (w *World) turn(m *machine) {
+	if m.core == nil {
+		return
+	}
+	run := m.run
+	out := m.core.Take()
+	for _, s := range out.Sends {
+		w.send(m, s)
+	}
+	for _, c := range out.Began {
+		w.trace("n%d owns %s, epoch %d", m.number, c.Work, c.Epoch)
+		w.Judge.began(m.run, m.number, c, w.now)
+	}
+	for _, c := range out.Ended {
+		w.trace("n%d owns %s no more, epoch %d", m.number, c.Work, c.Epoch)
+		w.Judge.ended(m.run, c, w.now)
+	}
+	for _, t := range out.Taken {
+		from := w.number(t.From)
+		w.Judge.took(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
+	}
+	for _, c := range out.Changes {
+		if c.Member.State == members.Suspect && c.Was == members.Alive {
+			if about := w.nodes[w.number(c.Member.ID)]; about.core != nil && w.now >= about.paused && !c.New && len(w.blocked) == 0 {
+				w.False++
+			}
+		}
+	}
+	w.save(m, run, out.Batch, out.Whole)
+	w.plan_(m)
+}
+
+// save makes a batch durable after the time that the disk takes; what it asks for holds only then.
+func (w *World) save(m *machine, run uint64, b *council.Batch, whole *council.Record) {
+	if b == nil && whole == nil {
+		return
+	}
+	took := 0.0
+	if whole != nil || b.Record != nil {
+		took = m.diskMS * (0.5 + w.rng.Float64())
+	}
+	if w.plan.Mutant == "sync" { // what is to be durable is so a little after it is made use of
+		w.at(w.now+500, func() { m.write(w, run, b, whole) })
+	}
+	w.at(w.now+took, func() {
+		if m.run != run || m.core == nil {
+			return
+		}
+		if w.plan.Mutant != "sync" {
+			m.write(w, run, b, whole)
+		}
+		w.deliver(m, func() {
+			if whole != nil {
+				m.core.Kept(w.local(m), whole)
+			} else {
+				m.core.Saved(w.local(m), b)
+			}
+		})
+	})
+}
+
+func (m *machine) write(w *World, run uint64, b *council.Batch, whole *council.Record) {
+	if m.run != run || m.core == nil {
+		return
+	}
+	record := whole
+	if whole == nil {
+		record = b.Record
+	}
+	if record == nil {
+		return
+	}
+	data, err := cbor.Marshal(record) // as the daemon does: nothing is shared with the core
+	var kept council.Record
+	if err == nil {
+		err = cbor.Unmarshal(data, &kept)
+	}
+	if err != nil {
+		w.Judge.fail(w.now, "record: %v", err)
+		return
+	}
+	if kept.Whole {
+		m.kept = nil
+	}
+	m.kept = append(m.kept, kept)
+	if n := len(m.copies); n == 0 || w.now-m.copies[n-1].at > 500 {
+		m.copies = append(m.copies, copyOf{w.now, slices.Clone(m.kept)})
+		if len(m.copies) > 200 {
+			m.copies = m.copies[1:]
+		}
+	}
+}
+
+// plan_ sets the timer for the core's next look at the clock.
+func (w *World) plan_(m *machine) {
+	m.wake++
+	wake := m.wake
+	next := (m.core.Next() - m.offset) / m.rate
+	w.at(max(next, w.now+0.5), func() {
+		if m.wake == wake && m.core != nil {
+			w.Wakes++
+			w.deliver(m, func() { m.core.Tick(w.local(m)) })
+		}
+	})
+}
+
+// deliver has a process take something in: at once, or when it no longer stands still.
+func (w *World) deliver(m *machine, do func()) {
+	if w.now < m.paused {
+		run := m.run
+		w.at(m.paused, func() {
+			if m.run == run && m.core != nil {
+				w.deliver(m, do)
+			}
+		})
+		return
+	}
+	if m.core != nil {
+		do()
+		w.turn(m)
+	}
+}
+
+func (w *World) number(id members.ID) int {
+	for _, m := range w.nodes {
+		if m.id == id {
+			return m.number
+		}
+	}
+	return -1
+}
+
+func (w *World) isBlocked(a, b int) bool { return w.now < w.blocked[[2]int{a, b}] }
+
+// send carries a message over: it may be lost, take long or come twice, and comes from the run that sent it.
+func (w *World) send(from *machine, s node.Send) {
+	to := w.number(s.To)
+	if to < 0 {
+		return
+	}
+	data, err := cbor.Marshal(s.Message)
+	if err != nil {
+		w.Judge.fail(w.now, "message: %v", err)
+		return
+	}
+	w.Messages++
+	w.Bytes += len(data) + 40
+	took := 0.3 + w.rng.Float64()
+	lost, twice := false, false
+	if w.now < w.dropTo {
+		lost, twice = w.rng.Float64() < w.drop, w.rng.Float64() < w.drop/4
+	}
+	if w.now < w.delayTo {
+		took += w.rng.Float64() * w.delay
+	}
+	run := from.run
+	arrive := func() {
+		target := w.nodes[to]
+		if target.core == nil || w.isBlocked(from.number, to) || from.run != run && from.core != nil {
+			return // a connection of an earlier run ends when the next one connects
+		}
+		w.deliver(target, func() {
+			var m node.Message
+			if err := cbor.Unmarshal(data, &m); err != nil {
+				w.Judge.fail(w.now, "message: %v", err)
+				return
+			}
+			target.core.Receive(w.local(target), from.id, &m)
+		})
+	}
+	if w.isBlocked(from.number, to) || lost {
+		return
+	}
+	w.at(w.now+took, arrive)
+	if twice {
+		w.at(w.now+took*2+1, arrive)
+	}
+}
+
+// busy has a node do its works: a look at whether it may, and an effect at another controller and at an endpoint that
+// lasts. Between the look and the effect anything may happen to the process.
+func (w *World) busy(m *machine, run uint64) {
+	w.at(w.now+100+w.rng.Float64()*200, func() {
+		if m.run != run || m.core == nil {
+			return
+		}
+		w.deliver(m, func() {
+			for _, c := range m.core.Works(w.local(m)) {
+				m.effects++
+				to := w.nodes[w.rng.Intn(len(w.nodes))]
+				m.core.Act(w.local(m), c.Work, to.id, m.effects, nil)
+				w.strike(m, c, w.nodes[w.rng.Intn(len(w.nodes))])
+			}
+		})
+		w.busy(m, run)
+	})
+}
+
+// strike is an effect at an endpoint, which has passed its own check when the process stops, and gets there later.
+func (w *World) strike(m *machine, c works.Claim, at *machine) {
+	took := 0.5 + w.rng.Float64()
+	if w.rng.Intn(50) == 0 {
+		took += 3 * w.plan.Lease * w.rng.Float64()
+	}
+	run := m.run
+	id := m.effects
+	w.at(w.now+took, func() {
+		ok, _ := at.gated.Pass(c.Work, c.Epoch)
+		if ok || w.plan.Mutant == "gate" {
+			w.Judge.took(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Claim: c, ID: id}, w.now)
+		}
+		w.Judge.struck(run, c, w.now)
+	})
+}
+
+// fault has something break.
+func (w *World) fault(f Fault) {
+	w.trace("FAULT %v", f)
+	m := w.nodes[f.A%len(w.nodes)]
+	until := w.now + f.For
+	block := func(a, b int) {
+		if a != b {
+			w.blocked[[2]int{a, b}] = max(w.blocked[[2]int{a, b}], until)
+		}
+	}
+	again := func(m *machine, after float64) {
+		w.stop(m)
+		m.run = 0
+		w.at(w.now+after, func() { w.start(m) })
+	}
+	switch f.Kind {
+	case Kill:
+		again(m, f.For)
+	case Empty:
+		again(m, f.For)
+		m.kept, m.copies = nil, nil
+	case OldCopy:
+		again(m, f.For)
+		for i := len(m.copies) - 1; i >= 0; i-- {
+			if m.copies[i].at <= w.now-f.Amount {
+				m.kept = slices.Clone(m.copies[i].kept)
+				break
+			}
+		}
+	case Pause:
+		m.paused = max(m.paused, until)
+	case Cut:
+		block(f.A, f.B)
+	case CutBoth:
+		block(f.A, f.B)
+		block(f.B, f.A)
+	case Isolate, Deaf, Mute:
+		for i := range w.nodes {
+			if f.Kind != Mute {
+				block(i, f.A)
+			}
+			if f.Kind != Deaf {
+				block(f.A, i)
+			}
+		}
+	case Split:
+		for i := range w.nodes {
+			for j := range w.nodes {
+				if (i < f.N) != (j < f.N) {
+					block(i, j)
+				}
+			}
+		}
+	case Drop:
+		w.drop, w.dropTo = f.Amount, until
+	case Delay:
+		w.delay, w.delayTo = f.Amount, until
+	case Slow:
+		m.diskMS = f.Amount
+		w.at(until, func() { m.diskMS = 2 })
+	case Clock:
+		m.offset += w.now * (m.rate - f.Amount)
+		m.rate = f.Amount
+		if m.core != nil {
+			w.plan_(m)
+		}
+	case KillAll:
+		for _, m := range w.nodes {
+			if m.number != f.N {
+				again(m, f.For*(0.8+0.4*w.rng.Float64()))
+			}
+		}
+	case HandOver:
+		if m.core != nil && w.now >= m.paused {
+			w.deliver(m, func() {
+				m.core.HandOver(w.local(m), w.works()[w.rng.Intn(w.plan.Works)], w.nodes[f.B].id)
+			})
+		}
+	case Loop:
+		for at := 0.0; at < f.For; at += 1000 {
+			w.at(w.now+at, func() {
+				w.stop(m)
+				m.run = 0
+				w.at(w.now+300, func() { w.start(m) })
+			})
+		}
+	}
+}
+
+// Machine is a node's number of restarts and its core, for those who look in.
+func (w *World) Machine(i int) (*node.Node, int) { return w.nodes[i].core, w.nodes[i].restarts }
+
+// Now is the time in ms.
+func (w *World) Now() float64 { return w.now }
+
+// Records are how many durable records a node has.
+func (w *World) Records(i int) int { return len(w.nodes[i].kept) }
