--- /dev/null
+++ b/cmd/mintkeel-lab/fleet.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/lab/fleet"
+)
+
+func fleetCommand() *cobra.Command {
+	var histories, nodes, faults, beside int
+	var seed int64
+	var virtual, tell bool
+	var mintkeel string
+	c := &cobra.Command{
+		Use:   "fleet",
+		Short: "Have many controllers get along while parts of the system break, and judge what receivers saw",
+		Long: `Have many controllers get along while parts of the system break, and judge what
+receivers saw. Each history has a fault script drawn from its seed. It ends with
+0 only if nothing broke, and prints the seed and the script of what did, shrunk
+where the history is one of virtual time.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if virtual {
+				return virtualHistories(c, histories, nodes, faults, beside, seed)
+			}
+			return processHistories(c, mintkeel, histories, nodes, faults, beside, seed, tell)
+		},
+	}
+	c.Flags().IntVar(&histories, "histories", 10, "how many")
+	c.Flags().Int64Var(&seed, "seed", 1, "of the first")
+	c.Flags().IntVar(&nodes, "nodes", 0, "controllers; 0: 3 to 9, by the seed")
+	c.Flags().IntVar(&faults, "faults", 6, "of each history")
+	c.Flags().IntVar(&beside, "beside", 1, "histories at a time")
+	c.Flags().BoolVar(&virtual, "virtual", false, "in virtual time, in this process")
+	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
+	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
+	c.AddCommand(fleetModelCommand())
+	return c
+}
+
+func nodesOf(nodes int, seed int64) int {
+	if nodes > 0 {
+		return nodes
+	}
+	return 3 + int(seed%7)
+}
+
+// each plays histories beside each other until one fails.
+func each(ctx context.Context, n, beside int, seed int64, play func(seed int64) error) error {
+	var next atomic.Int64
+	var mu sync.Mutex
+	var failed error
+	var group sync.WaitGroup
+	for range max(1, beside) {
+		group.Go(func() {
+			for {
+				i := next.Add(1) - 1
+				mu.Lock()
+				stop := failed != nil
+				mu.Unlock()
+				if i >= int64(n) || stop || ctx.Err() != nil {
+					return
+				}
+				if err := play(seed + i); err != nil {
+					mu.Lock()
+					failed = err
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	if failed == nil {
+		failed = ctx.Err()
+	}
+	return failed
+}
+
+func virtualHistories(c *cobra.Command, n, nodes, faults, beside int, seed int64) error {
+	var mu sync.Mutex
+	var whole, free []float64
+	effects, overlaps, late := 0, 0, 0
+	began := time.Now()
+	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+		p := fleet.UsualPlan(seed, nodesOf(nodes, seed), 3, faults)
+		w := fleet.NewWorld(p)
+		if why := w.Play(); why != "" {
+			short, why := fleet.Shrink(p)
+			return fmt.Errorf("seed %d, %d controllers, %d of them the council: %s\n%v", seed, p.Nodes, p.Council, why, short.Script)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		whole = append(whole, w.Whole)
+		for _, f := range w.Judge.Free {
+			free = append(free, f...)
+		}
+		effects, overlaps, late = effects+w.Judge.Effects, overlaps+w.Judge.Overlap, late+w.Judge.Late
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%d histories in virtual time, none broke (%v)\n%d effects taken; %d times another began while one still acted; %d effects that were late\n",
+		n, time.Since(began).Round(time.Second), effects, overlaps, late)
+	fmt.Fprintf(c.OutOrStdout(), "whole after the last fault: %s ms\nwithout an owner: %s ms\n", spreadOf(whole), spreadOf(free))
+	return nil
+}
+
+func spreadOf(xs []float64) string {
+	if len(xs) == 0 {
+		return "none"
+	}
+	slices.Sort(xs)
+	at := func(q float64) float64 { return xs[min(len(xs)-1, int(q*float64(len(xs))))] }
+	return fmt.Sprintf("median %.0f, 90th %.0f, 99th %.0f, most %.0f of %d", at(0.5), at(0.9), at(0.99), at(1), len(xs))
+}
+
+// buildLab builds the daemon with the lab's levers.
+func buildLab(ctx context.Context, dir string) (string, error) {
+	path := filepath.Join(dir, "mintkeel")
+	build := exec.CommandContext(ctx, "go", "build", "-tags", "mintkeel_lab", "-o", path, "mintkeel/cmd/mintkeel")
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the lab's daemon: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+func processHistories(c *cobra.Command, mintkeel string, n, nodes, faults, beside int, seed int64, tell bool) error {
+	if mintkeel == "" {
+		dir, err := os.MkdirTemp("", "lab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		if mintkeel, err = buildLab(c.Context(), dir); err != nil {
+			return err
+		}
+	}
+	var mu sync.Mutex
+	var sum fleet.Report
+	var whole, free []float64
+	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+		s := fleet.UsualScene(mintkeel, seed, nodesOf(nodes, seed), faults)
+		var said []string
+		s.Tell = func(line string) {
+			if said = append(said, line); tell {
+				fmt.Fprintln(c.ErrOrStderr(), line)
+			}
+		}
+		r, err := fleet.PlayProcesses(c.Context(), s)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		if r.Broken != "" {
+			return fmt.Errorf("seed %d, %d controllers, %d of them the council: %s\n%v\n%s", seed, s.Nodes, s.Council, r.Broken, s.Script,
+				strings.Join(said, "\n"))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		sum.Effects += r.Effects
+		sum.Refused += r.Refused
+		sum.Taken += r.Taken
+		sum.Commands += r.Commands
+		sum.Answered += r.Answered
+		sum.Shed += r.Shed
+		sum.Failed += r.Failed
+		whole = append(whole, float64(r.Whole)/1e6)
+		for _, f := range r.Free {
+			free = append(free, float64(f)/1e6)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%d histories with processes, none broke\n%d effects taken by the endpoint, %d refused there by their epoch, %d taken by controllers\n",
+		n, sum.Effects, sum.Refused, sum.Taken)
+	fmt.Fprintf(c.OutOrStdout(), "%d commands: %d answered, %d shed, %d failed, none lost\nwhole after the last fault: %s ms\nbetween two owners' effects: %s ms\n",
+		sum.Commands, sum.Answered, sum.Shed, sum.Failed, spreadOf(whole), spreadOf(free))
+	return nil
+}
+
+func fleetModelCommand() *cobra.Command {
+	p := fleet.Small{Nodes: 3, Works: 1, Lease: 2, Horizon: 5, Crashes: 1, Leaders: 1, Flight: 2, Most: 20_000_000}
+	c := &cobra.Command{
+		Use:   "model",
+		Short: "Look at all orders of a small case of ownership",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t := p.Search()
+			fmt.Fprintf(c.OutOrStdout(), "%d states, %d moves between them\n", t.States, t.Moves)
+			switch {
+			case t.Broken != "":
+				return fmt.Errorf("%s\n%s", t.Broken, strings.Join(t.Path, "\n"))
+			case !t.Whole:
+				return fmt.Errorf("not all states were looked at: --most is %d", p.Most)
+			}
+			fmt.Fprintln(c.OutOrStdout(), "all states within the bounds: nothing breaks")
+			return nil
+		},
+	}
+	c.Flags().IntVar(&p.Nodes, "nodes", p.Nodes, "controllers")
+	c.Flags().IntVar(&p.Works, "works", p.Works, "works")
+	c.Flags().IntVar(&p.Horizon, "horizon", p.Horizon, "units of time; a lease has 2")
+	c.Flags().IntVar(&p.Crashes, "crashes", p.Crashes, "restarts at most")
+	c.Flags().IntVar(&p.Losses, "losses", p.Losses, "lost messages at most")
+	c.Flags().IntVar(&p.Leaders, "leaders", p.Leaders, "changes of the council's leader at most")
+	c.Flags().IntVar(&p.Flight, "flight", p.Flight, "messages on their way at most")
+	c.Flags().IntVar(&p.Most, "most", p.Most, "states at most")
+	return c
+}
--- a/cmd/mintkeel/check.go
+++ b/cmd/mintkeel/check.go
@@ -54,7 +54,8 @@
 			fmt.Fprintf(c.OutOrStdout(), "%s: %d profiles, %d tenants, %d kinds of engine, feed up to event %d\n",
 				cmp.Or(s.Name, "unnamed"), len(s.facts.Profiles), len(s.facts.Tenants), len(s.facts.Kinds), s.Known.No)
 			if from.operator != "" {
-				fmt.Fprintf(c.OutOrStdout(), "%s: memory %s, %d rules\n", from.operator, onOff(file.Memory != nil), ruleCount(file))
+				fmt.Fprintf(c.OutOrStdout(), "%s: memory %s, %d rules, fleet %s\n", from.operator, onOff(file.Memory != nil), ruleCount(file),
+					onOff(file.Fleet != nil))
 			}
 			return nil
 		},
--- /dev/null
+++ b/cmd/mintkeel/fleet.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/fleet"
+)
+
+func fleetCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "fleet",
+		Short: "Look at the fleet as one of its controllers knows it, and hand works over",
+		Long: `Look at the fleet as one of its controllers knows it, and hand works over.
+
+Each command speaks to the controller whose folder is named: the folder of the
+block fleet in its operator's file. Members are what that controller believes;
+works are the council's word where it is a voting member of it, and else what it
+was told last.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	var folder string
+	var asJSON bool
+	c.PersistentFlags().StringVar(&folder, "folder", os.Getenv("MINTKEEL_FLEET"), "the controller's `folder` (MINTKEEL_FLEET)")
+	c.PersistentFlags().BoolVar(&asJSON, "json", false, "print the whole answer as JSON")
+	one := func(use, short string, args int, request func(args []string) fleet.Request, print func(io.Writer, fleet.Status)) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(args), RunE: func(c *cobra.Command, args []string) error {
+			if folder == "" {
+				return fmt.Errorf("no folder: set --folder or MINTKEEL_FLEET")
+			}
+			s, err := fleet.Call(c.Context(), folder, request(args))
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return printJSON(c, s)
+			}
+			print(c.OutOrStdout(), s)
+			return nil
+		}}
+	}
+	status := func([]string) fleet.Request { return fleet.Request{Do: "status"} }
+	c.AddCommand(
+		one("members", "List the controllers of the fleet and what is believed of each", 0, status, printMembers),
+		one("works", "List the works, their owners and epochs", 0, status, printWorks),
+		one("council", "Tell who agrees on the works, who leads, and what this controller is in it", 0, status, printCouncil),
+		one("handover WORK CONTROLLER", "Have a work go to another controller; done when works tells so", 2, func(args []string) fleet.Request {
+			return fleet.Request{Do: "handover", Work: args[0], To: args[1]}
+		}, printWorks),
+		one("replace OLD NEW", "Exchange a member of the council for another controller; done when council tells so", 2,
+			func(args []string) fleet.Request {
+				return fleet.Request{Do: "replace", Old: args[0], To: args[1]}
+			}, printCouncil),
+		one("trust", "Say that this member's folder is the latest there is, where not all others can vouch for it", 0,
+			func([]string) fleet.Request { return fleet.Request{Do: "trust"} }, printCouncil),
+	)
+	return c
+}
+
+func printMembers(out io.Writer, s fleet.Status) {
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintf(t, "fleet %s, generation %d, as %s believes\n", s.Fleet, s.Generation, s.Self)
+	fmt.Fprintln(t, "controller\tis\taddress\ttakes works\trun")
+	for _, m := range s.Members {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.State, m.Addr, yesNo(m.Willing), m.Run)
+	}
+	t.Flush()
+}
+
+func printWorks(out io.Writer, s fleet.Status) {
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	whose := "as " + s.Self + " was told"
+	if s.Own {
+		whose = "as the council agreed, as far as " + s.Self + " has heard"
+	}
+	fmt.Fprintf(t, "%d works, %s\nwork\tepoch\towner\tis to go to\n", len(s.Works), whose)
+	for _, w := range s.Works {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", w.Work, w.Epoch, cmp.Or(w.Owner, "nobody"), w.Wanted)
+	}
+	t.Flush()
+}
+
+func printCouncil(out io.Writer, s fleet.Status) {
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintf(t, "%s is %s", s.Self, s.Council.Standing)
+	if s.Council.Why != "" {
+		fmt.Fprintf(t, ": %s", s.Council.Why)
+	}
+	fmt.Fprintf(t, "\nleader %s, term %d, record %d\n", cmp.Or(s.Council.Leader, "not known"), s.Council.Term, s.Council.Record)
+	if len(s.Council.Members) > 0 {
+		fmt.Fprintln(t, "member\tdisk\tvotes")
+	}
+	for _, m := range s.Council.Members {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", m.Name, m.Disk, yesNo(m.Votes))
+	}
+	t.Flush()
+}
+
+func yesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// fleet is a stand-in for the feed and one engine, which answers each send at once, or with hang tells hangs alone.
-func fleet(t *testing.T) (feed, engine string, hangs chan bool) {
+// feedAndEngine is a stand-in for the feed and one engine, which answers each send at once, or with hang tells hangs alone.
+func feedAndEngine(t *testing.T) (feed, engine string, hangs chan bool) {
 	hangs = make(chan bool, 10)
 	serve := func(handle func(net.Conn)) string {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -132,7 +132,7 @@
 // The daemon with all its parts: it answers, takes over a new configuration and stays with the old one if that is bad,
 // goes on while told to stop, gives up in time what hangs, and ends.
 func TestServe(t *testing.T) {
-	feed, engine, hangs := fleet(t)
+	feed, engine, hangs := feedAndEngine(t)
 	reserve, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -316,7 +316,7 @@
 // The daemon with memory under load, through reloads that turn it on, off and to other folders, and through a bad file;
 // commands go on being answered, and what is kept at the end is whole.
 func TestMemoryUnderLoad(t *testing.T) {
-	feed, engine, _ := fleet(t)
+	feed, engine, _ := feedAndEngine(t)
 	h := found(t, good, feed, engine, "")
 	block := func(folder, pace string) string {
 		return fmt.Sprintf("memory {\n folder = %q\n pace = %q\n}\n", filepath.Join(h.dir, folder), pace)
@@ -485,7 +485,7 @@
 
 // Rules stand in front of the loop: they refuse with their text, and change at a reload as a whole or not at all.
 func TestRules(t *testing.T) {
-	feed, engine, _ := fleet(t)
+	feed, engine, _ := feedAndEngine(t)
 	const no = "rule \"no\" {\n when = \"table_name == 't'\"\n refuse = \"not now\"\n}\n"
 	h := found(t, strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1), feed, engine, no)
 	h.serve()
@@ -570,7 +570,7 @@
 // Good and bad rules in turn, many times a second, under loads of few stores: every set gives a store's loads one key,
 // each set another, and no two loads of a store are ever out at once.
 func TestRulesUnderLoad(t *testing.T) {
-	feed, _, _ := fleet(t)
+	feed, _, _ := feedAndEngine(t)
 	engine := &orderly{out: map[string]int{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -22,6 +22,7 @@
 	"mintkeel/internal/controller"
 	"mintkeel/internal/core/recall"
 	"mintkeel/internal/engines"
+	"mintkeel/internal/fleet"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/logs"
 	"mintkeel/internal/memory"
@@ -78,6 +79,7 @@
 	server *clients.Server
 	keeper *memory.Keeper // nil: memory is off
 	gone   []*memory.Keeper
+	fleet  *fleet.Service // nil: off
 }
 
 // run puts the parts together, serves until told to stop, and then until all is answered.
@@ -116,6 +118,12 @@
 	server.SetRules(d.file.Rules)
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
+	if d.file.Fleet != nil { // clients are served by now: nothing of theirs waits for it
+		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, nil, d.log); err != nil {
+			return err
+		}
+		defer d.fleet.Close()
+	}
 	d.log.Info("serving", "name", s.Name, "listen", listener.Addr().String())
 	report := func(message string) {
 		counts := []any{"commands", d.loop.Counts(), "clients", server, "engines", pool}
@@ -125,6 +133,9 @@
 		if d.file.Rules != nil {
 			counts = append(counts, "rules", server.Rules())
 		}
+		if d.fleet != nil {
+			counts = append(counts, "fleet", d.fleet)
+		}
 		d.log.Info(message, counts...)
 	}
 	for sig := range signals {
@@ -138,6 +149,9 @@
 	}
 	d.log.Info("told to stop")
 	end := time.Now().Add(l.EndTime)
+	if d.fleet != nil {
+		d.fleet.Stop() // another takes over what this one owns, while commands are still answered
+	}
 	if d.keeper != nil {
 		d.keeper.Last() // beside the commands that are still to be answered
 	}
@@ -224,6 +238,7 @@
 		d.prune()
 		d.keep(d.file.Memory, file.Memory)
 		d.server.SetRules(file.Rules)
+		d.refleet(file)
 		d.file = file
 		if d.from.operator != "" {
 			d.log.Info("operator's file read again", "memory", onOff(file.Memory != nil), "rules", ruleCount(file))
@@ -234,6 +249,20 @@
 	}
 }
 
+// refleet takes over what may change of the block fleet while running. What may not is told, and stays as it was.
+func (d *daemon) refleet(file *operator.File) {
+	if !file.Fleet.Same(d.file.Fleet) {
+		d.log.Warn("field can't change while running", "field", "fleet")
+		file.Fleet = d.file.Fleet
+	}
+	if d.fleet != nil {
+		d.fleet.SetWilling(file.Fleet.Willing)
+		if err := d.fleet.SetKeys(); err != nil {
+			d.log.Error("new keys of the fleet not used", "why", err)
+		}
+	}
+}
+
 // inTime reads something that may hang: a disk that is gone must not keep a controller from hearing that it is to stop.
 // What is read too late is dropped, with its goroutine.
 func inTime[T any](within time.Duration, read func() (T, error)) (T, error) {
--- /dev/null
+++ b/internal/fleet/block.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/operator/block"
+)
+
+// Block is the block fleet of the operator's file.
+type Block struct {
+	Name       string // of the fleet
+	Generation uint64
+	Listen     string
+	Advertise  string // where others reach it
+	KeyFile    string
+	Folder     string
+	Council    map[members.ID]string // its members and where they listen
+	Works      []works.Work
+	Lease      time.Duration
+	Willing    bool // it takes on works
+}
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// mostCouncil is how many the council may have: more only make each agreement dearer.
+const mostCouncil = 7
+
+// ReadBlock reads the block fleet.
+func ReadBlock(b *hcl.Block, sheet *block.Sheet) *Block {
+	open := block.Open(b, sheet, "name", "generation", "listen", "advertise", "key_file", "folder", "council", "works", "lease",
+		"willing")
+	read := &Block{Name: open.Text("name", "", true, 64), Generation: uint64(open.Whole("generation", 1, 1, 1_000_000_000)),
+		Listen: open.Text("listen", "", true, 256), KeyFile: open.Text("key_file", "", true, 4096),
+		Folder: open.Text("folder", "", true, 4096), Lease: open.Duration("lease", 10*time.Second, time.Second, 10*time.Minute),
+		Willing: open.Bool("willing", true), Council: map[members.ID]string{}}
+	read.Advertise = open.Text("advertise", read.Listen, false, 256)
+	if read.Name != "" && !nameForm.MatchString(read.Name) {
+		open.Note("name", "holds other than letters, digits, '.', '_' and '-'")
+	}
+	for _, address := range []struct{ field, text string }{{"listen", read.Listen}, {"advertise", read.Advertise}} {
+		if why := addressWrong(address.text); address.text != "" && why != "" && open.Has(address.field) {
+			open.Note(address.field, why)
+		}
+	}
+	for _, path := range []struct{ field, text string }{{"key_file", read.KeyFile}, {"folder", read.Folder}} {
+		if path.text != "" && !filepath.IsAbs(path.text) {
+			open.Note(path.field, "is no absolute path")
+		}
+	}
+	council := open.Map("council", 256)
+	if !open.Has("council") {
+		open.Note("council", "is missing")
+	} else if n := len(council); n != 1 && n != 3 && n != 5 && n != mostCouncil {
+		open.Note("council", fmt.Sprintf("has %d members: 1, 3, 5 or %d are possible, as half of an even number decides nothing", n,
+			mostCouncil))
+	}
+	seen := map[string]string{}
+	for name, addr := range council {
+		if !nameForm.MatchString(name) {
+			open.Note("council", fmt.Sprintf("%.64q is no name of a controller", name))
+		} else if why := addressWrong(addr); why != "" {
+			open.Note("council", fmt.Sprintf("%s: %s", name, why))
+		} else if other := seen[addr]; other != "" {
+			open.Note("council", fmt.Sprintf("%s and %s have the same address", min(name, other), max(name, other)))
+		}
+		seen[addr] = name
+		read.Council[members.ID(name)] = addr
+	}
+	if !open.Has("works") {
+		read.Works = []works.Work{Digest}
+	}
+	for _, w := range open.Texts("works", 64) {
+		if !nameForm.MatchString(w) {
+			open.Note("works", fmt.Sprintf("%.64q is no name of a work", w))
+		} else if slices.Contains(read.Works, works.Work(w)) {
+			open.Note("works", w+" stands there twice")
+		} else {
+			read.Works = append(read.Works, works.Work(w))
+		}
+	}
+	slices.Sort(read.Works)
+	return read
+}
+
+func addressWrong(addr string) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || port == "" {
+		return fmt.Sprintf("%.64q is no address", addr)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Sprintf("%.64q: names are not looked up", addr)
+	}
+	return ""
+}
+
+// Same tells whether two blocks mean the same fleet in the same way, but for what may change while running.
+func (b *Block) Same(o *Block) bool {
+	if b == nil || o == nil {
+		return b == o
+	}
+	if len(b.Council) != len(o.Council) || b.Name != o.Name || b.Generation != o.Generation || b.Listen != o.Listen ||
+		b.Advertise != o.Advertise || b.Folder != o.Folder || b.Lease != o.Lease || !slices.Equal(b.Works, o.Works) {
+		return false
+	}
+	for id, addr := range b.Council {
+		if o.Council[id] != addr {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/control.go
@@ -0,0 +1,242 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/works"
+)
+
+// Operators speak to a controller by a socket in its folder: one request, one answer, both a line of JSON. Whoever may
+// open the folder may do so; it is made for its owner alone.
+
+const (
+	controlName  = "control.sock"
+	controlTime  = 3 * time.Second
+	controlBytes = 64 << 10
+	mostControl  = 8 // connections at once
+)
+
+// Request is what an operator asks.
+type Request struct {
+	Do   string `json:"do"` // "status", "handover", "replace" or "trust"
+	Work string `json:"work,omitempty"`
+	To   string `json:"to,omitempty"`
+	Old  string `json:"old,omitempty"`
+}
+
+// Status is what a controller knows of its fleet. What it can't know it does not tell as known: Members are what it
+// believes, and Works are the council's own word only if Own is set.
+type Status struct {
+	Fleet      string         `json:"fleet"`
+	Generation uint64         `json:"generation"`
+	Self       string         `json:"self"`
+	Slow       int            `json:"slow"`
+	Members    []MemberStatus `json:"members"`
+	Works      []WorkStatus   `json:"works"`
+	Own        bool           `json:"own"`
+	Holds      []string       `json:"holds"`
+	Council    CouncilStatus  `json:"council"`
+	Error      string         `json:"error,omitempty"`
+}
+
+// MemberStatus is one member, as this controller believes it to be.
+type MemberStatus struct {
+	ID          string `json:"id"`
+	Addr        string `json:"addr"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Willing     bool   `json:"willing"`
+	Run         string `json:"run"`
+}
+
+// WorkStatus is one work.
+type WorkStatus struct {
+	Work   string `json:"work"`
+	Epoch  uint64 `json:"epoch"`
+	Owner  string `json:"owner"`
+	Run    string `json:"run,omitempty"`
+	Wanted string `json:"wanted,omitempty"`
+}
+
+// CouncilStatus is the council, as this controller knows it.
+type CouncilStatus struct {
+	Standing string       `json:"standing"`
+	Why      string       `json:"why,omitempty"`
+	Leader   string       `json:"leader"`
+	Term     uint64       `json:"term"`
+	Record   uint64       `json:"record"`
+	Members  []LifeStatus `json:"members"`
+}
+
+// LifeStatus is a member of the council with its disk.
+type LifeStatus struct {
+	Name  string `json:"name"`
+	Disk  string `json:"disk"`
+	Votes bool   `json:"votes"`
+}
+
+func listenControl(folder string) (net.Listener, error) {
+	path := filepath.Join(folder, controlName)
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // an earlier process left it
+		return nil, err
+	}
+	return net.Listen("unix", path)
+}
+
+func (s *Service) answerOperators() {
+	room := make(chan struct{}, mostControl)
+	for {
+		conn, err := s.control.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case room <- struct{}{}:
+			s.group.Go(func() {
+				defer func() { <-room }()
+				defer conn.Close()
+				defer context.AfterFunc(s.ctx, func() { conn.Close() })()
+				s.answer(conn)
+			})
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func (s *Service) answer(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(2 * controlTime))
+	line, err := bufio.NewReader(io.LimitReader(conn, controlBytes)).ReadBytes('\n')
+	if err != nil {
+		return
+	}
+	var r Request
+	reply := Status{}
+	if err := json.Unmarshal(line, &r); err != nil {
+		reply.Error = "the request can't be read: " + err.Error()
+	} else if found, err := s.Ask(r); err != nil {
+		reply.Error = err.Error()
+	} else {
+		reply = found
+	}
+	json.NewEncoder(conn).Encode(reply)
+}
+
+// Ask does what an operator asks, and tells how things stand after it.
+func (s *Service) Ask(r Request) (Status, error) {
+	type outcome struct {
+		status Status
+		err    error
+	}
+	found, err := ask(s, controlTime, func(in *session) outcome {
+		err := in.ordered(r)
+		return outcome{in.describe(), err}
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	return found.status, found.err
+}
+
+func (in *session) ordered(r Request) error {
+	known := func(name string) bool {
+		_, ok := in.core.Table().Of(members.ID(name))
+		return ok
+	}
+	switch r.Do {
+	case "status":
+	case "handover":
+		grants, _ := in.core.Grants()
+		found := false
+		for _, g := range grants {
+			found = found || g.Work == works.Work(r.Work) && !g.Dropped
+		}
+		if !found {
+			return fmt.Errorf("%.64q is no work that this controller knows of", r.Work)
+		}
+		if !known(r.To) {
+			return fmt.Errorf("%.64q is no controller that this one knows of", r.To)
+		}
+		in.core.HandOver(in.now(), works.Work(r.Work), members.ID(r.To))
+	case "replace":
+		if !known(r.Old) || r.To != "" && !known(r.To) {
+			return fmt.Errorf("%.64q or %.64q is no controller that this one knows of", r.Old, r.To)
+		}
+		in.core.Exchange(in.now(), members.ID(r.Old), members.ID(r.To))
+	case "trust":
+		if !in.core.Trust(in.now()) {
+			return errors.New("there is nothing to trust: this controller is no doubted member of the council")
+		}
+		in.Service.log.Warn("fleet: the folder is trusted by an operator's word")
+	default:
+		return fmt.Errorf("%.64q is not known", r.Do)
+	}
+	return nil
+}
+
+func (in *session) describe() Status {
+	c := in.core.Council()
+	standing, why := c.Standing()
+	s := Status{Fleet: in.block.Name, Generation: in.block.Generation, Self: string(in.self), Slow: in.core.Table().Slow(),
+		Members: []MemberStatus{}, Works: []WorkStatus{}, Holds: []string{},
+		Council: CouncilStatus{Standing: standing.String(), Why: why, Leader: string(in.core.Leader()), Term: c.Term(),
+			Record: c.Serial(), Members: []LifeStatus{}}}
+	for _, m := range in.core.Members() {
+		s.Members = append(s.Members, MemberStatus{string(m.ID), m.Addr, m.State.String(), uint64(m.Incarnation), m.Willing,
+			fmt.Sprintf("%x", m.Run)})
+	}
+	grants, own := in.core.Grants()
+	s.Own = own
+	for _, g := range grants {
+		if !g.Dropped {
+			w := WorkStatus{Work: string(g.Work), Epoch: uint64(g.Epoch), Owner: string(g.Holder.ID), Wanted: string(g.Wanted)}
+			if g.Held() {
+				w.Run = fmt.Sprintf("%x", g.Holder.Run)
+			}
+			s.Works = append(s.Works, w)
+		}
+	}
+	for _, h := range in.core.Works(in.now()) {
+		s.Holds = append(s.Holds, string(h.Work))
+	}
+	if standing != council.Outside {
+		lives, votes := c.Members()
+		for i, l := range lives {
+			s.Council.Members = append(s.Council.Members, LifeStatus{string(l.Name), fmt.Sprintf("%x", l.Disk), votes[i]})
+		}
+	}
+	return s
+}
+
+// Call asks the controller whose folder this is.
+func Call(ctx context.Context, folder string, r Request) (Status, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "unix", filepath.Join(folder, controlName))
+	if err != nil {
+		return Status{}, fmt.Errorf("no controller answers in %s: %w", folder, err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(4 * controlTime))
+	if err := json.NewEncoder(conn).Encode(r); err != nil {
+		return Status{}, err
+	}
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(conn, 16<<20)).Decode(&s); err != nil {
+		return Status{}, fmt.Errorf("answer of the controller: %w", err)
+	}
+	if s.Error != "" {
+		return s, errors.New(s.Error)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/fleet/lab.go
@@ -0,0 +1,116 @@
+//go:build mintkeel_lab
+
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
+)
+
+// labProgram does the works of a rig: an effect each 50 ms at an endpoint outside, and one at another controller, which
+// writes down what it took. Between its look at the lease and the effect the rig may stop the process for as long as it
+// likes. It is in builds of the lab alone.
+type labProgram struct {
+	endpoint string
+	taken    *os.File
+	mu       sync.Mutex
+	next     float64
+	id       uint64
+	strikes  chan string
+	end      chan struct{}
+}
+
+func labPrograms(folder string) []Program {
+	endpoint := os.Getenv("MINTKEEL_LAB_ENDPOINT")
+	if endpoint == "" {
+		return nil
+	}
+	taken, err := os.OpenFile(folder+"-taken", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil
+	}
+	p := &labProgram{endpoint: endpoint, taken: taken, strikes: make(chan string, 64), end: make(chan struct{})}
+	go p.strike()
+	return []Program{p}
+}
+
+func (p *labProgram) Began(Hands, works.Claim) {}
+func (p *labProgram) Ended(works.Claim)        {}
+func (p *labProgram) Passed(node.Passed)       {}
+func (p *labProgram) Close()                   { close(p.end) }
+
+func (p *labProgram) Said(Hands, members.ID, []byte) bool { return false }
+
+func (p *labProgram) Tick(h Hands, now float64) {
+	if now < p.next {
+		return
+	}
+	p.next = now + 50
+	all := h.Members()
+	for _, w := range labWorks(h) {
+		epoch, ok := h.May(w)
+		if !ok {
+			continue
+		}
+		p.id++
+		if to := all[int(p.id)%len(all)]; to.State == members.Alive {
+			h.Act(w, to.ID, p.id, nil)
+		}
+		select {
+		case p.strikes <- fmt.Sprintf("%s %d %d %s\n", w, epoch, p.id, h.Self()):
+		default:
+		}
+	}
+}
+
+// labWorks are the names that a rig uses.
+func labWorks(h Hands) (list []works.Work) {
+	for i := range 8 {
+		list = append(list, works.Work(fmt.Sprintf("work-%d", i)))
+	}
+	return list
+}
+
+func (p *labProgram) Taken(h Hands, from members.ID, e node.Effect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fmt.Fprintf(p.taken, "%d %s %d %d %s\n", time.Now().UnixNano(), e.Claim.Work, e.Claim.Epoch, e.ID, from)
+}
+
+// strike sends effects to the endpoint, in order, on a connection that lasts.
+func (p *labProgram) strike() {
+	var conn net.Conn
+	for {
+		select {
+		case <-p.end:
+			return
+		case line := <-p.strikes:
+			if conn == nil {
+				c, err := net.DialTimeout("tcp", p.endpoint, time.Second)
+				if err != nil {
+					continue
+				}
+				conn = c
+			}
+			conn.SetDeadline(time.Now().Add(time.Second))
+			if _, err := conn.Write([]byte(line)); err != nil {
+				conn.Close()
+				conn = nil
+				continue
+			}
+			if reply, err := bufio.NewReader(conn).ReadString('\n'); err != nil || !strings.HasPrefix(reply, "ok") && !strings.HasPrefix(reply, "refused") {
+				conn.Close()
+				conn = nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/nolab.go
@@ -0,0 +1,5 @@
+//go:build !mintkeel_lab
+
+package fleet
+
+func labPrograms(string) []Program { return nil }
--- /dev/null
+++ b/internal/fleet/seam/seam.go
@@ -0,0 +1,20 @@
+// Package seam is where talk among controllers meets the machine: its steady clock and its way to open connections. The
+// daemon has no lever in it. A build with the tag mintkeel_lab, which only rigs make, has the clock follow a file and
+// connections go by a switch.
+package seam
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+var began = time.Now()
+
+// steady is ms by the system's steady clock.
+func steady() float64 { return float64(time.Since(began)) / 1e6 }
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/internal/fleet/seam/system.go
@@ -0,0 +1,17 @@
+//go:build !mintkeel_lab
+
+package seam
+
+import (
+	"context"
+	"net"
+)
+
+// Now is the time in ms, by a clock that only goes forward and that nobody sets.
+func Now() float64 { return steady() }
+
+// Dial opens a connection.
+func Dial(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, addr) }
+
+// BeforeSave is called before a record is kept.
+func BeforeSave() {}
--- /dev/null
+++ b/internal/fleet/service.go
@@ -0,0 +1,538 @@
+// Package fleet is a controller's part in a fleet whose controllers talk: it drives core/fleet with sockets, a disk and
+// the steady clock, does the works that this one owns, and answers operators on a socket in a folder. It is off unless the
+// operator's file has a block fleet. It stands beside the loop: no answer to a client waits for it, and with all talk cut
+// off a controller is what it was without it.
+package fleet
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/fleet/frames"
+	"mintkeel/internal/fleet/links"
+	"mintkeel/internal/fleet/seam"
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/records"
+)
+
+// Program does a work while this controller owns it. Its methods are called by one goroutine and must not wait; what takes
+// time it does in goroutines of its own, which end with Ended or Close.
+type Program interface {
+	Began(h Hands, c works.Claim)
+	Ended(c works.Claim)
+	Tick(h Hands, now float64)                              // about each 100 ms
+	Taken(h Hands, from members.ID, e node.Effect)          // an effect of the work that passed the gate here
+	Passed(p node.Passed)                                   // what became of an effect of this one
+	Said(h Hands, from members.ID, data []byte) (mine bool) // a word of another controller's program
+	Close()
+}
+
+// Hands are what a program may do.
+type Hands interface {
+	Self() members.ID
+	Act(w works.Work, to members.ID, id uint64, data []byte) bool // false: the work is not owned, and nothing was sent
+	Say(to members.ID, data []byte)
+	May(w works.Work) (works.Epoch, bool)
+	GiveUp(w works.Work, failed bool)
+	Members() []members.Member
+	Now() float64
+}
+
+// Service is one controller's part. It runs from Start until Close.
+type Service struct {
+	block    Block
+	self     members.ID
+	log      *slog.Logger
+	programs []Program
+	links    *links.Links
+	listener net.Listener
+	control  net.Listener
+
+	inbox  chan func(*session) // what others ask the goroutine of the core to do
+	ctx    context.Context
+	end    context.CancelFunc
+	group  sync.WaitGroup
+	stop   atomic.Bool
+	status atomic.Pointer[Status]
+	done   chan struct{}
+
+	counts struct{ unread, full, restarts, saves, effects, turned atomic.Int64 }
+}
+
+const (
+	inboxSize  = 1024
+	tickMost   = 100.0 // ms between two looks at the clock, for programs
+	againLeast = time.Second
+	againMost  = 30 * time.Second
+)
+
+// Start begins to take part. Its error is of what an operator has to mend: the key's file, the address, the folder.
+func Start(b *Block, self string, programs []Program, log *slog.Logger) (*Service, error) {
+	keys, err := frames.ReadKeys(b.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: key_file: %w", err)
+	}
+	if !nameForm.MatchString(self) {
+		return nil, fmt.Errorf("fleet: the controller's name %.64q holds other than letters, digits, '.', '_' and '-'", self)
+	}
+	folder := disk.Folder(b.Folder)
+	if err := folder.Make(); err != nil {
+		return nil, fmt.Errorf("fleet: folder: %w", err)
+	}
+	listener, err := net.Listen("tcp", b.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: listen: %w", err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	programs = append(slices.Clone(programs), labPrograms(b.Folder)...)
+	s := &Service{block: *b, self: members.ID(self), log: log, programs: programs, listener: listener,
+		inbox: make(chan func(*session), inboxSize), ctx: ctx, end: end, done: make(chan struct{})}
+	if s.control, err = listenControl(b.Folder); err != nil {
+		log.Warn("fleet: no socket for operators", "why", err)
+	}
+	run := draw()
+	s.links = links.New(frames.Hello{Fleet: b.Name, Generation: b.Generation, From: s.self, Run: run}, keys, links.Usual(), s.received,
+		log)
+	s.links.Serve(listener)
+	if s.control != nil {
+		s.group.Go(s.answerOperators)
+	}
+	go s.run(run)
+	return s, nil
+}
+
+func draw() uint64 {
+	var b [8]byte
+	crand.Read(b[:]) // never fails
+	return max(1, binary.BigEndian.Uint64(b[:]))
+}
+
+// received takes in a message, by a connection's goroutine: one that finds the inbox full is dropped, as one that was lost.
+func (s *Service) received(r links.Received) {
+	var m node.Message
+	if err := frames.Decoder.Unmarshal(r.Payload, &m); err != nil {
+		s.counts.unread.Add(1)
+		return
+	}
+	s.post(func(in *session) { in.core.Receive(in.now(), r.From, &m) })
+}
+
+func (s *Service) post(do func(*session)) bool {
+	select {
+	case s.inbox <- do:
+		return true
+	default:
+		s.counts.full.Add(1)
+		return false
+	}
+}
+
+// ask has something looked at by the goroutine of the core, within a time.
+func ask[T any](s *Service, within time.Duration, look func(*session) T) (T, error) {
+	reply := make(chan T, 1)
+	var none T
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case s.inbox <- func(in *session) { reply <- look(in) }:
+	case <-timer.C:
+		return none, errBusy
+	case <-s.ctx.Done():
+		return none, errEnded
+	}
+	select {
+	case found := <-reply:
+		return found, nil
+	case <-timer.C:
+		return none, errBusy
+	case <-s.done:
+		return none, errEnded
+	}
+}
+
+var (
+	errBusy  = errors.New("the controller does not answer in time")
+	errEnded = errors.New("the controller is ending")
+)
+
+// SetKeys reads the file of keys again.
+func (s *Service) SetKeys() error {
+	keys, err := frames.ReadKeys(s.block.KeyFile)
+	if err == nil {
+		s.links.SetKeys(keys)
+	}
+	return err
+}
+
+// SetWilling says anew whether this one takes on works.
+func (s *Service) SetWilling(willing bool) {
+	s.post(func(in *session) { in.willing = willing; in.core.SetWilling(in.now(), willing) })
+}
+
+// Stop gives up what this one owns and says that it ends. It goes on answering until Close.
+func (s *Service) Stop() {
+	s.stop.Store(true)
+	s.post(func(in *session) { in.core.Stop(in.now()) })
+}
+
+// Close ends all and waits for it, but not for a disk that hangs.
+func (s *Service) Close() {
+	s.end()
+	<-s.done
+	s.links.Close()
+	if s.control != nil {
+		s.control.Close()
+	}
+	s.group.Wait()
+	for _, p := range s.programs {
+		p.Close()
+	}
+}
+
+// run takes part, and begins anew when what is kept can't be kept any more: a disk that failed is one that a member must
+// not promise by.
+func (s *Service) run(run uint64) {
+	defer close(s.done)
+	wait := againLeast
+	for s.ctx.Err() == nil {
+		began := time.Now()
+		err := s.take(run)
+		if s.ctx.Err() != nil {
+			return
+		}
+		s.counts.restarts.Add(1)
+		if time.Since(began) > time.Minute {
+			wait = againLeast
+		}
+		s.log.Error("fleet: not taking part for a while", "why", err, "again_in", wait)
+		timer := time.NewTimer(wait)
+		for waiting := true; waiting; {
+			select {
+			case <-timer.C:
+				waiting = false
+			case <-s.ctx.Done():
+				timer.Stop()
+				return
+			case <-s.inbox: // what it is told meanwhile is lost
+			}
+		}
+		wait = min(2*wait, againMost)
+		run = draw()
+	}
+}
+
+// session is one run of the core.
+type session struct {
+	*Service
+	core    *node.Node
+	willing bool
+	kept    *records.Log
+	jobs    chan job
+	results chan result
+	saving  bool
+	tickAt  float64
+}
+
+type job struct {
+	payload []byte
+	whole   bool
+	batch   *council.Batch
+	record  *council.Record
+}
+
+type result struct {
+	job
+	err error
+}
+
+func (in *session) now() float64 { return seam.Now() }
+
+// take runs the core until the service ends or its disk fails.
+func (s *Service) take(run uint64) error {
+	in := &session{Service: s, willing: s.block.Willing, jobs: make(chan job, 1), results: make(chan result, 1)}
+	kept, err := in.open()
+	if err != nil {
+		return err
+	}
+	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.block.Works,
+		Terms: works.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1)}
+	for id, addr := range s.block.Council {
+		facts.Founders = append(facts.Founders, id)
+		facts.Seeds = append(facts.Seeds, members.Member{ID: id, Addr: addr})
+	}
+	slices.Sort(facts.Founders)
+	slices.SortFunc(facts.Seeds, func(a, b members.Member) int {
+		return int(slices.Index(facts.Founders, a.ID) - slices.Index(facts.Founders, b.ID))
+	})
+	if in.core, err = node.New(facts, kept, nil, in.now()); err != nil {
+		in.close()
+		return err
+	}
+	standing, why := in.core.Council().Standing()
+	s.log.Info("fleet: taking part", "fleet", s.block.Name, "generation", s.block.Generation, "run", run, "council", standing.String(),
+		"why", why)
+	if s.stop.Load() {
+		in.core.Stop(in.now())
+	}
+	err = in.loop()
+	in.lose()
+	in.close()
+	return err
+}
+
+// open reads what is kept. A log that is damaged is as one that was lost: the council finds out what it had promised.
+func (in *session) open() ([]council.Record, error) {
+	log, kept, torn, err := records.Open(disk.Folder(in.block.Folder), records.Usual())
+	if log == nil {
+		return nil, fmt.Errorf("folder: %w", err)
+	}
+	in.kept = log
+	if err != nil {
+		in.Service.log.Error("fleet: what the council kept here can't be read: taking part as one that lost it", "why", err)
+		kept = nil
+	}
+	if torn {
+		in.Service.log.Info("fleet: the last record was not written whole, and nothing was said on it")
+	}
+	list := make([]council.Record, 0, len(kept))
+	for i, b := range kept {
+		var r council.Record
+		if err := recordForm.Unmarshal(b, &r); err != nil {
+			return nil, fmt.Errorf("record %d: %w", i, err)
+		}
+		if r.Whole {
+			list = list[:0]
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+// recordForm reads what this controller wrote itself; a whole record may have thousands of entries.
+var recordForm = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// close lets the folder go once the last write is over. A write that hangs is left to the system: the folder stays locked
+// by this process, so nobody takes it meanwhile.
+func (in *session) close() {
+	close(in.jobs)
+	if in.saving {
+		go func() {
+			<-in.results
+			in.kept.Close()
+		}()
+		return
+	}
+	in.kept.Close()
+}
+
+// save writes, one record after another, beside the core: a disk that hangs keeps the council's part from talking, and
+// nothing else.
+func (in *session) save() {
+	for j := range in.jobs {
+		seam.BeforeSave()
+		var err error
+		if j.whole {
+			err = in.kept.Replace(j.payload)
+		} else {
+			err = in.kept.Append(j.payload)
+		}
+		in.results <- result{j, err}
+	}
+}
+
+func (in *session) loop() error {
+	go in.save() // ends with jobs, or with the system's write
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-in.ctx.Done():
+			return nil
+		case do := <-in.inbox:
+			do(in)
+		case r := <-in.results:
+			in.saving = false
+			if r.err != nil {
+				return fmt.Errorf("record not kept: %w", r.err)
+			}
+			in.counts.saves.Add(1)
+			if r.record != nil {
+				in.core.Kept(in.now(), r.record)
+			} else {
+				in.core.Saved(in.now(), r.batch)
+			}
+		case <-timer.C:
+			in.core.Tick(in.now())
+		}
+		if err := in.carryOut(); err != nil {
+			return err
+		}
+		now := in.now()
+		if now >= in.tickAt {
+			in.tickAt = now + tickMost
+			for _, p := range in.programs {
+				p.Tick(in, now)
+			}
+			if err := in.carryOut(); err != nil {
+				return err
+			}
+		}
+		next := min(in.core.Next(), in.tickAt)
+		timer.Reset(time.Duration(max(0.5, next-now) * float64(time.Millisecond)))
+	}
+}
+
+// carryOut does what the core asks for.
+func (in *session) carryOut() error {
+	for range 8 {
+		out := in.core.Take()
+		for _, m := range out.Sends {
+			in.send(m)
+		}
+		for _, c := range out.Began {
+			in.Service.log.Info("fleet: owns a work", "work", string(c.Work), "epoch", uint64(c.Epoch))
+			for _, p := range in.programs {
+				p.Began(in, c)
+			}
+		}
+		for _, c := range out.Ended {
+			in.Service.log.Info("fleet: owns a work no more", "work", string(c.Work), "epoch", uint64(c.Epoch))
+			for _, p := range in.programs {
+				p.Ended(c)
+			}
+		}
+		for _, c := range out.Changes {
+			if c.Member.State != c.Was || c.New {
+				in.Service.log.Info("fleet: member", "id", string(c.Member.ID), "is", c.Member.State.String(), "was", c.Was.String(),
+					"new", c.New)
+			}
+		}
+		for _, t := range out.Taken {
+			in.counts.effects.Add(1)
+			for _, p := range in.programs {
+				p.Taken(in, t.From, t.Effect)
+			}
+		}
+		for _, r := range out.Passed {
+			if !r.OK {
+				in.counts.turned.Add(1)
+			}
+			for _, p := range in.programs {
+				p.Passed(r)
+			}
+		}
+		for _, w := range out.Words {
+			for _, p := range in.programs {
+				if p.Said(in, w.From, w.Data) {
+					break
+				}
+			}
+		}
+		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words) > 0
+		switch {
+		case out.Whole != nil:
+			if err := in.keep(job{whole: true, record: out.Whole}, out.Whole); err != nil {
+				return err
+			}
+		case out.Batch != nil && out.Batch.Record != nil:
+			if err := in.keep(job{whole: out.Batch.Record.Whole, batch: out.Batch}, out.Batch.Record); err != nil {
+				return err
+			}
+		case out.Batch != nil:
+			in.core.Saved(in.now(), out.Batch)
+			again = true
+		}
+		if !again {
+			break
+		}
+	}
+	return nil
+}
+
+func (in *session) keep(j job, r *council.Record) error {
+	payload, err := cbor.Marshal(r)
+	if err != nil {
+		return err
+	}
+	j.payload, in.saving = payload, true
+	in.jobs <- j // there is one at a time, and room for it
+	return nil
+}
+
+func (in *session) send(m node.Send) {
+	payload, err := cbor.Marshal(m.Message)
+	if err != nil {
+		return
+	}
+	addr := m.Addr
+	if addr == "" {
+		addr = in.block.Council[m.To]
+	}
+	in.links.Send(m.To, addr, payload)
+}
+
+// lose tells the programs that this one owns nothing any more.
+func (in *session) lose() {
+	for _, c := range in.core.Works(in.now()) {
+		for _, p := range in.programs {
+			p.Ended(c)
+		}
+	}
+}
+
+// The hands of programs.
+
+// Self is this controller.
+func (in *session) Self() members.ID { return in.Service.self }
+
+// Act does an effect of a work, if this one owns it now.
+func (in *session) Act(w works.Work, to members.ID, id uint64, data []byte) bool {
+	return in.core.Act(in.now(), w, to, id, data)
+}
+
+// Say says a word to another controller's program.
+func (in *session) Say(to members.ID, data []byte) { in.core.Say(in.now(), to, data) }
+
+// May tells whether this one owns a work now.
+func (in *session) May(w works.Work) (works.Epoch, bool) {
+	e, _, ok := in.core.May(in.now(), w)
+	return e, ok
+}
+
+// GiveUp has another one take a work on.
+func (in *session) GiveUp(w works.Work, failed bool) { in.core.GiveUp(in.now(), w, failed) }
+
+// Members are those known.
+func (in *session) Members() []members.Member { return in.core.Members() }
+
+// Now is the steady clock.
+func (in *session) Now() float64 { return in.now() }
+
+// LogValue prints the counts.
+func (s *Service) LogValue() slog.Value {
+	c := &s.counts
+	return slog.GroupValue(slog.Any("links", s.links), slog.Int64("unread", c.unread.Load()), slog.Int64("full", c.full.Load()),
+		slog.Int64("begun_anew", c.restarts.Load()), slog.Int64("kept", c.saves.Load()), slog.Int64("effects", c.effects.Load()),
+		slog.Int64("turned_away", c.turned.Load()))
+}
--- /dev/null
+++ b/internal/lab/fleet/switch.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+)
+
+// Switch stands between each pair of processes: whoever one opens a connection to, it opens it here, and says whom it
+// meant. What is said on it passes, or not, by the faults of the moment. Cut bytes are held back for as long as the cut
+// lasts, as a network that is cut off says nothing; connections are reset where messages are to be lost.
+type Switch struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	byAddr    map[string]int // where a node listens
+	blocked   map[[2]int]time.Time
+	drop      float64
+	dropTo    time.Time
+	delay     time.Duration
+	delayTo   time.Time
+	listeners []net.Listener
+	conns     map[net.Conn]bool
+	ctx       context.Context
+	end       context.CancelFunc
+	group     sync.WaitGroup
+}
+
+// NewSwitch is one for nodes that listen at these addresses. At returns where node i is to go.
+func NewSwitch(addrs []string, seed int64) (*Switch, error) {
+	ctx, end := context.WithCancel(context.Background())
+	s := &Switch{rng: rand.New(rand.NewSource(seed)), byAddr: map[string]int{}, blocked: map[[2]int]time.Time{},
+		conns: map[net.Conn]bool{}, ctx: ctx, end: end}
+	for i, addr := range addrs {
+		s.byAddr[addr] = i
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.listeners = append(s.listeners, listener)
+		s.group.Go(func() { s.serve(listener, i) })
+	}
+	return s, nil
+}
+
+// At is where the connections of a node go.
+func (s *Switch) At(i int) string { return s.listeners[i].Addr().String() }
+
+// Close ends all.
+func (s *Switch) Close() {
+	s.end()
+	for _, l := range s.listeners {
+		l.Close()
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// Block has nothing pass from a to b until a time.
+func (s *Switch) Block(a, b int, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := [2]int{a, b}; a != b && until.After(s.blocked[k]) {
+		s.blocked[k] = until
+	}
+}
+
+// Drop has a share of what is written end its connection, until a time.
+func (s *Switch) Drop(share float64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop, s.dropTo = share, until
+}
+
+// Delay has all take up to so much longer, until a time.
+func (s *Switch) Delay(most time.Duration, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay, s.delayTo = most, until
+}
+
+func (s *Switch) hold(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		c.Close()
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Switch) let(c net.Conn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Switch) serve(listener net.Listener, from int) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.hold(conn) {
+			return
+		}
+		s.group.Go(func() { s.join(conn, from) })
+	}
+}
+
+func (s *Switch) join(conn net.Conn, from int) {
+	defer s.let(conn)
+	head := make([]byte, 1)
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return
+	}
+	addr := make([]byte, head[0])
+	if _, err := io.ReadFull(conn, addr); err != nil {
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	s.mu.Lock()
+	to, ok := s.byAddr[string(addr)]
+	s.mu.Unlock()
+	if !ok || !s.wait(from, to) {
+		return
+	}
+	far, err := net.DialTimeout("tcp", string(addr), time.Second)
+	if err != nil || !s.hold(far) {
+		return
+	}
+	defer s.let(far)
+	var both sync.WaitGroup
+	both.Go(func() { s.copy(far, conn, from, to); far.Close(); conn.Close() })
+	both.Go(func() { s.copy(conn, far, to, from); far.Close(); conn.Close() })
+	both.Wait()
+}
+
+// wait waits until something may pass; false: the switch ends.
+func (s *Switch) wait(from, to int) bool {
+	for {
+		s.mu.Lock()
+		until := s.blocked[[2]int{from, to}]
+		s.mu.Unlock()
+		left := time.Until(until)
+		if left <= 0 {
+			return s.ctx.Err() == nil
+		}
+		select {
+		case <-s.ctx.Done():
+			return false
+		case <-time.After(min(left, 50*time.Millisecond)):
+		}
+	}
+}
+
+func (s *Switch) copy(to, from net.Conn, a, b int) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !s.wait(a, b) {
+				return
+			}
+			s.mu.Lock()
+			now := time.Now()
+			reset := now.Before(s.dropTo) && s.rng.Float64() < s.drop
+			late := time.Duration(0)
+			if now.Before(s.delayTo) {
+				late = time.Duration(s.rng.Float64() * float64(s.delay))
+			}
+			s.mu.Unlock()
+			if reset {
+				if tcp, ok := to.(*net.TCPConn); ok {
+					tcp.SetLinger(0)
+				}
+				return
+			}
+			if late > 0 {
+				select {
+				case <-s.ctx.Done():
+					return
+				case <-time.After(late):
+				}
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"mintkeel/internal/core/rules"
+	"mintkeel/internal/fleet"
 	"mintkeel/internal/logs"
 	"mintkeel/internal/memory"
 	"mintkeel/internal/operator/block"
@@ -24,6 +25,7 @@
 	Log    logs.Block
 	Memory *memory.Block // nil: off
 	Rules  *rules.Set    // nil: there are none
+	Fleet  *fleet.Block  // nil: off, and this controller stands alone
 }
 
 // mostBytes bounds a file, and with it what reading it can cost: a controller may have 32 MB.
@@ -69,7 +71,7 @@
 }
 
 func (f *File) read(body hcl.Body, facts *settings.Facts, sheet *block.Sheet) {
-	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"},
+	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"}, {Type: "fleet"},
 		{Type: "rule", LabelNames: []string{"name"}}}})
 	sheet.NoteAll(found, "")
 	if content == nil {
@@ -91,6 +93,8 @@
 			f.Log = logs.ReadBlock(b, sheet)
 		case "memory":
 			f.Memory = memory.ReadBlock(b, sheet)
+		case "fleet":
+			f.Fleet = fleet.ReadBlock(b, sheet)
 		}
 	}
 	f.Rules = readRules(ruled, facts, sheet)
