Who pings tells who it is; a seed that is gone is not taken for one never heard of

Cause, seen by mintkeel-lab fleet members: at 300 controllers at rest, 1,860 suspicions an hour of controllers that ran, and at 30 it took 178 s until all knew of one killed. The first: a ping from one that the receiver had not heard of could not be answered, as nobody had said where it was. The second: believe took any member gone at incarnation 0 for a seed, so that late words of a suspect brought it back, over and over. At fault: send and believe in members.go.

Change: a ping carries its sender; a seed is one whose run is not known. Frames have tests: cut and changed at each byte, repeated, reordered, of another fleet, of 1 GB. The council's leader speaks each 300 ms, not each 100.

--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -45,7 +45,7 @@
 	c.Flags().BoolVar(&virtual, "virtual", false, "in virtual time, in this process")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
 	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
-	c.AddCommand(fleetModelCommand())
+	c.AddCommand(fleetModelCommand(), fleetMembersCommand())
 	return c
 }
 
@@ -220,3 +220,32 @@
 	c.Flags().IntVar(&p.Most, "most", p.Most, "states at most")
 	return c
 }
+
+func fleetMembersCommand() *cobra.Command {
+	sizes, seed, long := []int{3, 30, 300, 1000}, int64(1), 2*time.Minute
+	c := &cobra.Command{
+		Use:   "members",
+		Short: "Measure what membership costs, and how often it is wrong, by size of the fleet, in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			out := c.OutOrStdout()
+			fmt.Fprintln(out, "| controllers | trouble | bytes a second | wake-ups a second | suspected wrongly, an hour | taken as gone wrongly, an hour | all know of one killed after |")
+			fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- |")
+			for _, n := range sizes {
+				for _, t := range []struct {
+					name   string
+					loss   float64
+					pauses bool
+				}{{"none", 0, false}, {"a tenth of all messages lost", 0.1, false}, {"each second one pauses for 0.2 to 3 s", 0, true}} {
+					m := fleet.MeasureMembers(seed, n, t.loss, t.pauses, float64(long)/1e6)
+					fmt.Fprintf(out, "| %d | %s | %.0f | %.1f | %.0f | %.0f | %.1f s |\n", n, t.name, m.Bytes, m.Wakes, m.False, m.Gone, m.Known/1e3)
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().IntSliceVar(&sizes, "sizes", sizes, "controllers")
+	c.Flags().Int64Var(&seed, "seed", seed, "of the histories")
+	c.Flags().DurationVar(&long, "long", long, "virtual time that is measured")
+	return c
+}
--- a/internal/core/fleet/council/council.go
+++ b/internal/core/fleet/council/council.go
@@ -112,6 +112,7 @@
 const (
 	tick          = 100.0
 	electionTicks = 10
+	beatTicks     = 3                    // between two signs of life of a leader
 	election      = tick * electionTicks // without a word of a leader until one stands for election, and up to as much more
 	askEach       = 500.0
 	joinEach      = 1000.0
@@ -375,7 +376,7 @@
 }
 
 func (c *Council) start() {
-	node, err := raft.NewRawNode(&raft.Config{ID: c.life.Number(), ElectionTick: electionTicks, HeartbeatTick: 1, Storage: c.storage,
+	node, err := raft.NewRawNode(&raft.Config{ID: c.life.Number(), ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: c.storage,
 		Applied: c.applied, MaxSizePerMsg: 64 << 10, MaxCommittedSizePerReady: 1 << 20, MaxUncommittedEntriesSize: 1 << 20,
 		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{}})
 	if err != nil {
--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -430,16 +430,19 @@
 
 // send adds news to a message: who is suspected is told so first, that it can say otherwise.
 func (t *Table) send(e *entry, m Message) {
-	if e.State == Suspect || e.State == Gone && e.Incarnation > 0 || e.odd {
+	if e.State == Suspect || e.State == Gone && e.Run != 0 || e.odd {
 		m.News, e.odd = append(m.News, e.Member), false
 	}
+	if m.Kind == Ping { // who has not heard of this one yet could not answer, and would be suspected for it
+		m.News = append(m.News, t.self.Member)
+	}
 	most := int(spreadEach*math.Log2(float64(t.size())+1)) + 1
 	slices.SortStableFunc(t.news, func(a, b news) int { return cmp.Compare(a.sent, b.sent) })
 	for i := range t.news {
 		if len(m.News) >= t.pace.News {
 			break
 		}
-		if about := t.all[t.news[i].id]; about != nil && about != e {
+		if about := t.all[t.news[i].id]; about != nil && about != e && (m.Kind != Ping || about != t.self) {
 			m.News = append(m.News, about.Member)
 			t.news[i].sent++
 		}
@@ -456,7 +459,7 @@
 
 // sync tells one all that is believed, in parts.
 func (t *Table) sync(e *entry, want bool) {
-	ids := t.sorted(func(x *entry) bool { return x.State <= Suspect || x.Incarnation > 0 })
+	ids := t.sorted(func(x *entry) bool { return x.Run != 0 })
 	for part := range slices.Chunk(ids, t.pace.Part) {
 		m := Message{Kind: Sync, Want: want}
 		for _, id := range part {
@@ -470,7 +473,7 @@
 // Receive takes in a message of a member at an address. From is who its frame proves to have sent it.
 func (t *Table) Receive(now float64, from ID, m Message) {
 	t.now = max(t.now, now)
-	if len(m.News) > max(t.pace.Part, t.pace.News+1) || from == t.self.ID {
+	if len(m.News) > max(t.pace.Part, t.pace.News+2) || from == t.self.ID {
 		return
 	}
 	for _, n := range m.News {
@@ -540,7 +543,7 @@
 		t.spread(n.ID)
 		return
 	}
-	heard := e.State == Gone && e.Incarnation == 0 && n.State <= Suspect // a seed that is heard of for the first time
+	heard := e.Run == 0 && n.Run != 0 // a seed that is heard of for the first time
 	if !n.overrides(e.Member) && !heard {
 		e.odd = e.odd || by == n.ID && (n.Run != e.Run || n.State < e.State)
 		return
--- /dev/null
+++ b/internal/fleet/frames/frames_test.go
@@ -0,0 +1,186 @@
+package frames
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+)
+
+var (
+	key  = Key(bytes.Repeat([]byte{7}, 32))
+	mine = Hello{Fleet: "f", Generation: 2, From: "a", Run: 5, To: "b"}
+)
+
+// written is what an opener wrote for a challenge: a hello and some frames.
+func written(t *testing.T, k Key, h Hello, challenge []byte, payloads ...string) []byte {
+	t.Helper()
+	out := &bytes.Buffer{}
+	w, err := Open(struct {
+		io.Reader
+		io.Writer
+	}{bytes.NewReader(append([]byte(magic), challenge...)), out}, k, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range payloads {
+		if err := w.Write([]byte(p)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out.Bytes()
+}
+
+// heard is what a listener takes of it: the payloads up to what ended it.
+func heard(b, challenge []byte, keys Keys) (payloads []string, err error) {
+	r, err := Accept(bytes.NewReader(b), challenge, keys, "f", 2, "b")
+	if err != nil {
+		return nil, err
+	}
+	for {
+		p, err := r.Read()
+		if err != nil {
+			return payloads, err
+		}
+		payloads = append(payloads, string(p))
+	}
+}
+
+var challenge = bytes.Repeat([]byte{9}, nonceSize)
+
+func TestFrames(t *testing.T) {
+	b := written(t, key, mine, challenge, "one", "", "three")
+	got, err := heard(b, challenge, Keys{key})
+	if err != io.EOF || len(got) != 3 || got[0] != "one" || got[2] != "three" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	other := Key(bytes.Repeat([]byte{8}, 32))
+	if got, _ := heard(b, challenge, Keys{other, key}); len(got) != 3 {
+		t.Error("the second of two keys is not taken")
+	}
+	for name, c := range map[string]struct {
+		key       Key
+		hello     Hello
+		challenge []byte
+		want      error
+	}{
+		"another key":        {other, mine, challenge, ErrForged},
+		"another fleet":      {key, Hello{Fleet: "g", Generation: 2, From: "a"}, challenge, ErrForeign},
+		"an old generation":  {key, Hello{Fleet: "f", Generation: 1, From: "a"}, challenge, ErrForeign},
+		"meant for another":  {key, Hello{Fleet: "f", Generation: 2, From: "a", To: "c"}, challenge, ErrForeign},
+		"nobody":             {key, Hello{Fleet: "f", Generation: 2}, challenge, ErrForm},
+		"said to another":    {key, mine, bytes.Repeat([]byte{1}, nonceSize), ErrForged},
+		"a name without end": {key, Hello{Fleet: "f", Generation: 2, From: "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"}, challenge, ErrForm},
+	} {
+		if _, err := heard(written(t, c.key, c.hello, c.challenge, "x"), challenge, Keys{key}); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Cut at each byte, changed at each byte, a frame repeated, two changed over, one left out: nothing is taken but what was
+// said, in its order.
+func TestHostile(t *testing.T) {
+	b := written(t, key, mine, challenge, "one", "two", "three")
+	want := []string{"one", "two", "three"}
+	prefix := func(got []string) bool {
+		for i := range got {
+			if i >= len(want) || got[i] != want[i] {
+				return false
+			}
+		}
+		return true
+	}
+	for i := range b {
+		got, err := heard(b[:i], challenge, Keys{key})
+		if err == nil || !prefix(got) || len(got) == 3 {
+			t.Fatalf("cut at %d: %q, %v", i, got, err)
+		}
+		bad := bytes.Clone(b)
+		bad[i] ^= 1 << (i % 8)
+		if got, err := heard(bad, challenge, Keys{key}); err == nil || !prefix(got) || len(got) == 3 {
+			t.Fatalf("changed at %d: %q, %v", i, got, err)
+		}
+	}
+	var parts [][]byte
+	for rest := b; len(rest) > 0; {
+		n := 4 + int(binary.BigEndian.Uint32(rest)) + macSize
+		parts, rest = append(parts, rest[:n]), rest[n:]
+	}
+	for name, order := range map[string][]int{"repeated": {0, 1, 1, 2, 3}, "changed over": {0, 2, 1, 3}, "left out": {0, 2, 3},
+		"a hello again": {0, 0, 1}} {
+		var all []byte
+		for _, i := range order {
+			all = append(all, parts[i]...)
+		}
+		if got, err := heard(all, challenge, Keys{key}); !errors.Is(err, ErrForged) || !prefix(got) {
+			t.Errorf("%s: %q, %v", name, got, err)
+		}
+	}
+}
+
+// A length of 1 GB, and one within the bound of which nothing follows, take no memory to speak of.
+func TestClaims(t *testing.T) {
+	hello := written(t, key, mine, challenge)
+	for _, claim := range []uint32{1 << 30, 1<<32 - 1, FrameBytes} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := heard(binary.BigEndian.AppendUint32(bytes.Clone(hello), claim), challenge, Keys{key})
+		runtime.ReadMemStats(&after)
+		if grown := after.TotalAlloc - before.TotalAlloc; err == nil || grown > 64<<10 {
+			t.Errorf("%d: %v, %d bytes taken", claim, err, grown)
+		}
+	}
+	w := written(t, key, mine, challenge)
+	if _, err := Accept(bytes.NewReader(append(binary.BigEndian.AppendUint32(nil, HelloBytes+1), w...)), challenge, Keys{key}, "f", 2,
+		"b"); !errors.Is(err, ErrTooLong) {
+		t.Errorf("a long hello: %v", err)
+	}
+}
+
+func TestOverSockets(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	a.SetDeadline(time.Now().Add(5 * time.Second))
+	b.SetDeadline(time.Now().Add(5 * time.Second))
+	go func() {
+		w, err := Open(a, key, mine)
+		if err == nil {
+			w.Write(bytes.Repeat([]byte("x"), 100000))
+		}
+	}()
+	nonce, err := Challenge(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Accept(b, nonce, Keys{key}, "f", 2, "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p, err := r.Read(); err != nil || len(p) != 100000 || r.Hello.Run != 5 {
+		t.Errorf("%d bytes, %v", len(p), err)
+	}
+}
+
+func TestReadKeys(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	for text, want := range map[string]int{
+		"00112233445566778899aabbccddeeff\n":                                              1,
+		"# first\n00112233445566778899aabbccddeeff\n\nffeeddccbbaa99887766554433221100\n": 2,
+		"":           0,
+		"0011":       0,
+		"no digits ": 0,
+	} {
+		os.WriteFile(path, []byte(text), 0o600)
+		if keys, err := ReadKeys(path); len(keys) != want || (err == nil) != (want > 0) {
+			t.Errorf("%q: %d keys, %v", text, len(keys), err)
+		}
+	}
+}
