--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -22,3 +22,12 @@
 #   folder = "/var/lib/mintkeel/n3"   # of this controller alone; made if its parent is there
 #   pace   = "5s"                     # between two snapshots, "100ms" to "1h"
 # }
+
+# A fleet whose controllers talk: docs/fleet.md. It needs a port, a key and a disk that outlives the process.
+# fleet {
+#   name     = "east"
+#   listen   = "10.0.0.4:9443"
+#   key_file = "/etc/mintkeel/fleet.key"
+#   folder   = "/var/lib/mintkeel/n4/fleet"
+#   council  = { n1 = "10.0.0.1:9443", n2 = "10.0.0.2:9443", n3 = "10.0.0.3:9443" }
+# }
--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -46,6 +46,7 @@
 	Incarnation Incarnation `cbor:"4,keyasint"`
 	Willing     bool        `cbor:"5,keyasint,omitempty"` // it would take on works
 	Run         uint64      `cbor:"6,keyasint,omitempty"` // drawn at its start
+	By          ID          `cbor:"7,keyasint,omitempty"` // of a suspect: who found that it does not answer
 }
 
 // overrides tells whether a is news to who believes b.
@@ -370,7 +371,7 @@
 	}
 	if e.State == Alive {
 		suspect := e.Member
-		suspect.State = Suspect
+		suspect.State, suspect.By = Suspect, t.self.ID
 		t.believe(suspect, t.self.ID)
 	}
 }
@@ -528,7 +529,7 @@
 		}
 		e = &entry{Member: n, changedAt: t.now}
 		t.all[n.ID] = e
-		t.suspected(e, by)
+		t.suspected(e)
 		t.spread(n.ID)
 		t.changes = append(t.changes, Change{Member: n, Was: n.State, New: true})
 		if n.State <= Suspect { // into the round, at a place drawn, that no newcomer waits for the next
@@ -537,10 +538,11 @@
 		}
 		return
 	}
-	if n.State == Suspect && e.State == Suspect && n.Incarnation == e.Incarnation && len(e.suspectors) <= confirmers &&
-		!e.suspectors[by] {
-		e.suspectors[by] = true
-		t.spread(n.ID)
+	if n.State == Suspect && e.State == Suspect && n.Incarnation == e.Incarnation { // who passes it on has not found it out
+		if len(e.suspectors) <= confirmers && n.By != "" && !e.suspectors[n.By] {
+			e.suspectors[n.By], e.By = true, n.By
+			t.spread(n.ID)
+		}
 		return
 	}
 	heard := e.Run == 0 && n.Run != 0 // a seed that is heard of for the first time
@@ -550,16 +552,16 @@
 	}
 	was := e.State
 	e.Member, e.changedAt = n, t.now
-	t.suspected(e, by)
+	t.suspected(e)
 	t.spread(n.ID)
 	if was != n.State || heard {
 		t.changes = append(t.changes, Change{Member: n, Was: was})
 	}
 }
 
-func (t *Table) suspected(e *entry, by ID) {
+func (t *Table) suspected(e *entry) {
 	if e.suspectors = nil; e.State == Suspect {
-		e.suspectAt, e.suspectors = t.now, map[ID]bool{by: true}
+		e.suspectAt, e.suspectors = t.now, map[ID]bool{e.By: true}
 	}
 }
 
--- /dev/null
+++ b/internal/core/fleet/works/works_test.go
@@ -0,0 +1,287 @@
+package works
+
+import (
+	"fmt"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+var a, b, c = Holder{"a", 1}, Holder{"b", 1}, Holder{"c", 1}
+
+// named is a state with works x and y, x given to some holders in turn.
+func named(to ...Holder) *State {
+	s := &State{}
+	s.Apply(Command{Name: &Name{Works: []Work{"x", "y"}}})
+	for _, h := range to {
+		s.Apply(Command{Give: &Give{Work: "x", Renewal: s.Grants["x"].Renewal, To: h}})
+	}
+	return s
+}
+
+func TestApply(t *testing.T) {
+	owned := func() *State { return named(a, b) } // x: b, epoch 2, renewal 2
+	for name, c := range map[string]struct {
+		state   *State
+		command Command
+		changed int
+		epoch   Epoch
+		holder  Holder
+	}{
+		"a grant":                                 {named(), Command{Give: &Give{Work: "x", To: a}}, 1, 1, a},
+		"one that rests on what was":              {owned(), Command{Give: &Give{Work: "x", Renewal: 1, To: c}}, 0, 2, b},
+		"one that rests on what is":               {owned(), Command{Give: &Give{Work: "x", Renewal: 2, To: c}}, 1, 3, c},
+		"one to the same again":                   {owned(), Command{Give: &Give{Work: "x", Renewal: 2, To: b}}, 1, 3, b},
+		"one to nobody":                           {owned(), Command{Give: &Give{Work: "x", Renewal: 2}}, 0, 2, b},
+		"one of a work that there is not":         {owned(), Command{Give: &Give{Work: "z", To: c}}, 0, 2, b},
+		"a renewal":                               {owned(), Command{Renew: &Renew{Holder: b, Claims: []Claim{{"x", 2}}}}, 1, 2, b},
+		"a renewal of an epoch before":            {owned(), Command{Renew: &Renew{Holder: b, Claims: []Claim{{"x", 1}}}}, 0, 2, b},
+		"a renewal of an owner before":            {owned(), Command{Renew: &Renew{Holder: a, Claims: []Claim{{"x", 2}}}}, 0, 2, b},
+		"a renewal of another run":                {owned(), Command{Renew: &Renew{Holder: Holder{"b", 2}, Claims: []Claim{{"x", 2}}}}, 0, 2, b},
+		"a renewal by nobody of what nobody has":  {named(), Command{Renew: &Renew{Claims: []Claim{{"x", 0}}}}, 0, 0, Holder{}},
+		"a release":                               {owned(), Command{Release: &Release{Holder: b, Claim: Claim{"x", 2}}}, 1, 2, Holder{}},
+		"a release of an epoch before":            {owned(), Command{Release: &Release{Holder: b, Claim: Claim{"x", 1}}}, 0, 2, b},
+		"an operator's word":                      {owned(), Command{Want: &Want{"x", "c"}}, 1, 2, b},
+		"an operator's word for who has it":       {owned(), Command{Want: &Want{"x", "b"}}, 0, 2, b},
+		"no longer wanted":                        {owned(), Command{Name: &Name{Works: []Work{"y"}}}, 1, 2, b},
+		"nothing new":                             {owned(), Command{Name: &Name{Works: []Work{"x", "y"}}}, 0, 2, b},
+		"a name that is too long and one of none": {owned(), Command{Name: &Name{Works: []Work{"x", "y", "", Work(make([]byte, mostName+1))}}}, 0, 2, b},
+		"nothing":                                 {owned(), Command{}, 0, 2, b},
+	} {
+		before := c.state.Grants["x"].Renewal
+		changed := c.state.Apply(c.command)
+		g := c.state.Grants["x"]
+		if len(changed) != c.changed || g.Epoch != c.epoch || g.Holder != c.holder {
+			t.Errorf("%s: %v, %+v", name, changed, *g)
+		}
+		if (c.command.Give != nil || c.command.Renew != nil || c.command.Release != nil) && (g.Renewal > before) != (c.changed > 0) {
+			t.Errorf("%s: renewal %d after %d", name, g.Renewal, before)
+		}
+	}
+	s := owned()
+	s.Apply(Command{Name: &Name{Works: []Work{"y"}}})
+	if s.Apply(Command{Give: &Give{Work: "x", Renewal: 2, To: c}}) != nil || s.Apply(Command{Want: &Want{"x", "c"}}) != nil {
+		t.Error("a work that is not wanted is given or wanted")
+	}
+	if s.Apply(Command{Name: &Name{Works: []Work{"x", "y"}}}); s.Grants["x"].Dropped || s.Grants["x"].Epoch != 2 {
+		t.Errorf("named again: %+v", *s.Grants["x"])
+	}
+	again := &State{}
+	if again.Restore(s.List()); fmt.Sprint(again.List()) != fmt.Sprint(s.List()) {
+		t.Error("a snapshot tells something else")
+	}
+	for i := range 2 * mostWorks {
+		s.Apply(Command{Name: &Name{Works: []Work{Work(fmt.Sprint("w", i))}}})
+	}
+	if len(s.Grants) > mostWorks {
+		t.Errorf("%d works", len(s.Grants))
+	}
+}
+
+func all(ids ...members.ID) (list []Candidate) {
+	for _, id := range ids {
+		list = append(list, Candidate{Holder: Holder{id, 1}, Willing: true})
+	}
+	return list
+}
+
+// gives are to whom works go.
+func gives(commands []Command) string {
+	text := ""
+	for _, c := range commands {
+		text += fmt.Sprintf("%s:%s ", c.Give.Work, c.Give.To.ID)
+	}
+	return text
+}
+
+func TestSteward(t *testing.T) {
+	terms := Terms{Lease: 1000}
+	s := named(a) // y is free
+	st := NewSteward(terms, 0)
+	if got := gives(st.Decide(0, s, all("b"))); got != "y:b " {
+		t.Errorf("at first: %q", got)
+	}
+	if got := gives(st.Decide(10, s, all("b"))); got != "" {
+		t.Errorf("while that is on its way: %q", got)
+	}
+	if got := gives(st.Decide(proposed+1, s, all("b"))); got != "x:b y:b " {
+		t.Errorf("if it was lost, and x has not been renewed: %q", got)
+	}
+	st = NewSteward(terms, 0)
+	for _, at := range []float64{1, 1499} {
+		if got := gives(st.Decide(at, s, all("b"))); at > 1 && got != "" {
+			t.Errorf("%g ms after it began to lead: %q", at, got)
+		}
+	}
+	renewed := Command{Renew: &Renew{Holder: a, Claims: []Claim{{"x", 1}}}}
+	st.Applied(1400, renewed, s.Apply(renewed))
+	if got := gives(st.Decide(2899, s, all("b"))); got != "" {
+		t.Errorf("after a renewal: %q", got)
+	}
+	if got := gives(st.Decide(2900, s, all("a", "b"))); got != "x:b " {
+		t.Errorf("when its lease is over: %q", got)
+	}
+	if st.Next(2000, named()) > 3000 || st.Next(2000, s) != 2900 {
+		t.Error("it is to be asked too late")
+	}
+
+	st = NewSteward(terms, 0)
+	if got := gives(st.Decide(0, named(), all("a", "b"))); got != "x:a y:b " && got != "x:b y:a " {
+		t.Errorf("two works and two controllers: %q", got)
+	}
+	slow := all("a", "b")
+	slow[0].Slow = true
+	if got := gives(NewSteward(terms, 0).Decide(0, named(), slow)); got != "x:b y:b " {
+		t.Errorf("one is slow: %q", got)
+	}
+	slow[1].Willing = false
+	if got := gives(NewSteward(terms, 0).Decide(0, named(), slow)); got != "x:a y:a " {
+		t.Errorf("one is not willing: %q", got)
+	}
+	if got := gives(NewSteward(terms, 0).Decide(0, named(), nil)); got != "" {
+		t.Errorf("nobody is there: %q", got)
+	}
+
+	s = named(a) // who failed at it rests
+	st = NewSteward(terms, 0)
+	failed := Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}, Failed: true}}
+	st.Applied(100, failed, s.Apply(failed))
+	if got := gives(st.Decide(101, s, all("a"))); got != "y:a " {
+		t.Errorf("the only one has failed at it: %q", got)
+	}
+	if got := gives(st.Decide(101+restFor, s, all("a"))); got != "x:a y:a " {
+		t.Errorf("a long time after: %q", got)
+	}
+
+	s = named() // who does not take it up
+	st = NewSteward(terms, 0)
+	give := Command{Give: &Give{Work: "x", To: a}}
+	st.Applied(0, give, s.Apply(give))
+	if got := gives(st.Decide(1500, s, all("a", "b"))[:1]); got != "x:b " {
+		t.Errorf("it was not taken up: %q", got)
+	}
+
+	s = named(a) // an operator's word
+	s.Apply(Command{Want: &Want{"x", "c"}})
+	s.Apply(Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}}})
+	if got := gives(NewSteward(terms, 0).Decide(0, s, all("a", "b", "c"))[:1]); got != "x:c " {
+		t.Errorf("wanted at c: %q", got)
+	}
+	st = NewSteward(terms, 0)
+	if got := gives(st.Decide(10, s, all("a"))); got != "y:a " {
+		t.Errorf("c is not there: %q", got)
+	}
+	if got := gives(st.Decide(5000, s, all("a"))); got != "x:a y:a " {
+		t.Errorf("c has not come: %q", got)
+	}
+}
+
+func TestHand(t *testing.T) {
+	terms := Terms{Lease: 1000}
+	h := NewHand(a, terms)
+	may := func(now float64) bool { _, _, ok := h.May(now, "x"); return ok }
+	if h.Renewal(0) != nil || h.GiveUp("x", false) != nil {
+		t.Error("something is held at first")
+	}
+	h.Offered(100, Claim{"x", 3})
+	if may(100) {
+		t.Error("it acts on an offer alone")
+	}
+	r := h.Renewal(100)
+	if r == nil || h.Renewal(101) != nil || h.Next(101) != 300 {
+		t.Fatal("renewals come too often, or none does")
+	}
+	h.Renewed(500, r.Token+1, r.Claims) // one that was never asked for
+	if may(500) {
+		t.Error("it acts on a word that it did not ask for")
+	}
+	h.Renewed(500, r.Token, []Claim{{"x", 2}})
+	if may(500) {
+		t.Error("it acts in another epoch")
+	}
+	r = h.Renewal(500)
+	h.Renewed(900, r.Token, r.Claims)
+	if !may(900) || !may(1199) || may(1200) {
+		t.Error("it may act from the answer until 0.7 leases after it asked")
+	}
+	if began, _ := h.Turns(900); len(began) != 1 || began[0] != (Claim{"x", 3}) {
+		t.Errorf("began %v", began)
+	}
+	h.Renewed(1000, r.Token, r.Claims) // once more
+	if may(1200) {
+		t.Error("one answer counts twice")
+	}
+	h.Offered(1000, Claim{"x", 2})
+	if !may(1000) {
+		t.Error("an old offer takes it away")
+	}
+	if _, ended := h.Turns(1200); len(ended) != 1 || h.Renewal(1300) != nil {
+		t.Errorf("ended %v", ended)
+	}
+	h.Offered(2000, Claim{"x", 4})
+	r = h.Renewal(2000)
+	h.Renewed(2800, r.Token, r.Claims) // too late to be of use
+	if began, _ := h.Turns(2800); may(2800) || began != nil {
+		t.Error("it begins on an answer whose time is over")
+	}
+	r = h.Renewal(2800)
+	h.Renewed(2801, r.Token, r.Claims)
+	if rel := h.GiveUp("x", true); rel == nil || !rel.Failed || rel.Claim != (Claim{"x", 4}) || may(2802) {
+		t.Error("given up and still held")
+	}
+	h.Offered(3000, Claim{"x", 6})
+	r = h.Renewal(3000)
+	h.Renewed(3000, r.Token, r.Claims)
+	if h.Refused(Claim{"x", 5}); !may(3000) {
+		t.Error("a word of an old claim takes it away")
+	}
+	if h.Refused(Claim{"x", 6}); may(3000) {
+		t.Error("refused and still held")
+	}
+	for i := range 2 * mostWorks {
+		h.Offered(4000, Claim{Work(fmt.Sprint(i)), 1})
+	}
+	if r := h.Renewal(4000); len(r.Claims) > mostWorks {
+		t.Errorf("%d claims", len(r.Claims))
+	}
+}
+
+// The margins hold for clocks that run 40% apart: what an owner counts is over before what the council counts.
+func TestMargins(t *testing.T) {
+	terms := Terms{Lease: 1000}
+	const owner, council = 0.82, 1.18 // rates
+	if terms.HoldsFor()/owner >= terms.FreeAfter()/council {
+		t.Errorf("an owner whose clock is slow holds for %.0f, the council whose clock is fast gives after %.0f",
+			terms.HoldsFor()/owner, terms.FreeAfter()/council)
+	}
+	if 3*terms.RenewEach() >= terms.HoldsFor() {
+		t.Error("two lost renewals end an owner")
+	}
+}
+
+func TestGate(t *testing.T) {
+	g := NewGate(map[Work]Epoch{"kept": 5})
+	for i, c := range []struct {
+		work      Work
+		epoch     Epoch
+		ok, risen bool
+	}{{"x", 2, true, true}, {"x", 2, true, false}, {"x", 1, false, false}, {"x", 3, true, true}, {"x", 2, false, false}, {"x", 0, false, false},
+		{"y", 0, false, false}, {"kept", 4, false, false}, {"kept", 5, true, false}} {
+		if ok, risen := g.Pass(c.work, c.epoch); ok != c.ok || risen != c.risen {
+			t.Errorf("%d: %v, %v", i, ok, risen)
+		}
+	}
+	if g.Raise("x", 9); g.Seen()["x"] != 9 {
+		t.Error("not raised")
+	}
+	if g.Raise("x", 4); g.Seen()["x"] != 9 {
+		t.Error("lowered")
+	}
+	for i := range 2 * mostWorks {
+		g.Pass(Work(fmt.Sprint(i)), 1)
+		g.Raise(Work(fmt.Sprint("r", i)), 1)
+	}
+	if len(g.Seen()) > mostWorks {
+		t.Errorf("%d works are kept", len(g.Seen()))
+	}
+}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -146,13 +147,13 @@
 	}
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+var histories atomic.Int64
+
+// ownAddr is a loopback address that no other history of this machine has: a free port of the usual one may be taken by
+// any connection that somebody opens before the daemon listens.
+func ownAddr() string {
+	n, pid := histories.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%224, pid/224%250, 1+n%250)
 }
 
 func (r *rig) open() error {
@@ -173,14 +174,10 @@
 	context.AfterFunc(r.ctx, func() { r.endpoint.Close() })
 	r.group.Go(r.serveEndpoint)
 	var addrs []string
+	ip := ownAddr()
 	for i := range r.Nodes {
 		n := &machineProc{number: i, name: fmt.Sprintf("n%d", i), dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i))}
-		if n.serve, err = freeAddr(); err != nil {
-			return err
-		}
-		if n.fleet, err = freeAddr(); err != nil {
-			return err
-		}
+		n.serve, n.fleet = fmt.Sprintf("%s:%d", ip, 20000+i), fmt.Sprintf("%s:%d", ip, 21000+i)
 		if err := os.Mkdir(n.dir, 0o700); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/fleet/processes_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A few histories with real daemons as processes: the hard cases one by one, and some drawn. `mintkeel-lab fleet` plays
+// more of them.
+func TestProcesses(t *testing.T) {
+	if testing.Short() || historiesPlayed < 50 {
+		t.Skip("daemons as processes are played once, without the race detector")
+	}
+	daemon := filepath.Join(t.TempDir(), "mintkeel")
+	if out, err := exec.Command("go", "build", "-tags", "mintkeel_lab", "-o", daemon, "mintkeel/cmd/mintkeel").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	scene := func(faults ...Fault) Scene {
+		return Scene{Mintkeel: daemon, Seed: 5, Nodes: 4, Council: 3, Works: 3, Lease: 2 * time.Second, Rate: 5, Settle: time.Minute, Script: faults}
+	}
+	var group sync.WaitGroup
+	for name, s := range map[string]Scene{
+		"an owner is stopped for longer than its lease and goes on": scene(Fault{At: 6000, For: 7000, Kind: Pause, A: 0},
+			Fault{At: 6000, For: 7000, Kind: Pause, A: 1}),
+		"all but one restart at once, and again": scene(Fault{At: 6000, For: 500, Kind: KillAll, N: 3}, Fault{At: 8000, For: 500, Kind: KillAll, N: 3}),
+		"a member's folder is lost, another is an old copy": scene(Fault{At: 6000, For: 500, Kind: Empty, A: 0},
+			Fault{At: 14000, For: 500, Kind: OldCopy, A: 1, Amount: 3000}),
+		"the leader can hear and not be heard, its clock is fast": scene(Fault{At: 5000, Kind: Clock, A: 0, Amount: 1.2},
+			Fault{At: 5000, Kind: Clock, A: 1, Amount: 1.2}, Fault{At: 7000, For: 6000, Kind: Mute, A: 0}, Fault{At: 14000, For: 6000, Kind: Deaf, A: 1}),
+	} {
+		group.Go(func() {
+			var said []string
+			s.Tell = func(line string) { said = append(said, line) }
+			r, err := PlayProcesses(ctx, s)
+			switch {
+			case err != nil:
+				t.Errorf("%s: %v", name, err)
+			case r.Broken != "":
+				t.Errorf("%s: %s\n%s", name, r.Broken, strings.Join(said, "\n"))
+			case r.Effects < 50 || r.Taken < 20 || r.Answered < 50:
+				t.Errorf("%s: too little was seen: %+v", name, r)
+			}
+		})
+	}
+	group.Wait()
+}
