--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -122,9 +122,11 @@
 }
 
 const (
-	viewEach  = 5000.0 // ms after which who is no member of the council asks for its view
-	offerEach = 1000.0
-	mostSeen  = 4096
+	viewEach   = 5000.0 // ms after which who is no member of the council asks for its view
+	offerEach  = 1000.0
+	giveEach   = 300.0   // between two words of what was given up,
+	mostGiving = 10000.0 // for so long
+	mostGiven  = 256
 )
 
 // Node is one controller's. It is for one goroutine.
@@ -149,7 +151,14 @@
 	ref      uint64
 	stopping bool
 	wholeOut bool
-	seen     int
+	given    []given
+	giveAt   float64
+}
+
+// given is a work that was given up, of which the council may not know yet.
+type given struct {
+	release *works.Release
+	until   float64
 }
 
 // New begins with what the council's records tell, and with the epochs that the gate had seen, where these were kept.
@@ -181,16 +190,17 @@
 		n.granted(m.Granted)
 	case m.Offer != nil:
 		if m.Offer.To == n.self() && !n.stopping {
+			n.leader, n.heardAt = from, n.now // who offers leads
 			n.hand.Offered(n.now, m.Offer.Claim)
 		}
 	case m.Release != nil:
-		if m.Release.Holder.ID == from {
-			n.propose(from, works.Command{Release: m.Release})
-		}
+		n.ordered(from, m, works.Command{Release: m.Release})
 	case m.Want != nil:
-		n.propose(from, works.Command{Want: m.Want})
+		n.ordered(from, m, works.Command{Want: m.Want})
 	case m.Replace != nil:
-		n.council.Replace(m.Replace.Old, m.Replace.With)
+		if !n.forward(from, m) {
+			n.council.Replace(m.Replace.Old, m.Replace.With)
+		}
 	case m.Where != nil:
 		n.send(from, Message{View: n.viewOf()})
 	case m.View != nil:
@@ -234,6 +244,9 @@
 	if n.steward != nil {
 		next = min(next, n.stewdAt)
 	}
+	if len(n.given) > 0 {
+		next = min(next, n.giveAt)
+	}
 	if !n.council.Leads() {
 		next = min(next, n.viewAt)
 	}
@@ -305,7 +318,10 @@
 
 func (n *Node) seenView(v *View) {
 	if v.Leader != "" {
-		n.leader = v.Leader
+		if n.leader != v.Leader { // what it asked of another comes too late if it waits for its turn
+			n.hand.Hurry(n.now)
+		}
+		n.leader, n.heardAt = v.Leader, n.now
 	}
 	if len(v.Council) > 0 {
 		n.names = v.Council
@@ -333,17 +349,51 @@
 	n.hand.Renewed(n.now, g.Token, g.Held)
 	for _, c := range g.Lost {
 		n.hand.Refused(c)
+		n.given = slices.DeleteFunc(n.given, func(g given) bool { return g.release.Claim == c })
 	}
 	for _, w := range g.Yield {
 		n.GiveUp(n.now, w, false)
 	}
 }
 
+// ordered has something agreed on, or passes it on to who leads.
+func (n *Node) ordered(from members.ID, m *Message, c works.Command) {
+	if !n.forward(from, m) {
+		n.propose(from, c)
+	}
+}
+
+// forward passes a message on to who leads, if that is another than this one and than who sent it.
+func (n *Node) forward(from members.ID, m *Message) bool {
+	lead := n.council.Leader()
+	if n.council.Leads() || lead == "" || lead == n.facts.Self.ID || lead == from {
+		return false
+	}
+	n.send(lead, *m)
+	return true
+}
+
 // GiveUp stops a work and tells the council, that another can have it at once.
 func (n *Node) GiveUp(now float64, w works.Work, failed bool) {
 	n.now = max(n.now, now)
 	if r := n.hand.GiveUp(w, failed); r != nil {
-		n.toLeader(Message{Release: r})
+		if len(n.given) < mostGiven {
+			n.given = append(n.given, given{r, n.now + mostGiving})
+		}
+		n.giveAt = n.now
+		n.tellGiven()
+	}
+}
+
+// tellGiven says again what was given up, until somebody says that it is known: else the council would wait for the lease.
+func (n *Node) tellGiven() {
+	n.given = slices.DeleteFunc(n.given, func(g given) bool { return n.now > g.until })
+	if len(n.given) == 0 || n.now < n.giveAt {
+		return
+	}
+	n.giveAt = n.now + giveEach
+	for _, g := range n.given {
+		n.toLeader(Message{Release: g.release})
 	}
 }
 
@@ -445,6 +495,7 @@
 	for range 4 { // what one part says to another of the same controller is heard at once
 		n.lead()
 		n.own()
+		n.tellGiven()
 		if n.council.Leads() {
 			n.viewAt = n.now + viewEach
 		} else if n.now >= n.viewAt {
@@ -486,6 +537,9 @@
 		if r := a.Command.Renew; r != nil {
 			n.answerRenewal(a, r)
 		}
+		if r := a.Command.Release; r != nil {
+			n.send(r.Holder.ID, Message{Granted: &Granted{Lost: []works.Claim{r.Claim}, Leader: n.facts.Self.ID}})
+		}
 	}
 	return len(list) > 0
 }
@@ -559,7 +613,7 @@
 	for _, m := range n.members.Members() {
 		if m.State <= members.Suspect && m.Run != 0 {
 			list = append(list, works.Candidate{Holder: works.Holder{ID: m.ID, Run: m.Run}, Willing: m.Willing,
-				Slow: m.State == members.Suspect || m.ID == n.facts.Self.ID && n.members.Slow() > 1})
+				Slow: m.State == members.Suspect || m.ID == n.facts.Self.ID}) // with this one the count of its leases would go
 		}
 	}
 	return list
--- a/internal/core/fleet/works/works.go
+++ b/internal/core/fleet/works/works.go
@@ -227,7 +227,7 @@
 // Candidate is a controller that a work could be given to.
 type Candidate struct {
 	Holder  Holder
-	Slow    bool // it is slow just now, or others suspect it
+	Slow    bool // it is suspected, or leads: others are asked first
 	Willing bool
 }
 
@@ -266,8 +266,11 @@
 		s.since[w], s.fresh[w] = now, c.Give != nil
 		delete(s.tried, w)
 	}
-	if r := c.Release; r != nil && r.Failed && len(changed) > 0 {
-		s.rests[rest(r.Claim.Work, r.Holder.ID)] = now + restFor
+	if r := c.Release; r != nil && len(changed) > 0 { // who gave it up does not get it back at once: it may be ending
+		s.rests[rest(r.Claim.Work, r.Holder.ID)] = now + untaken
+		if r.Failed {
+			s.rests[rest(r.Claim.Work, r.Holder.ID)] = now + restFor
+		}
 	}
 }
 
@@ -419,6 +422,9 @@
 	return r
 }
 
+// Hurry has the next renewal come at once, as the last one went to who could do nothing with it.
+func (h *Hand) Hurry(now float64) { h.next = min(h.next, now) }
+
 // Renewed takes in what was agreed upon a renewal: the claims that hold. Of those it named and that are not among them,
 // this one is no longer the owner.
 func (h *Hand) Renewed(now float64, token uint64, held []Claim) {
