The fleet's digest: one that starts with nothing begins with what others have learned

Change: core/fleet/digest merges words of several controllers by weight and age, without order, bounded in sources, engines and table groups; the owner asks four each five seconds and gives the whole to the council's members as an effect with its epoch; a newcomer that remembers nothing asks two of them, once, and serves meanwhile. Ages travel, not times, so clocks that differ make nothing older or younger.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -80,6 +80,8 @@
 	keeper *memory.Keeper // nil: memory is off
 	gone   []*memory.Keeper
 	fleet  *fleet.Service // nil: off
+
+	remembers bool // its own folder held something to begin with
 }
 
 // run puts the parts together, serves until told to stop, and then until all is answered.
@@ -93,6 +95,9 @@
 	if d.file.Memory != nil {
 		d.recall()
 	}
+	if d.file.Fleet != nil {
+		d.loop.KeepList()
+	}
 	last := s.Known.No
 	for i, news := range s.news {
 		d.loop.News(news, i == 0)
@@ -119,7 +124,7 @@
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
 	if d.file.Fleet != nil { // clients are served by now: nothing of theirs waits for it
-		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, nil, d.log); err != nil {
+		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, []fleet.Program{fleet.NewDigest(d.learner())}, d.log); err != nil {
 			return err
 		}
 		defer d.fleet.Close()
@@ -176,6 +181,7 @@
 	if kept == nil {
 		return
 	}
+	d.remembers = true
 	d.loop.SetRecall(func(list []router.Entry) router.Learned {
 		now := float64(time.Now().UnixMicro()) / 1e3
 		learned, account := recall.Believe(&kept.Memory, d.identity(), list, now, recall.Usual())
@@ -186,6 +192,24 @@
 	})
 }
 
+// learner is what the fleet's digest needs of this controller. One that remembers for itself takes nothing from others.
+func (d *daemon) learner() fleet.Learner {
+	l := fleet.Learner{Source: d.loop, Settings: d.identity().Settings, Log: d.log}
+	if !d.remembers {
+		l.Remember = func(learned router.Learned) {
+			go d.loop.Post(controller.Remembered{Believe: func(list []router.Entry) router.Learned { // it may wait for room
+				now := float64(time.Now().UnixMicro()) / 1e3
+				m := recall.Memory{Of: d.identity(), Learned: learned}
+				believed, account := recall.Believe(&m, d.identity(), list, now, recall.Usual())
+				d.log.Info("fleet: the digest", "believed", account.Believed, "aged", account.Aged, "future", account.Future,
+					"unknown", account.Unknown, "wrong", account.Wrong)
+				return believed
+			}})
+		}
+	}
+	return l
+}
+
 // keep changes over from what is kept by one block to what is kept by another; nil stands for off.
 func (d *daemon) keep(from, to *memory.Block) {
 	if from != nil && to != nil && from.Folder == to.Folder {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -68,6 +69,7 @@
 	trains   spacing.Trains
 	wake     *time.Timer
 	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
+	listed   map[router.EngineID]router.Entry         // nil: nobody may remember something later
 }
 
 // Counts are what the loop has seen and done.
@@ -179,6 +181,15 @@
 	}
 }
 
+// Remembered is what came to be known of an earlier time, or from others, while this controller runs: Believe tells what of
+// it holds with the engines that there are.
+type Remembered struct {
+	Believe func(list []router.Entry) router.Learned
+}
+
+// KeepList has the loop keep the list, for a Remembered that may come. It is called before Run and before any news.
+func (l *Loop) KeepList() { l.listed = map[router.EngineID]router.Entry{} }
+
 // ask is posted by Counts.
 type ask struct{ reply chan Counts }
 
@@ -266,6 +277,10 @@
 		var part memory.Part
 		part.Learned, part.Next, part.More = l.module.Learned(ev.from, ev.most)
 		ev.reply <- part
+	case Remembered:
+		list := slices.Collect(maps.Values(l.listed))
+		slices.SortFunc(list, func(a, b router.Entry) int { return cmp.Compare(a.Engine, b.Engine) })
+		l.events = append(l.events, router.Recalled{Learned: ev.Believe(list)})
 	case ask:
 		counts := l.counts
 		counts.Refused = l.refused.Load()
@@ -364,6 +379,16 @@
 	l.engines.List(addresses, news.Whole)
 	l.engines.Expire(news.Expired > 0)
 	l.events = append(l.events, listed)
+	if l.listed != nil {
+		if news.Whole {
+			clear(l.listed)
+		}
+		for _, e := range listed.Entries {
+			if l.listed[e.Engine] = e; e.State == router.Gone {
+				delete(l.listed, e.Engine)
+			}
+		}
+	}
 	if l.recall != nil && len(listed.Entries) > 0 {
 		l.events = append(l.events, router.Recalled{Learned: l.recall(listed.Entries)})
 		l.recall = nil
--- /dev/null
+++ b/internal/core/fleet/digest/digest_test.go
@@ -0,0 +1,85 @@
+package digest
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/recall"
+	"mintkeel/router"
+)
+
+func engine(id router.EngineID, at, pace, weight float64, lead router.EngineID) router.LearnedEngine {
+	return router.LearnedEngine{At: at, Engine: id, Pace: router.Weighed{Mean: pace, Weight: weight}, Width: 2, Outcomes: 0xff, Lead: lead}
+}
+
+func TestMerge(t *testing.T) {
+	const now = 1e6
+	var g Gathered
+	bad := engine("s1", now-1, 4, 3, "s1")
+	bad.Outcomes = 0x0f
+	g.Put(Source{From: "a", At: now, Learned: router.Learned{
+		Engines:  []router.LearnedEngine{engine("s1", now-30000, 2, 3, "s2"), engine("s2", now, 1, 1, "s2")},
+		Tables:   []router.LearnedTables{{At: now, Tables: 1, Demand: 10, Held: 4, Homes: []router.EngineID{"s2"}}},
+		Profiles: []router.LearnedProfile{{At: now, Best: 2, FullLeft: 900, WorkScale: router.Weighed{Mean: 1, Weight: 1}}}}})
+	g.Put(Source{From: "b", At: now, Learned: router.Learned{
+		Engines: []router.LearnedEngine{bad},
+		Tables: []router.LearnedTables{{At: now, Tables: 1, Demand: 2, Homes: []router.EngineID{"s1"}},
+			{At: now, Tables: 2, Demand: 4}, {At: now, Tables: 3, Demand: math.Inf(1)}},
+		Profiles: []router.LearnedProfile{{At: now, Best: 4, FullLeft: 1000, WorkScale: router.Weighed{Mean: 3, Weight: 3}}}}})
+	l := g.Merge(now, recall.Usual())
+	if len(l.Engines) != 2 || len(l.Tables) != 2 || len(l.Profiles) != 1 {
+		t.Fatalf("%+v", l)
+	}
+	s1 := l.Engines[0]
+	if want := (2*1.5 + 4*3) / 4.5; math.Abs(s1.Pace.Mean-want) > 0.01 { // the first is a half life old
+		t.Errorf("pace %g, want %g", s1.Pace.Mean, want)
+	}
+	if s1.Outcomes != 0x0f || s1.Lead != "s2" {
+		t.Errorf("health by who saw it last, leads by of whom most is asked: %+v", s1)
+	}
+	if d := l.Tables[0].Demand; d != 6 || l.Tables[0].Homes[0] != "s2" || l.Tables[1].Demand != 2 {
+		t.Errorf("tables %+v", l.Tables)
+	}
+	if p := l.Profiles[0]; p.FullLeft != 1000 || p.Best != 3 || p.WorkScale.Mean != 2.5 {
+		t.Errorf("profile %+v", p)
+	}
+	if l := g.Merge(now+mostAge+1, recall.Usual()); l.Len() != 0 {
+		t.Errorf("old words count: %+v", l)
+	}
+}
+
+// The order in which words come changes nothing; an older word of the same controller is not taken.
+func TestOrder(t *testing.T) {
+	var g, h Gathered
+	sources := []Source{}
+	for i := range 10 {
+		sources = append(sources, Source{From: members.ID(fmt.Sprint(i)), At: float64(i), Learned: router.Learned{
+			Engines: []router.LearnedEngine{engine("s", float64(i), float64(i), 1, "s")}}})
+	}
+	for i := range sources {
+		g.Put(sources[i])
+		h.Put(sources[len(sources)-1-i])
+	}
+	h.Put(Source{From: "9", At: 1})
+	if a, b := fmt.Sprint(g.Merge(20, recall.Usual())), fmt.Sprint(h.Merge(20, recall.Usual())); a != b {
+		t.Errorf("%s\n%s", a, b)
+	}
+}
+
+func TestBounded(t *testing.T) {
+	var g Gathered
+	for i := range 3 * mostSources {
+		s := Source{From: members.ID(fmt.Sprint(i)), At: float64(i)}
+		for j := range 200 {
+			s.Learned.Tables = append(s.Learned.Tables, router.LearnedTables{Tables: router.TableGroup(i*200 + j), Demand: float64(j)})
+			s.Learned.Engines = append(s.Learned.Engines, engine(router.EngineID(fmt.Sprint(i, j)), 0, 1, 1, ""))
+		}
+		g.Put(s)
+	}
+	l := g.Merge(200, recall.Usual())
+	if g.Len(200) > mostSources || len(l.Tables) > MostTables || len(l.Engines) > MostEngines {
+		t.Errorf("%d sources, %d table groups, %d engines", g.Len(200), len(l.Tables), len(l.Engines))
+	}
+}
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -666,6 +666,14 @@
 	return n.view, false
 }
 
+// CouncilNames are the council's members, as far as this one knows.
+func (n *Node) CouncilNames() []members.ID {
+	if standing, _ := n.council.Standing(); standing != council.Outside {
+		return n.council.Names()
+	}
+	return n.names
+}
+
 // Leader is who is said to lead the council; empty: nobody.
 func (n *Node) Leader() members.ID {
 	if lead := n.council.Leader(); lead != "" {
--- /dev/null
+++ b/internal/fleet/digest.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/digest"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/fleet/frames"
+	"mintkeel/internal/memory"
+	"mintkeel/router"
+)
+
+// Digest is the work that gathers what controllers have learned, so that one that starts with nothing can begin with it.
+// Its owner asks a few controllers at a time, merges what they tell (core/fleet/digest), and gives the whole to the
+// council's members, who take it only from the latest owner. A newcomer asks them, once, and does not wait.
+const Digest works.Work = "digest"
+
+const (
+	gatherEach  = 5000.0 // ms between two rounds of asking
+	gatherFrom  = 4      // controllers asked in a round: in a fleet of a thousand some sixty are heard within two minutes
+	publishEach = 5000.0
+	wantEach    = 500.0   // ms between two tries of a newcomer,
+	wantFor     = 15000.0 // for so long after its start
+	wantFrom    = 2       // controllers asked at a time
+	digestAge   = 120000.0
+	partRecords = 1000 // taken out of the loop in one go
+	mostRecords = 6000 // that one controller tells
+	mostWord    = 400 << 10
+	givesEach   = 100.0 // ms between two digests that one controller gives away: newcomers spread
+)
+
+// word is what programs of the digest say to each other; one of its fields is set.
+type word struct {
+	_      struct{} `cbor:",toarray"`
+	Digest bool     // tells it from words of other programs
+	Gather bool     // tell me what you have learned
+	Want   bool     // I begin with nothing: tell me what the fleet knows
+	Told   *told
+}
+
+type told struct {
+	_        struct{} `cbor:",toarray"`
+	Settings uint64
+	Now      float64 // the teller's clock, by which the records' times are
+	Whole    bool    // a digest, and not one controller's word
+	Epoch    uint64
+	Data     []byte
+}
+
+// Learner is what the digest needs of its controller.
+type Learner struct {
+	Source   memory.Source
+	Settings uint64               // only those with the same speak of the same profiles
+	Remember func(router.Learned) // takes over what others knew; nil: nothing is missing
+	Log      *slog.Logger
+}
+
+// digester is the program of the digest.
+type digester struct {
+	learner Learner
+	rng     *rand.Rand
+	began   float64
+
+	gathered  digest.Gathered
+	owns      bool
+	gatherAt  float64
+	publishAt float64
+	id        uint64
+
+	kept    *told // the digest that this one keeps
+	keptAt  time.Time
+	wantAt  float64
+	wanting bool
+	givesAt float64
+
+	mu    sync.Mutex
+	busy  bool
+	ready []byte // what this one has learned, taken out beside the core's goroutine
+	asker members.ID
+	ctx   context.Context
+	end   context.CancelFunc
+	group sync.WaitGroup
+	now   func() float64
+}
+
+// NewDigest is the program.
+func NewDigest(l Learner) Program {
+	ctx, end := context.WithCancel(context.Background())
+	return &digester{learner: l, rng: rand.New(rand.NewSource(int64(draw() >> 1))), wanting: l.Remember != nil, ctx: ctx, end: end,
+		now: func() float64 { return float64(time.Now().UnixMicro()) / 1e3 }}
+}
+
+func (d *digester) Began(h Hands, c works.Claim) {
+	if c.Work == Digest {
+		d.owns, d.gatherAt, d.publishAt = true, h.Now(), h.Now()+gatherEach/2
+		d.gathered = digest.Gathered{}
+	}
+}
+
+func (d *digester) Ended(c works.Claim) {
+	if c.Work == Digest {
+		d.owns = false
+	}
+}
+
+func (d *digester) Passed(node.Passed) {}
+
+func (d *digester) Close() {
+	d.end()
+	d.group.Wait()
+}
+
+func say(h Hands, to members.ID, w word) {
+	w.Digest = true
+	if data, err := cbor.Marshal(w); err == nil {
+		h.Say(to, data)
+	}
+}
+
+// others draws some that are there.
+func (d *digester) others(h Hands, n int, which func(members.Member) bool) (some []members.ID) {
+	for _, m := range h.Members() {
+		if m.State == members.Alive && m.ID != h.Self() && which(m) {
+			some = append(some, m.ID)
+		}
+	}
+	d.rng.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:min(n, len(some))]
+}
+
+func (d *digester) Tick(h Hands, now float64) {
+	if d.began == 0 {
+		d.began = now
+	}
+	d.mu.Lock()
+	ready, asker := d.ready, d.asker
+	d.ready = nil
+	d.mu.Unlock()
+	if ready != nil {
+		t := &told{Settings: d.learner.Settings, Now: d.now(), Data: ready}
+		if asker == h.Self() {
+			d.took(asker, t)
+		} else {
+			say(h, asker, word{Told: t})
+		}
+	}
+	if d.owns && now >= d.gatherAt {
+		d.gatherAt = now + gatherEach
+		d.collect(h.Self())
+		for _, id := range d.others(h, gatherFrom, func(members.Member) bool { return true }) {
+			say(h, id, word{Gather: true})
+		}
+	}
+	if d.owns && now >= d.publishAt {
+		d.publishAt = now + publishEach
+		d.publish(h)
+	}
+	if d.wanting && now >= d.wantAt {
+		d.wantAt = now + wantEach
+		if d.wanting = now < d.began+wantFor; d.wanting {
+			keepers := h.Council()
+			for _, id := range d.others(h, wantFrom, func(m members.Member) bool { return slices.Contains(keepers, m.ID) }) {
+				say(h, id, word{Want: true})
+			}
+		}
+	}
+}
+
+// collect takes out what this controller has learned, in a goroutine of its own, as the loop is asked a part at a time.
+func (d *digester) collect(asker members.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.busy || d.ready != nil || d.learner.Source == nil {
+		return // who asks too often is not answered
+	}
+	d.busy, d.asker = true, asker
+	d.group.Go(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, 2*time.Second)
+		defer cancel()
+		var all router.Learned
+		part := memory.Part{More: true}
+		var err error
+		for err == nil && part.More && all.Len() < mostRecords {
+			if part, err = d.learner.Source.Learned(ctx, part.Next, partRecords); err == nil {
+				all.Add(part.Learned)
+			}
+		}
+		data := pack(&all)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.busy = false; err == nil {
+			d.ready = data
+		}
+	})
+}
+
+// pack is what was learned in at most so many bytes: table groups that are asked for least are left out.
+func pack(l *router.Learned) []byte {
+	slices.SortStableFunc(l.Tables, func(a, b router.LearnedTables) int { return cmp.Compare(b.Demand, a.Demand) })
+	for {
+		data, err := memory.Pack(l)
+		if err != nil {
+			return nil
+		}
+		if len(data) <= mostWord || len(l.Tables)+len(l.Engines) == 0 {
+			return data
+		}
+		l.Tables, l.Engines = l.Tables[:len(l.Tables)/2], l.Engines[:len(l.Engines)*3/4]
+	}
+}
+
+// publish gives the digest to who keeps it.
+func (d *digester) publish(h Hands) {
+	now := d.now()
+	if d.gathered.Len(now) == 0 {
+		return
+	}
+	merged := d.gathered.Merge(now, recall.Usual())
+	t := &told{Settings: d.learner.Settings, Now: now, Whole: true, Data: pack(&merged)}
+	data, err := cbor.Marshal(t)
+	if err != nil {
+		return
+	}
+	for _, id := range h.Council() {
+		d.id++
+		h.Act(Digest, id, d.id, data)
+	}
+}
+
+// Taken keeps the digest of the latest owner.
+func (d *digester) Taken(_ Hands, _ members.ID, e node.Effect) {
+	if e.Claim.Work != Digest {
+		return
+	}
+	var t told
+	if err := frames.Decoder.Unmarshal(e.Data, &t); err != nil || len(t.Data) > mostWord {
+		return
+	}
+	t.Epoch = uint64(e.Claim.Epoch)
+	d.kept, d.keptAt = &t, time.Now()
+}
+
+func (d *digester) Said(h Hands, from members.ID, data []byte) bool {
+	var w word
+	if err := frames.Decoder.Unmarshal(data, &w); err != nil || !w.Digest {
+		return false
+	}
+	switch {
+	case w.Gather:
+		d.collect(from)
+	case w.Want:
+		if age := time.Since(d.keptAt); d.kept != nil && float64(age.Milliseconds()) < digestAge && h.Now() >= d.givesAt {
+			d.givesAt = h.Now() + givesEach
+			t := *d.kept
+			t.Now += float64(age.Microseconds()) / 1e3 // as old as it is
+			say(h, from, word{Told: &t})
+		}
+	case w.Told != nil && w.Told.Whole:
+		d.begin(w.Told)
+	case w.Told != nil && d.owns:
+		d.took(from, w.Told)
+	}
+	return true
+}
+
+// took takes in what one controller has learned.
+func (d *digester) took(from members.ID, t *told) {
+	l, err := memory.Unpack(t.Data)
+	if err != nil || t.Settings != d.learner.Settings {
+		return
+	}
+	now := d.now()
+	digest.Shift(&l, now-t.Now)
+	d.gathered.Put(digest.Source{From: from, At: now, Learned: l})
+}
+
+// begin takes over what the fleet knows, once.
+func (d *digester) begin(t *told) {
+	if !d.wanting || t.Settings != d.learner.Settings {
+		return
+	}
+	l, err := memory.Unpack(t.Data)
+	if err != nil {
+		d.learner.Log.Warn("fleet: a digest can't be used", "why", err)
+		return
+	}
+	d.wanting = false
+	digest.Shift(&l, d.now()-t.Now)
+	d.learner.Log.Info("fleet: begins with what the fleet knows", "records", l.Len(), "epoch", t.Epoch)
+	d.learner.Remember(l)
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -50,6 +50,7 @@
 	May(w works.Work) (works.Epoch, bool)
 	GiveUp(w works.Work, failed bool)
 	Members() []members.Member
+	Council() []members.ID
 	Now() float64
 }
 
@@ -526,6 +527,9 @@
 // Members are those known.
 func (in *session) Members() []members.Member { return in.core.Members() }
 
+// Council are the council's members, as far as this one knows.
+func (in *session) Council() []members.ID { return in.core.CouncilNames() }
+
 // Now is the steady clock.
 func (in *session) Now() float64 { return in.now() }
 
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -36,6 +37,7 @@
 	Works    int
 	Lease    time.Duration
 	Rate     float64 // commands a second at each node
+	Digest   bool    // the fleet's digest is one of the works
 	Script   Script
 	Settle   time.Duration
 	Tell     func(string)
@@ -71,6 +73,7 @@
 	Shed     int
 	Failed   int
 	Lost     int // at nodes that ran
+	Digests  int // starts at which something of the fleet's digest was believed
 	Whole    time.Duration
 	Free     []time.Duration // between the last effect of one owner and the first of the next
 }
@@ -233,6 +236,9 @@
 	for i := range r.Works {
 		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("work-%d", i)))
 	}
+	if r.Digest {
+		names = append(names, `"digest"`)
+	}
 	hcl := fmt.Sprintf("log {\n  burst = 1000\n}\nfleet {\n  name = \"rig\"\n  listen = %q\n  key_file = %q\n  folder = %q\n  council = { %s }\n  works = [%s]\n  lease = %q\n}\n",
 		n.fleet, filepath.Join(r.dir, "key"), filepath.Join(n.dir, "fleet"), strings.Join(council, ", "), strings.Join(names, ", "), r.Lease)
 	if err := os.WriteFile(filepath.Join(n.dir, "operator.hcl"), []byte(hcl), 0o600); err != nil {
@@ -558,9 +564,13 @@
 	}
 }
 
+var digestLine = regexp.MustCompile(`fleet: the digest.*believed=[1-9]`)
+
 // read judges what other controllers wrote down that they took.
 func (r *rig) read() {
 	for _, n := range r.nodes {
+		log, _ := os.ReadFile(filepath.Join(n.dir, "log"))
+		r.report.Digests += len(digestLine.FindAll(log, -1))
 		text, err := os.ReadFile(filepath.Join(n.dir, "fleet-taken"))
 		if err != nil {
 			continue
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -26,6 +26,8 @@
 		return Scene{Mintkeel: daemon, Seed: 5, Nodes: 4, Council: 3, Works: 3, Lease: 2 * time.Second, Rate: 5, Settle: time.Minute, Script: faults}
 	}
 	var group sync.WaitGroup
+	begins := scene(Fault{At: 15000, For: 500, Kind: Kill, A: 3}, Fault{At: 20000, Kind: Clock, A: 2, Amount: 1})
+	begins.Digest = true
 	for name, s := range map[string]Scene{
 		"an owner is stopped for longer than its lease and goes on": scene(Fault{At: 6000, For: 7000, Kind: Pause, A: 0},
 			Fault{At: 6000, For: 7000, Kind: Pause, A: 1}),
@@ -34,6 +36,7 @@
 			Fault{At: 14000, For: 500, Kind: OldCopy, A: 1, Amount: 3000}),
 		"the leader can hear and not be heard, its clock is fast": scene(Fault{At: 5000, Kind: Clock, A: 0, Amount: 1.2},
 			Fault{At: 5000, Kind: Clock, A: 1, Amount: 1.2}, Fault{At: 7000, For: 6000, Kind: Mute, A: 0}, Fault{At: 14000, For: 6000, Kind: Deaf, A: 1}),
+		"one that starts with nothing begins with what the fleet knows": begins,
 	} {
 		group.Go(func() {
 			var said []string
@@ -46,6 +49,8 @@
 				t.Errorf("%s: %s\n%s", name, r.Broken, strings.Join(said, "\n"))
 			case r.Effects < 50 || r.Taken < 20 || r.Answered < 50:
 				t.Errorf("%s: too little was seen: %+v", name, r)
+			case s.Digest && r.Digests == 0:
+				t.Errorf("%s: nothing of the digest was believed", name)
 			}
 		})
 	}
--- a/internal/memory/form.go
+++ b/internal/memory/form.go
@@ -160,6 +160,43 @@
 	return nil
 }
 
+// Pack is what was learned as one value, for another controller: the same sections as in a file, one behind another.
+func Pack(l *router.Learned) ([]byte, error) {
+	var sections []packed
+	err := encode(l, func(kind snapshots.Kind, payload []byte) error {
+		sections = append(sections, packed{Kind: uint16(kind), Payload: payload})
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(sections)
+}
+
+type packed struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    uint16
+	Payload []byte
+}
+
+// Unpack reads what another controller packed; what has a wrong form is an error, and nothing of it is used.
+func Unpack(data []byte) (router.Learned, error) {
+	var sections []packed
+	if err := decoder.Unmarshal(data, &sections); err != nil {
+		return router.Learned{}, fmt.Errorf("%w: %w", errForm, err)
+	}
+	kept := &Kept{}
+	for _, s := range sections {
+		if kept.Memory.Learned.Len() > mostKept {
+			return router.Learned{}, errMany
+		}
+		if err := decode(snapshots.Section{Kind: snapshots.Kind(s.Kind), Payload: s.Payload}, kept); err != nil {
+			return router.Learned{}, err
+		}
+	}
+	return kept.Memory.Learned, nil
+}
+
 // errForm is a section whose checksum is right and whose content is not: written by another program.
 var errForm = errors.New("holds what this program did not write")
 
