A council at rest keeps nothing: only messages that promise something carry a number

Cause, seen by the count of durable records: 25 a second in a council with nothing to agree on. Each sign of life carried the sender's serial number, the receiver kept it durably, which raised its own, of which its next sign of life told: without end. At fault: advance in council.go.

Change: votes, entries and their acknowledgement carry the number; heartbeats and pre-votes do not, as nothing of theirs rests on the disk.

--- a/cmd/mintkeel-lab/rules.go
+++ b/cmd/mintkeel-lab/rules.go
@@ -78,12 +78,17 @@
 	file, within := "router/router.go", time.Minute
 	packages := []string{"./router", "./internal/lab/worlds"}
 	var funcs []string
+	checks := false
 	c := &cobra.Command{
 		Use:   "mutants",
 		Short: "Change one operator of the module at a time and see whether a test notices; run at the repository's root",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			all, err := mutants.All(file)
+			list := mutants.All
+			if checks {
+				list = mutants.Checks
+			}
+			all, err := list(file)
 			if err != nil {
 				return err
 			}
@@ -118,6 +123,7 @@
 	c.Flags().StringVar(&file, "file", file, "source file to be changed")
 	c.Flags().DurationVar(&within, "within", within, "for the tests of one change")
 	c.Flags().StringSliceVar(&funcs, "func", nil, "functions to be changed; all if none is named")
+	c.Flags().BoolVar(&checks, "checks", false, "leave out one check at a time, in place of changing operators")
 	c.Flags().StringSliceVar(&packages, "packages", packages, "packages whose tests are run")
 	return c
 }
--- a/internal/core/fleet/council/council.go
+++ b/internal/core/fleet/council/council.go
@@ -783,7 +783,11 @@
 			continue
 		}
 		if data, err := proto.Marshal(m); err == nil {
-			c.say(to, Message{Raft: data, Serial: c.serial})
+			serial := uint64(0)
+			if rests(m) {
+				serial = c.serial
+			}
+			c.say(to, Message{Raft: data, Serial: serial})
 		}
 		if m.GetType() == pb.MsgSnap { // if it is lost, the next one is not held up
 			c.node.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
@@ -799,6 +803,18 @@
 	}
 }
 
+// rests tells whether a message promises something by what is kept: a vote, entries, or that they have been taken. Signs of
+// life do not, or each would have the other side keep a record, which its own would tell of, without end.
+func rests(m *pb.Message) bool {
+	switch m.GetType() {
+	case pb.MsgHeartbeat, pb.MsgHeartbeatResp, pb.MsgPreVote, pb.MsgPreVoteResp:
+		return false
+	case pb.MsgApp:
+		return len(m.GetEntries()) > 0
+	}
+	return true
+}
+
 // apply takes in an entry that has been agreed on.
 func (c *Council) apply(e *pb.Entry) {
 	if e.GetIndex() <= c.applied {
--- /dev/null
+++ b/internal/core/fleet/council/council_test.go
@@ -0,0 +1,343 @@
+package council
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/works"
+)
+
+// room is some members with their disks, and what is on its way between them.
+type room struct {
+	t        *testing.T
+	now      float64
+	members  map[members.ID]*Council
+	kept     map[members.ID][]Record
+	runs     uint64
+	cut      func(from, to members.ID) bool
+	founders []members.ID
+	agreed   map[members.ID][]string // by member, in order
+}
+
+func newRoom(t *testing.T, names ...members.ID) *room {
+	r := &room{t: t, members: map[members.ID]*Council{}, kept: map[members.ID][]Record{}, founders: names, agreed: map[members.ID][]string{}}
+	for _, name := range names {
+		r.start(name)
+	}
+	return r
+}
+
+func (r *room) start(name members.ID) *Council {
+	r.t.Helper()
+	r.runs++
+	c, err := New(Facts{Self: name, Founders: r.founders, Run: r.runs, Disk: 1000 + r.runs, Seed: int64(r.runs)}, slices.Clone(r.kept[name]), r.now)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.members[name], r.agreed[name] = c, nil
+	return c
+}
+
+func (r *room) save(name members.ID, rec *Record) {
+	if rec == nil {
+		return
+	}
+	data, err := cbor.Marshal(rec)
+	var own Record
+	if err == nil {
+		err = cbor.Unmarshal(data, &own)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if own.Whole {
+		r.kept[name] = nil
+	}
+	r.kept[name] = append(r.kept[name], own)
+}
+
+func (r *room) run(long float64) {
+	for end := r.now + long; r.now < end; r.now += 25 {
+		for _, name := range slices.Sorted(maps.Keys(r.members)) {
+			c := r.members[name]
+			c.Tick(r.now)
+			if whole := c.Compact(); whole != nil {
+				r.save(name, whole)
+				c.Kept(whole)
+			}
+			for b := c.Batch(); b != nil; b = c.Batch() {
+				r.save(name, b.Record)
+				c.Done(r.now, b)
+			}
+			for _, a := range c.Agreed() {
+				r.agreed[name] = append(r.agreed[name], fmt.Sprint(a.By, a.Ref))
+			}
+			for _, m := range c.Out() {
+				if to := r.members[m.To.Name]; to != nil && (r.cut == nil || !r.cut(name, m.To.Name)) {
+					to.Receive(r.now, name, &m)
+				}
+			}
+		}
+	}
+}
+
+func (r *room) leader() *Council {
+	r.t.Helper()
+	for _, name := range slices.Sorted(maps.Keys(r.members)) {
+		if c := r.members[name]; c.Leads() {
+			return c
+		}
+	}
+	r.t.Fatal("nobody leads")
+	return nil
+}
+
+func (r *room) propose(ref uint64) {
+	r.t.Helper()
+	if !r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{works.Work(fmt.Sprint("w", ref))}}}) {
+		r.t.Fatal("not proposed")
+	}
+	r.run(500)
+}
+
+func (r *room) standing(name members.ID, want Standing) {
+	r.t.Helper()
+	if s, why := r.members[name].Standing(); s != want {
+		r.t.Errorf("%s is %v (%s), want %v", name, s, why, want)
+	}
+}
+
+// A council that has nothing to agree on keeps nothing: signs of life promise nothing.
+func TestQuiet(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	before := len(r.kept["a"]) + len(r.kept["b"]) + len(r.kept["c"])
+	r.run(60000)
+	if after := len(r.kept["a"]) + len(r.kept["b"]) + len(r.kept["c"]); after != before {
+		t.Errorf("%d records kept in a quiet minute", after-before)
+	}
+}
+
+func TestAgree(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	for ref := range uint64(600) { // past a snapshot or two
+		r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{"w"}}})
+		r.run(50)
+	}
+	r.run(1000)
+	for _, name := range r.founders {
+		r.standing(name, Voting)
+		if got := len(r.agreed[name]); got != 600 || fmt.Sprint(r.agreed[name]) != fmt.Sprint(r.agreed["a"]) {
+			t.Errorf("%s agreed on %d", name, got)
+		}
+		if n := len(r.kept[name]); n > 3*snapEach {
+			t.Errorf("%s keeps %d records", name, n)
+		}
+	}
+	follower := r.founders[0]
+	if r.leader() == r.members[follower] {
+		follower = "b"
+	}
+	if r.members[follower].Propose("x", 1, works.Command{}) {
+		t.Error("one that does not lead takes a proposal")
+	}
+}
+
+// Who restarts with all that it said is vouched for and goes on as itself, with what was agreed.
+func TestRestart(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	r.propose(1)
+	for _, name := range r.founders {
+		c := r.start(name)
+		r.standing(name, Doubted)
+		if c.Leads() {
+			t.Error("a doubted member leads")
+		}
+		r.run(4000)
+		r.standing(name, Voting)
+		if c.Life().Disk != 0 {
+			t.Errorf("%s has come back as another", name)
+		}
+	}
+	for _, name := range r.founders { // all at once
+		r.start(name)
+	}
+	r.run(6000)
+	for _, name := range r.founders {
+		r.standing(name, Voting)
+		if r.members[name].State().Grants["w1"] == nil {
+			t.Errorf("%s has forgotten what was agreed", name)
+		}
+	}
+}
+
+// Who does not hold all that it said comes back as another life, whatever of its disk is gone, and votes again.
+func TestLost(t *testing.T) {
+	for what, change := range map[string]func(old, now []Record) []Record{
+		"empty":       func(_, _ []Record) []Record { return nil },
+		"an old copy": func(old, _ []Record) []Record { return old },
+		"the last entry": func(_, now []Record) []Record {
+			i := len(now) - 1
+			for ; now[i].Entries == nil; i-- {
+			}
+			return now[:i]
+		},
+	} {
+		r := newRoom(t, "a", "b", "c")
+		r.run(5000)
+		old := slices.Clone(r.kept["b"])
+		for ref := range uint64(5) {
+			r.propose(ref)
+		}
+		r.kept["b"] = change(old, r.kept["b"])
+		c := r.start("b")
+		r.run(500)
+		if s, _ := c.Standing(); s == Voting && c.Life().Disk == 0 {
+			t.Errorf("%s: it votes as itself", what)
+		}
+		r.run(10000)
+		r.standing("b", Voting)
+		if c.Life().Disk == 0 {
+			t.Errorf("%s: it is the same life", what)
+		}
+		lives, votes := r.leader().Members()
+		if len(lives) != 3 || slices.Contains(votes, false) {
+			t.Errorf("%s: the council is %v, %v", what, lives, votes)
+		}
+		r.propose(9)
+		if c.State().Grants["w9"] == nil {
+			t.Errorf("%s: it does not hear what is agreed", what)
+		}
+		c = r.start("b") // and its new life restarts as itself
+		r.run(4000)
+		r.standing("b", Voting)
+		if c.Life() != lives[slices.IndexFunc(lives, func(l Life) bool { return l.Name == "b" })] {
+			t.Errorf("%s: another life again", what)
+		}
+	}
+}
+
+// The old process of a life that is over, its memory whole, is heard by nobody.
+func TestRetired(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	ghost := r.members["b"]
+	r.kept["b"] = nil
+	r.start("b")
+	r.run(10000)
+	r.standing("b", Voting)
+	before := r.leader().Term()
+	for range 100 {
+		ghost.Tick(r.now)
+		ghost.heard()
+		if ghost.node != nil {
+			ghost.node.Campaign()
+		}
+		for b := ghost.Batch(); b != nil; b = ghost.Batch() {
+			ghost.Done(r.now, b)
+		}
+		for _, m := range ghost.Out() {
+			if to := r.members[m.To.Name]; to != ghost && to != nil {
+				to.Receive(r.now, "b", &m)
+			}
+		}
+		r.run(25)
+	}
+	if ghost.Leads() || r.leader().Term() != before {
+		t.Errorf("the ghost leads: %v; term %d after %d", ghost.Leads(), r.leader().Term(), before)
+	}
+}
+
+// One of three is away for good and another restarts: the third can't vouch alone, and an operator's word is needed.
+func TestTrust(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	r.propose(1)
+	delete(r.members, "c")
+	b := r.start("b")
+	r.run(20000)
+	r.standing("b", Doubted)
+	if !b.Trust() {
+		t.Fatal("nothing to trust")
+	}
+	r.run(5000)
+	r.standing("b", Voting)
+	if b.Trust() {
+		t.Error("trusted twice")
+	}
+	r.propose(2)
+}
+
+// In five, one is away for good and another restarts: the others go on without it, and it comes back as another.
+func TestWithoutOne(t *testing.T) {
+	r := newRoom(t, "a", "b", "c", "d", "e")
+	r.run(5000)
+	delete(r.members, "e")
+	r.run(3000)
+	if r.leader() == r.members["b"] {
+		delete(r.members, "b")
+		r.run(5000)
+	}
+	b := r.start("b")
+	r.run(15000)
+	r.standing("b", Voting)
+	if b.Life().Disk == 0 {
+		t.Error("it was not vouched for by all, and votes as itself")
+	}
+}
+
+// A member is exchanged for another controller.
+func TestReplace(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	out := members.ID("c")
+	if r.leader() == r.members["c"] {
+		out = "a"
+	}
+	if r.members[out].Replace(out, "") {
+		t.Error("one that does not lead exchanges a member")
+	}
+	if r.leader().Replace("z", "") {
+		t.Error("a member that there is not is taken out")
+	}
+	if !r.leader().Replace(out, "") {
+		t.Fatal("not taken out")
+	}
+	r.run(3000)
+	if lives, _ := r.leader().Members(); len(lives) != 2 {
+		t.Errorf("the council is %v", lives)
+	}
+	r.propose(3)
+}
+
+// Words that don't fit change nothing: of another name than who sent them, of no form, to another life, of an earlier run.
+func TestNonsense(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	c := r.members["a"]
+	before := c.Term()
+	for _, m := range []*Message{
+		{From: Life{"b", 0}, To: Life{"a", 0}, Raft: []byte("nonsense"), Run: 2},
+		{From: Life{"c", 0}, To: Life{"a", 0}, Ask: &Ask{1}},
+		{From: Life{"b", 0}, To: Life{"z", 0}, Join: &Join{}},
+		{From: Life{"b", 7}, To: Life{"a", 0}, Raft: []byte{}, Run: 2},
+		{},
+	} {
+		c.Receive(r.now, "b", m)
+	}
+	r.run(3000)
+	if r.leader().Term() != before {
+		t.Errorf("term %d after %d", r.leader().Term(), before)
+	}
+	if _, err := New(Facts{Self: "a", Founders: r.founders}, []Record{{Serial: 1}, {Serial: 3}}, 0); err == nil || !strings.Contains(err.Error(), "order") {
+		t.Errorf("records out of order: %v", err)
+	}
+}
--- a/internal/lab/mutants/mutants.go
+++ b/internal/lab/mutants/mutants.go
@@ -89,6 +89,34 @@
 	return all, nil
 }
 
+// Checks are the mutants of a file that each leave one of its checks out: the condition of an if never holds.
+func Checks(path string) ([]Mutant, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, path, source, 0)
+	if err != nil {
+		return nil, err
+	}
+	var all []Mutant
+	within := ""
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.FuncDecl:
+			within = n.Name.Name
+		case *ast.IfStmt:
+			from, to := files.Position(n.Cond.Pos()), files.Position(n.Cond.End())
+			text := string(source[from.Offset:to.Offset])
+			all = append(all, Mutant{File: path, Line: from.Line, Func: within, From: text, To: "false && (" + text + ")", Text: text,
+				offset: from.Offset})
+		}
+		return true
+	})
+	return all, nil
+}
+
 // Some draws n of them.
 func Some(all []Mutant, n int, seed int64) []Mutant {
 	drawn := slices.Clone(all)
--- a/internal/lab/mutants/mutants_test.go
+++ b/internal/lab/mutants/mutants_test.go
@@ -51,3 +51,21 @@
 		}
 	}
 }
+
+// Each check is left out alone.
+func TestChecks(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "q.go")
+	text := "package q\n\nfunc f(a int) int {\n\tif a < 1 && a > -3 {\n\t\treturn 1\n\t} else if b := a; b > 4 {\n\t\treturn b\n\t}\n\treturn 0\n}\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	all, err := Checks(path)
+	if err != nil || len(all) != 2 {
+		t.Fatal(all, err)
+	}
+	for i, want := range []string{"if false && (a < 1 && a > -3) {", "b := a; false && (b > 4) {"} {
+		if got := string(all[i].apply([]byte(text))); !strings.Contains(got, want) {
+			t.Errorf("%s", got)
+		}
+	}
+}
