Votes outlive restarts, earlier runs are not heeded: tests that mutants asked for

Change: tests of works and council for what no test noticed: a vote that is not kept, a message of an earlier run, answers to one, who failed rests longer, works spread, ends are not slept through.

--- a/internal/core/fleet/council/council_test.go
+++ b/internal/core/fleet/council/council_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
 
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/works"
@@ -341,3 +343,119 @@
 		t.Errorf("records out of order: %v", err)
 	}
 }
+
+// A vote outlives a restart, also where the log was begun anew since: who voted in a term does not vote for another in it.
+func TestVoteKept(t *testing.T) {
+	for _, proposals := range []uint64{0, 600} {
+		r := newRoom(t, "a", "b", "c")
+		r.run(5000)
+		for ref := range proposals {
+			r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{"w"}}})
+			r.run(50)
+		}
+		voted := 0
+		for _, name := range r.founders {
+			before, _, _ := r.members[name].storage.InitialState()
+			applied := r.members[name].applied
+			c := r.start(name)
+			after, _, _ := c.storage.InitialState()
+			if before.GetTerm() != after.GetTerm() || before.GetVote() != after.GetVote() {
+				t.Errorf("%s: term %d and vote %x, was %d and %x", name, after.GetTerm(), after.GetVote(), before.GetTerm(), before.GetVote())
+			}
+			if before.GetVote() != 0 {
+				voted++
+			}
+			if last, _ := c.storage.LastIndex(); last < applied {
+				t.Errorf("%s: the log ends at %d, %d had been agreed on", name, last, applied)
+			}
+		}
+		if voted < 2 {
+			t.Errorf("%d voted", voted)
+		}
+	}
+}
+
+// What an earlier run wrote is not made use of once a later one has asked; answers to an earlier run vouch for nothing.
+func TestRuns(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	r.cut = func(members.ID, members.ID) bool { return true }
+	b := r.start("b")
+	a := r.members["a"]
+	b.Tick(r.now)
+	asked := b.Out()
+	for _, m := range asked {
+		if m.To.Name == "a" {
+			a.Receive(r.now, "b", &m)
+		}
+	}
+	waiting := len(a.waiting)
+	a.Receive(r.now, "b", &Message{From: Life{"b", 0}, To: Life{"a", 0}, Run: 2, Serial: 1 << 40, Raft: raftBytes(t)})
+	if len(a.waiting) != waiting {
+		t.Error("a message of an earlier run is taken after a later one asked")
+	}
+	a.Receive(r.now, "b", &Message{From: Life{"b", 0}, To: Life{"a", 0}, Run: b.run, Serial: 1 << 40, Raft: raftBytes(t)})
+	if len(a.waiting) != waiting+1 {
+		t.Error("a message of the run that asked is not taken")
+	}
+	tell := func(from members.ID, run uint64) {
+		b.Receive(r.now, from, &Message{From: Life{from, 0}, To: Life{"b", 0}, Tell: &Tell{Run: run}})
+	}
+	tell("a", b.run-1)
+	tell("c", b.run)
+	r.standing("b", Doubted)
+	tell("c", b.run)
+	r.standing("b", Doubted)
+	tell("a", b.run)
+	r.standing("b", Voting)
+	d := r.start("b")
+	d.Receive(r.now, "a", &Message{From: Life{"a", 0}, To: Life{"b", 0}, Tell: &Tell{Run: d.run, Retired: true}})
+	r.standing("b", Joining)
+	e := r.start("b")
+	e.Receive(r.now, "c", &Message{From: Life{"a", 0}, To: Life{"b", 0}, Tell: &Tell{Run: e.run, Retired: true}})
+	r.standing("b", Doubted) // c may not speak for a
+	_ = e
+}
+
+// raftBytes is some message of b to a.
+func raftBytes(t *testing.T) []byte {
+	t.Helper()
+	data, err := proto.Marshal(&pb.Message{Type: new(pb.MsgAppResp), From: new(Life{"b", 0}.Number()), To: new(Life{"a", 0}.Number()),
+		Term: new(uint64(1)), Index: new(uint64(1))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// A council of one decides by itself, and goes on after a restart; who is not one of the council is none.
+func TestAlone(t *testing.T) {
+	r := newRoom(t, "a")
+	r.run(5000)
+	r.standing("a", Voting)
+	r.propose(1)
+	r.start("a")
+	r.run(5000)
+	if r.standing("a", Voting); r.members["a"].State().Grants["w1"] == nil {
+		t.Error("forgotten")
+	}
+	c, err := New(Facts{Self: "z", Founders: r.founders, Run: 9}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, _ := c.Standing(); s != Outside || c.Batch() != nil || c.Next() < 1000 {
+		t.Error("one outside takes part")
+	}
+}
+
+// A member that stood still does not make up for the time: it does not call several elections at once.
+func TestStoodStill(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	term := r.leader().Term()
+	r.now += 600000
+	r.run(10000)
+	if got := r.leader().Term(); got > term+3 {
+		t.Errorf("term %d after %d", got, term)
+	}
+}
--- a/internal/core/fleet/works/works_test.go
+++ b/internal/core/fleet/works/works_test.go
@@ -285,3 +285,86 @@
 		t.Errorf("%d works are kept", len(g.Seen()))
 	}
 }
+
+// What mutants showed that nothing else did.
+func TestSmallPrint(t *testing.T) {
+	terms := Terms{Lease: 1000}
+	s := named(a)
+	s.Apply(Command{Want: &Want{"x", "b"}})
+	if s.Apply(Command{Give: &Give{Work: "x", Renewal: 1, To: b}}); s.Grants["x"].Wanted != "" {
+		t.Error("an operator's word stands after it was done")
+	}
+
+	s = named(a)
+	st := NewSteward(terms, 0)
+	failed := Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}, Failed: true}}
+	st.Applied(100, failed, s.Apply(failed))
+	if got := gives(st.Decide(101+untaken, s, all("a"))); got != "y:a " {
+		t.Errorf("who failed rests no longer than who gave up: %q", got)
+	}
+
+	s = &State{} // who has least gets the next, whatever the draw says
+	s.Apply(Command{Name: &Name{Works: []Work{"p", "q", "r", "s", "t", "u"}}})
+	got := map[members.ID]int{}
+	for _, c := range NewSteward(terms, 0).Decide(0, s, all("a", "b", "c")) {
+		got[c.Give.To.ID]++
+	}
+	if got["a"] != 2 || got["b"] != 2 || got["c"] != 2 {
+		t.Errorf("six works go to %v", got)
+	}
+	s = &State{} // and so it does if the others are held already
+	s.Apply(Command{Name: &Name{Works: []Work{"p", "q", "r"}}})
+	s.Apply(Command{Give: &Give{Work: "p", To: a}})
+	s.Apply(Command{Give: &Give{Work: "q", To: b}})
+	s.Apply(Command{Renew: &Renew{Holder: a, Claims: []Claim{{"p", 1}}}})
+	if got := gives(NewSteward(terms, 0).Decide(0, s, all("a", "b", "c"))); got != "r:c " {
+		t.Errorf("two have one each: %q", got)
+	}
+
+	s = &State{} // two that do not take it up, one after the other: the third has it, not the first again
+	s.Apply(Command{Name: &Name{Works: []Work{"p"}}})
+	st = NewSteward(terms, 0)
+	to := map[members.ID]bool{}
+	for i, now := 0, 0.0; i < 3; i, now = i+1, now+1500 {
+		for _, c := range st.Decide(now, s, all("a", "b", "c")) {
+			if to[c.Give.To.ID] {
+				t.Errorf("%s is given it again", c.Give.To.ID)
+			}
+			to[c.Give.To.ID] = true
+			st.Applied(now, c, s.Apply(c))
+		}
+	}
+	if len(to) != 3 {
+		t.Errorf("it went to %v", to)
+	}
+
+	h := NewHand(a, terms)
+	h.Offered(0, Claim{"x", 1})
+	r := h.Renewal(0)
+	h.Renewed(1, r.Token, r.Claims)
+	if n := h.Next(1); n != 200 {
+		t.Errorf("next at %g", n)
+	}
+	h.next = 900 // it waits for something else: the end of what it has must not be slept through
+	if n := h.Next(1); n != terms.HoldsFor() {
+		t.Errorf("next at %g, its claim ends at %g", n, terms.HoldsFor())
+	}
+	h.Turns(1)
+	h.Offered(2, Claim{"x", 2})
+	if _, ended := h.Turns(2); len(ended) != 1 || ended[0] != (Claim{"x", 1}) {
+		t.Errorf("another epoch of its own begins, and of the first is told %v", ended)
+	}
+	if held := h.Works(2); held != nil {
+		t.Errorf("it acts for %v", held)
+	}
+	if n := NewHand(a, terms).Next(7); n != 1007 {
+		t.Errorf("one that has nothing is to be asked at %g", n)
+	}
+	for i := range 10000 {
+		h.Hurry(float64(i))
+		h.Renewal(float64(i))
+	}
+	if len(h.sent) > 1100 {
+		t.Errorf("%d renewals are waited for", len(h.sent))
+	}
+}
