Members of the council are exchanged one by one, and none gives up a good disk too early

At fault: Tick and start in council.go. One that finds itself out of the council otherwise comes back as another life.

--- a/internal/core/fleet/council/council.go
+++ b/internal/core/fleet/council/council.go
@@ -73,6 +73,7 @@
 	Tell   *Tell  `cbor:"6,keyasint,omitempty"`
 	Join   *Join  `cbor:"7,keyasint,omitempty"`
 	Run    uint64 `cbor:"8,keyasint,omitempty"` // of the sender's process
+	Invite bool   `cbor:"9,keyasint,omitempty"` // the leader asks one outside to join
 }
 
 // Ask is of one that starts: what was the highest number that you were ever told by this life of mine?
@@ -118,6 +119,7 @@
 	joinEach      = 1000.0
 	giveUpAsking  = 5000.0 // after which one that some don't answer comes back as another life, if the others do without it
 	snapEach      = 256    // entries between two snapshots
+	replaceWithin = 600000 // after which an exchange that did not come about is forgotten
 	mostRetired   = 64
 	mostPending   = 256 // proposals that are not agreed on yet
 	mostWaiting   = 256 // messages that wait for the disk
@@ -137,6 +139,13 @@
 	Grants  []works.Grant `cbor:"1,keyasint"`
 	Lives   []Life        `cbor:"2,keyasint"`
 	Retired []Life        `cbor:"3,keyasint"`
+	Out     []members.ID  `cbor:"4,keyasint,omitempty"` // taken out by an operator's word: they don't come back by themselves
+}
+
+// changing is what a change of the council says of itself.
+type changing struct {
+	Life Life `cbor:"1,keyasint"`
+	Out  bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Applied is a command that has been agreed on.
@@ -178,6 +187,7 @@
 	state    works.State
 	lives    map[uint64]Life
 	retired  []Life
+	replaced []members.ID
 	serial   uint64 // of the last record that is durable
 	marks    map[Life]uint64
 	spoke    Life            // the last that spoke to one that knows nobody
@@ -188,6 +198,7 @@
 
 	told       map[members.ID]bool // who has vouched for this disk
 	led        bool                // somebody says that the others do without this one
+	hoping     bool                // it asks to be taken in as another life, and goes on as itself if all vouch for it first
 	startedAt  float64
 	askAt      float64
 	tickAt     float64
@@ -202,7 +213,7 @@
 	done       []Applied
 	confOut    bool // a change of the council has been proposed
 	confAt     float64
-	replaceOut []members.ID // who is to leave, by an operator's word
+	replaceOut []replacing
 	snapWanted bool
 }
 
@@ -241,7 +252,7 @@
 // reset begins with what the founders have alike.
 func (c *Council) reset() {
 	c.storage, c.node, c.applied, c.snapAt = raft.NewMemoryStorage(), nil, 0, 0
-	c.state, c.lives, c.retired = works.State{}, map[uint64]Life{}, nil
+	c.state, c.lives, c.retired, c.replaced = works.State{}, map[uint64]Life{}, nil, nil
 	c.conf = &pb.ConfState{}
 	if c.life.Disk != 0 {
 		return // a newcomer is told all by the leader
@@ -258,7 +269,7 @@
 }
 
 func (c *Council) agreed() agreed {
-	a := agreed{Grants: c.state.List(), Retired: c.retired}
+	a := agreed{Grants: c.state.List(), Retired: c.retired, Out: c.replaced}
 	for _, n := range slices.Sorted(maps.Keys(c.lives)) {
 		a.Lives = append(a.Lives, c.lives[n])
 	}
@@ -271,7 +282,7 @@
 		return fmt.Errorf("agreed state: %w", err)
 	}
 	c.state.Restore(a.Grants)
-	c.retired, c.lives = a.Retired, map[uint64]Life{}
+	c.retired, c.replaced, c.lives = a.Retired, a.Out, map[uint64]Life{}
 	for _, l := range a.Lives {
 		c.lives[l.Number()] = l
 	}
@@ -375,7 +386,17 @@
 	return names
 }
 
+// start runs the consensus from the last snapshot on: it knows the council of that one alone, and is told the changes since by
+// applying them again.
 func (c *Council) start() {
+	if snap, err := c.storage.Snapshot(); err == nil && !raft.IsEmptySnap(snap) {
+		if err := c.restore(snap.GetData()); err != nil {
+			c.why = err.Error()
+			return
+		}
+		c.conf = snap.GetMetadata().GetConfState()
+		c.applied, c.snapAt = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
+	}
 	node, err := raft.NewRawNode(&raft.Config{ID: c.life.Number(), ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: c.storage,
 		Applied: c.applied, MaxSizePerMsg: 64 << 10, MaxCommittedSizePerReady: 1 << 20, MaxUncommittedEntriesSize: 1 << 20,
 		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{}})
@@ -411,8 +432,10 @@
 		c.standing, c.why = Voting, ""
 	case c.member():
 		c.standing, c.why = Learning, "it has not caught up yet"
+	case slices.Contains(c.replaced, c.facts.Self):
+		c.standing, c.why, c.node, c.leading = Outside, "taken out of the council by an operator's word", nil, false
 	case c.standing != Joining:
-		c.standing, c.why = Joining, "the council goes on without it"
+		c.over("the council goes on without it")
 	}
 }
 
@@ -431,15 +454,22 @@
 			for _, name := range c.others() {
 				c.say(Life{Name: name}, Message{Ask: &Ask{c.run}})
 			}
-			if c.led && c.now > c.startedAt+giveUpAsking {
-				c.over("not all others can vouch for its disk, and the council goes on without it")
+			if c.hoping = c.led && c.now > c.startedAt+giveUpAsking; c.hoping { // whichever comes first
+				c.why = "not all others can vouch for its disk; asking to be taken in as another life"
+				for _, name := range c.others() {
+					c.out = append(c.out, Message{From: c.next(), To: Life{Name: name}, Run: c.run, Join: &Join{c.run}})
+				}
 			}
 		}
 		return
 	case Joining:
 		if c.now >= c.askAt && !c.newLife {
 			c.askAt = c.now + joinEach
-			for _, name := range c.others() {
+			asked := c.others()
+			if c.spoke.Name != "" && !slices.Contains(asked, c.spoke.Name) {
+				asked = append(asked, c.spoke.Name)
+			}
+			for _, name := range asked {
 				c.say(Life{Name: name}, Message{Join: &Join{c.run}})
 			}
 		}
@@ -482,11 +512,17 @@
 	c.out = append(c.out, m)
 }
 
+// next is the life that this one would come back as.
+func (c *Council) next() Life { return Life{Name: c.facts.Self, Disk: c.facts.Disk} }
+
 // over ends this life: nothing that its disk says is taken as said by it, and it comes back as another.
 func (c *Council) over(why string) {
 	c.standing, c.why, c.node, c.leading, c.newLife = Joining, why, nil, false, true
 	c.waiting, c.waitMarks = nil, map[Life]uint64{}
-	c.askAt = c.now
+	c.askAt, c.hoping = c.now, false
+	if c.life == c.next() { // the second of one process
+		c.facts.Disk = max(1, c.rng.Uint64())
+	}
 }
 
 // Receive takes in a message of a member.
@@ -501,9 +537,15 @@
 	case m.Tell != nil:
 		c.vouched(from, m.Tell)
 	case m.Join != nil:
-		if c.leading && (c.knows(from) || slices.Contains(c.facts.Founders, from)) && len(c.joins) < mostRetired {
+		if c.leading && len(c.joins) < mostRetired && (c.invited(from) || !slices.Contains(c.replaced, from) &&
+			(c.knows(from) || slices.Contains(c.facts.Founders, from))) {
 			c.joins[from] = joining{m.From, c.now}
 		}
+	case m.Invite:
+		if c.standing == Outside && !c.newLife {
+			c.spoke = m.From
+			c.over("asked to join the council")
+		}
 	case m.Raft != nil:
 		c.step(m)
 	}
@@ -566,6 +608,10 @@
 	if run, ok := c.asked[m.From]; ok && run != m.Run {
 		return
 	}
+	if c.hoping && c.standing == Doubted && m.To == c.next() {
+		c.over("taken in as another life, as not all others could vouch for its disk")
+		return
+	}
 	if c.node == nil || c.standing == Doubted || m.To != c.life || slices.Contains(c.retired, m.From) {
 		return
 	}
@@ -605,20 +651,60 @@
 	return err == nil && c.node.Propose(data) == nil
 }
 
-// Replace has a member leave, after another has joined in its place; an operator's word. It is false where this one does
-// not lead, or the first is no member.
+// replacing is an operator's word: old leaves, with comes in its place, or nobody.
+type replacing struct {
+	old, with members.ID
+	until     float64
+	askAt     float64
+}
+
+// Replace has a member leave, by an operator's word; first another one joins in its place and has a vote, unless that is
+// empty. It is false where this one does not lead, or the first is no member.
 func (c *Council) Replace(old, with members.ID) bool {
 	if !c.leading || !c.knows(old) || old == with || len(c.replaceOut) >= mostRetired {
 		return false
 	}
-	if with != "" && !c.knows(with) {
-		c.joins[with] = joining{Life{Name: with, Disk: c.rng.Uint64()}, c.now + 600000}
-		return false
-	}
-	c.replaceOut = append(c.replaceOut, old)
+	c.replaceOut = append(c.replaceOut, replacing{old: old, with: with, until: c.now + replaceWithin})
 	return true
 }
 
+// votes tells whether one of a name has a vote.
+func (c *Council) votes(name members.ID) bool {
+	for n, l := range c.lives {
+		if l.Name == name && slices.Contains(c.conf.GetVoters(), n) {
+			return true
+		}
+	}
+	return false
+}
+
+// invited tells whether one outside has been asked to join.
+func (c *Council) invited(name members.ID) bool {
+	return slices.ContainsFunc(c.replaceOut, func(r replacing) bool { return r.with == name })
+}
+
+// replace goes on with what operators asked for, and tells whether it changed the council.
+func (c *Council) replace() bool {
+	c.replaceOut = slices.DeleteFunc(c.replaceOut, func(r replacing) bool { return c.now > r.until || !c.knows(r.old) })
+	for i := range c.replaceOut {
+		r := &c.replaceOut[i]
+		if r.with != "" && !c.votes(r.with) {
+			if c.now >= r.askAt {
+				r.askAt = c.now + joinEach
+				c.say(Life{Name: r.with}, Message{Invite: true})
+			}
+			continue
+		}
+		for _, n := range slices.Sorted(maps.Keys(c.lives)) {
+			if l := c.lives[n]; l.Name == r.old {
+				c.change(pb.ConfChangeRemoveNode, l, true)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // exchange brings the council's lives to those wanted, one change at a time: who came back as another life is taken in
 // as a learner in place of the one that is over, and votes when it has caught up.
 func (c *Council) exchange() {
@@ -637,12 +723,12 @@
 		}
 		for _, n := range slices.Sorted(maps.Keys(c.lives)) {
 			if l := c.lives[n]; l.Name == name && l != j.life {
-				c.change(pb.ConfChangeRemoveNode, l)
+				c.change(pb.ConfChangeRemoveNode, l, false)
 				return
 			}
 		}
 		if c.lives[j.life.Number()] != j.life {
-			c.change(pb.ConfChangeAddLearnerNode, j.life)
+			c.change(pb.ConfChangeAddLearnerNode, j.life, false)
 			return
 		}
 	}
@@ -654,22 +740,14 @@
 		}
 	})
 	if promote.Name != "" {
-		c.change(pb.ConfChangeAddNode, promote)
+		c.change(pb.ConfChangeAddNode, promote, false)
 		return
 	}
-	for _, name := range c.replaceOut {
-		for _, n := range slices.Sorted(maps.Keys(c.lives)) {
-			if l := c.lives[n]; l.Name == name {
-				c.change(pb.ConfChangeRemoveNode, l)
-				return
-			}
-		}
-	}
-	c.replaceOut = nil
+	c.replace()
 }
 
-func (c *Council) change(t pb.ConfChangeType, l Life) {
-	context, err := cbor.Marshal(l)
+func (c *Council) change(t pb.ConfChangeType, l Life, out bool) {
+	context, err := cbor.Marshal(changing{l, out})
 	if err != nil {
 		return
 	}
@@ -684,7 +762,8 @@
 	}
 	b := &Batch{Record: &Record{Serial: c.serial + 1}}
 	if c.newLife { // the folder is begun anew ahead of anything that the new life says
-		b.Record.Life = &Life{Name: c.facts.Self, Disk: c.facts.Disk}
+		life := c.next()
+		b.Record.Life = &life
 		b.Record.Marks = c.allMarks()
 		b.Record.Whole, b.mine, c.busy = true, true, true
 		return b
@@ -771,7 +850,7 @@
 	if ready.SoftState != nil {
 		if led := ready.SoftState.RaftState == raft.StateLeader; led != c.leading {
 			c.leading, c.confOut = led, false
-			c.joins, c.replaceOut = map[members.ID]joining{}, nil
+			c.joins, c.replaceOut = map[members.ID]joining{}, nil // an operator asks the next leader again
 		}
 	}
 	for _, m := range ready.Messages {
@@ -834,15 +913,19 @@
 		if proto.Unmarshal(e.GetData(), change) != nil {
 			return
 		}
-		var l Life
-		if cbor.Unmarshal(change.GetContext(), &l) == nil && l.Number() == change.GetNodeId() {
+		var what changing
+		if l := &what.Life; cbor.Unmarshal(change.GetContext(), &what) == nil && l.Number() == change.GetNodeId() {
 			if change.GetType() == pb.ConfChangeRemoveNode {
 				delete(c.lives, l.Number())
-				if c.retired = append(c.retired, l); len(c.retired) > mostRetired {
+				if what.Out && !slices.Contains(c.replaced, l.Name) && len(c.replaced) < mostRetired {
+					c.replaced = append(c.replaced, l.Name)
+				}
+				if c.retired = append(c.retired, *l); len(c.retired) > mostRetired {
 					c.retired = c.retired[1:]
 				}
 			} else {
-				c.lives[l.Number()] = l
+				c.lives[l.Number()] = *l
+				c.replaced = slices.DeleteFunc(c.replaced, func(id members.ID) bool { return id == l.Name })
 				c.snapWanted = c.snapWanted || change.GetType() == pb.ConfChangeAddLearnerNode // it takes none without itself
 			}
 		}
--- a/internal/core/fleet/council/council_test.go
+++ b/internal/core/fleet/council/council_test.go
@@ -317,7 +317,39 @@
 	if lives, _ := r.leader().Members(); len(lives) != 2 {
 		t.Errorf("the council is %v", lives)
 	}
+	r.standing(out, Outside)
 	r.propose(3)
+	r.start(out) // it does not come back by itself
+	r.run(20000)
+	if lives, _ := r.leader().Members(); len(lives) != 2 {
+		t.Errorf("one that was taken out is back: %v", lives)
+	}
+
+	r = newRoom(t, "a", "b", "c")
+	d, err := New(Facts{Self: "d", Founders: r.founders, Run: 50, Disk: 51, Seed: 50}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.members["d"] = d
+	r.run(5000)
+	r.standing("d", Outside)
+	if out = "c"; r.leader() == r.members["c"] {
+		out = "a"
+	}
+	r.leader().Replace(out, "d")
+	r.run(10000)
+	r.standing("d", Voting)
+	r.standing(out, Outside)
+	if lives, votes := r.leader().Members(); len(lives) != 3 || slices.Contains(votes, false) || d.State() == nil {
+		t.Errorf("the council is %v, %v", lives, votes)
+	}
+	r.propose(4)
+	if d.State().Grants["w4"] == nil {
+		t.Error("the new one does not hear what is agreed")
+	}
+	r.start("d") // and restarts as itself
+	r.run(5000)
+	r.standing("d", Voting)
 }
 
 // Words that don't fit change nothing: of another name than who sent them, of no form, to another life, of an earlier run.
