The council's promises are checked for an order; sixty controllers of which a third restarts

Change: what owners asked and were told, with their times, is given to porcupine after each history in virtual time: one register for each work that holds an epoch with its owner, and only ever a higher one. TestCrowd restarts 20 of 60 controllers, council and all, five times.

--- /dev/null
+++ b/internal/lab/fleet/promises.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
+)
+
+// Promises are what owners were told by the council: each renewal from when it was sent until its answer came, by whom, of
+// which epochs. They have to be linearizable: there is one order of them, in which none that was answered before another was
+// asked comes after it, that one register could have given, which holds an epoch with its owner, and only ever a higher one.
+type Promises struct {
+	sent map[asked]float64
+	ops  []porcupine.Operation
+	ids  map[uint64]int // runs, as the checker wants small numbers
+}
+
+type asked struct{ run, token uint64 }
+
+type renewal struct {
+	work  works.Work
+	epoch works.Epoch
+	run   uint64
+}
+
+// NewPromises has heard nothing.
+func NewPromises() *Promises { return &Promises{sent: map[asked]float64{}, ids: map[uint64]int{}} }
+
+// Sent takes in that a run asked.
+func (p *Promises) Sent(run uint64, r *works.Renew, now float64) {
+	if k := (asked{run, r.Token}); p.sent[k] == 0 {
+		p.sent[k] = now
+	}
+}
+
+// Came takes in what it was told, once for each that it asked: an answer that comes twice is one promise.
+func (p *Promises) Came(run uint64, g *node.Granted, now float64) {
+	k := asked{run, g.Token}
+	at, ok := p.sent[k]
+	if !ok || g.Token == 0 {
+		return
+	}
+	delete(p.sent, k)
+	if p.ids[run] == 0 {
+		p.ids[run] = len(p.ids) + 1
+	}
+	for _, c := range g.Held {
+		p.ops = append(p.ops, porcupine.Operation{ClientId: p.ids[run], Input: renewal{c.Work, c.Epoch, run}, Call: int64(at * 1e3),
+			Output: true, Return: int64(now * 1e3)})
+	}
+}
+
+type register struct {
+	epoch works.Epoch
+	run   uint64
+}
+
+var registers = porcupine.Model{
+	Partition: func(ops []porcupine.Operation) (parts [][]porcupine.Operation) {
+		by := map[works.Work]int{}
+		for _, op := range ops {
+			w := op.Input.(renewal).work
+			if _, ok := by[w]; !ok {
+				by[w] = len(parts)
+				parts = append(parts, nil)
+			}
+			parts[by[w]] = append(parts[by[w]], op)
+		}
+		return parts
+	},
+	Init: func() any { return register{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, r := state.(register), input.(renewal)
+		if r.epoch < s.epoch || r.epoch == s.epoch && r.run != s.run {
+			return false, s
+		}
+		return true, register{r.epoch, r.run}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// Check tells what is wrong with the promises; empty: nothing.
+func (p *Promises) Check() string {
+	switch porcupine.CheckOperationsTimeout(registers, p.ops, 20*time.Second) {
+	case porcupine.Ok:
+		return ""
+	case porcupine.Unknown:
+		return fmt.Sprintf("the %d promises of the council could not be checked in time", len(p.ops))
+	}
+	return fmt.Sprintf("the %d promises of the council have no order that one register could have given", len(p.ops))
+}
+
+// Len is how many promises were made.
+func (p *Promises) Len() int { return len(p.ops) }
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -102,6 +102,7 @@
 	ended   bool
 
 	Judge     *Judge
+	Promises  *Promises
 	Messages  int
 	Bytes     int
 	Talk      int // messages of membership
@@ -115,7 +116,7 @@
 
 // NewWorld sets a fleet up.
 func NewWorld(p Plan) *World {
-	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Judge: NewJudge()}
+	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Judge: NewJudge(), Promises: NewPromises()}
 	for i := range p.Nodes {
 		m := &machine{number: i, id: members.ID(fmt.Sprintf("n%d", i)), rate: 1, offset: w.rng.Float64() * 1e6, diskMS: 2,
 			gated: works.NewGate(nil)}
@@ -165,7 +166,7 @@
 			well, w.Whole = w.now, w.now-end
 		}
 		if well > 0 && w.now >= well+lasting {
-			return ""
+			return w.Promises.Check()
 		}
 		if w.now > end+w.plan.Settle {
 			return fmt.Sprintf("not whole %.0f s after the last fault: %s", w.plan.Settle/1e3, why)
@@ -425,9 +426,15 @@
 				w.Judge.fail(w.now, "message: %v", err)
 				return
 			}
+			if m.Granted != nil {
+				w.Promises.Came(target.run, m.Granted, w.now)
+			}
 			target.core.Receive(w.local(target), from.id, &m)
 		})
 	}
+	if s.Message.Renew != nil {
+		w.Promises.Sent(run, s.Message.Renew, w.now)
+	}
 	if w.isBlocked(from.number, to) || lost {
 		return
 	}
--- a/internal/lab/fleet/virtual_test.go
+++ b/internal/lab/fleet/virtual_test.go
@@ -1,7 +1,13 @@
 package fleet
 
 import (
+	"cmp"
+	"math/rand"
+	"slices"
 	"testing"
+
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/works"
 )
 
 // Without faults a fleet finds itself whole and every work has an owner that stays.
@@ -56,3 +62,55 @@
 		t.Errorf("a lock file broke in %d of 20 histories", broke)
 	}
 }
+
+// Sixty controllers of which a third restarts every 10 s, those of the council among them: nothing breaks meanwhile, and all is
+// whole soon after.
+func TestCrowd(t *testing.T) {
+	p := UsualPlan(6, 60, 5, 0)
+	p.Council = 5
+	rng := rand.New(rand.NewSource(6))
+	for round := range 5 {
+		for _, a := range rng.Perm(p.Nodes)[:p.Nodes/3] {
+			p.Script = append(p.Script, Fault{At: 8000 + 10000*float64(round) + 2000*rng.Float64(), For: 500 + 3000*rng.Float64(), Kind: Kill, A: a})
+		}
+	}
+	slices.SortStableFunc(p.Script, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	w := NewWorld(p)
+	if why := w.Play(); why != "" {
+		t.Fatal(why)
+	}
+	t.Logf("whole %.0f ms after the last, %d effects, %d late ones refused", w.Whole, w.Judge.Effects, w.Judge.Late)
+	if w.Judge.Effects < 500 {
+		t.Errorf("%d effects", w.Judge.Effects)
+	}
+}
+
+// The checker of promises finds what no register could have given.
+func TestPromises(t *testing.T) {
+	type told struct {
+		run       uint64
+		epoch     works.Epoch
+		from, til float64
+	}
+	for name, c := range map[string]struct {
+		list []told
+		ok   bool
+	}{
+		"one after another":                             {[]told{{1, 1, 1, 2}, {1, 1, 3, 4}, {2, 2, 5, 6}}, true},
+		"at once, in some order":                        {[]told{{2, 2, 1, 9}, {1, 1, 2, 3}}, true},
+		"an older owner after a later one":              {[]told{{2, 2, 1, 2}, {1, 1, 3, 4}}, false},
+		"two of one epoch":                              {[]told{{1, 1, 1, 2}, {2, 1, 3, 4}}, false},
+		"two of one epoch at once":                      {[]told{{1, 1, 1, 5}, {2, 1, 2, 6}}, false},
+		"an answer that came late to a question of old": {[]told{{2, 2, 3, 4}, {1, 1, 1, 9}}, true},
+	} {
+		p := NewPromises()
+		for i, x := range c.list {
+			r := &works.Renew{Token: uint64(i + 1)}
+			p.Sent(x.run, r, x.from)
+			p.Came(x.run, &node.Granted{Token: r.Token, Held: []works.Claim{{Work: "w", Epoch: x.epoch}}}, x.til)
+		}
+		if why := p.Check(); (why == "") != c.ok {
+			t.Errorf("%s: %q", name, why)
+		}
+	}
+}
