A later life of a council member is doubted at a start as well

At its start it took itself for one that had never been taken in, and took part unasked, while the others counted on a log of 49 entries: the consensus found itself broken and panicked. At fault: New in council.go.

Change: every life but one outside is doubted at a start; one that nobody has heard anything of goes on asking to be taken in. TestLaterLifeLost fails without it.

--- a/internal/core/fleet/council/council.go
+++ b/internal/core/fleet/council/council.go
@@ -237,10 +237,7 @@
 	switch {
 	case c.life.Disk == 0 && !slices.Contains(f.Founders, f.Self) && len(kept) == 0:
 		c.standing, c.why = Outside, "not one of the council"
-	case c.life.Disk != 0 && !c.member():
-		c.standing, c.why = Joining, "its former life is over"
-		c.start()
-	default:
+	default: // a later life too: a copy of its folder from before it was taken in looks like one that never was
 		c.standing, c.why = Doubted, "its disk has not been vouched for yet"
 		if len(c.others()) == 0 {
 			c.trust()
@@ -410,6 +407,11 @@
 
 // trust begins to take part: this disk holds all that this life ever said.
 func (c *Council) trust() {
+	if c.life.Disk != 0 && !c.member() {
+		c.standing, c.why = Joining, "its former life is over"
+		c.start()
+		return
+	}
 	c.standing, c.why = Voting, ""
 	c.start()
 	c.stand()
--- a/internal/core/fleet/council/council_test.go
+++ b/internal/core/fleet/council/council_test.go
@@ -227,6 +227,27 @@
 	}
 }
 
+// The folder of a later life is put back to before it was taken in: it is as old a copy as any, and the life is over too.
+func TestLaterLifeLost(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	r.kept["b"] = nil
+	r.start("b")
+	r.run(10000)
+	r.standing("b", Voting)
+	second := r.members["b"].Life()
+	r.propose(1)
+	r.kept["b"] = r.kept["b"][:1]
+	b := r.start("b")
+	r.standing("b", Doubted)
+	r.run(10000)
+	r.standing("b", Voting)
+	if b.Life() == second || b.Life().Disk == 0 {
+		t.Errorf("it votes as %v", b.Life())
+	}
+	r.propose(2)
+}
+
 // The old process of a life that is over, its memory whole, is heard by nobody.
 func TestRetired(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
