A consensus that finds itself broken ends this controller's part in the fleet, not its serving

Cause: the consensus library panics where it finds itself broken, as one history showed, and a panic in the fleet's goroutine would have ended the daemon with all its clients. At fault: take in service.go.

--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -280,7 +280,10 @@
 	slices.SortFunc(facts.Seeds, func(a, b members.Member) int {
 		return int(slices.Index(facts.Founders, a.ID) - slices.Index(facts.Founders, b.ID))
 	})
-	if in.core, err = node.New(facts, kept, nil, in.now()); err != nil {
+	if err = safely(func() (err error) {
+		in.core, err = node.New(facts, kept, nil, in.now())
+		return err
+	}); err != nil {
 		in.close()
 		return err
 	}
@@ -290,12 +293,23 @@
 	if s.stop.Load() {
 		in.core.Stop(in.now())
 	}
-	err = in.loop()
+	err = safely(in.loop)
 	in.lose()
 	in.close()
 	return err
 }
 
+// safely runs a part of the core. The consensus library panics where it finds itself broken, which it may be by a disk or a
+// peer: that ends this controller's part in the fleet for a while, and must not end the serving of clients.
+func safely(do func() error) (err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = fmt.Errorf("the agreement finds itself broken: %v", x)
+		}
+	}()
+	return do()
+}
+
 // open reads what is kept. A log that is damaged is as one that was lost: the council finds out what it had promised.
 func (in *session) open() ([]council.Record, error) {
 	log, kept, torn, err := records.Open(disk.Folder(in.block.Folder), records.Usual())
