A leader answers what it was asked, not what it applies again after a restart

Tokens of each run count from the beginning, so the new run took the answer for its own; that it did no harm was due to the epoch alone. At fault: agreed in node.go.

Change: a leader answers what it proposed itself, by numbers that no other run has; an answer names the run that it is for.

--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math/rand"
 	"slices"
 
 	"mintkeel/internal/core/fleet/council"
@@ -37,6 +38,7 @@
 	Lost   []works.Claim `cbor:"3,keyasint,omitempty"` // claims that do not hold
 	Yield  []works.Work  `cbor:"4,keyasint,omitempty"` // to be given up: an operator wants them elsewhere
 	Leader members.ID    `cbor:"5,keyasint"`
+	To     works.Holder  `cbor:"6,keyasint"` // tokens of another run count from the beginning too
 }
 
 // Offer says that the receiver's run owns a work.
@@ -127,6 +129,7 @@
 	giveEach   = 300.0   // between two words of what was given up,
 	mostGiving = 10000.0 // for so long
 	mostGiven  = 256
+	mostAsked  = 4096
 )
 
 // Node is one controller's. It is for one goroutine.
@@ -149,6 +152,7 @@
 	askAt    int // whom to ask next
 	heardAt  float64
 	ref      uint64
+	asked    map[uint64]bool // what this one proposed and is to be answered
 	stopping bool
 	wholeOut bool
 	given    []given
@@ -170,7 +174,7 @@
 	}
 	n := &Node{facts: f, now: now, council: c, members: members.New(f.Self, f.Seeds, f.Pace, f.Seed, now),
 		hand: works.NewHand(works.Holder{ID: f.Self.ID, Run: f.Self.Run}, f.Terms), gate: works.NewGate(seen),
-		names: slices.Clone(f.Founders), viewAt: now}
+		names: slices.Clone(f.Founders), viewAt: now, asked: map[uint64]bool{}, ref: uint64(rand.New(rand.NewSource(f.Seed + 2)).Int63())}
 	return n, nil
 }
 
@@ -294,9 +298,18 @@
 	}
 }
 
+// propose asks for something to be agreed on. What a leader applies again after a restart was not asked of it, and is not
+// answered: it may be of any age.
 func (n *Node) propose(by members.ID, c works.Command) bool {
 	n.ref++
-	return n.council.Propose(by, n.ref, c)
+	if !n.council.Propose(by, n.ref, c) {
+		return false
+	}
+	if len(n.asked) >= mostAsked {
+		clear(n.asked) // who is not answered asks again
+	}
+	n.asked[n.ref] = true
+	return true
 }
 
 // renew has an owner's sign of life agreed on, or says where the leader is.
@@ -345,6 +358,9 @@
 
 // granted takes in what was agreed upon a renewal of this one.
 func (n *Node) granted(g *Granted) {
+	if g.To != n.self() {
+		return
+	}
 	n.leader, n.heardAt = g.Leader, n.now
 	n.hand.Renewed(n.now, g.Token, g.Held)
 	for _, c := range g.Lost {
@@ -534,18 +550,22 @@
 		if a.Command.Give != nil && len(a.Changed) > 0 {
 			n.offer(a.Changed[0])
 		}
+		if !n.asked[a.Ref] {
+			continue
+		}
+		delete(n.asked, a.Ref)
 		if r := a.Command.Renew; r != nil {
 			n.answerRenewal(a, r)
 		}
 		if r := a.Command.Release; r != nil {
-			n.send(r.Holder.ID, Message{Granted: &Granted{Lost: []works.Claim{r.Claim}, Leader: n.facts.Self.ID}})
+			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []works.Claim{r.Claim}, Leader: n.facts.Self.ID}})
 		}
 	}
 	return len(list) > 0
 }
 
 func (n *Node) answerRenewal(a council.Applied, r *works.Renew) {
-	reply := &Granted{Token: r.Token, Leader: n.facts.Self.ID}
+	reply := &Granted{To: r.Holder, Token: r.Token, Leader: n.facts.Self.ID}
 	for _, c := range r.Claims {
 		if !slices.Contains(a.Changed, c.Work) {
 			reply.Lost = append(reply.Lost, c)
--- a/internal/fleet/seam/lab.go
+++ b/internal/fleet/seam/lab.go
@@ -9,11 +9,12 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // The rig names a file of two float64s in big-endian order: the rate at which the clock is to run, and the ms that the disk
-// is to take for a record. And it names a switch: connections go there, and begin with the
+// is to take for a record, below zero if it is full. And it names a switch: connections go there, and begin with the
 // address that was meant.
 var clock = struct {
 	sync.Mutex
@@ -51,13 +52,16 @@
 	return math.Float64frombits(binary.BigEndian.Uint64(b)), n == 8
 }
 
-// BeforeSave takes as long as the rig has the disk take.
-func BeforeSave() {
+// BeforeSave takes as long as the rig has the disk take, and fails as a full one does if that is below zero.
+func BeforeSave() error {
 	if clock.file != nil {
-		if ms, ok := read(8); ok && ms > 0 {
+		if ms, ok := read(8); ok && ms < 0 {
+			return syscall.ENOSPC
+		} else if ok && ms > 0 {
 			time.Sleep(time.Duration(ms * float64(time.Millisecond)))
 		}
 	}
+	return nil
 }
 
 // Dial opens a connection by the switch.
--- a/internal/fleet/seam/system.go
+++ b/internal/fleet/seam/system.go
@@ -13,5 +13,5 @@
 // Dial opens a connection.
 func Dial(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, addr) }
 
-// BeforeSave is called before a record is kept.
-func BeforeSave() {}
+// BeforeSave is called before a record is kept; an error stands for one of the disk.
+func BeforeSave() error { return nil }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -365,11 +365,12 @@
 // nothing else.
 func (in *session) save() {
 	for j := range in.jobs {
-		seam.BeforeSave()
-		var err error
-		if j.whole {
+		err := seam.BeforeSave()
+		switch {
+		case err != nil:
+		case j.whole:
 			err = in.kept.Replace(j.payload)
-		} else {
+		default:
 			err = in.kept.Append(j.payload)
 		}
 		in.results <- result{j, err}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -444,6 +444,10 @@
 		r.lever(n, 1, f.Amount)
 		r.sleep(long)
 		r.lever(n, 1, 0)
+	case Full:
+		r.lever(n, 1, -1)
+		r.sleep(long)
+		r.lever(n, 1, 0)
 	case Clock:
 		r.lever(n, f.Amount, 0)
 	case KillAll:
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -34,6 +34,7 @@
 		"all but one restart at once, and again": scene(Fault{At: 6000, For: 500, Kind: KillAll, N: 3}, Fault{At: 8000, For: 500, Kind: KillAll, N: 3}),
 		"a member's folder is lost, another is an old copy": scene(Fault{At: 6000, For: 500, Kind: Empty, A: 0},
 			Fault{At: 14000, For: 500, Kind: OldCopy, A: 1, Amount: 3000}),
+		"a disk is full, then slow": scene(Fault{At: 6000, For: 3000, Kind: Full, A: 0}, Fault{At: 12000, For: 5000, Kind: Slow, A: 1, Amount: 5000}),
 		"the leader can hear and not be heard, its clock is fast": scene(Fault{At: 5000, Kind: Clock, A: 0, Amount: 1.2},
 			Fault{At: 5000, Kind: Clock, A: 1, Amount: 1.2}, Fault{At: 7000, For: 6000, Kind: Mute, A: 0}, Fault{At: 14000, For: 6000, Kind: Deaf, A: 1}),
 		"one that starts with nothing begins with what the fleet knows": begins,
