A member that is vouched for while it is taken in as another goes on as the one that the council has

The council spoke to the new life, it listened as the old one, for ever. At fault: step in council.go.

Change: word to the life that it would come back as ends the old one, whatever it stands as. TestBothAtOnce fails without it.

--- a/internal/core/fleet/council/council.go
+++ b/internal/core/fleet/council/council.go
@@ -610,7 +610,7 @@
 	if run, ok := c.asked[m.From]; ok && run != m.Run {
 		return
 	}
-	if c.hoping && c.standing == Doubted && m.To == c.next() {
+	if m.To == c.next() && m.To != c.life && !c.newLife { // its old life has left the council, whether or not it was vouched for since
 		c.over("taken in as another life, as not all others could vouch for its disk")
 		return
 	}
--- a/internal/core/fleet/council/council_test.go
+++ b/internal/core/fleet/council/council_test.go
@@ -512,3 +512,29 @@
 		t.Errorf("term %d after %d", got, term)
 	}
 }
+
+// A member asks to be taken in as another life, and is vouched for just then: it goes on as the one that the council has.
+func TestBothAtOnce(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	out := members.ID("c")
+	if r.leader() == r.members["c"] {
+		out = "a"
+	}
+	c := r.start(out)
+	r.cut = func(from, to members.ID) bool { return to == out } // it is heard, and hears nothing
+	c.led, c.startedAt = true, r.now-giveUpAsking-1
+	r.run(3000)
+	for _, other := range c.others() { // answers of before it was taken in
+		c.Receive(r.now, other, &Message{From: Life{other, 0}, To: Life{out, 0}, Tell: &Tell{Run: c.run, Mark: 0}})
+	}
+	if c.Life().Disk != 0 {
+		t.Fatal("it has begun another life by itself")
+	}
+	r.cut = nil
+	r.run(10000)
+	r.standing(out, Voting)
+	if lives, _ := r.leader().Members(); !slices.Contains(lives, c.Life()) {
+		t.Errorf("it is %v, the council has %v", c.Life(), lives)
+	}
+}
