Owners of a work hand its state on through the council

Change: a work's owner puts its whole state, small, on top of the serial that it knows; a Get reads it at its own place among all that is agreed on. Both hold for the owner in its epoch alone. They are no signs of life: leases count from renewals.

--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -29,6 +29,17 @@
 	Passed  *Passed          `cbor:"11,keyasint,omitempty"`
 	Replace *Replace         `cbor:"12,keyasint,omitempty"`
 	Word    []byte           `cbor:"13,keyasint,omitempty"` // of a work's own program, to that of another
+	Put     *works.Put       `cbor:"14,keyasint,omitempty"`
+	Get     *works.Get       `cbor:"15,keyasint,omitempty"`
+	State   *Handed          `cbor:"16,keyasint,omitempty"`
+}
+
+// Handed is what the owners of a work hand on, as it was agreed upon a Put or Get of its owner.
+type Handed struct {
+	To     works.Holder `cbor:"1,keyasint"`
+	Claim  works.Claim  `cbor:"2,keyasint"`
+	Serial uint64       `cbor:"3,keyasint"`
+	Data   []byte       `cbor:"4,keyasint"`
 }
 
 // Granted answers a Renew, when the council has agreed on it.
@@ -120,6 +131,7 @@
 	Taken   []Taken
 	Passed  []Passed
 	Words   []Word
+	Handed  []Handed
 	Seen    bool // the gate has seen a higher epoch
 }
 
@@ -201,6 +213,12 @@
 		n.ordered(from, m, works.Command{Release: m.Release})
 	case m.Want != nil:
 		n.ordered(from, m, works.Command{Want: m.Want})
+	case m.Put != nil:
+		n.ordered(from, m, works.Command{Put: m.Put})
+	case m.Get != nil:
+		n.ordered(from, m, works.Command{Get: m.Get})
+	case m.State != nil:
+		n.handed(m.State)
 	case m.Replace != nil:
 		if !n.forward(from, m) {
 			n.council.Replace(m.Replace.Old, m.Replace.With)
@@ -287,6 +305,12 @@
 		n.propose(n.facts.Self.ID, works.Command{Release: m.Release})
 	case m.Want != nil:
 		n.propose(n.facts.Self.ID, works.Command{Want: m.Want})
+	case m.Put != nil:
+		n.propose(n.facts.Self.ID, works.Command{Put: m.Put})
+	case m.Get != nil:
+		n.propose(n.facts.Self.ID, works.Command{Get: m.Get})
+	case m.State != nil:
+		n.handed(m.State)
 	case m.Replace != nil:
 		n.council.Replace(m.Replace.Old, m.Replace.With)
 	case m.Effect != nil:
@@ -325,6 +349,9 @@
 		v.Leader, v.Council = n.leader, n.names
 	} else {
 		v.Grants = n.council.State().List()
+		for i := range v.Grants { // what owners hand on is for them
+			v.Grants[i].Data = nil
+		}
 	}
 	return v
 }
@@ -557,6 +584,12 @@
 		if r := a.Command.Renew; r != nil {
 			n.answerRenewal(a, r)
 		}
+		if p := a.Command.Put; p != nil {
+			n.answerState(p.Holder, p.Claim)
+		}
+		if g := a.Command.Get; g != nil {
+			n.answerState(g.Holder, g.Claim)
+		}
 		if r := a.Command.Release; r != nil {
 			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []works.Claim{r.Claim}, Leader: n.facts.Self.ID}})
 		}
@@ -579,6 +612,41 @@
 	n.send(r.Holder.ID, Message{Granted: reply})
 }
 
+// answerState tells an owner what is handed on, whether or not its own word was taken: the serial tells it.
+func (n *Node) answerState(h works.Holder, c works.Claim) {
+	if g := n.council.State().Grants[c.Work]; g != nil && g.Holder == h && g.Epoch == c.Epoch {
+		n.send(h.ID, Message{State: &Handed{To: h, Claim: c, Serial: g.Serial, Data: g.Data}})
+	}
+}
+
+// handed takes in what the owners of a work hand on.
+func (n *Node) handed(s *Handed) {
+	if e, _, ok := n.hand.May(n.now, s.Claim.Work); s.To == n.self() && ok && e == s.Claim.Epoch {
+		n.out.Handed = append(n.out.Handed, *s)
+	}
+}
+
+// Put asks for the state of a work that this one owns to be handed on; what was agreed comes as Handed. It may be lost: ask
+// again, with the same serial.
+func (n *Node) Put(now float64, w works.Work, serial uint64, data []byte) bool {
+	n.now = max(n.now, now)
+	e, _, ok := n.hand.May(n.now, w)
+	if ok {
+		n.toLeader(Message{Put: &works.Put{Holder: n.self(), Claim: works.Claim{Work: w, Epoch: e}, Serial: serial, Data: data}})
+	}
+	return ok
+}
+
+// Get asks for what was handed on.
+func (n *Node) Get(now float64, w works.Work) bool {
+	n.now = max(n.now, now)
+	e, _, ok := n.hand.May(n.now, w)
+	if ok {
+		n.toLeader(Message{Get: &works.Get{Holder: n.self(), Claim: works.Claim{Work: w, Epoch: e}}})
+	}
+	return ok
+}
+
 func (n *Node) offer(w works.Work) {
 	if g := n.council.State().Grants[w]; g != nil && g.Held() {
 		n.send(g.Holder.ID, Message{Offer: &Offer{g.Holder, works.Claim{Work: w, Epoch: g.Epoch}}})
--- a/internal/core/fleet/works/works.go
+++ b/internal/core/fleet/works/works.go
@@ -37,6 +37,8 @@
 	Renewal uint64     `cbor:"4,keyasint"` // rises with each change and each renewal
 	Wanted  members.ID `cbor:"5,keyasint"` // by an operator's word, where it is to go next
 	Dropped bool       `cbor:"6,keyasint"` // no longer wanted; kept for its epoch
+	Serial  uint64     `cbor:"7,keyasint,omitempty"`
+	Data    []byte     `cbor:"8,keyasint,omitempty"` // what its owners hand on
 }
 
 // Held tells whether somebody has it.
@@ -46,6 +48,7 @@
 const (
 	mostWorks = 256
 	mostName  = 64
+	MostData  = 128 << 10 // of what the owners of one work hand on
 )
 
 // Command is one entry of the council's log; one of its fields is set.
@@ -55,6 +58,23 @@
 	Renew   *Renew   `cbor:"3,keyasint,omitempty"`
 	Release *Release `cbor:"4,keyasint,omitempty"`
 	Want    *Want    `cbor:"5,keyasint,omitempty"`
+	Put     *Put     `cbor:"6,keyasint,omitempty"`
+	Get     *Get     `cbor:"7,keyasint,omitempty"`
+}
+
+// Put keeps what a work's owner has to hand on to the next one: its whole state, small. It holds if the owner still is one,
+// and knows the state before.
+type Put struct {
+	Holder Holder `cbor:"1,keyasint"`
+	Claim  Claim  `cbor:"2,keyasint"`
+	Serial uint64 `cbor:"3,keyasint"` // one more than that of the state before
+	Data   []byte `cbor:"4,keyasint"`
+}
+
+// Get asks for it, as of its own place among all that is agreed on: an owner that begins reads what every earlier one wrote.
+type Get struct {
+	Holder Holder `cbor:"1,keyasint"`
+	Claim  Claim  `cbor:"2,keyasint"`
 }
 
 // Name says which works there are to be.
@@ -159,6 +179,15 @@
 			g.Renewal++
 			return []Work{g.Work}
 		}
+	case c.Put != nil:
+		if g := s.owned(c.Put.Holder, c.Put.Claim); g != nil && c.Put.Serial == g.Serial+1 && len(c.Put.Data) <= MostData {
+			g.Serial, g.Data = c.Put.Serial, c.Put.Data
+			return []Work{g.Work}
+		}
+	case c.Get != nil:
+		if g := s.owned(c.Get.Holder, c.Get.Claim); g != nil {
+			return []Work{g.Work}
+		}
 	case c.Want != nil:
 		if g := s.Grants[c.Want.Work]; g != nil && !g.Dropped && g.Holder.ID != c.Want.To && len(c.Want.To) <= mostName {
 			g.Wanted = c.Want.To
@@ -262,6 +291,9 @@
 
 // Applied takes in an agreed command and what it changed.
 func (s *Steward) Applied(now float64, c Command, changed []Work) {
+	if c.Put != nil || c.Get != nil || c.Want != nil { // no sign of life that a lease counts from: the owner counts by renewals
+		return
+	}
 	for _, w := range changed {
 		s.since[w], s.fresh[w] = now, c.Give != nil
 		delete(s.tried, w)
--- a/internal/core/fleet/works/works_test.go
+++ b/internal/core/fleet/works/works_test.go
@@ -78,6 +78,38 @@
 	}
 }
 
+// What owners hand on: written by the owner alone, on top of what it knows, and read by the next.
+func TestHandOn(t *testing.T) {
+	s := named(a)
+	put := func(h Holder, e Epoch, serial uint64, data string) bool {
+		return s.Apply(Command{Put: &Put{Holder: h, Claim: Claim{"x", e}, Serial: serial, Data: []byte(data)}}) != nil
+	}
+	for i, c := range []struct {
+		h      Holder
+		e      Epoch
+		serial uint64
+		ok     bool
+	}{{a, 1, 2, false}, {a, 1, 1, true}, {a, 1, 1, false}, {b, 1, 2, false}, {a, 2, 2, false}, {a, 1, 2, true}} {
+		if put(c.h, c.e, c.serial, fmt.Sprint(i)) != c.ok {
+			t.Errorf("%d: %v", i, !c.ok)
+		}
+	}
+	s.Apply(Command{Give: &Give{Work: "x", Renewal: 1, To: b}})
+	if put(a, 1, 3, "late") || put(a, 2, 3, "late") || string(s.Grants["x"].Data) != "5" {
+		t.Errorf("an old owner writes: %q", s.Grants["x"].Data)
+	}
+	if s.Apply(Command{Get: &Get{a, Claim{"x", 1}}}) != nil || s.Apply(Command{Get: &Get{b, Claim{"x", 2}}}) == nil {
+		t.Error("the owner can't read, or another can")
+	}
+	if !put(b, 2, 3, "next") || put(b, 2, 4, string(make([]byte, MostData+1))) {
+		t.Error("the next owner can't write, or too much")
+	}
+	again := &State{}
+	if again.Restore(s.List()); again.Grants["x"].Serial != 3 || string(again.Grants["x"].Data) != "next" {
+		t.Errorf("after a snapshot: %+v", again.Grants["x"])
+	}
+}
+
 func all(ids ...members.ID) (list []Candidate) {
 	for _, id := range ids {
 		list = append(list, Candidate{Holder: Holder{id, 1}, Willing: true})
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -20,13 +20,32 @@
 	Overlap int // times that two acted at once, of which one was refused by its epoch
 	Effects int
 	Late    int // effects that an endpoint saw after its owner had stopped
+
+	handed map[works.Work]map[uint64]string // what was handed on, by its serial
+	last   map[works.Work]uint64
+	Handed int
 }
 
 // NewJudge has seen nothing.
 func NewJudge() *Judge {
 	return &Judge{highest: map[string]map[works.Work]works.Epoch{}, owner: map[works.Claim]int{},
 		owning: map[works.Work]map[uint64]works.Epoch{}, lastAct: map[works.Work]float64{}, Free: map[works.Work][]float64{},
-		freeAt: map[works.Work]float64{}}
+		freeAt: map[works.Work]float64{}, handed: map[works.Work]map[uint64]string{}, last: map[works.Work]uint64{}}
+}
+
+// handedOn judges what an owner was told of the state that owners hand on: of each serial there is one, for all of them.
+func (j *Judge) handedOn(h node.Handed, now float64) {
+	j.Handed++
+	by := j.handed[h.Claim.Work]
+	if by == nil {
+		by = map[uint64]string{}
+		j.handed[h.Claim.Work] = by
+	}
+	if was, ok := by[h.Serial]; ok && was != string(h.Data) {
+		j.fail(now, "%s has two states of serial %d: %q and %q", h.Claim.Work, h.Serial, was, h.Data)
+	}
+	by[h.Serial] = string(h.Data)
+	j.last[h.Claim.Work] = max(j.last[h.Claim.Work], h.Serial)
 }
 
 func (j *Judge) fail(now float64, format string, args ...any) {
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -78,6 +78,7 @@
 	seen     map[works.Work]works.Epoch
 	gated    *works.Gate // an endpoint beside the controller, that lasts
 	effects  uint64
+	handed   map[works.Work]uint64 // the serial of what was handed on, as this run was told
 	inbox    []func()
 	workAt   float64
 }
@@ -235,7 +236,7 @@
 		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
 		return
 	}
-	m.core, m.inbox = core, nil
+	m.core, m.inbox, m.handed = core, nil, map[works.Work]uint64{}
 	m.restarts++
 	w.trace("n%d starts, run %x, %d records", m.number, m.run, len(m.kept))
 	w.turn(m)
@@ -274,6 +275,10 @@
 		from := w.number(t.From)
 		w.Judge.took(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
 	}
+	for _, h := range out.Handed {
+		w.Judge.handedOn(h, w.now)
+		m.handed[h.Claim.Work] = h.Serial
+	}
 	for _, c := range out.Changes {
 		if about := w.nodes[w.number(c.Member.ID)]; about.core != nil && w.now >= about.paused && !c.New && len(w.blocked) == 0 &&
 			c.Member.Run == about.run && m.number == 0 { // as one of them sees it: what one suspects all hear of
@@ -464,6 +469,11 @@
 				to := w.nodes[w.rng.Intn(len(w.nodes))]
 				m.core.Act(w.local(m), c.Work, to.id, m.effects, nil)
 				w.strike(m, c, w.nodes[w.rng.Intn(len(w.nodes))])
+				if serial, known := m.handed[c.Work]; !known {
+					m.core.Get(w.local(m), c.Work)
+				} else {
+					m.core.Put(w.local(m), c.Work, serial+1, fmt.Appendf(nil, "%d by %x", serial+1, m.run))
+				}
 			}
 		})
 		w.busy(m, run)
--- a/internal/lab/fleet/virtual_test.go
+++ b/internal/lab/fleet/virtual_test.go
@@ -80,7 +80,7 @@
 		t.Fatal(why)
 	}
 	t.Logf("whole %.0f ms after the last, %d effects, %d late ones refused", w.Whole, w.Judge.Effects, w.Judge.Late)
-	if w.Judge.Effects < 500 {
+	if w.Judge.Effects < 500 || w.Judge.Handed < 500 {
 		t.Errorf("%d effects", w.Judge.Effects)
 	}
 }
