Maintenance is conducted: engines are taken out once, while conductors die and pause

Change: the conductor is a program of a work with one owner. Plans and tasks are agreed through the council, one step at a time, each on top of the last; what controllers hold is an effect with its epoch; an engine is free when each controller ever heard of has confirmed, by a look begun after the hold was in force in its loop, and the list tells that it drains. Programs of the installation do the hands' part, with a number that stays the same if they are asked twice. mintkeel maintenance check, plan, status, explain, halt, resume, withdraw, done, without. The module tells what it knows of engines (EnginesNow), the loop holds engines (Hold). An operator's handover is said again until it was heard: a test found one lost.

--- a/cmd/mintkeel/main.go
+++ b/cmd/mintkeel/main.go
@@ -36,7 +36,7 @@
 		SilenceErrors:    true,
 		SilenceUsage:     true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), memoryCommand(), rulesCommand(), fleetCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), memoryCommand(), rulesCommand(), fleetCommand(), maintenanceCommand())
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.SetArgs(dashes(args))
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -124,7 +124,7 @@
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
 	if d.file.Fleet != nil { // clients are served by now: nothing of theirs waits for it
-		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, []fleet.Program{fleet.NewDigest(d.learner())}, d.log); err != nil {
+		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, d.programs(), d.log); err != nil {
 			return err
 		}
 		defer d.fleet.Close()
@@ -192,6 +192,28 @@
 	})
 }
 
+// programs are what this controller can do for the fleet.
+func (d *daemon) programs() []fleet.Program {
+	programs := []fleet.Program{fleet.NewDigest(d.learner())}
+	if d.file.Maintenance == nil {
+		return programs
+	}
+	facts := d.start.facts
+	k := fleet.Keeper{Engines: d.loop.EnginesNow, Hold: func(held []router.EngineID) { d.loop.Post(controller.Hold{Engines: held}) },
+		Kinds: make([]string, len(facts.Kinds)), Log: d.log}
+	for name, i := range facts.Names.Kinds {
+		if int(i) >= 0 && int(i) < len(k.Kinds) {
+			k.Kinds[i] = name
+		}
+	}
+	for _, p := range facts.Profiles {
+		if p.Kinds != nil {
+			k.Bounds = append(k.Bounds, p.Kinds)
+		}
+	}
+	return append(programs, fleet.NewConductor(k, *d.file.Maintenance))
+}
+
 // learner is what the fleet's digest needs of this controller. One that remembers for itself takes nothing from others.
 func (d *daemon) learner() fleet.Learner {
 	l := fleet.Learner{Source: d.loop, Settings: d.identity().Settings, Log: d.log}
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -31,3 +31,10 @@
 #   folder   = "/var/lib/mintkeel/n4/fleet"
 #   council  = { n1 = "10.0.0.1:9443", n2 = "10.0.0.2:9443", n3 = "10.0.0.3:9443" }
 # }
+
+# Engines taken out for work in an order that the controllers settle: docs/maintenance.md. It needs a block fleet.
+# maintenance {
+#   drain = "/usr/local/lib/mintkeel/drain"
+#   work  = "/usr/local/lib/mintkeel/work"
+#   back  = "/usr/local/lib/mintkeel/back"
+# }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,7 +69,8 @@
 	trains   spacing.Trains
 	wake     *time.Timer
 	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
-	listed   map[router.EngineID]router.Entry         // nil: nobody may remember something later
+	listed   map[router.EngineID]router.Entry         // nil: nobody may remember something later, or hold engines
+	held     map[router.EngineID]bool                 // taken for draining, whatever the list says
 }
 
 // Counts are what the loop has seen and done.
@@ -190,6 +191,49 @@
 // KeepList has the loop keep the list, for a Remembered that may come. It is called before Run and before any news.
 func (l *Loop) KeepList() { l.listed = map[router.EngineID]router.Entry{} }
 
+// Hold has these engines, and no others, taken for draining whatever the list says of them: they are to be taken out, or are.
+// It needs KeepList. The rules on drains hold from when the loop takes it in.
+type Hold struct{ Engines []router.EngineID }
+
+// hold brings what is held to that.
+func (l *Loop) hold(wanted []router.EngineID) {
+	var entries []router.Entry
+	held := map[router.EngineID]bool{}
+	for _, id := range wanted {
+		held[id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.listed)) {
+		if e := l.listed[id]; held[id] != l.held[id] && e.State == router.Ready {
+			if held[id] {
+				e.State = router.Draining
+			}
+			entries = append(entries, e)
+		}
+	}
+	if l.held = held; len(entries) > 0 {
+		l.events = append(l.events, router.Listed{Entries: entries})
+	}
+}
+
+// now is posted by EnginesNow.
+type now struct{ reply chan []router.EngineNow }
+
+// EnginesNow is what the module knows of the engines; its error is that of ctx.
+func (l *Loop) EnginesNow(ctx context.Context) ([]router.EngineNow, error) {
+	reply := make(chan []router.EngineNow, 1)
+	select {
+	case l.inbox <- now{reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case list := <-reply:
+		return list, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // ask is posted by Counts.
 type ask struct{ reply chan Counts }
 
@@ -277,6 +321,16 @@
 		var part memory.Part
 		part.Learned, part.Next, part.More = l.module.Learned(ev.from, ev.most)
 		ev.reply <- part
+	case Hold:
+		l.hold(ev.Engines)
+	case now:
+		list := l.module.EnginesNow()
+		for i := range list {
+			if told, ok := l.listed[list[i].Engine]; ok {
+				list[i].Listed = told.State
+			}
+		}
+		ev.reply <- list
 	case Remembered:
 		list := slices.Collect(maps.Values(l.listed))
 		slices.SortFunc(list, func(a, b router.Entry) int { return cmp.Compare(a.Engine, b.Engine) })
@@ -372,7 +426,11 @@
 	l.counts.News++
 	listed := router.Listed{Whole: news.Whole, Cached: cached, Expired: float64(news.Expired) / 1e6}
 	var addresses []engines.Address
+	told := make([]router.Entry, 0, len(news.Entries))
 	for _, e := range news.Entries {
+		if told = append(told, e.Entry); l.held[e.Engine] && e.State == router.Ready {
+			e.State = router.Draining
+		}
 		listed.Entries = append(listed.Entries, e.Entry)
 		addresses = append(addresses, engines.Address{Engine: e.Engine, Dial: e.Dial, State: e.State})
 	}
@@ -383,7 +441,7 @@
 		if news.Whole {
 			clear(l.listed)
 		}
-		for _, e := range listed.Entries {
+		for _, e := range told {
 			if l.listed[e.Engine] = e; e.State == router.Gone {
 				delete(l.listed, e.Engine)
 			}
--- a/internal/core/fleet/maintenance/order.go
+++ b/internal/core/fleet/maintenance/order.go
@@ -49,6 +49,7 @@
 	Plans   []Plan
 	Bounds  []Bound
 	Storm   bool   // clients reconnect, or controllers are coming back
+	Listed  bool   // the list told of each that was taken out that it was: one that it tells of as ready is back
 	Behind  string // who conducts can't be sure of the view: why; empty: it can
 }
 
@@ -97,12 +98,12 @@
 			}
 			why(t.Engine, "goes: its table groups have other warm homes, or %0.f s were spent on that", l.Prepare/1e3)
 			return &Move{Engine: t.Engine, Plan: t.Plan, From: Preparing, To: Draining}, reasons
-		case t.Step == Returning && listed && e.Ready && e.Since > t.Before:
+		case t.Step == Returning && listed && e.Ready && (v.Listed || e.Since > t.Before):
 			return &Move{Engine: t.Engine, Plan: t.Plan, From: Returning, To: Warming}, reasons
 		case t.Step == Returning && v.Now >= t.At+l.Missing:
 			why(t.Engine, "has not come back %0.f s after its work was done", l.Missing/1e3)
 			return &Move{Engine: t.Engine, Plan: t.Plan, From: Returning, To: Missing}, reasons
-		case t.Step == Missing && listed && e.Ready && e.Since > t.Before:
+		case t.Step == Missing && listed && e.Ready && (v.Listed || e.Since > t.Before):
 			return &Move{Engine: t.Engine, Plan: t.Plan, From: Missing, To: Warming}, reasons
 		case t.Step == Warming && listed && e.Ready && v.Now >= e.WarmAt:
 			return &Move{Engine: t.Engine, Plan: t.Plan, From: Warming, To: Done}, reasons
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -169,6 +169,8 @@
 	wholeOut bool
 	given    []given
 	giveAt   float64
+	wants    []wanted
+	wantAt   float64
 }
 
 // given is a work that was given up, of which the council may not know yet.
@@ -269,6 +271,9 @@
 	if len(n.given) > 0 {
 		next = min(next, n.giveAt)
 	}
+	if len(n.wants) > 0 {
+		next = min(next, n.wantAt)
+	}
 	if !n.council.Leads() {
 		next = min(next, n.viewAt)
 	}
@@ -443,10 +448,39 @@
 // HandOver has a work go to another controller, by an operator's word.
 func (n *Node) HandOver(now float64, w works.Work, to members.ID) {
 	n.now = max(n.now, now)
-	n.toLeader(Message{Want: &works.Want{Work: w, To: to}})
+	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool { return o.want.Work == w })
+	if len(n.wants) < mostGiven {
+		n.wants = append(n.wants, wanted{&works.Want{Work: w, To: to}, n.now + mostGiving})
+	}
+	n.wantAt = n.now
+	n.tellWants()
 	n.turn()
 }
 
+// wanted is an operator's word that the council may not have heard yet.
+type wanted struct {
+	want  *works.Want
+	until float64
+}
+
+// tellWants says operators' words again until it is seen that they were heard: the first may go to who does not lead.
+func (n *Node) tellWants() {
+	list, _ := n.Grants()
+	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool {
+		return n.now > o.until || slices.ContainsFunc(list, func(g works.Grant) bool {
+			return g.Work == o.want.Work && (g.Wanted == o.want.To || g.Holder.ID == o.want.To)
+		})
+	})
+	if len(n.wants) == 0 || n.now < n.wantAt {
+		return
+	}
+	n.wantAt = n.now + offerEach
+	for _, o := range n.wants {
+		n.toLeader(Message{Want: o.want})
+	}
+	n.viewAt = min(n.viewAt, n.now+offerEach/2)
+}
+
 // Exchange has a member of the council replaced, by an operator's word.
 func (n *Node) Exchange(now float64, old, with members.ID) {
 	n.now = max(n.now, now)
@@ -539,6 +573,7 @@
 		n.lead()
 		n.own()
 		n.tellGiven()
+		n.tellWants()
 		if n.council.Leads() {
 			n.viewAt = n.now + viewEach
 		} else if n.now >= n.viewAt {
--- a/internal/fleet/block.go
+++ b/internal/fleet/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"path/filepath"
 	"regexp"
@@ -64,7 +65,8 @@
 			mostCouncil))
 	}
 	seen := map[string]string{}
-	for name, addr := range council {
+	for _, name := range slices.Sorted(maps.Keys(council)) {
+		addr := council[name]
 		if !nameForm.MatchString(name) {
 			open.Note("council", fmt.Sprintf("%.64q is no name of a controller", name))
 		} else if why := addressWrong(addr); why != "" {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -29,10 +30,12 @@
 
 // Request is what an operator asks.
 type Request struct {
-	Do   string `json:"do"` // "status", "handover", "replace" or "trust"
+	Do   string `json:"do"` // "status", "handover", "replace", "trust" or "maintenance"
 	Work string `json:"work,omitempty"`
 	To   string `json:"to,omitempty"`
 	Old  string `json:"old,omitempty"`
+
+	Maintenance *MaintenanceOrder `json:"maintenance,omitempty"`
 }
 
 // Status is what a controller knows of its fleet. What it can't know it does not tell as known: Members are what it
@@ -48,6 +51,8 @@
 	Holds      []string       `json:"holds"`
 	Council    CouncilStatus  `json:"council"`
 	Error      string         `json:"error,omitempty"`
+
+	Maintenance *MaintenanceStatus `json:"maintenance,omitempty"`
 }
 
 // MemberStatus is one member, as this controller believes it to be.
@@ -125,16 +130,17 @@
 	reply := Status{}
 	if err := json.Unmarshal(line, &r); err != nil {
 		reply.Error = "the request can't be read: " + err.Error()
-	} else if found, err := s.Ask(r); err != nil {
+	} else if reply, err = s.Ask(r); err != nil {
 		reply.Error = err.Error()
-	} else {
-		reply = found
 	}
 	json.NewEncoder(conn).Encode(reply)
 }
 
 // Ask does what an operator asks, and tells how things stand after it.
 func (s *Service) Ask(r Request) (Status, error) {
+	if r.Do == "maintenance" {
+		return s.askConductor(r.Maintenance)
+	}
 	type outcome struct {
 		status Status
 		err    error
@@ -149,6 +155,49 @@
 	return found.status, found.err
 }
 
+// askConductor passes an order on to who conducts maintenance, and waits for the answer.
+func (s *Service) askConductor(o *MaintenanceOrder) (Status, error) {
+	if o == nil {
+		return Status{}, errors.New("nothing is asked for")
+	}
+	type sent struct {
+		reply chan MaintenanceStatus
+		err   error
+	}
+	found, err := ask(s, controlTime, func(in *session) sent {
+		for _, p := range in.programs {
+			if c, ok := p.(*Conductor); ok {
+				owner := members.ID("")
+				grants, _ := in.core.Grants()
+				for _, g := range grants {
+					if g.Work == Maintenance {
+						owner = g.Holder.ID
+					}
+				}
+				reply, err := c.Order(in, owner, *o)
+				return sent{reply, err}
+			}
+		}
+		return sent{nil, errors.New("there is no block maintenance in this controller's file")}
+	})
+	if err = cmp.Or(err, found.err); err != nil {
+		return Status{}, err
+	}
+	timer := time.NewTimer(controlTime)
+	defer timer.Stop()
+	select {
+	case m := <-found.reply:
+		if m.Error != "" {
+			err = errors.New(m.Error)
+		}
+		return Status{Maintenance: &m}, err
+	case <-timer.C:
+		return Status{}, errors.New("who conducts maintenance did not answer in time: whether it was done is not known")
+	case <-s.done:
+		return Status{}, errEnded
+	}
+}
+
 func (in *session) ordered(r Request) error {
 	known := func(name string) bool {
 		_, ok := in.core.Table().Of(members.ID(name))
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -116,6 +116,8 @@
 
 func (d *digester) Passed(node.Passed) {}
 
+func (d *digester) Handed(Hands, node.Handed) {}
+
 func (d *digester) Close() {
 	d.end()
 	d.group.Wait()
--- a/internal/fleet/lab.go
+++ b/internal/fleet/lab.go
@@ -43,10 +43,11 @@
 	return []Program{p}
 }
 
-func (p *labProgram) Began(Hands, works.Claim) {}
-func (p *labProgram) Ended(works.Claim)        {}
-func (p *labProgram) Passed(node.Passed)       {}
-func (p *labProgram) Close()                   { close(p.end) }
+func (p *labProgram) Began(Hands, works.Claim)  {}
+func (p *labProgram) Ended(works.Claim)         {}
+func (p *labProgram) Passed(node.Passed)        {}
+func (p *labProgram) Handed(Hands, node.Handed) {}
+func (p *labProgram) Close()                    { close(p.end) }
 
 func (p *labProgram) Said(Hands, members.ID, []byte) bool { return false }
 
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -39,6 +39,7 @@
 	Taken(h Hands, from members.ID, e node.Effect)          // an effect of the work that passed the gate here
 	Passed(p node.Passed)                                   // what became of an effect of this one
 	Said(h Hands, from members.ID, data []byte) (mine bool) // a word of another controller's program
+	Handed(h Hands, s node.Handed)                          // what owners of a work hand on, upon Put or Get of this one
 	Close()
 }
 
@@ -49,6 +50,8 @@
 	Say(to members.ID, data []byte)
 	May(w works.Work) (works.Epoch, bool)
 	GiveUp(w works.Work, failed bool)
+	Put(w works.Work, serial uint64, data []byte) bool // false: the work is not owned
+	Get(w works.Work) bool
 	Members() []members.Member
 	Council() []members.ID
 	Now() float64
@@ -465,7 +468,12 @@
 				}
 			}
 		}
-		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words) > 0
+		for _, s := range out.Handed {
+			for _, p := range in.programs {
+				p.Handed(in, s)
+			}
+		}
+		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words)+len(out.Handed) > 0
 		switch {
 		case out.Whole != nil:
 			if err := in.keep(job{whole: true, record: out.Whole}, out.Whole); err != nil {
@@ -539,6 +547,14 @@
 // GiveUp has another one take a work on.
 func (in *session) GiveUp(w works.Work, failed bool) { in.core.GiveUp(in.now(), w, failed) }
 
+// Put has a work's state handed on.
+func (in *session) Put(w works.Work, serial uint64, data []byte) bool {
+	return in.core.Put(in.now(), w, serial, data)
+}
+
+// Get asks for what was handed on.
+func (in *session) Get(w works.Work) bool { return in.core.Get(in.now(), w) }
+
 // Members are those known.
 func (in *session) Members() []members.Member { return in.core.Members() }
 
--- /dev/null
+++ b/internal/lab/fleet/maintain.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mintkeel/internal/core/fleet/maintenance"
+	"mintkeel/internal/fleet"
+	"mintkeel/internal/lab/standin"
+)
+
+// yard is where the engines of a scene are worked on: it stands in for the installation's programs and its platform, which
+// drain by the list, and keeps the referee's own count of who is out.
+type yard struct {
+	rig      *rig
+	listener net.Listener
+	mu       sync.Mutex
+	out      map[string]string // engine by its step: "drain", "work"
+	done     map[string]int    // times that one came back
+	most     int
+	asked    int // words of hooks, repeats with them
+}
+
+// hookScript is the program that the operator's file names: it passes its three words on to the yard.
+const hookScript = "#!/bin/bash\nexec 3<>/dev/tcp/%s/%s || exit 1\necho \"$1 $2 $3\" >&3\nread -r -t 20 word <&3\n[ \"$word\" = ok ]\n"
+
+func (r *rig) openYard() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	y := &yard{rig: r, listener: listener, out: map[string]string{}, done: map[string]int{}}
+	r.yard = y
+	context.AfterFunc(r.ctx, func() { listener.Close() })
+	host, port, _ := net.SplitHostPort(listener.Addr().String())
+	if err := os.WriteFile(filepath.Join(r.dir, "hook"), fmt.Appendf(nil, hookScript, host, port), 0o700); err != nil {
+		return err
+	}
+	r.group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				conn.SetDeadline(time.Now().Add(20 * time.Second))
+				line, err := bufio.NewReader(conn).ReadString('\n')
+				words := strings.Fields(line)
+				if err == nil && len(words) == 3 && y.hook(words[0], words[1]) {
+					conn.Write([]byte("ok\n"))
+				} else {
+					conn.Write([]byte("no\n"))
+				}
+			}()
+		}
+	})
+	return nil
+}
+
+// hook does what the installation's program asks. Each may be asked twice, or for what is over: then it is done already.
+func (y *yard) hook(step, id string) bool {
+	n, err := strconv.ParseUint(strings.TrimPrefix(id, "s-"), 16, 32)
+	if err != nil || n == 0 || int(n) > len(y.rig.engines) {
+		return false
+	}
+	e := y.rig.engines[n-1]
+	y.mu.Lock()
+	y.asked++
+	is := y.out[id]
+	y.mu.Unlock()
+	switch step {
+	case "drain":
+		if is != "" {
+			return true
+		}
+		y.mu.Lock()
+		y.out[id] = "drain"
+		if y.most = max(y.most, len(y.out)); len(y.out) > y.rig.AtOnce {
+			y.rig.broke("%d engines are out, %d may be: %v", len(y.out), y.rig.AtOnce, y.out)
+		}
+		y.mu.Unlock()
+		y.rig.feed.Tell(uint32(n), e.Addr, standin.Draining, 0)
+		y.rig.tell("%s drains", id)
+	case "work":
+		if is == "" {
+			y.rig.broke("%s is to be worked on and was not drained", id)
+			return false
+		}
+		e.SetFree(true) // from now on somebody has its cover off
+		time.Sleep(400 * time.Millisecond)
+		if wrongs := e.SetFree(true); wrongs > 0 {
+			y.rig.broke("%d commands came to %s while it was worked on", wrongs, id)
+		}
+		y.mu.Lock()
+		y.out[id] = "work"
+		y.mu.Unlock()
+	case "back":
+		if is == "" {
+			return true
+		}
+		if is != "work" {
+			y.rig.broke("%s is to come back, and its work was not done", id)
+			return false
+		}
+		if wrongs := e.SetFree(false); wrongs > 0 {
+			y.rig.broke("%d commands came to %s after it was told free", wrongs, id)
+		}
+		y.mu.Lock()
+		delete(y.out, id)
+		y.done[id]++
+		y.mu.Unlock()
+		y.rig.feed.Tell(uint32(n), e.Addr, standin.Ready, uint64(time.Now().UnixMilli()))
+		y.rig.tell("%s is back", id)
+	}
+	return true
+}
+
+// plan has the whole fleet of engines taken out once.
+func (r *rig) plan() {
+	began := time.Now()
+	o := fleet.MaintenanceOrder{Do: "plan", Plans: []maintenance.Plan{{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}},
+		Needs: 1000, AtOnce: r.AtOnce}}}
+	for r.ctx.Err() == nil {
+		why := ""
+		for _, n := range r.nodes {
+			ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
+			s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &o})
+			if cancel(); err == nil && s.Maintenance != nil {
+				r.tell("planned, conducted by %s", s.Maintenance.Conductor)
+				return
+			} else if err != nil {
+				why = err.Error()
+			}
+		}
+		if time.Since(began) > r.Settle {
+			r.broke("the plan was not taken over: %s", why)
+			return
+		}
+		r.sleep(200 * time.Millisecond)
+	}
+}
+
+// finished waits until all engines have been out and are back.
+func (r *rig) finished() {
+	began := time.Now()
+	for r.ctx.Err() == nil {
+		r.yard.mu.Lock()
+		back, out, twice := len(r.yard.done), len(r.yard.out), ""
+		for id, n := range r.yard.done {
+			if n > 1 {
+				twice = id
+			}
+		}
+		r.yard.mu.Unlock()
+		r.mu.Lock()
+		broken := r.report.Broken != ""
+		r.report.Back, r.report.MostOut = back, r.yard.most
+		r.mu.Unlock()
+		switch {
+		case broken:
+			return
+		case twice != "":
+			r.broke("%s was taken out twice", twice)
+			return
+		case back == len(r.engines) && out == 0:
+			r.mu.Lock()
+			r.report.Maintained = time.Since(began)
+			r.mu.Unlock()
+			return
+		case time.Since(began) > r.Settle+time.Minute:
+			status := "nobody tells"
+			for _, n := range r.nodes {
+				ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
+				s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &fleet.MaintenanceOrder{Do: "status"}})
+				if cancel(); err == nil {
+					status = fmt.Sprintf("%+v", *s.Maintenance)
+					break
+				}
+			}
+			r.broke("%d of %d engines are back and %d out: %s", back, len(r.engines), out, status)
+			return
+		}
+		r.sleep(200 * time.Millisecond)
+	}
+}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -38,6 +38,8 @@
 	Lease    time.Duration
 	Rate     float64 // commands a second at each node
 	Digest   bool    // the fleet's digest is one of the works
+	Engines  int     // stand-ins; 0: two
+	AtOnce   int     // engines that maintenance may have out, all of which it takes out once; 0: there is none
 	Script   Script
 	Settle   time.Duration
 	Tell     func(string)
@@ -74,8 +76,11 @@
 	Failed   int
 	Lost     int // at nodes that ran
 	Digests  int // starts at which something of the fleet's digest was believed
-	Whole    time.Duration
-	Free     []time.Duration // between the last effect of one owner and the first of the next
+
+	Back, MostOut int // engines that were out and are back; out at once
+	Maintained    time.Duration
+	Whole         time.Duration
+	Free          []time.Duration // between the last effect of one owner and the first of the next
 }
 
 type machineProc struct {
@@ -107,7 +112,7 @@
 	began    time.Time
 	ctx      context.Context
 	group    sync.WaitGroup
-	closing  bool
+	yard     *yard
 }
 
 // PlayProcesses plays a scene. It leaves no process behind.
@@ -128,8 +133,14 @@
 		r.group.Go(func() { r.clients(n) })
 	}
 	r.group.Go(r.copyFolders)
+	if r.AtOnce > 0 {
+		r.plan()
+	}
 	r.play()
 	r.settle()
+	if r.AtOnce > 0 {
+		r.finished()
+	}
 	cancel()
 	r.group.Wait()
 	r.read()
@@ -160,7 +171,7 @@
 }
 
 func (r *rig) open() error {
-	for i := range 2 {
+	for i := range max(2, r.Engines) {
 		e, err := standin.NewEngine(fmt.Sprintf("s-%08x", i+1), standin.Model{Cores: 64, Slow: 1, Sessions: 1000, Warm: 50, ColdCost: 1}, r.Seed)
 		if err != nil {
 			return err
@@ -175,6 +186,11 @@
 		return err
 	}
 	context.AfterFunc(r.ctx, func() { r.endpoint.Close() })
+	if r.AtOnce > 0 {
+		if err := r.openYard(); err != nil {
+			return err
+		}
+	}
 	r.group.Go(r.serveEndpoint)
 	var addrs []string
 	ip := ownAddr()
@@ -241,6 +257,10 @@
 	}
 	hcl := fmt.Sprintf("log {\n  burst = 1000\n}\nfleet {\n  name = \"rig\"\n  listen = %q\n  key_file = %q\n  folder = %q\n  council = { %s }\n  works = [%s]\n  lease = %q\n}\n",
 		n.fleet, filepath.Join(r.dir, "key"), filepath.Join(n.dir, "fleet"), strings.Join(council, ", "), strings.Join(names, ", "), r.Lease)
+	if r.AtOnce > 0 {
+		hook := filepath.Join(r.dir, "hook")
+		hcl += fmt.Sprintf("maintenance {\n  drain = %q\n  work = %q\n  back = %q\n  within = \"20s\"\n  prepare = \"1s\"\n}\n", hook, hook, hook)
+	}
 	if err := os.WriteFile(filepath.Join(n.dir, "operator.hcl"), []byte(hcl), 0o600); err != nil {
 		return err
 	}
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand"
@@ -44,6 +45,17 @@
 	closed bool
 
 	Done, Cold, Turned int // commands
+
+	free   bool // it was told free: nothing may come
+	Wrongs int  // commands that came while it was
+}
+
+// SetFree says that nothing may come from now on, or again; it tells how many came meanwhile.
+func (e *Engine) SetFree(free bool) (wrongs int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.free = free
+	return e.Wrongs
 }
 
 type run struct {
@@ -180,7 +192,9 @@
 	group := between(statement, "FROM ", ".")
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.advance()
+	if e.advance(); e.free {
+		e.Wrongs++
+	}
 	if len(e.runs) >= e.model.Sessions {
 		e.Turned++
 		go reply(id + " AGAIN " + e.reported() + " 0\r\n\r\n")
@@ -275,43 +289,108 @@
 	return e.Done, e.Cold, e.Turned
 }
 
-// Feed is a stand-in for the feed that has nothing new to tell, and says so.
+// Feed is a stand-in for the feed: it tells changes of the list, and each half second that it is there.
 type Feed struct {
 	Addr     string
 	listener net.Listener
+
+	mu     sync.Mutex
+	number uint64 // of the last event
+	events []told
+	more   chan struct{} // closed at the next event
+}
+
+type told struct {
+	number  uint64
+	payload []byte
 }
 
-// NewFeed starts a feed on a loopback address.
+// NewFeed starts a feed on a loopback address. Controllers know of event 1 by their configuration.
 func NewFeed(ctx context.Context) (*Feed, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { listener.Close() })
-	f := &Feed{listener.Addr().String(), listener}
+	f := &Feed{Addr: listener.Addr().String(), listener: listener, number: 1, more: make(chan struct{})}
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				defer context.AfterFunc(ctx, func() { c.Close() })()
-				last := make([]byte, 8)
-				if _, err := readFull(bufio.NewReader(c), last); err != nil {
-					return
-				}
-				for {
-					frame := slices.Concat([]byte{0, 0, 0, 9}, last, []byte{0})
-					c.SetWriteDeadline(time.Now().Add(time.Second))
-					if _, err := c.Write(frame); err != nil {
-						return
-					}
-					time.Sleep(500 * time.Millisecond)
-				}
-			}()
+			go f.serve(ctx, c)
 		}
 	}()
 	return f, nil
 }
+
+// ListState is what the list tells of an engine.
+type ListState byte
+
+const (
+	Ready ListState = iota
+	Draining
+	Gone
+)
+
+// Tell adds an event: an engine by its number, where it listens, its state and when it started (ms since 1970, 0: long ago).
+func (f *Feed) Tell(id uint32, addr string, state ListState, started uint64) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	ip := net.ParseIP(host).To4()
+	if err != nil || ip == nil {
+		return fmt.Errorf("%q is no address", addr)
+	}
+	b := binary.BigEndian.AppendUint32(nil, id)
+	b = binary.BigEndian.AppendUint16(append(b, ip...), uint16(n))
+	b = append(b, byte(state), 0, 0) // zone and kind: the first of the settings
+	b = binary.BigEndian.AppendUint16(b, 0)
+	b = binary.BigEndian.AppendUint32(b, 1000)
+	b = binary.BigEndian.AppendUint64(b, started)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number++
+	f.events = append(f.events, told{f.number, b})
+	close(f.more)
+	f.more = make(chan struct{})
+	return nil
+}
+
+func (f *Feed) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	head := make([]byte, 8)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := readFull(bufio.NewReader(c), head); err != nil {
+		return
+	}
+	for last := binary.BigEndian.Uint64(head); ; {
+		f.mu.Lock()
+		more, number := f.more, f.number
+		var frames []byte
+		for _, e := range f.events {
+			if e.number > last {
+				frames = binary.BigEndian.AppendUint32(frames, uint32(9+len(e.payload)))
+				frames = append(binary.BigEndian.AppendUint64(frames, e.number), 2)
+				frames = append(frames, e.payload...)
+				last = e.number
+			}
+		}
+		f.mu.Unlock()
+		if frames == nil {
+			frames = append(binary.BigEndian.AppendUint64([]byte{0, 0, 0, 9}, max(last, number)), 0)
+		}
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		if _, err := c.Write(frames); err != nil {
+			return
+		}
+		select {
+		case <-more:
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
@@ -26,6 +27,8 @@
 	Memory *memory.Block // nil: off
 	Rules  *rules.Set    // nil: there are none
 	Fleet  *fleet.Block  // nil: off, and this controller stands alone
+
+	Maintenance *fleet.MaintenanceBlock // nil: off
 }
 
 // mostBytes bounds a file, and with it what reading it can cost: a controller may have 32 MB.
@@ -71,7 +74,7 @@
 }
 
 func (f *File) read(body hcl.Body, facts *settings.Facts, sheet *block.Sheet) {
-	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"}, {Type: "fleet"},
+	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"}, {Type: "fleet"}, {Type: "maintenance"},
 		{Type: "rule", LabelNames: []string{"name"}}}})
 	sheet.NoteAll(found, "")
 	if content == nil {
@@ -95,8 +98,17 @@
 			f.Memory = memory.ReadBlock(b, sheet)
 		case "fleet":
 			f.Fleet = fleet.ReadBlock(b, sheet)
+		case "maintenance":
+			f.Maintenance = fleet.ReadMaintenance(b, sheet)
+			if !slices.ContainsFunc(content.Blocks, func(o *hcl.Block) bool { return o.Type == "fleet" }) {
+				sheet.Note(b.DefRange, "maintenance", "needs a block fleet: controllers settle it among them")
+			}
 		}
 	}
+	if f.Maintenance != nil && f.Fleet != nil && !slices.Contains(f.Fleet.Works, fleet.Maintenance) {
+		f.Fleet.Works = append(f.Fleet.Works, fleet.Maintenance)
+		slices.Sort(f.Fleet.Works)
+	}
 	f.Rules = readRules(ruled, facts, sheet)
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -64,6 +64,7 @@
 				"8:10 fleet.works", "8:10 fleet.works", "9:10 fleet.lease", "10:15 fleet.generation"}},
 		{"a council of wrong names", "fleet {\n name = \"e\"\n listen = \"10.0.0.1:9\"\n key_file = \"/k\"\n folder = \"/f\"\n council = { \"n 1\" = \"10.0.0.1:9\", n2 = \"there\", n3 = \"10.0.0.1:9\" }\n}\n",
 			[]string{"6:12 fleet.council", "6:12 fleet.council", "6:12 fleet.council"}},
+		{"maintenance alone", "maintenance {\n drain = \"x\"\n within = \"0s\"\n}\n", []string{"1:1 maintenance", "2:10 maintenance.drain", "3:11 maintenance.within"}},
 		{"no HCL", "log {\n", []string{"1:"}},
 		{"no text", "\xff\xfe\x00", []string{"1:"}},
 		{"a zero byte", "memory {\n folder = \"/a\\u0000b\"\n}\n", []string{"2:11 memory.folder"}},
--- a/router/learned.go
+++ b/router/learned.go
@@ -253,3 +253,46 @@
 	p.best, p.hearsayAt = 0, 0
 	p.workScale, p.needScale = decay{life: scaleLife}, decay{life: scaleLife}
 }
+
+// EngineNow is what a controller knows of an engine just now, for those who plan by it: nothing is decided here.
+type EngineNow struct {
+	Engine EngineID
+	State  State
+	Listed State // what the list tells, where somebody holds the engine otherwise
+	Zone   Zone
+	Kind   KindID
+	Since  float64
+	WarmAt float64 // from when it counts as warm
+	Cores  float64
+	Load   float64 // as the design's
+	Out    int     // own sends out
+	Tables []TablesNow
+}
+
+// TablesNow is a table group that an engine's owner has.
+type TablesNow struct {
+	Tables TableGroup
+	Asked  float64 // of this controller there, work on one thread for each ms
+	Homes  int     // other ready engines of that owner
+}
+
+// EnginesNow tells of all engines, in the order of the list. It changes nothing.
+func (r *Router) EnginesNow() []EngineNow {
+	list := make([]EngineNow, 0, len(r.order))
+	for _, e := range r.order {
+		now := EngineNow{Engine: e.id, State: e.state, Listed: e.state, Zone: e.zone, Kind: e.kind, Since: e.since, Cores: e.cores, Out: e.out}
+		if e.since > 0 {
+			now.WarmAt = e.since + r.guards.ColdTime
+		}
+		if e.reportAt > 0 && r.now-e.reportAt <= reportStale {
+			now.Load = r.load(e)
+		}
+		if o := e.owner; o != nil && e.state == Ready {
+			for _, g := range o.groups() {
+				now.Tables = append(now.Tables, TablesNow{g.id, g.demand.rate(r.now) / float64(max(1, len(o.engines))), len(o.engines) - 1})
+			}
+		}
+		list = append(list, now)
+	}
+	return list
+}
