--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -21,7 +21,7 @@
 	var histories, nodes, faults, beside int
 	var seed int64
 	var virtual, tell bool
-	var mintkeel string
+	var mintkeel, script string
 	c := &cobra.Command{
 		Use:   "fleet",
 		Short: "Have many controllers get along while parts of the system break, and judge what receivers saw",
@@ -34,7 +34,10 @@
 			if virtual {
 				return virtualHistories(c, histories, nodes, faults, beside, seed)
 			}
-			return processHistories(c, mintkeel, histories, nodes, faults, beside, seed, tell)
+			if script != "" && script != "maintenance" {
+				return fmt.Errorf("--script %.40q is none of maintenance", script)
+			}
+			return processHistories(c, mintkeel, script, histories, nodes, faults, beside, seed, tell)
 		},
 	}
 	c.Flags().IntVar(&histories, "histories", 10, "how many")
@@ -43,6 +46,7 @@
 	c.Flags().IntVar(&faults, "faults", 6, "of each history")
 	c.Flags().IntVar(&beside, "beside", 1, "histories at a time")
 	c.Flags().BoolVar(&virtual, "virtual", false, "in virtual time, in this process")
+	c.Flags().StringVar(&script, "script", "", "maintenance: all engines are taken out once meanwhile")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
 	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
 	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand())
@@ -136,7 +140,7 @@
 	return path, nil
 }
 
-func processHistories(c *cobra.Command, mintkeel string, n, nodes, faults, beside int, seed int64, tell bool) error {
+func processHistories(c *cobra.Command, mintkeel, script string, n, nodes, faults, beside int, seed int64, tell bool) error {
 	if mintkeel == "" {
 		dir, err := os.MkdirTemp("", "lab")
 		if err != nil {
@@ -149,9 +153,12 @@
 	}
 	var mu sync.Mutex
 	var sum fleet.Report
-	var whole, free []float64
+	var whole, free, maintained []float64
 	err := each(c.Context(), n, beside, seed, func(seed int64) error {
 		s := fleet.UsualScene(mintkeel, seed, nodesOf(nodes, seed), faults)
+		if script == "maintenance" {
+			s.Engines, s.AtOnce = 6, 1+int(seed%2)
+		}
 		var said []string
 		s.Tell = func(line string) {
 			if said = append(said, line); tell {
@@ -175,6 +182,10 @@
 		sum.Answered += r.Answered
 		sum.Shed += r.Shed
 		sum.Failed += r.Failed
+		sum.Back += r.Back
+		if r.Maintained > 0 {
+			maintained = append(maintained, float64(r.Maintained)/1e6)
+		}
 		whole = append(whole, float64(r.Whole)/1e6)
 		for _, f := range r.Free {
 			free = append(free, float64(f)/1e6)
@@ -188,6 +199,10 @@
 		n, sum.Effects, sum.Refused, sum.Taken)
 	fmt.Fprintf(c.OutOrStdout(), "%d commands: %d answered, %d shed, %d failed, none lost\nwhole after the last fault: %s ms\nbetween two owners' effects: %s ms\n",
 		sum.Commands, sum.Answered, sum.Shed, sum.Failed, spreadOf(whole), spreadOf(free))
+	if script == "maintenance" {
+		fmt.Fprintf(c.OutOrStdout(), "%d engines were taken out once and are back, none while too many were out, no command at one that was told free; after all was whole: %s ms\n",
+			sum.Back, spreadOf(maintained))
+	}
 	return nil
 }
 
