Orders weighed: the settled one against baselines and the best of all on small fleets

Change: mintkeel-lab fleet orders plays a stage in virtual time: table groups with warm homes, engines that come back cold, work that finds no room; policies by list, at random, as many as allowed, each controller by its own timer; all orders on five engines.

--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"mintkeel/internal/lab/fleet"
+	"mintkeel/internal/lab/restart"
 )
 
 func fleetCommand() *cobra.Command {
@@ -49,7 +51,7 @@
 	c.Flags().StringVar(&script, "script", "", "maintenance: all engines are taken out once meanwhile")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
 	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
-	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand())
+	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand(), fleetOrdersCommand())
 	return c
 }
 
@@ -301,3 +303,54 @@
 	c.Flags().Float64SliceVar(&leases, "leases", leases, "seconds")
 	return c
 }
+
+func fleetOrdersCommand() *cobra.Command {
+	sizes, seeds, load := []int{10, 80, 300}, 20, 0.6
+	c := &cobra.Command{
+		Use:   "orders",
+		Short: "Measure what taking all engines out once costs, by order and size of the fleet, in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			out := c.OutOrStdout()
+			fmt.Fprintln(out, "| engines | order | benefit lost | over the settled order | until all were back and warm | out at once |\n| --- | --- | --- | --- | --- | --- |")
+			for _, n := range sizes {
+				atOnce := max(1, n/10)
+				horizon := float64(n) * 120 / float64(atOnce)
+				var ours []float64
+				for _, p := range fleet.Policies() {
+					var losses, over, tooks []float64
+					most := 0
+					for seed := range int64(seeds) {
+						l, took, out := fleet.TakeAll(seed, n, load, p, atOnce, horizon)
+						losses, tooks, most = append(losses, l), append(tooks, took), max(most, out)
+						if p == fleet.Ours {
+							ours = append(ours, l)
+						}
+						over = append(over, l-ours[seed])
+					}
+					lost, _ := restart.Around(losses)
+					mean, half := restart.Around(over)
+					took, _ := restart.Around(tooks)
+					end := fmt.Sprintf("%.0f s", took)
+					if math.IsInf(took, 1) {
+						end = fmt.Sprintf("not in %.0f s", horizon)
+					}
+					fmt.Fprintf(out, "| %d | %v | %.4f | %+.4f ±%.4f | %s | %d |\n", n, p, lost, mean, half, end, most)
+				}
+			}
+			var best, ours []float64
+			for seed := range int64(seeds) {
+				b, o := fleet.BestOrder(seed, 5, load)
+				best, ours = append(best, b), append(ours, o-b)
+			}
+			b, _ := restart.Around(best)
+			o, half := restart.Around(ours)
+			fmt.Fprintf(out, "\nFive engines, one at a time: the best of all orders loses %.4f, the settled one %+.4f ±%.4f more\n", b, o, half)
+			return nil
+		},
+	}
+	c.Flags().IntSliceVar(&sizes, "sizes", sizes, "engines")
+	c.Flags().IntVar(&seeds, "seeds", seeds, "fleets of each size")
+	c.Flags().Float64Var(&load, "load", load, "share of all cores that is asked for")
+	return c
+}
--- /dev/null
+++ b/internal/lab/fleet/orders_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"math"
+	"testing"
+)
+
+// Every policy takes all engines out; the settled order loses less than those that take no care, and comes near the best
+// order of all where that can be told.
+func TestOrders(t *testing.T) {
+	lost := map[Policy]float64{}
+	for seed := range int64(8) {
+		for _, p := range Policies() {
+			l, took, most := TakeAll(seed, 10, 0.55, p, 2, 1500)
+			if lost[p] += l; math.IsInf(took, 1) {
+				t.Errorf("%v, seed %d: not all were taken", p, seed)
+			}
+			if p == Ours && most > 2 {
+				t.Errorf("seed %d: %d were out at once", seed, most)
+			}
+		}
+	}
+	if lost[Ours] >= lost[AllAllowed] || lost[Ours] >= lost[EachAlone] {
+		t.Errorf("lost %v", lost)
+	}
+	best, ours := 0.0, 0.0
+	for seed := range int64(3) {
+		b, o := BestOrder(seed, 4, 0.6)
+		best, ours = best+b, ours+o
+	}
+	if ours > best+0.01 {
+		t.Errorf("it loses %.4f, the best order %.4f", ours/3, best/3)
+	}
+}
