Forecasts of maintenance go by how far apart engines have come back

Change: Forecast tells two times between which a plan will be done in nine of ten cases, once three engines have come back; status prints it. An engine that nobody took and that is not there counts as lost for an hour, then as gone for good.

--- a/cmd/mintkeel/maintenance.go
+++ b/cmd/mintkeel/maintenance.go
@@ -120,6 +120,9 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", x.Engine, x.Plan, x.Step, (time.Duration(x.SinceMS) * time.Millisecond).Round(time.Second), x.Waits)
 	}
 	t.Flush()
+	for _, f := range s.Forecasts {
+		fmt.Fprintf(out, "%s will be done between %s and %s, in nine of ten cases\n", f.Plan, f.After.Format(time.RFC3339), f.Before.Format(time.RFC3339))
+	}
 }
 
 func printReasons(out io.Writer, s *fleet.MaintenanceStatus) {
--- a/internal/core/fleet/maintenance/order.go
+++ b/internal/core/fleet/maintenance/order.go
@@ -37,7 +37,8 @@
 	Zone   Zone     `cbor:"6,keyasint"`
 	Kind   Kind     `cbor:"7,keyasint"`
 	Cores  float64  `cbor:"8,keyasint"`
-	Before float64  `cbor:"9,keyasint,omitempty"` // when the engine last started before it was taken: one back has started since
+	Before float64  `cbor:"9,keyasint,omitempty"`  // when the engine last started before it was taken: one back has started since
+	Begun  float64  `cbor:"10,keyasint,omitempty"` // when it was chosen
 }
 
 // View is all that the order goes by.
@@ -314,5 +315,49 @@
 	}
 	out = slices.DeleteFunc(out, func(t Task) bool { return t.Engine == m.Engine }) // of an earlier plan, done
 	return append(out, Task{Engine: m.Engine, Plan: m.Plan, Step: m.To, At: now, Number: number + 1, Zone: e.Zone, Kind: e.Kind,
-		Cores: e.Cores, Before: e.Since}), true
+		Cores: e.Cores, Before: e.Since, Begun: now}), true
+}
+
+// Forecast is when all that a plan still selects will be back and warm: between two times, in nine of ten cases. It goes by
+// how far apart engines have come back so far, waits and losses with them; until three have, nothing is told.
+func Forecast(v View, p Plan) (low, high float64, ok bool) {
+	left, first := 0, math.Inf(1)
+	var ends []float64
+	for _, t := range v.Tasks {
+		if t.Plan != p.ID {
+			continue
+		}
+		if first = min(first, t.Begun); t.Step == Done {
+			ends = append(ends, t.At)
+		} else {
+			left++
+		}
+	}
+	for _, e := range v.Engines {
+		if p.Select.has(e) && !slices.ContainsFunc(v.Tasks, func(t Task) bool { return t.Engine == e.ID }) {
+			left++
+		}
+	}
+	if len(ends) < 3 {
+		return 0, 0, false
+	}
+	if left == 0 {
+		return slices.Max(ends), slices.Max(ends), true
+	}
+	slices.Sort(ends)
+	mean := (ends[len(ends)-1] - first) / float64(len(ends))
+	sum := 0.0
+	for i, end := range ends {
+		before := first
+		if i > 0 {
+			before = ends[i-1]
+		}
+		sum += (end - before - mean) * (end - before - mean)
+	}
+	n := float64(left)
+	spread := max(0.05*mean, math.Sqrt(sum/float64(len(ends)-1)))
+	half := 1.64*spread*math.Sqrt(n+n*n/float64(len(ends))) + 0.05*n*mean // what is to come, and how well the pace is known
+	since := v.Now - ends[len(ends)-1]
+	at := v.Now - min(since, mean) + n*mean
+	return max(v.Now, at-half), at + half, true
 }
--- a/internal/fleet/maintain.go
+++ b/internal/fleet/maintain.go
@@ -35,6 +35,7 @@
 	confirmLast  = 5000.0 // ms for which a confirmation counts: a controller says it again with each word that it hears
 	handEach     = 2000.0 // ms after which a state that was not agreed on yet is written again
 	mostOrders   = 64
+	lostFor      = 3600e3 // ms for which one that nobody took and that is not there counts as lost: after that it has left for good
 )
 
 // agreedMaintenance is what conductors hand on.
@@ -42,7 +43,6 @@
 	Plans   []maintenance.Plan     `cbor:"1,keyasint"`
 	Tasks   []maintenance.Task     `cbor:"2,keyasint"`
 	Without []members.ID           `cbor:"3,keyasint,omitempty"` // whose confirmation an operator does without
-	Loss    map[string]float64     `cbor:"4,keyasint,omitempty"` // reserved
 	Known   []maintenance.EngineID `cbor:"5,keyasint,omitempty"` // that there should be
 	Hooked  map[string]uint64      `cbor:"6,keyasint,omitempty"` // the number of the task for which a program has done its part
 }
@@ -102,10 +102,18 @@
 	Plans     []maintenance.Plan `json:"plans"`
 	Tasks     []TaskStatus       `json:"tasks"`
 	Reasons   []string           `json:"reasons"`
+	Forecasts []ForecastStatus   `json:"forecasts"`
 	Problems  []string           `json:"problems,omitempty"`
 	Error     string             `json:"error,omitempty"`
 }
 
+// ForecastStatus is when a plan will be done, in nine of ten cases.
+type ForecastStatus struct {
+	Plan   string    `json:"plan"`
+	After  time.Time `json:"after"`
+	Before time.Time `json:"before"`
+}
+
 // TaskStatus is the work on one engine.
 type TaskStatus struct {
 	Engine       string   `json:"engine"`
@@ -136,6 +144,7 @@
 	reasons []maintenance.Reason
 	waits   map[maintenance.EngineID]string
 	orders  []waitingOrder
+	lostAt  map[maintenance.EngineID]float64 // since when one is not there, as this conductor saw it
 
 	holds      holding // what this controller was told
 	holdsEpoch works.Epoch
@@ -180,7 +189,7 @@
 func NewConductor(k Keeper, b MaintenanceBlock) *Conductor {
 	ctx, end := context.WithCancel(context.Background())
 	return &Conductor{keeper: k, block: b, confirm: map[members.ID]confirmed{}, waits: map[maintenance.EngineID]string{},
-		refs: map[uint64]chan MaintenanceStatus{}, hooks: map[string]hookState{}, ctx: ctx, end: end, ref: draw() >> 1,
+		lostAt: map[maintenance.EngineID]float64{}, refs: map[uint64]chan MaintenanceStatus{}, hooks: map[string]hookState{}, ctx: ctx, end: end, ref: draw() >> 1,
 		now: func() float64 { return float64(time.Now().UnixMicro()) / 1e3 }}
 }
 
@@ -452,7 +461,14 @@
 	for _, id := range c.agreed.Known {
 		if !slices.ContainsFunc(v.Engines, func(e maintenance.Engine) bool { return e.ID == id && e.Ready }) &&
 			!slices.ContainsFunc(v.Tasks, func(t maintenance.Task) bool { return t.Engine == id && t.Step != maintenance.Done }) {
-			v.Lost = append(v.Lost, maintenance.Engine{ID: id})
+			if c.lostAt[id] == 0 {
+				c.lostAt[id] = v.Now
+			}
+			if v.Now < c.lostAt[id]+lostFor {
+				v.Lost = append(v.Lost, maintenance.Engine{ID: id})
+			}
+		} else {
+			delete(c.lostAt, id)
 		}
 	}
 	for _, kinds := range c.keeper.Bounds {
@@ -575,7 +591,9 @@
 
 // expected are the engines that there should be: all that were ever there while plans were, but for those that left for good.
 func (c *Conductor) expected(v maintenance.View) []maintenance.EngineID {
-	list := slices.Clone(c.agreed.Known)
+	list := slices.DeleteFunc(slices.Clone(c.agreed.Known), func(id maintenance.EngineID) bool {
+		return c.lostAt[id] > 0 && v.Now >= c.lostAt[id]+lostFor
+	})
 	for _, e := range v.Engines {
 		if e.Ready && !slices.Contains(list, e.ID) && len(list) < 4096 {
 			list = append(list, e.ID)
@@ -700,7 +718,13 @@
 
 func (c *Conductor) describe(h Hands, a agreedMaintenance, s *MaintenanceStatus) {
 	s.Conductor, s.Epoch, s.Serial, s.Plans = string(h.Self()), uint64(c.claim.Epoch), c.serial, a.Plans
-	s.Tasks, s.Reasons = []TaskStatus{}, []string{}
+	s.Tasks, s.Reasons, s.Forecasts = []TaskStatus{}, []string{}, []ForecastStatus{}
+	v := c.view(h)
+	for _, p := range a.Plans {
+		if low, high, ok := maintenance.Forecast(v, p); ok && !p.Over && !p.Halted {
+			s.Forecasts = append(s.Forecasts, ForecastStatus{string(p.ID), time.UnixMilli(int64(low)).UTC(), time.UnixMilli(int64(high)).UTC()})
+		}
+	}
 	for _, t := range a.Tasks {
 		x := TaskStatus{Engine: string(t.Engine), Plan: string(t.Plan), Step: t.Step.String(), SinceMS: int64(c.now() - t.At), Waits: c.waits[t.Engine]}
 		if t.Step == maintenance.Draining {
--- a/internal/lab/fleet/orders.go
+++ b/internal/lab/fleet/orders.go
@@ -341,3 +341,44 @@
 	ours, _, _ = TakeAll(seed, n, load, Ours, 1, horizon)
 	return best, ours
 }
+
+// Forecasts plays the settled order and tells how many of the forecasts on the way held the real end, of how many: one each
+// time that another engine has come back.
+func Forecasts(seed int64, n int, load float64) (held, of int) {
+	s := newStage(seed, n, load)
+	plan := maintenance.Plan{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}}, Needs: workFor * 1000, AtOnce: max(1, n/10)}
+	index, taken := map[maintenance.EngineID]int{}, map[int]bool{}
+	for i, e := range s.engines {
+		index[e.ID] = i
+	}
+	type told struct{ low, high float64 }
+	var all []told
+	back := 0
+	for s.now < float64(n)*200 {
+		if s.rng.Intn(600) == 0 { // something holds it up
+			s.now += float64(s.rng.Intn(30))
+		}
+		s.conduct(plan, index, taken)
+		done := 0
+		for _, t := range s.tasks {
+			if t.Step == maintenance.Done {
+				done++
+			}
+		}
+		if v := s.view(); done > back {
+			if low, high, ok := maintenance.Forecast(v, plan); ok && done < n {
+				all = append(all, told{low, high})
+			}
+			if back = done; done == n {
+				for _, f := range all {
+					if v.Now >= f.low && v.Now <= f.high {
+						held++
+					}
+				}
+				return held, len(all)
+			}
+		}
+		s.second()
+	}
+	return 0, len(all)
+}
--- a/internal/lab/fleet/orders_test.go
+++ b/internal/lab/fleet/orders_test.go
@@ -32,3 +32,18 @@
 		t.Errorf("it loses %.4f, the best order %.4f", ours/3, best/3)
 	}
 }
+
+// Nine of ten forecasts hold the real end.
+func TestForecasts(t *testing.T) {
+	held, of := 0, 0
+	for seed := range int64(10) {
+		for _, n := range []int{10, 40} {
+			h, o := Forecasts(seed, n, 0.55)
+			held, of = held+h, of+o
+		}
+	}
+	t.Logf("%d of %d", held, of)
+	if of < 200 || float64(held) < 0.85*float64(of) {
+		t.Errorf("%d of %d forecasts held", held, of)
+	}
+}
