--- a/internal/lab/fleet/script.go
+++ b/internal/lab/fleet/script.go
@@ -105,7 +105,7 @@
 			if f.Kind != Full {
 				f.For = 100 + rng.Float64()*5000
 			}
-			f.Amount = rng.Float64() * 10000 // how old the copy is, for OldCopy
+			f.Amount = rng.Float64() * 10000     // how old the copy is, for OldCopy
 			if f.Kind != Kill && f.A < council { // one whose disk takes nothing can't come back as another life either
 				if len(lost) >= (council-1)/2 && !lost[f.A] {
 					f.Kind, f.For = Kill, min(f.For, 5000)
