--- a/internal/lab/fleet/maintain.go
+++ b/internal/lab/fleet/maintain.go
@@ -124,31 +124,63 @@
 	return true
 }
 
-// plan has the whole fleet of engines taken out once.
-func (r *rig) plan() {
+// order has some controller pass an order on to who conducts, until one does.
+func (r *rig) order(o fleet.MaintenanceOrder) {
 	began := time.Now()
-	o := fleet.MaintenanceOrder{Do: "plan", Plans: []maintenance.Plan{{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}},
-		Needs: 1000, AtOnce: r.AtOnce}}}
 	for r.ctx.Err() == nil {
 		why := ""
 		for _, n := range r.nodes {
 			ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
 			s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &o})
 			if cancel(); err == nil && s.Maintenance != nil {
-				r.tell("planned, conducted by %s", s.Maintenance.Conductor)
+				r.tell("%s done, conducted by %s", o.Do, s.Maintenance.Conductor)
 				return
 			} else if err != nil {
 				why = err.Error()
 			}
 		}
 		if time.Since(began) > r.Settle {
-			r.broke("the plan was not taken over: %s", why)
+			r.broke("%s was not done: %s", o.Do, why)
 			return
 		}
 		r.sleep(200 * time.Millisecond)
 	}
 }
 
+// plan has the whole fleet of engines taken out once.
+func (r *rig) plan() {
+	r.order(fleet.MaintenanceOrder{Do: "plan", Plans: []maintenance.Plan{{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}},
+		Needs: 1000, AtOnce: r.AtOnce}}})
+}
+
+// withdrawn has the plan withdrawn when an engine is back, and waits until nobody is out and none has been taken for a while.
+func (r *rig) withdrawn() {
+	began, quiet, ordered := time.Now(), time.Time{}, false
+	for r.ctx.Err() == nil && time.Since(began) < r.Settle {
+		r.yard.mu.Lock()
+		back, out := len(r.yard.done), len(r.yard.out)
+		r.yard.mu.Unlock()
+		r.mu.Lock()
+		r.report.Back, r.report.MostOut = back, r.yard.most
+		r.mu.Unlock()
+		if back > 0 && !ordered {
+			r.order(fleet.MaintenanceOrder{Do: "withdraw", Name: "all"})
+			ordered = true
+		}
+		switch {
+		case !ordered || out > 0:
+			quiet = time.Now()
+		case time.Since(quiet) > 8*time.Second:
+			if back == len(r.engines) {
+				r.broke("all %d engines were taken out, though the plan was withdrawn after the first", back)
+			}
+			return
+		}
+		r.sleep(100 * time.Millisecond)
+	}
+	r.broke("engines are out %v after the plan was withdrawn", r.Settle)
+}
+
 // finished waits until all engines have been out and are back.
 func (r *rig) finished() {
 	began := time.Now()
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -39,6 +39,7 @@
 	Rate     float64 // commands a second at each node
 	Digest   bool    // the fleet's digest is one of the works
 	Engines  int     // stand-ins; 0: two
+	Withdraw bool    // the plan is withdrawn when the first engine is back
 	AtOnce   int     // engines that maintenance may have out, all of which it takes out once; 0: there is none
 	Script   Script
 	Settle   time.Duration
@@ -138,7 +139,9 @@
 	}
 	r.play()
 	r.settle()
-	if r.AtOnce > 0 {
+	if r.Withdraw {
+		r.withdrawn()
+	} else if r.AtOnce > 0 {
 		r.finished()
 	}
 	cancel()
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -20,7 +20,7 @@
 	if out, err := exec.Command("go", "build", "-tags", "mintkeel_lab", "-o", daemon, "mintkeel/cmd/mintkeel").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
 	scene := func(faults ...Fault) Scene {
 		return Scene{Mintkeel: daemon, Seed: 5, Nodes: 4, Council: 3, Works: 3, Lease: 2 * time.Second, Rate: 5, Settle: time.Minute, Script: faults}
@@ -30,6 +30,10 @@
 	begins.Digest = true
 	taken := scene(Fault{At: 9000, For: 1000, Kind: Kill, A: 0}, Fault{At: 14000, For: 4000, Kind: Pause, A: 1}, Fault{At: 20000, For: 1000, Kind: Kill, A: 2})
 	taken.Engines, taken.AtOnce = 5, 1
+	withdrawn := scene(Fault{At: 5000, Kind: Clock, A: 3, Amount: 1})
+	withdrawn.Engines, withdrawn.AtOnce, withdrawn.Withdraw = 8, 1, true
+	halves := scene(Fault{At: 9000, For: 800, Kind: Kill, A: 0}, Fault{At: 9000, For: 800, Kind: Kill, A: 3}, Fault{At: 14000, For: 7000, Kind: Split, N: 2})
+	halves.Engines, halves.AtOnce = 4, 1
 	for name, s := range map[string]Scene{
 		"an owner is stopped for longer than its lease and goes on": scene(Fault{At: 6000, For: 7000, Kind: Pause, A: 0},
 			Fault{At: 6000, For: 7000, Kind: Pause, A: 1}),
@@ -39,8 +43,10 @@
 		"a disk is full, then slow": scene(Fault{At: 6000, For: 3000, Kind: Full, A: 0}, Fault{At: 12000, For: 5000, Kind: Slow, A: 1, Amount: 5000}),
 		"the leader can hear and not be heard, its clock is fast": scene(Fault{At: 5000, Kind: Clock, A: 0, Amount: 1.2},
 			Fault{At: 5000, Kind: Clock, A: 1, Amount: 1.2}, Fault{At: 7000, For: 6000, Kind: Mute, A: 0}, Fault{At: 14000, For: 6000, Kind: Deaf, A: 1}),
-		"all engines are taken out once, while conductors die and pause": taken,
-		"one that starts with nothing begins with what the fleet knows":  begins,
+		"all engines are taken out once, while conductors die and pause":                        taken,
+		"a plan is withdrawn in the middle":                                                     withdrawn,
+		"half of the controllers restart, then the fleet is split, while engines are taken out": halves,
+		"one that starts with nothing begins with what the fleet knows":                         begins,
 	} {
 		group.Go(func() {
 			var said []string
@@ -53,6 +59,7 @@
 				t.Errorf("%s: %s\n%s", name, r.Broken, strings.Join(said, "\n"))
 			case r.Effects < 50 || r.Taken < 20 || r.Answered < 50:
 				t.Errorf("%s: too little was seen: %+v", name, r)
+			case s.Withdraw && r.Back >= 1 && r.Back < s.Engines:
 			case s.AtOnce > 0 && (r.Back != s.Engines || r.MostOut != s.AtOnce):
 				t.Errorf("%s: %d engines are back, %d were out at once", name, r.Back, r.MostOut)
 			case s.Digest && r.Digests == 0:
