An engine that was held is there again for its connections too

An engine that is held is told to the connections as draining; when it came back while still held they were told that again, and letting it go told the module alone: sends there ended as never sent, until all engines were such. At fault: hold in controller.go.

Change: letting go tells the connections as well, with the address that the list has by then.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,6 +70,7 @@
 	wake     *time.Timer
 	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
 	listed   map[router.EngineID]router.Entry         // nil: nobody may remember something later, or hold engines
+	dials    map[router.EngineID]string               // where they are
 	held     map[router.EngineID]bool                 // taken for draining, whatever the list says
 }
 
@@ -189,7 +190,9 @@
 }
 
 // KeepList has the loop keep the list, for a Remembered that may come. It is called before Run and before any news.
-func (l *Loop) KeepList() { l.listed = map[router.EngineID]router.Entry{} }
+func (l *Loop) KeepList() {
+	l.listed, l.dials = map[router.EngineID]router.Entry{}, map[router.EngineID]string{}
+}
 
 // Hold has these engines, and no others, taken for draining whatever the list says of them: they are to be taken out, or are.
 // It needs KeepList. The rules on drains hold from when the loop takes it in.
@@ -198,6 +201,7 @@
 // hold brings what is held to that.
 func (l *Loop) hold(wanted []router.EngineID) {
 	var entries []router.Entry
+	var addresses []engines.Address
 	held := map[router.EngineID]bool{}
 	for _, id := range wanted {
 		held[id] = true
@@ -208,9 +212,11 @@
 				e.State = router.Draining
 			}
 			entries = append(entries, e)
+			addresses = append(addresses, engines.Address{Engine: id, Dial: l.dials[id], State: e.State})
 		}
 	}
 	if l.held = held; len(entries) > 0 {
+		l.engines.List(addresses, false)
 		l.events = append(l.events, router.Listed{Entries: entries})
 	}
 }
@@ -440,10 +446,13 @@
 	if l.listed != nil {
 		if news.Whole {
 			clear(l.listed)
+			clear(l.dials)
 		}
-		for _, e := range told {
+		for i, e := range told {
+			l.dials[e.Engine] = news.Entries[i].Dial
 			if l.listed[e.Engine] = e; e.State == router.Gone {
 				delete(l.listed, e.Engine)
+				delete(l.dials, e.Engine)
 			}
 		}
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -392,3 +392,59 @@
 		t.Errorf("%d sends, %d shared keys, %d reloads refused", sends, shared, refused)
 	}
 }
+
+// listing are engines that also note what the list tells of them.
+type listing struct {
+	hands
+	states map[router.EngineID]engines.Address
+}
+
+func (l *listing) List(list []engines.Address, _ bool) {
+	for _, a := range list {
+		l.states[a.Engine] = a
+	}
+}
+
+// An engine that is held gets nothing, whatever the list says meanwhile; when it is let go, it is as the list has it by then,
+// for the module and for the connections.
+func TestHold(t *testing.T) {
+	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
+		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{MaxSends: 3}, router.Guards{})
+	h := &listing{hands: hands{make(chan *exchange.Command, 10), make(chan router.SendID, 10)}, states: map[router.EngineID]engines.Address{}}
+	l := New(module, SystemClock(), 10, 0)
+	l.SetEngines(h)
+	l.KeepList()
+	entry := func(id router.EngineID, s router.State, since float64, dial string) bulletin.News {
+		return bulletin.News{Entries: []bulletin.Entry{{Entry: router.Entry{Engine: id, State: s, Since: since}, Dial: dial}}}
+	}
+	state := func(id router.EngineID) (now router.EngineNow) {
+		l.step()
+		for _, e := range module.EnginesNow() {
+			if e.Engine == id {
+				now = e
+			}
+		}
+		return now
+	}
+	l.News(entry("a", router.Ready, 0, "there"), true)
+	l.News(entry("b", router.Ready, 0, "elsewhere"), true)
+	l.take(Hold{[]router.EngineID{"a"}})
+	if state("a").State != router.Draining || h.states["a"].State != router.Draining || state("b").State != router.Ready {
+		t.Error("it is not held, or another is")
+	}
+	l.News(entry("a", router.Draining, 0, "there"), false)
+	l.News(entry("a", router.Ready, 77, "a new place"), false) // it is back, and still held
+	if state("a").State != router.Draining || h.states["a"].State != router.Draining {
+		t.Error("the list lets it go")
+	}
+	l.take(Hold{[]router.EngineID{"a", "b"}})
+	l.take(Hold{[]router.EngineID{"b"}})
+	if e := state("a"); e.State != router.Ready || e.Since != 77 || h.states["a"] != (engines.Address{Engine: "a", Dial: "a new place", State: router.Ready}) {
+		t.Errorf("let go: %+v, %+v", e, h.states["a"])
+	}
+	l.News(entry("b", router.Gone, 0, "elsewhere"), false)
+	l.take(Hold{nil})
+	if state("b").State == router.Ready || h.states["b"].State == router.Ready {
+		t.Error("one that is gone is let go and is there")
+	}
+}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -656,6 +656,7 @@
 				r.report.Answered++
 			case standin.Shed:
 				r.report.Shed++
+				r.tell("%s sheds", n.name)
 			case standin.Failed:
 				r.report.Failed++
 			case standin.Lost:
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -59,6 +59,8 @@
 				t.Errorf("%s: %s\n%s", name, r.Broken, strings.Join(said, "\n"))
 			case r.Effects < 50 || r.Taken < 20 || r.Answered < 50:
 				t.Errorf("%s: too little was seen: %+v", name, r)
+			case s.AtOnce > 0 && r.Shed*20 > r.Commands:
+				t.Errorf("%s: %d of %d commands were shed", name, r.Shed, r.Commands)
 			case s.Withdraw && r.Back >= 1 && r.Back < s.Engines:
 			case s.AtOnce > 0 && (r.Back != s.Engines || r.MostOut != s.AtOnce):
 				t.Errorf("%s: %d engines are back, %d were out at once", name, r.Back, r.MostOut)
