TestQueue asks before the loop runs: it failed on a busy machine

The question was posted after the loop had begun, so a test that was not let run saw a later step. Change: it is posted before.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -74,8 +74,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l.Post(Stop{Within: time.Hour}) // behind a thousand commands by time, but not one of them
+	asked := make(chan Counts, 1)
+	l.Post(ask{asked}) // before it runs: however slow the machine is, it stands behind no more than one step
 	go l.Run(ctx)
-	first := l.Counts()
+	first := <-asked
 	if offered != 1000 || first.Refused != 200 || first.Taken > stepMost {
 		t.Errorf("%d were offered, counts %+v", offered, first)
 	}
