--- a/cmd/mintkeel/fleet.go
+++ b/cmd/mintkeel/fleet.go
@@ -15,12 +15,12 @@
 func fleetCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "fleet",
-		Short: "Look at the fleet as one of its controllers knows it, and hand works over",
-		Long: `Look at the fleet as one of its controllers knows it, and hand works over.
+		Short: "Look at the fleet as one of its controllers knows it, and hand leases over",
+		Long: `Look at the fleet as one of its controllers knows it, and hand leases over.
 
 Each command speaks to the controller whose folder is named: the folder of the
 block fleet in its operator's file. Members are what that controller believes;
-works are the council's word where it is a voting member of it, and else what it
+leases are the quorum's word where it is a voter, and else what it
 was told last.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
@@ -29,6 +29,11 @@
 	var asJSON bool
 	c.PersistentFlags().StringVar(&folder, "folder", os.Getenv("MINTKEEL_FLEET"), "the controller's `folder` (MINTKEEL_FLEET)")
 	c.PersistentFlags().BoolVar(&asJSON, "json", false, "print the whole answer as JSON")
+	renamed := func(old string, c *cobra.Command) *cobra.Command { // the name of an earlier version, for one version more
+		hidden := *c
+		hidden.Use, hidden.Hidden = old, true
+		return &hidden
+	}
 	one := func(use, short string, args int, request func(args []string) fleet.Request, print func(io.Writer, fleet.Status)) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(args), RunE: func(c *cobra.Command, args []string) error {
 			if folder == "" {
@@ -46,19 +51,21 @@
 		}}
 	}
 	status := func([]string) fleet.Request { return fleet.Request{Do: "status"} }
+	leases := one("leases", "List the leases, their holders and fencing tokens", 0, status, printLeases)
+	quorum := one("quorum", "Tell which controllers vote on leases, which leads, and what this one is", 0, status, printQuorum)
 	c.AddCommand(
 		one("members", "List the controllers of the fleet and what is believed of each", 0, status, printMembers),
-		one("works", "List the works, their owners and epochs", 0, status, printWorks),
-		one("council", "Tell who agrees on the works, who leads, and what this controller is in it", 0, status, printCouncil),
-		one("handover WORK CONTROLLER", "Have a work go to another controller; done when works tells so", 2, func(args []string) fleet.Request {
+		leases, renamed("works", leases),
+		quorum, renamed("council", quorum),
+		one("handover LEASE CONTROLLER", "Hand a lease over to another controller; done when leases tells so", 2, func(args []string) fleet.Request {
 			return fleet.Request{Do: "handover", Work: args[0], To: args[1]}
-		}, printWorks),
-		one("replace OLD NEW", "Exchange a member of the council for another controller; done when council tells so", 2,
+		}, printLeases),
+		one("replace OLD NEW", "Replace a voter by another controller; done when quorum tells so", 2,
 			func(args []string) fleet.Request {
 				return fleet.Request{Do: "replace", Old: args[0], To: args[1]}
-			}, printCouncil),
-		one("trust", "Say that this member's folder is the latest there is, where not all others can vouch for it", 0,
-			func([]string) fleet.Request { return fleet.Request{Do: "trust"} }, printCouncil),
+			}, printQuorum),
+		one("trust", "Say that this voter's folder is the latest there is, where not all others can vouch for it", 0,
+			func([]string) fleet.Request { return fleet.Request{Do: "trust"} }, printQuorum),
 	)
 	return c
 }
@@ -66,27 +73,27 @@
 func printMembers(out io.Writer, s fleet.Status) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(t, "fleet %s, generation %d, as %s believes\n", s.Fleet, s.Generation, s.Self)
-	fmt.Fprintln(t, "controller\tis\taddress\ttakes works\trun")
+	fmt.Fprintln(t, "controller\tis\taddress\ttakes leases\trun")
 	for _, m := range s.Members {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.State, m.Addr, yesNo(m.Willing), m.Run)
 	}
 	t.Flush()
 }
 
-func printWorks(out io.Writer, s fleet.Status) {
+func printLeases(out io.Writer, s fleet.Status) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
 	whose := "as " + s.Self + " was told"
 	if s.Own {
-		whose = "as the council agreed, as far as " + s.Self + " has heard"
+		whose = "as the quorum agreed, as far as " + s.Self + " has heard"
 	}
-	fmt.Fprintf(t, "%d works, %s\nwork\tepoch\towner\tis to go to\n", len(s.Works), whose)
+	fmt.Fprintf(t, "%d leases, %s\nlease\ttoken\tholder\tis to go to\n", len(s.Works), whose)
 	for _, w := range s.Works {
 		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", w.Work, w.Epoch, cmp.Or(w.Owner, "nobody"), w.Wanted)
 	}
 	t.Flush()
 }
 
-func printCouncil(out io.Writer, s fleet.Status) {
+func printQuorum(out io.Writer, s fleet.Status) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
 	fmt.Fprintf(t, "%s is %s", s.Self, s.Council.Standing)
 	if s.Council.Why != "" {
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -208,8 +208,8 @@
 }
 
 // programs are what this controller can do for the fleet.
-func (d *daemon) programs() []fleet.Program {
-	programs := []fleet.Program{fleet.NewDigest(d.learner())}
+func (d *daemon) programs() []fleet.Job {
+	programs := []fleet.Job{fleet.NewDigest(d.learner())}
 	if d.file.Maintenance == nil {
 		return programs
 	}
--- a/internal/core/fleet/works/works_test.go
+++ b/internal/core/fleet/lease/lease_test.go
@@ -1,4 +1,4 @@
-package works
+package lease
 
 import (
 	"fmt"
@@ -9,49 +9,49 @@
 
 var a, b, c = Holder{"a", 1}, Holder{"b", 1}, Holder{"c", 1}
 
-// named is a state with works x and y, x given to some holders in turn.
+// named is a state with leases x and y, x given to some holders in turn.
 func named(to ...Holder) *State {
 	s := &State{}
-	s.Apply(Command{Name: &Name{Works: []Work{"x", "y"}}})
+	s.Apply(Command{Name: &Declare{Names: []Name{"x", "y"}}})
 	for _, h := range to {
-		s.Apply(Command{Give: &Give{Work: "x", Renewal: s.Grants["x"].Renewal, To: h}})
+		s.Apply(Command{Give: &Assign{Work: "x", Renewal: s.Leases["x"].Renewal, To: h}})
 	}
 	return s
 }
 
 func TestApply(t *testing.T) {
-	owned := func() *State { return named(a, b) } // x: b, epoch 2, renewal 2
+	owned := func() *State { return named(a, b) } // x: b, fencing token 2, renewal 2
 	for name, c := range map[string]struct {
 		state   *State
 		command Command
 		changed int
-		epoch   Epoch
+		epoch   Token
 		holder  Holder
 	}{
-		"a grant":                                 {named(), Command{Give: &Give{Work: "x", To: a}}, 1, 1, a},
-		"one that rests on what was":              {owned(), Command{Give: &Give{Work: "x", Renewal: 1, To: c}}, 0, 2, b},
-		"one that rests on what is":               {owned(), Command{Give: &Give{Work: "x", Renewal: 2, To: c}}, 1, 3, c},
-		"one to the same again":                   {owned(), Command{Give: &Give{Work: "x", Renewal: 2, To: b}}, 1, 3, b},
-		"one to nobody":                           {owned(), Command{Give: &Give{Work: "x", Renewal: 2}}, 0, 2, b},
-		"one of a work that there is not":         {owned(), Command{Give: &Give{Work: "z", To: c}}, 0, 2, b},
-		"a renewal":                               {owned(), Command{Renew: &Renew{Holder: b, Claims: []Claim{{"x", 2}}}}, 1, 2, b},
-		"a renewal of an epoch before":            {owned(), Command{Renew: &Renew{Holder: b, Claims: []Claim{{"x", 1}}}}, 0, 2, b},
-		"a renewal of an owner before":            {owned(), Command{Renew: &Renew{Holder: a, Claims: []Claim{{"x", 2}}}}, 0, 2, b},
-		"a renewal of another run":                {owned(), Command{Renew: &Renew{Holder: Holder{"b", 2}, Claims: []Claim{{"x", 2}}}}, 0, 2, b},
-		"a renewal by nobody of what nobody has":  {named(), Command{Renew: &Renew{Claims: []Claim{{"x", 0}}}}, 0, 0, Holder{}},
-		"a release":                               {owned(), Command{Release: &Release{Holder: b, Claim: Claim{"x", 2}}}, 1, 2, Holder{}},
-		"a release of an epoch before":            {owned(), Command{Release: &Release{Holder: b, Claim: Claim{"x", 1}}}, 0, 2, b},
-		"an operator's word":                      {owned(), Command{Want: &Want{"x", "c"}}, 1, 2, b},
-		"an operator's word for who has it":       {owned(), Command{Want: &Want{"x", "b"}}, 0, 2, b},
-		"no longer wanted":                        {owned(), Command{Name: &Name{Works: []Work{"y"}}}, 1, 2, b},
-		"nothing new":                             {owned(), Command{Name: &Name{Works: []Work{"x", "y"}}}, 0, 2, b},
-		"a name that is too long and one of none": {owned(), Command{Name: &Name{Works: []Work{"x", "y", "", Work(make([]byte, mostName+1))}}}, 0, 2, b},
+		"a grant":                                 {named(), Command{Give: &Assign{Work: "x", To: a}}, 1, 1, a},
+		"one that rests on what was":              {owned(), Command{Give: &Assign{Work: "x", Renewal: 1, To: c}}, 0, 2, b},
+		"one that rests on what is":               {owned(), Command{Give: &Assign{Work: "x", Renewal: 2, To: c}}, 1, 3, c},
+		"one to the same again":                   {owned(), Command{Give: &Assign{Work: "x", Renewal: 2, To: b}}, 1, 3, b},
+		"one to nobody":                           {owned(), Command{Give: &Assign{Work: "x", Renewal: 2}}, 0, 2, b},
+		"one of a work that there is not":         {owned(), Command{Give: &Assign{Work: "z", To: c}}, 0, 2, b},
+		"a renewal":                               {owned(), Command{Renew: &Renew{Holder: b, Grants: []Grant{{"x", 2}}}}, 1, 2, b},
+		"a renewal of an epoch before":            {owned(), Command{Renew: &Renew{Holder: b, Grants: []Grant{{"x", 1}}}}, 0, 2, b},
+		"a renewal of an owner before":            {owned(), Command{Renew: &Renew{Holder: a, Grants: []Grant{{"x", 2}}}}, 0, 2, b},
+		"a renewal of another run":                {owned(), Command{Renew: &Renew{Holder: Holder{"b", 2}, Grants: []Grant{{"x", 2}}}}, 0, 2, b},
+		"a renewal by nobody of what nobody has":  {named(), Command{Renew: &Renew{Grants: []Grant{{"x", 0}}}}, 0, 0, Holder{}},
+		"a release":                               {owned(), Command{Release: &Release{Holder: b, Claim: Grant{"x", 2}}}, 1, 2, Holder{}},
+		"a release of an epoch before":            {owned(), Command{Release: &Release{Holder: b, Claim: Grant{"x", 1}}}, 0, 2, b},
+		"an operator's word":                      {owned(), Command{Want: &Prefer{"x", "c"}}, 1, 2, b},
+		"an operator's word for who has it":       {owned(), Command{Want: &Prefer{"x", "b"}}, 0, 2, b},
+		"no longer wanted":                        {owned(), Command{Name: &Declare{Names: []Name{"y"}}}, 1, 2, b},
+		"nothing new":                             {owned(), Command{Name: &Declare{Names: []Name{"x", "y"}}}, 0, 2, b},
+		"a name that is too long and one of none": {owned(), Command{Name: &Declare{Names: []Name{"x", "y", "", Name(make([]byte, maxName+1))}}}, 0, 2, b},
 		"nothing":                                 {owned(), Command{}, 0, 2, b},
 	} {
-		before := c.state.Grants["x"].Renewal
+		before := c.state.Leases["x"].Renewal
 		changed := c.state.Apply(c.command)
-		g := c.state.Grants["x"]
-		if len(changed) != c.changed || g.Epoch != c.epoch || g.Holder != c.holder {
+		g := c.state.Leases["x"]
+		if len(changed) != c.changed || g.Token != c.epoch || g.Holder != c.holder {
 			t.Errorf("%s: %v, %+v", name, changed, *g)
 		}
 		if (c.command.Give != nil || c.command.Renew != nil || c.command.Release != nil) && (g.Renewal > before) != (c.changed > 0) {
@@ -59,34 +59,34 @@
 		}
 	}
 	s := owned()
-	s.Apply(Command{Name: &Name{Works: []Work{"y"}}})
-	if s.Apply(Command{Give: &Give{Work: "x", Renewal: 2, To: c}}) != nil || s.Apply(Command{Want: &Want{"x", "c"}}) != nil {
+	s.Apply(Command{Name: &Declare{Names: []Name{"y"}}})
+	if s.Apply(Command{Give: &Assign{Work: "x", Renewal: 2, To: c}}) != nil || s.Apply(Command{Want: &Prefer{"x", "c"}}) != nil {
 		t.Error("a work that is not wanted is given or wanted")
 	}
-	if s.Apply(Command{Name: &Name{Works: []Work{"x", "y"}}}); s.Grants["x"].Dropped || s.Grants["x"].Epoch != 2 {
-		t.Errorf("named again: %+v", *s.Grants["x"])
+	if s.Apply(Command{Name: &Declare{Names: []Name{"x", "y"}}}); s.Leases["x"].Retired || s.Leases["x"].Token != 2 {
+		t.Errorf("named again: %+v", *s.Leases["x"])
 	}
 	again := &State{}
 	if again.Restore(s.List()); fmt.Sprint(again.List()) != fmt.Sprint(s.List()) {
 		t.Error("a snapshot tells something else")
 	}
-	for i := range 2 * mostWorks {
-		s.Apply(Command{Name: &Name{Works: []Work{Work(fmt.Sprint("w", i))}}})
+	for i := range 2 * maxLeases {
+		s.Apply(Command{Name: &Declare{Names: []Name{Name(fmt.Sprint("w", i))}}})
 	}
-	if len(s.Grants) > mostWorks {
-		t.Errorf("%d works", len(s.Grants))
+	if len(s.Leases) > maxLeases {
+		t.Errorf("%d works", len(s.Leases))
 	}
 }
 
-// What owners hand on: written by the owner alone, on top of what it knows, and read by the next.
+// What holders hand on: written by the holder alone, on top of what it knows, and read by the next.
 func TestHandOn(t *testing.T) {
 	s := named(a)
-	put := func(h Holder, e Epoch, serial uint64, data string) bool {
-		return s.Apply(Command{Put: &Put{Holder: h, Claim: Claim{"x", e}, Serial: serial, Data: []byte(data)}}) != nil
+	put := func(h Holder, e Token, serial uint64, data string) bool {
+		return s.Apply(Command{Put: &Put{Holder: h, Grant: Grant{"x", e}, Serial: serial, Data: []byte(data)}}) != nil
 	}
 	for i, c := range []struct {
 		h      Holder
-		e      Epoch
+		e      Token
 		serial uint64
 		ok     bool
 	}{{a, 1, 2, false}, {a, 1, 1, true}, {a, 1, 1, false}, {b, 1, 2, false}, {a, 2, 2, false}, {a, 1, 2, true}} {
@@ -94,19 +94,19 @@
 			t.Errorf("%d: %v", i, !c.ok)
 		}
 	}
-	s.Apply(Command{Give: &Give{Work: "x", Renewal: 1, To: b}})
-	if put(a, 1, 3, "late") || put(a, 2, 3, "late") || string(s.Grants["x"].Data) != "5" {
-		t.Errorf("an old owner writes: %q", s.Grants["x"].Data)
+	s.Apply(Command{Give: &Assign{Work: "x", Renewal: 1, To: b}})
+	if put(a, 1, 3, "late") || put(a, 2, 3, "late") || string(s.Leases["x"].State) != "5" {
+		t.Errorf("an old owner writes: %q", s.Leases["x"].State)
 	}
-	if s.Apply(Command{Get: &Get{a, Claim{"x", 1}}}) != nil || s.Apply(Command{Get: &Get{b, Claim{"x", 2}}}) == nil {
+	if s.Apply(Command{Get: &Get{a, Grant{"x", 1}}}) != nil || s.Apply(Command{Get: &Get{b, Grant{"x", 2}}}) == nil {
 		t.Error("the owner can't read, or another can")
 	}
-	if !put(b, 2, 3, "next") || put(b, 2, 4, string(make([]byte, MostData+1))) {
+	if !put(b, 2, 3, "next") || put(b, 2, 4, string(make([]byte, MaxData+1))) {
 		t.Error("the next owner can't write, or too much")
 	}
 	again := &State{}
-	if again.Restore(s.List()); again.Grants["x"].Serial != 3 || string(again.Grants["x"].Data) != "next" {
-		t.Errorf("after a snapshot: %+v", again.Grants["x"])
+	if again.Restore(s.List()); again.Leases["x"].Serial != 3 || string(again.Leases["x"].State) != "next" {
+		t.Errorf("after a snapshot: %+v", again.Leases["x"])
 	}
 }
 
@@ -117,7 +117,7 @@
 	return list
 }
 
-// gives are to whom works go.
+// gives are to whom leases go.
 func gives(commands []Command) string {
 	text := ""
 	for _, c := range commands {
@@ -129,7 +129,7 @@
 func TestSteward(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	s := named(a) // y is free
-	st := NewSteward(terms, 0)
+	st := NewManager(terms, 0)
 	if got := gives(st.Decide(0, s, all("b"))); got != "y:b " {
 		t.Errorf("at first: %q", got)
 	}
@@ -139,13 +139,13 @@
 	if got := gives(st.Decide(proposed+1, s, all("b"))); got != "x:b y:b " {
 		t.Errorf("if it was lost, and x has not been renewed: %q", got)
 	}
-	st = NewSteward(terms, 0)
+	st = NewManager(terms, 0)
 	for _, at := range []float64{1, 1499} {
 		if got := gives(st.Decide(at, s, all("b"))); at > 1 && got != "" {
 			t.Errorf("%g ms after it began to lead: %q", at, got)
 		}
 	}
-	renewed := Command{Renew: &Renew{Holder: a, Claims: []Claim{{"x", 1}}}}
+	renewed := Command{Renew: &Renew{Holder: a, Grants: []Grant{{"x", 1}}}}
 	st.Applied(1400, renewed, s.Apply(renewed))
 	if got := gives(st.Decide(2899, s, all("b"))); got != "" {
 		t.Errorf("after a renewal: %q", got)
@@ -157,26 +157,26 @@
 		t.Error("it is to be asked too late")
 	}
 
-	st = NewSteward(terms, 0)
+	st = NewManager(terms, 0)
 	if got := gives(st.Decide(0, named(), all("a", "b"))); got != "x:a y:b " && got != "x:b y:a " {
 		t.Errorf("two works and two controllers: %q", got)
 	}
 	slow := all("a", "b")
 	slow[0].Slow = true
-	if got := gives(NewSteward(terms, 0).Decide(0, named(), slow)); got != "x:b y:b " {
+	if got := gives(NewManager(terms, 0).Decide(0, named(), slow)); got != "x:b y:b " {
 		t.Errorf("one is slow: %q", got)
 	}
 	slow[1].Willing = false
-	if got := gives(NewSteward(terms, 0).Decide(0, named(), slow)); got != "x:a y:a " {
+	if got := gives(NewManager(terms, 0).Decide(0, named(), slow)); got != "x:a y:a " {
 		t.Errorf("one is not willing: %q", got)
 	}
-	if got := gives(NewSteward(terms, 0).Decide(0, named(), nil)); got != "" {
+	if got := gives(NewManager(terms, 0).Decide(0, named(), nil)); got != "" {
 		t.Errorf("nobody is there: %q", got)
 	}
 
 	s = named(a) // who failed at it rests
-	st = NewSteward(terms, 0)
-	failed := Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}, Failed: true}}
+	st = NewManager(terms, 0)
+	failed := Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}, Failed: true}}
 	st.Applied(100, failed, s.Apply(failed))
 	if got := gives(st.Decide(101, s, all("a"))); got != "y:a " {
 		t.Errorf("the only one has failed at it: %q", got)
@@ -186,20 +186,20 @@
 	}
 
 	s = named() // who does not take it up
-	st = NewSteward(terms, 0)
-	give := Command{Give: &Give{Work: "x", To: a}}
+	st = NewManager(terms, 0)
+	give := Command{Give: &Assign{Work: "x", To: a}}
 	st.Applied(0, give, s.Apply(give))
 	if got := gives(st.Decide(1500, s, all("a", "b"))[:1]); got != "x:b " {
 		t.Errorf("it was not taken up: %q", got)
 	}
 
 	s = named(a) // an operator's word
-	s.Apply(Command{Want: &Want{"x", "c"}})
-	s.Apply(Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}}})
-	if got := gives(NewSteward(terms, 0).Decide(0, s, all("a", "b", "c"))[:1]); got != "x:c " {
+	s.Apply(Command{Want: &Prefer{"x", "c"}})
+	s.Apply(Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}}})
+	if got := gives(NewManager(terms, 0).Decide(0, s, all("a", "b", "c"))[:1]); got != "x:c " {
 		t.Errorf("wanted at c: %q", got)
 	}
-	st = NewSteward(terms, 0)
+	st = NewManager(terms, 0)
 	if got := gives(st.Decide(10, s, all("a"))); got != "y:a " {
 		t.Errorf("c is not there: %q", got)
 	}
@@ -210,12 +210,12 @@
 
 func TestHand(t *testing.T) {
 	terms := Terms{Lease: 1000}
-	h := NewHand(a, terms)
-	may := func(now float64) bool { _, _, ok := h.May(now, "x"); return ok }
+	h := NewClient(a, terms)
+	may := func(now float64) bool { _, _, ok := h.CanAct(now, "x"); return ok }
 	if h.Renewal(0) != nil || h.GiveUp("x", false) != nil {
 		t.Error("something is held at first")
 	}
-	h.Offered(100, Claim{"x", 3})
+	h.Offered(100, Grant{"x", 3})
 	if may(100) {
 		t.Error("it acts on an offer alone")
 	}
@@ -223,62 +223,62 @@
 	if r == nil || h.Renewal(101) != nil || h.Next(101) != 300 {
 		t.Fatal("renewals come too often, or none does")
 	}
-	h.Renewed(500, r.Token+1, r.Claims) // one that was never asked for
+	h.Renewed(500, r.Sequence+1, r.Grants) // one that was never asked for
 	if may(500) {
 		t.Error("it acts on a word that it did not ask for")
 	}
-	h.Renewed(500, r.Token, []Claim{{"x", 2}})
+	h.Renewed(500, r.Sequence, []Grant{{"x", 2}})
 	if may(500) {
 		t.Error("it acts in another epoch")
 	}
 	r = h.Renewal(500)
-	h.Renewed(900, r.Token, r.Claims)
+	h.Renewed(900, r.Sequence, r.Grants)
 	if !may(900) || !may(1199) || may(1200) {
 		t.Error("it may act from the answer until 0.7 leases after it asked")
 	}
-	if began, _ := h.Turns(900); len(began) != 1 || began[0] != (Claim{"x", 3}) {
+	if began, _ := h.Turns(900); len(began) != 1 || began[0] != (Grant{"x", 3}) {
 		t.Errorf("began %v", began)
 	}
-	h.Renewed(1000, r.Token, r.Claims) // once more
+	h.Renewed(1000, r.Sequence, r.Grants) // once more
 	if may(1200) {
 		t.Error("one answer counts twice")
 	}
-	h.Offered(1000, Claim{"x", 2})
+	h.Offered(1000, Grant{"x", 2})
 	if !may(1000) {
 		t.Error("an old offer takes it away")
 	}
 	if _, ended := h.Turns(1200); len(ended) != 1 || h.Renewal(1300) != nil {
 		t.Errorf("ended %v", ended)
 	}
-	h.Offered(2000, Claim{"x", 4})
+	h.Offered(2000, Grant{"x", 4})
 	r = h.Renewal(2000)
-	h.Renewed(2800, r.Token, r.Claims) // too late to be of use
+	h.Renewed(2800, r.Sequence, r.Grants) // too late to be of use
 	if began, _ := h.Turns(2800); may(2800) || began != nil {
 		t.Error("it begins on an answer whose time is over")
 	}
 	r = h.Renewal(2800)
-	h.Renewed(2801, r.Token, r.Claims)
-	if rel := h.GiveUp("x", true); rel == nil || !rel.Failed || rel.Claim != (Claim{"x", 4}) || may(2802) {
+	h.Renewed(2801, r.Sequence, r.Grants)
+	if rel := h.GiveUp("x", true); rel == nil || !rel.Failed || rel.Claim != (Grant{"x", 4}) || may(2802) {
 		t.Error("given up and still held")
 	}
-	h.Offered(3000, Claim{"x", 6})
+	h.Offered(3000, Grant{"x", 6})
 	r = h.Renewal(3000)
-	h.Renewed(3000, r.Token, r.Claims)
-	if h.Refused(Claim{"x", 5}); !may(3000) {
+	h.Renewed(3000, r.Sequence, r.Grants)
+	if h.Refused(Grant{"x", 5}); !may(3000) {
 		t.Error("a word of an old claim takes it away")
 	}
-	if h.Refused(Claim{"x", 6}); may(3000) {
+	if h.Refused(Grant{"x", 6}); may(3000) {
 		t.Error("refused and still held")
 	}
-	for i := range 2 * mostWorks {
-		h.Offered(4000, Claim{Work(fmt.Sprint(i)), 1})
+	for i := range 2 * maxLeases {
+		h.Offered(4000, Grant{Name(fmt.Sprint(i)), 1})
 	}
-	if r := h.Renewal(4000); len(r.Claims) > mostWorks {
-		t.Errorf("%d claims", len(r.Claims))
+	if r := h.Renewal(4000); len(r.Grants) > maxLeases {
+		t.Errorf("%d claims", len(r.Grants))
 	}
 }
 
-// The margins hold for clocks that run 40% apart: what an owner counts is over before what the council counts.
+// The margins hold for clocks that run 40% apart: what an holder counts is over before what the quorum counts.
 func TestMargins(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	const owner, council = 0.82, 1.18 // rates
@@ -292,10 +292,10 @@
 }
 
 func TestGate(t *testing.T) {
-	g := NewGate(map[Work]Epoch{"kept": 5})
+	g := NewFencingCheck(map[Name]Token{"kept": 5})
 	for i, c := range []struct {
-		work      Work
-		epoch     Epoch
+		work      Name
+		epoch     Token
 		ok, risen bool
 	}{{"x", 2, true, true}, {"x", 2, true, false}, {"x", 1, false, false}, {"x", 3, true, true}, {"x", 2, false, false}, {"x", 0, false, false},
 		{"y", 0, false, false}, {"kept", 4, false, false}, {"kept", 5, true, false}} {
@@ -309,11 +309,11 @@
 	if g.Raise("x", 4); g.Seen()["x"] != 9 {
 		t.Error("lowered")
 	}
-	for i := range 2 * mostWorks {
-		g.Pass(Work(fmt.Sprint(i)), 1)
-		g.Raise(Work(fmt.Sprint("r", i)), 1)
+	for i := range 2 * maxLeases {
+		g.Pass(Name(fmt.Sprint(i)), 1)
+		g.Raise(Name(fmt.Sprint("r", i)), 1)
 	}
-	if len(g.Seen()) > mostWorks {
+	if len(g.Seen()) > maxLeases {
 		t.Errorf("%d works are kept", len(g.Seen()))
 	}
 }
@@ -322,40 +322,40 @@
 func TestSmallPrint(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	s := named(a)
-	s.Apply(Command{Want: &Want{"x", "b"}})
-	if s.Apply(Command{Give: &Give{Work: "x", Renewal: 1, To: b}}); s.Grants["x"].Wanted != "" {
+	s.Apply(Command{Want: &Prefer{"x", "b"}})
+	if s.Apply(Command{Give: &Assign{Work: "x", Renewal: 1, To: b}}); s.Leases["x"].Preferred != "" {
 		t.Error("an operator's word stands after it was done")
 	}
 
 	s = named(a)
-	st := NewSteward(terms, 0)
-	failed := Command{Release: &Release{Holder: a, Claim: Claim{"x", 1}, Failed: true}}
+	st := NewManager(terms, 0)
+	failed := Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}, Failed: true}}
 	st.Applied(100, failed, s.Apply(failed))
 	if got := gives(st.Decide(101+untaken, s, all("a"))); got != "y:a " {
 		t.Errorf("who failed rests no longer than who gave up: %q", got)
 	}
 
 	s = &State{} // who has least gets the next, whatever the draw says
-	s.Apply(Command{Name: &Name{Works: []Work{"p", "q", "r", "s", "t", "u"}}})
+	s.Apply(Command{Name: &Declare{Names: []Name{"p", "q", "r", "s", "t", "u"}}})
 	got := map[members.ID]int{}
-	for _, c := range NewSteward(terms, 0).Decide(0, s, all("a", "b", "c")) {
+	for _, c := range NewManager(terms, 0).Decide(0, s, all("a", "b", "c")) {
 		got[c.Give.To.ID]++
 	}
 	if got["a"] != 2 || got["b"] != 2 || got["c"] != 2 {
 		t.Errorf("six works go to %v", got)
 	}
 	s = &State{} // and so it does if the others are held already
-	s.Apply(Command{Name: &Name{Works: []Work{"p", "q", "r"}}})
-	s.Apply(Command{Give: &Give{Work: "p", To: a}})
-	s.Apply(Command{Give: &Give{Work: "q", To: b}})
-	s.Apply(Command{Renew: &Renew{Holder: a, Claims: []Claim{{"p", 1}}}})
-	if got := gives(NewSteward(terms, 0).Decide(0, s, all("a", "b", "c"))); got != "r:c " {
+	s.Apply(Command{Name: &Declare{Names: []Name{"p", "q", "r"}}})
+	s.Apply(Command{Give: &Assign{Work: "p", To: a}})
+	s.Apply(Command{Give: &Assign{Work: "q", To: b}})
+	s.Apply(Command{Renew: &Renew{Holder: a, Grants: []Grant{{"p", 1}}}})
+	if got := gives(NewManager(terms, 0).Decide(0, s, all("a", "b", "c"))); got != "r:c " {
 		t.Errorf("two have one each: %q", got)
 	}
 
 	s = &State{} // two that do not take it up, one after the other: the third has it, not the first again
-	s.Apply(Command{Name: &Name{Works: []Work{"p"}}})
-	st = NewSteward(terms, 0)
+	s.Apply(Command{Name: &Declare{Names: []Name{"p"}}})
+	st = NewManager(terms, 0)
 	to := map[members.ID]bool{}
 	for i, now := 0, 0.0; i < 3; i, now = i+1, now+1500 {
 		for _, c := range st.Decide(now, s, all("a", "b", "c")) {
@@ -370,10 +370,10 @@
 		t.Errorf("it went to %v", to)
 	}
 
-	h := NewHand(a, terms)
-	h.Offered(0, Claim{"x", 1})
+	h := NewClient(a, terms)
+	h.Offered(0, Grant{"x", 1})
 	r := h.Renewal(0)
-	h.Renewed(1, r.Token, r.Claims)
+	h.Renewed(1, r.Sequence, r.Grants)
 	if n := h.Next(1); n != 200 {
 		t.Errorf("next at %g", n)
 	}
@@ -382,14 +382,14 @@
 		t.Errorf("next at %g, its claim ends at %g", n, terms.HoldsFor())
 	}
 	h.Turns(1)
-	h.Offered(2, Claim{"x", 2})
-	if _, ended := h.Turns(2); len(ended) != 1 || ended[0] != (Claim{"x", 1}) {
+	h.Offered(2, Grant{"x", 2})
+	if _, ended := h.Turns(2); len(ended) != 1 || ended[0] != (Grant{"x", 1}) {
 		t.Errorf("another epoch of its own begins, and of the first is told %v", ended)
 	}
-	if held := h.Works(2); held != nil {
+	if held := h.Held(2); held != nil {
 		t.Errorf("it acts for %v", held)
 	}
-	if n := NewHand(a, terms).Next(7); n != 1007 {
+	if n := NewClient(a, terms).Next(7); n != 1007 {
 		t.Errorf("one that has nothing is to be asked at %g", n)
 	}
 	for i := range 10000 {
--- a/internal/core/fleet/council/quiet.go
+++ b/internal/core/fleet/quorum/quiet.go
@@ -1,4 +1,4 @@
-package council
+package quorum
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 type raftProgress = tracker.Progress
 
-// quiet is the consensus library's log: it tells of each vote. What operators are to hear is told by the council itself.
+// quiet is the consensus library's log: it tells of each vote. What operators are to hear is told by the quorum itself.
 // Where the library finds itself broken it must not go on: its panics stay, and who runs it takes them as its end.
 type quiet struct{}
 
--- a/internal/core/fleet/council/council_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -1,4 +1,4 @@
-package council
+package quorum
 
 import (
 	"fmt"
@@ -11,15 +11,15 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // room is some members with their disks, and what is on its way between them.
 type room struct {
 	t        *testing.T
 	now      float64
-	members  map[members.ID]*Council
+	members  map[members.ID]*Replica
 	kept     map[members.ID][]Record
 	runs     uint64
 	cut      func(from, to members.ID) bool
@@ -28,14 +28,14 @@
 }
 
 func newRoom(t *testing.T, names ...members.ID) *room {
-	r := &room{t: t, members: map[members.ID]*Council{}, kept: map[members.ID][]Record{}, founders: names, agreed: map[members.ID][]string{}}
+	r := &room{t: t, members: map[members.ID]*Replica{}, kept: map[members.ID][]Record{}, founders: names, agreed: map[members.ID][]string{}}
 	for _, name := range names {
 		r.start(name)
 	}
 	return r
 }
 
-func (r *room) start(name members.ID) *Council {
+func (r *room) start(name members.ID) *Replica {
 	r.t.Helper()
 	r.runs++
 	c, err := New(Facts{Self: name, Founders: r.founders, Run: r.runs, Disk: 1000 + r.runs, Seed: int64(r.runs)}, slices.Clone(r.kept[name]), r.now)
@@ -89,7 +89,7 @@
 	}
 }
 
-func (r *room) leader() *Council {
+func (r *room) leader() *Replica {
 	r.t.Helper()
 	for _, name := range slices.Sorted(maps.Keys(r.members)) {
 		if c := r.members[name]; c.Leads() {
@@ -102,20 +102,20 @@
 
 func (r *room) propose(ref uint64) {
 	r.t.Helper()
-	if !r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{works.Work(fmt.Sprint("w", ref))}}}) {
+	if !r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{lease.Name(fmt.Sprint("w", ref))}}}) {
 		r.t.Fatal("not proposed")
 	}
 	r.run(500)
 }
 
-func (r *room) standing(name members.ID, want Standing) {
+func (r *room) standing(name members.ID, want Role) {
 	r.t.Helper()
-	if s, why := r.members[name].Standing(); s != want {
+	if s, why := r.members[name].Role(); s != want {
 		r.t.Errorf("%s is %v (%s), want %v", name, s, why, want)
 	}
 }
 
-// A council that has nothing to agree on keeps nothing: signs of life promise nothing.
+// A quorum that has nothing to agree on keeps nothing: signs of life promise nothing.
 func TestQuiet(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
@@ -130,7 +130,7 @@
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
 	for ref := range uint64(600) { // past a snapshot or two
-		r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{"w"}}})
+		r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
 		r.run(50)
 	}
 	r.run(1000)
@@ -147,7 +147,7 @@
 	if r.leader() == r.members[follower] {
 		follower = "b"
 	}
-	if r.members[follower].Propose("x", 1, works.Command{}) {
+	if r.members[follower].Propose("x", 1, lease.Command{}) {
 		t.Error("one that does not lead takes a proposal")
 	}
 }
@@ -165,7 +165,7 @@
 		}
 		r.run(4000)
 		r.standing(name, Voting)
-		if c.Life().Disk != 0 {
+		if c.Incarnation().Disk != 0 {
 			t.Errorf("%s has come back as another", name)
 		}
 	}
@@ -175,13 +175,13 @@
 	r.run(6000)
 	for _, name := range r.founders {
 		r.standing(name, Voting)
-		if r.members[name].State().Grants["w1"] == nil {
+		if r.members[name].State().Leases["w1"] == nil {
 			t.Errorf("%s has forgotten what was agreed", name)
 		}
 	}
 }
 
-// Who does not hold all that it said comes back as another life, whatever of its disk is gone, and votes again.
+// Who does not hold all that it said comes back as another incarnation, whatever of its disk is gone, and votes again.
 func TestLost(t *testing.T) {
 	for what, change := range map[string]func(old, now []Record) []Record{
 		"empty":       func(_, _ []Record) []Record { return nil },
@@ -202,12 +202,12 @@
 		r.kept["b"] = change(old, r.kept["b"])
 		c := r.start("b")
 		r.run(500)
-		if s, _ := c.Standing(); s == Voting && c.Life().Disk == 0 {
+		if s, _ := c.Role(); s == Voting && c.Incarnation().Disk == 0 {
 			t.Errorf("%s: it votes as itself", what)
 		}
 		r.run(10000)
 		r.standing("b", Voting)
-		if c.Life().Disk == 0 {
+		if c.Incarnation().Disk == 0 {
 			t.Errorf("%s: it is the same life", what)
 		}
 		lives, votes := r.leader().Members()
@@ -215,13 +215,13 @@
 			t.Errorf("%s: the council is %v, %v", what, lives, votes)
 		}
 		r.propose(9)
-		if c.State().Grants["w9"] == nil {
+		if c.State().Leases["w9"] == nil {
 			t.Errorf("%s: it does not hear what is agreed", what)
 		}
 		c = r.start("b") // and its new life restarts as itself
 		r.run(4000)
 		r.standing("b", Voting)
-		if c.Life() != lives[slices.IndexFunc(lives, func(l Life) bool { return l.Name == "b" })] {
+		if c.Incarnation() != lives[slices.IndexFunc(lives, func(l Incarnation) bool { return l.Name == "b" })] {
 			t.Errorf("%s: another life again", what)
 		}
 	}
@@ -235,20 +235,20 @@
 	r.start("b")
 	r.run(10000)
 	r.standing("b", Voting)
-	second := r.members["b"].Life()
+	second := r.members["b"].Incarnation()
 	r.propose(1)
 	r.kept["b"] = r.kept["b"][:1]
 	b := r.start("b")
 	r.standing("b", Doubted)
 	r.run(10000)
 	r.standing("b", Voting)
-	if b.Life() == second || b.Life().Disk == 0 {
-		t.Errorf("it votes as %v", b.Life())
+	if b.Incarnation() == second || b.Incarnation().Disk == 0 {
+		t.Errorf("it votes as %v", b.Incarnation())
 	}
 	r.propose(2)
 }
 
-// The old process of a life that is over, its memory whole, is heard by nobody.
+// The old process of a incarnation that is over, its memory whole, is heard by nobody.
 func TestRetired(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
@@ -312,7 +312,7 @@
 	b := r.start("b")
 	r.run(15000)
 	r.standing("b", Voting)
-	if b.Life().Disk == 0 {
+	if b.Incarnation().Disk == 0 {
 		t.Error("it was not vouched for by all, and votes as itself")
 	}
 }
@@ -365,7 +365,7 @@
 		t.Errorf("the council is %v, %v", lives, votes)
 	}
 	r.propose(4)
-	if d.State().Grants["w4"] == nil {
+	if d.State().Leases["w4"] == nil {
 		t.Error("the new one does not hear what is agreed")
 	}
 	r.start("d") // and restarts as itself
@@ -373,17 +373,17 @@
 	r.standing("d", Voting)
 }
 
-// Words that don't fit change nothing: of another name than who sent them, of no form, to another life, of an earlier run.
+// Words that don't fit change nothing: of another name than who sent them, of no form, to another incarnation, of an earlier run.
 func TestNonsense(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
 	c := r.members["a"]
 	before := c.Term()
 	for _, m := range []*Message{
-		{From: Life{"b", 0}, To: Life{"a", 0}, Raft: []byte("nonsense"), Run: 2},
-		{From: Life{"c", 0}, To: Life{"a", 0}, Ask: &Ask{1}},
-		{From: Life{"b", 0}, To: Life{"z", 0}, Join: &Join{}},
-		{From: Life{"b", 7}, To: Life{"a", 0}, Raft: []byte{}, Run: 2},
+		{From: Incarnation{"b", 0}, To: Incarnation{"a", 0}, Raft: []byte("nonsense"), Run: 2},
+		{From: Incarnation{"c", 0}, To: Incarnation{"a", 0}, Ask: &Ask{1}},
+		{From: Incarnation{"b", 0}, To: Incarnation{"z", 0}, Join: &Join{}},
+		{From: Incarnation{"b", 7}, To: Incarnation{"a", 0}, Raft: []byte{}, Run: 2},
 		{},
 	} {
 		c.Receive(r.now, "b", m)
@@ -403,7 +403,7 @@
 		r := newRoom(t, "a", "b", "c")
 		r.run(5000)
 		for ref := range proposals {
-			r.leader().Propose("x", ref, works.Command{Name: &works.Name{Works: []works.Work{"w"}}})
+			r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
 			r.run(50)
 		}
 		voted := 0
@@ -443,16 +443,16 @@
 		}
 	}
 	waiting := len(a.waiting)
-	a.Receive(r.now, "b", &Message{From: Life{"b", 0}, To: Life{"a", 0}, Run: 2, Serial: 1 << 40, Raft: raftBytes(t)})
+	a.Receive(r.now, "b", &Message{From: Incarnation{"b", 0}, To: Incarnation{"a", 0}, Run: 2, Serial: 1 << 40, Raft: raftBytes(t)})
 	if len(a.waiting) != waiting {
 		t.Error("a message of an earlier run is taken after a later one asked")
 	}
-	a.Receive(r.now, "b", &Message{From: Life{"b", 0}, To: Life{"a", 0}, Run: b.run, Serial: 1 << 40, Raft: raftBytes(t)})
+	a.Receive(r.now, "b", &Message{From: Incarnation{"b", 0}, To: Incarnation{"a", 0}, Run: b.run, Serial: 1 << 40, Raft: raftBytes(t)})
 	if len(a.waiting) != waiting+1 {
 		t.Error("a message of the run that asked is not taken")
 	}
 	tell := func(from members.ID, run uint64) {
-		b.Receive(r.now, from, &Message{From: Life{from, 0}, To: Life{"b", 0}, Tell: &Tell{Run: run}})
+		b.Receive(r.now, from, &Message{From: Incarnation{from, 0}, To: Incarnation{"b", 0}, Answer: &Answer{Run: run}})
 	}
 	tell("a", b.run-1)
 	tell("c", b.run)
@@ -462,10 +462,10 @@
 	tell("a", b.run)
 	r.standing("b", Voting)
 	d := r.start("b")
-	d.Receive(r.now, "a", &Message{From: Life{"a", 0}, To: Life{"b", 0}, Tell: &Tell{Run: d.run, Retired: true}})
+	d.Receive(r.now, "a", &Message{From: Incarnation{"a", 0}, To: Incarnation{"b", 0}, Answer: &Answer{Run: d.run, Retired: true}})
 	r.standing("b", Joining)
 	e := r.start("b")
-	e.Receive(r.now, "c", &Message{From: Life{"a", 0}, To: Life{"b", 0}, Tell: &Tell{Run: e.run, Retired: true}})
+	e.Receive(r.now, "c", &Message{From: Incarnation{"a", 0}, To: Incarnation{"b", 0}, Answer: &Answer{Run: e.run, Retired: true}})
 	r.standing("b", Doubted) // c may not speak for a
 	_ = e
 }
@@ -473,7 +473,7 @@
 // raftBytes is some message of b to a.
 func raftBytes(t *testing.T) []byte {
 	t.Helper()
-	data, err := proto.Marshal(&pb.Message{Type: new(pb.MsgAppResp), From: new(Life{"b", 0}.Number()), To: new(Life{"a", 0}.Number()),
+	data, err := proto.Marshal(&pb.Message{Type: new(pb.MsgAppResp), From: new(Incarnation{"b", 0}.Number()), To: new(Incarnation{"a", 0}.Number()),
 		Term: new(uint64(1)), Index: new(uint64(1))})
 	if err != nil {
 		t.Fatal(err)
@@ -481,7 +481,7 @@
 	return data
 }
 
-// A council of one decides by itself, and goes on after a restart; who is not one of the council is none.
+// A quorum of one decides by itself, and goes on after a restart; who is not one of the quorum is none.
 func TestAlone(t *testing.T) {
 	r := newRoom(t, "a")
 	r.run(5000)
@@ -489,14 +489,14 @@
 	r.propose(1)
 	r.start("a")
 	r.run(5000)
-	if r.standing("a", Voting); r.members["a"].State().Grants["w1"] == nil {
+	if r.standing("a", Voting); r.members["a"].State().Leases["w1"] == nil {
 		t.Error("forgotten")
 	}
 	c, err := New(Facts{Self: "z", Founders: r.founders, Run: 9}, nil, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, _ := c.Standing(); s != Outside || c.Batch() != nil || c.Next() < 1000 {
+	if s, _ := c.Role(); s != Outside || c.Batch() != nil || c.Next() < 1000 {
 		t.Error("one outside takes part")
 	}
 }
@@ -513,7 +513,7 @@
 	}
 }
 
-// A member asks to be taken in as another life, and is vouched for just then: it goes on as the one that the council has.
+// A member asks to be taken in as another incarnation, and is vouched for just then: it goes on as the one that the quorum has.
 func TestBothAtOnce(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
@@ -526,15 +526,15 @@
 	c.led, c.startedAt = true, r.now-giveUpAsking-1
 	r.run(3000)
 	for _, other := range c.others() { // answers of before it was taken in
-		c.Receive(r.now, other, &Message{From: Life{other, 0}, To: Life{out, 0}, Tell: &Tell{Run: c.run, Mark: 0}})
+		c.Receive(r.now, other, &Message{From: Incarnation{other, 0}, To: Incarnation{out, 0}, Answer: &Answer{Run: c.run, Mark: 0}})
 	}
-	if c.Life().Disk != 0 {
+	if c.Incarnation().Disk != 0 {
 		t.Fatal("it has begun another life by itself")
 	}
 	r.cut = nil
 	r.run(10000)
 	r.standing(out, Voting)
-	if lives, _ := r.leader().Members(); !slices.Contains(lives, c.Life()) {
-		t.Errorf("it is %v, the council has %v", c.Life(), lives)
+	if lives, _ := r.leader().Members(); !slices.Contains(lives, c.Incarnation()) {
+		t.Errorf("it is %v, the council has %v", c.Incarnation(), lives)
 	}
 }
--- a/internal/fleet/block.go
+++ b/internal/fleet/block.go
@@ -11,8 +11,8 @@
 
 	"github.com/hashicorp/hcl/v2"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
 	"mintkeel/internal/operator/block"
 )
 
@@ -25,7 +25,7 @@
 	KeyFile    string
 	Folder     string
 	Council    map[members.ID]string // its members and where they listen
-	Works      []works.Work
+	Works      []lease.Name
 	Lease      time.Duration
 	Willing    bool // it takes on works
 }
@@ -78,15 +78,15 @@
 		read.Council[members.ID(name)] = addr
 	}
 	if !open.Has("works") {
-		read.Works = []works.Work{Digest}
+		read.Works = []lease.Name{Digest}
 	}
 	for _, w := range open.Texts("works", 64) {
 		if !nameForm.MatchString(w) {
 			open.Note("works", fmt.Sprintf("%.64q is no name of a work", w))
-		} else if slices.Contains(read.Works, works.Work(w)) {
+		} else if slices.Contains(read.Works, lease.Name(w)) {
 			open.Note("works", w+" stands there twice")
 		} else {
-			read.Works = append(read.Works, works.Work(w))
+			read.Works = append(read.Works, lease.Name(w))
 		}
 	}
 	slices.Sort(read.Works)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -13,9 +13,9 @@
 	"path/filepath"
 	"time"
 
-	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/core/fleet/quorum"
 )
 
 // Operators speak to a controller by a socket in its folder: one request, one answer, both a line of JSON. Whoever may
@@ -168,9 +168,9 @@
 		for _, p := range in.programs {
 			if c, ok := p.(*Conductor); ok {
 				owner := members.ID("")
-				grants, _ := in.core.Grants()
+				grants, _ := in.core.Leases()
 				for _, g := range grants {
-					if g.Work == Maintenance {
+					if g.Name == Maintenance {
 						owner = g.Holder.ID
 					}
 				}
@@ -206,10 +206,10 @@
 	switch r.Do {
 	case "status":
 	case "handover":
-		grants, _ := in.core.Grants()
+		grants, _ := in.core.Leases()
 		found := false
 		for _, g := range grants {
-			found = found || g.Work == works.Work(r.Work) && !g.Dropped
+			found = found || g.Name == lease.Name(r.Work) && !g.Retired
 		}
 		if !found {
 			return fmt.Errorf("%.64q is no work that this controller knows of", r.Work)
@@ -217,7 +217,7 @@
 		if !known(r.To) {
 			return fmt.Errorf("%.64q is no controller that this one knows of", r.To)
 		}
-		in.core.HandOver(in.now(), works.Work(r.Work), members.ID(r.To))
+		in.core.HandOver(in.now(), lease.Name(r.Work), members.ID(r.To))
 	case "replace":
 		if !known(r.Old) || r.To != "" && !known(r.To) {
 			return fmt.Errorf("%.64q or %.64q is no controller that this one knows of", r.Old, r.To)
@@ -225,7 +225,7 @@
 		in.core.Exchange(in.now(), members.ID(r.Old), members.ID(r.To))
 	case "trust":
 		if !in.core.Trust(in.now()) {
-			return errors.New("there is nothing to trust: this controller is no doubted member of the council")
+			return errors.New("there is nothing to trust: this controller is no voter whose folder is doubted")
 		}
 		in.Service.log.Warn("fleet: the folder is trusted by an operator's word")
 	default:
@@ -235,8 +235,8 @@
 }
 
 func (in *session) describe() Status {
-	c := in.core.Council()
-	standing, why := c.Standing()
+	c := in.core.Quorum()
+	standing, why := c.Role()
 	s := Status{Fleet: in.block.Name, Generation: in.block.Generation, Self: string(in.self), Slow: in.core.Table().Slow(),
 		Members: []MemberStatus{}, Works: []WorkStatus{}, Holds: []string{},
 		Council: CouncilStatus{Standing: standing.String(), Why: why, Leader: string(in.core.Leader()), Term: c.Term(),
@@ -245,21 +245,21 @@
 		s.Members = append(s.Members, MemberStatus{string(m.ID), m.Addr, m.State.String(), uint64(m.Incarnation), m.Willing,
 			fmt.Sprintf("%x", m.Run)})
 	}
-	grants, own := in.core.Grants()
+	grants, own := in.core.Leases()
 	s.Own = own
 	for _, g := range grants {
-		if !g.Dropped {
-			w := WorkStatus{Work: string(g.Work), Epoch: uint64(g.Epoch), Owner: string(g.Holder.ID), Wanted: string(g.Wanted)}
+		if !g.Retired {
+			w := WorkStatus{Work: string(g.Name), Epoch: uint64(g.Token), Owner: string(g.Holder.ID), Wanted: string(g.Preferred)}
 			if g.Held() {
 				w.Run = fmt.Sprintf("%x", g.Holder.Run)
 			}
 			s.Works = append(s.Works, w)
 		}
 	}
-	for _, h := range in.core.Works(in.now()) {
-		s.Holds = append(s.Holds, string(h.Work))
+	for _, h := range in.core.Held(in.now()) {
+		s.Holds = append(s.Holds, string(h.Name))
 	}
-	if standing != council.Outside {
+	if standing != quorum.Outside {
 		lives, votes := c.Members()
 		for i, l := range lives {
 			s.Council.Members = append(s.Council.Members, LifeStatus{string(l.Name), fmt.Sprintf("%x", l.Disk), votes[i]})
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -12,9 +12,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mintkeel/internal/core/fleet/digest"
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 	"mintkeel/internal/core/recall"
 	"mintkeel/internal/fleet/frames"
 	"mintkeel/internal/memory"
@@ -24,7 +24,7 @@
 // Digest is the work that gathers what controllers have learned, so that one that starts with nothing can begin with it.
 // Its owner asks a few controllers at a time, merges what they tell (core/fleet/digest), and gives the whole to the
 // council's members, who take it only from the latest owner. A newcomer asks them, once, and does not wait.
-const Digest works.Work = "digest"
+const Digest lease.Name = "digest"
 
 const (
 	gatherEach  = 5000.0 // ms between two rounds of asking
@@ -95,43 +95,43 @@
 }
 
 // NewDigest is the program.
-func NewDigest(l Learner) Program {
+func NewDigest(l Learner) Job {
 	ctx, end := context.WithCancel(context.Background())
 	return &digester{learner: l, rng: rand.New(rand.NewSource(int64(draw() >> 1))), wanting: l.Remember != nil, ctx: ctx, end: end,
 		now: func() float64 { return float64(time.Now().UnixMicro()) / 1e3 }}
 }
 
-func (d *digester) Began(h Hands, c works.Claim) {
-	if c.Work == Digest {
+func (d *digester) Began(h Context, c lease.Grant) {
+	if c.Name == Digest {
 		d.owns, d.gatherAt, d.publishAt = true, h.Now(), h.Now()+gatherEach/2
 		d.gathered = digest.Gathered{}
 	}
 }
 
-func (d *digester) Ended(c works.Claim) {
-	if c.Work == Digest {
+func (d *digester) Ended(c lease.Grant) {
+	if c.Name == Digest {
 		d.owns = false
 	}
 }
 
-func (d *digester) Passed(node.Passed) {}
+func (d *digester) VerdictReceived(node.Verdict) {}
 
-func (d *digester) Handed(Hands, node.Handed) {}
+func (d *digester) StateReceived(Context, node.Checkpoint) {}
 
 func (d *digester) Close() {
 	d.end()
 	d.group.Wait()
 }
 
-func say(h Hands, to members.ID, w word) {
+func say(h Context, to members.ID, w word) {
 	w.Digest = true
 	if data, err := cbor.Marshal(w); err == nil {
-		h.Say(to, data)
+		h.SendMessage(to, data)
 	}
 }
 
 // others draws some that are there.
-func (d *digester) others(h Hands, n int, which func(members.Member) bool) (some []members.ID) {
+func (d *digester) others(h Context, n int, which func(members.Member) bool) (some []members.ID) {
 	for _, m := range h.Members() {
 		if m.State == members.Alive && m.ID != h.Self() && which(m) {
 			some = append(some, m.ID)
@@ -141,7 +141,7 @@
 	return some[:min(n, len(some))]
 }
 
-func (d *digester) Tick(h Hands, now float64) {
+func (d *digester) Tick(h Context, now float64) {
 	if d.began == 0 {
 		d.began = now
 	}
@@ -171,7 +171,7 @@
 	if d.wanting && now >= d.wantAt {
 		d.wantAt = now + wantEach
 		if d.wanting = now < d.began+wantFor; d.wanting {
-			keepers := h.Council()
+			keepers := h.Voters()
 			for _, id := range d.others(h, wantFrom, func(m members.Member) bool { return slices.Contains(keepers, m.ID) }) {
 				say(h, id, word{Want: true})
 			}
@@ -223,7 +223,7 @@
 }
 
 // publish gives the digest to who keeps it.
-func (d *digester) publish(h Hands) {
+func (d *digester) publish(h Context) {
 	now := d.now()
 	if d.gathered.Len(now) == 0 {
 		return
@@ -234,26 +234,26 @@
 	if err != nil {
 		return
 	}
-	for _, id := range h.Council() {
+	for _, id := range h.Voters() {
 		d.id++
-		h.Act(Digest, id, d.id, data)
+		h.TryEffect(Digest, id, d.id, data)
 	}
 }
 
-// Taken keeps the digest of the latest owner.
-func (d *digester) Taken(_ Hands, _ members.ID, e node.Effect) {
-	if e.Claim.Work != Digest {
+// EffectReceived keeps the digest of the latest owner.
+func (d *digester) EffectReceived(_ Context, _ members.ID, e node.Effect) {
+	if e.Claim.Name != Digest {
 		return
 	}
 	var t told
 	if err := frames.Decoder.Unmarshal(e.Data, &t); err != nil || len(t.Data) > mostWord {
 		return
 	}
-	t.Epoch = uint64(e.Claim.Epoch)
+	t.Epoch = uint64(e.Claim.Token)
 	d.kept, d.keptAt = &t, time.Now()
 }
 
-func (d *digester) Said(h Hands, from members.ID, data []byte) bool {
+func (d *digester) MessageReceived(h Context, from members.ID, data []byte) bool {
 	var w word
 	if err := frames.Decoder.Unmarshal(data, &w); err != nil || !w.Digest {
 		return false
--- a/internal/fleet/lab.go
+++ b/internal/fleet/lab.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // labProgram does the works of a rig: an effect each 50 ms at an endpoint outside, and one at another controller, which
@@ -43,8 +43,8 @@
 	return []Program{p}
 }
 
-func (p *labProgram) Began(Hands, works.Claim)  {}
-func (p *labProgram) Ended(works.Claim)         {}
+func (p *labProgram) Began(Hands, lease.Claim)  {}
+func (p *labProgram) Ended(lease.Claim)         {}
 func (p *labProgram) Passed(node.Passed)        {}
 func (p *labProgram) Handed(Hands, node.Handed) {}
 func (p *labProgram) Close()                    { close(p.end) }
@@ -74,9 +74,9 @@
 }
 
 // labWorks are the names that a rig uses.
-func labWorks(h Hands) (list []works.Work) {
+func labWorks(h Hands) (list []lease.Work) {
 	for i := range 8 {
-		list = append(list, works.Work(fmt.Sprintf("work-%d", i)))
+		list = append(list, lease.Work(fmt.Sprintf("work-%d", i)))
 	}
 	return list
 }
--- a/internal/fleet/maintain.go
+++ b/internal/fleet/maintain.go
@@ -15,10 +15,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/maintenance"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 	"mintkeel/internal/fleet/frames"
 	"mintkeel/router"
 )
@@ -27,7 +27,7 @@
 // plans and steps are agreed through the council, so that the next owner goes on; what controllers are to hold is an effect
 // with its epoch, so that an old conductor changes nothing. Every controller, its owner too, holds what it was told to and
 // confirms when nothing of its own is out there.
-const Maintenance works.Work = "maintenance"
+const Maintenance lease.Name = "maintenance"
 
 const (
 	conductEach  = 500.0  // ms between two looks
@@ -131,7 +131,7 @@
 	now    func() float64 // ms since 1970
 
 	owns    bool
-	claim   works.Claim
+	claim   lease.Grant
 	known   bool // the agreed state has come
 	agreed  agreedMaintenance
 	serial  uint64
@@ -147,7 +147,7 @@
 	lostAt  map[maintenance.EngineID]float64 // since when one is not there, as this conductor saw it
 
 	holds      holding // what this controller was told
-	holdsEpoch works.Epoch
+	holdsEpoch lease.Token
 	holdsFrom  members.ID
 	confirmAt  float64
 	refs       map[uint64]chan MaintenanceStatus
@@ -194,17 +194,17 @@
 }
 
 // Began and the others are those of Program.
-func (c *Conductor) Began(h Hands, claim works.Claim) {
-	if claim.Work != Maintenance {
+func (c *Conductor) Began(h Context, claim lease.Grant) {
+	if claim.Name != Maintenance {
 		return
 	}
 	c.owns, c.claim, c.known, c.putting, c.next = true, claim, false, false, h.Now()
 	c.confirm = map[members.ID]confirmed{}
-	h.Get(Maintenance)
+	h.RequestState(Maintenance)
 }
 
-func (c *Conductor) Ended(claim works.Claim) {
-	if claim.Work == Maintenance {
+func (c *Conductor) Ended(claim lease.Grant) {
+	if claim.Name == Maintenance {
 		c.owns, c.known = false, false
 	}
 }
@@ -214,10 +214,10 @@
 	c.group.Wait()
 }
 
-func (c *Conductor) Passed(node.Passed) {}
+func (c *Conductor) VerdictReceived(node.Verdict) {}
 
-// Handed takes in the agreed state.
-func (c *Conductor) Handed(h Hands, s node.Handed) {
+// StateReceived takes in the agreed state.
+func (c *Conductor) StateReceived(h Context, s node.Checkpoint) {
 	if s.Claim != c.claim || !c.owns {
 		return
 	}
@@ -229,7 +229,7 @@
 	if len(s.Data) > 0 {
 		if err := frames.Decoder.Unmarshal(s.Data, &a); err != nil {
 			c.keeper.Log.Error("maintenance: the agreed state can't be read", "why", err)
-			h.GiveUp(Maintenance, true)
+			h.Release(Maintenance, true)
 			return
 		}
 	}
@@ -240,18 +240,18 @@
 }
 
 // put has a changed state agreed on; what it says is acted on when it is.
-func (c *Conductor) put(h Hands, a agreedMaintenance) {
+func (c *Conductor) put(h Context, a agreedMaintenance) {
 	data, err := cbor.Marshal(a)
-	if err != nil || len(data) > works.MostData {
+	if err != nil || len(data) > lease.MaxData {
 		c.keeper.Log.Error("maintenance: the state is too big to be agreed on", "bytes", len(data))
 		return
 	}
-	if h.Put(Maintenance, c.serial+1, data) {
+	if h.ProposeState(Maintenance, c.serial+1, data) {
 		c.putting, c.putAt = true, h.Now()
 	}
 }
 
-func (c *Conductor) Tick(h Hands, now float64) {
+func (c *Conductor) Tick(h Context, now float64) {
 	c.confirmHolds(h)
 	if !c.owns || now < c.next {
 		return
@@ -262,7 +262,7 @@
 		if now > c.putAt+handEach { // the word or its answer was lost: what is agreed tells
 			c.putAt, c.putting = now, false
 			c.known = false
-			h.Get(Maintenance)
+			h.RequestState(Maintenance)
 		}
 		return
 	}
@@ -316,7 +316,7 @@
 }
 
 // announce tells every controller, again and again: one that has not heard it in time, or begins, hears the next.
-func (c *Conductor) announce(h Hands) {
+func (c *Conductor) announce(h Context) {
 	data, err := cbor.Marshal(holding{c.serial, c.held()})
 	if err != nil {
 		return
@@ -324,32 +324,32 @@
 	for _, m := range h.Members() {
 		if m.State <= members.Suspect || m.State == members.Gone { // who is gone may be cut off: it may hear
 			c.id++
-			h.Act(Maintenance, m.ID, c.id, data)
+			h.TryEffect(Maintenance, m.ID, c.id, data)
 		}
 	}
 }
 
-// Taken takes in what this controller is to hold, from the latest conductor.
-func (c *Conductor) Taken(_ Hands, from members.ID, e node.Effect) {
-	if e.Claim.Work != Maintenance {
+// EffectReceived takes in what this controller is to hold, from the latest conductor.
+func (c *Conductor) EffectReceived(_ Context, from members.ID, e node.Effect) {
+	if e.Claim.Name != Maintenance {
 		return
 	}
 	var told holding
-	if err := frames.Decoder.Unmarshal(e.Data, &told); err != nil || e.Claim.Epoch == c.holdsEpoch && told.Serial < c.holds.Serial {
+	if err := frames.Decoder.Unmarshal(e.Data, &told); err != nil || e.Claim.Token == c.holdsEpoch && told.Serial < c.holds.Serial {
 		return
 	}
-	if !slices.Equal(told.Engines, c.holds.Engines) || e.Claim.Epoch != c.holdsEpoch {
+	if !slices.Equal(told.Engines, c.holds.Engines) || e.Claim.Token != c.holdsEpoch {
 		c.mu.Lock()
 		c.told, c.toHold, c.engines = c.told+1, told.Engines, nil
 		c.mu.Unlock()
-		c.keeper.Log.Info("maintenance: holds", "engines", len(told.Engines), "epoch", uint64(e.Claim.Epoch), "serial", told.Serial)
+		c.keeper.Log.Info("maintenance: holds", "engines", len(told.Engines), "epoch", uint64(e.Claim.Token), "serial", told.Serial)
 	}
-	c.holds, c.holdsEpoch, c.holdsFrom = told, e.Claim.Epoch, from
+	c.holds, c.holdsEpoch, c.holdsFrom = told, e.Claim.Token, from
 	c.look()
 }
 
 // confirmHolds says which of the held engines this controller has stopped sending to, with nothing of its own out there.
-func (c *Conductor) confirmHolds(h Hands) {
+func (c *Conductor) confirmHolds(h Context) {
 	c.mu.Lock()
 	change, engines := c.told != c.applied, c.engines
 	c.mu.Unlock()
@@ -378,14 +378,14 @@
 	sayMaintenance(h, c.holdsFrom, word)
 }
 
-func sayMaintenance(h Hands, to members.ID, w confirmation) {
+func sayMaintenance(h Context, to members.ID, w confirmation) {
 	w.Is = isMaintenance
 	if data, err := cbor.Marshal(w); err == nil {
-		h.Say(to, data)
+		h.SendMessage(to, data)
 	}
 }
 
-func (c *Conductor) Said(h Hands, from members.ID, data []byte) bool {
+func (c *Conductor) MessageReceived(h Context, from members.ID, data []byte) bool {
 	var w confirmation
 	if err := frames.Decoder.Unmarshal(data, &w); err != nil || w.Is != isMaintenance {
 		return false
@@ -404,13 +404,13 @@
 			delete(c.refs, w.Answer.Ref)
 			reply <- s
 		}
-	case c.owns && w.Epoch == uint64(c.claim.Epoch):
+	case c.owns && w.Epoch == uint64(c.claim.Token):
 		c.confirm[from] = confirmed{w.Serial, w.Stopped, h.Now()}
 	}
 	return true
 }
 
-func (c *Conductor) reply(h Hands, to members.ID, ref uint64, s MaintenanceStatus) {
+func (c *Conductor) reply(h Context, to members.ID, ref uint64, s MaintenanceStatus) {
 	if data, err := json.Marshal(s); err == nil {
 		sayMaintenance(h, to, confirmation{Answer: &answer{Ref: ref, JSON: data}})
 	}
@@ -418,7 +418,7 @@
 
 // unconfirmed are the controllers that may still send to an engine, for all that the conductor knows: whoever it ever heard
 // of, but for those that said that they end and those that an operator does without.
-func (c *Conductor) unconfirmed(h Hands, id maintenance.EngineID) (list []string) {
+func (c *Conductor) unconfirmed(h Context, id maintenance.EngineID) (list []string) {
 	for _, m := range h.Members() {
 		if m.State == members.Left || m.Run == 0 || slices.Contains(c.agreed.Without, m.ID) {
 			continue
@@ -432,7 +432,7 @@
 }
 
 // view is what the order goes by.
-func (c *Conductor) view(h Hands) maintenance.View {
+func (c *Conductor) view(h Context) maintenance.View {
 	c.mu.Lock()
 	engines := c.engines
 	c.mu.Unlock()
@@ -494,7 +494,7 @@
 }
 
 // conduct makes the next step, if there is one, and has it agreed on.
-func (c *Conductor) conduct(h Hands) {
+func (c *Conductor) conduct(h Context) {
 	v := c.view(h)
 	for _, t := range c.agreed.Tasks {
 		if m := c.step(h, v, t); m != nil {
@@ -511,7 +511,7 @@
 }
 
 // step is what hands, confirmations and operators have told of a task.
-func (c *Conductor) step(h Hands, v maintenance.View, t maintenance.Task) *maintenance.Move {
+func (c *Conductor) step(h Context, v maintenance.View, t maintenance.Task) *maintenance.Move {
 	to := func(s maintenance.Step) *maintenance.Move {
 		return &maintenance.Move{Engine: t.Engine, Plan: t.Plan, From: t.Step, To: s}
 	}
@@ -571,7 +571,7 @@
 	return router.Gone
 }
 
-func (c *Conductor) move(h Hands, v maintenance.View, m maintenance.Move) {
+func (c *Conductor) move(h Context, v maintenance.View, m maintenance.Move) {
 	e := maintenance.Engine{ID: m.Engine}
 	for _, x := range v.Engines {
 		if x.ID == m.Engine {
@@ -645,7 +645,7 @@
 }
 
 // carry does what an operator wants.
-func (c *Conductor) carry(h Hands, o waitingOrder) {
+func (c *Conductor) carry(h Context, o waitingOrder) {
 	a := c.agreed
 	a.Plans, a.Without = slices.Clone(a.Plans), slices.Clone(a.Without)
 	v := c.view(h)
@@ -716,8 +716,8 @@
 	c.reply(h, o.from, o.ref, s)
 }
 
-func (c *Conductor) describe(h Hands, a agreedMaintenance, s *MaintenanceStatus) {
-	s.Conductor, s.Epoch, s.Serial, s.Plans = string(h.Self()), uint64(c.claim.Epoch), c.serial, a.Plans
+func (c *Conductor) describe(h Context, a agreedMaintenance, s *MaintenanceStatus) {
+	s.Conductor, s.Epoch, s.Serial, s.Plans = string(h.Self()), uint64(c.claim.Token), c.serial, a.Plans
 	s.Tasks, s.Reasons, s.Forecasts = []TaskStatus{}, []string{}, []ForecastStatus{}
 	v := c.view(h)
 	for _, p := range a.Plans {
@@ -744,7 +744,7 @@
 var errNoConductor = errors.New("nobody conducts maintenance now, as far as this controller knows")
 
 // Order passes what an operator wants on to whoever conducts; the answer comes on the returned channel.
-func (c *Conductor) Order(h Hands, owner members.ID, o MaintenanceOrder) (chan MaintenanceStatus, error) {
+func (c *Conductor) Order(h Context, owner members.ID, o MaintenanceOrder) (chan MaintenanceStatus, error) {
 	if owner == "" {
 		return nil, errNoConductor
 	}
--- a/internal/fleet/nolab.go
+++ b/internal/fleet/nolab.go
@@ -2,4 +2,4 @@
 
 package fleet
 
-func labPrograms(string) []Program { return nil }
+func labPrograms(string) []Job { return nil }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -19,10 +19,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/core/fleet/quorum"
 	"mintkeel/internal/fleet/frames"
 	"mintkeel/internal/fleet/links"
 	"mintkeel/internal/fleet/seam"
@@ -30,30 +30,30 @@
 	"mintkeel/internal/store/records"
 )
 
-// Program does a work while this controller owns it. Its methods are called by one goroutine and must not wait; what takes
+// Job does a work while this controller owns it. Its methods are called by one goroutine and must not wait; what takes
 // time it does in goroutines of its own, which end with Ended or Close.
-type Program interface {
-	Began(h Hands, c works.Claim)
-	Ended(c works.Claim)
-	Tick(h Hands, now float64)                              // about each 100 ms
-	Taken(h Hands, from members.ID, e node.Effect)          // an effect of the work that passed the gate here
-	Passed(p node.Passed)                                   // what became of an effect of this one
-	Said(h Hands, from members.ID, data []byte) (mine bool) // a word of another controller's program
-	Handed(h Hands, s node.Handed)                          // what owners of a work hand on, upon Put or Get of this one
+type Job interface {
+	Began(h Context, c lease.Grant)
+	Ended(c lease.Grant)
+	Tick(h Context, now float64)                                         // about each 100 ms
+	EffectReceived(h Context, from members.ID, e node.Effect)            // an effect of the work that passed the gate here
+	VerdictReceived(p node.Verdict)                                      // what became of an effect of this one
+	MessageReceived(h Context, from members.ID, data []byte) (mine bool) // a word of another controller's program
+	StateReceived(h Context, s node.Checkpoint)                          // what owners of a work hand on, upon Put or Get of this one
 	Close()
 }
 
-// Hands are what a program may do.
-type Hands interface {
+// Context are what a program may do.
+type Context interface {
 	Self() members.ID
-	Act(w works.Work, to members.ID, id uint64, data []byte) bool // false: the work is not owned, and nothing was sent
-	Say(to members.ID, data []byte)
-	May(w works.Work) (works.Epoch, bool)
-	GiveUp(w works.Work, failed bool)
-	Put(w works.Work, serial uint64, data []byte) bool // false: the work is not owned
-	Get(w works.Work) bool
+	TryEffect(w lease.Name, to members.ID, id uint64, data []byte) bool // false: the work is not owned, and nothing was sent
+	SendMessage(to members.ID, data []byte)
+	CanAct(w lease.Name) (lease.Token, bool)
+	Release(w lease.Name, failed bool)
+	ProposeState(w lease.Name, serial uint64, data []byte) bool // false: the work is not owned
+	RequestState(w lease.Name) bool
 	Members() []members.Member
-	Council() []members.ID
+	Voters() []members.ID
 	Now() float64
 }
 
@@ -62,7 +62,7 @@
 	block    Block
 	self     members.ID
 	log      *slog.Logger
-	programs []Program
+	programs []Job
 	links    *links.Links
 	listener net.Listener
 	control  net.Listener
@@ -86,7 +86,7 @@
 )
 
 // Start begins to take part. Its error is of what an operator has to mend: the key's file, the address, the folder.
-func Start(b *Block, self string, programs []Program, log *slog.Logger) (*Service, error) {
+func Start(b *Block, self string, programs []Job, log *slog.Logger) (*Service, error) {
 	keys, err := frames.ReadKeys(b.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key_file: %w", err)
@@ -255,8 +255,8 @@
 type job struct {
 	payload []byte
 	whole   bool
-	batch   *council.Batch
-	record  *council.Record
+	batch   *quorum.Batch
+	record  *quorum.Record
 }
 
 type result struct {
@@ -274,7 +274,7 @@
 		return err
 	}
 	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.block.Works,
-		Terms: works.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1)}
+		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1)}
 	for id, addr := range s.block.Council {
 		facts.Founders = append(facts.Founders, id)
 		facts.Seeds = append(facts.Seeds, members.Member{ID: id, Addr: addr})
@@ -290,8 +290,8 @@
 		in.close()
 		return err
 	}
-	standing, why := in.core.Council().Standing()
-	s.log.Info("fleet: taking part", "fleet", s.block.Name, "generation", s.block.Generation, "run", run, "council", standing.String(),
+	standing, why := in.core.Quorum().Role()
+	s.log.Info("fleet: taking part", "fleet", s.block.Name, "generation", s.block.Generation, "run", run, "quorum", standing.String(),
 		"why", why)
 	if s.stop.Load() {
 		in.core.Stop(in.now())
@@ -314,22 +314,22 @@
 }
 
 // open reads what is kept. A log that is damaged is as one that was lost: the council finds out what it had promised.
-func (in *session) open() ([]council.Record, error) {
+func (in *session) open() ([]quorum.Record, error) {
 	log, kept, torn, err := records.Open(disk.Folder(in.block.Folder), records.Usual())
 	if log == nil {
 		return nil, fmt.Errorf("folder: %w", err)
 	}
 	in.kept = log
 	if err != nil {
-		in.Service.log.Error("fleet: what the council kept here can't be read: taking part as one that lost it", "why", err)
+		in.Service.log.Error("fleet: what the quorum kept here can't be read: taking part as one that lost it", "why", err)
 		kept = nil
 	}
 	if torn {
 		in.Service.log.Info("fleet: the last record was not written whole, and nothing was said on it")
 	}
-	list := make([]council.Record, 0, len(kept))
+	list := make([]quorum.Record, 0, len(kept))
 	for i, b := range kept {
-		var r council.Record
+		var r quorum.Record
 		if err := recordForm.Unmarshal(b, &r); err != nil {
 			return nil, fmt.Errorf("record %d: %w", i, err)
 		}
@@ -430,13 +430,13 @@
 			in.send(m)
 		}
 		for _, c := range out.Began {
-			in.Service.log.Info("fleet: owns a work", "work", string(c.Work), "epoch", uint64(c.Epoch))
+			in.Service.log.Info("fleet: holds a lease", "lease", string(c.Name), "token", uint64(c.Token))
 			for _, p := range in.programs {
 				p.Began(in, c)
 			}
 		}
 		for _, c := range out.Ended {
-			in.Service.log.Info("fleet: owns a work no more", "work", string(c.Work), "epoch", uint64(c.Epoch))
+			in.Service.log.Info("fleet: lease ended", "lease", string(c.Name), "token", uint64(c.Token))
 			for _, p := range in.programs {
 				p.Ended(c)
 			}
@@ -450,7 +450,7 @@
 		for _, t := range out.Taken {
 			in.counts.effects.Add(1)
 			for _, p := range in.programs {
-				p.Taken(in, t.From, t.Effect)
+				p.EffectReceived(in, t.From, t.Effect)
 			}
 		}
 		for _, r := range out.Passed {
@@ -458,19 +458,19 @@
 				in.counts.turned.Add(1)
 			}
 			for _, p := range in.programs {
-				p.Passed(r)
+				p.VerdictReceived(r)
 			}
 		}
 		for _, w := range out.Words {
 			for _, p := range in.programs {
-				if p.Said(in, w.From, w.Data) {
+				if p.MessageReceived(in, w.From, w.Data) {
 					break
 				}
 			}
 		}
 		for _, s := range out.Handed {
 			for _, p := range in.programs {
-				p.Handed(in, s)
+				p.StateReceived(in, s)
 			}
 		}
 		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words)+len(out.Handed) > 0
@@ -494,7 +494,7 @@
 	return nil
 }
 
-func (in *session) keep(j job, r *council.Record) error {
+func (in *session) keep(j job, r *quorum.Record) error {
 	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return err
@@ -518,7 +518,7 @@
 
 // lose tells the programs that this one owns nothing any more.
 func (in *session) lose() {
-	for _, c := range in.core.Works(in.now()) {
+	for _, c := range in.core.Held(in.now()) {
 		for _, p := range in.programs {
 			p.Ended(c)
 		}
@@ -530,36 +530,36 @@
 // Self is this controller.
 func (in *session) Self() members.ID { return in.Service.self }
 
-// Act does an effect of a work, if this one owns it now.
-func (in *session) Act(w works.Work, to members.ID, id uint64, data []byte) bool {
-	return in.core.Act(in.now(), w, to, id, data)
+// TryEffect does an effect of a work, if this one owns it now.
+func (in *session) TryEffect(w lease.Name, to members.ID, id uint64, data []byte) bool {
+	return in.core.TryEffect(in.now(), w, to, id, data)
 }
 
-// Say says a word to another controller's program.
-func (in *session) Say(to members.ID, data []byte) { in.core.Say(in.now(), to, data) }
+// SendMessage says a word to another controller's program.
+func (in *session) SendMessage(to members.ID, data []byte) { in.core.SendMessage(in.now(), to, data) }
 
-// May tells whether this one owns a work now.
-func (in *session) May(w works.Work) (works.Epoch, bool) {
-	e, _, ok := in.core.May(in.now(), w)
+// CanAct tells whether this one owns a work now.
+func (in *session) CanAct(w lease.Name) (lease.Token, bool) {
+	e, _, ok := in.core.CanAct(in.now(), w)
 	return e, ok
 }
 
-// GiveUp has another one take a work on.
-func (in *session) GiveUp(w works.Work, failed bool) { in.core.GiveUp(in.now(), w, failed) }
+// Release has another one take a work on.
+func (in *session) Release(w lease.Name, failed bool) { in.core.Release(in.now(), w, failed) }
 
-// Put has a work's state handed on.
-func (in *session) Put(w works.Work, serial uint64, data []byte) bool {
-	return in.core.Put(in.now(), w, serial, data)
+// ProposeState has a work's state handed on.
+func (in *session) ProposeState(w lease.Name, serial uint64, data []byte) bool {
+	return in.core.ProposeState(in.now(), w, serial, data)
 }
 
-// Get asks for what was handed on.
-func (in *session) Get(w works.Work) bool { return in.core.Get(in.now(), w) }
+// RequestState asks for what was handed on.
+func (in *session) RequestState(w lease.Name) bool { return in.core.RequestState(in.now(), w) }
 
 // Members are those known.
 func (in *session) Members() []members.Member { return in.core.Members() }
 
-// Council are the council's members, as far as this one knows.
-func (in *session) Council() []members.ID { return in.core.CouncilNames() }
+// Voters are the council's members, as far as this one knows.
+func (in *session) Voters() []members.ID { return in.core.Voters() }
 
 // Now is the steady clock.
 func (in *session) Now() float64 { return in.now() }
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
 )
 
 func blockOf(t *testing.T, dir string, i int, addrs []string) *Block {
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	b := &Block{Name: "t", Generation: 1, Listen: addrs[i], Advertise: addrs[i], KeyFile: key, Folder: filepath.Join(dir, fmt.Sprint("n", i)),
-		Council: map[members.ID]string{}, Works: []works.Work{"w"}, Lease: time.Second, Willing: true}
+		Council: map[members.ID]string{}, Works: []lease.Name{"w"}, Lease: time.Second, Willing: true}
 	for j, addr := range addrs {
 		b.Council[members.ID(fmt.Sprint("n", j))] = addr
 	}
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -3,49 +3,49 @@
 import (
 	"fmt"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // Judge believes what receivers wrote down.
 type Judge struct {
 	Broken string // what broke first; empty: nothing
 
-	highest map[string]map[works.Work]works.Epoch // by receiver
-	owner   map[works.Claim]int                   // who had effects in an epoch
-	owning  map[works.Work]map[uint64]works.Epoch // runs that act, by their own account: for times alone
-	lastAct map[works.Work]float64
-	Free    map[works.Work][]float64 // ms without an owner, each time
-	freeAt  map[works.Work]float64
+	highest map[string]map[lease.Name]lease.Token // by receiver
+	owner   map[lease.Grant]int                   // who had effects in an epoch
+	owning  map[lease.Name]map[uint64]lease.Token // runs that act, by their own account: for times alone
+	lastAct map[lease.Name]float64
+	Free    map[lease.Name][]float64 // ms without an owner, each time
+	freeAt  map[lease.Name]float64
 	Overlap int // times that two acted at once, of which one was refused by its epoch
 	Effects int
 	Late    int // effects that an endpoint saw after its owner had stopped
 
-	handed map[works.Work]map[uint64]string // what was handed on, by its serial
-	last   map[works.Work]uint64
+	handed map[lease.Name]map[uint64]string // what was handed on, by its serial
+	last   map[lease.Name]uint64
 	Handed int
 }
 
 // NewJudge has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{highest: map[string]map[works.Work]works.Epoch{}, owner: map[works.Claim]int{},
-		owning: map[works.Work]map[uint64]works.Epoch{}, lastAct: map[works.Work]float64{}, Free: map[works.Work][]float64{},
-		freeAt: map[works.Work]float64{}, handed: map[works.Work]map[uint64]string{}, last: map[works.Work]uint64{}}
+	return &Judge{highest: map[string]map[lease.Name]lease.Token{}, owner: map[lease.Grant]int{},
+		owning: map[lease.Name]map[uint64]lease.Token{}, lastAct: map[lease.Name]float64{}, Free: map[lease.Name][]float64{},
+		freeAt: map[lease.Name]float64{}, handed: map[lease.Name]map[uint64]string{}, last: map[lease.Name]uint64{}}
 }
 
 // handedOn judges what an owner was told of the state that owners hand on: of each serial there is one, for all of them.
-func (j *Judge) handedOn(h node.Handed, now float64) {
+func (j *Judge) handedOn(h node.Checkpoint, now float64) {
 	j.Handed++
-	by := j.handed[h.Claim.Work]
+	by := j.handed[h.Claim.Name]
 	if by == nil {
 		by = map[uint64]string{}
-		j.handed[h.Claim.Work] = by
+		j.handed[h.Claim.Name] = by
 	}
 	if was, ok := by[h.Serial]; ok && was != string(h.Data) {
-		j.fail(now, "%s has two states of serial %d: %q and %q", h.Claim.Work, h.Serial, was, h.Data)
+		j.fail(now, "%s has two states of serial %d: %q and %q", h.Claim.Name, h.Serial, was, h.Data)
 	}
 	by[h.Serial] = string(h.Data)
-	j.last[h.Claim.Work] = max(j.last[h.Claim.Work], h.Serial)
+	j.last[h.Claim.Name] = max(j.last[h.Claim.Name], h.Serial)
 }
 
 func (j *Judge) fail(now float64, format string, args ...any) {
@@ -59,43 +59,43 @@
 	j.Effects++
 	seen := j.highest[receiver]
 	if seen == nil {
-		seen = map[works.Work]works.Epoch{}
+		seen = map[lease.Name]lease.Token{}
 		j.highest[receiver] = seen
 	}
-	if e.Claim.Epoch < seen[e.Claim.Work] {
-		j.fail(now, "%s took an effect of %s of epoch %d from n%d after one of epoch %d", receiver, e.Claim.Work, e.Claim.Epoch,
-			from, seen[e.Claim.Work])
+	if e.Claim.Token < seen[e.Claim.Name] {
+		j.fail(now, "%s took an effect of %s of epoch %d from n%d after one of epoch %d", receiver, e.Claim.Name, e.Claim.Token,
+			from, seen[e.Claim.Name])
 	}
-	seen[e.Claim.Work] = max(seen[e.Claim.Work], e.Claim.Epoch)
+	seen[e.Claim.Name] = max(seen[e.Claim.Name], e.Claim.Token)
 	if was, ok := j.owner[e.Claim]; ok && was != from {
-		j.fail(now, "%s had effects of n%d and n%d in epoch %d", e.Claim.Work, was, from, e.Claim.Epoch)
+		j.fail(now, "%s had effects of n%d and n%d in epoch %d", e.Claim.Name, was, from, e.Claim.Token)
 	}
 	j.owner[e.Claim] = from
 }
 
-func (j *Judge) began(run uint64, number int, c works.Claim, now float64) {
-	acting := j.owning[c.Work]
+func (j *Judge) began(run uint64, number int, c lease.Grant, now float64) {
+	acting := j.owning[c.Name]
 	if acting == nil {
-		acting = map[uint64]works.Epoch{}
-		j.owning[c.Work] = acting
+		acting = map[uint64]lease.Token{}
+		j.owning[c.Name] = acting
 	}
 	for _, e := range acting {
-		if e == c.Epoch {
-			j.fail(now, "two runs act for %s in epoch %d", c.Work, c.Epoch)
+		if e == c.Token {
+			j.fail(now, "two runs act for %s in epoch %d", c.Name, c.Token)
 		}
 		j.Overlap++
 	}
 	if len(acting) == 0 {
-		j.Free[c.Work] = append(j.Free[c.Work], now-j.freeAt[c.Work])
+		j.Free[c.Name] = append(j.Free[c.Name], now-j.freeAt[c.Name])
 	}
-	acting[run] = c.Epoch
+	acting[run] = c.Token
 }
 
-func (j *Judge) ended(run uint64, c works.Claim, now float64) {
-	if acting := j.owning[c.Work]; acting != nil {
+func (j *Judge) ended(run uint64, c lease.Grant, now float64) {
+	if acting := j.owning[c.Name]; acting != nil {
 		if _, ok := acting[run]; ok {
 			if delete(acting, run); len(acting) == 0 {
-				j.freeAt[c.Work] = now
+				j.freeAt[c.Name] = now
 			}
 		}
 	}
@@ -104,13 +104,13 @@
 func (j *Judge) gone(run uint64, now float64) {
 	for w, acting := range j.owning {
 		if e, ok := acting[run]; ok {
-			j.ended(run, works.Claim{Work: w, Epoch: e}, now)
+			j.ended(run, lease.Grant{Name: w, Token: e}, now)
 		}
 	}
 }
 
-func (j *Judge) struck(run uint64, c works.Claim, _ float64) {
-	if _, ok := j.owning[c.Work][run]; !ok {
+func (j *Judge) struck(run uint64, c lease.Grant, _ float64) {
+	if _, ok := j.owning[c.Name][run]; !ok {
 		j.Late++
 	}
 }
--- a/internal/lab/fleet/model.go
+++ b/internal/lab/fleet/model.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // Small is the small case that is looked at whole: every order of a bounded number of crashes, pauses, lost messages and
@@ -39,29 +39,29 @@
 
 type flying struct {
 	to    int // a node; -1: the council
-	renew *works.Renew
-	held  []works.Claim
+	renew *lease.Renew
+	held  []lease.Grant
 	token uint64
-	offer *works.Claim
+	offer *lease.Grant
 	run   uint64
 }
 
 // strike is an effect that an owner has begun: it has looked at its clock, and has not reached the receiver.
 type strike struct {
 	node  int
-	claim works.Claim
+	claim lease.Grant
 }
 
 type small struct {
 	now                      int
-	state                    *works.State
-	steward                  *works.Steward
-	hands                    []*works.Hand
+	state                    *lease.State
+	steward                  *lease.Manager
+	hands                    []*lease.Client
 	runs                     []uint64
 	flight                   []flying
 	strikes                  []strike
-	gate                     map[works.Work]works.Epoch
-	owner                    map[works.Claim]int
+	gate                     map[lease.Name]lease.Token
+	owner                    map[lease.Grant]int
 	crashes, losses, leaders int
 	path                     *step
 }
@@ -74,16 +74,16 @@
 func (s *small) copy() *small {
 	c := *s
 	c.state, c.steward = s.state.Copy(), s.steward.Copy()
-	c.hands = make([]*works.Hand, len(s.hands))
+	c.hands = make([]*lease.Client, len(s.hands))
 	for i, h := range s.hands {
 		c.hands[i] = h.Copy()
 	}
 	c.runs, c.flight, c.strikes = slices.Clone(s.runs), slices.Clone(s.flight), slices.Clone(s.strikes)
-	c.gate = map[works.Work]works.Epoch{}
+	c.gate = map[lease.Name]lease.Token{}
 	for w, e := range s.gate {
 		c.gate[w] = e
 	}
-	c.owner = map[works.Claim]int{}
+	c.owner = map[lease.Grant]int{}
 	for w, e := range s.owner {
 		c.owner[w] = e
 	}
@@ -92,31 +92,31 @@
 
 // key tells states apart, but for what no later move can tell: numbers of renewals and tokens count for nothing but for
 // which is which.
-func (s *small) key(names []works.Work) uint64 {
+func (s *small) key(names []lease.Name) uint64 {
 	b := make([]byte, 0, 512)
 	put := func(xs ...uint64) {
 		for _, x := range xs {
 			b = binary.AppendUvarint(b, x)
 		}
 	}
-	claims := func(list []works.Claim) {
+	claims := func(list []lease.Grant) {
 		for _, c := range list {
-			b = append(append(b, c.Work...), byte(c.Epoch))
+			b = append(append(b, c.Name...), byte(c.Token))
 		}
 	}
 	put(uint64(s.now), uint64(s.crashes), uint64(s.losses), uint64(s.leaders))
 	put(s.runs...)
 	for _, w := range names {
-		g := s.state.Grants[w]
-		put(uint64(g.Epoch), g.Holder.Run, uint64(s.gate[w]))
-		for e := works.Epoch(1); e <= g.Epoch; e++ {
-			put(uint64(s.owner[works.Claim{Work: w, Epoch: e}]))
+		g := s.state.Leases[w]
+		put(uint64(g.Token), g.Holder.Run, uint64(s.gate[w]))
+		for e := lease.Token(1); e <= g.Token; e++ {
+			put(uint64(s.owner[lease.Grant{Name: w, Token: e}]))
 		}
 	}
-	put(uint64(s.owner[works.Claim{Work: "broken"}]))
+	put(uint64(s.owner[lease.Grant{Name: "broken"}]))
 	for _, x := range s.strikes {
 		put(uint64(x.node))
-		claims([]works.Claim{x.claim})
+		claims([]lease.Grant{x.claim})
 	}
 	b = s.steward.AppendKey(b, s.state)
 	for _, h := range s.hands {
@@ -130,13 +130,13 @@
 		claims(f.held)
 		token := f.token
 		if f.renew != nil {
-			token = f.renew.Token
+			token = f.renew.Sequence
 			b = append(b, 'r')
-			claims(f.renew.Claims)
+			claims(f.renew.Grants)
 		}
 		if f.offer != nil {
 			b = append(b, 'o')
-			claims([]works.Claim{*f.offer})
+			claims([]lease.Grant{*f.offer})
 		}
 		for i, run := range s.runs {
 			if run == f.run && token != 0 {
@@ -161,23 +161,23 @@
 	return float64(s.now) * rate
 }
 
-func (p Small) holder(s *small, i int) works.Holder {
-	return works.Holder{ID: members.ID(fmt.Sprintf("n%d", i)), Run: s.runs[i]}
+func (p Small) holder(s *small, i int) lease.Holder {
+	return lease.Holder{ID: members.ID(fmt.Sprintf("n%d", i)), Run: s.runs[i]}
 }
 
 // Search looks at all states.
 func (p Small) Search() (t Tally) {
-	terms := works.Terms{Lease: p.Lease}
-	first := &small{state: &works.State{}, steward: works.NewSteward(terms, -2*p.Lease), gate: map[works.Work]works.Epoch{},
-		owner: map[works.Claim]int{}}
-	var names []works.Work
+	terms := lease.Terms{Lease: p.Lease}
+	first := &small{state: &lease.State{}, steward: lease.NewManager(terms, -2*p.Lease), gate: map[lease.Name]lease.Token{},
+		owner: map[lease.Grant]int{}}
+	var names []lease.Name
 	for i := range p.Works {
-		names = append(names, works.Work(fmt.Sprintf("w%d", i)))
+		names = append(names, lease.Name(fmt.Sprintf("w%d", i)))
 	}
-	first.state.Apply(works.Command{Name: &works.Name{Works: names}})
+	first.state.Apply(lease.Command{Name: &lease.Declare{Names: names}})
 	for i := range p.Nodes {
 		first.runs = append(first.runs, uint64(i+1))
-		first.hands = append(first.hands, works.NewHand(p.holder(first, i), terms))
+		first.hands = append(first.hands, lease.NewClient(p.holder(first, i), terms))
 	}
 	seen := map[uint64]bool{first.key(names): true}
 	queue := []*small{first}
@@ -212,10 +212,10 @@
 // check tells what does not hold: with clocks that go alike nobody may act beside another, whatever pauses; and of one
 // epoch there is one owner at the receivers, ever.
 func (p Small) check(s *small, t *Tally) string {
-	for w := range s.state.Grants {
+	for w := range s.state.Leases {
 		may := 0
 		for i, h := range s.hands {
-			if _, _, ok := h.May(p.local(s, i), w); ok {
+			if _, _, ok := h.CanAct(p.local(s, i), w); ok {
 				may++
 			}
 		}
@@ -225,13 +225,13 @@
 			}
 		}
 	}
-	if e := s.owner[works.Claim{Work: "broken"}]; e != 0 {
+	if e := s.owner[lease.Grant{Name: "broken"}]; e != 0 {
 		return fmt.Sprintf("at %d: a receiver took two owners of one epoch, or a lower one after a higher", s.now)
 	}
 	return ""
 }
 
-func (p Small) moves(s *small, terms works.Terms, names []works.Work) (next []*small) {
+func (p Small) moves(s *small, terms lease.Terms, names []lease.Name) (next []*small) {
 	move := func(text string, do func(c *small)) {
 		c := s.copy()
 		do(c)
@@ -241,19 +241,19 @@
 	if s.now < p.Horizon {
 		move("time passes", func(c *small) { c.now++ })
 	}
-	var candidates []works.Candidate
+	var candidates []lease.Candidate
 	for i := range p.Nodes {
-		candidates = append(candidates, works.Candidate{Holder: p.holder(s, i), Willing: true})
+		candidates = append(candidates, lease.Candidate{Holder: p.holder(s, i), Willing: true})
 	}
 	if given := s.steward.Copy().Decide(float64(s.now), s.state, candidates); len(given) > 0 {
 		move("the council gives", func(c *small) {
 			for _, cmd := range c.steward.Decide(float64(c.now), c.state, candidates) {
 				changed := c.state.Apply(cmd)
 				c.steward.Applied(float64(c.now), cmd, changed)
-				g := c.state.Grants[cmd.Give.Work]
+				g := c.state.Leases[cmd.Give.Work]
 				for i := range p.Nodes {
 					if p.holder(c, i) == g.Holder && len(c.flight) < p.Flight {
-						c.flight = append(c.flight, flying{to: i, offer: &works.Claim{Work: g.Work, Epoch: g.Epoch}, run: g.Holder.Run})
+						c.flight = append(c.flight, flying{to: i, offer: &lease.Grant{Name: g.Name, Token: g.Token}, run: g.Holder.Run})
 					}
 				}
 			}
@@ -262,7 +262,7 @@
 	if s.leaders < p.Leaders {
 		move("another leads", func(c *small) {
 			c.leaders++
-			c.steward = works.NewSteward(terms, float64(c.now))
+			c.steward = lease.NewManager(terms, float64(c.now))
 		})
 	}
 	for i := range p.Nodes {
@@ -275,12 +275,12 @@
 			move(fmt.Sprintf("n%d restarts", i), func(c *small) {
 				c.crashes++
 				c.runs[i] += 100
-				c.hands[i] = works.NewHand(p.holder(c, i), terms)
+				c.hands[i] = lease.NewClient(p.holder(c, i), terms)
 			})
 		}
 		for _, w := range names {
-			e, _, ok := s.hands[i].May(p.local(s, i), w)
-			claim := works.Claim{Work: w, Epoch: e}
+			e, _, ok := s.hands[i].CanAct(p.local(s, i), w)
+			claim := lease.Grant{Name: w, Token: e}
 			if ok && len(s.strikes) < 2 && !slices.Contains(s.strikes, strike{i, claim}) {
 				move(fmt.Sprintf("n%d begins an effect of %s, epoch %d", i, w, e), func(c *small) {
 					c.strikes = append(c.strikes, strike{i, claim})
@@ -298,15 +298,15 @@
 	for n, x := range s.strikes {
 		move(fmt.Sprintf("the effect of n%d arrives", x.node), func(c *small) {
 			c.strikes = slices.Delete(slices.Clone(c.strikes), n, n+1)
-			if x.claim.Epoch < c.gate[x.claim.Work] {
+			if x.claim.Token < c.gate[x.claim.Name] {
 				if p.Ungated {
-					c.owner[works.Claim{Work: "broken"}] = 1
+					c.owner[lease.Grant{Name: "broken"}] = 1
 				}
 				return
 			}
-			c.gate[x.claim.Work] = x.claim.Epoch
+			c.gate[x.claim.Name] = x.claim.Token
 			if was, ok := c.owner[x.claim]; ok && was != x.node {
-				c.owner[works.Claim{Work: "broken"}] = 1
+				c.owner[lease.Grant{Name: "broken"}] = 1
 			}
 			c.owner[x.claim] = x.node
 		})
@@ -317,17 +317,17 @@
 func (p Small) arrive(c *small, f flying) {
 	switch {
 	case f.renew != nil:
-		cmd := works.Command{Renew: f.renew}
+		cmd := lease.Command{Renew: f.renew}
 		changed := c.state.Apply(cmd)
 		c.steward.Applied(float64(c.now), cmd, changed)
-		reply := flying{token: f.renew.Token, run: f.run, to: -1}
+		reply := flying{token: f.renew.Sequence, run: f.run, to: -1}
 		for i := range p.Nodes {
 			if c.runs[i] == f.run {
 				reply.to = i
 			}
 		}
-		for _, claim := range f.renew.Claims {
-			if slices.Contains(changed, claim.Work) {
+		for _, claim := range f.renew.Grants {
+			if slices.Contains(changed, claim.Name) {
 				reply.held = append(reply.held, claim)
 			}
 		}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -21,8 +21,8 @@
 	"syscall"
 	"time"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 	"mintkeel/internal/fleet"
 	"mintkeel/internal/lab/standin"
 )
@@ -535,9 +535,9 @@
 
 // serveEndpoint is the endpoint outside: it remembers the highest epoch of each work, and refuses lower ones.
 func (r *rig) serveEndpoint() {
-	gate := works.NewGate(nil)
-	last := map[works.Work]struct {
-		epoch works.Epoch
+	gate := lease.NewFencingCheck(nil)
+	last := map[lease.Name]struct {
+		epoch lease.Token
 		at    time.Time
 	}{}
 	for {
@@ -560,19 +560,19 @@
 				}
 				epoch, _ := strconv.ParseUint(words[1], 10, 64)
 				id, _ := strconv.ParseUint(words[2], 10, 64)
-				claim := works.Claim{Work: works.Work(words[0]), Epoch: works.Epoch(epoch)}
+				claim := lease.Grant{Name: lease.Name(words[0]), Token: lease.Token(epoch)}
 				from, _ := strconv.Atoi(strings.TrimPrefix(words[3], "n"))
 				r.mu.Lock()
-				ok, _ := gate.Pass(claim.Work, claim.Epoch)
+				ok, _ := gate.Pass(claim.Name, claim.Token)
 				if ok {
 					now := time.Now()
-					if was := last[claim.Work]; was.epoch != claim.Epoch && was.epoch != 0 {
+					if was := last[claim.Name]; was.epoch != claim.Token && was.epoch != 0 {
 						r.report.Free = append(r.report.Free, now.Sub(was.at))
 					}
-					last[claim.Work] = struct {
-						epoch works.Epoch
+					last[claim.Name] = struct {
+						epoch lease.Token
 						at    time.Time
-					}{claim.Epoch, now}
+					}{claim.Token, now}
 					r.report.Effects++
 					r.judge.took("endpoint", from, node.Effect{Claim: claim, ID: id}, float64(now.Sub(r.began))/1e6)
 				} else {
@@ -610,11 +610,11 @@
 			at, _ := strconv.ParseInt(words[0], 10, 64)
 			epoch, _ := strconv.ParseUint(words[2], 10, 64)
 			from, _ := strconv.Atoi(strings.TrimPrefix(words[4], "n"))
-			claim := works.Claim{Work: works.Work(words[1]), Epoch: works.Epoch(epoch)}
+			claim := lease.Grant{Name: lease.Name(words[1]), Token: lease.Token(epoch)}
 			r.report.Taken++
 			r.mu.Lock()
 			if was, ok := r.judge.owner[claim]; ok && was != from {
-				r.judge.fail(float64(time.Unix(0, at).Sub(r.began))/1e6, "%s had effects of n%d and n%d in epoch %d", claim.Work, was, from, epoch)
+				r.judge.fail(float64(time.Unix(0, at).Sub(r.began))/1e6, "%s had effects of n%d and n%d in epoch %d", claim.Name, was, from, epoch)
 			}
 			r.judge.owner[claim] = from
 			r.mu.Unlock()
--- a/internal/lab/fleet/promises.go
+++ b/internal/lab/fleet/promises.go
@@ -6,8 +6,8 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // Promises are what owners were told by the council: each renewal from when it was sent until its answer came, by whom, of
@@ -22,8 +22,8 @@
 type asked struct{ run, token uint64 }
 
 type renewal struct {
-	work  works.Work
-	epoch works.Epoch
+	work  lease.Name
+	epoch lease.Token
 	run   uint64
 }
 
@@ -31,8 +31,8 @@
 func NewPromises() *Promises { return &Promises{sent: map[asked]float64{}, ids: map[uint64]int{}} }
 
 // Sent takes in that a run asked.
-func (p *Promises) Sent(run uint64, r *works.Renew, now float64) {
-	if k := (asked{run, r.Token}); p.sent[k] == 0 {
+func (p *Promises) Sent(run uint64, r *lease.Renew, now float64) {
+	if k := (asked{run, r.Sequence}); p.sent[k] == 0 {
 		p.sent[k] = now
 	}
 }
@@ -49,19 +49,19 @@
 		p.ids[run] = len(p.ids) + 1
 	}
 	for _, c := range g.Held {
-		p.ops = append(p.ops, porcupine.Operation{ClientId: p.ids[run], Input: renewal{c.Work, c.Epoch, run}, Call: int64(at * 1e3),
+		p.ops = append(p.ops, porcupine.Operation{ClientId: p.ids[run], Input: renewal{c.Name, c.Token, run}, Call: int64(at * 1e3),
 			Output: true, Return: int64(now * 1e3)})
 	}
 }
 
 type register struct {
-	epoch works.Epoch
+	epoch lease.Token
 	run   uint64
 }
 
 var registers = porcupine.Model{
 	Partition: func(ops []porcupine.Operation) (parts [][]porcupine.Operation) {
-		by := map[works.Work]int{}
+		by := map[lease.Name]int{}
 		for _, op := range ops {
 			w := op.Input.(renewal).work
 			if _, ok := by[w]; !ok {
--- a/internal/lab/fleet/takeover.go
+++ b/internal/lab/fleet/takeover.go
@@ -4,8 +4,8 @@
 	"math"
 	"math/rand"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // Loss is how an owner is lost.
@@ -29,20 +29,20 @@
 
 // TakeOver is the ms for which a work had nobody that acted for it, from when its owner was lost; and how many effects of
 // the old owner an endpoint refused.
-func TakeOver(seed int64, lease float64, l Loss) (free float64, refused int) {
-	p := Plan{Seed: seed, Nodes: 7, Council: 3, Works: 1, Lease: lease, Pace: members.Usual()}
+func TakeOver(seed int64, leaseTime float64, l Loss) (free float64, refused int) {
+	p := Plan{Seed: seed, Nodes: 7, Council: 3, Works: 1, Lease: leaseTime, Pace: members.Usual()}
 	w := NewWorld(p)
-	w.Run(20000 + 2*lease + rand.New(rand.NewSource(seed)).Float64()*lease)
+	w.Run(20000 + 2*leaseTime + rand.New(rand.NewSource(seed)).Float64()*leaseTime)
 	var owner *machine
 	for _, m := range w.nodes {
-		if len(m.core.Works(w.local(m))) > 0 {
+		if len(m.core.Held(w.local(m))) > 0 {
 			owner = m
 		}
 	}
 	if owner == nil {
 		return math.Inf(1), 0
 	}
-	lost, until := w.now, w.now+6*lease
+	lost, until := w.now, w.now+6*leaseTime
 	switch l {
 	case Killed:
 		w.stop(owner)
@@ -59,15 +59,15 @@
 	case HandsOver:
 		w.deliver(owner, func() { owner.core.HandOver(w.local(owner), "work-0", w.nodes[(owner.number+1)%len(w.nodes)].id) })
 	}
-	for w.now < lost+20*lease {
+	for w.now < lost+20*leaseTime {
 		w.Run(w.now + 5)
 		for _, m := range w.nodes {
-			if m != owner && m.core != nil && w.now >= m.paused && len(m.core.Works(w.local(m))) > 0 {
+			if m != owner && m.core != nil && w.now >= m.paused && len(m.core.Held(w.local(m))) > 0 {
 				free = w.now - lost
 				if l == CutOff || l == CutEnds { // it acted on for as long as it might
-					free -= works.Terms{Lease: lease}.HoldsFor() / 2
+					free -= lease.Terms{Lease: leaseTime}.HoldsFor() / 2
 				}
-				w.Run(until + lease)
+				w.Run(until + leaseTime)
 				return max(0, free), w.Judge.Late
 			}
 		}
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -8,10 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mintkeel/internal/core/fleet/council"
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
+	"mintkeel/internal/core/fleet/quorum"
 )
 
 // Plan is what is played in virtual time.
@@ -66,7 +66,7 @@
 	id       members.ID
 	core     *node.Node // nil: the process does not run
 	run      uint64
-	kept     []council.Record // durable
+	kept     []quorum.Record // durable
 	copies   []copyOf
 	rate     float64 // of its clock
 	offset   float64
@@ -75,17 +75,17 @@
 	full     float64 // until when its disk takes nothing
 	wake     uint64  // of the timer that counts
 	restarts int
-	seen     map[works.Work]works.Epoch
-	gated    *works.Gate // an endpoint beside the controller, that lasts
+	seen     map[lease.Name]lease.Token
+	gated    *lease.FencingCheck // an endpoint beside the controller, that lasts
 	effects  uint64
-	handed   map[works.Work]uint64 // the serial of what was handed on, as this run was told
+	handed   map[lease.Name]uint64 // the serial of what was handed on, as this run was told
 	inbox    []func()
 	workAt   float64
 }
 
 type copyOf struct {
 	at   float64
-	kept []council.Record
+	kept []quorum.Record
 }
 
 // World is a fleet in virtual time.
@@ -121,7 +121,7 @@
 	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Judge: NewJudge(), Promises: NewPromises()}
 	for i := range p.Nodes {
 		m := &machine{number: i, id: members.ID(fmt.Sprintf("n%d", i)), rate: 1, offset: w.rng.Float64() * 1e6, diskMS: 2,
-			gated: works.NewGate(nil)}
+			gated: lease.NewFencingCheck(nil)}
 		w.nodes = append(w.nodes, m)
 	}
 	for _, m := range w.nodes {
@@ -180,7 +180,7 @@
 
 // whole tells what is missing to a fleet that is well: all known as alive by all, an owner that acts for every work.
 func (w *World) whole() string {
-	owners := map[works.Work]int{}
+	owners := map[lease.Name]int{}
 	for _, m := range w.nodes {
 		if m.core == nil {
 			return fmt.Sprintf("n%d does not run", m.number)
@@ -194,10 +194,10 @@
 		if alive != len(w.nodes) {
 			return fmt.Sprintf("n%d takes %d of %d as alive", m.number, alive, len(w.nodes))
 		}
-		for _, c := range m.core.Works(w.local(m)) {
-			owners[c.Work]++
+		for _, c := range m.core.Held(w.local(m)) {
+			owners[c.Name]++
 		}
-		if s, why := m.core.Council().Standing(); m.number < w.plan.Council && s != council.Voting {
+		if s, why := m.core.Quorum().Role(); m.number < w.plan.Council && s != quorum.Voting {
 			return fmt.Sprintf("n%d is %v in the council: %s", m.number, s, why)
 		}
 	}
@@ -209,9 +209,9 @@
 	return ""
 }
 
-func (w *World) works() (names []works.Work) {
+func (w *World) works() (names []lease.Name) {
 	for i := range w.plan.Works {
-		names = append(names, works.Work(fmt.Sprintf("work-%d", i)))
+		names = append(names, lease.Name(fmt.Sprintf("work-%d", i)))
 	}
 	return names
 }
@@ -230,13 +230,13 @@
 	}
 	m.run = w.rng.Uint64()
 	core, err := node.New(node.Facts{Self: members.Member{ID: m.id, Addr: string(m.id), Willing: true, Run: m.run}, Seeds: seeds,
-		Founders: founders, Works: w.works(), Terms: works.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
+		Founders: founders, Works: w.works(), Terms: lease.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
 		Seed: w.rng.Int63()}, slices.Clone(m.kept), nil, w.local(m))
 	if err != nil {
 		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
 		return
 	}
-	m.core, m.inbox, m.handed = core, nil, map[works.Work]uint64{}
+	m.core, m.inbox, m.handed = core, nil, map[lease.Name]uint64{}
 	m.restarts++
 	w.trace("n%d starts, run %x, %d records", m.number, m.run, len(m.kept))
 	w.turn(m)
@@ -264,11 +264,11 @@
 		w.send(m, s)
 	}
 	for _, c := range out.Began {
-		w.trace("n%d owns %s, epoch %d", m.number, c.Work, c.Epoch)
+		w.trace("n%d owns %s, epoch %d", m.number, c.Name, c.Token)
 		w.Judge.began(m.run, m.number, c, w.now)
 	}
 	for _, c := range out.Ended {
-		w.trace("n%d owns %s no more, epoch %d", m.number, c.Work, c.Epoch)
+		w.trace("n%d owns %s no more, epoch %d", m.number, c.Name, c.Token)
 		w.Judge.ended(m.run, c, w.now)
 	}
 	for _, t := range out.Taken {
@@ -277,7 +277,7 @@
 	}
 	for _, h := range out.Handed {
 		w.Judge.handedOn(h, w.now)
-		m.handed[h.Claim.Work] = h.Serial
+		m.handed[h.Claim.Name] = h.Serial
 	}
 	for _, c := range out.Changes {
 		if about := w.nodes[w.number(c.Member.ID)]; about.core != nil && w.now >= about.paused && !c.New && len(w.blocked) == 0 &&
@@ -294,7 +294,7 @@
 }
 
 // save makes a batch durable after the time that the disk takes; what it asks for holds only then.
-func (w *World) save(m *machine, run uint64, b *council.Batch, whole *council.Record) {
+func (w *World) save(m *machine, run uint64, b *quorum.Batch, whole *quorum.Record) {
 	if b == nil && whole == nil {
 		return
 	}
@@ -328,7 +328,7 @@
 	})
 }
 
-func (m *machine) write(w *World, run uint64, b *council.Batch, whole *council.Record) {
+func (m *machine) write(w *World, run uint64, b *quorum.Batch, whole *quorum.Record) {
 	if m.run != run || m.core == nil {
 		return
 	}
@@ -340,7 +340,7 @@
 		return
 	}
 	data, err := cbor.Marshal(record) // as the daemon does: nothing is shared with the core
-	var kept council.Record
+	var kept quorum.Record
 	if err == nil {
 		err = cbor.Unmarshal(data, &kept)
 	}
@@ -464,15 +464,15 @@
 			return
 		}
 		w.deliver(m, func() {
-			for _, c := range m.core.Works(w.local(m)) {
+			for _, c := range m.core.Held(w.local(m)) {
 				m.effects++
 				to := w.nodes[w.rng.Intn(len(w.nodes))]
-				m.core.Act(w.local(m), c.Work, to.id, m.effects, nil)
+				m.core.TryEffect(w.local(m), c.Name, to.id, m.effects, nil)
 				w.strike(m, c, w.nodes[w.rng.Intn(len(w.nodes))])
-				if serial, known := m.handed[c.Work]; !known {
-					m.core.Get(w.local(m), c.Work)
+				if serial, known := m.handed[c.Name]; !known {
+					m.core.RequestState(w.local(m), c.Name)
 				} else {
-					m.core.Put(w.local(m), c.Work, serial+1, fmt.Appendf(nil, "%d by %x", serial+1, m.run))
+					m.core.ProposeState(w.local(m), c.Name, serial+1, fmt.Appendf(nil, "%d by %x", serial+1, m.run))
 				}
 			}
 		})
@@ -481,7 +481,7 @@
 }
 
 // strike is an effect at an endpoint, which has passed its own check when the process stops, and gets there later.
-func (w *World) strike(m *machine, c works.Claim, at *machine) {
+func (w *World) strike(m *machine, c lease.Grant, at *machine) {
 	took := 0.5 + w.rng.Float64()
 	if w.rng.Intn(50) == 0 {
 		took += 3 * w.plan.Lease * w.rng.Float64()
@@ -489,7 +489,7 @@
 	run := m.run
 	id := m.effects
 	w.at(w.now+took, func() {
-		ok, _ := at.gated.Pass(c.Work, c.Epoch)
+		ok, _ := at.gated.Pass(c.Name, c.Token)
 		if ok || w.plan.Mutant == "gate" {
 			w.Judge.took(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Claim: c, ID: id}, w.now)
 		}
--- a/internal/lab/fleet/virtual_test.go
+++ b/internal/lab/fleet/virtual_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"testing"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/fleet/works"
 )
 
 // Without faults a fleet finds itself whole and every work has an owner that stays.
@@ -89,7 +89,7 @@
 func TestPromises(t *testing.T) {
 	type told struct {
 		run       uint64
-		epoch     works.Epoch
+		epoch     lease.Token
 		from, til float64
 	}
 	for name, c := range map[string]struct {
@@ -105,9 +105,9 @@
 	} {
 		p := NewPromises()
 		for i, x := range c.list {
-			r := &works.Renew{Token: uint64(i + 1)}
+			r := &lease.Renew{Sequence: uint64(i + 1)}
 			p.Sent(x.run, r, x.from)
-			p.Came(x.run, &node.Granted{Token: r.Token, Held: []works.Claim{{Work: "w", Epoch: x.epoch}}}, x.til)
+			p.Came(x.run, &node.Granted{Token: r.Sequence, Held: []lease.Grant{{Name: "w", Token: x.epoch}}}, x.til)
 		}
 		if why := p.Check(); (why == "") != c.ok {
 			t.Errorf("%s: %q", name, why)
