--- a/internal/lab/scale/slope/slope.go
+++ b/internal/lab/scale/slope/slope.go
@@ -24,9 +24,9 @@
 	Condition string  `json:"condition"` // "at rest", "10% loss", "zone restarts", ...
 	Method    string  `json:"method"`    // "sockets", "virtual time", "benchmark"
 	Points    []Point `json:"points"`
-	Target    float64 `json:"target"`    // the size that the fleet is built for
-	Budget    float64 `json:"budget"`    // the operators' bound of Value at Target; 0: none is stated
-	Log       bool    `json:"log"`       // the line is drawn over the logarithm of Size
+	Target    float64 `json:"target"` // the size that the fleet is built for
+	Budget    float64 `json:"budget"` // the operators' bound of Value at Target; 0: none is stated
+	Log       bool    `json:"log"`    // the line is drawn over the logarithm of Size
 	Note      string  `json:"note"`
 }
 
