Configuration of a fleet: the interface between the daemon, its service and operators

The block config, what a host offers, and the orders of operators, as types: so that the daemon and the service are built side by side. Nothing is on yet. Tests of internal/fleet pass.

--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -124,7 +124,7 @@
 	go server.Serve(listener)
 	d.keep(nil, d.file.Memory)
 	if d.file.Fleet != nil { // clients are served by now: nothing of theirs waits for it
-		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, d.programs(), d.log); err != nil {
+		if d.fleet, err = fleet.Start(d.file.Fleet, s.Name, d.programs(), nil, d.log); err != nil {
 			return err
 		}
 		defer d.fleet.Close()
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -30,12 +30,13 @@
 
 // Request is what an operator asks.
 type Request struct {
-	Do   string `json:"do"` // "status", "handover", "replace", "trust" or "maintenance"
+	Do   string `json:"do"` // "status", "handover", "replace", "trust", "maintenance" or "config"
 	Work string `json:"work,omitempty"`
 	To   string `json:"to,omitempty"`
 	Old  string `json:"old,omitempty"`
 
 	Maintenance *MaintenanceOrder `json:"maintenance,omitempty"`
+	Config      *ConfigOrder      `json:"config,omitempty"`
 }
 
 // Status is what a controller knows of its fleet. What it can't know it does not tell as known: Members are what it
@@ -53,6 +54,7 @@
 	Error      string         `json:"error,omitempty"`
 
 	Maintenance *MaintenanceStatus `json:"maintenance,omitempty"`
+	Config      *ConfigAnswer      `json:"config,omitempty"`
 }
 
 // MemberStatus is one member, as this controller believes it to be.
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -85,8 +85,8 @@
 	againMost  = 30 * time.Second
 )
 
-// Start begins to take part. Its error is of what an operator has to mend: the key's file, the address, the folder.
-func Start(b *Block, self string, programs []Job, log *slog.Logger) (*Service, error) {
+// Start begins to take part; host is nil where the fleet has no say in this controller's configuration. Its error is of what an operator has to mend: the key's file, the address, the folder.
+func Start(b *Block, self string, programs []Job, host *ConfigHost, log *slog.Logger) (*Service, error) {
 	keys, err := frames.ReadKeys(b.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key_file: %w", err)
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -49,7 +49,7 @@
 	}
 	var all []*Service
 	for i := range addrs {
-		s, err := Start(blockOf(t, dir, i, addrs), fmt.Sprint("n", i), nil, quiet)
+		s, err := Start(blockOf(t, dir, i, addrs), fmt.Sprint("n", i), nil, nil, quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -122,14 +122,14 @@
 	} {
 		b := good()
 		change(b)
-		if s, err := Start(b, "n0", nil, quiet); err == nil || !strings.Contains(err.Error(), what) {
+		if s, err := Start(b, "n0", nil, nil, quiet); err == nil || !strings.Contains(err.Error(), what) {
 			t.Errorf("%s: %v", what, err)
 			if s != nil {
 				s.Close()
 			}
 		}
 	}
-	if _, err := Start(good(), "a name with spaces", nil, quiet); err == nil {
+	if _, err := Start(good(), "a name with spaces", nil, nil, quiet); err == nil {
 		t.Error("any name is taken")
 	}
 }
