Documents of a fleet's configuration: the operator's file without what is one controller's

The block config is read in the controller's own file. Numbers of over 64 digits are refused in both.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -32,6 +32,12 @@
 #   council  = { n1 = "10.0.0.1:9443", n2 = "10.0.0.2:9443", n3 = "10.0.0.3:9443" }
 # }
 
+# Rules, log, memory, leases and maintenance from versions that the fleet agrees on, instead of from this file: docs/config.md.
+# It needs a block fleet; what else stands in this file then counts only until the first version is agreed.
+# config {
+#   wait = "3s"   # at a start, the longest time to look for the latest version before clients are served, "100ms" to "8s"
+# }
+
 # Engines taken out for work in an order that the controllers settle: docs/maintenance.md. It needs a block fleet.
 # maintenance {
 #   drain = "/usr/local/lib/mintkeel/drain"
--- a/internal/fleet/block.go
+++ b/internal/fleet/block.go
@@ -77,20 +77,27 @@
 		seen[addr] = name
 		read.Council[members.ID(name)] = addr
 	}
+	read.Works = ReadLeases(open)
+	return read
+}
+
+// ReadLeases reads the field works of the block fleet: the names of the fleet's leases, sorted.
+func ReadLeases(open *block.Block) []lease.Name {
 	if !open.Has("works") {
-		read.Works = []lease.Name{Digest}
+		return []lease.Name{Digest}
 	}
+	var names []lease.Name
 	for _, w := range open.Texts("works", 64) {
 		if !nameForm.MatchString(w) {
 			open.Note("works", fmt.Sprintf("%.64q is no name of a work", w))
-		} else if slices.Contains(read.Works, lease.Name(w)) {
+		} else if slices.Contains(names, lease.Name(w)) {
 			open.Note("works", w+" stands there twice")
 		} else {
-			read.Works = append(read.Works, lease.Name(w))
+			names = append(names, lease.Name(w))
 		}
 	}
-	slices.Sort(read.Works)
-	return read
+	slices.Sort(names)
+	return names
 }
 
 func addressWrong(addr string) string {
--- a/internal/operator/block/block.go
+++ b/internal/operator/block/block.go
@@ -50,13 +50,27 @@
 
 // Sheet gathers the problems of one file.
 type Sheet struct {
-	text     []byte
-	problems Problems
+	text      []byte
+	problems  Problems
+	variables *hcl.EvalContext // nil: a file's expressions know no names
 }
 
 // NewSheet is for a file with this text, from which the names of unknown fields are taken.
 func NewSheet(text []byte) *Sheet { return &Sheet{text: text} }
 
+// SetVariables names texts that expressions of blocks opened from now on may use, such as "${name}"; nil: none.
+func (s *Sheet) SetVariables(texts map[string]string) {
+	if texts == nil {
+		s.variables = nil
+		return
+	}
+	values := make(map[string]cty.Value, len(texts))
+	for name, text := range texts {
+		values[name] = cty.StringVal(text)
+	}
+	s.variables = &hcl.EvalContext{Variables: values}
+}
+
 // Note notes a problem at a place of the file.
 func (s *Sheet) Note(at hcl.Range, field, why string) {
 	s.problems = append(s.problems, Problem{at.Filename, at.Start.Line, at.Start.Column, field, why})
@@ -101,6 +115,8 @@
 	At     hcl.Range
 	sheet  *Sheet
 	fields hcl.Attributes
+
+	variables *hcl.EvalContext
 }
 
 // Open reads a block that may hold these fields and no others.
@@ -111,7 +127,7 @@
 	}
 	content, found := b.Body.Content(schema)
 	sheet.NoteAll(found, b.Type)
-	open := &Block{Name: b.Type, At: b.DefRange, sheet: sheet}
+	open := &Block{Name: b.Type, At: b.DefRange, sheet: sheet, variables: sheet.variables}
 	if content != nil {
 		open.fields = content.Attributes
 	}
@@ -133,7 +149,7 @@
 	if a == nil {
 		return v, false
 	}
-	v, found := a.Expr.Value(nil)
+	v, found := a.Expr.Value(b.variables)
 	if found.HasErrors() {
 		b.sheet.NoteAll(found, join(b.Name, field))
 		return v, false
@@ -233,7 +249,7 @@
 
 // items are the values of a list.
 func (b *Block) items(field string, a *hcl.Attribute) (items []cty.Value) {
-	v, found := a.Expr.Value(nil)
+	v, found := a.Expr.Value(b.variables)
 	if found.HasErrors() {
 		b.sheet.NoteAll(found, join(b.Name, field))
 		return nil
@@ -263,7 +279,7 @@
 	if a == nil {
 		return nil
 	}
-	v, found := a.Expr.Value(nil)
+	v, found := a.Expr.Value(b.variables)
 	if found.HasErrors() {
 		b.sheet.NoteAll(found, join(b.Name, field))
 		return nil
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,8 @@
 	Fleet  *fleet.Block  // nil: off, and this controller stands alone
 
 	Maintenance *fleet.MaintenanceBlock // nil: off
+
+	Config *fleet.ConfigBlock // nil: the fleet has no say in this controller's configuration
 }
 
 // mostBytes bounds a file, and with it what reading it can cost: a controller may have 32 MB.
@@ -75,7 +77,7 @@
 
 func (f *File) read(body hcl.Body, facts *settings.Facts, sheet *block.Sheet) {
 	content, found := body.Content(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "log"}, {Type: "memory"}, {Type: "fleet"}, {Type: "maintenance"},
-		{Type: "rule", LabelNames: []string{"name"}}}})
+		{Type: "config"}, {Type: "rule", LabelNames: []string{"name"}}}})
 	sheet.NoteAll(found, "")
 	if content == nil {
 		return
@@ -100,9 +102,14 @@
 			f.Fleet = fleet.ReadBlock(b, sheet)
 		case "maintenance":
 			f.Maintenance = fleet.ReadMaintenance(b, sheet)
-			if !slices.ContainsFunc(content.Blocks, func(o *hcl.Block) bool { return o.Type == "fleet" }) {
+			if !hasBlock(content.Blocks, "fleet") {
 				sheet.Note(b.DefRange, "maintenance", "needs a block fleet: controllers settle it among them")
 			}
+		case "config":
+			f.Config = fleet.ReadConfig(b, sheet)
+			if !hasBlock(content.Blocks, "fleet") {
+				sheet.Note(b.DefRange, "config", "needs a block fleet: its controllers agree on the configuration")
+			}
 		}
 	}
 	if f.Maintenance != nil && f.Fleet != nil && !slices.Contains(f.Fleet.Works, fleet.Maintenance) {
@@ -112,11 +119,16 @@
 	f.Rules = readRules(ruled, facts, sheet)
 }
 
+func hasBlock(blocks hcl.Blocks, name string) bool {
+	return slices.ContainsFunc(blocks, func(b *hcl.Block) bool { return b.Type == name })
+}
+
 // The library parses by recursion, so a small file of brackets or signs could take a stack that the process has no
 // memory for. The library's own scanner, which has none, counts them first.
 const (
-	mostDepth = 32
-	mostSigns = 2000 // outside of texts in quotes
+	mostDepth  = 32
+	mostSigns  = 2000 // outside of texts in quotes
+	mostDigits = 64   // of a number: the time to read one grows with their square
 )
 
 func shape(path string, text []byte) *block.Problem {
@@ -129,6 +141,11 @@
 			depth++
 		case hclsyntax.TokenCBrace, hclsyntax.TokenCBrack, hclsyntax.TokenCParen, hclsyntax.TokenTemplateSeqEnd:
 			depth--
+		case hclsyntax.TokenNumberLit:
+			if len(t.Bytes) > mostDigits {
+				return &block.Problem{File: path, Line: t.Range.Start.Line, Column: t.Range.Start.Column,
+					Why: fmt.Sprintf("has a number of over %d digits", mostDigits)}
+			}
 		case hclsyntax.TokenBang, hclsyntax.TokenMinus, hclsyntax.TokenQuestion, hclsyntax.TokenPlus,
 			hclsyntax.TokenStar, hclsyntax.TokenSlash, hclsyntax.TokenPercent, hclsyntax.TokenAnd, hclsyntax.TokenOr,
 			hclsyntax.TokenDot, hclsyntax.TokenEqualOp, hclsyntax.TokenNotEqual:
