Commands of the fleet's configuration: put, status, history, show, diff, rollback

Exit codes: 0 in force at all that are heard, 3 agreed and not so within the wait (or refused by some), 4 lost the race, 1 refused, failed or not known, 2 the command line. Nothing is said of controllers that are not heard; a leader that has collected for under 15 s and misses some is not taken for one that knows.

--- a/cmd/mintkeel/fleet.go
+++ b/cmd/mintkeel/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -12,6 +14,20 @@
 	"mintkeel/internal/fleet"
 )
 
+// fleetFlags are the flags of all commands that speak to a controller about its fleet.
+type fleetFlags struct {
+	folder string
+	json   bool
+}
+
+// call asks the controller whose folder is named.
+func (f *fleetFlags) call(ctx context.Context, request fleet.Request) (fleet.Status, error) {
+	if f.folder == "" {
+		return fleet.Status{}, errors.New("no folder: set --folder or MINTKEEL_FLEET")
+	}
+	return fleet.Call(ctx, f.folder, request)
+}
+
 func fleetCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "fleet",
@@ -25,10 +41,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	var folder string
-	var asJSON bool
-	c.PersistentFlags().StringVar(&folder, "folder", os.Getenv("MINTKEEL_FLEET"), "the controller's `folder` (MINTKEEL_FLEET)")
-	c.PersistentFlags().BoolVar(&asJSON, "json", false, "print the whole answer as JSON")
+	var asked fleetFlags
+	c.PersistentFlags().StringVar(&asked.folder, "folder", os.Getenv("MINTKEEL_FLEET"), "the controller's `folder` (MINTKEEL_FLEET)")
+	c.PersistentFlags().BoolVar(&asked.json, "json", false, "print the whole answer as JSON")
 	renamed := func(old string, c *cobra.Command) *cobra.Command { // the name of an earlier version, for one version more
 		hidden := *c
 		hidden.Use, hidden.Hidden = old, true
@@ -36,14 +51,11 @@
 	}
 	one := func(use, short string, args int, request func(args []string) fleet.Request, print func(io.Writer, fleet.Status)) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(args), RunE: func(c *cobra.Command, args []string) error {
-			if folder == "" {
-				return fmt.Errorf("no folder: set --folder or MINTKEEL_FLEET")
-			}
-			s, err := fleet.Call(c.Context(), folder, request(args))
+			s, err := asked.call(c.Context(), request(args))
 			if err != nil {
 				return err
 			}
-			if asJSON {
+			if asked.json {
 				return printJSON(c, s)
 			}
 			print(c.OutOrStdout(), s)
@@ -66,6 +78,7 @@
 			}, printQuorum),
 		one("trust", "Say that this voter's folder is the latest there is, where not all others can vouch for it", 0,
 			func([]string) fleet.Request { return fleet.Request{Do: "trust"} }, printQuorum),
+		fleetConfigCommand(&asked),
 	)
 	return c
 }
--- /dev/null
+++ b/cmd/mintkeel/fleetconfig_test.go
@@ -0,0 +1,292 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/fleet"
+)
+
+// fakeControl is a controller's socket for operators, with answers by action; an action asked more often than it has
+// answers hears the last one again. An answer of nil closes the connection without a word.
+type fakeControl struct {
+	folder  string
+	answers map[fleet.ConfigAction][]*fleet.Status
+
+	mu     sync.Mutex
+	orders []fleet.ConfigOrder
+}
+
+func newFakeControl(t *testing.T, answers map[fleet.ConfigAction][]*fleet.Status) *fakeControl {
+	t.Helper()
+	fake := &fakeControl{folder: t.TempDir(), answers: answers}
+	listener, err := net.Listen("unix", filepath.Join(fake.folder, "control.sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			fake.answer(conn)
+		}
+	}()
+	return fake
+}
+
+func (f *fakeControl) answer(conn net.Conn) {
+	defer conn.Close()
+	line, err := bufio.NewReader(conn).ReadBytes('\n')
+	if err != nil {
+		return
+	}
+	var r fleet.Request
+	if json.Unmarshal(line, &r) != nil || r.Config == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, *r.Config)
+	left := f.answers[r.Config.Action]
+	if len(left) == 0 || left[0] == nil {
+		return
+	}
+	if len(left) > 1 {
+		f.answers[r.Config.Action] = left[1:]
+	}
+	json.NewEncoder(conn).Encode(left[0])
+}
+
+// last is the last order of an action.
+func (f *fakeControl) last(action fleet.ConfigAction) (order fleet.ConfigOrder) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.orders {
+		if o.Action == action {
+			order = o
+		}
+	}
+	return order
+}
+
+func told(a fleet.ConfigAnswer) *fleet.Status { return &fleet.Status{Self: "n1", Config: &a} }
+
+func versionOf(number uint64) *config.Version {
+	return &config.Version{Number: number, Hash: config.Hash{byte(number), 0xab}, Size: 9, Author: "anna", Reason: "why\x1b[2J",
+		Time: time.Date(2026, 12, 2, 5, 6, 7, 0, time.UTC).UnixMilli()}
+}
+
+// statusOf is a status of a leader that has collected for long.
+func statusOf(number uint64, members, inForce int, change func(*config.Status)) fleet.ConfigAnswer {
+	s := &config.Status{Latest: *versionOf(number), Members: members, InForce: inForce, Counts: map[uint64]int{number: inForce}, Since: 60_000}
+	if change != nil {
+		change(s)
+	}
+	return fleet.ConfigAnswer{Status: s, From: "n1", Local: config.Readiness{Confirmed: true, Number: number, Latest: number}}
+}
+
+// reports are controllers of these names, heard an age ago.
+func reports(age float64, applied uint64, reason string, names ...members.ID) (list []config.ControllerReport) {
+	for _, name := range names {
+		list = append(list, config.ControllerReport{ID: name, Applied: applied, Reason: reason, Age: age})
+	}
+	return list
+}
+
+// Each way in which put and rollback end has its exit code and says what is known, and no more.
+func TestConfigChange(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "doc.hcl")
+	if err := os.WriteFile(file, []byte("log {\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	agreed := told(fleet.ConfigAnswer{Result: "agreed", Version: versionOf(12)})
+	state := func(a ...fleet.ConfigAnswer) (list []*fleet.Status) {
+		for _, one := range a {
+			list = append(list, told(one))
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name      string
+		put       *fleet.Status
+		states    []*fleet.Status
+		wait      string
+		code      int
+		out, errs []string
+	}{
+		{"in force at all", agreed, state(statusOf(12, 3, 3, nil)), "9s", 0,
+			[]string{"version 12 is agreed", "version 12 in force at 3 of 3\n"}, nil},
+		{"in force after a while", agreed, state(statusOf(11, 3, 3, nil), statusOf(12, 3, 1, func(s *config.Status) {
+			s.Counts[11], s.Behind = 2, reports(1, 11, "", "n2", "n3")
+		}), statusOf(12, 3, 3, nil)), "9s", 0, []string{"version 12 in force at 3 of 3\n"}, nil},
+		{"in force at all that are heard", agreed, state(statusOf(12, 3, 2, func(s *config.Status) {
+			s.Unheard = reports(-1, 0, "", "n3")
+		})), "9s", 0, []string{"version 12 in force at 2 of 3; 1 not heard by this leader: n3\n"}, nil},
+		{"a leader that has just begun", agreed, state(statusOf(12, 3, 1, func(s *config.Status) {
+			s.Since, s.Unheard = 2000, reports(-1, 0, "", "n2", "n3")
+		})), "0s", 3, []string{"version 12 in force at 1 of 3; 2 not heard: n2 by this leader, n3 by this leader"},
+			[]string{"2 controllers are not heard, and the leader has collected for 2s only"}},
+		{"one is behind", agreed, state(statusOf(12, 3, 2, func(s *config.Status) {
+			s.Counts[11], s.Behind = 1, reports(1, 11, "", "n3")
+		})), "300ms", 3, []string{"in force at 2 of 3; 1 behind: n3 (version 11)"}, []string{"not in force at all controllers that are heard"}},
+		{"one refused", agreed, state(statusOf(12, 3, 2, func(s *config.Status) {
+			s.Counts[11], s.Refused = 1, reports(1, 11, "line 4: field x\nis not\x07 known", "n17")
+		})), "60s", 3, []string{"in force at 2 of 3; 1 refused: n17 (line 4: field x is not  known)"}, []string{"not in force at all"}},
+		{"a later one came", agreed, state(statusOf(13, 3, 2, func(s *config.Status) { s.Counts[12] = 1 })), "9s", 0,
+			[]string{"version 13 in force at 2 of 3\n"}, nil},
+		{"a leader that is behind", agreed, state(statusOf(11, 3, 3, nil)), "300ms", 3, nil, []string{"version 12 is agreed and not in force"}},
+		{"lists that are cut", agreed, state(statusOf(12, 600, 400, func(s *config.Status) { s.More, s.Counts[11] = 100, 100 })), "0s", 3,
+			[]string{"version 12 in force at 400 of 600; 100 more that are refused, behind or not heard"}, []string{"not in force"}},
+		{"no status", agreed, state(fleet.ConfigAnswer{}), "300ms", 3, []string{"version 12 is agreed\n"}, []string{"is not known"}},
+		{"no answer to status", agreed, []*fleet.Status{nil}, "300ms", 3, nil, []string{"is not known", "EOF"}},
+		{"lost", told(fleet.ConfigAnswer{Result: "lost", Version: versionOf(13)}), nil, "9s", 4, nil,
+			[]string{"version 13 by anna (why [2J) was agreed first"}},
+		{"refused", told(fleet.ConfigAnswer{Result: "refused", Reason: "line 2: field log.level: no"}), nil, "9s", 1, nil,
+			[]string{"refused", "line 2: field log.level"}},
+		{"unknown", told(fleet.ConfigAnswer{Result: "unknown", Reason: "the leader did not answer"}), nil, "9s", 1, nil,
+			[]string{"not known whether it was agreed", "fleet config history"}},
+		{"no word at all", nil, nil, "9s", 1, nil, []string{"it may have been agreed", "fleet config history"}},
+		{"an error", &fleet.Status{Error: "the controller does not answer in time"}, nil, "9s", 1, nil,
+			[]string{"does not answer in time", "it may have been agreed"}},
+		{"no block config", &fleet.Status{}, nil, "9s", 1, nil, []string{"block config"}},
+	} {
+		for action, args := range map[fleet.ConfigAction][]string{fleet.ConfigPut: {"put", file}, fleet.ConfigRollback: {"rollback", "7"}} {
+			fake := newFakeControl(t, map[fleet.ConfigAction][]*fleet.Status{action: {c.put}, fleet.ConfigState: slices.Clone(c.states)})
+			var out, errs strings.Builder
+			args = append([]string{"fleet", "config", "--folder", fake.folder, "--reason", "r", "--author", "a", "--wait", c.wait}, args...)
+			code := execute(args, &out, &errs)
+			if code != c.code || !holdsAll(out.String(), c.out) || !holdsAll(errs.String(), c.errs) || c.errs == nil && errs.Len() > 0 {
+				t.Errorf("%s, %s: code %d\n%s\n%s", c.name, action, code, out.String(), errs.String())
+			}
+			order := fake.last(action)
+			if order.Author != "a" || order.Reason != "r" || order.Expect != nil ||
+				action == fleet.ConfigPut && string(order.Document) != "log {\n}\n" || action == fleet.ConfigRollback && order.Number != 7 {
+				t.Errorf("%s: asked for %+v", c.name, order)
+			}
+		}
+	}
+}
+
+func holdsAll(text string, parts []string) bool {
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// What the commands that only look print, and what is refused before anything is asked.
+func TestConfigCommands(t *testing.T) {
+	dir := t.TempDir()
+	small, large, empty := filepath.Join(dir, "doc.hcl"), filepath.Join(dir, "large.hcl"), filepath.Join(dir, "empty.hcl")
+	for path, text := range map[string]string{small: "log {\n}\n", large: strings.Repeat("#", config.MaxDocument+1), empty: ""} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	again := versionOf(3)
+	again.RollbackOf = 1
+	refusedAt := statusOf(12, 670, 668, func(s *config.Status) {
+		s.Counts[11], s.Refused = 1, reports(1, 11, "line 4: no", "n17")
+		s.Unheard = reports(60_000, 11, "", "n40")
+	})
+	documents := []*fleet.Status{told(fleet.ConfigAnswer{Document: []byte("a\nb\nc\n")}), told(fleet.ConfigAnswer{Document: []byte("a\nx\nc\n")})}
+	put := "put --reason r " + small
+	for _, c := range []struct {
+		args      string
+		action    fleet.ConfigAction
+		answers   []*fleet.Status
+		code      int
+		out, errs []string
+	}{
+		{"", "", nil, 0, []string{"history"}, nil},
+		{"put", "", nil, 2, nil, []string{"arg"}},
+		{"put " + small, "", nil, 2, nil, []string{"--reason is missing"}},
+		{"put --reason " + strings.Repeat("r", config.MaxReason+1) + " " + small, "", nil, 2, nil, []string{"--reason has over"}},
+		{put + " --author " + strings.Repeat("a", config.MaxAuthor+1), "", nil, 2, nil, []string{"--author has over"}},
+		{put + " --wait -1s", "", nil, 2, nil, []string{"--wait"}},
+		{put + " --expect x", "", nil, 2, nil, []string{"expect"}},
+		{"put --reason r " + large, "", nil, 1, nil, []string{"large.hcl: has over 1048576 bytes"}},
+		{"put --reason r " + empty, "", nil, 1, nil, []string{"is empty"}},
+		{"put --reason r " + small + "x", "", nil, 1, nil, []string{"no such file"}},
+		{"rollback --reason r x", "", nil, 2, nil, []string{"no number of a version"}},
+		{"rollback --reason r 0", "", nil, 2, nil, []string{"no number of a version"}},
+		{"show", "", nil, 2, nil, []string{"arg"}},
+		{"diff 1", "", nil, 2, nil, []string{"arg"}},
+		{"status", fleet.ConfigState, []*fleet.Status{told(statusOf(12, 3, 3, nil))}, 0,
+			[]string{"version 12 in force at 3 of 3\n", "the controller asked: version 12 in force\n"}, nil},
+		{"status", fleet.ConfigState, []*fleet.Status{told(refusedAt)}, 3,
+			[]string{"version 12 in force at 668 of 670; 1 refused: n17 (line 4: no); 1 not heard since ", ": n40\n"}, []string{"not in force at all"}},
+		{"status --json", fleet.ConfigState, []*fleet.Status{told(refusedAt)}, 3, []string{`"in_force": 668`, `"in_force_at_all_heard": false`,
+			`"controller": "n17"`, `"reason": "line 4: no"`, `"last_heard": "`, `"hash": "0cab00`, `"known": true`}, []string{"not in force"}},
+		{"status --wait 5s", fleet.ConfigState, []*fleet.Status{told(statusOf(12, 3, 1, func(s *config.Status) {
+			s.Counts[11], s.Behind = 2, reports(1, 11, "", "n2", "n3")
+		})), told(statusOf(12, 3, 3, nil))}, 0, []string{"version 12 in force at 3 of 3"}, nil},
+		{"status", fleet.ConfigState, []*fleet.Status{told(fleet.ConfigAnswer{Local: config.Readiness{Number: 4, Latest: 5}})}, 1,
+			[]string{"the controller asked: version 4 in force, version 5 heard of, not confirmed"}, []string{"is not known: no leader"}},
+		{"status --json", fleet.ConfigState, []*fleet.Status{told(fleet.ConfigAnswer{Local: config.Readiness{Number: 4, Latest: 5}})}, 1,
+			[]string{`"known": false`, `"version": 4`}, []string{"is not known"}},
+		{"status", fleet.ConfigState, []*fleet.Status{told(statusOf(0, 3, 0, nil))}, 0, []string{"no version is agreed yet: each of 3"}, nil},
+		{"history", fleet.ConfigHistory, []*fleet.Status{told(fleet.ConfigAnswer{Versions: []config.Version{*versionOf(2), *again}})}, 0,
+			[]string{"3        ", "rollback to 1: why [2J", "anna", "03ab00000000  "}, nil},
+		{"history --json", fleet.ConfigHistory, []*fleet.Status{told(fleet.ConfigAnswer{Versions: []config.Version{*again}})}, 0,
+			[]string{`"number": 3`, `"rollback_of": 1`, `"time": "2026-12-02T05:06:07Z"`}, nil},
+		{"history", fleet.ConfigHistory, []*fleet.Status{{Error: "no leader is known"}}, 1, nil, []string{"no leader is known"}},
+		{"show 1", fleet.ConfigShow, documents[:1], 0, []string{"a\nb\nc\n"}, nil},
+		{"show 1 --json", fleet.ConfigShow, documents[:1], 0, []string{`"document": "a\nb\nc\n"`}, nil},
+		{"show 9", fleet.ConfigShow, []*fleet.Status{told(fleet.ConfigAnswer{Reason: "it is not kept any more"})}, 1, nil,
+			[]string{"version 9: it is not kept any more"}},
+		{"diff 1 2", fleet.ConfigShow, documents, 0, []string{"--- version 1\n+++ version 2\n", " a\n-b\n+x\n c\n"}, nil},
+		{"diff 1 2 --json", fleet.ConfigShow, documents, 0, []string{`"from": 1`, `"diff": "--- version 1`}, nil},
+		{"diff 1 1", fleet.ConfigShow, documents[:1], 0, nil, nil},
+		{put + " --json --wait 0s", fleet.ConfigPut, []*fleet.Status{told(fleet.ConfigAnswer{Result: "lost", Version: versionOf(13)})}, 4,
+			[]string{`"result": "lost"`, `"number": 13`}, []string{"was agreed first"}},
+		{put + " --json --wait 0s", fleet.ConfigPut, []*fleet.Status{told(fleet.ConfigAnswer{Result: "agreed", Version: versionOf(13)})}, 3,
+			[]string{`"result": "agreed"`}, []string{"is not known"}},
+	} {
+		fake := newFakeControl(t, map[fleet.ConfigAction][]*fleet.Status{c.action: slices.Clone(c.answers)})
+		var out, errs strings.Builder
+		args := append([]string{"fleet", "config", "--folder", fake.folder}, strings.Fields(c.args)...)
+		if code := execute(args, &out, &errs); code != c.code || !holdsAll(out.String(), c.out) || !holdsAll(errs.String(), c.errs) ||
+			c.errs == nil && errs.Len() > 0 {
+			t.Errorf("%.80q: code %d\n%s\n%s", c.args, code, out.String(), errs.String())
+		}
+	}
+}
+
+// What the flags say is what is asked for; the author is the user if nobody is named, and no controller is an error by itself.
+func TestConfigOrder(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "doc.hcl")
+	if err := os.WriteFile(file, []byte("#"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fake := newFakeControl(t, map[fleet.ConfigAction][]*fleet.Status{fleet.ConfigPut: {told(fleet.ConfigAnswer{Result: "refused"})}})
+	t.Setenv("MINTKEEL_FLEET", fake.folder)
+	var out, errs strings.Builder
+	execute([]string{"fleet", "config", "put", file, "--reason", "r", "--expect", "0"}, &out, &errs)
+	if order := fake.last(fleet.ConfigPut); order.Expect == nil || *order.Expect != 0 || order.Author != userName() || order.Author == "" {
+		t.Errorf("asked for %+v", order)
+	}
+	t.Setenv("MINTKEEL_FLEET", "")
+	for folder, want := range map[string]string{"": "no folder", t.TempDir(): "no controller answers"} {
+		errs.Reset()
+		args := []string{"fleet", "config", "put", file, "--reason", "r", "--folder", folder}
+		if code := execute(args, &out, &errs); code != 1 || !strings.Contains(errs.String(), want) || strings.Contains(errs.String(), "may have been") {
+			t.Errorf("folder %q: code %d, %s", folder, code, errs.String())
+		}
+	}
+}
--- a/cmd/mintkeel/main.go
+++ b/cmd/mintkeel/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,10 +14,22 @@
 
 // Exit codes.
 const (
-	exitFailed = 1 // it can't be done: a configuration that can't be used, a memory that can't be trusted
-	exitUsage  = 2 // it was not understood
+	exitFailed  = 1 // it can't be done: a configuration that can't be used, a memory that can't be trusted
+	exitUsage   = 2 // it was not understood
+	exitPartial = 3 // a version was agreed, and is not known to be in force at each controller that is heard
+	exitLost    = 4 // another version was agreed first
 )
 
+// exitError is an error of a command that ends with a code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
 func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // execute runs one command line and returns the exit code.
@@ -44,6 +57,9 @@
 		for line := range strings.SplitSeq(err.Error(), "\n") {
 			fmt.Fprintln(errs, "mintkeel:", line)
 		}
+		if coded, ok := errors.AsType[*exitError](err); ok {
+			return coded.code
+		}
 		if understood {
 			return exitFailed
 		}
