A version of the fleet's configuration is taken over as a reload is; serve.go divided by job

enforce() puts a whole file in force, for SIGHUP and for versions alike. The service's goroutine parses a document and hands it to the main goroutine over a channel, for 5 s at most; nobody is left waiting at an end. With the block config the fleet is joined first, and clients' listener opens once the latest version is known or the block's time is up; the order of start without it is as before. SIGHUP then re-reads keys and willing and keeps the agreed document.

--- /dev/null
+++ b/cmd/mintkeel/agreed.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/fleet"
+	"mintkeel/internal/operator"
+	"mintkeel/internal/settings"
+)
+
+// applyWait is how long a version waits for the daemon to take it over. It is taken over within milliseconds, unless the
+// process has no processor time.
+const applyWait = 5 * time.Second
+
+// agreedConfig is the daemon's side of the configuration that the fleet agrees on. The service checks documents and offers
+// versions by goroutines of its own; the daemon's main goroutine takes them over, one by one.
+type agreedConfig struct {
+	name     string
+	facts    *settings.Facts
+	log      *slog.Logger
+	local    atomic.Pointer[operator.File] // this controller's own
+	requests chan versionRequest
+	version  config.Version // in force; Number 0: none yet. Of the main goroutine alone
+
+	serving   chan struct{} // closed once clients are served
+	remembers bool          // its own folder held something; to be read once serving is closed
+	stopped   chan struct{} // closed when no version is taken over any more
+	stop      sync.Once
+
+	counts struct{ taken, refused, later atomic.Int64 }
+}
+
+// versionRequest asks the main goroutine to take a version over.
+type versionRequest struct {
+	version config.Version
+	file    *operator.File
+	reply   chan error // has room for the answer
+}
+
+func newAgreedConfig(s *start, own *operator.File, log *slog.Logger) *agreedConfig {
+	a := &agreedConfig{name: s.Name, facts: s.facts, log: log, requests: make(chan versionRequest), serving: make(chan struct{}),
+		stopped: make(chan struct{})}
+	a.local.Store(own)
+	return a
+}
+
+// host is what the fleet's service calls.
+func (a *agreedConfig) host() *fleet.ConfigHost {
+	return &fleet.ConfigHost{Check: a.check, Apply: a.apply}
+}
+
+// setLocal takes over the controller's own file as it was read again.
+func (a *agreedConfig) setLocal(own *operator.File) { a.local.Store(own) }
+
+// offered are the versions to be taken over; nil, from which nothing ever comes, where the fleet has no say.
+func (a *agreedConfig) offered() <-chan versionRequest {
+	if a == nil {
+		return nil
+	}
+	return a.requests
+}
+
+// beginServing tells that clients are served, and whether this controller remembers for itself.
+func (a *agreedConfig) beginServing(remembers bool) {
+	a.remembers = remembers
+	close(a.serving)
+}
+
+// wantsDigest waits until clients are served, and tells whether what the fleet has learned is of use here.
+func (a *agreedConfig) wantsDigest() bool {
+	select {
+	case <-a.serving:
+		return !a.remembers
+	case <-a.stopped:
+		return false
+	}
+}
+
+// stopTaking has no more versions taken over.
+func (a *agreedConfig) stopTaking() { a.stop.Do(func() { close(a.stopped) }) }
+
+// parse reads a document by the same code as mintkeel check.
+func (a *agreedConfig) parse(document []byte) (*operator.File, error) {
+	file, err := operator.ParseDocument("", document, operator.Local{Name: a.name, File: a.local.Load()}, a.facts)
+	if err != nil {
+		return nil, &documentError{err}
+	}
+	return file, nil
+}
+
+// check tells whether a document could be used here.
+func (a *agreedConfig) check(document []byte) error {
+	_, err := a.parse(document)
+	return err
+}
+
+// Errors of versions that are not taken over. The first two go away by themselves.
+var (
+	errLate     = fmt.Errorf("the controller did not take it over in time: %w", fleet.ErrRetryable)
+	errStopping = fmt.Errorf("the controller is ending: %w", fleet.ErrRetryable)
+	errOlder    = errors.New("a newer version is in force")
+)
+
+// apply has a version taken over by the main goroutine, and waits for that.
+func (a *agreedConfig) apply(v config.Version, document []byte) error {
+	err := a.offer(v, document)
+	switch {
+	case err == nil:
+		a.counts.taken.Add(1)
+	case errors.Is(err, fleet.ErrRetryable):
+		a.counts.later.Add(1)
+	default:
+		a.counts.refused.Add(1)
+		a.log.Error("configuration version refused", append(versionAttributes(v), "why", err)...)
+	}
+	return err
+}
+
+func (a *agreedConfig) offer(v config.Version, document []byte) error {
+	file, err := a.parse(document)
+	if err != nil {
+		return err
+	}
+	r := versionRequest{version: v, file: file, reply: make(chan error, 1)}
+	timer := time.NewTimer(applyWait)
+	defer timer.Stop()
+	select {
+	case a.requests <- r:
+	case <-timer.C:
+		return errLate
+	case <-a.stopped:
+		return errStopping
+	}
+	select {
+	case err := <-r.reply:
+		return err
+	case <-timer.C:
+		return errLate
+	case <-a.stopped:
+		return errStopping
+	}
+}
+
+// LogValue prints the version in force and the counts.
+func (a *agreedConfig) LogValue() slog.Value {
+	return slog.GroupValue(slog.Uint64("version", a.version.Number), slog.String("hash", shortHash(a.version)),
+		slog.Int64("taken", a.counts.taken.Load()), slog.Int64("refused", a.counts.refused.Load()),
+		slog.Int64("tried_again", a.counts.later.Load()))
+}
+
+// versionAttributes are what log lines tell of a version.
+func versionAttributes(v config.Version) []any {
+	return []any{"version", v.Number, "hash", shortHash(v), "author", v.Author, "reason", v.Reason}
+}
+
+// shortHash is enough of a hash to tell documents apart by eye.
+func shortHash(v config.Version) string { return v.Hash.String()[:12] }
+
+// documentError is why a document can't be used, in one line for logs and for other controllers.
+type documentError struct{ err error }
+
+func (e *documentError) Error() string {
+	var texts []string
+	for _, p := range operator.Problems(e.err) {
+		text := p.Why
+		if p.Field != "" {
+			text = "field " + p.Field + " " + text
+		}
+		if p.Line > 0 {
+			text = fmt.Sprintf("line %d, column %d: %s", p.Line, p.Column, text)
+		}
+		texts = append(texts, text)
+	}
+	return strings.Join(texts, "; ")
+}
+
+func (e *documentError) Unwrap() error { return e.err }
+
+// takeVersion takes a version over in place of the one before: by the main goroutine, as a reload is.
+func (d *daemon) takeVersion(r versionRequest) error {
+	a := d.agreed
+	if r.version.Number < a.version.Number {
+		return errOlder
+	}
+	own := a.local.Load() // it may have been read again since the document was parsed
+	r.file.Fleet, r.file.Config = own.Fleet, own.Config
+	if d.server == nil { // clients are served later, by the file in force then
+		d.lines.Set(r.file.Log)
+		d.file = r.file
+	} else if err := d.enforce(r.file); err != nil {
+		return fmt.Errorf("%w: %w", err, fleet.ErrRetryable)
+	}
+	a.version = r.version
+	d.log.Info("configuration version in force", versionAttributes(r.version)...)
+	return nil
+}
+
+// awaitConfig takes versions over until the latest is known to be in force, or the time for it is up. Signals that come
+// meanwhile are returned; one to stop ends the wait.
+func (d *daemon) awaitConfig(ctx context.Context, signals <-chan os.Signal) (pending pendingSignals) {
+	ctx, cancel := context.WithTimeout(ctx, d.file.Config.Wait)
+	defer cancel()
+	began := time.Now()
+	known := make(chan config.Readiness, 1)
+	go func() { known <- d.fleet.WaitConfig(ctx) }()
+	for {
+		select {
+		case r := <-d.agreed.offered():
+			r.reply <- d.takeVersion(r)
+		case readiness := <-known:
+			d.logReadiness(readiness, time.Since(began))
+			return pending
+		case sig := <-signals:
+			switch sig {
+			case syscall.SIGHUP:
+				pending.reload = true
+			case syscall.SIGUSR1: // there are no counts yet
+			default:
+				pending.stop = true
+				return pending
+			}
+		}
+	}
+}
+
+// logReadiness tells which version clients are served by.
+func (d *daemon) logReadiness(r config.Readiness, took time.Duration) {
+	attributes := []any{"version", d.agreed.version.Number, "hash", shortHash(d.agreed.version), "confirmed", r.Confirmed, "latest", r.Latest,
+		"took", took.Round(time.Millisecond)}
+	if r.Confirmed && r.Latest <= d.agreed.version.Number {
+		d.log.Info("configuration version known to be the latest", attributes...)
+		return
+	}
+	d.log.Warn("configuration version not known to be the latest: serving by it all the same", attributes...)
+}
--- a/cmd/mintkeel/check.go
+++ b/cmd/mintkeel/check.go
@@ -38,13 +38,21 @@
 
 func checkCommand() *cobra.Command {
 	var from sources
+	var document string
 	var asJSON bool
 	c := &cobra.Command{
 		Use:   "check",
 		Short: "Read a configuration and the operator's file, and tell what is wrong with them",
-		Args:  cobra.NoArgs,
+		Long: `Read a configuration and the operator's file, and tell what is wrong with them.
+
+With --document also read a document for the whole fleet, as a controller with
+this configuration and operator's file would: docs/config.md.`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			s, file, err := from.read()
+			if err == nil && document != "" {
+				file, err = checkDocument(document, s, file)
+			}
 			if asJSON {
 				return checkJSON(c, s, file, err)
 			}
@@ -53,18 +61,32 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%s: %d profiles, %d tenants, %d kinds of engine, feed up to event %d\n",
 				cmp.Or(s.Name, "unnamed"), len(s.facts.Profiles), len(s.facts.Tenants), len(s.facts.Kinds), s.Known.No)
-			if from.operator != "" {
+			if from.operator != "" && document == "" {
 				fmt.Fprintf(c.OutOrStdout(), "%s: memory %s, %d rules, fleet %s\n", from.operator, onOff(file.Memory != nil), ruleCount(file),
 					onOff(file.Fleet != nil))
 			}
+			if document != "" {
+				fmt.Fprintf(c.OutOrStdout(), "%s: can be used; memory %s, %d rules\n", document, onOff(file.Memory != nil), ruleCount(file))
+			}
 			return nil
 		},
 	}
 	from.flags(c)
+	c.Flags().StringVar(&document, "document", "", "`file` to be checked as the fleet's document")
 	c.Flags().BoolVar(&asJSON, "json", false, "print what was found as JSON")
 	return c
 }
 
+// checkDocument reads a document as the controller with this configuration and operator's file would, and returns the whole
+// that it would run with.
+func checkDocument(path string, s *start, own *operator.File) (*operator.File, error) {
+	text, err := readDocument(path)
+	if err != nil {
+		return nil, err
+	}
+	return operator.ParseDocument(path, text, operator.Local{Name: s.Name, File: own}, s.facts)
+}
+
 func ruleCount(f *operator.File) int {
 	if f.Rules == nil {
 		return 0
--- /dev/null
+++ b/cmd/mintkeel/jobs.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"time"
+
+	"mintkeel/internal/controller"
+	"mintkeel/internal/core/recall"
+	"mintkeel/internal/fleet"
+	"mintkeel/router"
+)
+
+// programs are what this controller can do for the fleet.
+func (d *daemon) programs() []fleet.Job {
+	programs := []fleet.Job{fleet.NewDigest(d.learner())}
+	if d.file.Maintenance == nil {
+		return programs
+	}
+	facts := d.start.facts
+	k := fleet.Keeper{Engines: d.loop.EnginesNow, Hold: func(held []router.EngineID) { d.loop.Post(controller.Hold{Engines: held}) },
+		Kinds: make([]string, len(facts.Kinds)), Log: d.log}
+	for name, i := range facts.Names.Kinds {
+		if int(i) >= 0 && int(i) < len(k.Kinds) {
+			k.Kinds[i] = name
+		}
+	}
+	for _, p := range facts.Profiles {
+		if p.Kinds != nil {
+			k.Bounds = append(k.Bounds, p.Kinds)
+		}
+	}
+	return append(programs, fleet.NewConductor(k, *d.file.Maintenance))
+}
+
+// learner is what the fleet's digest needs of this controller. One that remembers for itself takes nothing from others.
+func (d *daemon) learner() fleet.Learner {
+	l := fleet.Learner{Source: d.loop, Settings: d.identity().Settings, Log: d.log}
+	if !d.remembers {
+		l.Remember = func(learned router.Learned) { go d.restore(learned) } // it may wait
+	}
+	return l
+}
+
+// restore takes over what the fleet knows. Where the fleet's configuration says whether this controller remembers for
+// itself, that is waited for.
+func (d *daemon) restore(learned router.Learned) {
+	if d.agreed != nil && !d.agreed.wantsDigest() {
+		return
+	}
+	d.loop.Post(controller.Remembered{Believe: func(list []router.Entry) router.Learned {
+		now := float64(time.Now().UnixMicro()) / 1e3
+		m := recall.Memory{Of: d.identity(), Learned: learned}
+		believed, account := recall.Believe(&m, d.identity(), list, now, recall.Usual())
+		d.log.Info("fleet: the digest", "believed", account.Believed, "aged", account.Aged, "future", account.Future,
+			"unknown", account.Unknown, "wrong", account.Wrong)
+		return believed
+	}})
+}
--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -579,6 +579,7 @@
 	dir := t.TempDir()
 	config, badHCL := filepath.Join(dir, "c.json"), filepath.Join(dir, "bad.hcl")
 	text := strings.NewReplacer("%FEED%", "127.0.0.1:1", "%ENGINE%", "127.0.0.1:1").Replace(good)
+	own, leases := filepath.Join(dir, "own.hcl"), filepath.Join(dir, "leases.hcl")
 	ruled, cases, badCases := filepath.Join(dir, "rules.hcl"), filepath.Join(dir, "cases.hcl"), filepath.Join(dir, "bad_cases.hcl")
 	const query = "/* verb=lookup,txn=9b1f03aa5c7e2d41,limit=1500,store=12-east */ SELECT 1 FROM menu_17.items"
 	for path, text := range map[string]string{
@@ -586,7 +587,10 @@
 			"rule \"no\" {\n when = \"table_name == 'secrets'\"\n refuse = \"no\"\n}\n",
 		cases:    fmt.Sprintf("case \"a\" {\n query = %q\n hot = true\n matches = [\"hot\"]\n profile = \"lookup\"\n refuse = \"\"\n}\n", query),
 		badCases: fmt.Sprintf("case \"a\" {\n query = %q\n hot = false\n kinds = [\"std\"]\n}\n", query),
-		config:   text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
+		own: "fleet {\n name = \"e\"\n listen = \"10.0.0.1:9\"\n key_file = \"/k\"\n folder = \"/f\"\n council = { n1 = \"10.0.0.1:9\" }\n" +
+			" works = [\"digest\", \"plan\"]\n}\nconfig {\n}\n",
+		leases: "fleet {\n works = [\"digest\"]\n}\n",
+		config: text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -611,6 +615,11 @@
 		{"check --config " + config + " --operator " + badHCL + " --json", 1, `"field": "x"`, "field x"},
 		{"check --config " + config + " --operator " + badHCL + "x", 1, "", "no such file"},
 		{"check --config " + config + "x --json", 1, `"ok": false`, "no such file"},
+		{"check --config " + config + " --operator " + own + " --document " + ruled, 0, "rules.hcl: can be used; memory off, 2 rules", ""},
+		{"check --config " + config + " --operator " + own + " --document " + badHCL, 1, "", "bad.hcl:2:10: field log.level"},
+		{"check --config " + config + " --operator " + own + " --document " + own, 1, "", "own.hcl:2:9: field fleet.name: is each controller's own"},
+		{"check --config " + config + " --operator " + own + " --json --document " + leases, 1, `"field": "fleet.works"`, "leases.hcl:2:10: field fleet.works"},
+		{"check --config " + config + " --operator " + own + " --document " + own + "x", 1, "", "no such file"},
 		{"version", 0, "mintkeel", ""},
 		{"version --json", 0, `"go": "go`, ""},
 		{"--help", 0, "serve", ""},
