Configuration core: spread, fetch, take, propose, reports; first cut with a simulation

The replica of internal/core/fleet/config does its work: documents are pulled by hash from whoever told them, checked, stored and applied; proposals are held by a majority of the voters before the quorum is asked; reports go over relays to the leader.

--- /dev/null
+++ b/internal/core/fleet/config/candidate.go
@@ -0,0 +1,217 @@
+package config
+
+import (
+	"slices"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Times of a proposal at the leader, in ms.
+const (
+	candidateTimeout = 12000.0 // after which one that came no further makes room for the next; its origin asks again
+	catchUp          = 1000.0  // that a leader which knows fewer versions than expected waits for its own state
+	proposeRetry     = 200.0   // after the quorum did not take a proposal
+	proposeAgain     = 2000.0  // after it took one that was not agreed on since
+)
+
+// candidate is a proposal at the leader: its document is fetched, checked and held by a majority of the voters before
+// the quorum is asked to agree.
+type candidate struct {
+	proposal  Proposal
+	origin    members.ID
+	began     float64 // to be worked on; 0: it waits
+	checked   bool
+	held      []members.ID // voters that hold the document durably
+	holdAt    float64      // of the next HoldRequests
+	proposeAt float64      // of the next proposal to the quorum
+}
+
+// proposeRequested takes in another controller's proposal. One that comes to a member that does not lead is not
+// answered: the origin finds the leader.
+func (r *Replica) proposeRequested(from members.ID, p Proposal) {
+	if p.Version.ID.Origin != from {
+		return
+	}
+	r.submit(from, p)
+}
+
+// submit answers a proposal at once or puts it into the queue.
+func (r *Replica) submit(origin members.ID, p Proposal) {
+	if !r.env.Leads() || !r.votes() {
+		return
+	}
+	if reason := p.invalid(); reason != "" {
+		r.reply(origin, p, ProposeReply{Result: Refused, Reason: reason})
+		return
+	}
+	if slices.ContainsFunc(r.queue, func(c *candidate) bool { return c.proposal.Version.ID == p.Version.ID }) {
+		return
+	}
+	if r.decided(origin, p) {
+		return
+	}
+	if len(r.queue) > MaxProposals {
+		r.reply(origin, p, ProposeReply{Result: Refused, Reason: "busy"})
+		return
+	}
+	r.queue = append(r.queue, &candidate{proposal: p, origin: origin})
+}
+
+// decided answers a proposal of which the state tells how it ended. Where another version than the expected one follows,
+// no entry of the log can make it a version any more.
+func (r *Replica) decided(origin members.ID, p Proposal) bool {
+	state := r.env.State()
+	if v, ok := state.FindProposal(p.Version.ID); ok {
+		r.reply(origin, p, ProposeReply{Result: Agreed, Version: v})
+		return true
+	}
+	if state.Newest() > p.Expect {
+		r.reply(origin, p, ProposeReply{Result: Lost, Version: state.Latest(), Reason: "another version was agreed on"})
+		return true
+	}
+	return false
+}
+
+func (r *Replica) reply(to members.ID, p Proposal, reply ProposeReply) {
+	reply.ID = p.Version.ID
+	reply.Reason = bounded(reply.Reason)
+	if to == r.facts.Self {
+		r.proposeAnswered(to, &reply)
+		return
+	}
+	r.send(to, Message{Proposed: &reply})
+}
+
+// advanceCandidates works on the first proposal of the queue. One that does not lead drops them all: their origins ask
+// the next leader.
+func (r *Replica) advanceCandidates() {
+	if !r.env.Leads() || !r.votes() {
+		for _, c := range r.queue {
+			r.release(c.proposal.Version.Hash, forProposal)
+		}
+		r.queue = nil
+		return
+	}
+	for len(r.queue) > 0 {
+		c := r.queue[0]
+		if c.began == 0 {
+			c.began = max(r.now, 1)
+		}
+		if !r.advanceCandidate(c) {
+			return
+		}
+		r.release(c.proposal.Version.Hash, forProposal)
+		r.queue = r.queue[1:]
+	}
+}
+
+// advanceCandidate does the next step of a proposal, and tells whether it has ended.
+func (r *Replica) advanceCandidate(c *candidate) bool {
+	if r.decided(c.origin, c.proposal) {
+		return true
+	}
+	if r.env.State().Newest() < c.proposal.Expect {
+		return r.awaitExpected(c)
+	}
+	if r.now >= c.began+candidateTimeout {
+		return true
+	}
+	v := &c.proposal.Version
+	data := r.library.get(v.Hash)
+	if data == nil {
+		r.fetch(v.Hash, v.Size, forProposal, c.origin)
+		r.runDownloads()
+		return false
+	}
+	if !c.checked {
+		if reason := r.checkCandidate(v, data); reason != "" {
+			r.reply(c.origin, c.proposal, ProposeReply{Result: Refused, Reason: reason})
+			return true
+		}
+		c.checked = true
+	}
+	r.askVoters(c)
+	if r.now >= c.proposeAt && r.heldByMajority(c) {
+		c.proposeAt = r.now + proposeRetry
+		if r.env.Propose(c.proposal) {
+			c.proposeAt = r.now + proposeAgain
+		}
+	}
+	return false
+}
+
+// awaitExpected answers a proposal that expects a version which this one does not know: after a short time in which its
+// state may catch up, there is none.
+func (r *Replica) awaitExpected(c *candidate) bool {
+	if r.now < c.began+catchUp {
+		return false
+	}
+	r.reply(c.origin, c.proposal, ProposeReply{Result: Lost, Version: r.env.State().Latest(),
+		Reason: "the expected version does not exist"})
+	return true
+}
+
+func (r *Replica) checkCandidate(v *Version, data []byte) string {
+	if len(data) != v.Size {
+		return "the document has another size than the proposal"
+	}
+	if err := r.env.Check(data); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// askVoters has the voters that don't hold the document yet fetch and store it.
+func (r *Replica) askVoters(c *candidate) {
+	if r.now < c.holdAt {
+		return
+	}
+	c.holdAt = r.now + holdEach
+	v := &c.proposal.Version
+	for _, id := range r.env.Voters() {
+		if id != r.facts.Self && !slices.Contains(c.held, id) {
+			r.send(id, Message{Hold: &HoldRequest{Hash: v.Hash, Size: v.Size}})
+		}
+	}
+}
+
+// heldByMajority tells whether enough voters hold the document durably: each majority has one of them.
+func (r *Replica) heldByMajority(c *candidate) bool {
+	voters := r.env.Voters()
+	held := 0
+	for _, id := range voters {
+		if id == r.facts.Self && r.library.stored(c.proposal.Version.Hash) || slices.Contains(c.held, id) {
+			held++
+		}
+	}
+	return 2*held > len(voters)
+}
+
+// heldBy takes in that a voter holds a document.
+func (r *Replica) heldBy(from members.ID, reply *HoldReply) {
+	if len(r.queue) == 0 {
+		return
+	}
+	c := r.queue[0]
+	if c.checked && reply.Hash == c.proposal.Version.Hash && slices.Contains(r.env.Voters(), from) && !slices.Contains(c.held, from) {
+		c.held = append(c.held, from)
+	}
+}
+
+func (r *Replica) nextCandidate() float64 {
+	if len(r.queue) == 0 {
+		return never
+	}
+	c := r.queue[0]
+	next := c.began + candidateTimeout
+	switch {
+	case r.env.State() != nil && r.env.State().Newest() < c.proposal.Expect:
+		next = min(next, c.began+catchUp)
+	case c.checked:
+		next = min(next, c.holdAt)
+		if r.heldByMajority(c) {
+			next = min(next, c.proposeAt)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/core/fleet/config/harness_test.go
@@ -0,0 +1,716 @@
+package config
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Times of the simulation, in ms.
+const (
+	gossipEach  = 1000.0 // between two exchanges of membership, which carry summaries
+	goneAfter   = 6000.0 // until a member that is down is believed to be gone
+	aliveAfter  = 300.0  // until a member that came back is believed to be alive
+	leaderAfter = 200.0  // until others know a new leader
+	voteAfter   = 800.0  // until a voter that restarted votes
+	commitAfter = 15.0   // until the quorum agrees on a proposal
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  float64
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// folder is what a controller has on its disk.
+type folder struct {
+	current     Version
+	documents   map[Hash][]byte
+	lastApplied uint64 // by any run on this folder: for the checker
+}
+
+func (f *folder) copy() *folder {
+	return &folder{current: f.current, documents: maps.Clone(f.documents), lastApplied: f.lastApplied}
+}
+
+// controller is one simulated controller: its replica, its folder and what it did.
+type controller struct {
+	fleet     *fleet
+	id        members.ID
+	run       uint64
+	replica   *Replica
+	folder    *folder
+	up        bool
+	changedAt float64 // when it last went up or down
+	left      bool
+	side      int // controllers of different sides don't hear each other
+	tickAt    float64
+
+	voter   bool
+	votesAt float64
+	state   State // what this voter has learnt of the quorum's log
+	learnt  int   // entries of the log
+
+	storing  bool
+	applying bool
+	diskFull bool
+	refuses  func(document []byte) error
+	applyErr func(v Version) (err error, retryable bool)
+	corrupt  bool // it sends chunks with wrong bytes
+	delay    float64
+
+	runApplied map[uint64]uint64 // by run, the version in force
+	appliedAt  map[uint64]float64
+	outcomes   map[uint64]Outcome
+	answers    map[uint64]QueryOutcome
+	documents  map[uint64]DocumentOutcome
+	sentBytes  int64
+	sent       int64
+}
+
+// fleet is a simulation in virtual time.
+type fleet struct {
+	t      testing.TB
+	rng    *rand.Rand
+	now    float64
+	events eventQueue
+	seq    int
+
+	all      []*controller
+	byID     map[members.ID]*controller
+	voters   []members.ID
+	log      []Proposal
+	agreed   State
+	leader   members.ID
+	before   members.ID // the leader before
+	leaderAt float64
+	lossRate float64
+	cutAt    float64
+	ref      uint64
+	runs     uint64
+
+	onStored  func(c *controller, request *StoreRequest) // right before Stored
+	onMessage func(from, to *controller, m *Message) bool
+	failure   string
+}
+
+// newFleet starts controllers of which the first few vote.
+func newFleet(t testing.TB, seed int64, size, voters int) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewSource(seed)), byID: map[members.ID]*controller{}}
+	for i := range size {
+		f.add(i < voters, &folder{documents: map[Hash][]byte{}})
+	}
+	f.leader = f.all[0].id
+	f.leaderAt = -leaderAfter
+	for _, c := range f.all {
+		f.start(c)
+		c.votesAt = 0
+	}
+	return f
+}
+
+func (f *fleet) add(voter bool, on *folder) *controller {
+	c := &controller{fleet: f, id: members.ID(fmt.Sprintf("n%03d", len(f.all))), voter: voter, folder: on,
+		runApplied: map[uint64]uint64{}, appliedAt: map[uint64]float64{}, outcomes: map[uint64]Outcome{},
+		answers: map[uint64]QueryOutcome{}, documents: map[uint64]DocumentOutcome{}}
+	f.all = append(f.all, c)
+	f.byID[c.id] = c
+	if voter {
+		f.voters = append(f.voters, c.id)
+	}
+	return c
+}
+
+// start runs a controller from its folder.
+func (f *fleet) start(c *controller) {
+	f.runs++
+	c.run, c.up, c.changedAt = f.runs, true, f.now
+	c.votesAt = f.now + voteAfter
+	c.storing, c.applying, c.state, c.learnt = false, false, State{}, 0
+	kept := Kept{Current: c.folder.current, Documents: maps.Clone(c.folder.documents)}
+	if v := kept.Current; v.Number > 0 {
+		f.noteApplied(c, v, c.folder.documents[v.Hash])
+	}
+	c.replica = New(Facts{Self: c.id, Run: c.run, Seed: f.rng.Int63()}, c, kept, f.now)
+	c.replica.Agreed(f.now)
+	if c.voter {
+		f.learnLater(c)
+	}
+	run := c.run
+	f.after(f.rng.Float64()*gossipEach, func() { f.gossip(c, run) })
+	f.settle(c)
+}
+
+// kill ends a controller; what it had not stored is lost.
+func (f *fleet) kill(c *controller) {
+	c.up, c.changedAt = false, f.now
+	if f.leader == c.id {
+		f.setLeader("")
+	}
+}
+
+func (f *fleet) setLeader(id members.ID) {
+	f.before, f.leader, f.leaderAt = f.leader, id, f.now
+	for _, c := range f.all {
+		if c.voter && c.up {
+			c.replica.Agreed(f.now)
+			f.settle(c)
+		}
+	}
+}
+
+func (f *fleet) after(delay float64, run func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now + delay, f.seq, run})
+}
+
+// step runs the next event.
+func (f *fleet) step() {
+	e := heap.Pop(&f.events).(event)
+	f.now = max(f.now, e.at)
+	e.run()
+	if f.failure != "" {
+		f.t.Fatalf("at %.0f ms: %s", f.now, f.failure)
+	}
+}
+
+// runFor lets time pass.
+func (f *fleet) runFor(ms float64) {
+	until := f.now + ms
+	for len(f.events) > 0 && f.events[0].at <= until {
+		f.step()
+	}
+	f.now = until
+}
+
+// runUntil lets time pass until something holds, and tells how long that took; below 0: it did not in time.
+func (f *fleet) runUntil(limit float64, holds func() bool) float64 {
+	began := f.now
+	for !holds() {
+		if len(f.events) == 0 || f.events[0].at > began+limit {
+			f.now = began + limit
+			return -1
+		}
+		f.step()
+	}
+	return f.now - began
+}
+
+func (f *fleet) fail(format string, args ...any) {
+	if f.failure == "" {
+		f.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// gossip carries summaries as membership does.
+func (f *fleet) gossip(c *controller, run uint64) {
+	if !c.up || c.run != run {
+		return
+	}
+	f.after(gossipEach, func() { f.gossip(c, run) })
+	other := f.all[f.rng.Intn(len(f.all))]
+	if other == c {
+		return
+	}
+	f.deliver(c, other, Message{Summary: c.replica.Summary()}, func() {
+		f.deliver(other, c, Message{Summary: other.replica.Summary()}, nil)
+	})
+}
+
+// settle does what a replica asks for, and has it wake up in time.
+func (f *fleet) settle(c *controller) {
+	out := c.replica.Take()
+	for _, s := range out.Sends {
+		if to := f.byID[s.To]; to != nil {
+			f.deliver(c, to, s.Message, nil)
+		}
+	}
+	if out.Store != nil {
+		f.storeLater(c, out.Store)
+	}
+	if out.Apply != nil {
+		f.applyLater(c, out.Apply)
+	}
+	for _, o := range out.Outcomes {
+		if _, twice := c.outcomes[o.Ref]; twice {
+			f.fail("%s: two outcomes of proposal %d", c.id, o.Ref)
+		}
+		c.outcomes[o.Ref] = o
+	}
+	for _, a := range out.Answers {
+		c.answers[a.Ref] = a
+		if a.Answer.Status != nil {
+			f.checkStatus(f.byID[a.From], a.Answer.Status)
+		}
+	}
+	for _, d := range out.Documents {
+		c.documents[d.Ref] = d
+		if d.Document != nil && HashOf(d.Document) != d.Hash {
+			f.fail("%s: a document that does not match its hash", c.id)
+		}
+	}
+	f.wake(c)
+}
+
+func (f *fleet) wake(c *controller) {
+	next := max(c.replica.Next(), f.now)
+	if next > f.now+1e9 || c.tickAt > f.now && c.tickAt <= next {
+		return
+	}
+	c.tickAt = next
+	run := c.run
+	f.after(next-f.now, func() {
+		if c.up && c.run == run && f.now >= c.replica.Next() {
+			c.tickAt = 0
+			c.replica.Tick(f.now)
+			f.settle(c)
+		} else if c.up && c.run == run && c.tickAt <= f.now {
+			f.wake(c)
+		}
+	})
+}
+
+func (f *fleet) connected(a, b *controller) bool { return a.up && b.up && a.side == b.side }
+
+// deliver sends a message as its bytes.
+func (f *fleet) deliver(from, to *controller, m Message, then func()) {
+	if m == (Message{}) {
+		return
+	}
+	if from.corrupt && m.Chunk != nil && len(m.Chunk.Data) > 0 {
+		bad := *m.Chunk
+		bad.Data = slices.Clone(bad.Data)
+		bad.Data[len(bad.Data)/2] ^= 1
+		m.Chunk = &bad
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		f.fail("encoding: %v", err)
+	}
+	from.sentBytes += int64(len(data))
+	from.sent++
+	if f.onMessage != nil && !f.onMessage(from, to, &m) {
+		return
+	}
+	if !f.connected(from, to) || f.rng.Float64() < f.lossRate {
+		return
+	}
+	run := to.run
+	f.after(1+f.rng.Float64()*9+from.delay+to.delay, func() {
+		if !f.connected(from, to) || to.run != run {
+			return
+		}
+		var got Message
+		if err := cbor.Unmarshal(data, &got); err != nil {
+			f.fail("decoding: %v", err)
+			return
+		}
+		to.replica.Receive(f.now, from.id, &got)
+		f.settle(to)
+		if then != nil {
+			then()
+		}
+	})
+}
+
+var errDisk = errors.New("no space left on device")
+
+// storeLater writes to the folder a little later.
+func (f *fleet) storeLater(c *controller, request *StoreRequest) {
+	if c.storing {
+		f.fail("%s: two StoreRequests are out", c.id)
+	}
+	c.storing = true
+	run := c.run
+	f.after(1+f.rng.Float64()*4, func() {
+		if !c.up || c.run != run {
+			return
+		}
+		err := f.write(c, request)
+		if f.onStored != nil {
+			f.onStored(c, request)
+		}
+		if !c.up || c.run != run {
+			return
+		}
+		c.storing = false
+		c.replica.Stored(f.now, err)
+		f.settle(c)
+	})
+}
+
+func (f *fleet) write(c *controller, request *StoreRequest) error {
+	if c.diskFull {
+		return errDisk
+	}
+	if request.Document != nil {
+		if HashOf(request.Document) != request.Hash {
+			f.fail("%s stores a document that does not match its hash", c.id)
+		}
+		c.folder.documents[request.Hash] = request.Document
+	}
+	if v := request.Current; v != nil {
+		if v.Number > 0 && c.folder.documents[v.Hash] == nil {
+			f.fail("%s: version %d is current and its document is not stored", c.id, v.Number)
+		}
+		c.folder.current = *v
+	}
+	for _, h := range request.Remove {
+		if h == c.folder.current.Hash {
+			f.fail("%s removes the document that is in force at a start", c.id)
+		}
+		delete(c.folder.documents, h)
+	}
+	bytes := 0
+	for _, d := range c.folder.documents {
+		bytes += len(d)
+	}
+	if bytes > MaxStored+(MaxProposals+4)*MaxDocument {
+		f.fail("%s stores %d bytes", c.id, bytes)
+	}
+	return nil
+}
+
+// applyLater takes a version into use a little later.
+func (f *fleet) applyLater(c *controller, request *ApplyRequest) {
+	if c.applying {
+		f.fail("%s: two ApplyRequests are out", c.id)
+	}
+	if c.folder.current.Number != request.Version.Number {
+		f.fail("%s applies version %d while %d is to be in force at a start", c.id, request.Version.Number, c.folder.current.Number)
+	}
+	c.applying = true
+	run := c.run
+	f.after(1+f.rng.Float64()*9, func() {
+		if !c.up || c.run != run {
+			return
+		}
+		c.applying = false
+		if c.applyErr != nil {
+			if err, retryable := c.applyErr(request.Version); err != nil {
+				c.replica.Applied(f.now, err, retryable)
+				f.settle(c)
+				return
+			}
+		}
+		f.noteApplied(c, request.Version, request.Document)
+		c.replica.Applied(f.now, nil, false)
+		f.settle(c)
+	})
+}
+
+// noteApplied checks that versions never fall, and that each is the one that was agreed on.
+func (f *fleet) noteApplied(c *controller, v Version, document []byte) {
+	if HashOf(document) != v.Hash {
+		f.fail("%s applies a document that does not match the hash of version %d", c.id, v.Number)
+	}
+	if v.Number == 0 || v.Number > uint64(len(f.history())) || f.history()[v.Number-1] != v.Hash {
+		f.fail("%s applies version %d with a document that was not agreed on", c.id, v.Number)
+	}
+	if before := c.runApplied[c.run]; v.Number <= before {
+		f.fail("%s goes from version %d to %d", c.id, before, v.Number)
+	}
+	if v.Number < c.folder.lastApplied {
+		f.fail("%s goes from version %d to %d on one folder", c.id, c.folder.lastApplied, v.Number)
+	}
+	c.folder.lastApplied = v.Number
+	c.runApplied[c.run] = v.Number
+	if c.appliedAt[v.Number] == 0 {
+		c.appliedAt[v.Number] = f.now
+	}
+}
+
+// history are the hashes of all versions by the log.
+func (f *fleet) history() (hashes []Hash) {
+	seen := map[ProposalID]bool{}
+	for _, p := range f.log {
+		if !seen[p.Version.ID] && p.Expect == uint64(len(hashes)) && p.invalid() == "" {
+			seen[p.Version.ID] = true
+			hashes = append(hashes, p.Version.Hash)
+		}
+	}
+	return hashes
+}
+
+// checkStatus compares a status with what the controllers themselves did.
+func (f *fleet) checkStatus(leader *controller, s *Status) {
+	inForce, count := 0, 0
+	for _, m := range f.view(leader) {
+		if m.State == members.Left {
+			continue
+		}
+		count++
+		if m.State == members.Alive && f.byID[m.ID].runApplied[m.Run] >= s.Latest.Number {
+			inForce++
+		}
+	}
+	if s.Members > count || s.InForce > inForce {
+		f.fail("status tells %d of %d, and it is in force at %d of %d", s.InForce, s.Members, inForce, count)
+	}
+	listed := len(s.Refused) + len(s.Behind) + len(s.Unheard) + s.More
+	if s.Latest.Number > 0 && s.InForce+listed != s.Members {
+		f.fail("status lists %d and %d of %d: %+v", s.InForce, listed, s.Members, s)
+	}
+	sum := 0
+	for _, n := range s.Counts {
+		sum += n
+	}
+	if sum > s.Members {
+		f.fail("status counts %d of %d members", sum, s.Members)
+	}
+	seen := map[members.ID]bool{}
+	for _, list := range [][]ControllerReport{s.Refused, s.Behind, s.Unheard} {
+		if len(list) > MaxListed {
+			f.fail("a list of %d", len(list))
+		}
+		for _, c := range list {
+			if seen[c.ID] {
+				f.fail("%s is listed twice", c.ID)
+			}
+			seen[c.ID] = true
+		}
+	}
+}
+
+// propose is the quorum: a proposal is agreed on a little later, if its leader still leads with a majority, and sometimes
+// if it does not lead any more.
+func (f *fleet) propose(c *controller, p Proposal) bool {
+	if f.leader != c.id || !f.majority(c) {
+		return false
+	}
+	f.checkMajorityHolds(p)
+	kept := f.rng.Intn(2) == 0
+	f.after(commitAfter, func() {
+		if (f.leader != c.id || !f.majority(c)) && !kept {
+			return
+		}
+		f.log = append(f.log, p)
+		f.agreed.Apply(p)
+		for _, id := range f.voters {
+			f.learnLater(f.byID[id])
+		}
+	})
+	return true
+}
+
+func (f *fleet) checkMajorityHolds(p Proposal) {
+	holds := 0
+	for _, id := range f.voters {
+		if f.byID[id].folder.documents[p.Version.Hash] != nil {
+			holds++
+		}
+	}
+	if 2*holds <= len(f.voters) {
+		f.fail("a proposal is made whose document %d of %d voters hold", holds, len(f.voters))
+	}
+}
+
+func (f *fleet) majority(c *controller) bool {
+	count := 0
+	for _, id := range f.voters {
+		if f.connected(c, f.byID[id]) {
+			count++
+		}
+	}
+	return 2*count > len(f.voters)
+}
+
+// learnLater has a voter learn what was agreed on.
+func (f *fleet) learnLater(c *controller) {
+	run := c.run
+	f.after(2+f.rng.Float64()*60, func() {
+		if !c.up || c.run != run || c.learnt == len(f.log) {
+			return
+		}
+		if !f.majority(c) || f.now < c.votesAt {
+			f.learnLater(c)
+			return
+		}
+		for ; c.learnt < len(f.log); c.learnt++ {
+			c.state.Apply(f.log[c.learnt])
+		}
+		c.replica.Agreed(f.now)
+		f.settle(c)
+	})
+}
+
+// cut parts some controllers from the rest.
+func (f *fleet) cut(controllers []*controller, side int) {
+	f.cutAt = f.now
+	for _, c := range controllers {
+		c.side = side
+	}
+}
+
+// view is what one believes of all.
+func (f *fleet) view(c *controller) (list []members.Member) {
+	for _, m := range f.all {
+		if known, ok := f.believed(c, m); ok {
+			list = append(list, known)
+		}
+	}
+	return list
+}
+
+func (f *fleet) believed(c, of *controller) (members.Member, bool) {
+	m := members.Member{ID: of.id, Run: of.run}
+	switch {
+	case of.left:
+		m.State = members.Left
+	case of == c:
+	case !of.up && f.now >= of.changedAt+goneAfter:
+		m.State = members.Gone
+	case of.side != c.side && f.now >= f.cutAt+goneAfter:
+		m.State = members.Gone
+	case of.up && of.changedAt > 0 && f.now < of.changedAt+aliveAfter:
+		m.Run = 0
+		m.State = members.Gone
+	}
+	return m, true
+}
+
+// The environment of a controller's replica.
+
+func (c *controller) Members() []members.Member { return c.fleet.view(c) }
+
+func (c *controller) Member(id members.ID) (members.Member, bool) {
+	of := c.fleet.byID[id]
+	if of == nil {
+		return members.Member{}, false
+	}
+	return c.fleet.believed(c, of)
+}
+
+func (c *controller) Voters() []members.ID { return c.fleet.voters }
+
+func (c *controller) Leader() members.ID {
+	f := c.fleet
+	if f.now < f.leaderAt+leaderAfter && f.leader != c.id {
+		return f.before
+	}
+	return f.leader
+}
+
+func (c *controller) Leads() bool { return c.fleet.leader == c.id && c.Voting() }
+
+func (c *controller) Voting() bool { return c.voter && c.up && c.fleet.now >= c.votesAt }
+
+func (c *controller) State() *State { return &c.state }
+
+func (c *controller) Propose(p Proposal) bool { return c.fleet.propose(c, p) }
+
+func (c *controller) Check(document []byte) error {
+	if strings.HasPrefix(string(document), "nonsense") {
+		return errors.New("line 1: nonsense")
+	}
+	if c.refuses != nil {
+		return c.refuses(document)
+	}
+	return nil
+}
+
+// randomDocument is one of a size, different for each seed.
+func randomDocument(size int, seed int64) []byte {
+	data := make([]byte, size)
+	rand.New(rand.NewSource(seed)).Read(data)
+	return data
+}
+
+// put proposes at one controller and returns the reference.
+func (f *fleet) put(c *controller, document []byte, expect uint64) uint64 {
+	f.ref++
+	c.replica.Propose(f.now, f.ref, document, expect, Version{Author: "operator", Reason: "test", Time: int64(f.now)})
+	f.settle(c)
+	return f.ref
+}
+
+// outcome waits for how a proposal ends.
+func (f *fleet) outcome(c *controller, ref uint64) Outcome {
+	f.t.Helper()
+	f.runUntil(proposeTimeout+100, func() bool { _, ok := c.outcomes[ref]; return ok })
+	o, ok := c.outcomes[ref]
+	if !ok {
+		f.t.Fatalf("proposal %d has no outcome", ref)
+	}
+	return o
+}
+
+// putAgreed proposes and expects that it is agreed on.
+func (f *fleet) putAgreed(c *controller, document []byte, expect uint64) Version {
+	f.t.Helper()
+	o := f.outcome(c, f.put(c, document, expect))
+	if o.Result != Agreed || o.Version.Number != expect+1 || o.Version.Hash != HashOf(document) {
+		f.t.Fatalf("proposal after %d: %+v", expect, o)
+	}
+	return o.Version
+}
+
+// inForce tells whether a version, or a later one, is in force at all of some controllers that are up.
+func inForce(number uint64, controllers []*controller) bool {
+	for _, c := range controllers {
+		if c.up && !c.left && c.replica.Current().Number < number {
+			return false
+		}
+	}
+	return true
+}
+
+// everywhere waits until a version is in force at all, and tells how long that took.
+func (f *fleet) everywhere(number uint64, limit float64) float64 {
+	f.t.Helper()
+	took := f.runUntil(limit, func() bool { return inForce(number, f.all) })
+	if took < 0 {
+		behind := []members.ID{}
+		for _, c := range f.all {
+			if c.up && c.replica.Current().Number < number {
+				behind = append(behind, c.id)
+			}
+		}
+		f.t.Fatalf("version %d is not in force after %.0f ms at %d: %v", number, limit, len(behind), behind[:min(8, len(behind))])
+	}
+	return took
+}
+
+// ask puts a question and waits for its answer.
+func (f *fleet) ask(c *controller, kind QueryKind) (Answer, bool) {
+	f.ref++
+	ref := f.ref
+	c.replica.Ask(f.now, ref, kind)
+	f.settle(c)
+	f.runUntil(queryTimeout+100, func() bool { _, ok := c.answers[ref]; return ok })
+	a, ok := c.answers[ref]
+	return a.Answer, ok
+}
+
+func (f *fleet) bytesSent() (total, most int64) {
+	for _, c := range f.all {
+		total += c.sentBytes
+		most = max(most, c.sentBytes)
+	}
+	return total, most
+}
--- /dev/null
+++ b/internal/core/fleet/config/hold.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"slices"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Holding of documents by voters, in ms and counts.
+const (
+	holdEach     = 500.0   // between two requests of a leader
+	holdFor      = 60000.0 // after the last request, if no version came of it
+	maxHolds     = MaxProposals
+	historyEach  = 5000.0  // between two looks for older documents that a voter should have
+	historyLater = 60000.0 // after nobody had one
+	historyQuiet = 5000.0  // without a proposal or a fetch, before such are fetched
+)
+
+// hold is a document that a leader asked this voter to store, before its version is agreed on.
+type hold struct {
+	hash    Hash
+	from    members.ID
+	at      float64 // of the last request
+	replied bool
+}
+
+// holdRequested takes in that a leader wants a document to be stored here.
+func (r *Replica) holdRequested(from members.ID, request *HoldRequest) {
+	if request.Size < 1 || request.Size > MaxDocument || !r.isVoter() {
+		return
+	}
+	i := slices.IndexFunc(r.holds, func(h *hold) bool { return h.hash == request.Hash })
+	if i < 0 {
+		if len(r.holds) >= maxHolds {
+			r.dropHold(r.holds[0])
+		}
+		r.holds = append(r.holds, &hold{hash: request.Hash})
+		i = len(r.holds) - 1
+	}
+	h := r.holds[i]
+	h.from, h.at, h.replied = from, r.now, false
+	if r.library.get(h.hash) == nil {
+		r.fetch(h.hash, request.Size, forHold, from)
+	}
+}
+
+func (r *Replica) dropHold(h *hold) {
+	r.release(h.hash, forHold)
+	r.holds = slices.DeleteFunc(r.holds, func(x *hold) bool { return x == h })
+}
+
+// advanceHolds tells leaders what is stored, and drops what no leader asks for any more.
+func (r *Replica) advanceHolds() {
+	for _, h := range slices.Clone(r.holds) {
+		if r.now >= h.at+holdFor {
+			r.dropHold(h)
+			continue
+		}
+		if !h.replied && r.library.stored(h.hash) {
+			h.replied = true
+			r.send(h.from, Message{Held: &HoldReply{Hash: h.hash}})
+		}
+	}
+	r.fetchHistory()
+}
+
+func (r *Replica) nextHold() float64 {
+	next := never
+	for _, h := range r.holds {
+		next = min(next, h.at+holdFor)
+	}
+	return next
+}
+
+// historyFetch is how far a voter is with documents of older versions that it lacks, as one that joined late does.
+type historyFetch struct {
+	at    float64 // of the next look
+	known uint64  // the newest number at the last look
+	whole bool    // nothing was missing then
+}
+
+// fetchHistory fetches a document of an older version that this voter should have, one at a time, while nothing else is
+// being fetched.
+func (r *Replica) fetchHistory() {
+	if r.now < r.history.at || !r.votes() {
+		return
+	}
+	newest := r.env.State().Newest()
+	if r.history.whole && r.history.known == newest {
+		return
+	}
+	r.history = historyFetch{at: r.now + historyEach, known: newest, whole: true}
+	for _, v := range r.keptHistory() {
+		if r.library.get(v.Hash) != nil {
+			continue
+		}
+		r.history.whole = false
+		if len(r.downloads) == 0 && r.now >= r.began+historyQuiet {
+			r.fetch(v.Hash, v.Size, forHistory)
+			r.runDownloads()
+		}
+		return
+	}
+}
+
+func (r *Replica) nextHistory() float64 {
+	if !r.votes() || r.history.whole && r.history.known == r.env.State().Newest() {
+		return never
+	}
+	return r.history.at
+}
--- /dev/null
+++ b/internal/core/fleet/config/lookup.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"slices"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// maxLookups bounds the documents that are looked for at a time.
+const maxLookups = 4
+
+// lookup is a document that an operator asked for here.
+type lookup struct {
+	ref      uint64
+	hash     Hash
+	deadline float64
+	missing  []members.ID // voters that do not have it
+}
+
+// FetchDocument looks for a document here and at voters.
+func (r *Replica) FetchDocument(now float64, ref uint64, h Hash) {
+	r.advanceClock(now)
+	if data := r.library.get(h); data != nil || len(r.lookups) >= maxLookups {
+		r.out.Documents = append(r.out.Documents, DocumentOutcome{Ref: ref, Hash: h, Document: data})
+		return
+	}
+	l := &lookup{ref: ref, hash: h, deadline: r.now + lookupTimeout}
+	r.lookups = append(r.lookups, l)
+	r.fetch(h, 0, forLookup)
+	r.endMissing()
+	r.turn()
+}
+
+// answerLookups hands out a document that has come.
+func (r *Replica) answerLookups(h Hash, data []byte) {
+	for _, l := range slices.Clone(r.lookups) {
+		if l.hash == h {
+			r.endLookup(l, data)
+		}
+	}
+}
+
+func (r *Replica) endLookup(l *lookup, data []byte) {
+	r.lookups = slices.DeleteFunc(r.lookups, func(x *lookup) bool { return x == l })
+	r.out.Documents = append(r.out.Documents, DocumentOutcome{Ref: l.ref, Hash: l.hash, Document: data})
+	if !slices.ContainsFunc(r.lookups, func(x *lookup) bool { return x.hash == l.hash }) {
+		r.release(l.hash, forLookup)
+	}
+}
+
+// lookupMissing takes in that one does not have a document.
+func (r *Replica) lookupMissing(h Hash, from members.ID) {
+	for _, l := range r.lookups {
+		if l.hash == h && !slices.Contains(l.missing, from) && len(l.missing) < maxExcluded {
+			l.missing = append(l.missing, from)
+		}
+	}
+	r.endMissing()
+}
+
+// endMissing ends the lookups of documents that no voter has.
+func (r *Replica) endMissing() {
+	for _, l := range slices.Clone(r.lookups) {
+		has := func(id members.ID) bool { return id != r.facts.Self && !slices.Contains(l.missing, id) }
+		if !slices.ContainsFunc(r.env.Voters(), has) {
+			r.endLookup(l, nil)
+		}
+	}
+}
+
+// tickLookups ends lookups that took too long.
+func (r *Replica) tickLookups() {
+	for _, l := range slices.Clone(r.lookups) {
+		if r.now >= l.deadline {
+			r.endLookup(l, nil)
+		}
+	}
+}
+
+func (r *Replica) nextLookup() float64 {
+	next := never
+	for _, l := range r.lookups {
+		next = min(next, l.deadline)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/core/fleet/config/spread_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A version reaches all, whatever its size and with a tenth of the messages lost.
+func TestSpread(t *testing.T) {
+	for _, c := range []struct {
+		size  int
+		loss  float64
+		limit float64
+	}{{1, 0, 5000}, {4 << 10, 0, 5000}, {64 << 10, 0, 5000}, {4 << 10, 0.1, 12000}, {64 << 10, 0.1, 12000}, {MaxDocument, 0, 12000}} {
+		t.Run(fmt.Sprintf("%d bytes, loss %g", c.size, c.loss), func(t *testing.T) {
+			f := newFleet(t, int64(c.size), 100, 7)
+			f.lossRate = c.loss
+			f.runFor(12000)
+			began, most := f.bytesSent()
+			ref := f.put(f.all[50], randomDocument(c.size, 1), 0)
+			putAt := f.now
+			if o := f.outcome(f.all[50], ref); o.Result != Agreed || o.Version.Number != 1 {
+				t.Fatalf("%+v", o)
+			}
+			agreed := f.now - putAt
+			f.everywhere(1, c.limit)
+			f.runFor(3000)
+			total, mostAfter := f.bytesSent()
+			last := 0.0
+			for _, n := range f.all {
+				last = max(last, n.appliedAt[1]-putAt)
+			}
+			t.Logf("agreed after %.0f ms, in force at the last after %.0f ms; %d bytes sent by each on average, %d at most",
+				agreed, last, (total-began)/100, mostAfter-most)
+		})
+	}
+}
+
+func TestTooLarge(t *testing.T) {
+	f := newFleet(t, 1, 5, 3)
+	f.runFor(1000)
+	for _, size := range []int{0, MaxDocument + 1} {
+		ref := f.put(f.all[4], randomDocument(size, 1), 0)
+		if o, ok := f.all[4].outcomes[ref]; !ok || o.Result != Refused || o.Reason == "" {
+			t.Errorf("%d bytes: %+v, %v", size, o, ok)
+		}
+	}
+	f.runFor(1000)
+	if len(f.log) != 0 {
+		t.Errorf("%d proposals were made", len(f.log))
+	}
+}
