--- /dev/null
+++ b/internal/core/fleet/config/propose_test.go
@@ -0,0 +1,325 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// The proposal is sent again to the next leader, and becomes one version.
+func TestPutWhileLeaderChanges(t *testing.T) {
+	for seed := range int64(40) {
+		f := newFleet(t, seed, 12, 5)
+		f.lossRate = 0.05
+		f.runFor(1000)
+		at := f.all[9]
+		ref := f.put(at, randomDocument(64<<10, seed), 0)
+		f.runFor(float64(seed) * 10) // at each stage of the proposal
+		f.setLeader("")
+		f.runFor(400)
+		f.setLeader(f.all[1].id)
+		o := f.outcome(at, ref)
+		if o.Result != Agreed || o.Version.Number != 1 || f.agreed.Newest() != 1 {
+			t.Errorf("seed %d: %+v, newest %d", seed, o, f.agreed.Newest())
+		}
+		f.everywhere(1, 15000)
+	}
+}
+
+// Of two at once one wins, and the other is told which.
+func TestTwoPutsAtOnce(t *testing.T) {
+	for seed := range int64(20) {
+		f := newFleet(t, seed, 12, 5)
+		f.runFor(1000)
+		first, second := f.all[0], f.all[9] // one of them leads
+		if seed%2 == 0 {                    // both at one controller
+			first = second
+		}
+		a, b := f.put(first, randomDocument(5000, 1), 0), f.put(second, randomDocument(9000, 2), 0)
+		x, y := f.outcome(first, a), f.outcome(second, b)
+		if x.Result == Lost {
+			x, y = y, x
+		}
+		if x.Result != Agreed || y.Result != Lost || y.Version.Number != 1 || y.Version.Hash != x.Version.Hash || y.Reason == "" {
+			t.Errorf("seed %d: %+v, %+v", seed, x, y)
+		}
+		f.everywhere(1, 10000)
+	}
+}
+
+func TestExpect(t *testing.T) {
+	f := newFleet(t, 1, 6, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[5], []byte("one"), 0)
+	f.putAgreed(f.all[5], []byte("two"), 1)
+	for _, expect := range []uint64{0, 1, 3, 1 << 63} {
+		if o := f.outcome(f.all[4], f.put(f.all[4], []byte("three"), expect)); o.Result != Lost || o.Version.Number != 2 || o.Reason == "" {
+			t.Errorf("expecting %d: %+v", expect, o)
+		}
+	}
+	if f.agreed.Newest() != 2 {
+		t.Errorf("newest %d", f.agreed.Newest())
+	}
+}
+
+// A document that the leader can't use is refused with the reason, and nobody hears of it.
+func TestRefusedByLeader(t *testing.T) {
+	f := newFleet(t, 1, 6, 3)
+	f.runFor(1000)
+	for _, at := range []*controller{f.all[0], f.all[1], f.all[5]} {
+		o := f.outcome(at, f.put(at, []byte("nonsense, for "+at.id), 0))
+		if o.Result != Refused || o.Reason != "line 1: nonsense" {
+			t.Errorf("at %s: %+v", at.id, o)
+		}
+	}
+	if len(f.log) != 0 {
+		t.Error("it came to the quorum")
+	}
+	f.all[0].refuses = func([]byte) error { return fmt.Errorf("%s", strings.Repeat("ä", MaxReason)) }
+	if o := f.outcome(f.all[5], f.put(f.all[5], []byte("x"), 0)); o.Result != Refused || len(o.Reason) > MaxReason || !strings.HasPrefix(o.Reason, "ä") || strings.ContainsRune(o.Reason, 0xfffd) {
+		t.Errorf("a long reason: %d bytes", len(o.Reason))
+	}
+}
+
+// Cut off from the leader, a proposal ends as unknown in time; and the one that leads without a majority begins nothing.
+func TestCutOff(t *testing.T) {
+	f := newFleet(t, 1, 10, 5)
+	f.runFor(1000)
+	f.putAgreed(f.all[9], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.cut([]*controller{f.all[0], f.all[1], f.all[9]}, 1) // the leader of before and one voter
+	a, b := f.put(f.all[9], []byte("two"), 1), f.put(f.all[0], []byte("three"), 1)
+	began := f.now
+	if x, y := f.outcome(f.all[9], a), f.outcome(f.all[0], b); x.Result != Unknown || y.Result != Unknown || f.now-began > proposeTimeout+100 {
+		t.Errorf("%+v, %+v after %.0f ms", x, y, f.now-began)
+	}
+	f.setLeader(f.all[2].id)
+	f.putAgreed(f.all[8], []byte("four"), 1)
+	f.runFor(5000)
+	if f.all[9].replica.Current().Number != 1 || f.all[8].replica.Current().Number != 2 {
+		t.Errorf("%d there, %d here", f.all[9].replica.Current().Number, f.all[8].replica.Current().Number)
+	}
+	f.cut(f.all, 0)
+	if took := f.everywhere(2, 19000); took > 19000 {
+		t.Errorf("after the heal: %.0f ms", took)
+	}
+}
+
+// More proposals than wait at the leader are told so.
+func TestBusy(t *testing.T) {
+	f := newFleet(t, 1, 30, 3)
+	f.runFor(1000)
+	f.cut([]*controller{f.all[1], f.all[2]}, 1) // no majority: nothing ends
+	refs := map[*controller]uint64{}
+	for _, c := range f.all[3:] {
+		refs[c] = f.put(c, []byte("by "+c.id), 0)
+	}
+	f.runFor(400)
+	busy := 0
+	for c, ref := range refs {
+		if o, ok := c.outcomes[ref]; ok && o.Result == Refused && o.Reason == "busy" {
+			busy++
+		}
+	}
+	if busy != len(refs)-MaxProposals-1 {
+		t.Errorf("%d of %d are told that it is busy", busy, len(refs))
+	}
+	if c := f.all[5]; c != nil {
+		for range 2 * MaxProposals {
+			f.put(c, []byte("more"), 0)
+		}
+		if n := len(c.replica.proposals); n > MaxProposals {
+			t.Errorf("%d proposals wait at their origin", n)
+		}
+	}
+}
+
+// One that was agreed on and whose answer was lost is answered by the next leader, which did not propose it.
+func TestAnswerLost(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.onMessage = func(from, to *controller, m *Message) bool { return m.Proposed == nil }
+	ref := f.put(f.all[7], []byte("one"), 0)
+	f.runUntil(5000, func() bool { return f.agreed.Newest() == 1 })
+	f.setLeader(f.all[1].id)
+	f.onMessage = nil
+	if o := f.outcome(f.all[7], ref); o.Result != Agreed || o.Version.Number != 1 || len(f.log) != 1 {
+		t.Errorf("%+v, %d entries", o, len(f.log))
+	}
+}
+
+// The quorum is asked only once a majority holds the document durably: a voter whose disk is full does not count.
+func TestMajorityHolds(t *testing.T) {
+	f := newFleet(t, 1, 8, 5)
+	f.runFor(1000)
+	for _, i := range []int{1, 2, 3} {
+		f.all[i].diskFull = true
+	}
+	ref := f.put(f.all[7], randomDocument(100000, 1), 0)
+	f.runFor(4000)
+	if len(f.log) != 0 {
+		t.Fatal("it was proposed with two of five")
+	}
+	f.all[2].diskFull = false // it tries again after some seconds
+	if o := f.outcome(f.all[7], ref); o.Result != Agreed {
+		t.Errorf("%+v", o)
+	}
+}
+
+// The leader needs no free disk itself, if a majority of the others holds it.
+func TestLeaderDiskFull(t *testing.T) {
+	f := newFleet(t, 1, 8, 5)
+	f.runFor(1000)
+	f.all[0].diskFull = true
+	f.putAgreed(f.all[7], randomDocument(100000, 1), 0)
+	f.runUntil(10000, func() bool { return inForce(1, f.all[1:]) })
+	if !inForce(1, f.all[1:]) || inForce(1, f.all[:1]) {
+		t.Error("not in force at the others, or in force where it is not stored")
+	}
+	f.all[0].diskFull = false
+	f.everywhere(1, storeRetryMost+1000)
+}
+
+// A rollback is a new version with the old document, and wins while the version before still spreads.
+func TestRollbackWhileSpreading(t *testing.T) {
+	f := newFleet(t, 3, 60, 5)
+	f.runFor(2000)
+	old, bad := randomDocument(64<<10, 1), randomDocument(MaxDocument, 2)
+	f.putAgreed(f.all[50], old, 0)
+	f.everywhere(1, 10000)
+	f.putAgreed(f.all[50], bad, 1)
+	f.runFor(30)
+	spread := 0
+	for _, c := range f.all {
+		if c.replica.Current().Number == 2 {
+			spread++
+		}
+	}
+	if spread == len(f.all) {
+		t.Fatal("the version before has spread already")
+	}
+	f.putAgreed(f.all[40], old, 2)
+	f.everywhere(3, 10000)
+	for _, c := range f.all {
+		if v := c.replica.Current(); v.Number != 3 || v.Hash != HashOf(old) {
+			t.Errorf("%s: %+v", c.id, v)
+		}
+	}
+}
+
+// Documents of a voter's history are found by all, and those that nobody keeps are told as not found.
+func TestFetchDocument(t *testing.T) {
+	f := newFleet(t, 1, 12, 3)
+	f.runFor(1000)
+	var documents [][]byte
+	for i := range 6 {
+		documents = append(documents, randomDocument(40000+i, int64(i)))
+		f.putAgreed(f.all[11], documents[i], uint64(i))
+		f.everywhere(uint64(i+1), 8000)
+	}
+	for i, d := range documents {
+		c := f.all[5+i]
+		f.ref++
+		ref := f.ref
+		c.replica.FetchDocument(f.now, ref, HashOf(d))
+		f.settle(c)
+		f.runUntil(lookupTimeout+100, func() bool { _, ok := c.documents[ref]; return ok })
+		if got := c.documents[ref]; !bytes.Equal(got.Document, d) || got.Ref != ref {
+			t.Errorf("document %d: %d bytes", i, len(got.Document))
+		}
+	}
+	c := f.all[8]
+	began := f.now
+	c.replica.FetchDocument(f.now, 9999, HashOf([]byte("unknown")))
+	f.settle(c)
+	f.runUntil(lookupTimeout+100, func() bool { _, ok := c.documents[9999]; return ok })
+	if got, ok := c.documents[9999]; !ok || got.Document != nil || f.now-began > 1000 {
+		t.Errorf("one that nobody has: %v after %.0f ms", ok, f.now-began)
+	}
+	for _, n := range f.all[:3] {
+		n.up = false
+	}
+	f.runFor(100)
+	c.replica.FetchDocument(f.now, 9998, HashOf([]byte("unknown")))
+	f.settle(c)
+	f.runFor(lookupTimeout + 100)
+	if got, ok := c.documents[9998]; !ok || got.Document != nil {
+		t.Error("no answer where no voter answers")
+	}
+}
+
+// A voter keeps the documents of its history within the bound, the others the newest two.
+func TestKeptDocuments(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(removeAfter + 1000)
+	for i := range 12 {
+		f.putAgreed(f.all[7], randomDocument(MaxDocument-i, int64(i)), uint64(i))
+		f.everywhere(uint64(i+1), 15000)
+	}
+	f.runFor(1000)
+	for _, c := range f.all {
+		bytes := 0
+		for _, d := range c.folder.documents {
+			bytes += len(d)
+		}
+		if n := len(c.folder.documents); c.voter && (bytes < MaxStored-2*MaxDocument || bytes > MaxStored+MaxDocument) || !c.voter && (n < 2 || n > 3) {
+			t.Errorf("%s keeps %d documents, %d bytes", c.id, n, bytes)
+		}
+		if n := len(c.replica.library.documents); n > 12 {
+			t.Errorf("%s has %d documents in memory", c.id, n)
+		}
+	}
+}
+
+// A voter that lost its folder gets the documents of its history again.
+func TestVoterHistoryRestored(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	for i := range 5 {
+		f.putAgreed(f.all[7], randomDocument(40000, int64(i)), uint64(i))
+	}
+	f.runFor(5000)
+	c := f.all[1]
+	f.kill(c)
+	c.folder = &folder{documents: map[Hash][]byte{}}
+	f.start(c)
+	f.runFor(60000)
+	if n := len(c.folder.documents); n != 5 {
+		t.Errorf("it has %d documents", n)
+	}
+	if c.replica.Next() < f.now+1000 && len(c.replica.downloads) > 0 {
+		t.Error("it goes on looking")
+	}
+}
+
+// A proposal under another's name, and answers from one that was not asked, change nothing.
+func TestForgedProposals(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	p := Proposal{Version: Version{Hash: HashOf([]byte("x")), Size: 1, ID: ProposalID{Origin: "n005", Run: 1, Ref: 1}}}
+	f.all[0].replica.Receive(f.now, "n006", &Message{Propose: &ProposeRequest{Proposal: p}})
+	if len(f.all[0].replica.queue) != 0 {
+		t.Error("another's proposal is taken")
+	}
+	c := f.all[7]
+	ref := f.put(c, []byte("one"), 0)
+	id := ProposalID{Origin: c.id, Run: c.run, Ref: ref}
+	for from, reply := range map[members.ID]ProposeReply{
+		"n005": {ID: id, Result: Lost},
+		"n000": {ID: id, Result: Unknown},
+		"n001": {ID: id, Result: Refused},
+	} {
+		c.replica.Receive(f.now, from, &Message{Proposed: &reply})
+	}
+	c.replica.Receive(f.now, "n000", &Message{Proposed: &ProposeReply{ID: id, Result: Agreed, Version: Version{Number: 9, ID: id, Hash: HashOf([]byte("other"))}}})
+	f.settle(c)
+	if len(c.outcomes) != 0 {
+		t.Errorf("%+v", c.outcomes)
+	}
+	if o := f.outcome(c, ref); o.Result != Agreed || o.Version.Number != 1 {
+		t.Errorf("%+v", o)
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/config/status_test.go
@@ -0,0 +1,250 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+func (f *fleet) status(t *testing.T, at *controller) *Status {
+	t.Helper()
+	a, ok := f.ask(at, AskStatus)
+	if !ok || a.Status == nil {
+		t.Fatalf("no status at %s", at.id)
+	}
+	return a.Status
+}
+
+func TestStatus(t *testing.T) {
+	f := newFleet(t, 1, 100, 7)
+	f.runFor(1000)
+	if s := f.status(t, f.all[20]); s.Latest.Number != 0 || s.InForce != 0 || s.Members != 100 {
+		t.Errorf("at first: %+v", s)
+	}
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	took := f.runUntil(5000, func() bool { return f.all[0].replica.status().InForce == 100 })
+	if took < 0 {
+		t.Fatalf("%+v", f.status(t, f.all[0]))
+	}
+	t.Logf("the leader knows %.0f ms after it was in force at the last", took)
+	for _, at := range []*controller{f.all[0], f.all[1], f.all[99]} {
+		if s := f.status(t, at); s.InForce != 100 || s.Members != 100 || s.Counts[1] != 100 || s.Latest.Author != "operator" || len(s.Unheard) != 0 {
+			t.Errorf("at %s: %+v", at.id, s)
+		}
+	}
+	if a, ok := f.ask(f.all[50], AskHistory); !ok || len(a.Versions) != 1 || a.Versions[0].Reason != "test" {
+		t.Errorf("history: %v, %+v", ok, a)
+	}
+	if a, ok := f.ask(f.all[50], AskLatest); !ok || a.Latest.Number != 1 || !a.Voting {
+		t.Errorf("latest: %v, %+v", ok, a)
+	}
+}
+
+// One that is killed, one that was restarted and one that left: none counts as in force, and the last not at all.
+func TestStatusOfAbsent(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.runFor(2000)
+	dead, gone := f.all[10], f.all[11]
+	f.kill(dead)
+	f.kill(gone)
+	gone.left = true
+	f.runFor(goneAfter + 1000)
+	s := f.status(t, f.all[5])
+	if s.Members != 19 || s.InForce != 18 || len(s.Unheard) != 1 || s.Unheard[0].ID != dead.id || s.Unheard[0].Age < goneAfter || s.Unheard[0].Applied != 1 {
+		t.Errorf("%+v", s)
+	}
+	dead.folder = &folder{documents: map[Hash][]byte{}} // it comes back empty, and can't store
+	dead.diskFull = true
+	f.start(dead)
+	for range 40 {
+		f.runFor(500)
+		if s := f.status(t, f.all[0]); s.InForce > 18 {
+			t.Fatalf("the run before counts: %+v", s)
+		}
+	}
+	if s := f.status(t, f.all[0]); len(s.Refused) != 1 || s.Refused[0].ID != dead.id {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A report of an earlier run that is still on its way does not count for the run after it.
+func TestStatusOfEarlierRun(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.runFor(2000)
+	c, before := f.all[10], f.all[10].run
+	f.kill(c)
+	c.folder = &folder{documents: map[Hash][]byte{}}
+	c.diskFull = true
+	f.start(c)
+	f.runFor(aliveAfter + 100)
+	leader := f.all[0].replica
+	delete(leader.reports.heard, c.id) // as one that has just begun to lead
+	leader.Receive(f.now, "n015", &Message{Reports: &Reports{Sequence: 1, List: []Report{{ID: c.id, Run: before, Sequence: 99, Applied: 1}}}})
+	if s := f.status(t, f.all[0]); s.InForce != 19 {
+		t.Errorf("%+v", s)
+	}
+	f.runFor(15000) // its own report is not overridden by the earlier run's
+	leader.Receive(f.now, "n015", &Message{Reports: &Reports{Sequence: 2, List: []Report{{ID: c.id, Run: before, Sequence: 100, Applied: 1}}}})
+	if s := f.status(t, f.all[0]); s.InForce != 19 || len(s.Refused) != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// One that is cut off is not counted, though it is in force there.
+func TestStatusOfCutOff(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.cut(f.all[15:], 1)
+	f.runFor(freshFor + relayedFor)
+	s := f.status(t, f.all[0])
+	if s.InForce != 15 || len(s.Unheard) != 5 || s.Unheard[0].Age < freshFor {
+		t.Errorf("%+v", s)
+	}
+	f.cut(f.all, 0)
+	if f.runUntil(19000, func() bool { return f.all[0].replica.status().InForce == 20 }) < 0 {
+		t.Errorf("after the heal: %+v", f.status(t, f.all[0]))
+	}
+}
+
+// The age of a report counts from when it was said, over relays too.
+func TestReportAge(t *testing.T) {
+	f := newFleet(t, 1, 5, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	leader, c := f.all[0].replica, f.all[4]
+	f.runFor(2000)
+	f.cut([]*controller{c}, 1)
+	f.runFor(5000)
+	report := Report{ID: c.id, Run: c.run, Sequence: c.replica.reports.own.Sequence, Applied: 1}
+	for _, age := range []float64{freshFor + 1, 1e12, 40000} {
+		report.Age = age
+		leader.Receive(f.now, "n003", &Message{Reports: &Reports{Sequence: 1, List: []Report{report}}})
+	}
+	f.runFor(freshFor)
+	if s := f.status(t, f.all[0]); s.InForce != 4 || len(s.Unheard) != 1 {
+		t.Errorf("old words count as new ones: %+v", s)
+	}
+}
+
+// A new leader knows all within seconds.
+func TestStatusAfterLeaderChange(t *testing.T) {
+	f := newFleet(t, 1, 100, 7)
+	f.runFor(1000)
+	f.putAgreed(f.all[50], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.runFor(2000)
+	f.kill(f.all[0])
+	f.runFor(1000)
+	f.setLeader(f.all[3].id)
+	took := f.runUntil(11000, func() bool { return f.all[3].replica.status().InForce >= 99 })
+	if took < 0 {
+		t.Fatalf("%+v", f.all[3].replica.status())
+	}
+	t.Logf("the next leader knows 99 after %.0f ms", took)
+	f.runFor(goneAfter)
+	if s := f.status(t, f.all[60]); s.InForce != 99 || s.Since <= 0 || s.Since > f.now {
+		t.Errorf("%+v", s)
+	}
+}
+
+// However often and in whatever order reports come, each controller counts once.
+func TestReportsMerge(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.runFor(2000)
+	leader := f.all[0].replica
+	var list []Report
+	for _, c := range f.all[1:] {
+		for seq := range uint64(4) {
+			list = append(list, Report{ID: c.id, Run: c.run, Sequence: seq, Applied: 0, Age: float64(seq)})
+		}
+	}
+	for range 3 {
+		f.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		leader.Receive(f.now, "n007", &Message{Reports: &Reports{Sequence: 1, List: list[:20]}})
+		leader.Receive(f.now, "n008", &Message{Reports: &Reports{Sequence: 1, List: list}})
+	}
+	s := f.status(t, f.all[0])
+	sum := 0
+	for _, n := range s.Counts {
+		sum += n
+	}
+	if s.Members != 20 || sum+len(s.Unheard) != 20 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Lists are bounded, and what finds no room is counted.
+func TestStatusBounds(t *testing.T) {
+	f := newFleet(t, 1, 150, 3)
+	for _, c := range f.all[3:] {
+		c.refuses = func([]byte) error { return errOld }
+	}
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.runFor(5000)
+	if s := f.status(t, f.all[0]); len(s.Refused) != MaxListed || s.More != 147-MaxListed || s.InForce != 3 {
+		t.Errorf("%d refused, %d more, %d in force", len(s.Refused), s.More, s.InForce)
+	}
+}
+
+// A relay that knows too many forgets nobody that is there, and takes in no more than its bound.
+func TestReportsBounded(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	r := f.all[5].replica
+	for i := range 3 * MaxReports {
+		r.Receive(f.now, "n006", &Message{Reports: &Reports{Sequence: uint64(i), List: []Report{{ID: members.ID(fmt.Sprint("x", i)), Run: 1, Sequence: 1}}}})
+		r.Take()
+	}
+	if n := len(r.reports.heard); n > MaxReports {
+		t.Errorf("%d reports", n)
+	}
+	if n := len(r.reports.batches); n > maxBatches {
+		t.Errorf("%d batches", n)
+	}
+	f.runFor(2*relayedFor + 2*reportEach)
+	if n := len(r.reports.heard); n > 8 {
+		t.Errorf("%d reports after a while", n)
+	}
+}
+
+func TestRelays(t *testing.T) {
+	for _, size := range []int{1, 2, 5, 100, 670} {
+		var ids []members.ID
+		for i := range size {
+			ids = append(ids, members.ID(fmt.Sprintf("controller-%d", i)))
+		}
+		relays := relaysOf(ids)
+		load := map[members.ID]int{}
+		for _, id := range ids {
+			load[highest(relays, id, len(relays))[0]]++
+		}
+		most := 0
+		for _, n := range load {
+			most = max(most, n)
+		}
+		t.Logf("%d members: %d relays, %d members at most at one", size, len(relays), most)
+		if want := map[int]int{1: 1, 2: 2, 5: 3, 100: 10, 670: 26}[size]; len(relays) != want || most > 4*(size/want+1) {
+			t.Errorf("%d members: %d relays, at most %d members at one", size, len(relays), most)
+		}
+		without := slices.DeleteFunc(slices.Clone(ids), func(id members.ID) bool { return id == relays[0] })
+		if again := relaysOf(without); size == 100 && !slices.Equal(again[:len(again)-1], relays[1:]) {
+			t.Error("a relay that goes changes the others")
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/config/take_test.go
@@ -0,0 +1,441 @@
+package config
+
+import (
+	"errors"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// One that was killed between Stored and Applied has the version in force at its next start.
+func TestKilledBetweenStoredAndApplied(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[7], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	victim := f.all[6]
+	f.onStored = func(c *controller, request *StoreRequest) {
+		if c == victim && request.Current != nil {
+			f.kill(c)
+		}
+	}
+	f.putAgreed(f.all[7], []byte("two"), 1)
+	f.runUntil(5000, func() bool { return !victim.up })
+	if victim.up || victim.runApplied[victim.run] != 1 || victim.folder.current.Number != 2 {
+		t.Fatalf("up %v, in force %d, to be in force %d", victim.up, victim.runApplied[victim.run], victim.folder.current.Number)
+	}
+	f.onStored = nil
+	f.start(victim)
+	if victim.replica.Current().Number != 2 {
+		t.Errorf("after the start: %+v", victim.replica.Current())
+	}
+	f.putAgreed(f.all[7], []byte("three"), 2)
+	f.everywhere(3, 5000)
+}
+
+// An older summary after a newer one, the same again, and another document of that number change nothing.
+func TestOlderAfterNewer(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	one := f.putAgreed(f.all[7], []byte("one"), 0)
+	two := f.putAgreed(f.all[7], []byte("two"), 1)
+	f.everywhere(2, 5000)
+	f.runFor(2000)
+	for _, c := range []*controller{f.all[1], f.all[5]} {
+		for _, s := range []Summary{one.summary(), two.summary(), {Number: 2, Hash: HashOf([]byte("x")), Size: 1}, {Number: 2, Hash: two.Hash, Size: two.Size + 1},
+			{Number: 0, Hash: two.Hash, Size: 3}, {Number: 9, Hash: two.Hash}, {Number: 9, Hash: two.Hash, Size: -1}, {Number: 9, Hash: two.Hash, Size: MaxDocument + 1}} {
+			c.replica.Receive(f.now, "n003", &Message{Summary: &s})
+			if out := c.replica.Take(); len(out.Sends) != 0 || out.Store != nil || out.Apply != nil {
+				t.Errorf("%s on %+v: %+v", c.id, s, out)
+			}
+		}
+		if c.replica.Counts().Conflicts != 2 || c.replica.Current().Number != 2 {
+			t.Errorf("%s: %+v", c.id, c.replica.Counts())
+		}
+	}
+}
+
+// A controller on an older copy of its folder catches up, and never goes back within a run.
+func TestRestoredOlderFolder(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[7], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	copies := map[*controller]*folder{}
+	for _, c := range []*controller{f.all[1], f.all[6]} {
+		copies[c] = c.folder.copy()
+	}
+	f.putAgreed(f.all[7], []byte("two"), 1)
+	f.putAgreed(f.all[7], []byte("three"), 2)
+	f.everywhere(3, 5000)
+	for _, c := range []*controller{f.all[1], f.all[6]} {
+		f.kill(c)
+		c.folder = copies[c]
+		f.start(c)
+		if c.replica.Current().Number != 1 || c.replica.Readiness().Confirmed {
+			t.Errorf("%s: %+v", c.id, c.replica.Readiness())
+		}
+	}
+	f.everywhere(3, 5000)
+}
+
+// A newcomer whose only peer has the older version takes that, says that it is not confirmed, and catches up later.
+func TestNewcomerWithOldPeer(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[7], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	old := f.all[6]
+	f.cut([]*controller{old}, 1)
+	f.putAgreed(f.all[7], []byte("two"), 1)
+	newcomer := f.add(false, &folder{documents: map[Hash][]byte{}})
+	newcomer.side = 1
+	f.start(newcomer)
+	f.runFor(60000)
+	ready := newcomer.replica.Readiness()
+	if newcomer.replica.Current().Number != 1 || ready.Confirmed || ready.Number != 1 {
+		t.Errorf("with the old peer alone: %+v", ready)
+	}
+	f.cut(f.all, 0)
+	f.everywhere(2, 19000)
+	f.runFor(3000)
+	if ready := newcomer.replica.Readiness(); !ready.Confirmed || ready.Number != 2 || ready.Latest != 2 {
+		t.Errorf("after the heal: %+v", ready)
+	}
+}
+
+// A newcomer is ready soon, with the latest version.
+func TestNewcomer(t *testing.T) {
+	f := newFleet(t, 1, 30, 5)
+	f.runFor(1000)
+	for _, c := range f.all {
+		if ready := c.replica.Readiness(); !ready.Confirmed || ready.Number != 0 {
+			t.Errorf("%s without any version: %+v", c.id, ready)
+		}
+	}
+	f.putAgreed(f.all[7], randomDocument(64<<10, 1), 0)
+	newcomer := f.add(false, &folder{documents: map[Hash][]byte{}})
+	f.start(newcomer)
+	took := f.runUntil(5000, func() bool { return newcomer.replica.Readiness().Confirmed })
+	if took < 0 || newcomer.replica.Current().Number != 1 {
+		t.Errorf("%.0f ms, %+v", took, newcomer.replica.Readiness())
+	}
+}
+
+var errOld = errors.New("line 4: unknown field \"later\"")
+
+// Of a document that one in ten can't use, these keep the version before and say so; they hand it on all the same, and
+// take the next one.
+func TestOneInTenRefuses(t *testing.T) {
+	f := newFleet(t, 1, 60, 5)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	var rest []*controller
+	for i, c := range f.all {
+		if i%10 == 9 {
+			c.refuses = func(document []byte) error {
+				if string(document) == "two" {
+					return errOld
+				}
+				return nil
+			}
+		} else {
+			rest = append(rest, c)
+		}
+	}
+	f.putAgreed(f.all[0], []byte("two"), 1)
+	f.runUntil(5000, func() bool { return inForce(2, rest) })
+	f.runFor(12000)
+	for i, c := range f.all {
+		want := uint64(2)
+		if i%10 == 9 {
+			want = 1
+			if s := c.replica.Summary(); s == nil || s.Number != 2 {
+				t.Errorf("%s does not hand it on: %+v", c.id, s)
+			}
+			if c.folder.current.Number != 1 {
+				t.Errorf("%s: version %d is to be in force at a start", c.id, c.folder.current.Number)
+			}
+		}
+		if c.replica.Current().Number != want {
+			t.Errorf("%s: version %d", c.id, c.replica.Current().Number)
+		}
+	}
+	a, ok := f.ask(f.all[30], AskStatus)
+	if !ok || a.Status.InForce != 54 || len(a.Status.Refused) != 6 || a.Status.Refused[0].Reason != errOld.Error() || a.Status.Refused[0].Applied != 1 {
+		t.Fatalf("%v, %+v", ok, a.Status)
+	}
+	c := f.all[9]
+	f.kill(c) // at its next start it refuses it again, and is ready with the version before
+	f.start(c)
+	if took := f.runUntil(5000, func() bool { return c.replica.Readiness().Confirmed }); took < 0 || c.replica.Current().Number != 1 || c.replica.Readiness().Latest != 2 {
+		t.Errorf("after a start: %+v", c.replica.Readiness())
+	}
+	f.putAgreed(f.all[0], []byte("three"), 2)
+	f.everywhere(3, 5000)
+}
+
+// Of two versions that come at once, the later of which can't be used here, the earlier comes into force.
+func TestRefusedAfterUsable(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	c := f.all[7]
+	c.refuses = func(document []byte) error {
+		if string(document) == "three" {
+			return errOld
+		}
+		return nil
+	}
+	f.onStored = func(on *controller, request *StoreRequest) { // three arrives while two is being stored
+		if on == c && request.Current != nil && request.Current.Number == 2 {
+			f.putAgreed(f.all[0], []byte("three"), 2)
+			f.runUntil(3000, func() bool { return c.replica.newest.Number == 3 })
+		}
+	}
+	f.putAgreed(f.all[0], []byte("two"), 1)
+	f.runUntil(8000, func() bool { return inForce(3, f.all[:7]) })
+	f.runFor(3000)
+	if v := c.replica.Current(); v.Number != 2 || c.folder.current.Number != 2 {
+		t.Errorf("in force: %d, at a start: %d", v.Number, c.folder.current.Number)
+	}
+}
+
+// One that can't be applied is tried again, or refused for good.
+func TestApplyErrors(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	retries, forGood := f.all[6], f.all[7]
+	tries := 0
+	retries.applyErr = func(Version) (error, bool) {
+		if tries++; tries < 4 {
+			return errors.New("busy"), true
+		}
+		return nil, false
+	}
+	forGood.applyErr = func(Version) (error, bool) { return errors.New("needs a restart"), false }
+	f.putAgreed(f.all[0], []byte("two"), 1)
+	f.runFor(12000)
+	if tries != 4 || retries.replica.Current().Number != 2 {
+		t.Errorf("%d tries, version %d", tries, retries.replica.Current().Number)
+	}
+	if forGood.replica.Current().Number != 1 || forGood.folder.current.Number != 1 {
+		t.Errorf("in force %d, at a start %d", forGood.replica.Current().Number, forGood.folder.current.Number)
+	}
+	a, ok := f.ask(f.all[5], AskStatus)
+	if !ok || len(a.Status.Refused) != 1 || a.Status.Refused[0].Reason != "needs a restart" {
+		t.Errorf("%v: %+v", ok, a.Status)
+	}
+	forGood.applyErr = nil
+	f.putAgreed(f.all[0], []byte("three"), 2)
+	f.everywhere(3, 5000)
+}
+
+// The first version of all that can't be applied leaves none to be in force at a start.
+func TestFirstRefusedOnApply(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	c := f.all[7]
+	c.applyErr = func(Version) (error, bool) { return errors.New("needs a restart"), false }
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.runFor(3000)
+	if c.folder.current.Number != 0 {
+		t.Errorf("at a start: %+v", c.folder.current)
+	}
+}
+
+// With a full disk a version does not come into force; it is handed on from memory, reported, and tried again.
+func TestDiskFull(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	c := f.all[7]
+	c.diskFull = true
+	v := f.putAgreed(f.all[0], []byte("one"), 0)
+	f.runUntil(5000, func() bool { return inForce(1, f.all[:7]) })
+	f.runFor(11000)
+	if c.replica.Current().Number != 0 || c.replica.Readiness().Confirmed && c.replica.Readiness().Number != 0 {
+		t.Errorf("%+v", c.replica.Readiness())
+	}
+	a, ok := f.ask(f.all[5], AskStatus)
+	if !ok || len(a.Status.Refused) != 1 || a.Status.Refused[0].Reason != "not stored yet: "+errDisk.Error() || a.Status.InForce != 7 {
+		t.Errorf("%v: %+v", ok, a.Status)
+	}
+	c.replica.Receive(f.now, "n006", &Message{Fetch: &Fetch{Hash: v.Hash}})
+	if out := c.replica.Take(); len(out.Sends) != 1 || string(out.Sends[0].Message.Chunk.Data) != "one" {
+		t.Errorf("it does not hand it on: %+v", out.Sends)
+	}
+	c.diskFull = false
+	f.everywhere(1, storeRetryMost+1000)
+}
+
+// A source that sends corrupt bytes is found out and left alone; the document comes from another.
+func TestCorruptSource(t *testing.T) {
+	for seed := range int64(10) {
+		f := newFleet(t, seed, 40, 5)
+		f.runFor(1000)
+		for _, i := range []int{1, 3, 10, 20, 30} {
+			f.all[i].corrupt = true
+		}
+		f.putAgreed(f.all[35], randomDocument(100000, seed), 0)
+		f.everywhere(1, 19000)
+		corrupt := int64(0)
+		for _, c := range f.all {
+			corrupt += c.replica.Counts().Corrupt
+		}
+		if corrupt == 0 {
+			t.Errorf("seed %d: nobody met a corrupt chunk", seed)
+		}
+	}
+}
+
+// A fetch goes on with what it has when its source goes.
+func TestResumedFetch(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	c := f.all[7]
+	data := randomDocument(MaxDocument, 1)
+	f.cut([]*controller{c}, 1)
+	f.putAgreed(f.all[0], data, 0)
+	f.runUntil(8000, func() bool { return inForce(1, f.all[:7]) })
+	f.cut(f.all, 0)
+	for _, n := range f.all {
+		n.delay = 20
+	}
+	f.runUntil(8000, func() bool { d := c.replica.findDownload(HashOf(data)); return d != nil && d.have >= 10 })
+	source := f.byID[c.replica.findDownload(HashOf(data)).source]
+	f.kill(source)
+	if f.leader == "" {
+		f.setLeader(f.all[1].id)
+	}
+	f.everywhere(1, 8000)
+	if got := c.replica.Counts().FetchedBytes; got != MaxDocument {
+		t.Errorf("%d bytes were fetched", got)
+	}
+}
+
+// A version that somebody tells and nobody has does not keep real ones from coming.
+func TestPhantom(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	for _, c := range f.all[1:] {
+		c.replica.Receive(f.now, "n002", &Message{Summary: &Summary{Number: 99, Hash: HashOf([]byte("phantom")), Size: 7}})
+		f.settle(c)
+	}
+	f.runFor(500)
+	f.putAgreed(f.all[0], []byte("two"), 1)
+	f.everywhere(2, 19000)
+}
+
+// A voter believes its state, not what is told: another document of a number that it knows is not fetched.
+func TestVoterRefusesForgery(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	v := f.putAgreed(f.all[0], []byte("one"), 0)
+	voter := f.all[2]
+	f.runUntil(1000, func() bool { return voter.learnt == 1 })
+	fresh := New(Facts{Self: voter.id, Run: 77, Seed: 1}, voter, Kept{}, f.now) // it knows the state and no document yet
+	fresh.Take()
+	fresh.Receive(f.now, "n007", &Message{Summary: &Summary{Number: 1, Hash: HashOf([]byte("forged")), Size: 6}})
+	for _, s := range fresh.Take().Sends {
+		if s.Message.Fetch != nil && s.Message.Fetch.Hash != v.Hash {
+			t.Errorf("it fetches %v", s.Message.Fetch)
+		}
+	}
+	if fresh.Counts().Conflicts != 1 {
+		t.Errorf("%+v", fresh.Counts())
+	}
+}
+
+// A voter that was told a forged version before it knew of the real one turns to that.
+func TestVoterForgeryBeforeState(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	voter := f.all[2]
+	voter.replica.Receive(f.now, "n007", &Message{Summary: &Summary{Number: 1, Hash: HashOf([]byte("forged")), Size: 6}})
+	f.settle(voter)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+}
+
+// Of 60 versions in as many seconds each controller comes to the last.
+func TestSixtyInAMinute(t *testing.T) {
+	f := newFleet(t, 1, 60, 5)
+	f.lossRate = 0.02
+	f.runFor(1000)
+	for i := range 60 {
+		f.putAgreed(f.all[i], randomDocument(4000+i, int64(i)), uint64(i))
+		f.runFor(700)
+	}
+	took := f.everywhere(60, 19000)
+	t.Logf("in force at the last %.0f ms after the last was agreed on", took)
+}
+
+// 223 of 300 are cut off while versions follow each other, and come back at once.
+func TestManyComeBack(t *testing.T) {
+	f := newFleet(t, 1, 300, 7)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], randomDocument(16<<10, 1), 0)
+	f.everywhere(1, 10000)
+	f.cut(f.all[77:], 1)
+	f.putAgreed(f.all[0], randomDocument(16<<10, 2), 1)
+	f.putAgreed(f.all[0], randomDocument(16<<10, 3), 2)
+	f.runFor(30000)
+	if !inForce(3, f.all[:77]) || inForce(2, f.all[77:78]) {
+		t.Error("not in force here, or in force there")
+	}
+	f.cut(f.all, 0)
+	t.Logf("in force at the last %.0f ms after the heal", f.everywhere(3, 19000))
+}
+
+// The same seed and events lead to the same messages.
+func TestDeterministic(t *testing.T) {
+	trace := func() (sum uint64) {
+		f := newFleet(t, 5, 30, 5)
+		f.lossRate = 0.05
+		f.onMessage = func(from, to *controller, m *Message) bool {
+			sum = sum*31 + rate(from.id, to.id) + uint64(f.now*1000)
+			return true
+		}
+		f.runFor(1000)
+		f.putAgreed(f.all[20], randomDocument(64<<10, 1), 0)
+		f.kill(f.all[1])
+		f.putAgreed(f.all[21], randomDocument(64<<10, 2), 1)
+		f.start(f.all[1])
+		f.everywhere(2, 19000)
+		f.runFor(20000)
+		return sum
+	}
+	if a, b := trace(), trace(); a != b {
+		t.Errorf("%d and %d", a, b)
+	}
+}
+
+// At rest a controller wakes up seldom, and sends little.
+func TestAtRest(t *testing.T) {
+	f := newFleet(t, 1, 100, 7)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], randomDocument(4<<10, 1), 0)
+	f.everywhere(1, 10000)
+	f.runFor(30000)
+	before, _ := f.bytesSent()
+	perOne := map[members.ID]int64{}
+	for _, c := range f.all {
+		perOne[c.id] = c.sentBytes
+	}
+	f.runFor(60000)
+	after, _ := f.bytesSent()
+	most := int64(0)
+	for _, c := range f.all {
+		most = max(most, c.sentBytes-perOne[c.id])
+	}
+	t.Logf("%d bytes a second of each on average, %d at most, summaries on membership's messages among them", (after-before)/100/60, most/60)
+	if most/60 > 1000 {
+		t.Errorf("%d bytes a second", most/60)
+	}
+}
