Configuration core: drawn histories of faults, hostile messages, a fuzz target

A leader waits three seconds for its own state before it says that an expected version does not exist; holds stay for an hour.

--- a/internal/core/fleet/config/candidate.go
+++ b/internal/core/fleet/config/candidate.go
@@ -9,7 +9,7 @@
 // Times of a proposal at the leader, in ms.
 const (
 	candidateTimeout = 12000.0 // after which one that came no further makes room for the next; its origin asks again
-	catchUp          = 1000.0  // that a leader which knows fewer versions than expected waits for its own state
+	catchUp          = 3000.0  // after which one that leads knows all that was agreed on before: else it would not lead any more
 	proposeRetry     = 200.0   // after the quorum did not take a proposal
 	proposeAgain     = 2000.0  // after it took one that was not agreed on since
 )
@@ -129,6 +129,7 @@
 			return true
 		}
 		c.checked = true
+		r.holdOwn(v.Hash)
 	}
 	r.askVoters(c)
 	if r.now >= c.proposeAt && r.heldByMajority(c) {
@@ -140,10 +141,10 @@
 	return false
 }
 
-// awaitExpected answers a proposal that expects a version which this one does not know: after a short time in which its
-// state may catch up, there is none.
+// awaitExpected answers a proposal that expects a version which this one does not know. One that has just begun to lead
+// may be late itself, and the proposal may be one that was agreed on already; later there is no such version.
 func (r *Replica) awaitExpected(c *candidate) bool {
-	if r.now < c.began+catchUp {
+	if r.now < r.ledSince+catchUp {
 		return false
 	}
 	r.reply(c.origin, c.proposal, ProposeReply{Result: Lost, Version: r.env.State().Latest(),
@@ -206,7 +207,7 @@
 	next := c.began + candidateTimeout
 	switch {
 	case r.env.State() != nil && r.env.State().Newest() < c.proposal.Expect:
-		next = min(next, c.began+catchUp)
+		next = min(next, r.ledSince+catchUp)
 	case c.checked:
 		next = min(next, c.holdAt)
 		if r.heldByMajority(c) {
--- a/internal/core/fleet/config/fetch.go
+++ b/internal/core/fleet/config/fetch.go
@@ -202,17 +202,24 @@
 		if slices.ContainsFunc(d.requests, func(q request) bool { return r.now >= q.at+chunkTimeout }) {
 			d.changeSource()
 		}
-		if d.purposes&forTaking != 0 && d.hash == r.target.Hash && r.now >= d.progressAt+stallAfter {
+		if r.now >= d.progressAt+stallAfter {
 			d.progressAt = r.now
-			r.abandon(d.sources)
-		}
-		if d.purposes == forHistory && r.now >= d.progressAt+stallAfter {
-			r.history.at = r.now + historyLater
-			r.endDownload(d)
+			r.stalled(d)
 		}
 	}
 }
 
+// stalled gives up a document of which nothing came for a while, where nobody waits for just this one.
+func (r *Replica) stalled(d *download) {
+	if d.purposes&forTaking != 0 && d.hash == r.target.Hash {
+		r.abandon(d.sources)
+	}
+	if d.purposes == forHistory {
+		r.history.at = r.now + historyLater
+		r.endDownload(d)
+	}
+}
+
 // changeSource turns to another source; the slow one comes last from now on.
 func (d *download) changeSource() {
 	d.slow = d.source
@@ -332,9 +339,7 @@
 		for _, q := range d.requests {
 			next = min(next, q.at+chunkTimeout)
 		}
-		if d.purposes&(forTaking|forHistory) != 0 {
-			next = min(next, d.progressAt+stallAfter)
-		}
+		next = min(next, d.progressAt+stallAfter)
 	}
 	return next
 }
--- a/internal/core/fleet/config/harness_test.go
+++ b/internal/core/fleet/config/harness_test.go
@@ -288,6 +288,9 @@
 		if c.up && c.run == run && f.now >= c.replica.Next() {
 			c.tickAt = 0
 			c.replica.Tick(f.now)
+			if next := c.replica.Next(); next <= f.now {
+				f.fail("%s wants to wake up at once again", c.id)
+			}
 			f.settle(c)
 		} else if c.up && c.run == run && c.tickAt <= f.now {
 			f.wake(c)
--- /dev/null
+++ b/internal/core/fleet/config/history_test.go
@@ -0,0 +1,210 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var histories = flag.Int("histories", 60, "drawn histories of faults that TestDrawnHistories runs")
+
+// A drawn history of faults: the checker of the simulation looks after each step, and at the end all that was cut, full
+// or down is mended and the latest version comes into force everywhere in time.
+func TestDrawnHistories(t *testing.T) {
+	versions := 0
+	for seed := range int64(*histories) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			h := newDrawnHistory(t, seed)
+			h.run()
+			h.mend()
+			versions += len(h.fleet.history())
+		})
+	}
+	t.Logf("%d versions in %d histories", versions, *histories)
+}
+
+// drawnHistory is one history of faults.
+type drawnHistory struct {
+	t      *testing.T
+	fleet  *fleet
+	copies map[*controller]*folder // older copies of folders
+	docs   [][]byte
+	script []string
+}
+
+func newDrawnHistory(t *testing.T, seed int64) *drawnHistory {
+	f := newFleet(t, seed, 9+int(seed%5)*6, 3+2*int(seed%3))
+	f.lossRate = []float64{0, 0.02, 0.1}[seed%3]
+	h := &drawnHistory{t: t, fleet: f, copies: map[*controller]*folder{}}
+	for i := range 6 {
+		size := []int{1, 300, 5000, 40000, 100000, 70000}[i]
+		h.docs = append(h.docs, randomDocument(size, seed*100+int64(i)))
+	}
+	h.docs = append(h.docs, []byte(fmt.Sprint("odd ", seed)))
+	for i, c := range f.all {
+		if i%10 == 9 {
+			c.refuses = func(document []byte) error {
+				if strings.HasPrefix(string(document), "odd") {
+					return errOld
+				}
+				return nil
+			}
+		}
+	}
+	return h
+}
+
+func (h *drawnHistory) note(format string, args ...any) {
+	h.script = append(h.script, fmt.Sprintf("%.0f ms: ", h.fleet.now)+fmt.Sprintf(format, args...))
+}
+
+func (h *drawnHistory) run() {
+	f := h.fleet
+	defer func() {
+		if h.t.Failed() {
+			h.t.Log(strings.Join(h.script, "\n"))
+		}
+	}()
+	f.runFor(1500)
+	for range 60 {
+		h.fault()
+		f.runFor(f.rng.Float64() * 1500)
+		h.elect()
+	}
+}
+
+// fault does one drawn thing.
+func (h *drawnHistory) fault() {
+	f := h.fleet
+	c := f.all[f.rng.Intn(len(f.all))]
+	switch f.rng.Intn(12) {
+	case 0, 1, 2, 3, 4:
+		if c.up {
+			expect := c.replica.Readiness().Latest
+			h.note("%s puts after %d", c.id, expect)
+			f.put(c, h.docs[f.rng.Intn(len(h.docs))], expect)
+		}
+	case 5:
+		if c.up && h.voterMayGo(c) {
+			h.note("%s is killed", c.id)
+			f.kill(c)
+		}
+	case 6, 7:
+		h.restart()
+	case 8:
+		h.note("%s: the folder is copied", c.id)
+		h.copies[c] = c.folder.copy()
+	case 9:
+		side := f.rng.Intn(2)
+		h.note("%s and others are on side %d", c.id, side)
+		f.cut(f.all[f.rng.Intn(len(f.all)):], side)
+	case 10:
+		c.diskFull = !c.diskFull && !c.voter
+		c.corrupt = !c.corrupt && f.rng.Intn(4) == 0
+		h.note("%s: disk full %v, corrupt %v", c.id, c.diskFull, c.corrupt)
+	case 11:
+		if f.leader != "" {
+			h.note("%s leads no more", f.leader)
+			f.setLeader("")
+		}
+	}
+	if f.rng.Intn(4) == 0 && f.leader != "" && f.byID[f.leader].up {
+		f.ask(f.byID[f.leader], AskStatus)
+	}
+}
+
+// voterMayGo tells whether a majority of the voters is left.
+func (h *drawnHistory) voterMayGo(c *controller) bool {
+	up := 0
+	for _, id := range h.fleet.voters {
+		if h.fleet.byID[id].up {
+			up++
+		}
+	}
+	return !c.voter || 2*(up-1) > len(h.fleet.voters)
+}
+
+// restart starts one that is down, perhaps on an older copy of its folder. Of the voters only the last one may have such.
+func (h *drawnHistory) restart() {
+	f := h.fleet
+	for _, c := range f.all {
+		if c.up {
+			continue
+		}
+		old := h.copies[c]
+		if old != nil && f.rng.Intn(2) == 0 && (!c.voter || c.id == f.voters[len(f.voters)-1]) {
+			h.note("%s starts on an older copy of its folder, version %d for %d", c.id, old.current.Number, c.folder.current.Number)
+			c.folder = old.copy()
+		} else {
+			h.note("%s starts", c.id)
+		}
+		f.start(c)
+		return
+	}
+}
+
+// elect has a voter lead that reaches a majority, if none does.
+func (h *drawnHistory) elect() {
+	f := h.fleet
+	if f.leader != "" && f.byID[f.leader].up && f.majority(f.byID[f.leader]) {
+		return
+	}
+	var able []*controller
+	for _, id := range f.voters {
+		if c := f.byID[id]; c.Voting() && f.majority(c) {
+			able = append(able, c)
+		}
+	}
+	if len(able) > 0 {
+		c := able[f.rng.Intn(len(able))]
+		h.note("%s leads", c.id)
+		f.setLeader(c.id)
+	}
+}
+
+// mend ends all faults, and expects the latest version to be in force everywhere in time and the status to say so.
+func (h *drawnHistory) mend() {
+	f := h.fleet
+	f.lossRate = 0
+	f.cut(f.all, 0)
+	for _, c := range f.all {
+		c.diskFull, c.corrupt = false, false
+		if !c.up {
+			f.start(c)
+		}
+	}
+	f.runFor(proposeTimeout + 1000) // what is proposed ends
+	h.elect()
+	if f.leader == "" {
+		h.t.Fatal("nobody leads")
+	}
+	latest := f.agreed.Newest()
+	refusing := func(c *controller) bool { return c.refuses != nil && c.replica.take.refused.Number == latest }
+	took := f.runUntil(storeRetryMost+1000, func() bool {
+		for _, c := range f.all {
+			if c.replica.Current().Number != latest && !refusing(c) {
+				return false
+			}
+		}
+		return true
+	})
+	if took < 0 {
+		for _, c := range f.all {
+			if c.replica.Current().Number != latest {
+				h.t.Errorf("%s has version %d of %d: target %+v", c.id, c.replica.Current().Number, latest, c.replica.target)
+			}
+		}
+		h.t.Fatalf("not in force everywhere\n%s", strings.Join(h.script, "\n"))
+	}
+	f.runFor(2*reportEach + 2000)
+	s := f.status(h.t, f.byID[f.leader])
+	if latest > 0 && s.InForce+len(s.Refused) != len(f.all) {
+		h.t.Errorf("the status tells %+v", s)
+	}
+	for _, c := range f.all {
+		if !c.replica.Readiness().Confirmed {
+			h.t.Errorf("%s is not confirmed: %+v", c.id, c.replica.Readiness())
+		}
+	}
+}
--- a/internal/core/fleet/config/hold.go
+++ b/internal/core/fleet/config/hold.go
@@ -8,9 +8,9 @@
 
 // Holding of documents by voters, in ms and counts.
 const (
-	holdEach     = 500.0   // between two requests of a leader
-	holdFor      = 60000.0 // after the last request, if no version came of it
-	maxHolds     = MaxProposals
+	holdEach     = 500.0     // between two requests of a leader
+	holdFor      = 3600000.0 // after the last request, if no version came of it: the quorum may agree on it late
+	maxHolds     = 4
 	historyEach  = 5000.0  // between two looks for older documents that a voter should have
 	historyLater = 60000.0 // after nobody had one
 	historyQuiet = 5000.0  // without a proposal or a fetch, before such are fetched
@@ -26,22 +26,35 @@
 
 // holdRequested takes in that a leader wants a document to be stored here.
 func (r *Replica) holdRequested(from members.ID, request *HoldRequest) {
-	if request.Size < 1 || request.Size > MaxDocument || !r.isVoter() {
+	if request.Size < 1 || request.Size > MaxDocument || from != r.env.Leader() || !r.isVoter() {
 		return
 	}
-	i := slices.IndexFunc(r.holds, func(h *hold) bool { return h.hash == request.Hash })
+	h := r.addHold(request.Hash)
+	h.from, h.replied = from, false
+	if r.library.get(h.hash) == nil {
+		r.fetch(h.hash, request.Size, forHold, from)
+	}
+}
+
+// holdOwn keeps the document of a proposal at the leader, which counts as one of those that hold it. It stays when this
+// one leads no more: the quorum may agree on the proposal all the same.
+func (r *Replica) holdOwn(hash Hash) {
+	h := r.addHold(hash)
+	h.from, h.replied = r.facts.Self, true
+}
+
+// addHold finds or adds a hold, and drops the oldest one if there are too many.
+func (r *Replica) addHold(hash Hash) *hold {
+	i := slices.IndexFunc(r.holds, func(h *hold) bool { return h.hash == hash })
 	if i < 0 {
 		if len(r.holds) >= maxHolds {
 			r.dropHold(r.holds[0])
 		}
-		r.holds = append(r.holds, &hold{hash: request.Hash})
+		r.holds = append(r.holds, &hold{hash: hash})
 		i = len(r.holds) - 1
 	}
-	h := r.holds[i]
-	h.from, h.at, h.replied = from, r.now, false
-	if r.library.get(h.hash) == nil {
-		r.fetch(h.hash, request.Size, forHold, from)
-	}
+	r.holds[i].at = r.now
+	return r.holds[i]
 }
 
 func (r *Replica) dropHold(h *hold) {
@@ -52,7 +65,7 @@
 // advanceHolds tells leaders what is stored, and drops what no leader asks for any more.
 func (r *Replica) advanceHolds() {
 	for _, h := range slices.Clone(r.holds) {
-		if r.now >= h.at+holdFor {
+		if r.now >= h.at+holdFor || h.replied && r.agreedOn(h.hash) {
 			r.dropHold(h)
 			continue
 		}
@@ -64,6 +77,11 @@
 	r.fetchHistory()
 }
 
+// agreedOn tells whether a document is one of those that this voter keeps for its versions.
+func (r *Replica) agreedOn(hash Hash) bool {
+	return slices.ContainsFunc(r.keptHistory(), func(v Version) bool { return v.Hash == hash })
+}
+
 func (r *Replica) nextHold() float64 {
 	next := never
 	for _, h := range r.holds {
--- /dev/null
+++ b/internal/core/fleet/config/hostile_test.go
@@ -0,0 +1,276 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// lonely is the environment of a replica whose messages all come from the test.
+type lonely struct {
+	self   members.ID
+	leads  bool
+	voting bool
+	state  State
+}
+
+func (e *lonely) Members() (list []members.Member) {
+	for i := range 5 {
+		list = append(list, members.Member{ID: members.ID(fmt.Sprint("n", i)), Run: uint64(i) + 1})
+	}
+	return list
+}
+
+func (e *lonely) Member(id members.ID) (members.Member, bool) {
+	for _, m := range e.Members() {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return members.Member{}, false
+}
+
+func (e *lonely) Voters() []members.ID { return []members.ID{"n0", "n1", "n2"} }
+
+func (e *lonely) Leader() members.ID {
+	if e.leads {
+		return e.self
+	}
+	return "n1"
+}
+
+func (e *lonely) Leads() bool           { return e.leads }
+func (e *lonely) Voting() bool          { return e.voting }
+func (e *lonely) State() *State         { return &e.state }
+func (e *lonely) Propose(Proposal) bool { return true }
+
+func (e *lonely) Check(document []byte) error {
+	if bytes.HasPrefix(document, []byte("bad")) {
+		return errors.New("bad")
+	}
+	return nil
+}
+
+// target is a replica in one role that a hostile member talks to.
+type target struct {
+	env     *lonely
+	replica *Replica
+	now     float64
+	applied uint64
+}
+
+func newTargets() []*target {
+	one := []byte("one")
+	v := Version{Number: 1, Hash: HashOf(one), Size: len(one), ID: ProposalID{Origin: "n3", Run: 1, Ref: 1}}
+	var list []*target
+	for _, e := range []*lonely{{self: "n0", leads: true, voting: true}, {self: "n2", voting: true}, {self: "n4"}} {
+		if e.voting {
+			e.state = State{Versions: []Version{v}}
+		}
+		x := &target{env: e, applied: 1}
+		x.replica = New(Facts{Self: e.self, Run: 5, Seed: 1}, e, Kept{Current: v, Documents: map[Hash][]byte{v.Hash: one}}, 0)
+		x.replica.Propose(0, 1, []byte("two"), 1, Version{})
+		x.replica.Ask(0, 2, AskStatus)
+		x.replica.FetchDocument(0, 3, HashOf([]byte("three")))
+		list = append(list, x)
+	}
+	return list
+}
+
+// receive takes one message in, lets some time pass, and tells what is wrong then.
+func (x *target) receive(from members.ID, m *Message) error {
+	x.replica.Receive(x.now, from, m)
+	problem := x.drain()
+	x.now += 150
+	x.replica.Tick(x.now)
+	if next := x.replica.Next(); math.IsNaN(next) || next <= x.now {
+		return fmt.Errorf("the next wake-up is at %g, now is %g", next, x.now)
+	}
+	return errors.Join(problem, x.drain(), x.bounds())
+}
+
+// drain answers what the replica asks for.
+func (x *target) drain() error {
+	for range 10 {
+		out := x.replica.Take()
+		if len(out.Sends) > 64 {
+			return fmt.Errorf("%d messages at once", len(out.Sends))
+		}
+		if out.Store != nil {
+			x.replica.Stored(x.now, nil)
+		}
+		if out.Apply != nil {
+			if out.Apply.Version.Number <= x.applied || HashOf(out.Apply.Document) != out.Apply.Version.Hash {
+				return fmt.Errorf("it applies %+v after %d", out.Apply.Version, x.applied)
+			}
+			x.applied = out.Apply.Version.Number
+			x.replica.Applied(x.now, nil, false)
+		}
+		if out.Store == nil && out.Apply == nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// bounds tells which bound of what is kept is passed.
+func (x *target) bounds() error {
+	r := x.replica
+	size := 0
+	for h, d := range r.library.documents {
+		if HashOf(d.data) != h {
+			return errors.New("a document does not match its hash")
+		}
+		size += len(d.data)
+	}
+	switch {
+	case size > MaxStored+(maxDownloads+maxHolds)*MaxDocument:
+		return fmt.Errorf("%d bytes of documents", size)
+	case len(r.downloads) > maxDownloads, len(r.avoided) > maxExcluded:
+		return fmt.Errorf("%d downloads, %d avoided", len(r.downloads), len(r.avoided))
+	case len(r.reports.heard) > MaxReports, len(r.reports.batches) > maxBatches:
+		return fmt.Errorf("%d reports, %d batches", len(r.reports.heard), len(r.reports.batches))
+	case len(r.queue) > MaxProposals+1, len(r.holds) > maxHolds:
+		return fmt.Errorf("%d proposals, %d holds", len(r.queue), len(r.holds))
+	case len(r.start.told) > 16:
+		return fmt.Errorf("%d voters told", len(r.start.told))
+	}
+	for _, d := range r.downloads {
+		if len(d.chunks) > chunkCount(MaxDocument) || len(d.missing) > maxExcluded || len(d.asked) > maxExcluded || len(d.sources) > maxSources {
+			return fmt.Errorf("a download of %d chunks", len(d.chunks))
+		}
+	}
+	return nil
+}
+
+// nonsense are messages whose fields are out of bounds.
+func nonsense() []Message {
+	h, one := HashOf([]byte("x")), HashOf([]byte("one"))
+	long := strings.Repeat("a", 70000)
+	id := ProposalID{Origin: "n3", Run: 1, Ref: 1}
+	var many []Report
+	for i := range 5000 {
+		many = append(many, Report{ID: members.ID(fmt.Sprint("m", i)), Run: 1, Sequence: 1})
+	}
+	list := []Message{
+		{},
+		{Summary: &Summary{}},
+		{Summary: &Summary{Number: math.MaxUint64, Hash: h, Size: math.MaxInt}},
+		{Summary: &Summary{Number: math.MaxUint64, Hash: h, Size: MaxDocument}},
+		{Summary: &Summary{Number: 1, Hash: h, Size: math.MinInt}},
+		{Fetch: &Fetch{Hash: one, Offset: math.MinInt}},
+		{Fetch: &Fetch{Hash: one, Offset: math.MaxInt}},
+		{Fetch: &Fetch{Hash: one, Offset: 1}},
+		{Fetch: &Fetch{Hash: one, Offset: -ChunkBytes}},
+		{Propose: &ProposeRequest{}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: 1, Version: Version{Hash: h, Size: math.MaxInt, ID: id}}}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: 1, Version: Version{Hash: h, Size: -1, ID: id}}}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: 1, Version: Version{Hash: h, Size: 1, Author: long, ID: id}}}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: 1, Version: Version{Hash: h, Size: 1, Reason: long, ID: id}}}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: math.MaxUint64, Version: Version{Hash: h, Size: 1, ID: id}}}},
+		{Propose: &ProposeRequest{Proposal: Proposal{Expect: 1, Version: Version{Hash: h, Size: 1, ID: ProposalID{Origin: "n3", Ref: 7}}}}},
+		{Proposed: &ProposeReply{ID: ProposalID{Origin: "n0", Run: 5, Ref: 1}, Result: 200, Reason: long}},
+		{Proposed: &ProposeReply{ID: ProposalID{Origin: "n2", Run: 5, Ref: 1}, Result: Agreed}},
+		{Hold: &HoldRequest{Hash: h, Size: math.MaxInt}},
+		{Hold: &HoldRequest{Hash: h, Size: -1}},
+		{Hold: &HoldRequest{Hash: h, Size: MaxDocument}},
+		{Held: &HoldReply{Hash: h}},
+		{Reports: &Reports{List: many}},
+		{Reports: &Reports{List: many[:1000]}},
+		{Reports: &Reports{List: []Report{{}, {ID: "n3", Age: math.Inf(1)}, {ID: "n3", Age: math.NaN()}, {ID: "n3", Age: -1e300},
+			{ID: "n3", Run: 4, Sequence: math.MaxUint64, Applied: math.MaxUint64, Age: math.MaxFloat64}, {ID: members.ID(long)}, {ID: "n3", Reason: long}}}},
+		{Reported: &ReportsReply{Sequence: 1, Leader: members.ID(long)}},
+		{Reported: &ReportsReply{Sequence: math.MaxUint64, Leader: "n3"}},
+		{Query: &Query{Kind: 0}}, {Query: &Query{Kind: 99}}, {Query: &Query{Kind: AskStatus}}, {Query: &Query{Kind: AskHistory}}, {Query: &Query{Kind: AskLatest}},
+		{Answer: &Answer{Ref: 1, Voting: true, Leads: true, Leader: members.ID(long)}},
+		{Answer: &Answer{Ref: 1, Versions: make([]Version, 100)}},
+		{Answer: &Answer{Ref: 1, Leads: true, Voting: true, Status: &Status{Refused: make([]ControllerReport, 1000)}}},
+		{Answer: &Answer{Ref: 1, Voting: true, Leads: true, Latest: Summary{Number: math.MaxUint64, Hash: h, Size: 1}}},
+		{Answer: &Answer{Ref: 2, Voting: true, Leads: true}},
+		{Answer: &Answer{Voting: true, Leads: true, Latest: Summary{Number: 7, Size: -7}}},
+	}
+	for _, hash := range []Hash{h, HashOf([]byte("three")), one, {}} {
+		for _, c := range []Chunk{{Offset: -1, Total: 5}, {Offset: 0, Total: math.MaxInt, Data: []byte("x")}, {Offset: 0, Total: 1, Data: []byte("y")},
+			{Offset: 0, Total: -1}, {Offset: math.MinInt, Total: 1}, {Offset: math.MaxInt, Total: math.MaxInt, Data: []byte("x")}, {Offset: ChunkBytes, Total: 1, Data: []byte("x")},
+			{Missing: true}, {Offset: 0, Total: 1}, {Offset: 0, Total: MaxDocument, Data: make([]byte, ChunkBytes)}, {Offset: 0, Total: 1, Data: make([]byte, 100000)}} {
+			c.Hash = hash
+			list = append(list, Message{Chunk: &c})
+		}
+	}
+	return list
+}
+
+// Messages with fields out of bounds do no harm, in whatever order they come.
+func TestNonsense(t *testing.T) {
+	for from := range 5 {
+		for i, x := range newTargets() {
+			for round := range 4 {
+				list := nonsense()
+				for j := range list {
+					k := (j*(2*round+1) + round*7) % len(list)
+					if err := x.receive(members.ID(fmt.Sprint("n", from)), &list[k]); err != nil {
+						t.Fatalf("target %d, message %d from n%d: %v", i, k, from, err)
+					}
+				}
+			}
+			if x.applied != 1 || x.replica.Current().Number != 1 {
+				t.Errorf("target %d applied version %d", i, x.applied)
+			}
+		}
+	}
+}
+
+// A size that is told takes up no memory before its bytes have come.
+func TestNoMemoryByWord(t *testing.T) {
+	x := newTargets()[2]
+	bytes := testing.AllocsPerRun(10, func() {
+		x.replica.Receive(x.now, "n3", &Message{Summary: &Summary{Number: 1 << 40, Hash: HashOf([]byte("x")), Size: MaxDocument}})
+	})
+	if d := x.replica.findDownload(HashOf([]byte("x"))); d == nil || len(d.chunks) != 32 || bytes > 100 {
+		t.Errorf("%v, %g allocations", d, bytes)
+	}
+	for _, c := range x.replica.findDownload(HashOf([]byte("x"))).chunks {
+		if c != nil {
+			t.Error("memory for a chunk that has not come")
+		}
+	}
+}
+
+// FuzzReceive takes in messages as they would come off the wire, in each role.
+func FuzzReceive(f *testing.F) {
+	for _, m := range nonsense() {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		if len(data) < 4096 {
+			f.Add(data)
+		}
+	}
+	two, _ := cbor.Marshal(Message{Summary: &Summary{Number: 2, Hash: HashOf([]byte("x")), Size: 1}})
+	chunk, _ := cbor.Marshal(Message{Chunk: &Chunk{Hash: HashOf([]byte("x")), Total: 1, Data: []byte("x")}})
+	f.Add(append(append([]byte{}, two...), chunk...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		targets := newTargets()
+		for i := range 16 {
+			var m Message
+			rest, err := cbor.UnmarshalFirst(data, &m)
+			if err != nil {
+				return
+			}
+			data = rest
+			for _, x := range targets {
+				if err := x.receive(members.ID(fmt.Sprint("n", 1+i%4)), &m); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
--- a/internal/core/fleet/config/take.go
+++ b/internal/core/fleet/config/take.go
@@ -174,9 +174,6 @@
 	for _, h := range r.holds {
 		hashes = append(hashes, h.hash)
 	}
-	if len(r.queue) > 0 && r.queue[0].checked {
-		hashes = append(hashes, r.queue[0].proposal.Version.Hash)
-	}
 	if r.newest.Number > 0 && !r.take.open(r.newest) {
 		hashes = append(hashes, r.newest.Hash)
 	}
--- a/internal/core/fleet/config/take_test.go
+++ b/internal/core/fleet/config/take_test.go
@@ -369,8 +369,8 @@
 	f.lossRate = 0.02
 	f.runFor(1000)
 	for i := range 60 {
-		f.putAgreed(f.all[i], randomDocument(4000+i, int64(i)), uint64(i))
 		f.runFor(700)
+		f.putAgreed(f.all[i], randomDocument(4000+i, int64(i)), uint64(i))
 	}
 	took := f.everywhere(60, 19000)
 	t.Logf("in force at the last %.0f ms after the last was agreed on", took)
