The quorum by job: six files in place of one of 1,062 lines

quorum.go held the wire, the records, the members and the consensus in one file, in the words of the former style. Now quorum.go holds the types and the bounds (111 lines), replica.go the entry points (257), records.go what is persisted (248), membership.go changes of the voters (259), incarnation.go how a disk is vouched for (145), raft.go the consensus library (213), messages.go the wire (67). The reasons of a role say quorum and incarnation in place of council and life. CBOR keys, forms of records and what the package does stay. The unused bound on pending proposals goes: the library bounds them by bytes.

--- /dev/null
+++ b/internal/core/fleet/quorum/incarnation.go
@@ -0,0 +1,145 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Trust carries out an operator's command that says that the folder is the latest there is. It is false where the disk is
+// not doubted.
+func (r *Replica) Trust() bool {
+	if r.role != Doubted {
+		return false
+	}
+	r.takePart()
+	return true
+}
+
+// takePart begins to take part: this disk holds all that this incarnation ever promised.
+func (r *Replica) takePart() {
+	if r.incarnation.Disk != 0 && !r.isMember() {
+		r.role, r.roleReason = Joining, "its former incarnation has ended"
+		r.startConsensus()
+		return
+	}
+	r.role, r.roleReason = Voting, ""
+	r.startConsensus()
+	r.updateRole()
+}
+
+// askOthers has a doubted member ask the others for the highest serial that they received from it, and ask to join as
+// another incarnation if they have a leader and don't all answer; whichever comes first counts.
+func (r *Replica) askOthers() {
+	if r.now < r.askAt {
+		return
+	}
+	r.askAt = r.now + askInterval
+	for _, name := range r.others() {
+		r.send(Incarnation{Name: name}, Message{Ask: &Ask{r.run}})
+	}
+	r.askedToJoin = r.othersHaveLeader && r.now > r.startedAt+giveUpAsking
+	if !r.askedToJoin {
+		return
+	}
+	r.roleReason = "not all others can vouch for its disk; asking to be taken in as another incarnation"
+	for _, name := range r.others() {
+		r.out = append(r.out, Message{From: r.nextIncarnation(), To: Incarnation{Name: name}, Run: r.run, Join: &Join{r.run}})
+	}
+}
+
+// askToJoin has a member whose former incarnation has ended ask to be taken in.
+func (r *Replica) askToJoin() {
+	if r.now < r.askAt || r.newIncarnation {
+		return
+	}
+	r.askAt = r.now + joinInterval
+	asked := r.others()
+	if r.contact.Name != "" && !slices.Contains(asked, r.contact.Name) {
+		asked = append(asked, r.contact.Name)
+	}
+	for _, name := range asked {
+		r.send(Incarnation{Name: name}, Message{Join: &Join{r.run}})
+	}
+}
+
+// answerAsk answers a member that starts with the highest serial that was received from it: that of messages which wait
+// for the disk here too, as they will be used. Messages of its earlier runs that are still on their way are ignored from
+// now on, or one could be used after its serial was denied.
+func (r *Replica) answerAsk(m *Message) {
+	if m.Ask.Run != m.Run || r.newIncarnation {
+		return
+	}
+	if len(r.askers) >= maxRetired && r.askers[m.From] == 0 {
+		return
+	}
+	r.askers[m.From] = m.Run
+	answer := &Answer{
+		Run:     m.Ask.Run,
+		Mark:    max(r.marks[m.From], r.waitingMarks[m.From], r.inflightMarks[m.From]),
+		Retired: slices.Contains(r.retired, m.From),
+	}
+	if r.node != nil && r.role == Voting {
+		leader := r.Leader()
+		answer.Led = leader != "" && leader != m.From.Name
+	}
+	r.send(m.From, Message{Answer: answer})
+}
+
+// receiveAnswer takes in what another member knows of this incarnation.
+func (r *Replica) receiveAnswer(from members.ID, answer *Answer) {
+	if r.role != Doubted || answer.Run != r.run {
+		return
+	}
+	if answer.Retired {
+		r.endIncarnation(fmt.Sprintf("%s says that this incarnation has ended", from))
+		return
+	}
+	if answer.Mark > r.serial {
+		r.endIncarnation(fmt.Sprintf("%s received record %d, the folder ends with %d: an older copy", from, answer.Mark, r.serial))
+		return
+	}
+	r.othersHaveLeader = r.othersHaveLeader || answer.Led
+	r.vouched[from] = true
+	for _, name := range r.others() {
+		if !r.vouched[name] {
+			return
+		}
+	}
+	r.takePart()
+}
+
+// receiveInvite has a controller outside ask to join.
+func (r *Replica) receiveInvite(m *Message) {
+	if r.role != Outside || r.newIncarnation {
+		return
+	}
+	r.contact = m.From
+	r.endIncarnation("asked to join the quorum")
+}
+
+// nextIncarnation is the one as which this controller would come back.
+func (r *Replica) nextIncarnation() Incarnation {
+	return Incarnation{Name: r.facts.Self, Disk: r.facts.Disk}
+}
+
+// endIncarnation ends this incarnation: nothing that its disk holds counts as promised by it, and it comes back as
+// another.
+func (r *Replica) endIncarnation(reason string) {
+	r.role, r.roleReason = Joining, reason
+	r.node, r.leading = nil, false
+	r.newIncarnation = true
+	r.waiting, r.waitingMarks = nil, map[Incarnation]uint64{}
+	r.askAt, r.askedToJoin = r.now, false
+	if r.incarnation == r.nextIncarnation() { // the second of one process
+		r.facts.Disk = max(1, r.rng.Uint64())
+	}
+}
+
+// beginIncarnation is the batch that begins the folder anew, ahead of any message of the new incarnation.
+func (r *Replica) beginIncarnation() *Batch {
+	incarnation := r.nextIncarnation()
+	record := &Record{Serial: r.serial + 1, Incarnation: &incarnation, Marks: sortedMarks(r.marks), Whole: true}
+	return &Batch{Record: record, newIncarnation: true}
+}
--- a/internal/core/fleet/quorum/quorum_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -139,7 +139,7 @@
 		if got := len(r.agreed[name]); got != 600 || fmt.Sprint(r.agreed[name]) != fmt.Sprint(r.agreed["a"]) {
 			t.Errorf("%s agreed on %d", name, got)
 		}
-		if n := len(r.kept[name]); n > 3*snapEach {
+		if n := len(r.kept[name]); n > 3*snapshotEntries {
 			t.Errorf("%s keeps %d records", name, n)
 		}
 	}
@@ -222,7 +222,7 @@
 		r.run(4000)
 		r.standing("b", Voting)
 		if c.Incarnation() != lives[slices.IndexFunc(lives, func(l Incarnation) bool { return l.Name == "b" })] {
-			t.Errorf("%s: another life again", what)
+			t.Errorf("%s: another incarnation again", what)
 		}
 	}
 }
@@ -260,7 +260,7 @@
 	before := r.leader().Term()
 	for range 100 {
 		ghost.Tick(r.now)
-		ghost.heard()
+		ghost.postponeCampaign()
 		if ghost.node != nil {
 			ghost.node.Campaign()
 		}
@@ -409,7 +409,7 @@
 		voted := 0
 		for _, name := range r.founders {
 			before, _, _ := r.members[name].storage.InitialState()
-			applied := r.members[name].applied
+			applied := r.members[name].appliedIndex
 			c := r.start(name)
 			after, _, _ := c.storage.InitialState()
 			if before.GetTerm() != after.GetTerm() || before.GetVote() != after.GetVote() {
@@ -523,13 +523,13 @@
 	}
 	c := r.start(out)
 	r.cut = func(from, to members.ID) bool { return to == out } // it is heard, and hears nothing
-	c.led, c.startedAt = true, r.now-giveUpAsking-1
+	c.othersHaveLeader, c.startedAt = true, r.now-giveUpAsking-1
 	r.run(3000)
 	for _, other := range c.others() { // answers of before it was taken in
 		c.Receive(r.now, other, &Message{From: Incarnation{other, 0}, To: Incarnation{out, 0}, Answer: &Answer{Run: c.run, Mark: 0}})
 	}
 	if c.Incarnation().Disk != 0 {
-		t.Fatal("it has begun another life by itself")
+		t.Fatal("it has begun another incarnation by itself")
 	}
 	r.cut = nil
 	r.run(10000)
--- /dev/null
+++ b/internal/core/fleet/quorum/replica.go
@@ -0,0 +1,257 @@
+package quorum
+
+import (
+	"maps"
+	"math/rand"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"mintkeel/internal/core/fleet/lease"
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Replica is one controller's part in the quorum. It is for one goroutine.
+type Replica struct {
+	facts       Facts
+	rng         *rand.Rand
+	now         float64
+	incarnation Incarnation
+	run         uint64
+	role        Role
+	roleReason  string // it is not voting
+
+	// The consensus and what it has agreed on.
+	node           *raft.RawNode // nil: it does not run
+	storage        *raft.MemoryStorage
+	voters         *pb.ConfState
+	state          lease.State
+	incarnations   map[uint64]Incarnation // the members, by their number
+	retired        []Incarnation
+	removed        []members.ID // taken out by an operator's command: they don't come back by themselves
+	appliedIndex   uint64
+	snapshotIndex  uint64
+	snapshotWanted bool
+	leading        bool
+	tickAt         float64
+	campaignAt     float64
+
+	// What is durable, and what waits for it.
+	serial         uint64 // of the last record that is durable
+	marks          map[Incarnation]uint64
+	inflightMarks  map[Incarnation]uint64 // that are being made durable
+	waitingMarks   map[Incarnation]uint64 // that wait for the next batch
+	waiting        []*raftMessage
+	batchOut       bool // a batch is being made durable
+	newIncarnation bool // the next batch begins another incarnation
+
+	// How this disk is vouched for, and the others'.
+	vouched          map[members.ID]bool    // the members that have vouched for this disk
+	othersHaveLeader bool                   // a member says that the others have a leader without this one
+	askedToJoin      bool                   // it asks to join as another incarnation, and goes on as itself if all vouch for it first
+	startedAt        float64                // ms
+	askAt            float64                // ms
+	askers           map[Incarnation]uint64 // which run of an incarnation asked last: messages of earlier runs are ignored
+	contact          Incarnation            // the member that wrote last to this one while it knew no member
+
+	// Changes of the members that this leader carries out.
+	joins         map[members.ID]joinRequest
+	changePending bool // a change of the members has been proposed
+	changeAt      float64
+	replacements  []replacement
+
+	out     []Message
+	applied []Applied
+}
+
+// New takes up what the records of a folder hold; none, for a folder that is new.
+func New(f Facts, records []Record, now float64) (*Replica, error) {
+	r := &Replica{
+		facts:        f,
+		rng:          rand.New(rand.NewSource(f.Seed)),
+		now:          now,
+		incarnation:  Incarnation{Name: f.Self},
+		run:          f.Run,
+		marks:        map[Incarnation]uint64{},
+		waitingMarks: map[Incarnation]uint64{},
+		incarnations: map[uint64]Incarnation{},
+		vouched:      map[members.ID]bool{},
+		askers:       map[Incarnation]uint64{},
+		joins:        map[members.ID]joinRequest{},
+		startedAt:    now,
+		tickAt:       now,
+		askAt:        now,
+	}
+	r.reset()
+	if err := r.replay(records); err != nil {
+		return nil, err
+	}
+	if r.incarnation.Disk == 0 && !slices.Contains(f.Founders, f.Self) && len(records) == 0 {
+		r.role, r.roleReason = Outside, "not one of the quorum"
+		return r, nil
+	}
+	// A later incarnation is doubted too: a copy of its folder from before it was taken in looks like one that never was.
+	r.role, r.roleReason = Doubted, "its disk has not been vouched for yet"
+	if len(r.others()) == 0 {
+		r.takePart()
+	}
+	return r, nil
+}
+
+// Tick takes in that time has passed.
+func (r *Replica) Tick(now float64) {
+	r.now = max(r.now, now)
+	switch r.role {
+	case Outside:
+		return
+	case Doubted:
+		r.askOthers()
+		return
+	case Joining:
+		r.askToJoin()
+	}
+	if r.node == nil {
+		return
+	}
+	r.tickConsensus()
+	if !r.leading && r.role == Voting && r.now >= r.campaignAt {
+		r.postponeCampaign()
+		r.node.Campaign()
+	}
+	if r.leading {
+		r.changeMembers()
+	}
+}
+
+// Next is when Tick is to be called at the latest, in ms.
+func (r *Replica) Next() float64 {
+	if r.role == Outside {
+		return r.now + outsideInterval
+	}
+	if r.node == nil {
+		return r.askAt
+	}
+	return r.tickAt
+}
+
+// Batch is the next step to be carried out, nil if there is none or one is under way.
+func (r *Replica) Batch() *Batch {
+	if r.batchOut {
+		return nil
+	}
+	if r.newIncarnation {
+		r.batchOut = true
+		return r.beginIncarnation()
+	}
+	b := &Batch{Record: &Record{Serial: r.serial + 1}}
+	if len(r.waiting) > 0 {
+		b.marks, b.received = r.waitingMarks, r.waiting
+		b.Record.Marks = sortedMarks(b.marks)
+		r.inflightMarks, r.waitingMarks, r.waiting = r.waitingMarks, map[Incarnation]uint64{}, nil
+	}
+	if r.node != nil && r.node.HasReady() {
+		ready := r.node.Ready()
+		b.ready = &ready
+		b.Record.fill(&ready)
+	}
+	if b.ready == nil && b.received == nil {
+		return nil
+	}
+	if b.Record.empty() {
+		b.Record = nil
+	}
+	r.batchOut = true
+	return b
+}
+
+// Done takes in that a batch's record is durable: its messages may now be sent and its commands are in force.
+func (r *Replica) Done(now float64, b *Batch) {
+	r.now = max(r.now, now)
+	r.batchOut, r.inflightMarks = false, nil
+	if b.Record != nil {
+		r.serial = b.Record.Serial
+	}
+	if b.newIncarnation {
+		r.newIncarnation = false
+		r.incarnation = *b.Record.Incarnation
+		r.reset()
+		r.startConsensus()
+		return
+	}
+	for incarnation, serial := range b.marks {
+		r.marks[incarnation] = max(r.marks[incarnation], serial)
+	}
+	if b.ready != nil && r.node != nil && !r.newIncarnation {
+		r.advance(b)
+	}
+	if r.node == nil || r.newIncarnation {
+		return
+	}
+	for _, m := range b.received {
+		r.stepConsensus(m)
+	}
+}
+
+// Propose asks for a command to be agreed on; it is false where this member does not lead, or too much is pending.
+func (r *Replica) Propose(by members.ID, ref uint64, command lease.Command) bool {
+	if !r.leading || r.node == nil {
+		return false
+	}
+	data, err := encodeProposal(proposal{by, ref, command})
+	return err == nil && r.node.Propose(data) == nil
+}
+
+// Agreed hands over the commands that have been agreed on since the last call.
+func (r *Replica) Agreed() []Applied {
+	applied := r.applied
+	r.applied = nil
+	return applied
+}
+
+// State is what is agreed, as far as this member knows. It may be late unless this member leads.
+func (r *Replica) State() *lease.State { return &r.state }
+
+// Leads tells whether this member leads, as far as it knows.
+func (r *Replica) Leads() bool { return r.leading }
+
+// Leader is the member that leads, as far as this one knows; empty: none.
+func (r *Replica) Leader() members.ID {
+	if r.node == nil {
+		return ""
+	}
+	return r.incarnations[r.node.BasicStatus().Lead].Name
+}
+
+// Role is what this controller is in the quorum, and the reason why it does not vote.
+func (r *Replica) Role() (Role, string) { return r.role, r.roleReason }
+
+// Members are the quorum's incarnations, with whether each votes.
+func (r *Replica) Members() (list []Incarnation, votes []bool) {
+	for _, number := range slices.Sorted(maps.Keys(r.incarnations)) {
+		list = append(list, r.incarnations[number])
+		votes = append(votes, slices.Contains(r.voters.GetVoters(), number))
+	}
+	return list, votes
+}
+
+// Names are the names of the quorum's members and this controller's, sorted.
+func (r *Replica) Names() []members.ID {
+	names := append(r.others(), r.facts.Self)
+	slices.Sort(names)
+	return names
+}
+
+// Incarnation is this controller's incarnation.
+func (r *Replica) Incarnation() Incarnation { return r.incarnation }
+
+// Serial is that of the last durable record.
+func (r *Replica) Serial() uint64 { return r.serial }
+
+// Term is that of the consensus; 0: it does not run.
+func (r *Replica) Term() uint64 {
+	if r.node == nil {
+		return 0
+	}
+	return r.node.BasicStatus().GetTerm()
+}
