Configuration versions in the quorum's log, and the replica in each node

The node hands the replica what membership and the quorum know, lets the summary ride on membership's messages, and delivers what a replica sends to itself. Off where Facts.Config is nil: no byte more. A mixed fleet: voters of an older version would not apply such a proposal, so all voters have to be updated before the block is used (docs/config.md will say so).

--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"slices"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/quorum"
@@ -32,6 +33,7 @@
 	Put     *lease.Put       `cbor:"14,keyasint,omitempty"`
 	Get     *lease.Get       `cbor:"15,keyasint,omitempty"`
 	State   *Checkpoint      `cbor:"16,keyasint,omitempty"`
+	Config  *config.Message  `cbor:"17,keyasint,omitempty"` // may ride on a Members message
 }
 
 // Checkpoint is what the holders of a lease hand on, as it was agreed upon a Put or Get of its holder.
@@ -99,6 +101,7 @@
 	Pace     members.Pace
 	Disk     uint64 // drawn: the next life's in the quorum
 	Seed     int64
+	Config   *ConfigFacts // nil: the fleet does not agree on configuration
 }
 
 // Send is a message to be sent.
@@ -132,7 +135,8 @@
 	Passed  []Verdict
 	Words   []JobMessage
 	Handed  []Checkpoint
-	Seen    bool // the fencing check has seen a higher fencing token
+	Seen    bool          // the fencing check has seen a higher fencing token
+	Config  config.Output // its Sends are among Sends
 }
 
 const (
@@ -155,22 +159,24 @@
 	fencing *lease.FencingCheck
 	out     Output
 
-	leader   members.ID // as far as this one has been told
-	names    []members.ID
-	view     []lease.Lease
-	viewAt   float64 // to be asked for anew
-	offerAt  float64
-	stewdAt  float64
-	askAt    int // whom to ask next
-	heardAt  float64
-	ref      uint64
-	asked    map[uint64]bool // what this one proposed and is to be answered
-	stopping bool
-	wholeOut bool
-	given    []given
-	giveAt   float64
-	wants    []wanted
-	wantAt   float64
+	leader     members.ID // as far as this one has been told
+	names      []members.ID
+	view       []lease.Lease
+	viewAt     float64 // to be asked for anew
+	offerAt    float64
+	stewdAt    float64
+	askAt      int // whom to ask next
+	heardAt    float64
+	ref        uint64
+	asked      map[uint64]bool // what this one proposed and is to be answered
+	stopping   bool
+	wholeOut   bool
+	given      []given
+	giveAt     float64
+	wants      []wanted
+	wantAt     float64
+	config     *config.Replica // nil: off
+	configSeen configSeen
 }
 
 // given is a lease that was given up, of which the quorum may not know yet.
@@ -189,12 +195,16 @@
 	n := &Node{facts: f, now: now, quorum: c, members: members.New(f.Self, f.Seeds, f.Pace, f.Seed, now),
 		client: lease.NewClient(lease.Holder{ID: f.Self.ID, Run: f.Self.Run}, f.Terms), fencing: lease.NewFencingCheck(seen),
 		names: slices.Clone(f.Founders), viewAt: now, asked: map[uint64]bool{}, ref: uint64(rand.New(rand.NewSource(f.Seed + 2)).Int63())}
+	n.startConfig()
 	return n, nil
 }
 
 // Receive takes in a message that a controller of this fleet and generation is proved to have sent.
 func (n *Node) Receive(now float64, from members.ID, m *Message) {
 	n.now = max(n.now, now)
+	if m.Config != nil && n.config != nil {
+		n.config.Receive(n.now, from, m.Config)
+	}
 	switch {
 	case m.Members != nil:
 		n.members.Receive(n.now, from, *m.Members)
@@ -244,6 +254,9 @@
 	n.now = max(n.now, now)
 	n.members.Tick(n.now)
 	n.quorum.Tick(n.now)
+	if n.config != nil {
+		n.config.Tick(n.now)
+	}
 	n.turn()
 }
 
@@ -277,6 +290,9 @@
 	if !n.quorum.Leads() {
 		next = min(next, n.viewAt)
 	}
+	if n.config != nil {
+		next = min(next, n.config.Next())
+	}
 	return max(next, n.now)
 }
 
@@ -586,9 +602,11 @@
 			break
 		}
 	}
+	n.turnConfig()
+	summary := n.summary()
 	for _, o := range n.members.Out() {
 		m := o.Message
-		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, Message{Members: &m}})
+		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, Message{Members: &m, Config: summary}})
 	}
 	for _, m := range n.quorum.Out() {
 		n.send(m.To.Name, Message{Council: &m})
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -9,6 +9,7 @@
 	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 )
@@ -21,9 +22,10 @@
 
 // proposal is a command on its way through the consensus.
 type proposal struct {
-	By      members.ID    `cbor:"1,keyasint"`
-	Ref     uint64        `cbor:"2,keyasint"`
-	Command lease.Command `cbor:"3,keyasint"`
+	By      members.ID       `cbor:"1,keyasint"`
+	Ref     uint64           `cbor:"2,keyasint"`
+	Command lease.Command    `cbor:"3,keyasint"`
+	Config  *config.Proposal `cbor:"4,keyasint,omitempty"` // set: the proposal is of the fleet's configuration, and Command is empty
 }
 
 func encodeProposal(p proposal) ([]byte, error) { return cbor.Marshal(p) }
@@ -201,6 +203,10 @@
 		if len(entry.GetData()) == 0 || cbor.Unmarshal(entry.GetData(), &p) != nil {
 			return
 		}
+		if p.Config != nil {
+			r.config.Apply(*p.Config)
+			return
+		}
 		changed := r.state.Apply(p.Command)
 		r.applied = append(r.applied, Applied{p.Command, changed, p.By, p.Ref})
 	case pb.EntryConfChange:
--- a/internal/core/fleet/quorum/records.go
+++ b/internal/core/fleet/quorum/records.go
@@ -12,6 +12,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 )
@@ -40,6 +41,7 @@
 	Incarnations []Incarnation `cbor:"2,keyasint"`
 	Retired      []Incarnation `cbor:"3,keyasint"`
 	Removed      []members.ID  `cbor:"4,keyasint,omitempty"` // taken out by an operator's command
+	Config       *config.State `cbor:"5,keyasint,omitempty"` // nil: no version has been agreed on
 }
 
 var errOrder = errors.New("records are not in order")
@@ -81,6 +83,7 @@
 	r.storage, r.node = raft.NewMemoryStorage(), nil
 	r.appliedIndex, r.snapshotIndex = 0, 0
 	r.state = lease.State{}
+	r.config = config.State{}
 	r.incarnations, r.retired, r.removed = map[uint64]Incarnation{}, nil, nil
 	r.voters = &pb.ConfState{}
 	if r.incarnation.Disk != 0 {
@@ -100,6 +103,9 @@
 // snapshot is the agreed state as this member knows it.
 func (r *Replica) snapshot() snapshot {
 	s := snapshot{Leases: r.state.List(), Retired: r.retired, Removed: r.removed}
+	if len(r.config.Versions) > 0 {
+		s.Config = r.config.Copy()
+	}
 	for _, number := range slices.Sorted(maps.Keys(r.incarnations)) {
 		s.Incarnations = append(s.Incarnations, r.incarnations[number])
 	}
@@ -114,6 +120,10 @@
 	}
 	r.state.Restore(s.Leases)
 	r.retired, r.removed = s.Retired, s.Removed
+	r.config = config.State{}
+	if s.Config != nil {
+		r.config = *s.Config
+	}
 	r.incarnations = map[uint64]Incarnation{}
 	for _, incarnation := range s.Incarnations {
 		r.incarnations[incarnation.Number()] = incarnation
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -8,6 +8,7 @@
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 )
@@ -27,6 +28,7 @@
 	storage        *raft.MemoryStorage
 	voters         *pb.ConfState
 	state          lease.State
+	config         config.State
 	incarnations   map[uint64]Incarnation // the members, by their number
 	retired        []Incarnation
 	removed        []members.ID // taken out by an operator's command: they don't come back by themselves
@@ -198,10 +200,23 @@
 	if !r.leading || r.node == nil {
 		return false
 	}
-	data, err := encodeProposal(proposal{by, ref, command})
+	data, err := encodeProposal(proposal{By: by, Ref: ref, Command: command})
 	return err == nil && r.node.Propose(data) == nil
 }
 
+// ProposeConfig asks for a version of the fleet's configuration to be agreed on; it is false where this member does not
+// lead, or too much is pending.
+func (r *Replica) ProposeConfig(by members.ID, p config.Proposal) bool {
+	if !r.leading || r.node == nil {
+		return false
+	}
+	data, err := encodeProposal(proposal{By: by, Config: &p})
+	return err == nil && r.node.Propose(data) == nil
+}
+
+// ConfigState is what is agreed of the fleet's configuration, as far as this member knows.
+func (r *Replica) ConfigState() *config.State { return &r.config }
+
 // Agreed hands over the commands that have been agreed on since the last call.
 func (r *Replica) Agreed() []Applied {
 	applied := r.applied
