--- a/cmd/mintkeel/agreed.go
+++ b/cmd/mintkeel/agreed.go
@@ -205,14 +205,15 @@
 	return nil
 }
 
-// awaitConfig takes versions over until the latest is known to be in force, or the time for it is up. Signals that come
-// meanwhile are returned; one to stop ends the wait.
-func (d *daemon) awaitConfig(ctx context.Context, signals <-chan os.Signal) (pending pendingSignals) {
+// awaitConfig takes versions over until wait has found the latest to be in force, or the time for it is up. Signals that
+// come meanwhile are returned; one to stop ends the wait.
+func (d *daemon) awaitConfig(ctx context.Context, signals <-chan os.Signal,
+	wait func(context.Context) config.Readiness) (pending pendingSignals) {
 	ctx, cancel := context.WithTimeout(ctx, d.file.Config.Wait)
 	defer cancel()
 	began := time.Now()
 	known := make(chan config.Readiness, 1)
-	go func() { known <- d.fleet.WaitConfig(ctx) }()
+	go func() { known <- wait(ctx) }()
 	for {
 		select {
 		case r := <-d.agreed.offered():
@@ -238,8 +239,8 @@
 	attributes := []any{"version", d.agreed.version.Number, "hash", shortHash(d.agreed.version), "confirmed", r.Confirmed, "latest", r.Latest,
 		"took", took.Round(time.Millisecond)}
 	if r.Confirmed && r.Latest <= d.agreed.version.Number {
-		d.log.Info("configuration version known to be the latest", attributes...)
+		d.log.Info("configuration version confirmed as the latest", attributes...)
 		return
 	}
-	d.log.Warn("configuration version not known to be the latest: serving by it all the same", attributes...)
+	d.log.Warn("configuration version not confirmed as the latest", attributes...)
 }
--- /dev/null
+++ b/cmd/mintkeel/agreed_test.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/fleet"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/logs"
+	"mintkeel/internal/operator"
+)
+
+// configFleet is a controller's own file: a fleet of which it is the only voter, with the block config, and a rule of its own.
+func configFleet(t *testing.T, dir, wait string) string {
+	t.Helper()
+	key := filepath.Join(dir, "fleet.key")
+	if err := os.WriteFile(key, []byte(strings.Repeat("ab", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return strings.NewReplacer("KEY", key, "FOLDER", filepath.Join(dir, "fleet"), "WAIT", wait).Replace(`fleet {
+ name = "e"
+ listen = "127.0.0.1:0"
+ advertise = "127.0.0.1:1"
+ key_file = "KEY"
+ folder = "FOLDER"
+ council = { n1 = "127.0.0.1:1" }
+}
+config {
+ wait = "WAIT"
+}
+`) + ruleRefusing("own")
+}
+
+// ruleRefusing is a rule that refuses all queries with a text.
+func ruleRefusing(text string) string {
+	return "rule \"" + text + "\" {\n refuse = \"" + text + "\"\n}\n"
+}
+
+func numbered(n uint64) config.Version {
+	return config.Version{Number: n, Author: "anna", Reason: "why"}
+}
+
+// takingDaemon is a daemon with the block config that serves, and whose fleet has agreed on nothing: what its service would call is called
+// by the test.
+func takingDaemon(t *testing.T, text string) (h *house, d *daemon, hangs chan bool) {
+	t.Helper()
+	feed, engine, hangs := feedAndEngine(t)
+	h = found(t, text, feed, engine, "")
+	h.put(h.from.operator, configFleet(t, h.dir, "100ms"))
+	return h, h.serve(), hangs
+}
+
+// A version is put in force in one step through the same code as a reload; what can't be used changes nothing; it is never
+// gone back behind; a reload keeps it in force, and takes the controller's own blocks over beside it.
+func TestTakeVersion(t *testing.T) {
+	h, d, _ := takingDaemon(t, good)
+	c := h.dial()
+	serves := func(id int, want string) {
+		t.Helper()
+		if err := c.query(id, "1"); err != nil {
+			t.Fatal(err)
+		}
+		if said := c.message(); !strings.Contains(said, want) {
+			t.Errorf("query %d: %q, not %q", id, said, want)
+		}
+	}
+	apply := func(number uint64, document string) error { return d.agreed.apply(numbered(number), []byte(document)) }
+	serves(1, "own")
+	if err := apply(2, ruleRefusing("two")); err != nil {
+		t.Error(err)
+	}
+	serves(2, "two")
+	if err := apply(3, "rule \"x\" {\n refuse = 3\n}\nconfig {\n}\n"); err == nil || errors.Is(err, fleet.ErrRetryable) ||
+		!strings.HasPrefix(err.Error(), `line 2, column 11: field rule "x".refuse is no text`) || !strings.Contains(err.Error(), "; line 4") {
+		t.Errorf("a bad document: %v", err)
+	}
+	serves(3, "two")
+	if err := apply(1, ruleRefusing("one")); !errors.Is(err, errOlder) {
+		t.Errorf("an older version: %v", err)
+	}
+	if err := apply(2, ruleRefusing("two")); err != nil {
+		t.Errorf("the same again: %v", err)
+	}
+	serves(4, "two")
+	own := configFleet(t, h.dir, "200ms")
+	h.reload(own, again)
+	h.log.wait(t, "configuration version stays in force")
+	serves(5, "two")
+	h.reload("fleet {\n", refused)
+	serves(6, "two")
+	h.reload(strings.Replace(own, "config {\n wait = \"200ms\"\n}\n", "", 1), again)
+	h.log.wait(t, "field=config")
+	h.reload(strings.Replace(own, "name = \"e\"", "name = \"other\"", 1)+"maintenance {\n}\n", again)
+	h.log.wait(t, "field=fleet")
+	h.log.wait(t, "field=maintenance")
+	serves(7, "two")
+	if err := apply(4, "log {\n level = \"info\"\n}\n"); err != nil {
+		t.Error(err)
+	}
+	serves(8, "SELECT 1") // no rule at all, whatever the controller's own file says
+	for _, line := range []string{"configuration version in force", "version=2", "author=anna", "reason=why", "configuration version refused"} {
+		if h.log.count(line) == 0 {
+			t.Errorf("no %q in the log", line)
+		}
+	}
+	h.stop()
+	if err := apply(5, ""); !errors.Is(err, fleet.ErrRetryable) {
+		t.Errorf("after the end: %v", err)
+	}
+	for _, word := range []string{"config.version=4", "config.taken=3", "config.refused=2"} {
+		if h.log.count(word) == 0 {
+			t.Errorf("no %q: %s", word, h.log)
+		}
+	}
+}
+
+// Too many changes of keys within a short time are tried again later, and change nothing until then.
+func TestTakeVersionLater(t *testing.T) {
+	h, d, hangs := takingDaemon(t, strings.Replace(good, `"promise_ns"`, `"in_order":true,"promise_ns"`, 1))
+	defer h.stop()
+	err := d.agreed.apply(numbered(1), []byte("#")) // without the controller's own rule, which refuses all
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := h.dial()
+	c.query(1, "hang") // is open under the keys of that time
+	<-hangs
+	for n := uint64(2); n < 100 && err == nil; n++ {
+		err = d.agreed.apply(numbered(n), []byte("rule \"k\" {\n key = \"'"+strings.Repeat("k", int(n))+"'\"\n}\n"))
+	}
+	if !errors.Is(err, fleet.ErrRetryable) || !errors.Is(err, errRules) {
+		t.Errorf("ended by %v", err)
+	}
+	if d.agreed.counts.later.Load() != 1 || d.agreed.counts.refused.Load() != 0 {
+		t.Error("counted as refused")
+	}
+}
+
+// Whoever offers a version while nobody takes it is not left waiting: not past the time for it, and not past an end.
+func TestOfferUntaken(t *testing.T) {
+	own := &operator.File{Log: logs.Usual()}
+	a := newAgreedConfig(&start{Name: "n1"}, own, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ended := make(chan error, 2)
+	for range 2 { // one that is not taken, and one that is taken and not answered
+		go func() { ended <- a.apply(numbered(1), nil) }()
+	}
+	<-a.requests
+	a.stopTaking()
+	for range 2 {
+		if err := <-ended; !errors.Is(err, errStopping) || !errors.Is(err, fleet.ErrRetryable) {
+			t.Error(err)
+		}
+	}
+	if a.wantsDigest() {
+		t.Error("the digest is wanted after the end")
+	}
+	if a.counts.later.Load() != 2 {
+		t.Errorf("%d tried again", a.counts.later.Load())
+	}
+}
+
+// awaiting is a daemon that has not begun to serve clients, in its wait for the latest version.
+func awaiting(t *testing.T, wait string) *daemon {
+	t.Helper()
+	dir := t.TempDir()
+	h := &house{t: t, dir: dir, from: sources{filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.hcl")}, log: &lines{}}
+	h.put(h.from.config, strings.NewReplacer("%FEED%", "127.0.0.1:1", "%ENGINE%", "127.0.0.1:1").Replace(good))
+	h.put(h.from.operator, configFleet(t, dir, wait))
+	s, file, err := h.from.read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{from: h.from, start: s, file: file, limits: limits.For(1024, 192, 0, 0, 0), lines: logs.New(h.log, file.Log)}
+	d.log = d.lines.Logger()
+	d.agreed = newAgreedConfig(s, file, d.log)
+	t.Cleanup(d.agreed.stopTaking)
+	return d
+}
+
+// While the latest version is waited for, versions are taken over without serving by them, and signals are kept.
+func TestAwaitConfig(t *testing.T) {
+	d := awaiting(t, "8s")
+	signals, readiness := make(chan os.Signal), make(chan config.Readiness)
+	wait := func(ctx context.Context) config.Readiness {
+		select {
+		case r := <-readiness:
+			return r
+		case <-ctx.Done():
+			return config.Readiness{}
+		}
+	}
+	ended := make(chan pendingSignals, 1)
+	go func() { ended <- d.awaitConfig(context.Background(), signals, wait) }()
+	if err := d.agreed.apply(numbered(7), []byte("log {\n level = \"warn\"\n}\nmemory {\n folder = \"/m/${name}\"\n}\n")); err != nil {
+		t.Error(err)
+	}
+	signals <- syscall.SIGUSR1
+	signals <- syscall.SIGHUP
+	readiness <- config.Readiness{Confirmed: true, Number: 7, Latest: 7}
+	if pending := <-ended; pending != (pendingSignals{reload: true}) {
+		t.Errorf("pending %+v", pending)
+	}
+	if d.file.Memory == nil || d.file.Memory.Folder != "/m/n1" || d.file.Rules != nil || d.file.Fleet.Name != "e" || d.agreed.version.Number != 7 {
+		t.Errorf("in force: %+v", d.file)
+	}
+	go func() { ended <- d.awaitConfig(context.Background(), signals, wait) }()
+	signals <- syscall.SIGTERM
+	if pending := <-ended; !pending.stop {
+		t.Errorf("pending %+v", pending)
+	}
+	d.file.Config.Wait = 10 * time.Millisecond
+	if pending := d.awaitConfig(context.Background(), signals, wait); pending != (pendingSignals{}) {
+		t.Errorf("pending %+v", pending)
+	}
+}
--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -141,6 +141,24 @@
 	return said, nil
 }
 
+// message is what the messages up to the next ReadyForQuery hold, as it stands on the wire.
+func (c *client) message() (text string) {
+	c.t.Helper()
+	for {
+		head := make([]byte, 5)
+		if _, err := io.ReadFull(c, head); err != nil {
+			c.t.Fatal(err)
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+		if _, err := io.ReadFull(c, body); err != nil {
+			c.t.Fatal(err)
+		}
+		if text += string(body); head[0] == 'Z' {
+			return text
+		}
+	}
+}
+
 // The daemon with all its parts: it answers, takes over a new configuration and stays with the old one if that is bad,
 // goes on while told to stop, gives up in time what hangs, and ends.
 func TestServe(t *testing.T) {
@@ -277,7 +295,7 @@
 }
 
 // serve starts the daemon and waits until it serves.
-func (h *house) serve() {
+func (h *house) serve() *daemon {
 	h.t.Helper()
 	s, file, err := h.from.read()
 	if err != nil {
@@ -295,6 +313,7 @@
 	d := &daemon{from: h.from, start: s, file: file, limits: l, lines: logs.New(h.log, file.Log)}
 	go func(ended chan error, signals chan os.Signal) { ended <- d.run(signals) }(h.ended, h.signals)
 	h.log.wait(h.t, "serving")
+	return d
 }
 
 // dial opens a session. It may be called by any goroutine.
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -96,7 +96,7 @@
 		if err := d.joinFleet(); err != nil {
 			return err
 		}
-		if pending = d.awaitConfig(ctx, signals); pending.stop {
+		if pending = d.awaitConfig(ctx, signals, d.fleet.WaitConfig); pending.stop {
 			d.log.Info("told to stop before clients were served")
 			return nil
 		}
