Version numbers may begin anew, and errors of a controller are told as they are

The service knows the fleet's generation, in which numbers begin anew; the daemon does not, and its own guard against older numbers would have refused the first version of a new generation. 'Never back' is the service's, which has the generation. An answer with an error and no result tells that nothing was done: put says so, without the hint that it may have been agreed.

--- a/cmd/mintkeel/agreed.go
+++ b/cmd/mintkeel/agreed.go
@@ -104,11 +104,10 @@
 	return err
 }
 
-// Errors of versions that are not taken over. The first two go away by themselves.
+// Errors of versions that are not taken over, and that go away by themselves.
 var (
 	errLate     = fmt.Errorf("the controller did not take it over in time: %w", fleet.ErrRetryable)
 	errStopping = fmt.Errorf("the controller is ending: %w", fleet.ErrRetryable)
-	errOlder    = errors.New("a newer version is in force")
 )
 
 // apply has a version taken over by the main goroutine, and waits for that.
@@ -186,12 +185,10 @@
 
 func (e *documentError) Unwrap() error { return e.err }
 
-// takeVersion takes a version over in place of the one before: by the main goroutine, as a reload is.
+// takeVersion takes a version over in place of the one before: by the main goroutine, as a reload is. That it is a later one
+// is the service's to know: in a new generation of the fleet numbers begin anew.
 func (d *daemon) takeVersion(r versionRequest) error {
 	a := d.agreed
-	if r.version.Number < a.version.Number {
-		return errOlder
-	}
 	own := a.local.Load() // it may have been read again since the document was parsed
 	r.file.Fleet, r.file.Config = own.Fleet, own.Config
 	if d.server == nil { // clients are served later, by the file in force then
--- a/cmd/mintkeel/fleetconfig.go
+++ b/cmd/mintkeel/fleetconfig.go
@@ -188,8 +188,11 @@
 // change asks for a new version, waits until it is in force, and tells how it ended.
 func (cc *configCommands) change(c *cobra.Command, order fleet.ConfigOrder, wait time.Duration) error {
 	answer, err := cc.ask(c.Context(), order)
-	if err != nil && answer == nil {
+	switch {
+	case err != nil && answer == nil:
 		return cc.unanswered(err)
+	case err != nil && answer.Result == "": // the controller tells that nothing was done, and why
+		return err
 	}
 	outcome := changeOutcome{Result: answer.Result, Reason: answer.Reason, Version: viewOf(answer.Version)}
 	if answer.Result != "agreed" || answer.Version == nil {
@@ -269,10 +272,10 @@
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			answer, err := cc.ask(c.Context(), fleet.ConfigOrder{Action: fleet.ConfigState})
-			if err != nil {
+			if answer == nil {
 				return err
 			}
-			found := configStatus{status: answer.Status, from: answer.From}
+			found := configStatus{status: answer.Status, from: answer.From, err: err}
 			if found.status != nil && wait > 0 && !found.settled(found.status.Latest.Number) {
 				found = cc.await(c.Context(), found.status.Latest.Number, wait)
 			}
--- a/cmd/mintkeel/fleetconfig_test.go
+++ b/cmd/mintkeel/fleetconfig_test.go
@@ -161,6 +161,8 @@
 		{"no word at all", nil, nil, "9s", 1, nil, []string{"it may have been agreed", "fleet config history"}},
 		{"an error", &fleet.Status{Error: "the controller does not answer in time"}, nil, "9s", 1, nil,
 			[]string{"does not answer in time", "it may have been agreed"}},
+		{"nothing was done", &fleet.Status{Error: "nothing was proposed: no leader", Config: &fleet.ConfigAnswer{}}, nil, "9s", 1, nil,
+			[]string{"mintkeel: nothing was proposed: no leader\n"}},
 		{"no block config", &fleet.Status{}, nil, "9s", 1, nil, []string{"block config"}},
 	} {
 		for action, args := range map[fleet.ConfigAction][]string{fleet.ConfigPut: {"put", file}, fleet.ConfigRollback: {"rollback", "7"}} {
@@ -238,6 +240,8 @@
 		})), told(statusOf(12, 3, 3, nil))}, 0, []string{"version 12 in force at 3 of 3"}, nil},
 		{"status", fleet.ConfigState, []*fleet.Status{told(fleet.ConfigAnswer{Local: config.Readiness{Number: 4, Latest: 5}})}, 1,
 			[]string{"the controller asked: version 4 in force, version 5 heard of, not confirmed"}, []string{"is not known: no leader"}},
+		{"status", fleet.ConfigState, []*fleet.Status{{Error: "the leader does not answer", Config: &fleet.ConfigAnswer{}}}, 1,
+			[]string{"no version in force, by its own file, not confirmed"}, []string{"is not known: no leader told it", "the leader does not answer"}},
 		{"status --json", fleet.ConfigState, []*fleet.Status{told(fleet.ConfigAnswer{Local: config.Readiness{Number: 4, Latest: 5}})}, 1,
 			[]string{`"known": false`, `"version": 4`}, []string{"is not known"}},
 		{"status", fleet.ConfigState, []*fleet.Status{told(statusOf(0, 3, 0, nil))}, 0, []string{"no version is agreed yet: each of 3"}, nil},
