--- /dev/null
+++ b/cmd/mintkeel/processes_test.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is a real daemon with its folder and addresses.
+type process struct {
+	t      *testing.T
+	binary string
+	name   string
+	dir    string
+	addr   string // for clients
+	fleet  string // for the fleet
+	log    *lines
+	cmd    *exec.Cmd
+	ended  chan error
+	query  int
+}
+
+// buildDaemon builds the daemon as it is deployed.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "mintkeel")
+	if out, err := exec.Command("go", "build", "-o", binary, "mintkeel/cmd/mintkeel").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// reserveAddress is one that nothing listens on.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// configProcesses are controllers n1 to nN of one fleet with the block config, not started. The first three vote. The
+// last one has another kind of engine than the others.
+func configProcesses(t *testing.T, count int) []*process {
+	t.Helper()
+	feed, engine, _ := feedAndEngine(t)
+	binary, dir := buildDaemon(t), t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "fleet.key"), []byte(strings.Repeat("ab", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var all []*process
+	var council []string
+	for i := range count {
+		p := &process{t: t, binary: binary, name: fmt.Sprint("n", i+1), dir: filepath.Join(dir, fmt.Sprint("n", i+1)), addr: reserveAddress(t),
+			fleet: reserveAddress(t), query: 1000 * i}
+		if err := os.Mkdir(p.dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if all = append(all, p); i < 3 {
+			council = append(council, fmt.Sprintf("%s = %q", p.name, p.fleet))
+		}
+	}
+	for i, p := range all {
+		text := strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", p.addr, `"name":"n1"`, fmt.Sprintf(`"name":%q`, p.name)).Replace(good)
+		if i == 3 {
+			text = strings.ReplaceAll(text, `"std"`, `"big"`)
+		}
+		p.write("config.json", text)
+		p.write("operator.hcl", fmt.Sprintf("fleet {\n name = \"e\"\n listen = %q\n key_file = %q\n folder = %q\n council = { %s }\n lease = \"1s\"\n}\n"+
+			"config {\n wait = \"2s\"\n}\n", p.fleet, filepath.Join(dir, "fleet.key"), p.folder(), strings.Join(council, ", "))+ruleRefusing("own"))
+	}
+	return all
+}
+
+func (p *process) folder() string { return filepath.Join(p.dir, "fleet") }
+
+func (p *process) write(name, text string) {
+	p.t.Helper()
+	if err := os.WriteFile(filepath.Join(p.dir, name), []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// start starts the daemon and waits until it serves clients.
+func (p *process) start() {
+	p.t.Helper()
+	p.launch()
+	p.log.wait(p.t, "serving")
+}
+
+// launch starts the daemon.
+func (p *process) launch() {
+	p.t.Helper()
+	p.log, p.ended = &lines{}, make(chan error, 1)
+	p.cmd = exec.Command(p.binary, "serve", "--config", filepath.Join(p.dir, "config.json"), "--operator", filepath.Join(p.dir, "operator.hcl"))
+	p.cmd.Stderr = p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd, ended := p.cmd, p.ended
+	go func() { ended <- cmd.Wait() }()
+	p.t.Cleanup(func() { cmd.Process.Kill() })
+}
+
+// end has the daemon end by a signal, and returns how it did.
+func (p *process) end(sig syscall.Signal) error {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		p.t.Fatal(err)
+	}
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(2 * patience):
+		p.t.Fatalf("%s does not end: %s", p.name, p.log)
+		return nil
+	}
+}
+
+// serves checks what a query is answered.
+func (p *process) serves(want string) {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, hello)
+	c := &client{p.t, conn}
+	c.hears()
+	p.query++
+	if err := c.query(p.query, "1"); err != nil {
+		p.t.Fatal(err)
+	}
+	if said := c.message(); !strings.Contains(said, want) {
+		p.t.Errorf("%s serves %q, not %q: %s", p.name, said, want, p.log)
+	}
+}
+
+// config runs a command about the fleet's configuration at this controller.
+func (p *process) config(args ...string) (code int, out, errs string) {
+	var o, e strings.Builder
+	code = execute(append([]string{"fleet", "config", "--folder", p.folder()}, args...), &o, &e)
+	return code, o.String(), e.String()
+}
+
+// expect runs a command and checks its code and what it prints, on either output.
+func (p *process) expect(code int, prints string, args ...string) {
+	p.t.Helper()
+	got, out, errs := p.config(args...)
+	if got != code || !strings.Contains(out+errs, prints) {
+		p.t.Fatalf("%v at %s: code %d, not %d with %q\n%s\n%s", args, p.name, got, code, prints, out, errs)
+	}
+}
+
+// awaitLeader waits until the quorum answers.
+func (p *process) awaitLeader() {
+	p.t.Helper()
+	for end := time.Now().Add(2 * patience); ; time.Sleep(50 * time.Millisecond) {
+		code, out, errs := p.config("history")
+		if code == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			p.t.Fatalf("no leader: %s %s\n%s", out, errs, p.log)
+		}
+	}
+}
+
+// file writes a document and returns its path.
+func (p *process) file(text string) string {
+	p.t.Helper()
+	p.write("document.hcl", text)
+	return filepath.Join(p.dir, "document.hcl")
+}
+
+// Four daemons as processes: a version is put in force at each; a document that can't be used, and one whose author has not
+// seen the newest version, change nothing; a reload and restarts keep the version in force; an earlier one is put back.
+func TestConfigProcesses(t *testing.T) {
+	all := configProcesses(t, 4)
+	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
+	for _, p := range all {
+		p.launch()
+	}
+	for _, p := range all {
+		p.log.wait(t, "serving")
+		p.serves("own")
+	}
+	n1.awaitLeader()
+	n1.expect(0, "no version is agreed yet", "status")
+	n1.expect(0, "version 1 in force at 4 of 4", "put", "--reason", "first", "--expect", "0", "--author", "anna", n1.file(ruleRefusing("one")))
+	for _, p := range all {
+		p.serves("one")
+		p.log.wait(t, "configuration version in force")
+	}
+	n4.expect(1, "line 2, column 8: field log.level", "put", "--reason", "bad", n4.file("log {\nlevel = \"loud\"\n}\n"))
+	n2.expect(1, "field fleet.name is each controller's own", "put", "--reason", "bad", n2.file("fleet {\n name = \"x\"\n}\n"))
+	n3.expect(4, "version 1 by anna (first) was agreed first", "put", "--reason", "late", "--expect", "0", n3.file(ruleRefusing("late")))
+	n2.expect(0, "version 1 in force at 4 of 4", "status")
+	two := ruleRefusing("two") + "memory {\n folder = \"" + filepath.Dir(n1.dir) + "/memory-${name}\"\n}\n"
+	n4.expect(0, "version 2 in force at 4 of 4", "put", "--reason", "second", "--expect", "1", n4.file(two))
+	for _, p := range all {
+		p.serves("two")
+		if _, err := os.Stat(filepath.Dir(p.dir) + "/memory-" + p.name); err != nil {
+			t.Error(err)
+		}
+	}
+	n2.cmd.Process.Signal(syscall.SIGHUP)
+	n2.log.wait(t, "configuration version stays in force")
+	n2.serves("two")
+
+	if err := n3.end(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	n3.start()
+	n3.serves("two")
+	n3.log.wait(t, "confirmed as the latest")
+	n1.expect(0, "version 2 in force at 4 of 4", "status", "--wait", "19s")
+
+	for _, p := range all {
+		p.end(syscall.SIGKILL)
+	}
+	n3.start() // no majority of voters: by what the folder kept
+	n3.log.wait(t, "configuration version not confirmed as the latest")
+	n3.serves("two")
+	n3.expect(1, "the leader of the quorum does not answer", "put", "--reason", "alone", n3.file(ruleRefusing("alone")))
+	for _, p := range []*process{n1, n2, n4} {
+		p.launch()
+	}
+	for _, p := range all {
+		p.log.wait(t, "serving")
+		p.serves("two")
+	}
+	n4.awaitLeader()
+	n4.expect(0, "version 3 in force at 4 of 4", "rollback", "1", "--reason", "two was bad")
+	for _, p := range all {
+		p.serves("one")
+	}
+	n1.expect(0, "rollback to 1: two was bad", "history")
+	n2.expect(0, "+rule \"two\" {", "diff", "1", "2")
+	n3.expect(0, ruleRefusing("one"), "show", "3")
+	n3.expect(1, "version 9", "show", "9")
+
+	// What one can't use is in force at the others, and that one keeps the version before.
+	n1.expect(3, "version 4 in force at 3 of 4; 1 refused: n4 (line 3, column 10: field rule \"four\".kinds", "put", "--reason", "fourth",
+		n1.file("rule \"four\" {\n refuse = \"four\"\n kinds = [\"std\"]\n}\n"))
+	for i, p := range all {
+		p.serves([]string{"four", "four", "four", "one"}[i])
+	}
+	n4.log.wait(t, "configuration version refused")
+	if err := n4.end(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	n4.start()
+	n4.serves("one")
+	n2.expect(3, "version 4 in force at 3 of 4; 1 refused: n4 (line 3", "status", "--wait", "5s")
+}
+
+// configDescriptors are how many descriptors this process has open.
+func openDescriptors(t *testing.T, pid int) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/" + strconv.Itoa(pid) + "/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(list)
+}
