Leases and maintenance's programs and times change while a controller runs

The leader's wanted leases are a fact that its core reads at each look, so Service.SetLeases changes it (taken in at the next tick, kept over a new session). The conductor reads its block through a pointer. Turning maintenance on or off is still refused with the field's name: its job is made at the start.

--- a/cmd/mintkeel/agreed.go
+++ b/cmd/mintkeel/agreed.go
@@ -189,10 +189,9 @@
 // is the service's to know: in a new generation of the fleet numbers begin anew.
 func (d *daemon) takeVersion(r versionRequest) error {
 	a := d.agreed
-	own := a.local.Load() // it may have been read again since the document was parsed
-	r.file.Fleet, r.file.Config = own.Fleet, own.Config
 	if d.server == nil { // clients are served later, by the file in force then
 		d.lines.Set(r.file.Log)
+		d.tellFleet(r.file)
 		d.file = r.file
 	} else if err := d.enforce(r.file); err != nil {
 		return fmt.Errorf("%w: %w", err, fleet.ErrRetryable)
--- a/cmd/mintkeel/jobs.go
+++ b/cmd/mintkeel/jobs.go
@@ -28,7 +28,8 @@
 			k.Bounds = append(k.Bounds, p.Kinds)
 		}
 	}
-	return append(programs, fleet.NewConductor(k, *d.file.Maintenance))
+	d.conductor = fleet.NewConductor(k, *d.file.Maintenance)
+	return append(programs, d.conductor)
 }
 
 // learner is what the fleet's digest needs of this controller. One that remembers for itself takes nothing from others.
--- a/cmd/mintkeel/reload.go
+++ b/cmd/mintkeel/reload.go
@@ -77,34 +77,31 @@
 	if d.agreed == nil || d.agreed.version.Number == 0 {
 		return own
 	}
-	whole := *d.file
-	whole.Fleet, whole.Config = own.Fleet, own.Config
+	whole, block := *d.file, *own.Fleet
+	block.Works = d.file.Fleet.Works
+	whole.Fleet, whole.Config = &block, own.Config
 	return &whole
 }
 
 // keepFields sets what may not change while running to what it was.
 func (d *daemon) keepFields(own *operator.File) {
+	before := d.file
+	if d.agreed != nil {
+		before = d.agreed.local.Load()
+	}
 	kept := func(field string) { d.log.Warn("field can't change while running", "field", field) }
-	if !own.Fleet.Same(d.file.Fleet) {
+	if !own.Fleet.Same(before.Fleet) {
 		kept("fleet")
-		own.Fleet = d.file.Fleet
+		own.Fleet = before.Fleet
 	}
-	if !sameBlock(own.Maintenance, d.file.Maintenance) {
+	if (own.Maintenance == nil) != (before.Maintenance == nil) {
 		kept("maintenance")
-		own.Maintenance = d.file.Maintenance
+		own.Maintenance = before.Maintenance
 	}
-	if (own.Config == nil) != (d.file.Config == nil) {
+	if (own.Config == nil) != (before.Config == nil) {
 		kept("config")
-		own.Config = d.file.Config
-	}
-}
-
-// sameBlock tells whether two blocks say the same, or both are off.
-func sameBlock[T comparable](a, b *T) bool {
-	if a == nil || b == nil {
-		return a == b
+		own.Config = before.Config
 	}
-	return *a == *b
 }
 
 // enforce puts a whole file in force in place of the one before, in one step, or changes nothing.
@@ -116,10 +113,21 @@
 	d.prune()
 	d.keep(d.file.Memory, file.Memory)
 	d.server.SetRules(file.Rules)
+	d.tellFleet(file)
 	d.file = file
 	return nil
 }
 
+// tellFleet has this controller's part in the fleet go by the leases of a file, and by its block maintenance.
+func (d *daemon) tellFleet(file *operator.File) {
+	if d.conductor != nil && file.Maintenance != nil {
+		d.conductor.SetBlock(*file.Maintenance)
+	}
+	if d.agreed != nil && d.fleet != nil {
+		d.fleet.SetLeases(file.Fleet.Works)
+	}
+}
+
 // refleet takes over what may change of the block fleet while running.
 func (d *daemon) refleet(block *fleet.Block) {
 	if d.fleet == nil {
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -585,6 +585,14 @@
 	n.members.SetWilling(now, willing && !n.stopping)
 }
 
+// SetLeases says anew which leases there are to be. It counts where this one leads the quorum.
+func (n *Node) SetLeases(now float64, names []lease.Name) {
+	n.now = max(n.now, now)
+	n.facts.Works = slices.Clone(names)
+	n.stewdAt = n.now
+	n.turn()
+}
+
 // turn lets each part do what is to be done by now.
 func (n *Node) turn() {
 	for range 4 { // what one part says to another of the same controller is heard at once
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -73,6 +73,7 @@
 	group  sync.WaitGroup
 	stop   atomic.Bool
 	status atomic.Pointer[Status]
+	leases atomic.Pointer[[]lease.Name] // nil: those of the block
 	done   chan struct{}
 
 	counts struct{ unread, full, restarts, saves, effects, turned atomic.Int64 }
@@ -245,6 +246,7 @@
 	*Service
 	core    *node.Node
 	willing bool
+	leases  *[]lease.Name // that the core knows; nil: those of the block
 	kept    *records.Log
 	jobs    chan job
 	results chan result
@@ -273,7 +275,7 @@
 	if err != nil {
 		return err
 	}
-	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.block.Works,
+	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.wantedLeases(),
 		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1)}
 	for id, addr := range s.block.Council {
 		facts.Founders = append(facts.Founders, id)
@@ -410,6 +412,7 @@
 		now := in.now()
 		if now >= in.tickAt {
 			in.tickAt = now + tickMost
+			in.updateLeases()
 			for _, p := range in.programs {
 				p.Tick(in, now)
 			}
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
@@ -27,7 +26,7 @@
 // ParseDocument reads a document that the fleet has agreed on, or may agree on: the operator's file for all controllers,
 // without the blocks and fields that are a controller's own. It returns the whole file that this controller would run with:
 // its own blocks fleet and config, and all else from the document; blocks that the document does not name are off, or at
-// usual values. What a running controller can't take over is a problem of its field. The path stands in problems alone.
+// usual values, but for the leases, which then are as in the controller's own file. What a running controller can't take over is a problem of its field. The path stands in problems alone.
 // ParseDocument has no effects, and its error is a block.Problems.
 func ParseDocument(path string, text []byte, local Local, facts *settings.Facts) (*File, error) {
 	if len(text) > config.MaxDocument {
@@ -66,7 +65,7 @@
 			f.Memory = memory.ReadBlock(b, sheet)
 			sheet.SetVariables(nil)
 		case "fleet":
-			checkDocumentLeases(b, local.File, sheet)
+			f.Fleet = readDocumentLeases(b, local.File, sheet)
 		case "maintenance":
 			f.Maintenance = fleet.ReadMaintenance(b, sheet)
 			checkDocumentMaintenance(b.DefRange, f.Maintenance, local.File.Maintenance, sheet)
@@ -97,9 +96,9 @@
 	return single, ruled
 }
 
-// checkDocumentLeases reads the block fleet of a document, which holds the leases alone. They can't change while a
-// controller runs.
-func checkDocumentLeases(b *hcl.Block, local *File, sheet *block.Sheet) {
+// readDocumentLeases reads the block fleet of a document, which holds the leases alone, and returns the controller's own
+// block with them.
+func readDocumentLeases(b *hcl.Block, local *File, sheet *block.Sheet) *fleet.Block {
 	open := block.Open(b, sheet, append([]string{"works"}, ownFields...)...)
 	for _, field := range ownFields {
 		if open.Has(field) {
@@ -107,25 +106,20 @@
 		}
 	}
 	names := fleet.ReadLeases(open)
-	if local.Maintenance != nil && !slices.Contains(names, fleet.Maintenance) {
-		names = append(names, fleet.Maintenance)
-		slices.Sort(names)
-	}
-	if local.Fleet != nil && !slices.Equal(names, local.Fleet.Works) {
-		open.Note("works", fmt.Sprintf("is %v, but this controller was started with %v: it can't change without a restart", names,
-			local.Fleet.Works))
+	if local.Fleet == nil || !open.Has("works") {
+		return local.Fleet
 	}
+	whole := *local.Fleet
+	whole.Works = withMaintenance(names, local.Maintenance)
+	return &whole
 }
 
-// checkDocumentMaintenance notes a block maintenance that is not the one that this controller was started with.
+// checkDocumentMaintenance notes a block maintenance where this controller was started without one, and the other way round.
 func checkDocumentMaintenance(at hcl.Range, wanted, running *fleet.MaintenanceBlock, sheet *block.Sheet) {
-	switch {
-	case (wanted == nil) != (running == nil):
+	if (wanted == nil) != (running == nil) {
 		is := map[bool]string{true: "on", false: "off"}
 		sheet.Note(at, "maintenance", fmt.Sprintf("is %s, but this controller was started with it %s: that can't change without a restart",
 			is[wanted != nil], is[running != nil]))
-	case wanted != nil && *wanted != *running:
-		sheet.Note(at, "maintenance", "is not as in the file that this controller was started with: it can't change without a restart")
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
+	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/rules"
 	"mintkeel/internal/fleet"
 	"mintkeel/internal/logs"
@@ -112,13 +113,21 @@
 			}
 		}
 	}
-	if f.Maintenance != nil && f.Fleet != nil && !slices.Contains(f.Fleet.Works, fleet.Maintenance) {
-		f.Fleet.Works = append(f.Fleet.Works, fleet.Maintenance)
-		slices.Sort(f.Fleet.Works)
+	if f.Fleet != nil {
+		f.Fleet.Works = withMaintenance(f.Fleet.Works, f.Maintenance)
 	}
 	f.Rules = readRules(ruled, facts, sheet)
 }
 
+// withMaintenance adds the lease of maintenance to others, where that is on.
+func withMaintenance(names []lease.Name, maintenance *fleet.MaintenanceBlock) []lease.Name {
+	if maintenance != nil && !slices.Contains(names, fleet.Maintenance) {
+		names = append(names, fleet.Maintenance)
+		slices.Sort(names)
+	}
+	return names
+}
+
 func hasBlock(blocks hcl.Blocks, name string) bool {
 	return slices.ContainsFunc(blocks, func(b *hcl.Block) bool { return b.Type == name })
 }
