A voter that lost its folder finds a leader that is none of the founders

A member that begins anew knows the founders alone and asked only them to take it in; those that do not lead did not answer. Now one that does not lead names the leader (Redirect), and the joiner asks that one too. TestRejoinAfterReplacement fails without it: the member stays joining.

--- a/internal/core/fleet/quorum/incarnation.go
+++ b/internal/core/fleet/quorum/incarnation.go
@@ -44,7 +44,7 @@
 		return
 	}
 	r.roleReason = "not all others can vouch for its disk; asking to be taken in as another incarnation"
-	for _, name := range r.others() {
+	for _, name := range r.joinTargets() {
 		r.out = append(r.out, Message{From: r.nextIncarnation(), To: Incarnation{Name: name}, Run: r.run, Join: &Join{r.run}})
 	}
 }
@@ -55,15 +55,30 @@
 		return
 	}
 	r.askAt = r.now + joinInterval
-	asked := r.others()
-	if r.contact.Name != "" && !slices.Contains(asked, r.contact.Name) {
-		asked = append(asked, r.contact.Name)
-	}
-	for _, name := range asked {
+	for _, name := range r.joinTargets() {
 		r.send(Incarnation{Name: name}, Message{Join: &Join{r.run}})
 	}
 }
 
+// joinTargets are the members that are asked to take this one in: those it knows, the one that wrote to it, and the leader
+// that one of them named.
+func (r *Replica) joinTargets() []members.ID {
+	targets := r.others()
+	for _, name := range []members.ID{r.contact.Name, r.leaderHint} {
+		if name != "" && name != r.facts.Self && !slices.Contains(targets, name) {
+			targets = append(targets, name)
+		}
+	}
+	return targets
+}
+
+// receiveRedirect takes in which member leads.
+func (r *Replica) receiveRedirect(redirect *Redirect) {
+	if len(redirect.Leader) <= maxName {
+		r.leaderHint = redirect.Leader
+	}
+}
+
 // answerAsk answers a member that starts with the highest serial that was received from it: that of messages which wait
 // for the disk here too, as they will be used. Messages of its earlier runs that are still on their way are ignored from
 // now on, or one could be used after its serial was denied.
--- a/internal/core/fleet/quorum/membership.go
+++ b/internal/core/fleet/quorum/membership.go
@@ -109,7 +109,11 @@
 
 // receiveJoin takes in a request to join, from a member, a founder that was not removed, or a controller that was invited.
 func (r *Replica) receiveJoin(from members.ID, m *Message) {
-	if !r.leading || len(r.joins) >= maxRetired {
+	if !r.leading {
+		r.redirect(m)
+		return
+	}
+	if len(r.joins) >= maxRetired {
 		return
 	}
 	expected := r.knows(from) || slices.Contains(r.facts.Founders, from)
@@ -118,6 +122,13 @@
 	}
 }
 
+// redirect tells one that asks to join which member leads: since the founders, others may have become voters.
+func (r *Replica) redirect(m *Message) {
+	if leader := r.Leader(); r.role == Voting && leader != "" && leader != m.From.Name {
+		r.send(m.From, Message{Redirect: &Redirect{Leader: leader}})
+	}
+}
+
 // changeMembers brings the members to those wanted, one change at a time: a member that came back as another incarnation
 // is taken in as a learner in place of the one that has ended, and votes when it has caught up.
 func (r *Replica) changeMembers() {
--- a/internal/core/fleet/quorum/messages.go
+++ b/internal/core/fleet/quorum/messages.go
@@ -2,17 +2,18 @@
 
 import "mintkeel/internal/core/fleet/members"
 
-// Message is one between members. Exactly one of Raft, Ask, Answer, Join and Invite is set.
+// Message is one between members. Exactly one of Raft, Ask, Answer, Join, Invite and Redirect is set.
 type Message struct {
-	From   Incarnation `cbor:"1,keyasint"`
-	To     Incarnation `cbor:"2,keyasint"`
-	Raft   []byte      `cbor:"3,keyasint,omitempty"`
-	Serial uint64      `cbor:"4,keyasint,omitempty"` // of the sender's record that Raft depends on; 0: it depends on none
-	Ask    *Ask        `cbor:"5,keyasint,omitempty"`
-	Answer *Answer     `cbor:"6,keyasint,omitempty"`
-	Join   *Join       `cbor:"7,keyasint,omitempty"`
-	Run    uint64      `cbor:"8,keyasint,omitempty"` // of the sender's process
-	Invite bool        `cbor:"9,keyasint,omitempty"` // the leader asks a controller outside to join
+	From     Incarnation `cbor:"1,keyasint"`
+	To       Incarnation `cbor:"2,keyasint"`
+	Raft     []byte      `cbor:"3,keyasint,omitempty"`
+	Serial   uint64      `cbor:"4,keyasint,omitempty"` // of the sender's record that Raft depends on; 0: it depends on none
+	Ask      *Ask        `cbor:"5,keyasint,omitempty"`
+	Answer   *Answer     `cbor:"6,keyasint,omitempty"`
+	Join     *Join       `cbor:"7,keyasint,omitempty"`
+	Run      uint64      `cbor:"8,keyasint,omitempty"` // of the sender's process
+	Invite   bool        `cbor:"9,keyasint,omitempty"` // the leader asks a controller outside to join
+	Redirect *Redirect   `cbor:"10,keyasint,omitempty"`
 }
 
 // Ask is sent by a member that starts: what is the highest serial that you received from this incarnation of mine?
@@ -33,6 +34,11 @@
 	Run uint64 `cbor:"1,keyasint"`
 }
 
+// Redirect answers a Join that came to a member that does not lead.
+type Redirect struct {
+	Leader members.ID `cbor:"1,keyasint"`
+}
+
 // Receive takes in a message of a member. A message whose names don't fit its sender or this member is ignored.
 func (r *Replica) Receive(now float64, from members.ID, m *Message) {
 	r.now = max(r.now, now)
@@ -46,6 +52,8 @@
 		r.receiveAnswer(from, m.Answer)
 	case m.Join != nil:
 		r.receiveJoin(from, m)
+	case m.Redirect != nil:
+		r.receiveRedirect(m.Redirect)
 	case m.Invite:
 		r.receiveInvite(m)
 	case m.Raft != nil:
--- a/internal/core/fleet/quorum/quorum.go
+++ b/internal/core/fleet/quorum/quorum.go
@@ -79,6 +79,7 @@
 	maxMessageBytes   = 64 << 10
 	maxReadyBytes     = 1 << 20
 	maxPendingBytes   = 1 << 20 // of proposals that are not agreed on yet
+	maxName           = 64      // bytes of a name in a message
 	maxInflight       = 64      // messages to one member that it has not acknowledged
 	maxEntriesBytes   = 1 << 30 // of entries that are read from the storage at once: all of them
 	promotionDistance = 16      // entries that a learner may lack to be given a vote
--- a/internal/core/fleet/quorum/quorum_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -538,3 +538,42 @@
 		t.Errorf("it is %v, the council has %v", c.Incarnation(), lives)
 	}
 }
+
+// A voter that lost its folder knows the founders alone. Where one of them was replaced and the newcomer leads, the
+// voter has to learn of the newcomer to be taken in again.
+func TestRejoinAfterReplacement(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	newcomer, err := New(Facts{Self: "d", Founders: r.founders, Run: 50, Disk: 51, Seed: 50}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.members["d"] = newcomer
+	r.run(5000)
+	out := members.ID("c")
+	if r.leader() == r.members["c"] {
+		out = "a"
+	}
+	if !r.leader().Replace(out, "d") {
+		t.Fatal("not replaced")
+	}
+	r.run(20000)
+	r.standing("d", Voting)
+	for range 20 { // until the newcomer leads
+		if newcomer.Leads() {
+			break
+		}
+		leader := r.leader().Incarnation().Name
+		r.cut = func(from, to members.ID) bool { return from == leader || to == leader }
+		r.run(5000)
+		r.cut = nil
+		r.run(5000)
+	}
+	if !newcomer.Leads() {
+		t.Fatal("the newcomer does not lead")
+	}
+	lost := members.ID("b")
+	r.kept[lost] = nil
+	r.start(lost)
+	r.run(30000)
+	r.standing(lost, Voting)
+}
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -56,6 +56,7 @@
 	askAt            float64                // ms
 	askers           map[Incarnation]uint64 // which run of an incarnation asked last: messages of earlier runs are ignored
 	contact          Incarnation            // the member that wrote last to this one while it knew no member
+	leaderHint       members.ID             // the member that leads, as another one told this one when it asked to join
 
 	// Changes of the members that this leader carries out.
 	joins         map[members.ID]joinRequest
