Leases by job: files of their own for state, commands, manager, client and fencing

lease.go (628 lines) held everything. Now: lease.go the types and terms (75), command.go the entries of the quorum's log (61), state.go what is agreed (149), manager.go the leader's side (175), client.go the holder's (167), fencing.go the receivers' (36), modelcheck.go copies and keys for the model checker (55). The cases of State.Apply are methods of their own. Command.Name, Give and Want become Declare, Assign and Prefer, the Work and Claim fields Name and Grant, in every package that uses them; unexported names follow the glossary, waiting times have names of what they wait for, the key of a lease and a member is a struct in place of a joined string. CBOR keys and behaviour stay.

--- a/internal/core/fleet/lease/lease_test.go
+++ b/internal/core/fleet/lease/lease_test.go
@@ -12,9 +12,9 @@
 // named is a state with leases x and y, x given to some holders in turn.
 func named(to ...Holder) *State {
 	s := &State{}
-	s.Apply(Command{Name: &Declare{Names: []Name{"x", "y"}}})
+	s.Apply(Command{Declare: &Declare{Names: []Name{"x", "y"}}})
 	for _, h := range to {
-		s.Apply(Command{Give: &Assign{Work: "x", Renewal: s.Leases["x"].Renewal, To: h}})
+		s.Apply(Command{Assign: &Assign{Name: "x", Renewal: s.Leases["x"].Renewal, To: h}})
 	}
 	return s
 }
@@ -28,24 +28,24 @@
 		epoch   Token
 		holder  Holder
 	}{
-		"a grant":                                 {named(), Command{Give: &Assign{Work: "x", To: a}}, 1, 1, a},
-		"one that rests on what was":              {owned(), Command{Give: &Assign{Work: "x", Renewal: 1, To: c}}, 0, 2, b},
-		"one that rests on what is":               {owned(), Command{Give: &Assign{Work: "x", Renewal: 2, To: c}}, 1, 3, c},
-		"one to the same again":                   {owned(), Command{Give: &Assign{Work: "x", Renewal: 2, To: b}}, 1, 3, b},
-		"one to nobody":                           {owned(), Command{Give: &Assign{Work: "x", Renewal: 2}}, 0, 2, b},
-		"one of a work that there is not":         {owned(), Command{Give: &Assign{Work: "z", To: c}}, 0, 2, b},
+		"a grant":                                 {named(), Command{Assign: &Assign{Name: "x", To: a}}, 1, 1, a},
+		"one that rests on what was":              {owned(), Command{Assign: &Assign{Name: "x", Renewal: 1, To: c}}, 0, 2, b},
+		"one that rests on what is":               {owned(), Command{Assign: &Assign{Name: "x", Renewal: 2, To: c}}, 1, 3, c},
+		"one to the same again":                   {owned(), Command{Assign: &Assign{Name: "x", Renewal: 2, To: b}}, 1, 3, b},
+		"one to nobody":                           {owned(), Command{Assign: &Assign{Name: "x", Renewal: 2}}, 0, 2, b},
+		"one of a work that there is not":         {owned(), Command{Assign: &Assign{Name: "z", To: c}}, 0, 2, b},
 		"a renewal":                               {owned(), Command{Renew: &Renew{Holder: b, Grants: []Grant{{"x", 2}}}}, 1, 2, b},
 		"a renewal of an epoch before":            {owned(), Command{Renew: &Renew{Holder: b, Grants: []Grant{{"x", 1}}}}, 0, 2, b},
 		"a renewal of an owner before":            {owned(), Command{Renew: &Renew{Holder: a, Grants: []Grant{{"x", 2}}}}, 0, 2, b},
 		"a renewal of another run":                {owned(), Command{Renew: &Renew{Holder: Holder{"b", 2}, Grants: []Grant{{"x", 2}}}}, 0, 2, b},
 		"a renewal by nobody of what nobody has":  {named(), Command{Renew: &Renew{Grants: []Grant{{"x", 0}}}}, 0, 0, Holder{}},
-		"a release":                               {owned(), Command{Release: &Release{Holder: b, Claim: Grant{"x", 2}}}, 1, 2, Holder{}},
-		"a release of an epoch before":            {owned(), Command{Release: &Release{Holder: b, Claim: Grant{"x", 1}}}, 0, 2, b},
-		"an operator's word":                      {owned(), Command{Want: &Prefer{"x", "c"}}, 1, 2, b},
-		"an operator's word for who has it":       {owned(), Command{Want: &Prefer{"x", "b"}}, 0, 2, b},
-		"no longer wanted":                        {owned(), Command{Name: &Declare{Names: []Name{"y"}}}, 1, 2, b},
-		"nothing new":                             {owned(), Command{Name: &Declare{Names: []Name{"x", "y"}}}, 0, 2, b},
-		"a name that is too long and one of none": {owned(), Command{Name: &Declare{Names: []Name{"x", "y", "", Name(make([]byte, maxName+1))}}}, 0, 2, b},
+		"a release":                               {owned(), Command{Release: &Release{Holder: b, Grant: Grant{"x", 2}}}, 1, 2, Holder{}},
+		"a release of an epoch before":            {owned(), Command{Release: &Release{Holder: b, Grant: Grant{"x", 1}}}, 0, 2, b},
+		"an operator's word":                      {owned(), Command{Prefer: &Prefer{"x", "c"}}, 1, 2, b},
+		"an operator's word for who has it":       {owned(), Command{Prefer: &Prefer{"x", "b"}}, 0, 2, b},
+		"no longer wanted":                        {owned(), Command{Declare: &Declare{Names: []Name{"y"}}}, 1, 2, b},
+		"nothing new":                             {owned(), Command{Declare: &Declare{Names: []Name{"x", "y"}}}, 0, 2, b},
+		"a name that is too long and one of none": {owned(), Command{Declare: &Declare{Names: []Name{"x", "y", "", Name(make([]byte, maxName+1))}}}, 0, 2, b},
 		"nothing":                                 {owned(), Command{}, 0, 2, b},
 	} {
 		before := c.state.Leases["x"].Renewal
@@ -54,16 +54,16 @@
 		if len(changed) != c.changed || g.Token != c.epoch || g.Holder != c.holder {
 			t.Errorf("%s: %v, %+v", name, changed, *g)
 		}
-		if (c.command.Give != nil || c.command.Renew != nil || c.command.Release != nil) && (g.Renewal > before) != (c.changed > 0) {
+		if (c.command.Assign != nil || c.command.Renew != nil || c.command.Release != nil) && (g.Renewal > before) != (c.changed > 0) {
 			t.Errorf("%s: renewal %d after %d", name, g.Renewal, before)
 		}
 	}
 	s := owned()
-	s.Apply(Command{Name: &Declare{Names: []Name{"y"}}})
-	if s.Apply(Command{Give: &Assign{Work: "x", Renewal: 2, To: c}}) != nil || s.Apply(Command{Want: &Prefer{"x", "c"}}) != nil {
+	s.Apply(Command{Declare: &Declare{Names: []Name{"y"}}})
+	if s.Apply(Command{Assign: &Assign{Name: "x", Renewal: 2, To: c}}) != nil || s.Apply(Command{Prefer: &Prefer{"x", "c"}}) != nil {
 		t.Error("a work that is not wanted is given or wanted")
 	}
-	if s.Apply(Command{Name: &Declare{Names: []Name{"x", "y"}}}); s.Leases["x"].Retired || s.Leases["x"].Token != 2 {
+	if s.Apply(Command{Declare: &Declare{Names: []Name{"x", "y"}}}); s.Leases["x"].Retired || s.Leases["x"].Token != 2 {
 		t.Errorf("named again: %+v", *s.Leases["x"])
 	}
 	again := &State{}
@@ -71,7 +71,7 @@
 		t.Error("a snapshot tells something else")
 	}
 	for i := range 2 * maxLeases {
-		s.Apply(Command{Name: &Declare{Names: []Name{Name(fmt.Sprint("w", i))}}})
+		s.Apply(Command{Declare: &Declare{Names: []Name{Name(fmt.Sprint("w", i))}}})
 	}
 	if len(s.Leases) > maxLeases {
 		t.Errorf("%d works", len(s.Leases))
@@ -94,7 +94,7 @@
 			t.Errorf("%d: %v", i, !c.ok)
 		}
 	}
-	s.Apply(Command{Give: &Assign{Work: "x", Renewal: 1, To: b}})
+	s.Apply(Command{Assign: &Assign{Name: "x", Renewal: 1, To: b}})
 	if put(a, 1, 3, "late") || put(a, 2, 3, "late") || string(s.Leases["x"].State) != "5" {
 		t.Errorf("an old owner writes: %q", s.Leases["x"].State)
 	}
@@ -121,12 +121,12 @@
 func gives(commands []Command) string {
 	text := ""
 	for _, c := range commands {
-		text += fmt.Sprintf("%s:%s ", c.Give.Work, c.Give.To.ID)
+		text += fmt.Sprintf("%s:%s ", c.Assign.Name, c.Assign.To.ID)
 	}
 	return text
 }
 
-func TestSteward(t *testing.T) {
+func TestManager(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	s := named(a) // y is free
 	st := NewManager(terms, 0)
@@ -136,7 +136,7 @@
 	if got := gives(st.Decide(10, s, all("b"))); got != "" {
 		t.Errorf("while that is on its way: %q", got)
 	}
-	if got := gives(st.Decide(proposed+1, s, all("b"))); got != "x:b y:b " {
+	if got := gives(st.Decide(proposalTimeout+1, s, all("b"))); got != "x:b y:b " {
 		t.Errorf("if it was lost, and x has not been renewed: %q", got)
 	}
 	st = NewManager(terms, 0)
@@ -176,26 +176,26 @@
 
 	s = named(a) // who failed at it rests
 	st = NewManager(terms, 0)
-	failed := Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}, Failed: true}}
+	failed := Command{Release: &Release{Holder: a, Grant: Grant{"x", 1}, Failed: true}}
 	st.Applied(100, failed, s.Apply(failed))
 	if got := gives(st.Decide(101, s, all("a"))); got != "y:a " {
 		t.Errorf("the only one has failed at it: %q", got)
 	}
-	if got := gives(st.Decide(101+restFor, s, all("a"))); got != "x:a y:a " {
+	if got := gives(st.Decide(101+failureBackoff, s, all("a"))); got != "x:a y:a " {
 		t.Errorf("a long time after: %q", got)
 	}
 
 	s = named() // who does not take it up
 	st = NewManager(terms, 0)
-	give := Command{Give: &Assign{Work: "x", To: a}}
+	give := Command{Assign: &Assign{Name: "x", To: a}}
 	st.Applied(0, give, s.Apply(give))
 	if got := gives(st.Decide(1500, s, all("a", "b"))[:1]); got != "x:b " {
 		t.Errorf("it was not taken up: %q", got)
 	}
 
 	s = named(a) // an operator's word
-	s.Apply(Command{Want: &Prefer{"x", "c"}})
-	s.Apply(Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}}})
+	s.Apply(Command{Prefer: &Prefer{"x", "c"}})
+	s.Apply(Command{Release: &Release{Holder: a, Grant: Grant{"x", 1}}})
 	if got := gives(NewManager(terms, 0).Decide(0, s, all("a", "b", "c"))[:1]); got != "x:c " {
 		t.Errorf("wanted at c: %q", got)
 	}
@@ -208,7 +208,7 @@
 	}
 }
 
-func TestHand(t *testing.T) {
+func TestClient(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	h := NewClient(a, terms)
 	may := func(now float64) bool { _, _, ok := h.CanAct(now, "x"); return ok }
@@ -258,7 +258,7 @@
 	}
 	r = h.Renewal(2800)
 	h.Renewed(2801, r.Sequence, r.Grants)
-	if rel := h.GiveUp("x", true); rel == nil || !rel.Failed || rel.Claim != (Grant{"x", 4}) || may(2802) {
+	if rel := h.GiveUp("x", true); rel == nil || !rel.Failed || rel.Grant != (Grant{"x", 4}) || may(2802) {
 		t.Error("given up and still held")
 	}
 	h.Offered(3000, Grant{"x", 6})
@@ -322,47 +322,47 @@
 func TestSmallPrint(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	s := named(a)
-	s.Apply(Command{Want: &Prefer{"x", "b"}})
-	if s.Apply(Command{Give: &Assign{Work: "x", Renewal: 1, To: b}}); s.Leases["x"].Preferred != "" {
+	s.Apply(Command{Prefer: &Prefer{"x", "b"}})
+	if s.Apply(Command{Assign: &Assign{Name: "x", Renewal: 1, To: b}}); s.Leases["x"].Preferred != "" {
 		t.Error("an operator's word stands after it was done")
 	}
 
 	s = named(a)
 	st := NewManager(terms, 0)
-	failed := Command{Release: &Release{Holder: a, Claim: Grant{"x", 1}, Failed: true}}
+	failed := Command{Release: &Release{Holder: a, Grant: Grant{"x", 1}, Failed: true}}
 	st.Applied(100, failed, s.Apply(failed))
-	if got := gives(st.Decide(101+untaken, s, all("a"))); got != "y:a " {
+	if got := gives(st.Decide(101+unconfirmedBackoff, s, all("a"))); got != "y:a " {
 		t.Errorf("who failed rests no longer than who gave up: %q", got)
 	}
 
 	s = &State{} // who has least gets the next, whatever the draw says
-	s.Apply(Command{Name: &Declare{Names: []Name{"p", "q", "r", "s", "t", "u"}}})
+	s.Apply(Command{Declare: &Declare{Names: []Name{"p", "q", "r", "s", "t", "u"}}})
 	got := map[members.ID]int{}
 	for _, c := range NewManager(terms, 0).Decide(0, s, all("a", "b", "c")) {
-		got[c.Give.To.ID]++
+		got[c.Assign.To.ID]++
 	}
 	if got["a"] != 2 || got["b"] != 2 || got["c"] != 2 {
 		t.Errorf("six works go to %v", got)
 	}
 	s = &State{} // and so it does if the others are held already
-	s.Apply(Command{Name: &Declare{Names: []Name{"p", "q", "r"}}})
-	s.Apply(Command{Give: &Assign{Work: "p", To: a}})
-	s.Apply(Command{Give: &Assign{Work: "q", To: b}})
+	s.Apply(Command{Declare: &Declare{Names: []Name{"p", "q", "r"}}})
+	s.Apply(Command{Assign: &Assign{Name: "p", To: a}})
+	s.Apply(Command{Assign: &Assign{Name: "q", To: b}})
 	s.Apply(Command{Renew: &Renew{Holder: a, Grants: []Grant{{"p", 1}}}})
 	if got := gives(NewManager(terms, 0).Decide(0, s, all("a", "b", "c"))); got != "r:c " {
 		t.Errorf("two have one each: %q", got)
 	}
 
 	s = &State{} // two that do not take it up, one after the other: the third has it, not the first again
-	s.Apply(Command{Name: &Declare{Names: []Name{"p"}}})
+	s.Apply(Command{Declare: &Declare{Names: []Name{"p"}}})
 	st = NewManager(terms, 0)
 	to := map[members.ID]bool{}
 	for i, now := 0, 0.0; i < 3; i, now = i+1, now+1500 {
 		for _, c := range st.Decide(now, s, all("a", "b", "c")) {
-			if to[c.Give.To.ID] {
-				t.Errorf("%s is given it again", c.Give.To.ID)
+			if to[c.Assign.To.ID] {
+				t.Errorf("%s is given it again", c.Assign.To.ID)
 			}
-			to[c.Give.To.ID] = true
+			to[c.Assign.To.ID] = true
 			st.Applied(now, c, s.Apply(c))
 		}
 	}
@@ -377,7 +377,7 @@
 	if n := h.Next(1); n != 200 {
 		t.Errorf("next at %g", n)
 	}
-	h.next = 900 // it waits for something else: the end of what it has must not be slept through
+	h.renewAt = 900 // it waits for something else: the end of what it has must not be slept through
 	if n := h.Next(1); n != terms.HoldsFor() {
 		t.Errorf("next at %g, its claim ends at %g", n, terms.HoldsFor())
 	}
@@ -396,7 +396,7 @@
 		h.Hurry(float64(i))
 		h.Renewal(float64(i))
 	}
-	if len(h.sent) > 1100 {
-		t.Errorf("%d renewals are waited for", len(h.sent))
+	if len(h.sentAt) > 1100 {
+		t.Errorf("%d renewals are waited for", len(h.sentAt))
 	}
 }
--- /dev/null
+++ b/internal/core/fleet/lease/state.go
@@ -0,0 +1,149 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+)
+
+// State is what is agreed. The zero value has no leases.
+type State struct {
+	Leases map[Name]*Lease
+}
+
+// Copy is a state that shares nothing with this one.
+func (s *State) Copy() *State {
+	copied := &State{Leases: make(map[Name]*Lease, len(s.Leases))}
+	for name, lease := range s.Leases {
+		own := *lease
+		copied.Leases[name] = &own
+	}
+	return copied
+}
+
+// List is all leases in the order of their names.
+func (s *State) List() []Lease {
+	list := make([]Lease, 0, len(s.Leases))
+	for _, name := range slices.Sorted(maps.Keys(s.Leases)) {
+		list = append(list, *s.Leases[name])
+	}
+	return list
+}
+
+// Restore takes over a list, as of a snapshot.
+func (s *State) Restore(list []Lease) {
+	s.Leases = make(map[Name]*Lease, len(list))
+	for _, lease := range list {
+		s.Leases[lease.Name] = &lease
+	}
+}
+
+// Apply takes in an agreed command, and returns the leases that it changed, renewed or read. The same commands in the same
+// order lead to the same state; one that no longer fits changes nothing.
+func (s *State) Apply(c Command) (changed []Name) {
+	switch {
+	case c.Declare != nil:
+		return s.declare(c.Declare.Names)
+	case c.Assign != nil:
+		return s.assign(c.Assign)
+	case c.Renew != nil:
+		return s.renew(c.Renew)
+	case c.Release != nil:
+		return s.release(c.Release)
+	case c.Put != nil:
+		return s.put(c.Put)
+	case c.Get != nil:
+		if s.heldBy(c.Get.Holder, c.Get.Grant) != nil {
+			return []Name{c.Get.Grant.Name}
+		}
+	case c.Prefer != nil:
+		return s.prefer(c.Prefer)
+	}
+	return nil
+}
+
+// declare brings the leases to those that are declared. One that no longer is stays with its fencing token: declared
+// again, it goes on there.
+func (s *State) declare(declared []Name) (changed []Name) {
+	if s.Leases == nil {
+		s.Leases = map[Name]*Lease{}
+	}
+	for _, name := range declared {
+		lease := s.Leases[name]
+		if lease == nil && len(s.Leases) < maxLeases && name != "" && len(name) <= maxName {
+			s.Leases[name] = &Lease{Name: name}
+			changed = append(changed, name)
+		} else if lease != nil && lease.Retired {
+			lease.Retired = false
+			changed = append(changed, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Leases)) {
+		lease := s.Leases[name]
+		if !lease.Retired && !slices.Contains(declared, name) {
+			lease.Retired, lease.Preferred = true, ""
+			changed = append(changed, name)
+		}
+	}
+	return changed
+}
+
+func (s *State) assign(c *Assign) []Name {
+	lease := s.Leases[c.Name]
+	if lease == nil || lease.Retired || lease.Renewal != c.Renewal || c.To.ID == "" {
+		return nil
+	}
+	lease.Token++
+	lease.Holder = c.To
+	lease.Renewal++
+	if lease.Preferred == lease.Holder.ID {
+		lease.Preferred = ""
+	}
+	return []Name{lease.Name}
+}
+
+func (s *State) renew(c *Renew) (renewed []Name) {
+	for _, grant := range c.Grants {
+		if lease := s.heldBy(c.Holder, grant); lease != nil {
+			lease.Renewal++
+			renewed = append(renewed, lease.Name)
+		}
+	}
+	return renewed
+}
+
+func (s *State) release(c *Release) []Name {
+	lease := s.heldBy(c.Holder, c.Grant)
+	if lease == nil {
+		return nil
+	}
+	lease.Holder = Holder{}
+	lease.Renewal++
+	return []Name{lease.Name}
+}
+
+func (s *State) put(c *Put) []Name {
+	lease := s.heldBy(c.Holder, c.Grant)
+	if lease == nil || c.Serial != lease.Serial+1 || len(c.Data) > MaxData {
+		return nil
+	}
+	lease.Serial, lease.State = c.Serial, c.Data
+	return []Name{lease.Name}
+}
+
+func (s *State) prefer(c *Prefer) []Name {
+	lease := s.Leases[c.Name]
+	if lease == nil || lease.Retired || lease.Holder.ID == c.To || len(c.To) > maxName {
+		return nil
+	}
+	lease.Preferred = c.To
+	return []Name{lease.Name}
+}
+
+// heldBy is the lease that a holder holds under a grant; nil: it does not.
+func (s *State) heldBy(holder Holder, grant Grant) *Lease {
+	lease := s.Leases[grant.Name]
+	if lease == nil || lease.Holder != holder || lease.Token != grant.Token || holder.ID == "" {
+		return nil
+	}
+	return lease
+}
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -214,7 +214,7 @@
 	case m.Release != nil:
 		n.ordered(from, m, lease.Command{Release: m.Release})
 	case m.Want != nil:
-		n.ordered(from, m, lease.Command{Want: m.Want})
+		n.ordered(from, m, lease.Command{Prefer: m.Want})
 	case m.Put != nil:
 		n.ordered(from, m, lease.Command{Put: m.Put})
 	case m.Get != nil:
@@ -309,7 +309,7 @@
 	case m.Release != nil:
 		n.propose(n.facts.Self.ID, lease.Command{Release: m.Release})
 	case m.Want != nil:
-		n.propose(n.facts.Self.ID, lease.Command{Want: m.Want})
+		n.propose(n.facts.Self.ID, lease.Command{Prefer: m.Want})
 	case m.Put != nil:
 		n.propose(n.facts.Self.ID, lease.Command{Put: m.Put})
 	case m.Get != nil:
@@ -397,7 +397,7 @@
 	n.client.Renewed(n.now, g.Token, g.Held)
 	for _, c := range g.Lost {
 		n.client.Refused(c)
-		n.given = slices.DeleteFunc(n.given, func(g given) bool { return g.release.Claim == c })
+		n.given = slices.DeleteFunc(n.given, func(g given) bool { return g.release.Grant == c })
 	}
 	for _, w := range g.Yield {
 		n.Release(n.now, w, false)
@@ -448,9 +448,9 @@
 // HandOver has a lease go to another controller, by an operator's word.
 func (n *Node) HandOver(now float64, w lease.Name, to members.ID) {
 	n.now = max(n.now, now)
-	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool { return o.want.Work == w })
+	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool { return o.want.Name == w })
 	if len(n.wants) < mostGiven {
-		n.wants = append(n.wants, wanted{&lease.Prefer{Work: w, To: to}, n.now + mostGiving})
+		n.wants = append(n.wants, wanted{&lease.Prefer{Name: w, To: to}, n.now + mostGiving})
 	}
 	n.wantAt = n.now
 	n.tellWants()
@@ -468,7 +468,7 @@
 	list, _ := n.Leases()
 	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool {
 		return n.now > o.until || slices.ContainsFunc(list, func(g lease.Lease) bool {
-			return g.Name == o.want.Work && (g.Preferred == o.want.To || g.Holder.ID == o.want.To)
+			return g.Name == o.want.Name && (g.Preferred == o.want.To || g.Holder.ID == o.want.To)
 		})
 	})
 	if len(n.wants) == 0 || n.now < n.wantAt {
@@ -611,7 +611,7 @@
 			continue
 		}
 		n.leases.Applied(n.now, a.Command, a.Changed)
-		if a.Command.Give != nil && len(a.Changed) > 0 {
+		if a.Command.Assign != nil && len(a.Changed) > 0 {
 			n.offer(a.Changed[0])
 		}
 		if !n.asked[a.Ref] {
@@ -625,10 +625,10 @@
 			n.answerState(p.Holder, p.Grant)
 		}
 		if g := a.Command.Get; g != nil {
-			n.answerState(g.Holder, g.Claim)
+			n.answerState(g.Holder, g.Grant)
 		}
 		if r := a.Command.Release; r != nil {
-			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []lease.Grant{r.Claim}, Leader: n.facts.Self.ID}})
+			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []lease.Grant{r.Grant}, Leader: n.facts.Self.ID}})
 		}
 	}
 	return len(list) > 0
@@ -679,7 +679,7 @@
 	n.now = max(n.now, now)
 	e, _, ok := n.client.CanAct(n.now, w)
 	if ok {
-		n.toLeader(Message{Get: &lease.Get{Holder: n.self(), Claim: lease.Grant{Name: w, Token: e}}})
+		n.toLeader(Message{Get: &lease.Get{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}}})
 	}
 	return ok
 }
@@ -705,7 +705,7 @@
 		return
 	}
 	if wanted := n.facts.Works; !named(state, wanted) {
-		n.propose(n.facts.Self.ID, lease.Command{Name: &lease.Declare{Names: wanted}})
+		n.propose(n.facts.Self.ID, lease.Command{Declare: &lease.Declare{Names: wanted}})
 	}
 	for _, c := range n.leases.Decide(n.now, state, n.candidates()) {
 		n.propose(n.facts.Self.ID, c)
--- a/internal/core/fleet/quorum/quorum_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -102,7 +102,7 @@
 
 func (r *room) propose(ref uint64) {
 	r.t.Helper()
-	if !r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{lease.Name(fmt.Sprint("w", ref))}}}) {
+	if !r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{lease.Name(fmt.Sprint("w", ref))}}}) {
 		r.t.Fatal("not proposed")
 	}
 	r.run(500)
@@ -130,7 +130,7 @@
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
 	for ref := range uint64(600) { // past a snapshot or two
-		r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
+		r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{"w"}}})
 		r.run(50)
 	}
 	r.run(1000)
@@ -403,7 +403,7 @@
 		r := newRoom(t, "a", "b", "c")
 		r.run(5000)
 		for ref := range proposals {
-			r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
+			r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{"w"}}})
 			r.run(50)
 		}
 		voted := 0
--- a/internal/lab/fleet/model.go
+++ b/internal/lab/fleet/model.go
@@ -174,7 +174,7 @@
 	for i := range p.Works {
 		names = append(names, lease.Name(fmt.Sprintf("w%d", i)))
 	}
-	first.state.Apply(lease.Command{Name: &lease.Declare{Names: names}})
+	first.state.Apply(lease.Command{Declare: &lease.Declare{Names: names}})
 	for i := range p.Nodes {
 		first.runs = append(first.runs, uint64(i+1))
 		first.hands = append(first.hands, lease.NewClient(p.holder(first, i), terms))
@@ -250,7 +250,7 @@
 			for _, cmd := range c.steward.Decide(float64(c.now), c.state, candidates) {
 				changed := c.state.Apply(cmd)
 				c.steward.Applied(float64(c.now), cmd, changed)
-				g := c.state.Leases[cmd.Give.Work]
+				g := c.state.Leases[cmd.Assign.Name]
 				for i := range p.Nodes {
 					if p.holder(c, i) == g.Holder && len(c.flight) < p.Flight {
 						c.flight = append(c.flight, flying{to: i, offer: &lease.Grant{Name: g.Name, Token: g.Token}, run: g.Holder.Run})
