Slopes of a controller's data path: the package, its rows and their pure parts

Need: docs/CAPACITY.md needs the costs of the data path by statements, connections, reconnects, engines and events of the list, with the decision module's step and an engine that is replaced as queries in flight see it. Change: internal/lab/scale/datapath drives a real daemon as a process before emulated engines; the emulated engine counts frames by kind, can go mute and tells what it read; the emulated client can give a sign of life. No figures yet.

--- /dev/null
+++ b/internal/lab/scale/datapath/connections.go
@@ -0,0 +1,184 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+)
+
+// sparedTime is how long connections of clients stay without a sign of life, with some to spare: the daemon ends them
+// after 5 s.
+const sparedTime = 3 * time.Second
+
+// connectionEngines are the engines behind the rows by connections.
+const connectionEngines = 40
+
+// heldCost is what connections cost the daemon.
+type heldCost struct {
+	resident, descriptors, cores float64
+	ended                        int // that the daemon had ended
+	service                      service
+}
+
+// connectionRows measures processor, memory and descriptors by clients' connections.
+func (b *bench) connectionRows(ctx context.Context) ([]slope.Row, error) {
+	idle, err := b.idleConnections(ctx)
+	if err != nil {
+		return idle, err
+	}
+	busy, err := b.busyConnections(ctx)
+	return append(idle, busy...), err
+}
+
+// possible are the sizes that the machine's descriptors allow.
+func possible(sizes []int) (fit []int, left []int) {
+	for _, n := range sizes {
+		if n <= clientLimit() {
+			fit = append(fit, n)
+		} else {
+			left = append(left, n)
+		}
+	}
+	return fit, left
+}
+
+func (b *bench) idleConnections(ctx context.Context) ([]slope.Row, error) {
+	r, err := b.open(ctx, connectionEngines)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	condition := fmt.Sprintf("%d engines, %g statements/s", connectionEngines, b.connectionRate)
+	row := func(cost, unit, condition string) slope.Row {
+		return slope.Row{Role: controllerRole, Cost: "connections: " + cost, Unit: unit, Per: "client connections",
+			Condition: condition, Method: methodSockets}
+	}
+	memory, open := row("resident memory", "MB", "idle"), row("descriptors", "descriptors", "idle")
+	processor := row("processor", "cores", condition)
+	sizes, left := possible(b.connections)
+	for _, n := range sizes {
+		cost, err := b.hold(ctx, r, n)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		memory.Points = append(memory.Points, slope.Point{Size: size, Value: cost.resident})
+		open.Points = append(open.Points, slope.Point{Size: size, Value: cost.descriptors})
+		processor.Points = append(processor.Points, slope.Point{Size: size, Value: cost.cores})
+		processor.Note += note(fmt.Sprintf("%d", n), cost.service)
+		if cost.ended > 0 {
+			memory.Note += fmt.Sprintf("at %d the daemon had ended %d; ", n, cost.ended)
+		}
+	}
+	if len(left) > 0 {
+		open.Note += fmt.Sprintf("%v not run: %d descriptors allow %d connections; ", left, descriptorLimit(), clientLimit())
+	}
+	memory.Note += "the kernel's buffers are not in it"
+	open.Note += "a daemon gives clients 21 of 40 descriptors"
+	targets := grown(clientCount)
+	rows := append(forEach(memory, targets...), forEach(open, targets...)...)
+	return append(rows, forEach(processor, targets...)...), nil
+}
+
+// hold opens connections up to n and takes what they cost while idle and then, until the first would end, under load.
+func (b *bench) hold(ctx context.Context, r *rig, n int) (cost heldCost, err error) {
+	if err := r.connect(ctx, n); err != nil {
+		return cost, err
+	}
+	cost.ended = r.touch()
+	if err := r.connect(ctx, n); err != nil {
+		return cost, err
+	}
+	time.Sleep(b.settle / 4)
+	if cost.resident, err = r.daemon.resident(); err != nil {
+		return cost, err
+	}
+	if cost.descriptors, err = r.daemon.descriptors(); err != nil {
+		return cost, err
+	}
+	windows := int(math.Ceil(float64(b.window) / float64(sparedTime)))
+	before, spent, passed := 0.0, 0.0, time.Duration(0)
+	for range windows {
+		cost.ended += r.touch()
+		if before, err = r.daemon.processor(); err != nil {
+			return cost, err
+		}
+		began := time.Now()
+		served := r.load(ctx, b.connectionRate, min(b.window, sparedTime), r.usual)
+		passed += time.Since(began)
+		after, err := r.daemon.processor()
+		if err != nil {
+			return cost, err
+		}
+		spent += after - before
+		cost.service.merge(served)
+	}
+	cost.cores = spent / passed.Seconds()
+	return cost, nil
+}
+
+// merge takes in what clients saw at another time; times of answers stay apart.
+func (s *service) merge(other service) {
+	s.asked += other.asked
+	s.answered += other.answered
+	s.shed += other.shed
+	s.failed += other.failed
+	s.lost += other.lost
+}
+
+// busyWork is how long an engine works on each query of the busy rows, in ms: all are open at one time.
+const busyWork = 3500.0
+
+// busyConnections has each connection wait for an answer at one time.
+func (b *bench) busyConnections(ctx context.Context) ([]slope.Row, error) {
+	row := slope.Row{Role: controllerRole, Cost: "connections: resident memory", Unit: "MB", Per: "client connections",
+		Condition: "each with an open query", Method: methodSockets}
+	sizes, _ := possible(b.busy)
+	for _, n := range sizes {
+		resident, open, err := b.askAll(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: resident})
+		if open != n {
+			row.Note += fmt.Sprintf("of %d queries %d were at engines; ", n, open)
+		}
+	}
+	row.Note += "with their connections to engines"
+	return forEach(row, grown(clientCount)...), nil
+}
+
+// askAll opens n connections, has each ask at one time and tells the memory while the answers are awaited, and how many
+// queries were at engines then.
+func (b *bench) askAll(ctx context.Context, n int) (resident float64, open int, err error) {
+	r, err := b.open(ctx, connectionEngines)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer r.close()
+	if err := r.connect(ctx, n); err != nil {
+		return 0, 0, err
+	}
+	r.touch()
+	answers := make(chan standin.Verdict, n)
+	for range n {
+		s := r.statement(lookupName, busyWork)
+		go func() {
+			verdict, _ := r.ask(ctx, s)
+			answers <- verdict
+		}()
+	}
+	time.Sleep(time.Duration(busyWork/2) * time.Millisecond)
+	resident, err = r.daemon.resident()
+	for _, e := range r.engines {
+		open += len(e.Running())
+	}
+	for range n {
+		<-answers
+	}
+	return resident, open, err
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/daemon.go
@@ -0,0 +1,200 @@
+package datapath
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/standin"
+)
+
+// build builds the daemon as it is shipped.
+func build(ctx context.Context, dir string) (string, error) {
+	path := filepath.Join(dir, "mintkeel")
+	command := exec.CommandContext(ctx, "go", "build", "-o", path, "mintkeel/cmd/mintkeel")
+	if out, err := command.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the daemon: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// What an emulated engine is like. It is large, so that no row measures engines that are full.
+const (
+	engineCores   = 64.0
+	engineMemory  = 256000.0
+	engineSlots   = 1 << 20
+	warmGroups    = 1 << 10
+	daemonMemory  = 2048 // MB
+	daemonCores   = 1.0
+	ownSockets    = 64 // descriptors that are left for the process itself
+	deadline      = 8 * time.Second
+	startTime     = 20 * time.Second
+	lookupName    = "lookup"
+	loadName      = "load"
+	writeName     = "write"
+	knownSequence = 1
+)
+
+// object is a nested value of the configuration.
+type object = map[string]any
+
+// deploymentSettings are those of a fleet of the size that is built for, with a query class of each effect.
+func deploymentSettings(controllers int) object {
+	class := func(name, effect string) object {
+		return object{"name": name, "effect": effect, "dedup_scope": "all", "repeat_window_ns": int64(time.Minute),
+			"promise_ns": int64(500 * time.Millisecond), "hard_limit_ns": int64(deadline), "late_worth": 0.3}
+	}
+	return object{
+		"n_instances": controllers, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{"std"},
+		"report": object{"fields": []string{"util", "inflight"}},
+		"family_info": object{"size_cores": []float64{engineCores}, "size_mb": []float64{engineMemory},
+			"width_by_class": []int{1, 1, 1}},
+		"bounds": object{"cancel": true, "probes": true, "send_cap": 3, "connect_timeout_ns": int64(250 * time.Millisecond),
+			"max_streams": 100, "retry_after": true, "max_retry_after_ns": int64(500 * time.Millisecond)},
+		"contract": object{"cold_share": 0.5, "cold_ns": int64(2 * time.Second), "overload_factor": 4,
+			"tip_after_ns": int64(time.Second)},
+		"services": []object{class(lookupName, "free"), class(loadName, "guarded"), class(writeName, "single_shot")},
+	}
+}
+
+// daemon is a controller as a process.
+type daemon struct {
+	cmd  *exec.Cmd
+	addr string
+	once sync.Once
+}
+
+// startDaemon starts a controller before these engines and waits until it serves.
+func startDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64) (*daemon, error) {
+	addr, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	path, err := writeConfiguration(dir, addr, feed, engines, seed)
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	d := &daemon{cmd: exec.CommandContext(ctx, mintkeel, "serve", "--config", path), addr: addr}
+	d.cmd.Stderr = log
+	if err := d.cmd.Start(); err != nil {
+		return nil, err
+	}
+	if err := d.await(ctx); err != nil {
+		d.stop()
+		said, _ := os.ReadFile(log.Name())
+		return nil, fmt.Errorf("%w\n%s", err, said)
+	}
+	return d, nil
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func writeConfiguration(dir, addr, feed string, engines []*standin.Engine, seed int64) (string, error) {
+	var hosts []object
+	for _, e := range engines {
+		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
+	}
+	roster := object{"seq": knownSequence, "whole": true, "hosts": hosts}
+	text, err := json.Marshal(object{
+		"name": "n1", "listen": addr, "seed": fmt.Sprintf("%016x", uint64(seed)), "bulletin": feed,
+		"limits":   object{"cores": daemonCores, "memory_mb": daemonMemory, "sockets": descriptorLimit()},
+		"known":    object{"no": knownSequence, "items": []object{{"no": knownSequence, "roster": roster}}},
+		"settings": deploymentSettings(controllers),
+	})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "config.json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+func (d *daemon) await(ctx context.Context) error {
+	for end := time.Now().Add(startTime); time.Now().Before(end) && ctx.Err() == nil; {
+		if c, err := standin.Dial(ctx, d.addr, time.Second); err == nil {
+			c.Close()
+			return nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return errors.New("the daemon does not answer")
+}
+
+// stop kills the process and waits for its end.
+func (d *daemon) stop() {
+	d.once.Do(func() {
+		d.cmd.Process.Kill()
+		d.cmd.Wait()
+	})
+}
+
+// tick is the kernel's unit of a process's time.
+const tick = 0.01 // s
+
+// processor is the time that the process has had on processors, in seconds.
+func (d *daemon) processor() (float64, error) {
+	text, err := os.ReadFile(d.proc("stat"))
+	if err != nil {
+		return 0, err
+	}
+	return parseProcessor(string(text))
+}
+
+func (d *daemon) proc(name string) string {
+	return filepath.Join("/proc", strconv.Itoa(d.cmd.Process.Pid), name)
+}
+
+func parseProcessor(stat string) (float64, error) {
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:]) // from the third on
+	if len(fields) < 13 {
+		return 0, errors.New("the kernel's form of stat is not known")
+	}
+	user, err1 := strconv.ParseFloat(fields[11], 64)
+	system, err2 := strconv.ParseFloat(fields[12], 64)
+	return (user + system) * tick, errors.Join(err1, err2)
+}
+
+// resident is the process's memory in the machine, in MB of 2^20 bytes; buffers of its sockets are the kernel's and
+// are not part of it.
+func (d *daemon) resident() (float64, error) {
+	text, err := os.ReadFile(d.proc("status"))
+	if err != nil {
+		return 0, err
+	}
+	return parseResident(string(text))
+}
+
+func parseResident(status string) (float64, error) {
+	for line := range strings.Lines(status) {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 64)
+			return kilobytes / 1024, err
+		}
+	}
+	return 0, errors.New("the kernel's form of status is not known")
+}
+
+// descriptors is how many the process has open.
+func (d *daemon) descriptors() (float64, error) {
+	entries, err := os.ReadDir(d.proc("fd"))
+	return float64(len(entries)), err
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/datapath.go
@@ -0,0 +1,201 @@
+// Package datapath measures what serving clients costs one controller, and how that grows: statements, connections,
+// reconnects, the list of engines, talk with engines that is no traffic, the decision module's step, and what queries
+// in flight see of an engine that is replaced. A real daemon, as a process of its own, serves emulated clients before
+// emulated engines on loopback.
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// Options say what is measured, and how.
+type Options struct {
+	Quick    bool
+	Seed     int64
+	Only     string // names of sections, parted by commas; empty or the package's own name: all
+	Mintkeel string // path of the daemon; empty: it is built from this module
+}
+
+// What the fleet is built for, as a controller sees it.
+const (
+	controllers     = 670
+	engineCount     = 1100
+	statementRate   = 1642 // a second at each controller
+	clientCount     = 8507 // connections at each controller
+	zoneGone        = 1.11 // times as much where the controllers of a zone are gone
+	regionGone      = 1.5  // and of a region
+	reconnectBurst  = 4250 // that come to a controller as those of a region leave it
+	regions         = 3
+	coresBudget     = 0.021 // of a core, for control
+	bytesBudget     = 17000 // a second, for control
+	replacedWithin  = 5000  // ms until a change of primary is over
+	controllerRole  = "controller"
+	engineRole      = "engine"
+	methodSockets   = "sockets"
+	methodBenchmark = "benchmark"
+	methodComputed  = "computed"
+)
+
+// plan is how much is measured.
+type plan struct {
+	settle, window time.Duration // before and while a cost is taken
+
+	rates       []float64 // statements a second
+	rateEngines int
+	engines     []int // at engineRate
+	engineRate  float64
+
+	connections    []int
+	connectionRate float64 // statements a second meanwhile
+	busy           []int   // connections with an open query each
+
+	reconnects []int
+
+	listed      []int // engines
+	listRepeats int
+
+	peers       []int // engines that are talked with
+	peersWindow time.Duration
+	peersBeside int // sizes that are measured side by side
+
+	stepEngines []int
+	stepsWithin time.Duration
+
+	replacedRates   []float64
+	replacedRepeats int
+}
+
+func fullPlan() plan {
+	return plan{
+		settle: 2 * time.Second, window: 6 * time.Second,
+		rates:       []float64{250, 500, 1000, statementRate, statementRate * zoneGone, statementRate * regionGone},
+		rateEngines: engineCount,
+		engines:     []int{10, 100, 300, engineCount}, engineRate: statementRate,
+		connections: []int{500, 1000, 2000, 4000, clientCount, 9443}, connectionRate: 400,
+		busy:       []int{250, 500, 1000, 2000, 4000},
+		reconnects: []int{500, 1000, 2000, reconnectBurst, 8500},
+		listed:     []int{10, 100, 300, engineCount}, listRepeats: 100,
+		peers: []int{5, 10, 20, 40, 300, engineCount}, peersWindow: 12 * time.Second, peersBeside: 2,
+		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 2 * time.Second,
+		replacedRates: []float64{200, 400, 800, statementRate}, replacedRepeats: 4,
+	}
+}
+
+func quickPlan() plan {
+	return plan{
+		settle: 300 * time.Millisecond, window: 700 * time.Millisecond,
+		rates:       []float64{250, 500, 750, 1000},
+		rateEngines: 50,
+		engines:     []int{5, 10, 50, 100}, engineRate: 500,
+		connections: []int{100, 200, 400, 800}, connectionRate: 100,
+		busy:       []int{50, 100, 200, 400},
+		reconnects: []int{100, 200, 400, 800},
+		listed:     []int{10, 100, 300, engineCount}, listRepeats: 20,
+		peers: []int{5, 10, 20, 40}, peersWindow: 1200 * time.Millisecond, peersBeside: 4,
+		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 50 * time.Millisecond,
+		replacedRates: []float64{100, 200, 300, 400}, replacedRepeats: 1,
+	}
+}
+
+// bench is a run of the measurements.
+type bench struct {
+	plan
+	seed     int64
+	mintkeel string
+	dir      string
+}
+
+type section struct {
+	name    string
+	measure func(*bench, context.Context) ([]slope.Row, error)
+}
+
+var sections = []section{
+	{"discovery", (*bench).discovery},
+	{"decision", (*bench).decision},
+	{"statements", (*bench).statements},
+	{"connections", (*bench).connectionRows},
+	{"reconnects", (*bench).reconnectRows},
+	{"talk", (*bench).talk},
+	{"replacement", (*bench).replacement},
+}
+
+// Measure takes the rows of one controller's data path, section by section; what was measured before an error is
+// returned with it.
+func Measure(ctx context.Context, o Options) ([]slope.Row, error) {
+	p := fullPlan()
+	if o.Quick {
+		p = quickPlan()
+	}
+	return measure(ctx, o, p)
+}
+
+func measure(ctx context.Context, o Options, p plan) (rows []slope.Row, err error) {
+	chosen := choose(o.Only)
+	if len(chosen) == 0 {
+		return nil, nil
+	}
+	b := &bench{plan: p, seed: o.Seed, mintkeel: o.Mintkeel}
+	if b.dir, err = os.MkdirTemp("", "datapath"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(b.dir)
+	if b.mintkeel == "" {
+		if b.mintkeel, err = build(ctx, b.dir); err != nil {
+			return nil, err
+		}
+	}
+	for _, s := range chosen {
+		more, err := s.measure(b, ctx)
+		rows = append(rows, more...)
+		if err != nil {
+			return rows, fmt.Errorf("%s: %w", s.name, err)
+		}
+	}
+	return rows, ctx.Err()
+}
+
+// choose lists the sections that are asked for; none where only other packages' rows are.
+func choose(only string) (chosen []section) {
+	names := strings.Split(only, ",")
+	for _, s := range sections {
+		for _, name := range names {
+			name = strings.TrimPrefix(strings.TrimSpace(name), "datapath/")
+			if only == "" || name == "datapath" || name == s.name {
+				chosen = append(chosen, s)
+				break
+			}
+		}
+	}
+	return chosen
+}
+
+// forEach is a row at each of some targets.
+func forEach(row slope.Row, targets ...target) (rows []slope.Row) {
+	condition := row.Condition
+	for _, t := range targets {
+		row.Target, row.Condition = t.size, t.condition
+		if condition != "" {
+			row.Condition = condition + ", " + t.condition
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// target is a size that the fleet is built for, and when.
+type target struct {
+	condition string
+	size      float64
+}
+
+// grown are a size's targets with all of the fleet there, a zone gone and a region gone.
+func grown(size float64) []target {
+	return []target{{"all are there", size}, {"a zone is gone", size * zoneGone}, {"a region is gone", size * regionGone}}
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/datapath_test.go
@@ -0,0 +1,176 @@
+package datapath
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mintkeel/internal/bulletin"
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+	"mintkeel/router"
+)
+
+func TestChoose(t *testing.T) {
+	for only, want := range map[string]int{"": len(sections), "datapath": len(sections), "discovery": 1,
+		"datapath/talk, reconnects": 2, "membership": 0, "talk,talk": 1, "membership,datapath": len(sections)} {
+		if got := choose(only); len(got) != want {
+			t.Errorf("%q chooses %d sections, want %d", only, len(got), want)
+		}
+	}
+}
+
+// Each row needs four sizes for its line to say anything.
+func TestPlans(t *testing.T) {
+	for name, p := range map[string]plan{"full": fullPlan(), "quick": quickPlan()} {
+		for what, n := range map[string]int{"rates": len(p.rates), "engines": len(p.engines), "connections": len(p.connections),
+			"busy": len(p.busy), "reconnects": len(p.reconnects), "listed": len(p.listed), "peers": len(p.peers),
+			"steps": len(p.stepEngines), "replaced": len(p.replacedRates)} {
+			if n < 4 {
+				t.Errorf("%s: %d sizes of %s", name, n, what)
+			}
+		}
+		if p.replacedRepeats > replacedEngines {
+			t.Errorf("%s: %d replacements of %d engines", name, p.replacedRepeats, replacedEngines)
+		}
+	}
+}
+
+func TestTargets(t *testing.T) {
+	rows := forEach(slope.Row{Condition: "idle"}, grown(1000)...)
+	if len(rows) != 3 || math.Abs(rows[1].Target-1110) > 1e-6 || rows[2].Target != 1500 ||
+		rows[2].Condition != "idle, a region is gone" {
+		t.Errorf("%+v", rows)
+	}
+	if rows := forEach(slope.Row{}, grown(1)...); rows[0].Condition != "all are there" {
+		t.Error(rows[0].Condition)
+	}
+	if fit, left := possible([]int{1, clientLimit(), clientLimit() + 1}); len(fit) != 2 || len(left) != 1 {
+		t.Error(fit, left)
+	}
+}
+
+// The frames of the rig are what the daemon reads.
+func TestFrame(t *testing.T) {
+	facts, err := deploymentFacts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := frame(7, frameChange, 2, 5, router.Draining)
+	news, fresh, err := bulletin.ReadFrame(bufio.NewReader(bytes.NewReader(b)), len(b), &facts.Names)
+	if err != nil || !fresh || news.No != 7 || news.Whole || len(news.Entries) != 3 {
+		t.Fatalf("%+v, %v, %v", news, fresh, err)
+	}
+	if e := news.Entries[0]; e.Engine != "s-00000003" || e.State != router.Draining || e.Zone != "east" {
+		t.Errorf("%+v", e)
+	}
+	if n := len(frame(1, frameWhole, 0, engineCount, router.Ready)); n != headBytes+recordBytes*engineCount {
+		t.Error(n)
+	}
+}
+
+func TestProcessFiles(t *testing.T) {
+	stat := "7 (a (b) c) S 1 7 7 0 -1 4194560 1 0 0 0 250 50 0 0 20 0 8 0 1 1 1"
+	if s, err := parseProcessor(stat); err != nil || s != 3 {
+		t.Error(s, err)
+	}
+	if _, err := parseProcessor("7 (a) S 1"); err == nil {
+		t.Error("a short line is taken")
+	}
+	if mb, err := parseResident("Name:\ta\nVmHWM:\t 9 kB\nVmRSS:\t  2048 kB\n"); err != nil || mb != 2 {
+		t.Error(mb, err)
+	}
+	if _, err := parseResident("Name:\ta\n"); err == nil {
+		t.Error("no figure is taken")
+	}
+}
+
+func TestSteps(t *testing.T) {
+	if got := summarizeSteps([]float64{4, 1, 2, 3, 10}); got != (stepCosts{4, 3, 10}) {
+		t.Error(got)
+	}
+	if got := summarizeSteps(nil); got != (stepCosts{}) {
+		t.Error(got)
+	}
+	if got := coreShare(10); math.Abs(got-0.02463) > 1e-9 {
+		t.Error(got)
+	}
+}
+
+func TestWireBytes(t *testing.T) {
+	traffic := standin.Traffic{Pings: 2, PingBytes: 10, Replies: 2, ReplyBytes: 90, Opened: 1, Queries: 5, AnswerBytes: 1000}
+	if got := wireBytes(traffic, 2); got != (100+4*104+7*52)/2.0 {
+		t.Error(got)
+	}
+}
+
+// What became of queries in flight is told from what engines and clients wrote down.
+func TestJudge(t *testing.T) {
+	g := newRegister()
+	end := time.Now()
+	for _, q := range []struct {
+		id, class string
+		begun     int
+		verdict   standin.Verdict
+		after     time.Duration
+	}{{"a", lookupName, 2, standin.Answered, time.Second}, {"b", writeName, 1, standin.Failed, 2 * time.Second},
+		{"c", writeName, 2, standin.Answered, -time.Second}} {
+		g.asked(statement{id: q.id, class: q.class})
+		g.begun[q.id] = q.begun
+		g.answered[q.id], g.verdicts[q.id] = end.Add(q.after), q.verdict
+	}
+	g.asked(statement{id: "d", class: loadName}) // never answered
+	into := map[string]*outcome{}
+	g.judge([]string{"a", "b", "c", "d"}, end, into)
+	if o := into[lookupName]; !slices.Equal(o.took, []float64{1000}) || o.again != 1 || o.verdicts[standin.Answered] != 1 {
+		t.Errorf("%+v", o)
+	}
+	if o := into[writeName]; !slices.Equal(o.took, []float64{2000, 0}) || o.again != 1 || o.verdicts[standin.Failed] != 1 {
+		t.Errorf("%+v", o)
+	}
+	if o := into[loadName]; o.verdicts[standin.Lost] != 1 {
+		t.Errorf("%+v", o)
+	}
+	if got := g.twice(); got != 1 {
+		t.Errorf("%d non-idempotent queries begun twice, want 1", got)
+	}
+	rows := addOutcome(nil, effectClasses[2], "x", 50, into[writeName])
+	rows = addOutcome(rows, effectClasses[2], "x", 100, nil)
+	if len(rows) != 3 || len(rows[2].Points) != 2 || rows[2].Points[0].Value != 2000 ||
+		!strings.Contains(rows[0].Note, "2 in flight, 1 answered, 1 failed, 1 begun twice") {
+		t.Errorf("%+v", rows)
+	}
+}
+
+// A tiny run of all sections with a real daemon.
+func TestMeasure(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a daemon as a process is played in whole runs")
+	}
+	const moment = 100 * time.Millisecond
+	small := []int{1, 2, 3, 4}
+	p := plan{settle: moment, window: moment, rates: []float64{50, 60, 70, 80}, rateEngines: 4, engines: small, engineRate: 50,
+		connections: []int{20, 40, 60, 80}, connectionRate: 50, busy: []int{2, 4, 6, 8}, reconnects: []int{10, 20, 30, 40},
+		listed: []int{3, 6, 9, 12}, listRepeats: 3, peers: small, peersWindow: moment, peersBeside: 4,
+		stepEngines: small, stepsWithin: time.Millisecond, replacedRates: []float64{50}, replacedRepeats: 1}
+	only := "discovery,decision,statements,reconnects,talk"
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	rows, err := measure(ctx, Options{Seed: 1, Only: only}, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rows) < 25 {
+		t.Errorf("%d rows", len(rows))
+	}
+	for _, r := range rows {
+		if len(r.Points) < 4 || r.Target == 0 || r.Unit == "" || r.Method == "" {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/reconnects.go
@@ -0,0 +1,76 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// reconnectRows measures what bursts of clients that come anew cost: connection, start-up messages and a first query.
+func (b *bench) reconnectRows(ctx context.Context) ([]slope.Row, error) {
+	row := func(cost, unit string) slope.Row {
+		return slope.Row{Role: controllerRole, Cost: "reconnects: " + cost, Unit: unit, Per: "reconnects at once",
+			Condition: "a region is gone", Method: methodSockets, Target: reconnectBurst}
+	}
+	processor, took := row("processor, with each first query", "core s"), row("until all are answered", "s")
+	apart := row("processor, without the first queries", "core s")
+	sizes, _ := possible(b.reconnects)
+	for _, n := range sizes {
+		cost, err := b.burst(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		processor.Points = append(processor.Points, slope.Point{Size: size, Value: cost.processor})
+		apart.Points = append(apart.Points, slope.Point{Size: size, Value: cost.processor - cost.queries})
+		took.Points = append(took.Points, slope.Point{Size: size, Value: cost.took.Seconds()})
+	}
+	took.Note = fmt.Sprintf("%d at a time, one core for the daemon", workers)
+	apart.Note = "what as many queries cost on connections that stand is taken off"
+	return []slope.Row{processor, apart, took}, nil
+}
+
+// burstCost is what a burst cost the daemon.
+type burstCost struct {
+	processor float64 // s
+	queries   float64 // s that as many queries cost on connections that stand
+	took      time.Duration
+}
+
+func (b *bench) burst(ctx context.Context, n int) (cost burstCost, err error) {
+	r, err := b.open(ctx, connectionEngines)
+	if err != nil {
+		return cost, err
+	}
+	defer r.close()
+	if err := r.connect(ctx, workers); err != nil { // connections to engines stand
+		return cost, err
+	}
+	before, err := r.daemon.processor()
+	if err != nil {
+		return cost, err
+	}
+	began := time.Now()
+	if err := r.connect(ctx, workers+n); err != nil {
+		return cost, err
+	}
+	cost.took = time.Since(began)
+	after, err := r.daemon.processor()
+	if err != nil {
+		return cost, err
+	}
+	cost.processor = after - before
+	queries := make([]statement, n)
+	for i := range queries {
+		queries[i] = r.statement(lookupName, 1)
+	}
+	inParallel(n, func(i int) error {
+		r.ask(ctx, queries[i])
+		return nil
+	})
+	again, err := r.daemon.processor()
+	cost.queries = again - after
+	return cost, err
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/statements.go
@@ -0,0 +1,107 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+)
+
+// sessionsFor keeps each session in use often enough to stay: it is asked at least each other second on average.
+func sessionsFor(rate float64) int { return max(20, int(2*rate)) }
+
+// taken is what a time under load cost the daemon.
+type taken struct {
+	cores   float64
+	service service
+	traffic standin.Traffic
+}
+
+// take has statements come for a while that is not counted and then for a window in which the costs are taken.
+func (b *bench) take(ctx context.Context, r *rig, rate float64) (out taken, err error) {
+	r.load(ctx, rate, b.settle, r.usual)
+	trafficBefore := r.traffic()
+	before, err := r.daemon.processor()
+	if err != nil {
+		return out, err
+	}
+	began := time.Now()
+	out.service = r.load(ctx, rate, b.window, r.usual)
+	passed := time.Since(began)
+	after, err := r.daemon.processor()
+	out.cores = (after - before) / passed.Seconds()
+	out.traffic = r.traffic().Sub(trafficBefore)
+	return out, err
+}
+
+// statements measures the processor by statements a second, and by engines at one rate.
+func (b *bench) statements(ctx context.Context) ([]slope.Row, error) {
+	byRate, err := b.statementRates(ctx)
+	if err != nil {
+		return byRate, err
+	}
+	byEngines, err := b.statementEngines(ctx)
+	return append(byRate, byEngines...), err
+}
+
+func (b *bench) statementRates(ctx context.Context) ([]slope.Row, error) {
+	r, err := b.open(ctx, b.rateEngines)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	row := slope.Row{Role: controllerRole, Cost: "data path: processor", Unit: "cores", Per: "statements/s",
+		Condition: fmt.Sprintf("%d engines", b.rateEngines), Method: methodSockets}
+	answer := slope.Row{Role: controllerRole, Cost: "data path: 99th of answer times", Unit: "ms", Per: "statements/s",
+		Condition: row.Condition, Method: methodSockets, Note: "an engine works for 10 to 30 ms of it"}
+	for _, rate := range b.rates {
+		if err := r.connect(ctx, sessionsFor(rate)); err != nil {
+			return nil, err
+		}
+		cost, err := b.take(ctx, r, rate)
+		if err != nil {
+			return nil, err
+		}
+		row.Points = append(row.Points, slope.Point{Size: rate, Value: cost.cores})
+		answer.Points = append(answer.Points, slope.Point{Size: rate, Value: cost.service.quantile(0.99)})
+		row.Note += note(fmt.Sprintf("%g/s", rate), cost.service)
+	}
+	return append(forEach(row, grown(statementRate)...), forEach(answer, grown(statementRate)...)...), nil
+}
+
+// note tells what clients saw at one size; empty where all were answered.
+func note(size string, s service) string {
+	if s.answered == s.asked {
+		return ""
+	}
+	return fmt.Sprintf("at %s %v; ", size, s)
+}
+
+func (b *bench) statementEngines(ctx context.Context) ([]slope.Row, error) {
+	row := slope.Row{Role: controllerRole, Cost: "data path: processor", Unit: "cores", Per: "engines",
+		Condition: fmt.Sprintf("%g statements/s", b.engineRate), Method: methodSockets, Target: engineCount}
+	for _, n := range b.engines {
+		cost, err := b.takeBefore(ctx, n, b.engineRate)
+		if err != nil {
+			return nil, err
+		}
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: cost.cores})
+		row.Note += note(fmt.Sprintf("%d", n), cost.service)
+	}
+	return []slope.Row{row}, nil
+}
+
+// takeBefore takes the costs of a daemon of its own before so many engines.
+func (b *bench) takeBefore(ctx context.Context, engines int, rate float64) (taken, error) {
+	r, err := b.open(ctx, engines)
+	if err != nil {
+		return taken{}, err
+	}
+	defer r.close()
+	if err := r.connect(ctx, sessionsFor(rate)); err != nil {
+		return taken{}, err
+	}
+	return b.take(ctx, r, rate)
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/talk.go
@@ -0,0 +1,127 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+)
+
+// engineShare is what of a controller's statements comes to one engine each second, where all of the fleet is there.
+const engineShare = float64(statementRate) / engineCount
+
+// Bytes that lower layers add to what is counted at the engines: an IPv4 and a TCP header with timestamps for each
+// frame, as if each went alone and with an acknowledgement of its own, and for each connection its seven packets.
+const (
+	packetHeaders    = 52
+	frameOverhead    = 2 * packetHeaders
+	connectionPacket = 7
+)
+
+// quietSettle is after which a daemon's connections to engines that it reached at its start have ended: it closes
+// them after 5 s without use.
+const quietSettle = 6 * time.Second
+
+// peerTalk is what a daemon and so many engines said to each other, idle and under light load, for a while each.
+type peerTalk struct {
+	idle, light standin.Traffic
+	window      time.Duration
+	service     service
+}
+
+// talk measures what a controller and engines say that is no traffic.
+func (b *bench) talk(ctx context.Context) ([]slope.Row, error) {
+	all := make([]peerTalk, len(b.peers))
+	errs := make([]error, len(b.peers))
+	room := make(chan bool, b.peersBeside)
+	var group sync.WaitGroup
+	for i, n := range b.peers {
+		group.Go(func() {
+			room <- true
+			defer func() { <-room }()
+			all[i], errs[i] = b.talkWith(ctx, n)
+		})
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	idle := talkRows("idle", b.peers, all, func(t peerTalk) standin.Traffic { return t.idle })
+	light := talkRows(fmt.Sprintf("%.2f statements/s an engine", engineShare), b.peers, all,
+		func(t peerTalk) standin.Traffic { return t.light })
+	for i, n := range b.peers {
+		light[0].Note += note(fmt.Sprint(n), all[i].service)
+	}
+	return append(idle, light...), nil
+}
+
+// talkWith drives a daemon of its own before n engines.
+func (b *bench) talkWith(ctx context.Context, n int) (out peerTalk, err error) {
+	r, err := b.open(ctx, n)
+	if err != nil {
+		return out, err
+	}
+	defer r.close()
+	if b.peersWindow > quietSettle {
+		time.Sleep(quietSettle)
+	}
+	out.window = b.peersWindow
+	before := r.traffic()
+	time.Sleep(b.peersWindow)
+	out.idle = r.traffic().Sub(before)
+	rate := engineShare * float64(n)
+	r.load(ctx, rate, max(b.settle, b.peersWindow/2), r.usual)
+	before = r.traffic()
+	out.service = r.load(ctx, rate, b.peersWindow, r.usual)
+	out.light = r.traffic().Sub(before)
+	return out, ctx.Err()
+}
+
+// talkRows are the rows of one condition.
+func talkRows(condition string, sizes []int, all []peerTalk, of func(peerTalk) standin.Traffic) []slope.Row {
+	kinds := []struct {
+		cost, unit, method string
+		budget             float64
+		value              func(t standin.Traffic, seconds float64) float64
+	}{
+		{"pings and undos with their replies", "frames/s", methodSockets, 0, func(t standin.Traffic, seconds float64) float64 {
+			frames, _ := t.Control()
+			return float64(frames) / seconds
+		}},
+		{"bytes of these", "bytes/s", methodSockets, bytesBudget, func(t standin.Traffic, seconds float64) float64 {
+			_, bytes := t.Control()
+			return float64(bytes) / seconds
+		}},
+		{"load reports inside answers", "bytes/s", methodSockets, 0, func(t standin.Traffic, seconds float64) float64 {
+			return float64(t.ReportBytes) / seconds
+		}},
+		{"connections opened", "connections/s", methodSockets, 0, func(t standin.Traffic, seconds float64) float64 {
+			return float64(t.Opened) / seconds
+		}},
+		{"connections open", "connections", methodSockets, 0, func(t standin.Traffic, _ float64) float64 { return float64(t.Open) }},
+		{"bytes with headers and handshakes", "bytes/s", methodComputed, bytesBudget, wireBytes},
+	}
+	var rows []slope.Row
+	for _, kind := range kinds {
+		row := slope.Row{Role: controllerRole, Cost: "talk with engines: " + kind.cost, Unit: kind.unit, Per: "engines",
+			Condition: condition, Method: kind.method, Target: engineCount, Budget: kind.budget}
+		for i, n := range sizes {
+			value := kind.value(of(all[i]), all[i].window.Seconds())
+			row.Points = append(row.Points, slope.Point{Size: float64(n), Value: value})
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// wireBytes is an estimate of what control talk puts on the wire each second: what was counted, with headers.
+func wireBytes(t standin.Traffic, seconds float64) float64 {
+	frames, bytes := t.Control()
+	handshakes := t.Opened * connectionPacket * packetHeaders
+	return float64(bytes+frames*frameOverhead+handshakes) / seconds
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -93,6 +93,16 @@
 	return fields
 }
 
+// Sync asks for nothing but a sign of life, which keeps an idle session open.
+func (c *Client) Sync(within time.Duration) error {
+	c.conn.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c.conn, "S\x00\x00\x00\x04"); err != nil {
+		return err
+	}
+	_, _, err := c.reply()
+	return err
+}
+
 // Query sends a command and waits for its answer, up to its limit and a little more.
 func (c *Client) Query(fields string, statement string, limit time.Duration) (Verdict, error) {
 	body := fmt.Sprintf("/* %s,limit=%d */ %s\x00", fields, limit.Milliseconds(), statement)
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -48,6 +48,10 @@
 
 	free   bool // it was told free: nothing may come
 	Wrongs int  // commands that came while it was
+
+	traffic Traffic
+	begun   func(id string) // told of each attempt; nil: nobody is
+	mute    bool            // nothing is answered
 }
 
 // SetFree says that nothing may come from now on, or again; it tells how many came meanwhile.
@@ -113,6 +117,8 @@
 			c.Close()
 		}
 		e.conns[c] = true
+		e.traffic.Opened++
+		e.traffic.MostOpen = max(e.traffic.MostOpen, len(e.conns))
 		e.mu.Unlock()
 		go e.serve(c)
 	}
@@ -124,6 +130,9 @@
 func (e *Engine) serve(c net.Conn) {
 	var writing sync.Mutex
 	reply := func(line string) {
+		if !e.answered(strings.Contains(line, " READY "), len(line), len(between(line, "report=", " "))) {
+			return
+		}
 		writing.Lock()
 		defer writing.Unlock()
 		c.SetWriteDeadline(time.Now().Add(time.Second))
@@ -147,8 +156,10 @@
 		}
 		switch words[0] {
 		case "ping":
+			e.received(words[0], len(line))
 			reply(fmt.Sprintf("%s READY %s 0\r\n\r\n", words[1], e.report()))
 		case "undo":
+			e.received(words[0], len(line))
 			e.undo(words[1])
 		case "do":
 			length, err := strconv.Atoi(words[len(words)-1])
@@ -159,7 +170,10 @@
 			if _, err := readFull(r, statement); err != nil {
 				return
 			}
+			e.received(words[0], len(line)+len(statement))
 			e.begin(words[1], string(statement), reply)
+		default:
+			e.received(words[0], len(line))
 		}
 	}
 }
@@ -195,6 +209,9 @@
 	if e.advance(); e.free {
 		e.Wrongs++
 	}
+	if e.begun != nil {
+		e.begun(id)
+	}
 	if len(e.runs) >= e.model.Sessions {
 		e.Turned++
 		go reply(id + " AGAIN " + e.reported() + " 0\r\n\r\n")
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -232,7 +232,7 @@
 	runtime.ReadMemStats(&before)
 	bytes := float64(before.HeapAlloc-min(before.HeapAlloc, g.empty)) / float64(max(1, len(g.held)))
 	for range n {
-		g.now += spacing
+		g.Advance()
 		costs = append(costs, g.One())
 	}
 	runtime.ReadMemStats(&after)
@@ -241,6 +241,9 @@
 		Allocations: float64(after.Mallocs-before.Mallocs) / float64(n), Held: len(g.held), Steps: n, Bytes: bytes, Start: g.start}
 }
 
+// Advance lets the usual time between two steps pass.
+func (g *Rig) Advance() { g.now += spacing }
+
 // One is one step of one arrival and one answer.
 func (g *Rig) One() float64 {
 	g.end()
