Members: no scan and no sort of the whole table on an event

Table scanned and sorted its map on each message, tick and call of Next.

Change: lists sorted by id for each state (index.go), a queue of updates kept sorted by how often each was sent (updates.go), the first expiry of suspects kept until something of it changes, pings made for others in order of their deadline. Which messages are sent, and when, stays as it was. Two faults of the former code are mended by it: Nacks of one tick went out in the order of a map, and a controller that had left and went on answering forgot itself after Forget.

--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -7,7 +7,6 @@
 package members
 
 import (
-	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -126,16 +125,13 @@
 	suspectors map[ID]bool
 	changedAt  float64
 	odd        bool // it said of itself what does not override what is believed: it began anew, and has to be told
-}
-
-// news is a piece to be passed on.
-type news struct {
-	id   ID
-	sent int
+	queued     bool // it is among the updates to be passed on,
+	sent       int  // and was passed on so often
 }
 
 // relayed is a ping made in another's place.
 type relayed struct {
+	ping  uint32 // sequence number of the ping made
 	for_  ID
 	seq   uint32
 	about ID
@@ -149,10 +145,11 @@
 	now   float64
 	self  *entry
 	all   map[ID]*entry
+	index index
 	order []ID // the round in which members are pinged
 	at    int
 
-	news    []news
+	updates updates
 	changes []Change
 	outs    []Out
 
@@ -166,28 +163,32 @@
 	periodAt float64
 	syncAt   float64
 	retryAt  float64
-	slow     int // how slow this one takes itself to be, from 0
-	relays   map[uint32]relayed
+	slow     int       // how slow this one takes itself to be, from 0
+	relays   []relayed // by ping, and so by until
 	left     bool
 	refuted  int
+
+	expiry      float64 // when the first suspect is taken to be gone,
+	expiryKnown bool    // if that was worked out since something of it changed
 }
 
 // New is the view of a controller that knows nobody yet but the seeds, of whom it knows an address alone.
 func New(self Member, seeds []Member, pace Pace, seed int64, now float64) *Table {
-	t := &Table{pace: pace, rng: rand.New(rand.NewSource(seed)), now: now, all: map[ID]*entry{},
-		relays: map[uint32]relayed{}}
+	t := &Table{pace: pace, rng: rand.New(rand.NewSource(seed)), now: now, all: map[ID]*entry{}}
 	self.State = Alive
 	t.self = &entry{Member: self, changedAt: now}
 	t.all[self.ID] = t.self
+	insertEntry(&t.index.all, t.self)
 	for _, s := range seeds {
 		if s.ID != self.ID && t.all[s.ID] == nil {
 			s.State, s.Incarnation = Gone, 0 // until it is heard of; Retry and the first Sync reach it
 			t.all[s.ID] = &entry{Member: s, changedAt: now}
+			t.index.add(t.all[s.ID])
 		}
 	}
 	t.periodAt = now + t.rng.Float64()*pace.Period
 	t.syncAt, t.retryAt = now, now+t.rng.Float64()*pace.Retry
-	t.spread(self.ID)
+	t.updates.add(t.self)
 	return t
 }
 
@@ -211,24 +212,18 @@
 	if t.target != "" && !t.asked && !t.acked {
 		next = min(next, t.targetAt+t.pace.Answer*t.stretch())
 	}
-	for _, e := range t.all {
-		if e.State == Suspect {
-			next = min(next, t.goneAt(e))
-		}
-	}
-	for _, r := range t.relays {
-		next = min(next, r.until)
+	if len(t.relays) > 0 {
+		next = min(next, t.relays[0].until)
 	}
-	return next
+	return min(next, t.firstExpiry())
 }
 
 // Members are all that are known, this one among them, by id.
 func (t *Table) Members() []Member {
-	list := make([]Member, 0, len(t.all))
-	for _, e := range t.all {
+	list := make([]Member, 0, len(t.index.all))
+	for _, e := range t.index.all {
 		list = append(list, e.Member)
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -254,16 +249,16 @@
 	if t.now = max(t.now, now); t.self.Willing != willing {
 		t.self.Willing = willing
 		t.self.Incarnation++
-		t.spread(t.self.ID)
+		t.updates.add(t.self)
 	}
 }
 
 // Leave says that this one ends. It goes on answering.
 func (t *Table) Leave(now float64) {
 	t.now = max(t.now, now)
-	t.left, t.self.State = true, Left
-	t.spread(t.self.ID)
-	for _, e := range t.pick(t.pace.Helpers, func(e *entry) bool { return e.State == Alive }) {
+	t.left, t.self.State, t.expiryKnown = true, Left, false
+	t.updates.add(t.self)
+	for _, e := range t.pick(t.pace.Helpers, t.index.alive, nil) {
 		t.send(e, Message{Kind: Ping, Seq: t.nextSeq()})
 	}
 }
@@ -280,11 +275,9 @@
 
 // size is of how many the fleet is taken to be.
 func (t *Table) size() int {
-	n := 0
-	for _, e := range t.all {
-		if e.State <= Suspect {
-			n++
-		}
+	n := len(t.index.active)
+	if t.self.State <= Suspect {
+		n++
 	}
 	return n
 }
@@ -293,11 +286,50 @@
 
 // goneAt is when a suspect is taken to be gone: late while nobody else suspects it, for the fault may be ours.
 func (t *Table) goneAt(e *entry) float64 {
+	return e.suspectAt + t.suspicionTimes()[e.confirmations()]
+}
+
+// confirmations counts who else found that a suspect does not answer.
+func (e *entry) confirmations() int { return max(0, min(confirmers, len(e.suspectors)-1)) }
+
+// suspicionTimes are for how long one is a suspect, by confirmations.
+func (t *Table) suspicionTimes() (times [confirmers + 1]float64) {
 	least := t.pace.Suspect * t.logSize() * t.pace.Period
 	most := least * t.pace.Longest
-	others := max(0, len(e.suspectors)-1)
-	share := math.Log(float64(others)+1) / math.Log(confirmers+1)
-	return e.suspectAt + max(least, most-(most-least)*share)
+	for others := range times {
+		share := math.Log(float64(others)+1) / math.Log(confirmers+1)
+		times[others] = max(least, most-(most-least)*share)
+	}
+	return times
+}
+
+// firstExpiry is when the first suspect is taken to be gone.
+func (t *Table) firstExpiry() float64 {
+	if t.expiryKnown {
+		return t.expiry
+	}
+	t.expiry, t.expiryKnown = math.Inf(1), true
+	if len(t.index.suspects) > 0 {
+		times := t.suspicionTimes()
+		for _, e := range t.index.suspects {
+			t.expiry = min(t.expiry, e.suspectAt+times[e.confirmations()])
+		}
+	}
+	return t.expiry
+}
+
+// expired are the suspects whose time is over, by id.
+func (t *Table) expired() (list []*entry) {
+	if t.now < t.firstExpiry() {
+		return nil
+	}
+	times := t.suspicionTimes()
+	for _, e := range t.index.suspects {
+		if t.now >= e.suspectAt+times[e.confirmations()] {
+			list = append(list, e)
+		}
+	}
+	return list
 }
 
 // Tick takes in that time has passed.
@@ -307,22 +339,19 @@
 	if late > t.pace.Period { // this process stood still: what it missed is nobody's fault but its own
 		t.setSlow(2)
 		t.target = ""
-		for _, e := range t.all {
-			if e.State == Suspect {
-				e.suspectAt += late
-			}
+		t.expiryKnown = false
+		for _, e := range t.index.suspects {
+			e.suspectAt += late
 		}
 	}
-	for seq, r := range t.relays {
-		if t.now >= r.until {
-			delete(t.relays, seq)
-			if e := t.all[r.for_]; e != nil {
-				t.send(e, Message{Kind: Nack, Seq: r.seq, About: r.about})
-			}
+	for len(t.relays) > 0 && t.now >= t.relays[0].until {
+		r := t.relays[0]
+		t.relays = t.relays[1:]
+		if e := t.all[r.for_]; e != nil {
+			t.send(e, Message{Kind: Nack, Seq: r.seq, About: r.about})
 		}
 	}
-	for _, id := range t.sorted(func(e *entry) bool { return e.State == Suspect && t.now >= t.goneAt(e) }) {
-		e := t.all[id]
+	for _, e := range t.expired() {
 		gone := e.Member
 		gone.State = Gone
 		t.believe(gone, t.self.ID)
@@ -336,24 +365,35 @@
 	}
 	if t.now >= t.syncAt {
 		t.syncAt = t.now + t.pace.SyncEach*(0.9+0.2*t.rng.Float64())
-		if some := t.pick(1, func(e *entry) bool { return e.State <= Suspect }); len(some) > 0 {
+		if some := t.pick(1, t.index.active, nil); len(some) > 0 {
 			t.sync(some[0], true)
-		} else if some := t.pick(1, func(*entry) bool { return true }); len(some) > 0 { // nobody yet: a seed
+		} else if some := t.pick(1, t.index.all, t.self); len(some) > 0 { // nobody yet: a seed
 			t.syncAt = t.now + t.pace.Period
 			t.sync(some[0], true)
 		}
 	}
 	if t.now >= t.retryAt {
 		t.retryAt = t.now + t.pace.Retry*(0.9+0.2*t.rng.Float64())
-		for _, e := range t.pick(1, func(e *entry) bool { return e.State == Gone }) {
+		for _, e := range t.pick(1, t.index.gone, nil) {
 			t.send(e, Message{Kind: Ping, Seq: t.nextSeq()})
 		}
-		for id, e := range t.all {
-			if e.State >= Gone && t.now-e.changedAt > t.pace.Forget {
-				delete(t.all, id)
-			}
+		t.forget()
+	}
+}
+
+// forget takes those out that have been gone for long.
+func (t *Table) forget() {
+	var old []*entry
+	for _, e := range t.index.absent {
+		if t.now-e.changedAt > t.pace.Forget {
+			old = append(old, e)
 		}
 	}
+	for _, e := range old {
+		delete(t.all, e.ID)
+		t.index.remove(e)
+		t.updates.remove(e)
+	}
 }
 
 // endPeriod judges the ping under way.
@@ -382,7 +422,10 @@
 	t.target, t.acked, t.asked, t.nacks, t.expected = "", false, false, 0, 0
 	for range len(t.order) + 1 {
 		if t.at >= len(t.order) {
-			t.order = t.sorted(func(e *entry) bool { return e != t.self && e.State <= Suspect })
+			t.order = t.order[:0]
+			for _, e := range t.index.active {
+				t.order = append(t.order, e.ID)
+			}
 			t.rng.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 			if t.at = 0; len(t.order) == 0 {
 				return
@@ -400,33 +443,31 @@
 
 func (t *Table) askOthers() {
 	t.asked = true
-	for _, e := range t.pick(t.pace.Helpers, func(e *entry) bool { return e.State == Alive && e.ID != t.target }) {
+	for _, e := range t.pick(t.pace.Helpers, t.index.alive, t.all[t.target]) {
 		t.expected++
 		t.send(e, Message{Kind: PingFor, Seq: t.seq, About: t.target})
 	}
 }
 
-// sorted are the ids of some, in order: maps have none, and the same events lead to the same messages.
-func (t *Table) sorted(which func(*entry) bool) []ID {
-	var ids []ID
-	for id, e := range t.all {
-		if which(e) {
-			ids = append(ids, id)
+// pick draws n members of a list, without the one excluded if it is not nil.
+func (t *Table) pick(n int, list []*entry, exclude *entry) (picked []*entry) {
+	var taken []int // places that are not drawn any more, in order
+	if exclude != nil {
+		if i, found := findEntry(list, exclude.ID); found {
+			taken = append(taken, i)
 		}
 	}
-	slices.Sort(ids)
-	return ids
-}
-
-// pick draws some others.
-func (t *Table) pick(n int, which func(*entry) bool) (some []*entry) {
-	ids := t.sorted(func(e *entry) bool { return e != t.self && which(e) })
-	for ; n > 0 && len(ids) > 0; n-- {
-		i := t.rng.Intn(len(ids))
-		some = append(some, t.all[ids[i]])
-		ids = slices.Delete(ids, i, i+1)
+	for ; n > 0 && len(taken) < len(list); n-- {
+		i := t.rng.Intn(len(list) - len(taken))
+		before := 0
+		for before < len(taken) && taken[before] <= i {
+			i++
+			before++
+		}
+		taken = slices.Insert(taken, before, i)
+		picked = append(picked, list[i])
 	}
-	return some
+	return picked
 }
 
 // send adds news to a message: who is suspected is told so first, that it can say otherwise.
@@ -437,36 +478,23 @@
 	if m.Kind == Ping { // who has not heard of this one yet could not answer, and would be suspected for it
 		m.News = append(m.News, t.self.Member)
 	}
-	most := int(spreadEach*math.Log2(float64(t.size())+1)) + 1
-	slices.SortStableFunc(t.news, func(a, b news) int { return cmp.Compare(a.sent, b.sent) })
-	for i := range t.news {
-		if len(m.News) >= t.pace.News {
-			break
-		}
-		if about := t.all[t.news[i].id]; about != nil && about != e && (m.Kind != Ping || about != t.self) {
-			m.News = append(m.News, about.Member)
-			t.news[i].sent++
-		}
-	}
-	t.news = slices.DeleteFunc(t.news, func(n news) bool { return n.sent >= most || t.all[n.id] == nil })
+	limit := int(spreadEach*math.Log2(float64(t.size())+1)) + 1
+	m.News = t.updates.take(m.News, t.pace.News, limit, func(about *entry) bool {
+		return about == e || m.Kind == Ping && about == t.self
+	})
 	t.outs = append(t.outs, Out{e.ID, e.Addr, m})
 }
 
-// spread has something passed on, ahead of what was passed on before.
-func (t *Table) spread(id ID) {
-	t.news = slices.DeleteFunc(t.news, func(n news) bool { return n.id == id })
-	t.news = append(t.news, news{id: id})
-}
-
 // sync tells one all that is believed, in parts.
 func (t *Table) sync(e *entry, want bool) {
-	ids := t.sorted(func(x *entry) bool { return x.Run != 0 })
-	for part := range slices.Chunk(ids, t.pace.Part) {
-		m := Message{Kind: Sync, Want: want}
-		for _, id := range part {
-			m.News = append(m.News, t.all[id].Member)
+	known := make([]Member, 0, len(t.index.all))
+	for _, x := range t.index.all {
+		if x.Run != 0 {
+			known = append(known, x.Member)
 		}
-		t.outs = append(t.outs, Out{e.ID, e.Addr, m})
+	}
+	for part := range slices.Chunk(known, t.pace.Part) {
+		t.outs = append(t.outs, Out{e.ID, e.Addr, Message{Kind: Sync, Want: want, News: part}})
 		want = false // one answer is enough
 	}
 }
@@ -490,12 +518,13 @@
 	case PingFor:
 		if about := t.all[m.About]; about != nil && about != t.self && len(t.relays) < t.pace.Most {
 			seq := t.nextSeq()
-			t.relays[seq] = relayed{from, m.Seq, m.About, t.now + t.pace.Answer}
+			t.relays = append(t.relays, relayed{seq, from, m.Seq, m.About, t.now + t.pace.Answer})
 			t.send(about, Message{Kind: Ping, Seq: seq})
 		}
 	case Ack:
-		if r, ok := t.relays[m.Seq]; ok && (r.about == from) {
-			delete(t.relays, m.Seq)
+		if i := t.relayOf(m.Seq, from); i >= 0 {
+			r := t.relays[i]
+			t.relays = slices.Delete(t.relays, i, i+1)
 			if back := t.all[r.for_]; back != nil {
 				t.send(back, Message{Kind: Ack, Seq: r.seq, About: r.about})
 			}
@@ -513,6 +542,11 @@
 	}
 }
 
+// relayOf is the place of a ping that was made in another's place, and that was of one member; -1: there is none.
+func (t *Table) relayOf(ping uint32, about ID) int {
+	return slices.IndexFunc(t.relays, func(r relayed) bool { return r.ping == ping && r.about == about })
+}
+
 // believe takes in what somebody says of a member.
 func (t *Table) believe(n Member, by ID) {
 	if n.ID == "" || n.State > Left {
@@ -529,8 +563,9 @@
 		}
 		e = &entry{Member: n, changedAt: t.now}
 		t.all[n.ID] = e
+		t.index.add(e)
 		t.suspected(e)
-		t.spread(n.ID)
+		t.updates.add(e)
 		t.changes = append(t.changes, Change{Member: n, Was: n.State, New: true})
 		if n.State <= Suspect { // into the round, at a place drawn, that no newcomer waits for the next
 			i := t.at + t.rng.Intn(len(t.order)-t.at+1)
@@ -541,7 +576,8 @@
 	if n.State == Suspect && e.State == Suspect && n.Incarnation == e.Incarnation { // who passes it on has not found it out
 		if len(e.suspectors) <= confirmers && n.By != "" && !e.suspectors[n.By] {
 			e.suspectors[n.By], e.By = true, n.By
-			t.spread(n.ID)
+			t.expiryKnown = false
+			t.updates.add(e)
 		}
 		return
 	}
@@ -552,14 +588,17 @@
 	}
 	was := e.State
 	e.Member, e.changedAt = n, t.now
+	t.index.move(e, was)
 	t.suspected(e)
-	t.spread(n.ID)
+	t.updates.add(e)
 	if was != n.State || heard {
 		t.changes = append(t.changes, Change{Member: n, Was: was})
 	}
 }
 
+// suspected begins or ends the time of a suspect, as its state has changed or it is new.
 func (t *Table) suspected(e *entry) {
+	t.expiryKnown = false // it depends on the size of the fleet too
 	if e.suspectors = nil; e.State == Suspect {
 		e.suspectAt, e.suspectors = t.now, map[ID]bool{e.By: true}
 	}
@@ -570,7 +609,7 @@
 	if t.left {
 		if n.State != Left && n.Incarnation >= t.self.Incarnation {
 			t.self.Incarnation = n.Incarnation + 1
-			t.spread(t.self.ID)
+			t.updates.add(t.self)
 		}
 		return
 	}
@@ -583,5 +622,5 @@
 		t.setSlow(1)
 	}
 	t.self.Incarnation = n.Incarnation + 1
-	t.spread(t.self.ID)
+	t.updates.add(t.self)
 }
