Members: a ping in vain of one that others suspect already is a confirmation

A controller whose ping failed counted as such only if it had not heard of the suspicion before, so whether three confirmed was a race against gossip, and faster gossip made it worse. Spreading was not the cause.

Change: a failed ping of a suspect confirms the suspicion, as in the paper and in other implementations of it.

The test fails without the change.

--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -409,7 +409,7 @@
 	if missed := t.expected - t.nacks; missed > 0 { // helpers that say nothing at all: it may be us who are not heard
 		t.setSlow(missed)
 	}
-	if e.State == Alive {
+	if e.State <= Suspect { // of one that others suspect already it is a confirmation, which shortens its time
 		suspect := e.Member
 		suspect.State, suspect.By = Suspect, t.self.ID
 		t.believe(suspect, t.self.ID)
--- a/internal/core/fleet/members/members_test.go
+++ b/internal/core/fleet/members/members_test.go
@@ -201,3 +201,30 @@
 		t.Error("it answers itself")
 	}
 }
+
+// TestOwnFindingConfirms has a controller ping, in vain, one that others suspect already: that is a confirmation, for which
+// the suspect's time gets shorter, and it is passed on with this controller as its finder.
+func TestOwnFindingConfirms(t *testing.T) {
+	table := New(Member{ID: "a", Addr: "a", Run: 1}, nil, pace, 1, 0)
+	for _, id := range []ID{"b", "c"} {
+		table.Receive(0, "b", Message{Kind: Ping, News: []Member{{ID: id, Addr: string(id), Run: 2}}})
+	}
+	table.Receive(1, "b", Message{Kind: Ping, News: []Member{{ID: "c", Addr: "c", Run: 2, State: Suspect, By: "b"}}})
+	alone := table.goneAt(table.all["c"])
+	passedOn := false
+	for now := 1.0; now < 6*pace.Period; now = table.Next() {
+		table.Tick(now)
+		for _, out := range table.Out() {
+			if out.To == "b" && out.Message.Kind == Ping {
+				table.Receive(now, "b", Message{Kind: Ack, Seq: out.Message.Seq})
+			}
+			passedOn = passedOn || slices.ContainsFunc(out.Message.News, func(m Member) bool { return m.ID == "c" && m.By == "a" })
+		}
+	}
+	if table.goneAt(table.all["c"]) >= alone {
+		t.Error("one that pings a suspect in vain does not confirm it")
+	}
+	if !passedOn {
+		t.Error("the confirmation is not passed on")
+	}
+}
