--- a/internal/core/fleet/quorum/config_test.go
+++ b/internal/core/fleet/quorum/config_test.go
@@ -49,7 +49,7 @@
 		check(name)
 	}
 	for ref := range uint64(600) { // past a snapshot or two
-		r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
+		r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{"w"}}})
 		r.run(50)
 	}
 	for _, name := range r.founders {
