The lab's daemon builds again: its job follows the renamed types of leases

go build -tags mintkeel_lab ./cmd/mintkeel failed since the rename of works and council, and with it TestProcesses and mintkeel-lab fleet. The build without the tag did not see it. Builds and vets now; TestProcesses was not run here yet.

--- a/internal/fleet/lab.go
+++ b/internal/fleet/lab.go
@@ -29,7 +29,7 @@
 	end      chan struct{}
 }
 
-func labPrograms(folder string) []Program {
+func labPrograms(folder string) []Job {
 	endpoint := os.Getenv("MINTKEEL_LAB_ENDPOINT")
 	if endpoint == "" {
 		return nil
@@ -40,31 +40,31 @@
 	}
 	p := &labProgram{endpoint: endpoint, taken: taken, strikes: make(chan string, 64), end: make(chan struct{})}
 	go p.strike()
-	return []Program{p}
+	return []Job{p}
 }
 
-func (p *labProgram) Began(Hands, lease.Claim)  {}
-func (p *labProgram) Ended(lease.Claim)         {}
-func (p *labProgram) Passed(node.Passed)        {}
-func (p *labProgram) Handed(Hands, node.Handed) {}
+func (p *labProgram) Began(Context, lease.Grant)  {}
+func (p *labProgram) Ended(lease.Grant)         {}
+func (p *labProgram) VerdictReceived(node.Verdict)        {}
+func (p *labProgram) StateReceived(Context, node.Checkpoint) {}
 func (p *labProgram) Close()                    { close(p.end) }
 
-func (p *labProgram) Said(Hands, members.ID, []byte) bool { return false }
+func (p *labProgram) MessageReceived(Context, members.ID, []byte) bool { return false }
 
-func (p *labProgram) Tick(h Hands, now float64) {
+func (p *labProgram) Tick(h Context, now float64) {
 	if now < p.next {
 		return
 	}
 	p.next = now + 50
 	all := h.Members()
 	for _, w := range labWorks(h) {
-		epoch, ok := h.May(w)
+		epoch, ok := h.CanAct(w)
 		if !ok {
 			continue
 		}
 		p.id++
 		if to := all[int(p.id)%len(all)]; to.State == members.Alive {
-			h.Act(w, to.ID, p.id, nil)
+			h.TryEffect(w, to.ID, p.id, nil)
 		}
 		select {
 		case p.strikes <- fmt.Sprintf("%s %d %d %s\n", w, epoch, p.id, h.Self()):
@@ -74,17 +74,17 @@
 }
 
 // labWorks are the names that a rig uses.
-func labWorks(h Hands) (list []lease.Work) {
+func labWorks(h Context) (list []lease.Name) {
 	for i := range 8 {
-		list = append(list, lease.Work(fmt.Sprintf("work-%d", i)))
+		list = append(list, lease.Name(fmt.Sprintf("work-%d", i)))
 	}
 	return list
 }
 
-func (p *labProgram) Taken(h Hands, from members.ID, e node.Effect) {
+func (p *labProgram) EffectReceived(h Context, from members.ID, e node.Effect) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fmt.Fprintf(p.taken, "%d %s %d %d %s\n", time.Now().UnixNano(), e.Claim.Work, e.Claim.Epoch, e.ID, from)
+	fmt.Fprintf(p.taken, "%d %s %d %d %s\n", time.Now().UnixNano(), e.Claim.Name, e.Claim.Token, e.ID, from)
 }
 
 // strike sends effects to the endpoint, in order, on a connection that lasts.
