Checker of histories of a fleet's configuration

Judges what controllers applied, what folders held, what operators were told and what a status counted: numbers never fall in a run or on a folder, one document for one number, what was told agreed is in the history and what was told lost is not, no status counts what was not applied.

--- /dev/null
+++ b/internal/lab/fleet/configuration/checker.go
@@ -0,0 +1,274 @@
+// Package configuration checks histories of a fleet's configuration: what controllers applied, what their folders held,
+// what operators were told, and what a status counted, each as it was written down when it happened. The same checker
+// judges fleets in virtual time and fleets of processes. It knows nothing of how versions are agreed on or spread.
+package configuration
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+)
+
+// Incarnation is one run of a controller's process.
+type Incarnation struct {
+	Controller members.ID
+	Run        uint64
+}
+
+func (i Incarnation) String() string { return fmt.Sprintf("%s/%x", i.Controller, i.Run) }
+
+// Folder is what a controller keeps, until it is emptied or an older copy is put back: then it is another one.
+type Folder struct {
+	Controller members.ID
+	Generation int
+}
+
+func (f Folder) String() string { return fmt.Sprintf("folder %d of %s", f.Generation, f.Controller) }
+
+// Proposal is one put or rollback of an operator. Reason is drawn for it alone and tells it apart.
+type Proposal struct {
+	Reason string
+	Expect uint64
+	Hash   config.Hash
+}
+
+// application is that an incarnation took a version into use.
+type application struct {
+	run    uint64
+	number uint64
+	at     float64
+}
+
+// verdict is how a proposal ended, by the word of the fleet.
+type verdict struct {
+	proposal  Proposal
+	concluded bool
+	result    config.Result
+	number    uint64
+}
+
+// Checker takes in what happened, in the order of time, and holds what was wrong first. Times are in ms.
+type Checker struct {
+	Broken string // what was wrong first; empty: nothing
+
+	Applications int
+	Proposals    int
+	Agreed       int
+	Lost         int
+	Refused      int
+	Unanswered   int
+	Statuses     int
+
+	controllers  []members.ID
+	hashes       map[uint64]config.Hash
+	reasons      map[uint64]string // of agreed versions, by number
+	numbers      map[string]uint64 // the same the other way
+	inRun        map[Incarnation]uint64
+	inFolder     map[Folder]uint64
+	applications map[members.ID][]application
+	verdicts     map[string]*verdict
+	newest       config.Version
+	lastSeen     map[members.ID]float64 // when a controller was last known to run
+	down         map[members.ID]bool
+}
+
+// NewChecker is one for a fleet of these controllers.
+func NewChecker(controllers []members.ID) *Checker {
+	return &Checker{
+		controllers:  slices.Sorted(slices.Values(controllers)),
+		hashes:       map[uint64]config.Hash{},
+		reasons:      map[uint64]string{},
+		numbers:      map[string]uint64{},
+		inRun:        map[Incarnation]uint64{},
+		inFolder:     map[Folder]uint64{},
+		applications: map[members.ID][]application{},
+		verdicts:     map[string]*verdict{},
+		lastSeen:     map[members.ID]float64{},
+		down:         map[members.ID]bool{},
+	}
+}
+
+// fail notes what is wrong, if nothing was before.
+func (c *Checker) fail(now float64, format string, args ...any) {
+	if c.Broken == "" {
+		c.Broken = fmt.Sprintf("%.1f ms: ", now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// identify takes in that a number stands for a document: for one alone, ever and anywhere.
+func (c *Checker) identify(now float64, source string, number uint64, hash config.Hash) {
+	if number == 0 {
+		return
+	}
+	if known, ok := c.hashes[number]; ok && known != hash {
+		c.fail(now, "%s: version %d is document %.8s, and was %.8s elsewhere", source, number, hash, known)
+		return
+	}
+	c.hashes[number] = hash
+}
+
+// Started takes in that a process began, with what its folder says is in force. Number 0: nothing.
+func (c *Checker) Started(now float64, who Incarnation, folder Folder, current config.Version) {
+	c.lastSeen[who.Controller], c.down[who.Controller] = now, false
+	if current.Number < c.inFolder[folder] {
+		c.fail(now, "%s starts with version %d on %s, where version %d was in force", who, current.Number, folder, c.inFolder[folder])
+	}
+	if current.Number > 0 {
+		c.apply(now, who, folder, current)
+	}
+}
+
+// Ended takes in that a controller's process ended.
+func (c *Checker) Ended(now float64, controller members.ID) {
+	c.lastSeen[controller], c.down[controller] = now, true
+}
+
+// Applied takes in that a process took a version into use.
+func (c *Checker) Applied(now float64, who Incarnation, folder Folder, v config.Version) {
+	c.lastSeen[who.Controller] = now
+	c.apply(now, who, folder, v)
+}
+
+func (c *Checker) apply(now float64, who Incarnation, folder Folder, v config.Version) {
+	c.Applications++
+	c.identify(now, who.String(), v.Number, v.Hash)
+	if before := c.inRun[who]; v.Number < before {
+		c.fail(now, "%s applied version %d after version %d", who, v.Number, before)
+	}
+	if before := c.inFolder[folder]; v.Number < before {
+		c.fail(now, "%s applied version %d on %s, where version %d was in force", who, v.Number, folder, before)
+	}
+	c.inRun[who], c.inFolder[folder] = v.Number, v.Number
+	c.applications[who.Controller] = append(c.applications[who.Controller], application{who.Run, v.Number, now})
+}
+
+// Proposed takes in that an operator asked for a version.
+func (c *Checker) Proposed(p Proposal) {
+	c.Proposals++
+	c.verdicts[p.Reason] = &verdict{proposal: p}
+}
+
+// Concluded takes in what the operator was told of a proposal.
+func (c *Checker) Concluded(now float64, reason string, o config.Outcome) {
+	told := c.verdicts[reason]
+	if told == nil {
+		c.fail(now, "an outcome of %q, which nobody proposed", reason)
+		return
+	}
+	if told.concluded && (told.result != o.Result || told.number != o.Version.Number) {
+		c.fail(now, "%q was told to be %v and %v", reason, told.result, o.Result)
+	}
+	told.concluded, told.result, told.number = true, o.Result, o.Version.Number
+	switch o.Result {
+	case config.Agreed:
+		c.Agreed++
+		c.concludedAgreed(now, told, o.Version)
+	case config.Lost:
+		c.Lost++
+	case config.Refused:
+		c.Refused++
+	default:
+		c.Unanswered++
+	}
+	if number, ok := c.numbers[reason]; ok {
+		c.contradict(now, told, number)
+	}
+}
+
+// concludedAgreed checks what was told of an agreed version: it follows the one that was expected, so that of two with
+// one expectation at most one is agreed on.
+func (c *Checker) concludedAgreed(now float64, told *verdict, v config.Version) {
+	p := told.proposal
+	if v.Number != p.Expect+1 {
+		c.fail(now, "%q expected version %d and was told to be version %d", p.Reason, p.Expect, v.Number)
+	}
+	if v.Hash != p.Hash {
+		c.fail(now, "%q is document %.8s and was told to be %.8s", p.Reason, p.Hash, v.Hash)
+	}
+	c.recordAgreed(now, "an outcome", v, p.Reason)
+}
+
+// contradict checks a proposal that is in the history against what its operator was told.
+func (c *Checker) contradict(now float64, told *verdict, number uint64) {
+	switch {
+	case !told.concluded || told.result == config.Unknown:
+	case told.result == config.Lost || told.result == config.Refused:
+		c.fail(now, "%q was told to be lost or refused and is version %d", told.proposal.Reason, number)
+	case told.number != number:
+		c.fail(now, "%q was told to be version %d and is version %d", told.proposal.Reason, told.number, number)
+	}
+}
+
+// History takes in what a voter holds as agreed on, or what a leader answered.
+func (c *Checker) History(now float64, source string, versions []config.Version) {
+	for i, v := range versions {
+		if i > 0 && v.Number != versions[i-1].Number+1 {
+			c.fail(now, "%s: version %d stands after version %d", source, v.Number, versions[i-1].Number)
+		}
+		if v.Number > c.newest.Number || c.reasons[v.Number] != v.Reason || c.hashes[v.Number] != v.Hash {
+			c.recordAgreed(now, source, v, v.Reason)
+		}
+	}
+}
+
+func (c *Checker) recordAgreed(now float64, source string, v config.Version, reason string) {
+	c.identify(now, source, v.Number, v.Hash)
+	if known, ok := c.reasons[v.Number]; ok && known != reason {
+		c.fail(now, "%s: version %d is %q and was %q", source, v.Number, reason, known)
+	}
+	if known, ok := c.numbers[reason]; ok && known != v.Number {
+		c.fail(now, "%s: %q is version %d and was version %d", source, reason, v.Number, known)
+	}
+	c.reasons[v.Number], c.numbers[reason] = reason, v.Number
+	if v.Number > c.newest.Number {
+		c.newest = v
+	}
+	told := c.verdicts[reason]
+	if told == nil {
+		c.fail(now, "%s: version %d is %q, which nobody proposed", source, v.Number, reason)
+		return
+	}
+	if v.Hash != told.proposal.Hash {
+		c.fail(now, "%s: version %d is not the document of %q", source, v.Number, reason)
+	}
+	c.contradict(now, told, v.Number)
+}
+
+// Newest is the newest version that is known to be agreed on; Number 0: none.
+func (c *Checker) Newest() config.Version { return c.newest }
+
+// Version is an agreed version's hash.
+func (c *Checker) Version(number uint64) (config.Hash, bool) {
+	_, agreed := c.reasons[number]
+	return c.hashes[number], agreed
+}
+
+// Survived checks that a history still holds what was agreed on: the newest version, and all before it that it would
+// remember.
+func (c *Checker) Survived(now float64, source string, versions []config.Version) {
+	c.History(now, source, versions)
+	held := map[uint64]bool{}
+	for _, v := range versions {
+		held[v.Number] = true
+	}
+	for _, number := range slices.Sorted(maps.Keys(c.reasons)) {
+		if number+config.MaxHistory > c.newest.Number && !held[number] {
+			c.fail(now, "%s: version %d was agreed on and is lost", source, number)
+		}
+	}
+}
+
+// HasApplied tells whether any incarnation of a controller had taken a version into use by a time.
+func (c *Checker) HasApplied(controller members.ID, number uint64, by float64) bool {
+	return slices.ContainsFunc(c.applications[controller], func(a application) bool { return a.number == number && a.at <= by })
+}
+
+// runApplied tells the same of one incarnation.
+func (c *Checker) runApplied(controller members.ID, run, number uint64, by float64) bool {
+	return slices.ContainsFunc(c.applications[controller], func(a application) bool {
+		return a.run == run && a.number == number && a.at <= by
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet/configuration/checker_test.go
@@ -0,0 +1,216 @@
+package configuration
+
+import (
+	"strings"
+	"testing"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+)
+
+var (
+	first  = Incarnation{"n0", 1}
+	again  = Incarnation{"n0", 2}
+	other  = Incarnation{"n1", 3}
+	folder = Folder{"n0", 0}
+	copied = Folder{"n0", 1}
+	fleet  = []members.ID{"n0", "n1", "n2"}
+)
+
+func version(number uint64, hash byte, reason string) config.Version {
+	return config.Version{Number: number, Hash: config.Hash{hash}, Reason: reason}
+}
+
+func proposal(reason string, expect uint64, hash byte) Proposal {
+	return Proposal{Reason: reason, Expect: expect, Hash: config.Hash{hash}}
+}
+
+func agreed(v config.Version) config.Outcome {
+	return config.Outcome{Result: config.Agreed, Version: v}
+}
+
+// status is one of three controllers at version 1, of which two are in force and one is behind.
+func status() *config.Status {
+	return &config.Status{Latest: version(1, 1, "a"), Members: 3, InForce: 2, Counts: map[uint64]int{1: 2, 0: 1},
+		Behind: []config.ControllerReport{{ID: "n2", Run: 9}}}
+}
+
+func applyAt(c *Checker, ids ...members.ID) {
+	for i, id := range ids {
+		c.Applied(float64(i), Incarnation{id, uint64(i + 1)}, Folder{id, 0}, version(1, 1, "a"))
+	}
+}
+
+func TestChecker(t *testing.T) {
+	for name, test := range map[string]struct {
+		happens func(c *Checker)
+		broken  string // a part of what is told; empty: nothing is wrong
+	}{
+		"numbers rise": {func(c *Checker) {
+			c.Started(1, first, folder, config.Version{})
+			c.Applied(2, first, folder, version(1, 1, "a"))
+			c.Applied(3, first, folder, version(3, 3, "c"))
+			c.Started(4, again, folder, version(3, 3, "c"))
+		}, ""},
+		"a run goes back": {func(c *Checker) {
+			c.Applied(1, first, folder, version(2, 2, "b"))
+			c.Applied(2, first, copied, version(1, 1, "a"))
+		}, "n0/1 applied version 1 after version 2"},
+		"a folder goes back at a start": {func(c *Checker) {
+			c.Applied(1, first, folder, version(2, 2, "b"))
+			c.Started(2, again, folder, version(1, 1, "a"))
+		}, "starts with version 1"},
+		"a folder starts with nothing": {func(c *Checker) {
+			c.Applied(1, first, folder, version(2, 2, "b"))
+			c.Started(2, again, folder, config.Version{})
+		}, "starts with version 0"},
+		"a folder goes back": {func(c *Checker) {
+			c.Applied(1, first, folder, version(2, 2, "b"))
+			c.Applied(2, again, folder, version(1, 1, "a"))
+		}, "where version 2 was in force"},
+		"an older copy was put back": {func(c *Checker) {
+			c.Applied(1, first, folder, version(2, 2, "b"))
+			c.Started(2, again, copied, version(1, 1, "a"))
+			c.Applied(3, again, copied, version(2, 2, "b"))
+		}, ""},
+		"two documents of one number": {func(c *Checker) {
+			c.Applied(1, first, folder, version(1, 1, "a"))
+			c.Applied(2, other, Folder{"n1", 0}, version(1, 2, "b"))
+		}, "and was"},
+		"two documents of one number, one agreed on": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", agreed(version(1, 1, "a")))
+			c.Applied(2, other, Folder{"n1", 0}, version(1, 2, "b"))
+		}, "and was"},
+		"one of two wins": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Proposed(proposal("b", 0, 2))
+			c.Concluded(1, "a", agreed(version(1, 1, "a")))
+			c.Concluded(2, "b", config.Outcome{Result: config.Lost, Version: version(1, 1, "a")})
+			c.History(3, "n0", []config.Version{version(1, 1, "a")})
+			c.Survived(4, "n0", []config.Version{version(1, 1, "a")})
+		}, ""},
+		"both of two are told to have won": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Proposed(proposal("b", 0, 1))
+			c.Concluded(1, "a", agreed(version(1, 1, "a")))
+			c.Concluded(2, "b", agreed(version(1, 1, "b")))
+		}, `is "b" and was "a"`},
+		"one wins by another number than it expected": {func(c *Checker) {
+			c.Proposed(proposal("a", 4, 1))
+			c.Concluded(1, "a", agreed(version(4, 1, "a")))
+		}, "expected version 4"},
+		"one is told to be another document": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", agreed(version(1, 2, "a")))
+		}, "was told to be"},
+		"one that was told lost is in the history": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", config.Outcome{Result: config.Lost})
+			c.History(2, "n0", []config.Version{version(1, 1, "a")})
+		}, "told to be lost or refused"},
+		"one of the history is told refused": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.History(1, "n0", []config.Version{version(1, 1, "a")})
+			c.Concluded(2, "a", config.Outcome{Result: config.Refused})
+		}, "told to be lost or refused"},
+		"one that was not answered is in the history": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", config.Outcome{Result: config.Unknown})
+			c.History(2, "n0", []config.Version{version(1, 1, "a")})
+		}, ""},
+		"one is told twice": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", config.Outcome{Result: config.Lost})
+			c.Concluded(2, "a", agreed(version(1, 1, "a")))
+		}, "was told to be"},
+		"one that nobody proposed": {func(c *Checker) {
+			c.History(1, "n0", []config.Version{version(1, 1, "a")})
+		}, "nobody proposed"},
+		"one is agreed on twice": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.History(1, "n0", []config.Version{version(1, 1, "a"), version(2, 1, "a")})
+		}, "is version 2 and was version 1"},
+		"histories differ": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Proposed(proposal("b", 0, 2))
+			c.History(1, "n0", []config.Version{version(1, 1, "a")})
+			c.History(2, "n1", []config.Version{version(1, 2, "b")})
+		}, "version 1"},
+		"a history has a gap": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Proposed(proposal("c", 2, 3))
+			c.History(1, "n0", []config.Version{version(1, 1, "a"), version(3, 3, "c")})
+		}, "stands after"},
+		"an agreed version is lost": {func(c *Checker) {
+			c.Proposed(proposal("a", 0, 1))
+			c.Concluded(1, "a", agreed(version(1, 1, "a")))
+			c.Survived(2, "n0", nil)
+		}, "is lost"},
+		"a status": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			c.StatusMade(5, status())
+		}, ""},
+		"a status counts one that has not applied it yet": {func(c *Checker) {
+			applyAt(c, "n0")
+			c.Applied(6, other, Folder{"n1", 0}, version(1, 1, "a"))
+			c.StatusMade(5, status())
+		}, "2 as in force at version 1, and 1 had"},
+		"a status counts another than the one that has": {func(c *Checker) {
+			applyAt(c, "n0", "n2")
+			c.StatusMade(5, status())
+		}, "takes n1 as in force"},
+		"a status counts one that has long been down": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			c.Ended(10, "n1")
+			c.StatusMade(11+FreshFor, status())
+		}, "2 as in force"},
+		"a status counts one that has just gone down": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			c.Ended(10, "n1")
+			c.StatusMade(11, status())
+		}, ""},
+		"a status counts one twice": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			s := status()
+			s.Counts[1] = 3
+			c.StatusMade(5, s)
+		}, "4 controllers by version, of 3"},
+		"a status names one twice": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			s := status()
+			s.Unheard = s.Behind
+			c.StatusMade(5, s)
+		}, "names n2 twice"},
+		"a status leaves one out": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			s := status()
+			s.InForce = 1
+			c.StatusMade(5, s)
+		}, "1 as in force and 1 others, of 3"},
+		"a status tells a version of one that it had not applied": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			s := status()
+			s.Behind[0].Applied = 7
+			c.StatusMade(5, s)
+		}, "n2/9 is at version 7"},
+		"a status names a stranger": {func(c *Checker) {
+			applyAt(c, "n0", "n1", "n2")
+			s := status()
+			s.Behind[0].ID = "x"
+			c.StatusMade(5, s)
+		}, "none of the fleet"},
+		"a status knows too many": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			s := status()
+			s.Members = 4
+			c.StatusMade(5, s)
+		}, "4 members of 3"},
+	} {
+		c := NewChecker(fleet)
+		test.happens(c)
+		if test.broken == "" && c.Broken != "" || test.broken != "" && !strings.Contains(c.Broken, test.broken) {
+			t.Errorf("%s: told %q, expected %q", name, c.Broken, test.broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/configuration/status.go
@@ -0,0 +1,85 @@
+package configuration
+
+import (
+	"slices"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+)
+
+// FreshFor is how long a controller that is not heard of may still count as in force, in ms; Status must leave out those
+// that have been down for longer.
+const FreshFor = 30000.0
+
+// StatusMade takes in a status at the time at which the leader made it.
+func (c *Checker) StatusMade(now float64, s *config.Status) {
+	c.Statuses++
+	c.identify(now, "a status", s.Latest.Number, s.Latest.Hash)
+	listed := c.listed(now, s)
+	if s.Members > len(c.controllers) {
+		c.fail(now, "a status knows %d members of %d", s.Members, len(c.controllers))
+	}
+	c.checkCounts(now, s)
+	if s.Latest.Number == 0 {
+		return
+	}
+	able := 0
+	for _, id := range c.controllers {
+		if c.countable(now, id, s.Latest.Number) {
+			able++
+		}
+	}
+	if s.InForce > able {
+		c.fail(now, "a status counts %d as in force at version %d, and %d had applied it", s.InForce, s.Latest.Number, able)
+	}
+	if s.More > 0 || s.Members != len(c.controllers) {
+		return // who is counted can't be told from who is not listed
+	}
+	for _, id := range c.controllers {
+		if !listed[id] && !c.countable(now, id, s.Latest.Number) {
+			c.fail(now, "a status takes %s as in force at version %d, which it had not applied, or it was long down", id, s.Latest.Number)
+		}
+	}
+}
+
+// countable tells whether a controller may count as in force at a version.
+func (c *Checker) countable(now float64, id members.ID, number uint64) bool {
+	return c.HasApplied(id, number, now) && !(c.down[id] && now > c.lastSeen[id]+FreshFor)
+}
+
+// checkCounts checks the sums: no controller counts twice.
+func (c *Checker) checkCounts(now float64, s *config.Status) {
+	heard := 0
+	for _, count := range s.Counts {
+		heard += count
+	}
+	if heard > s.Members {
+		c.fail(now, "a status counts %d controllers by version, of %d members", heard, s.Members)
+	}
+	if s.InForce > s.Counts[s.Latest.Number] {
+		c.fail(now, "a status counts %d as in force, and %d at version %d", s.InForce, s.Counts[s.Latest.Number], s.Latest.Number)
+	}
+	if others := len(s.Refused) + len(s.Behind) + len(s.Unheard) + s.More; s.InForce+others != s.Members {
+		c.fail(now, "a status counts %d as in force and %d others, of %d members", s.InForce, others, s.Members)
+	}
+}
+
+// listed are the controllers that a status names as not in force; each is named once and with what it had applied.
+func (c *Checker) listed(now float64, s *config.Status) map[members.ID]bool {
+	listed := map[members.ID]bool{}
+	for _, report := range slices.Concat(s.Refused, s.Behind, s.Unheard) {
+		if listed[report.ID] {
+			c.fail(now, "a status names %s twice", report.ID)
+		}
+		listed[report.ID] = true
+		if !slices.Contains(c.controllers, report.ID) {
+			c.fail(now, "a status names %s, which is none of the fleet", report.ID)
+		}
+	}
+	for _, report := range slices.Concat(s.Refused, s.Behind) {
+		if report.Applied > 0 && !c.runApplied(report.ID, report.Run, report.Applied, now) {
+			c.fail(now, "a status tells that %s/%x is at version %d, which it had not applied", report.ID, report.Run, report.Applied)
+		}
+	}
+	return listed
+}
