--- /dev/null
+++ b/cmd/mintkeel-lab/configuration.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mintkeel/internal/lab/fleet"
+)
+
+// configurationSum is what histories of a configuration told together.
+type configurationSum struct {
+	applied, proposed, agreed, lost, refused, unanswered, statuses int
+	catchUp, afterPut, afterTold                                   []float64
+}
+
+func (s *configurationSum) add(w *fleet.World) {
+	c, times := w.Configuration(), w.ConfigurationTimes()
+	s.applied += c.Applications
+	s.proposed += c.Proposals
+	s.agreed += c.Agreed
+	s.lost += c.Lost
+	s.refused += c.Refused
+	s.unanswered += c.Unanswered
+	s.statuses += c.Statuses
+	s.catchUp = append(s.catchUp, times.CatchUp)
+	s.afterPut = append(s.afterPut, times.AfterPut)
+	s.afterTold = append(s.afterTold, times.AfterTold)
+}
+
+// configurationNodes draws a fleet's size from a seed: 3 to 12.
+func configurationNodes(nodes int, seed int64) int {
+	if nodes > 0 {
+		return nodes
+	}
+	return 3 + int(seed%10)
+}
+
+// configurationHistories plays histories of a fleet's configuration in virtual time. With goOn it plays all of them
+// whatever fails, and fails in the end.
+func configurationHistories(c *cobra.Command, n, nodes, faults, beside int, seed int64, goOn bool) error {
+	var mu sync.Mutex
+	var sum configurationSum
+	failed := 0
+	began := time.Now()
+	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+		p := fleet.ConfigurationPlan(seed, configurationNodes(nodes, seed), faults)
+		w := fleet.NewWorld(p)
+		if why := w.Play(); why != "" {
+			told := errors.New(fleet.ShrinkConfiguration(p))
+			if !goOn {
+				return told
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failed++
+			fmt.Fprintln(c.ErrOrStderr(), told)
+			return nil
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		sum.add(w)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "%d histories of a configuration in virtual time, %d failed (%v)\n", n, failed, time.Since(began).Round(time.Second))
+	fmt.Fprintf(out, "%d versions applied; %d proposals: %d agreed, %d lost, %d refused, %d not answered; %d statuses\n",
+		sum.applied, sum.proposed, sum.agreed, sum.lost, sum.refused, sum.unanswered, sum.statuses)
+	fmt.Fprintf(out, "newest in force after the last heal: %s ms\n", spreadOf(sum.catchUp))
+	fmt.Fprintf(out, "a put after that in force: %s ms\na status tells it after: %s ms\n", spreadOf(sum.afterPut), spreadOf(sum.afterTold))
+	if failed > 0 {
+		return fmt.Errorf("%d of %d histories failed", failed, n)
+	}
+	return nil
+}
