Documents on disk, each by its hash, with a record of the current one

A fleet's configuration needs whole documents that outlive a crash. Each is written under another name, synced, renamed and checked against its hash when read; the record that names the current one is replaced after its document is durable, and no document that a record on disk may name is let go. Within bounds of count and bytes; damaged files are dropped and counted; a disk that can't be read at the start is an error, not a folder without a version.

--- /dev/null
+++ b/internal/store/documents/documents_test.go
@@ -0,0 +1,463 @@
+package documents
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"mintkeel/internal/store/disk"
+	"mintkeel/internal/store/disk/disktest"
+)
+
+var small = Bounds{Document: 200, Documents: 4, Bytes: 500}
+
+// document is the n-th that is stored; no two have the same length.
+func document(n int) []byte { return bytes.Repeat([]byte{byte(n)}, 20+n) }
+
+func hashOfDocument(n int) Hash { return sha256.Sum256(document(n)) }
+
+func current(n int) Current { return Current{hashOfDocument(n), fmt.Append(nil, "version ", n)} }
+
+// store is what a caller does for the n-th version: its document, the record, and the removal of the document before the
+// last one.
+func store(f *Folder, n int) error {
+	if err := f.Put(hashOfDocument(n), document(n)); err != nil {
+		return err
+	}
+	if err := f.SetCurrent(current(n)); err != nil {
+		return err
+	}
+	if n > 2 {
+		return f.Remove(hashOfDocument(n - 2))
+	}
+	return nil
+}
+
+func open(t *testing.T, d disk.Disk) (*Folder, Contents) {
+	t.Helper()
+	f, c, err := Open(d, small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, c
+}
+
+// found is the current version of a folder; 0: it has none. All that the folder hands out has to be as it was stored.
+func found(t *testing.T, d disk.Disk) int {
+	t.Helper()
+	f, c := open(t, d)
+	defer f.Close()
+	for hash, content := range c.Documents {
+		if sha256.Sum256(content) != hash {
+			t.Fatalf("%x is handed out with other content", hash)
+		}
+	}
+	if c.Current == nil {
+		return 0
+	}
+	if c.Documents[c.Current.Document] == nil {
+		t.Fatal("the record is there without its document")
+	}
+	for n := range 20 {
+		if c.Current.Document == hashOfDocument(n) && bytes.Equal(c.Current.Record, current(n).Record) {
+			return n
+		}
+	}
+	t.Fatalf("a record is handed out that was never stored: %q", c.Current.Record)
+	return 0
+}
+
+// TestStore has versions follow each other on a model of a disk and on the system's, over restarts.
+func TestStore(t *testing.T) {
+	for _, d := range []disk.Disk{disktest.New(), disk.Folder(t.TempDir())} {
+		f, c := open(t, d)
+		if c.Current != nil || len(c.Documents) > 0 || c.Damaged > 0 {
+			t.Errorf("%T: an empty folder holds %+v", d, c)
+		}
+		if _, _, err := Open(d, small); !errors.Is(err, disk.ErrLocked) {
+			t.Errorf("%T: a second process has the folder too: %v", d, err)
+		}
+		for n := 1; n <= 8; n++ {
+			if err := store(f, n); err != nil {
+				t.Fatalf("%T: version %d: %v", d, n, err)
+			}
+		}
+		f.Close()
+		if got := found(t, d); got != 8 {
+			t.Errorf("%T: %d is current", d, got)
+		}
+		f, c = open(t, d)
+		if len(c.Documents) != 2 || c.Damaged > 0 {
+			t.Errorf("%T: %d documents are left, %d damaged", d, len(c.Documents), c.Damaged)
+		}
+		if err := store(f, 9); err != nil {
+			t.Errorf("%T: another process can't go on: %v", d, err)
+		}
+		f.Close()
+		if got := found(t, d); got != 9 {
+			t.Errorf("%T: %d is current", d, got)
+		}
+	}
+}
+
+// TestStopAtEveryPoint has the machine stop at each operation, with each treatment of what was not synced: the version
+// before or the new one is current, with its document; once a call has returned, what it stored is there. The next
+// process goes on.
+func TestStopAtEveryPoint(t *testing.T) {
+	points := 0
+	for _, how := range disktest.Hows() {
+		for seed := range int64(8) {
+			d, rng := disktest.New(), rand.New(rand.NewSource(seed))
+			f, _ := open(t, d)
+			done := 0
+			for n := 1; n <= 5; n++ {
+				d.Watch(func(op int) {
+					points++
+					after := d.After(how, rng)
+					if got := found(t, after); got < done || got > n {
+						t.Fatalf("way %d, operation %d: %d is found, %d was stored, %d was being stored", how, op, got, done, n)
+					}
+					g, c := open(t, after)
+					defer g.Close()
+					removeOthers(t, g, c)
+					if err := store(g, 9); err != nil {
+						t.Fatalf("way %d, operation %d: the next process can't go on: %v", how, op, err)
+					}
+				})
+				if err := f.Put(hashOfDocument(n), document(n)); err != nil {
+					t.Fatal(err)
+				}
+				if err := f.SetCurrent(current(n)); err != nil {
+					t.Fatal(err)
+				}
+				done = n // whatever becomes of the removal
+				if n > 2 {
+					if err := f.Remove(hashOfDocument(n - 2)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				d.Watch(nil)
+				if got := found(t, d.After(how, rng)); got != n {
+					t.Fatalf("way %d: %d was stored, %d is found", how, n, got)
+				}
+			}
+		}
+	}
+	if points < 2500 {
+		t.Errorf("only %d points", points)
+	}
+}
+
+// removeOthers lets all documents go but the current one, as removals before a stop may be undone by it.
+func removeOthers(t *testing.T, f *Folder, c Contents) {
+	t.Helper()
+	for hash := range c.Documents {
+		if c.Current != nil && hash == c.Current.Document {
+			continue
+		}
+		if err := f.Remove(hash); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestDocumentBeforeRecord has a document that was put be there after a stop, before any record is about it.
+func TestDocumentBeforeRecord(t *testing.T) {
+	for _, how := range disktest.Hows() {
+		d := disktest.New()
+		f, _ := open(t, d)
+		if err := f.Put(hashOfDocument(1), document(1)); err != nil {
+			t.Fatal(err)
+		}
+		g, c := open(t, d.After(how, rand.New(rand.NewSource(1))))
+		if !bytes.Equal(c.Documents[hashOfDocument(1)], document(1)) {
+			t.Errorf("way %d: the document is lost", how)
+		}
+		g.Close()
+	}
+}
+
+// TestDamage cuts each file at each byte and turns each bit: what is damaged is dropped and counted, and the next
+// process can store the same again.
+func TestDamage(t *testing.T) {
+	for _, name := range []string{currentName, fileName(hashOfDocument(2)), fileName(hashOfDocument(1))} {
+		whole := prepared(t).Get(name)
+		var versions [][]byte
+		for n := range whole {
+			versions = append(versions, whole[:n])
+			for bit := range 8 {
+				turned := slices.Clone(whole)
+				turned[n] ^= 1 << bit
+				versions = append(versions, turned)
+			}
+		}
+		versions = append(versions, append(slices.Clone(whole), 0), slices.Concat(whole, whole), make([]byte, 1<<20))
+		for i, damaged := range versions {
+			d := prepared(t)
+			d.Put(name, damaged)
+			f, c := open(t, d)
+			if c.Damaged == 0 {
+				t.Fatalf("%s: damage %d is not counted", name, i)
+			}
+			if isCurrent := c.Current != nil; isCurrent != (name == fileName(hashOfDocument(1))) {
+				t.Fatalf("%s: damage %d: there is a current version: %v", name, i, isCurrent)
+			}
+			if err := store(f, 2); err != nil {
+				t.Fatalf("%s: damage %d: %v", name, i, err)
+			}
+			f.Close()
+			if got := found(t, d); got != 2 {
+				t.Fatalf("%s: damage %d: stored again, %d is current", name, i, got)
+			}
+		}
+	}
+}
+
+// prepared is a disk with two versions.
+func prepared(t *testing.T) *disktest.Disk {
+	t.Helper()
+	d := disktest.New()
+	f, _ := open(t, d)
+	defer f.Close()
+	for n := 1; n <= 2; n++ {
+		if err := store(f, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d
+}
+
+// TestFullDisk has each amount of room run out: the version before stays, and the new one is taken when room is back.
+func TestFullDisk(t *testing.T) {
+	d := prepared(t)
+	f, _ := open(t, d)
+	size := len(document(3)) + headBytes + len(current(3).Record)
+	for left := range size {
+		d.Fill(left)
+		if err := store(f, 3); err == nil {
+			t.Fatalf("%d bytes of room: stored", left)
+		}
+		f.Close()
+		if got := found(t, d); got != 2 {
+			t.Fatalf("%d bytes of room: %d is current", left, got)
+		}
+		for name := range namesOf(t, d) {
+			if strings.HasSuffix(name, unfinished) {
+				t.Fatalf("%d bytes of room: %s is left", left, name)
+			}
+		}
+		f, _ = open(t, d)
+		if err := f.Remove(hashOfDocument(3)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.Fill(-1)
+	if err := store(f, 3); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if got := found(t, d); got != 3 {
+		t.Errorf("room is back, and %d is current", got)
+	}
+}
+
+func namesOf(t *testing.T, d disk.Disk) map[string]bool {
+	t.Helper()
+	names, err := d.Names()
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := map[string]bool{}
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
+// TestFailingDisk has operations fail from each one on: the version before or the new one is current, no document of
+// either is let go, and the same process goes on when the disk is well.
+func TestFailingDisk(t *testing.T) {
+	for op := 1; ; op++ {
+		d := prepared(t)
+		f, _ := open(t, d)
+		reached := d.FailFrom(op, io.ErrClosedPipe)
+		err := store(f, 3)
+		failed := reached()
+		if err != nil && !failed {
+			t.Fatal(err)
+		}
+		f.Close()
+		if got := found(t, d); got != 2 && got != 3 || err == nil && got != 3 {
+			t.Fatalf("fails from operation %d: %v, %d is current", op, err, got)
+		}
+		f, _ = open(t, d)
+		if err := store(f, 4); err != nil {
+			t.Fatalf("failed from operation %d and is well: %v", op, err)
+		}
+		f.Close()
+		if got := found(t, d); got != 4 {
+			t.Fatalf("failed from operation %d and is well: %d is current", op, got)
+		}
+		if !failed {
+			break
+		}
+	}
+}
+
+// TestFailedReplacement has the folder's sync fail after the record's rename: either version may be found by a restart,
+// so neither document is let go before a replacement has succeeded.
+func TestFailedReplacement(t *testing.T) {
+	d := prepared(t)
+	f, _ := open(t, d)
+	if err := f.Put(hashOfDocument(3), document(3)); err != nil {
+		t.Fatal(err)
+	}
+	const syncOfFolder = 5 // create, write, sync, rename, sync
+	reached := d.FailFrom(syncOfFolder, io.ErrClosedPipe)
+	if err := f.SetCurrent(current(3)); err == nil || !reached() {
+		t.Fatalf("the sync did not fail: %v", err)
+	}
+	for n := 2; n <= 3; n++ {
+		if err := f.Remove(hashOfDocument(n)); !errors.Is(err, ErrInUse) {
+			t.Errorf("document %d: %v", n, err)
+		}
+	}
+	if err := f.SetCurrent(current(3)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Remove(hashOfDocument(2)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestUnreadableDisk has reading fail: that is told, as a disk that can't be read just now is not one without a version.
+func TestUnreadableDisk(t *testing.T) {
+	for op := 1; ; op++ {
+		d := prepared(t)
+		reached := d.FailFrom(op, io.ErrClosedPipe)
+		f, c, err := Open(d, small)
+		if !reached() {
+			break
+		}
+		if err == nil && c.Current == nil {
+			t.Errorf("fails from operation %d: the folder is taken for one without a version", op)
+		}
+		if err == nil {
+			f.Close()
+		}
+		if got := found(t, d); got != 2 {
+			t.Errorf("failed from operation %d and is well: %d is current", op, got)
+		}
+	}
+}
+
+// TestHangingDisk has a write take as long as the disk hangs, and be whole after it.
+func TestHangingDisk(t *testing.T) {
+	d := prepared(t)
+	f, _ := open(t, d)
+	release := d.Hang()
+	result := make(chan error)
+	go func() { result <- store(f, 3) }()
+	select {
+	case err := <-result:
+		t.Fatalf("the disk hangs, and the store returns %v", err)
+	default:
+	}
+	release()
+	if err := <-result; err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	if got := found(t, d); got != 3 {
+		t.Errorf("%d is current", got)
+	}
+}
+
+// TestBounds has what is past a bound, or is not what it is said to be, change nothing.
+func TestBounds(t *testing.T) {
+	f, _ := open(t, prepared(t))
+	big := make([]byte, small.Document+1)
+	for name, c := range map[string]struct {
+		err  error
+		want error
+	}{
+		"a document too big":                  {f.Put(sha256.Sum256(big), big), ErrTooBig},
+		"a document of another hash":          {f.Put(hashOfDocument(4), document(5)), ErrHash},
+		"a record without a document":         {f.SetCurrent(current(6)), ErrMissing},
+		"a record too big":                    {f.SetCurrent(Current{hashOfDocument(1), make([]byte, maxRecordSize+1)}), ErrTooBig},
+		"the current document's removal":      {f.Remove(hashOfDocument(2)), ErrInUse},
+		"removal of what was never there":     {f.Remove(hashOfDocument(7)), nil},
+		"a document that is there already":    {f.Put(hashOfDocument(2), document(2)), nil},
+		"a document of no bytes":              {f.Put(sha256.Sum256(nil), nil), nil},
+		"a document within the bounds":        {f.Put(hashOfDocument(10), document(10)), nil},
+		"one more document than there may be": {f.Put(hashOfDocument(11), document(11)), ErrFull},
+	} {
+		if !errors.Is(c.err, c.want) {
+			t.Errorf("%s: %v", name, c.err)
+		}
+	}
+	f, _ = open(t, disktest.New())
+	for n := range 2 {
+		filled := bytes.Repeat([]byte{byte(n)}, small.Document)
+		if err := f.Put(sha256.Sum256(filled), filled); err != nil {
+			t.Fatal(err)
+		}
+	}
+	last := bytes.Repeat([]byte{9}, int(small.Bytes)-2*small.Document+1)
+	if err := f.Put(sha256.Sum256(last), last); !errors.Is(err, ErrFull) {
+		t.Errorf("more bytes than there may be: %v", err)
+	}
+}
+
+// TestForeignFiles has files of others be left alone, and what was put there past the bounds be dropped; the current
+// document comes first.
+func TestForeignFiles(t *testing.T) {
+	path := t.TempDir()
+	d := disk.Folder(path)
+	f, _ := open(t, d)
+	if err := store(f, 1); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	put := func(name string, content []byte) {
+		t.Helper()
+		if err := os.WriteFile(filepath.Join(path, name), content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	foreign := []string{"notes.txt", "document-", "document-zz", strings.ToUpper(fileName(hashOfDocument(3))), "other.new"}
+	for _, name := range foreign {
+		put(name, []byte("an operator's"))
+	}
+	for n := 2; n <= 9; n++ {
+		put(fileName(hashOfDocument(n)), document(n))
+	}
+	put(fileName(hashOfDocument(10))+unfinished, document(10)[:3])
+	put(currentName+unfinished, []byte("half"))
+	if err := os.Mkdir(filepath.Join(path, fileName(hashOfDocument(11))), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	f, c := open(t, d)
+	defer f.Close()
+	if c.Current == nil || c.Current.Document != hashOfDocument(1) || len(c.Documents) != small.Documents || c.Damaged != 6 {
+		t.Errorf("current %v, %d documents, %d damaged", c.Current, len(c.Documents), c.Damaged)
+	}
+	names := namesOf(t, d)
+	for _, name := range foreign {
+		if !names[name] {
+			t.Errorf("%s is gone", name)
+		}
+	}
+	const own = 1 + 1 // current and the lock
+	if len(names) != len(foreign)+own+small.Documents {
+		t.Errorf("%d files are left: %v", len(names), names)
+	}
+}
