--- a/internal/store/documents/documents_test.go
+++ b/internal/store/documents/documents_test.go
@@ -245,15 +245,15 @@
 		if err := store(f, 3); err == nil {
 			t.Fatalf("%d bytes of room: stored", left)
 		}
-		f.Close()
-		if got := found(t, d); got != 2 {
-			t.Fatalf("%d bytes of room: %d is current", left, got)
-		}
 		for name := range namesOf(t, d) {
 			if strings.HasSuffix(name, unfinished) {
 				t.Fatalf("%d bytes of room: %s is left", left, name)
 			}
 		}
+		f.Close()
+		if got := found(t, d); got != 2 {
+			t.Fatalf("%d bytes of room: %d is current", left, got)
+		}
 		f, _ = open(t, d)
 		if err := f.Remove(hashOfDocument(3)); err != nil {
 			t.Fatal(err)
