--- a/internal/store/documents/documents.go
+++ b/internal/store/documents/documents.go
@@ -282,6 +282,18 @@
 	return nil
 }
 
+// ClearCurrent removes the record. It is gone for good when this returns nil; after an error a restart may find it.
+func (f *Folder) ClearCurrent() error {
+	if err := f.disk.Remove(currentName); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := f.disk.Sync(); err != nil {
+		return err
+	}
+	f.inUse = map[Hash]bool{}
+	return nil
+}
+
 // Remove lets a document go that the record is not about. It is no error if it is not there. After a crash it may be
 // there again.
 func (f *Folder) Remove(hash Hash) error {
--- a/internal/store/documents/documents_test.go
+++ b/internal/store/documents/documents_test.go
@@ -338,6 +338,46 @@
 	}
 }
 
+// TestClearCurrent has the record removed: at each stop, and after each failure, it is there whole or gone, and its
+// document is let go only once it is gone for good.
+func TestClearCurrent(t *testing.T) {
+	for _, how := range disktest.Hows() {
+		d, rng := prepared(t), rand.New(rand.NewSource(1))
+		f, _ := open(t, d)
+		d.Watch(func(op int) {
+			if got := found(t, d.After(how, rng)); got != 0 && got != 2 {
+				t.Fatalf("way %d, operation %d: %d is current", how, op, got)
+			}
+		})
+		if err := f.ClearCurrent(); err != nil {
+			t.Fatal(err)
+		}
+		d.Watch(nil)
+		if got := found(t, d.After(how, rng)); got != 0 {
+			t.Errorf("way %d: cleared, and %d is current", how, got)
+		}
+	}
+	d := prepared(t)
+	f, _ := open(t, d)
+	for op := 1; op <= 2; op++ {
+		reached := d.FailFrom(op, io.ErrClosedPipe)
+		if err := f.ClearCurrent(); err == nil || !reached() {
+			t.Errorf("fails from operation %d: %v", op, err)
+		}
+		if err := f.Remove(hashOfDocument(2)); !errors.Is(err, ErrInUse) {
+			t.Errorf("failed from operation %d, and the document is let go: %v", op, err)
+		}
+	}
+	for range 2 {
+		if err := f.ClearCurrent(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Remove(hashOfDocument(2)); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestUnreadableDisk has reading fail: that is told, as a disk that can't be read just now is not one without a version.
 func TestUnreadableDisk(t *testing.T) {
 	for op := 1; ; op++ {
