The fleet service stores, applies and answers for configuration versions

The replica of configuration versions needs a disk, a host that takes versions into use, and operators. With a host: the stored version is applied before the session begins, documents are stored and versions applied on goroutines of their own, one at a time, and results come back by the session's loop. A version older than the one in force, or another document of its number, is refused at the last step whatever asks for it. A parser or host that panics ends no more than the call. A session that begins anew starts with what is in force, also where its folder was emptied meanwhile.

Operators' orders (put, status, history, show, rollback) wait in their connection's goroutine; a request is told whether it was begun, so that 'nothing was proposed' is said only where that is known. Requests about configuration may have a document of 1 MiB, others stay at 64 KB; deadlines follow the kind of request.

Without a host nothing differs: no folder, goroutine, count, and the bound of requests is what it was.

Tests over real TCP with three to five services: documents of 1 byte, 64 KB and 1 MiB in force at all five, one too large; lost race; refused by check, apply and panics of either; rollback; restart with the kept folder, emptied, put back to an older copy, damaged; disk full and hanging at one; slow host; strangers; other generation.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -26,7 +25,7 @@
 // ConfigHost is the program that uses the fleet's configuration: the daemon, or a hollow controller of a rig.
 type ConfigHost struct {
 	// Check tells whether a document could be used here, by the same code as `mintkeel check`. It has no effects, is
-	// called from the service's goroutine and must be quick.
+	// called from goroutines of the service, one call at a time, and must be quick.
 	Check func(document []byte) error
 	// Apply takes a version into use. It is called from a goroutine of its own, one call at a time, and may wait a
 	// bounded time. An error that wraps ErrRetryable is tried again.
@@ -69,6 +68,3 @@
 	Versions []config.Version `json:"versions,omitempty"`
 	Document []byte           `json:"document,omitempty"` // of ConfigShow
 }
-
-// WaitConfig waits until the latest version is known to be in force here, or the context ends, and tells which is.
-func (s *Service) WaitConfig(ctx context.Context) config.Readiness { return config.Readiness{} }
--- /dev/null
+++ b/internal/fleet/configcontrol_test.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"mintkeel/internal/core/fleet/config"
+)
+
+// TestConfigPut has documents of all sizes be in force at all, told by status, history and show.
+func TestConfigPut(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 5, nil)
+	all := []int{0, 1, 2, 3, 4}
+	documents := [][]byte{[]byte("x"), bytes.Repeat([]byte("y"), 64<<10), bytes.Repeat([]byte("z"), config.MaxDocument)}
+	for n, document := range documents {
+		v := f.put(n+2, document)
+		if v.Number != uint64(n+1) || v.Author != "a" || v.Reason != "r" || v.Size != len(document) || v.Time == 0 {
+			t.Errorf("agreed on %+v", v)
+		}
+		f.inForce(v, document, all...)
+	}
+	f.statusIs(4, "in force at all", func(s *config.Status) bool {
+		return s.Latest.Number == 3 && s.Members == 5 && s.InForce == 5 && s.Counts[3] == 5
+	})
+	for name, big := range map[string][]byte{"too large": make([]byte, config.MaxDocument+1), "empty": nil} {
+		answer, err := f.order(1, ConfigOrder{Action: ConfigPut, Document: big})
+		if err != nil || answer.Result != ConfigRefused || answer.Reason == "" {
+			t.Errorf("%s: %+v, %v", name, answer, err)
+		}
+		status, err := f.services[1].Ask(Request{Do: "config", Config: &ConfigOrder{Action: ConfigPut, Document: big}})
+		if err != nil || status.Config.Result != ConfigRefused {
+			t.Errorf("%s, past the bound of the client: %+v, %v", name, status.Config, err)
+		}
+	}
+	history, err := f.order(3, ConfigOrder{Action: ConfigHistory})
+	if err != nil || len(history.Versions) != 3 || history.From == "" || history.Local.Number != 3 {
+		t.Errorf("history: %+v, %v", history, err)
+	}
+	for number, want := range map[uint64][]byte{0: documents[2], 1: documents[0], 2: documents[1], 3: documents[2]} {
+		shown, err := f.order(4, ConfigOrder{Action: ConfigShow, Number: number})
+		if err != nil || !bytes.Equal(shown.Document, want) {
+			t.Errorf("show %d: %d bytes, %v", number, len(shown.Document), err)
+		}
+	}
+	if _, err := f.order(4, ConfigOrder{Action: ConfigShow, Number: 9}); err == nil {
+		t.Error("a version that was never agreed on is shown")
+	}
+	if local := f.services[4].WaitConfig(context.Background()); local.Number != 3 || !local.Confirmed || local != f.services[4].ConfigLocal() {
+		t.Errorf("local: %+v", local)
+	}
+	f.neverOlder()
+}
+
+// TestConfigRace has two operators put at once: one wins, the other is told of the version that did.
+func TestConfigRace(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 3, nil)
+	first := f.put(0, []byte("first"))
+	answers := make(chan ConfigAnswer, 2)
+	for i := range 2 {
+		go func() {
+			answer, err := f.order(i, ConfigOrder{Action: ConfigPut, Document: fmt.Append(nil, "by ", i), Expect: &first.Number})
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer
+		}()
+	}
+	a, b := <-answers, <-answers
+	if a.Result == ConfigLost {
+		a, b = b, a
+	}
+	if a.Result != ConfigAgreed || b.Result != ConfigLost || b.Version == nil || b.Version.Number != first.Number+1 || b.Version.Hash != a.Version.Hash {
+		t.Fatalf("%+v and %+v", a, b)
+	}
+	stale, err := f.order(2, ConfigOrder{Action: ConfigPut, Document: []byte("late"), Expect: &first.Number})
+	if err != nil || stale.Result != ConfigLost {
+		t.Errorf("one that has seen no newer version than the first: %+v, %v", stale, err)
+	}
+	f.neverOlder()
+}
+
+// TestConfigRefusedHere has documents that the controller asked can't use be refused at once, with its problems.
+func TestConfigRefusedHere(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 1, nil)
+	f.hosts[0].setCheck(func(document []byte) error {
+		switch string(document) {
+		case "good":
+			return nil
+		case "panic":
+			panic("the parser is broken")
+		}
+		return errors.New("line 4: what is this?")
+	})
+	for document, want := range map[string]string{"bad": "line 4", "panic": "the parser is broken"} {
+		answer, err := f.order(0, ConfigOrder{Action: ConfigPut, Document: []byte(document)})
+		if err != nil || answer.Result != ConfigRefused || !strings.Contains(answer.Reason, want) {
+			t.Errorf("%s: %+v, %v", document, answer, err)
+		}
+	}
+	v := f.put(0, []byte("good"))
+	if v.Number != 1 {
+		t.Errorf("agreed on %+v", v)
+	}
+	f.hosts[0].setCheck(func([]byte) error { return errors.New("no longer") })
+	rollback, err := f.order(0, ConfigOrder{Action: ConfigRollback, Number: 1})
+	if err != nil || rollback.Result != ConfigRefused {
+		t.Errorf("rollback to what can't be used any more: %+v, %v", rollback, err)
+	}
+}
+
+// TestConfigRollback has an earlier document be a new version.
+func TestConfigRollback(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	f.put(0, []byte("one"))
+	f.put(1, []byte("two"))
+	answer, err := f.order(3, ConfigOrder{Action: ConfigRollback, Number: 1, Author: "b", Reason: "two is bad"})
+	if err != nil || answer.Result != ConfigAgreed || answer.Version.Number != 3 || answer.Version.RollbackOf != 1 ||
+		answer.Version.Reason != "two is bad" {
+		t.Fatalf("%+v, %v", answer, err)
+	}
+	f.inForce(*answer.Version, []byte("one"), 0, 1, 2, 3)
+	seen := uint64(2)
+	if late, err := f.order(2, ConfigOrder{Action: ConfigRollback, Number: 2, Expect: &seen}); err != nil || late.Result != ConfigLost {
+		t.Errorf("one that has not seen the rollback: %+v, %v", late, err)
+	}
+	if _, err := f.order(3, ConfigOrder{Action: ConfigRollback, Number: 8}); err == nil {
+		t.Error("rolled back to a version that was never agreed on")
+	}
+	f.neverOlder()
+}
+
+// TestConfigOff has a service without a host be what it was: no folder, no goroutine, no count, no answer.
+func TestConfigOff(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	s, err := Start(blockOf(t, dir, 0, []string{"127.0.0.1:0"}), "n0", nil, nil, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "status"}); err != nil {
+		t.Error(err)
+	}
+	if local := s.WaitConfig(context.Background()); local != (config.Readiness{}) || s.ConfigLocal() != local {
+		t.Errorf("it tells %+v", local)
+	}
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "config", Config: &ConfigOrder{Action: ConfigState}}); err == nil ||
+		!strings.Contains(err.Error(), errNoConfig.Error()) {
+		t.Errorf("an order is answered: %v", err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "n0", configFolderName)); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("there is a folder: %v", err)
+	}
+	if slices.ContainsFunc(s.LogValue().Group(), func(a slog.Attr) bool { return a.Key == "config" }) {
+		t.Error("there are counts")
+	}
+}
+
+// TestConfigRequests has requests that are too long, or make no sense, be told so.
+func TestConfigRequests(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 1, nil)
+	long := strings.Repeat("x", controlBytes)
+	for name, r := range map[string]Request{
+		"a long request of another kind": {Do: "handover", Work: long},
+		"longer than any may be":         {Do: "config", Config: &ConfigOrder{Action: ConfigPut, Reason: strings.Repeat("x", configRequestBytes)}},
+		"no order":                       {Do: "config"},
+		"an order that is not known":     {Do: "config", Config: &ConfigOrder{Action: "jump"}},
+	} {
+		if _, err := Call(context.Background(), f.folder(0), r); err == nil {
+			t.Errorf("%s: done", name)
+		}
+	}
+	f.put(0, []byte("x"))
+	for name, o := range map[string]ConfigOrder{
+		"an author too long": {Action: ConfigPut, Document: []byte("y"), Author: strings.Repeat("a", config.MaxAuthor+1)},
+		"a reason too long":  {Action: ConfigPut, Document: []byte("y"), Reason: strings.Repeat("a", config.MaxReason+1)},
+	} {
+		if answer, err := f.order(0, o); err != nil || answer.Result != ConfigRefused || answer.Reason == "" {
+			t.Errorf("%s: %+v, %v", name, answer, err)
+		}
+	}
+}
+
+// TestConfigWithoutMajority has a put where no majority is to be heard be told so, in time.
+func TestConfigWithoutMajority(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 3, nil)
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2)
+	f.stop(1)
+	f.stop(2)
+	f.eventually("there is no leader", func() bool {
+		_, err := f.order(0, ConfigOrder{Action: ConfigHistory})
+		return err != nil && strings.Contains(err.Error(), errNoLeader.Error())
+	})
+	answer, err := f.order(0, ConfigOrder{Action: ConfigPut, Document: []byte("two"), Expect: &one.Number})
+	if err != nil || answer.Result != ConfigUnknown || answer.Local.Number != one.Number {
+		t.Errorf("put: %+v, %v", answer, err)
+	}
+	if !f.hosts[0].uses(one.Number, []byte("one")) {
+		t.Error("the last version is not in force")
+	}
+}
--- /dev/null
+++ b/internal/fleet/configfleet_test.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/store/disk"
+)
+
+// fakeHost is a program that uses the fleet's configuration, and remembers what it took.
+type fakeHost struct {
+	mu       sync.Mutex
+	versions []config.Version // that it took, in order
+	document []byte           // of the last
+	calls    int              // of Apply, those that failed too
+	check    func(document []byte) error
+	apply    func(v config.Version, document []byte) error
+}
+
+func (h *fakeHost) host() *ConfigHost {
+	return &ConfigHost{Check: h.checkDocument, Apply: h.applyVersion}
+}
+
+func (h *fakeHost) checkDocument(document []byte) error {
+	h.mu.Lock()
+	check := h.check
+	h.mu.Unlock()
+	if check == nil {
+		return nil
+	}
+	return check(document)
+}
+
+func (h *fakeHost) applyVersion(v config.Version, document []byte) error {
+	h.mu.Lock()
+	apply := h.apply
+	h.calls++
+	h.mu.Unlock()
+	if apply != nil {
+		if err := apply(v, document); err != nil {
+			return err
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions = append(h.versions, v)
+	h.document = document
+	return nil
+}
+
+func (h *fakeHost) setCheck(check func([]byte) error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.check = check
+}
+
+func (h *fakeHost) setApply(apply func(config.Version, []byte) error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.apply = apply
+}
+
+// numbers are those of the versions it took, in order.
+func (h *fakeHost) numbers() (list []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, v := range h.versions {
+		list = append(list, v.Number)
+	}
+	return list
+}
+
+// uses tells whether this version is in use, with this document.
+func (h *fakeHost) uses(number uint64, document []byte) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.versions) == 0 {
+		return number == 0
+	}
+	return h.versions[len(h.versions)-1].Number == number && bytes.Equal(h.document, document)
+}
+
+func (h *fakeHost) callCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.calls
+}
+
+// configFleet is some services on loopback. The first three are voters.
+type configFleet struct {
+	t        *testing.T
+	dir      string
+	addrs    []string
+	hosts    []*fakeHost
+	disks    []disk.Disk // where versions are stored; nil: in the service's folder
+	services []*Service  // nil: not running
+	change   func(i int, b *Block)
+	off      bool // the fleet has no say in configuration
+}
+
+const configVoters = 3
+
+// startConfigFleet starts services; prepare may change what they start with.
+func startConfigFleet(t *testing.T, count int, prepare func(*configFleet)) *configFleet {
+	t.Helper()
+	f := &configFleet{t: t, dir: t.TempDir(), disks: make([]disk.Disk, count), services: make([]*Service, count)}
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.addrs = append(f.addrs, l.Addr().String())
+		f.hosts = append(f.hosts, &fakeHost{})
+		l.Close()
+	}
+	t.Cleanup(func() {
+		for i := range f.services {
+			f.stop(i)
+		}
+	})
+	if prepare != nil {
+		prepare(f)
+	}
+	for i := range count {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *configFleet) folder(i int) string { return filepath.Join(f.dir, fmt.Sprint("n", i)) }
+
+func (f *configFleet) configFolder(i int) string { return filepath.Join(f.folder(i), configFolderName) }
+
+// start begins a service, as a process that starts would.
+func (f *configFleet) start(i int) {
+	f.t.Helper()
+	b := blockOf(f.t, f.dir, i, f.addrs)
+	b.Council = map[members.ID]string{}
+	for j, addr := range f.addrs[:min(configVoters, len(f.addrs))] {
+		b.Council[members.ID(fmt.Sprint("n", j))] = addr
+	}
+	if f.change != nil {
+		f.change(i, b)
+	}
+	configuration := newFolderConfiguration(f.hosts[i].host(), b.Folder)
+	switch {
+	case f.off:
+		configuration = nil
+	case f.disks[i] != nil:
+		configuration.disk = f.disks[i]
+	}
+	s, err := start(b, fmt.Sprint("n", i), nil, configuration, quiet)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.services[i] = s
+}
+
+func (f *configFleet) stop(i int) {
+	if f.services[i] != nil {
+		f.services[i].Close()
+		f.services[i] = nil
+	}
+}
+
+// order asks the i-th controller by its socket.
+func (f *configFleet) order(i int, o ConfigOrder) (ConfigAnswer, error) {
+	s, err := Call(context.Background(), f.folder(i), Request{Do: "config", Config: &o})
+	if s.Config == nil {
+		return ConfigAnswer{}, err
+	}
+	return *s.Config, err
+}
+
+// put has a document agreed on, asking the i-th controller.
+func (f *configFleet) put(i int, document []byte) config.Version {
+	f.t.Helper()
+	var answer ConfigAnswer
+	var err error
+	f.eventually("put is answered", func() bool { // a quorum without a leader proposes nothing
+		answer, err = f.order(i, ConfigOrder{Action: ConfigPut, Document: document, Author: "a", Reason: "r"})
+		return err == nil
+	})
+	if answer.Result != ConfigAgreed || answer.Version == nil || answer.Version.Hash != config.HashOf(document) {
+		f.t.Fatalf("put: %+v", answer)
+	}
+	return *answer.Version
+}
+
+// inForce waits until these controllers use a version.
+func (f *configFleet) inForce(v config.Version, document []byte, which ...int) {
+	f.t.Helper()
+	for _, i := range which {
+		f.eventually(fmt.Sprintf("version %d is in force at n%d", v.Number, i), func() bool {
+			return f.hosts[i].uses(v.Number, document)
+		})
+	}
+}
+
+// statusIs waits until the status, as the i-th controller tells it, is as wanted.
+func (f *configFleet) statusIs(i int, what string, is func(*config.Status) bool) {
+	f.t.Helper()
+	var last *config.Status
+	defer func() {
+		if f.t.Failed() {
+			f.t.Logf("the last status: %+v", last)
+		}
+	}()
+	f.eventually(what, func() bool {
+		answer, err := f.order(i, ConfigOrder{Action: ConfigState})
+		if err != nil || answer.Status == nil {
+			return false
+		}
+		last = answer.Status
+		return is(last)
+	})
+}
+
+func (f *configFleet) eventually(what string, is func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("not so in time: %s", what)
+		}
+	}
+}
+
+// neverOlder checks that no host took an older version after a newer one.
+func (f *configFleet) neverOlder() {
+	f.t.Helper()
+	for i, h := range f.hosts {
+		if numbers := h.numbers(); !slices.IsSorted(numbers) {
+			f.t.Errorf("n%d took %v", i, numbers)
+		}
+	}
+}
+
+// acquainted tells whether each knows all to be alive, and one leads.
+func (f *configFleet) acquainted() bool {
+	for i := range f.services {
+		s, err := Call(context.Background(), f.folder(i), Request{Do: "status"})
+		if err != nil || s.Council.Leader == "" || len(s.Members) != len(f.services) {
+			return false
+		}
+		for _, m := range s.Members {
+			if m.State != members.Alive.String() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// logBytes measures what all send for some seconds, where somebody reads it.
+func (f *configFleet) logBytes(what string, cost restingCost) {
+	if !testing.Verbose() {
+		return
+	}
+	before, began := f.bytesOut(), time.Now()
+	time.Sleep(30 * time.Second)
+	f.t.Logf("%s: %+v, %.0f bytes a second of all three", what, cost, float64(f.bytesOut()-before)/time.Since(began).Seconds())
+}
+
+// bytesOut are those that all have sent.
+func (f *configFleet) bytesOut() (n int64) {
+	for _, s := range f.services {
+		for _, a := range s.links.LogValue().Group() {
+			if a.Key == "bytes_out" {
+				n += a.Value.Int64()
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fleet/configservice_test.go
@@ -0,0 +1,381 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/fleet/frames"
+	"mintkeel/internal/fleet/links"
+	"mintkeel/internal/store/disk/disktest"
+)
+
+// TestConfigRefusedThere has one controller be unable to use a version, by its check, its apply or a panic of either: it
+// keeps the version before and says so, and takes the next one.
+func TestConfigRefusedThere(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(*fakeHost){
+		"check":       func(h *fakeHost) { h.setCheck(func(d []byte) error { return refuse(d, errors.New("can't use this")) }) },
+		"check panic": func(h *fakeHost) { h.setCheck(func(d []byte) error { return refuse(d, nil) }) },
+		"apply": func(h *fakeHost) {
+			h.setApply(func(_ config.Version, d []byte) error { return refuse(d, errors.New("can't use this")) })
+		},
+		"apply panic": func(h *fakeHost) { h.setApply(func(_ config.Version, d []byte) error { return refuse(d, nil) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startConfigFleet(t, 4, nil)
+			spoil(f.hosts[3])
+			before := f.put(0, []byte("good"))
+			f.inForce(before, []byte("good"), 0, 1, 2, 3)
+			bad := f.put(0, []byte("bad"))
+			f.inForce(bad, []byte("bad"), 0, 1, 2)
+			f.statusIs(1, "refused at one", func(s *config.Status) bool {
+				return s.InForce == 3 && len(s.Refused) == 1 && s.Refused[0].ID == "n3" && s.Refused[0].Applied == before.Number &&
+					strings.Contains(s.Refused[0].Reason, "can't use this")
+			})
+			if !f.hosts[3].uses(before.Number, []byte("good")) {
+				t.Error("the version before is not in force")
+			}
+			f.stop(3) // what it refused is not what it starts with
+			f.hosts[3] = &fakeHost{}
+			spoil(f.hosts[3])
+			f.start(3)
+			f.inForce(before, []byte("good"), 3)
+			next := f.put(0, []byte("better"))
+			f.inForce(next, []byte("better"), 0, 1, 2, 3)
+			f.neverOlder()
+		})
+	}
+}
+
+// refuse fails for the document "bad", by an error or by a panic.
+func refuse(document []byte, err error) error {
+	if string(document) != "bad" {
+		return nil
+	}
+	if err == nil {
+		panic("can't use this")
+	}
+	return err
+}
+
+// TestConfigRetry has a host be unable to take a version for a while.
+func TestConfigRetry(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 1, nil)
+	busy := fmt.Errorf("busy: %w", ErrRetryable)
+	f.hosts[0].setApply(func(config.Version, []byte) error { return busy })
+	v := f.put(0, []byte("x"))
+	f.eventually("tried twice", func() bool { return f.hosts[0].callCount() >= 2 })
+	f.hosts[0].setApply(nil)
+	f.inForce(v, []byte("x"), 0)
+}
+
+// TestConfigRestart has one controller restart with what its folder holds: that is in force before WaitConfig returns,
+// also with nobody to be heard, and what was agreed on meanwhile follows.
+func TestConfigRestart(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	f.stop(3)
+	two := f.put(0, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1, 2)
+	f.start(3)
+	if local := f.services[3].WaitConfig(context.Background()); !local.Confirmed || local.Number != 2 {
+		t.Errorf("started as %+v", local)
+	}
+	if got := f.hosts[3].numbers(); !slices.Equal(got, []uint64{1, 1, 2}) {
+		t.Errorf("applied %v", got)
+	}
+	for i := range f.services {
+		f.stop(i)
+	}
+	f.start(3) // all alone
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	if local := f.services[3].WaitConfig(ctx); local.Confirmed || local.Number != 2 {
+		t.Errorf("alone, it tells %+v", local)
+	}
+	if !f.hosts[3].uses(2, []byte("two")) || f.hosts[3].callCount() != 4 {
+		t.Errorf("alone, it applied %v", f.hosts[3].numbers())
+	}
+	f.neverOlder()
+}
+
+// TestConfigKeptUnusable has a controller start with a version that it can't use any more: it goes on without, says so,
+// and takes the next one.
+func TestConfigKeptUnusable(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	bad := f.put(0, []byte("bad"))
+	f.inForce(bad, []byte("bad"), 0, 1, 2, 3)
+	f.stop(3)
+	f.hosts[3] = &fakeHost{apply: func(_ config.Version, d []byte) error { return refuse(d, errors.New("can't use this")) }}
+	f.start(3)
+	f.statusIs(0, "refused at one", func(s *config.Status) bool {
+		return s.InForce == 3 && len(s.Refused) == 1 && s.Refused[0].ID == "n3" && s.Refused[0].Applied == 0
+	})
+	if local := f.services[3].ConfigLocal(); local.Number != 0 {
+		t.Errorf("it tells %+v", local)
+	}
+	next := f.put(0, []byte("better"))
+	f.inForce(next, []byte("better"), 0, 1, 2, 3)
+}
+
+// TestConfigGeneration has a controller start in a new generation: what it had stays in force until there is a version of
+// the new one, whose numbers begin anew.
+func TestConfigGeneration(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 3, nil)
+	f.put(0, []byte("one"))
+	old := f.put(0, []byte("two"))
+	f.inForce(old, []byte("two"), 0, 1, 2)
+	for i := range f.services {
+		f.stop(i)
+		f.hosts[i] = &fakeHost{}
+	}
+	f.change = func(i int, b *Block) { b.Generation = 2 }
+	for i := range f.services {
+		if err := os.Rename(f.configFolder(i), f.folder(i)+"-config"); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.RemoveAll(f.folder(i)); err != nil { // a new quorum
+			t.Fatal(err)
+		}
+		if err := os.Mkdir(f.folder(i), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(f.folder(i)+"-config", f.configFolder(i)); err != nil {
+			t.Fatal(err)
+		}
+		f.start(i)
+	}
+	f.inForce(old, []byte("two"), 0, 1, 2)
+	if local := f.services[0].WaitConfig(context.Background()); local.Number != 0 || local.Latest != 0 {
+		t.Errorf("in the new generation: %+v", local)
+	}
+	next := f.put(1, []byte("three"))
+	if next.Number != 1 {
+		t.Errorf("the first of a generation is %+v", next)
+	}
+	f.inForce(next, []byte("three"), 0, 1, 2)
+}
+
+// TestConfigSessionRestart has a service's part in the fleet end and begin anew, also with its folder emptied meanwhile:
+// what is in force stays, is not applied again, and is what the next start begins with; requests that wait are told.
+func TestConfigSessionRestart(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	for _, emptied := range []bool{false, true} {
+		calls, restarts := f.hosts[3].callCount(), f.services[3].counts.restarts.Load()
+		if emptied {
+			for _, name := range configFiles(t, f.configFolder(3)) {
+				if err := os.Remove(filepath.Join(f.configFolder(3), name)); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := f.services[3].requestConfig(configQueryTime, func(float64, uint64, *config.Replica) {})
+			waiting <- err
+		}()
+		f.eventually("a request waits", func() bool {
+			n, err := ask(f.services[3], controlTime, func(in *session) int { return len(in.config.waiters) })
+			return err == nil && n == 1
+		})
+		f.services[3].post(func(*session) { panic("broken") })
+		if err := <-waiting; !errors.Is(err, errRestarted) {
+			t.Errorf("a request that waited is told %v", err)
+		}
+		f.eventually("begun anew", func() bool { return f.services[3].ConfigLocal().Confirmed })
+		if n := f.services[3].counts.restarts.Load(); n != restarts+1 {
+			t.Errorf("begun anew %d times", n-restarts)
+		}
+		if local := f.services[3].ConfigLocal(); local.Number != one.Number || f.hosts[3].callCount() != calls {
+			t.Errorf("emptied %v: %+v after %d calls more", emptied, local, f.hosts[3].callCount()-calls)
+		}
+		if files := configFiles(t, f.configFolder(3)); len(files) != 2 {
+			t.Errorf("emptied %v: the folder holds %v", emptied, files)
+		}
+	}
+	two := f.put(3, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1, 2, 3)
+	f.neverOlder()
+}
+
+// TestConfigNeverOlder has the last check before a version is applied refuse what the core should never ask for.
+func TestConfigNeverOlder(t *testing.T) {
+	t.Parallel()
+	h := &fakeHost{}
+	c := newConfiguration(h.host(), disktest.New())
+	version := func(generation, number uint64, document string) appliedVersion {
+		return appliedVersion{generation, config.Version{Number: number, Hash: config.HashOf([]byte(document))}, []byte(document)}
+	}
+	for _, step := range []struct {
+		next appliedVersion
+		want error
+	}{
+		{version(1, 5, "five"), nil},
+		{version(1, 4, "four"), errOlder},
+		{version(1, 5, "other"), errOther},
+		{version(1, 5, "five"), nil},
+		{version(1, 6, "six"), nil},
+		{version(2, 1, "one"), nil},
+	} {
+		if err := c.apply(context.Background(), step.next); !errors.Is(err, step.want) {
+			t.Errorf("%d of generation %d: %v", step.next.version.Number, step.next.generation, err)
+		}
+	}
+	if got := h.numbers(); !slices.Equal(got, []uint64{5, 6, 1}) {
+		t.Errorf("applied %v", got)
+	}
+	c.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := c.apply(ctx, version(2, 2, "two")); err == nil || h.callCount() != 3 {
+		t.Errorf("applied after the end: %v", err)
+	}
+}
+
+// TestConfigSlowApply has a host that takes long: one call is made at a time, the service goes on, and closing waits a
+// bounded time.
+func TestConfigSlowApply(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 3, nil)
+	release := make(chan struct{})
+	f.hosts[2].setApply(func(config.Version, []byte) error { <-release; return nil })
+	one := f.put(0, []byte("one"))
+	f.eventually("the host is asked", func() bool { return f.hosts[2].callCount() == 1 })
+	two := f.put(2, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1)
+	f.statusIs(2, "behind at one", func(s *config.Status) bool { return s.InForce == 2 })
+	if n := f.hosts[2].callCount(); n != 1 {
+		t.Errorf("%d calls at once", n)
+	}
+	closed := make(chan struct{})
+	go func() { f.stop(2); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(applyGrace + 3*time.Second):
+		t.Error("closing waits for the host")
+	}
+	close(release)
+	f.eventually("the call has ended", func() bool { return f.hosts[2].uses(one.Number, []byte("one")) })
+	if n := f.hosts[2].callCount(); n != 1 {
+		t.Errorf("%d calls, one of them after the end", n)
+	}
+}
+
+// TestConfigStrangers has frames of another key, another fleet and another generation change nothing.
+func TestConfigStrangers(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 3, nil)
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2)
+	keys, err := frames.ReadKeys(filepath.Join(f.dir, "key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged := config.Summary{Number: 99, Hash: config.HashOf([]byte("forged")), Size: 6}
+	payload, err := cbor.Marshal(node.Message{Config: &config.Message{Summary: &forged,
+		Proposed: &config.ProposeReply{Result: config.Agreed, Version: config.Version{Number: 99, Hash: forged.Hash, Size: 6}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, hello := range map[string]frames.Hello{
+		"another fleet":      {Fleet: "u", Generation: 1, From: "n1", Run: 1},
+		"another generation": {Fleet: "t", Generation: 2, From: "n1", Run: 1},
+		"another key":        {Fleet: "t", Generation: 1, From: "n1", Run: 1},
+	} {
+		own := keys
+		if name == "another key" {
+			own = frames.Keys{bytes.Repeat([]byte{9}, 32)}
+		}
+		stranger := links.New(hello, own, links.Usual(), func(links.Received) {}, quiet)
+		for i, addr := range f.addrs {
+			stranger.Send(members.ID(fmt.Sprint("n", i)), addr, payload)
+		}
+		for _, s := range f.services {
+			f.eventually(name+" is turned away", func() bool { return turnedAway(s) > 0 })
+		}
+		stranger.Close()
+	}
+	two := f.put(1, []byte("two"))
+	if two.Number != one.Number+1 {
+		t.Errorf("agreed on %+v", two)
+	}
+	f.inForce(two, []byte("two"), 0, 1, 2)
+	for i, s := range f.services {
+		if latest := s.ConfigLocal().Latest; latest != two.Number {
+			t.Errorf("n%d has heard of version %d", i, latest)
+		}
+	}
+}
+
+// turnedAway is how many connections were told to be foreign or forged.
+func turnedAway(s *Service) (n int64) {
+	for _, a := range s.links.LogValue().Group() {
+		if a.Key == "forged" || a.Key == "foreign" {
+			n += a.Value.Int64()
+		}
+	}
+	return n
+}
+
+// restingCost is what a fleet of three needs while nothing happens.
+type restingCost struct{ goroutines, descriptors int }
+
+func measureRest(t *testing.T) restingCost {
+	t.Helper()
+	open, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("descriptors can't be counted here")
+	}
+	return restingCost{runtime.NumGoroutine(), len(open)}
+}
+
+// TestConfigAtRest has a fleet with a version in force need no more goroutines and descriptors at rest than one that does
+// not use configuration, but for the lock of each folder.
+func TestConfigAtRest(t *testing.T) {
+	var off restingCost
+	t.Run("off", func(t *testing.T) {
+		f := startConfigFleet(t, 3, func(f *configFleet) { f.off = true })
+		f.eventually("all know each other", func() bool { return f.acquainted() })
+		for range 100 { // connections come and go: the most within a while
+			now := measureRest(t)
+			off.goroutines, off.descriptors = max(off.goroutines, now.goroutines), max(off.descriptors, now.descriptors)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.logBytes("off", off)
+	})
+	t.Run("on", func(t *testing.T) {
+		f := startConfigFleet(t, 3, nil)
+		v := f.put(0, []byte("x"))
+		f.inForce(v, []byte("x"), 0, 1, 2)
+		const locks = 3
+		var now restingCost
+		f.eventually("no more is needed", func() bool {
+			now = measureRest(t)
+			return now.goroutines <= off.goroutines && now.descriptors <= off.descriptors+locks
+		})
+		f.logBytes("on", now)
+	})
+}
--- /dev/null
+++ b/internal/fleet/configstore_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/store/disk/disktest"
+)
+
+// TestConfigFolder has a controller start after its folder was emptied, or put back to an older copy: it catches up, and
+// takes no older version after a newer one.
+func TestConfigFolder(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	f.stop(3)
+	older := filepath.Join(f.dir, "older")
+	if err := os.CopyFS(older, os.DirFS(f.configFolder(3))); err != nil {
+		t.Fatal(err)
+	}
+	f.start(3)
+	two := f.put(0, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1, 2, 3)
+	for name, prepare := range map[string]func() error{
+		"emptied":  func() error { return nil },
+		"an older": func() error { return os.CopyFS(f.configFolder(3), os.DirFS(older)) },
+	} {
+		f.stop(3)
+		if err := os.RemoveAll(f.configFolder(3)); err != nil {
+			t.Fatal(err)
+		}
+		if err := prepare(); err != nil {
+			t.Fatal(err)
+		}
+		f.hosts[3] = &fakeHost{}
+		f.start(3)
+		if local := f.services[3].WaitConfig(context.Background()); local.Number != 2 {
+			t.Errorf("%s: started as %+v", name, local)
+		}
+		f.inForce(two, []byte("two"), 3)
+	}
+	f.neverOlder()
+}
+
+// TestConfigDamagedFolder has a controller start with files that are damaged: they are counted, and fetched anew.
+func TestConfigDamagedFolder(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	v := f.put(0, []byte("one"))
+	f.inForce(v, []byte("one"), 0, 1, 2, 3)
+	f.stop(3)
+	files, err := os.ReadDir(f.configFolder(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		if strings.HasPrefix(file.Name(), "document-") {
+			if err := os.WriteFile(filepath.Join(f.configFolder(3), file.Name()), []byte("two"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	f.hosts[3] = &fakeHost{}
+	f.start(3)
+	f.inForce(v, []byte("one"), 3)
+	if n := f.services[3].config.damaged.Load(); n != 2 { // the document, and the record that is worth nothing without it
+		t.Errorf("%d files are counted", n)
+	}
+}
+
+// TestConfigFullDisk has one controller's disk be full: it says so and keeps the version before, and takes the new one
+// when there is room.
+func TestConfigFullDisk(t *testing.T) {
+	t.Parallel()
+	full := disktest.New()
+	f := startConfigFleet(t, 4, func(f *configFleet) { f.disks[3] = full })
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	full.Fill(0)
+	two := f.put(0, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1, 2)
+	f.statusIs(0, "not stored at one", func(s *config.Status) bool {
+		return s.InForce == 3 && slices.ContainsFunc(slices.Concat(s.Behind, s.Refused), func(r config.ControllerReport) bool {
+			return r.ID == "n3" && r.Applied == one.Number && strings.Contains(r.Reason, "no space left")
+		})
+	})
+	if !f.hosts[3].uses(one.Number, []byte("one")) || f.services[3].config.storeFailed.Load() == 0 {
+		t.Error("the version before is not in force, or the failure is not counted")
+	}
+	full.Fill(-1)
+	f.inForce(two, []byte("two"), 3)
+	f.neverOlder()
+}
+
+// TestConfigHangingDisk has one controller's disk hang: its part in the fleet goes on, closing does not wait for it, and
+// nobody else has the folder before it is well.
+func TestConfigHangingDisk(t *testing.T) {
+	t.Parallel()
+	hanging := disktest.New()
+	f := startConfigFleet(t, 4, func(f *configFleet) { f.disks[3] = hanging })
+	one := f.put(0, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	release := hanging.Hang()
+	two := f.put(3, []byte("two"))
+	f.inForce(two, []byte("two"), 0, 1, 2)
+	if s, err := Call(context.Background(), f.folder(3), Request{Do: "status"}); err != nil || len(s.Members) != 4 {
+		t.Errorf("while the disk hangs: %+v, %v", s, err)
+	}
+	if !f.hosts[3].uses(one.Number, []byte("one")) {
+		t.Error("a version is in force that is not durable")
+	}
+	closed := make(chan struct{})
+	go func() { f.stop(3); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("closing waits for the disk")
+	}
+	f.start(3) // by another process, it may be; the folder is locked, or does not answer
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if local := f.services[3].WaitConfig(ctx); local != (config.Readiness{}) {
+		t.Errorf("with a disk that hangs it tells %+v", local)
+	}
+	release()
+	f.inForce(two, []byte("two"), 3)
+	f.neverOlder()
+}
+
+// configFiles are a folder's files but for the lock.
+func configFiles(t *testing.T, folder string) (names []string) {
+	t.Helper()
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		if file.Name() != "lock" {
+			names = append(names, file.Name())
+		}
+	}
+	return names
+}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"time"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/quorum"
@@ -124,25 +125,63 @@
 
 func (s *Service) answer(conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(2 * controlTime))
-	line, err := bufio.NewReader(io.LimitReader(conn, controlBytes)).ReadBytes('\n')
-	if err != nil {
+	line, err := bufio.NewReader(io.LimitReader(conn, s.requestBytes())).ReadBytes('\n')
+	tooLong := errors.Is(err, io.EOF) && int64(len(line)) == s.requestBytes()
+	if err != nil && !tooLong {
 		return
 	}
-	var r Request
-	reply := Status{}
-	if err := json.Unmarshal(line, &r); err != nil {
-		reply.Error = "the request can't be read: " + err.Error()
-	} else if reply, err = s.Ask(r); err != nil {
+	var reply Status
+	r, err := s.readRequest(line, tooLong)
+	if err == nil {
+		conn.SetDeadline(time.Now().Add(r.longest() + 2*controlTime))
+		reply, err = s.Ask(r)
+	}
+	if err != nil {
 		reply.Error = err.Error()
 	}
 	json.NewEncoder(conn).Encode(reply)
 }
 
+// requestBytes bounds the line of a request.
+func (s *Service) requestBytes() int64 {
+	if s.config == nil {
+		return controlBytes
+	}
+	return configRequestBytes
+}
+
+// readRequest reads the line of a request. Only one about the fleet's configuration may be long.
+func (s *Service) readRequest(line []byte, tooLong bool) (r Request, err error) {
+	if tooLong {
+		return r, errTooLong
+	}
+	if err := json.Unmarshal(line, &r); err != nil {
+		return r, fmt.Errorf("the request can't be read: %w", err)
+	}
+	if r.Do != "config" && len(line) > controlBytes {
+		return r, errTooLong
+	}
+	return r, nil
+}
+
+var errTooLong = errors.New("the request is too long")
+
+// longest is how long a request takes at most.
+func (r *Request) longest() time.Duration {
+	if r.Do == "config" && r.Config != nil {
+		return r.Config.longest() + controlTime
+	}
+	return controlTime
+}
+
 // Ask does what an operator asks, and tells how things stand after it.
 func (s *Service) Ask(r Request) (Status, error) {
 	if r.Do == "maintenance" {
 		return s.askConductor(r.Maintenance)
 	}
+	if r.Do == "config" {
+		return s.askConfig(r.Config)
+	}
 	type outcome struct {
 		status Status
 		err    error
@@ -272,13 +311,16 @@
 
 // Call asks the controller whose folder this is.
 func Call(ctx context.Context, folder string, r Request) (Status, error) {
+	if r.Config != nil && len(r.Config.Document) > config.MaxDocument {
+		return Status{Config: &ConfigAnswer{Result: ConfigRefused, Reason: tooBig(len(r.Config.Document))}}, nil
+	}
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "unix", filepath.Join(folder, controlName))
 	if err != nil {
 		return Status{}, fmt.Errorf("no controller answers in %s: %w", folder, err)
 	}
 	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(4 * controlTime))
+	conn.SetDeadline(time.Now().Add(r.longest() + 3*controlTime))
 	if err := json.NewEncoder(conn).Encode(r); err != nil {
 		return Status{}, err
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -66,6 +66,7 @@
 	links    *links.Links
 	listener net.Listener
 	control  net.Listener
+	config   *configuration // nil: the fleet has no say in this controller's configuration
 
 	inbox  chan func(*session) // what others ask the goroutine of the core to do
 	ctx    context.Context
@@ -85,8 +86,13 @@
 	againMost  = 30 * time.Second
 )
 
-// Start begins to take part; host is nil where the fleet has no say in this controller's configuration. Its error is of what an operator has to mend: the key's file, the address, the folder.
+// Start begins to take part; host is nil where the fleet has no say in this controller's configuration. Its error is of
+// what an operator has to mend: the key's file, the address, the folder.
 func Start(b *Block, self string, programs []Job, host *ConfigHost, log *slog.Logger) (*Service, error) {
+	return start(b, self, programs, newFolderConfiguration(host, b.Folder), log)
+}
+
+func start(b *Block, self string, programs []Job, configuration *configuration, log *slog.Logger) (*Service, error) {
 	keys, err := frames.ReadKeys(b.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key_file: %w", err)
@@ -105,7 +111,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	programs = append(slices.Clone(programs), labPrograms(b.Folder)...)
 	s := &Service{block: *b, self: members.ID(self), log: log, programs: programs, listener: listener,
-		inbox: make(chan func(*session), inboxSize), ctx: ctx, end: end, done: make(chan struct{})}
+		config: configuration, inbox: make(chan func(*session), inboxSize), ctx: ctx, end: end, done: make(chan struct{})}
 	if s.control, err = listenControl(b.Folder); err != nil {
 		log.Warn("fleet: no socket for operators", "why", err)
 	}
@@ -203,6 +209,9 @@
 		s.control.Close()
 	}
 	s.group.Wait()
+	if s.config != nil {
+		s.config.close()
+	}
 	for _, p := range s.programs {
 		p.Close()
 	}
@@ -250,6 +259,7 @@
 	results chan result
 	saving  bool
 	tickAt  float64
+	config  sessionConfig
 }
 
 type job struct {
@@ -273,8 +283,15 @@
 	if err != nil {
 		return err
 	}
+	defer in.closeConfig()
+	configFacts, err := in.openConfig()
+	if err != nil {
+		in.close()
+		return err
+	}
 	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.block.Works,
-		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1)}
+		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1),
+		Config: configFacts}
 	for id, addr := range s.block.Council {
 		facts.Founders = append(facts.Founders, id)
 		facts.Seeds = append(facts.Seeds, members.Member{ID: id, Addr: addr})
@@ -401,6 +418,10 @@
 			} else {
 				in.core.Saved(in.now(), r.batch)
 			}
+		case err := <-in.config.stored:
+			in.configStored(err)
+		case err := <-in.config.applied:
+			in.configApplied(err)
 		case <-timer.C:
 			in.core.Tick(in.now())
 		}
@@ -413,6 +434,7 @@
 			for _, p := range in.programs {
 				p.Tick(in, now)
 			}
+			in.observeConfig()
 			if err := in.carryOut(); err != nil {
 				return err
 			}
@@ -473,6 +495,7 @@
 				p.StateReceived(in, s)
 			}
 		}
+		in.carryOutConfig(out.Config)
 		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words)+len(out.Handed) > 0
 		switch {
 		case out.Whole != nil:
@@ -567,7 +590,11 @@
 // LogValue prints the counts.
 func (s *Service) LogValue() slog.Value {
 	c := &s.counts
-	return slog.GroupValue(slog.Any("links", s.links), slog.Int64("unread", c.unread.Load()), slog.Int64("full", c.full.Load()),
+	counts := []slog.Attr{slog.Any("links", s.links), slog.Int64("unread", c.unread.Load()), slog.Int64("full", c.full.Load()),
 		slog.Int64("begun_anew", c.restarts.Load()), slog.Int64("kept", c.saves.Load()), slog.Int64("effects", c.effects.Load()),
-		slog.Int64("turned_away", c.turned.Load()))
+		slog.Int64("turned_away", c.turned.Load())}
+	if s.config != nil {
+		counts = append(counts, slog.Attr{Key: "config", Value: s.config.logValue()})
+	}
+	return slog.GroupValue(counts...)
 }
