--- a/internal/core/fleet/config/propose_test.go
+++ b/internal/core/fleet/config/propose_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// A leader that could not store the document does not count itself.
+func TestLeaderHoldsNothing(t *testing.T) {
+	f := newFleet(t, 1, 8, 5)
+	f.runFor(1000)
+	for _, c := range f.all[:3] {
+		c.diskFull = true
+	}
+	ref := f.put(f.all[7], randomDocument(1000, 1), 0)
+	f.runFor(4000)
+	if len(f.log) != 0 {
+		t.Fatal("it was proposed with two of five")
+	}
+	f.all[0].diskFull = false
+	if o := f.outcome(f.all[7], ref); o.Result != Agreed {
+		t.Errorf("%+v", o)
+	}
+}
+
 // The leader needs no free disk itself, if a majority of the others holds it.
 func TestLeaderDiskFull(t *testing.T) {
 	f := newFleet(t, 1, 8, 5)
--- a/internal/core/fleet/config/status_test.go
+++ b/internal/core/fleet/config/status_test.go
@@ -125,7 +125,7 @@
 	f.everywhere(1, 5000)
 	leader, c := f.all[0].replica, f.all[4]
 	f.runFor(2000)
-	f.cut([]*controller{c}, 1)
+	f.onMessage = func(from, to *controller, m *Message) bool { return from != c || m.Reports == nil } // it is alive, and says nothing
 	f.runFor(5000)
 	report := Report{ID: c.id, Run: c.run, Sequence: c.replica.reports.own.Sequence, Applied: 1}
 	for _, age := range []float64{freshFor + 1, 1e12, 40000} {
@@ -133,8 +133,43 @@
 		leader.Receive(f.now, "n003", &Message{Reports: &Reports{Sequence: 1, List: []Report{report}}})
 	}
 	f.runFor(freshFor)
+	leader.Receive(f.now, "n003", &Message{Reports: &Reports{Sequence: 1, List: []Report{report}}})
 	if s := f.status(t, f.all[0]); s.InForce != 4 || len(s.Unheard) != 1 {
-		t.Errorf("old words count as new ones: %+v", s)
+		t.Errorf("old reports count as new ones: %+v", s)
+	}
+	report.Age = 0
+	leader.Receive(f.now, "n003", &Message{Reports: &Reports{Sequence: 1, List: []Report{report}}})
+	f.runFor(statusFor)
+	if s := f.status(t, f.all[0]); s.InForce != 5 {
+		t.Errorf("a new report does not count: %+v", s)
+	}
+}
+
+// A relay adds to a report's age how long it had it.
+func TestReportAgeAtRelay(t *testing.T) {
+	x := newTargets()[2]
+	x.replica.Receive(x.now, "n3", &Message{Reports: &Reports{Sequence: 1, List: []Report{{ID: "n3", Run: 4, Sequence: 1, Applied: 1, Age: 700}}}})
+	x.replica.Take()
+	at := x.now
+	seen := 0
+	for x.now < at+3*reportEach {
+		x.now = x.replica.Next()
+		x.replica.Tick(x.now)
+		for _, s := range x.replica.Take().Sends {
+			if s.Message.Reports == nil || s.To != "n1" {
+				continue
+			}
+			for _, report := range s.Message.Reports.List {
+				if want := 700 + x.now - at; report.ID == "n3" && (report.Age < want-1 || report.Age > want+1) {
+					t.Errorf("after %.0f ms its age is %.0f", x.now-at, report.Age)
+				} else if report.ID == "n3" {
+					seen++
+				}
+			}
+		}
+	}
+	if seen < 3 {
+		t.Errorf("it was passed on %d times", seen)
 	}
 }
 
@@ -169,13 +204,19 @@
 	leader := f.all[0].replica
 	var list []Report
 	for _, c := range f.all[1:] {
-		for seq := range uint64(4) {
+		for seq := range c.replica.reports.own.Sequence { // earlier ones, that come late
 			list = append(list, Report{ID: c.id, Run: c.run, Sequence: seq, Applied: 0, Age: float64(seq)})
 		}
 	}
+	if len(list) < 2*19 {
+		t.Fatalf("%d earlier reports", len(list))
+	}
 	for range 3 {
 		f.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		leader.Receive(f.now, "n007", &Message{Reports: &Reports{Sequence: 1, List: list[:20]}})
+		if s := leader.status(); s.InForce != 20 {
+			t.Fatalf("late reports count: %+v", s)
+		}
 		leader.Receive(f.now, "n008", &Message{Reports: &Reports{Sequence: 1, List: list}})
 	}
 	s := f.status(t, f.all[0])
@@ -183,7 +224,7 @@
 	for _, n := range s.Counts {
 		sum += n
 	}
-	if s.Members != 20 || sum+len(s.Unheard) != 20 {
+	if s.Members != 20 || s.InForce != 20 || sum+len(s.Unheard) != 20 {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/core/fleet/config/take_test.go
+++ b/internal/core/fleet/config/take_test.go
@@ -360,7 +360,7 @@
 	voter.replica.Receive(f.now, "n007", &Message{Summary: &Summary{Number: 1, Hash: HashOf([]byte("forged")), Size: 6}})
 	f.settle(voter)
 	f.putAgreed(f.all[0], []byte("one"), 0)
-	f.everywhere(1, 5000)
+	f.everywhere(1, 2000) // it does not wait until the forged one is given up
 }
 
 // Of 60 versions in as many seconds each controller comes to the last.
--- /dev/null
+++ b/internal/core/fleet/config/unit_test.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// plainTarget is a controller that is no voter, and has version 1 in force.
+func plainTarget() *target { return newTargets()[2] }
+
+// fetches are the documents that are asked for.
+func fetches(out Output) (hashes []Hash) {
+	for _, s := range out.Sends {
+		if s.Message.Fetch != nil {
+			hashes = append(hashes, s.Message.Fetch.Hash)
+		}
+	}
+	return hashes
+}
+
+func summaryOf(number uint64, text string) *Summary {
+	return &Summary{Number: number, Hash: HashOf([]byte(text)), Size: len(text)}
+}
+
+func chunkOf(text string) *Chunk {
+	return &Chunk{Hash: HashOf([]byte(text)), Total: len(text), Data: []byte(text)}
+}
+
+// A late summary of an older version does not end the fetch of a newer one; a newer one ends that of an older one.
+func TestFetchOfNewest(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(0, "n1", &Message{Summary: summaryOf(3, "three!")})
+	x.replica.Receive(0, "n3", &Message{Summary: summaryOf(2, "second")})
+	if got := fetches(x.replica.Take()); len(got) != 1 || got[0] != HashOf([]byte("three!")) {
+		t.Errorf("%v", got)
+	}
+	if x.replica.target.Number != 3 || x.replica.findDownload(HashOf([]byte("three!"))) == nil {
+		t.Errorf("it turned to %+v", x.replica.target)
+	}
+	x.replica.Receive(0, "n1", &Message{Summary: summaryOf(4, "fourth")})
+	if x.replica.findDownload(HashOf([]byte("three!"))) != nil || x.replica.findDownload(HashOf([]byte("fourth"))) == nil {
+		t.Error("the fetch of the older one goes on")
+	}
+}
+
+// Only who was asked for a chunk may send it, and nobody hears of a version before its document is durable here.
+func TestChunkAndSummary(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(0, "n1", &Message{Summary: summaryOf(2, "second")})
+	x.replica.Take()
+	forged := chunkOf("second")
+	forged.Data = []byte("sEcond")
+	x.replica.Receive(0, "n3", &Message{Chunk: forged})
+	if d := x.replica.findDownload(HashOf([]byte("second"))); d == nil || d.have != 0 || x.replica.Counts().Corrupt != 0 {
+		t.Fatal("a chunk of one that was not asked is taken")
+	}
+	x.replica.Receive(0, "n1", &Message{Chunk: chunkOf("second")})
+	out := x.replica.Take()
+	if out.Store == nil || out.Store.Current == nil || out.Store.Current.Number != 2 || out.Apply != nil {
+		t.Fatalf("%+v", out)
+	}
+	if x.replica.Summary().Number != 1 || len(out.Sends) != 0 {
+		t.Errorf("others hear of it before it is stored: %+v", out.Sends)
+	}
+	x.replica.Stored(1, nil)
+	out = x.replica.Take()
+	if x.replica.Summary().Number != 2 || out.Apply == nil || out.Apply.Version.Number != 2 || len(out.Sends) == 0 {
+		t.Errorf("after it was stored: %+v", out)
+	}
+}
+
+// A voter believes its state over what is told, though it has not looked at it since.
+func TestStateOverSummary(t *testing.T) {
+	x := newTargets()[1]
+	x.replica.Take()
+	real := summaryOf(2, "second")
+	x.env.state.Versions = append(x.env.state.Versions, Version{Number: 2, Hash: real.Hash, Size: real.Size})
+	x.replica.Receive(0, "n3", &Message{Summary: summaryOf(2, "forged")})
+	if got := fetches(x.replica.Take()); len(got) != 0 {
+		t.Errorf("it fetches %v", got)
+	}
+	x.replica.Agreed(0)
+	if got := fetches(x.replica.Take()); len(got) != 1 || got[0] != real.Hash || x.replica.Counts().Conflicts != 1 {
+		t.Errorf("%v, %+v", got, x.replica.Counts())
+	}
+}
+
+// withSurplus is a target at a time at which it may remove documents, with one that it does not need.
+func withSurplus(e *lonely, surplus string) *target {
+	one := []byte("one")
+	v := Version{Number: 1, Hash: HashOf(one), Size: len(one)}
+	x := &target{env: e, applied: 1, now: removeAfter + 1}
+	x.replica = New(Facts{Self: e.self, Run: 5, Seed: 1}, e,
+		Kept{Current: v, Documents: map[Hash][]byte{v.Hash: one, HashOf([]byte(surplus)): []byte(surplus)}}, 0)
+	x.replica.Tick(x.now)
+	x.replica.Take()
+	return x
+}
+
+// getSecond has a replica get version 2 and tells what it has stored then.
+func (x *target) getSecond() *StoreRequest {
+	x.replica.Receive(x.now, "n1", &Message{Summary: summaryOf(2, "second")})
+	x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("second")})
+	return x.replica.Take().Store
+}
+
+// A document whose removal is under way does not count as held, whether or not the removal comes about.
+func TestHoldWhileRemoved(t *testing.T) {
+	x := withSurplus(&lonely{self: "n2", voting: true}, "surplus")
+	request := x.getSecond()
+	if request == nil || len(request.Remove) != 1 || request.Remove[0] != HashOf([]byte("surplus")) {
+		t.Fatalf("%+v", request)
+	}
+	hold := &Message{Hold: &HoldRequest{Hash: HashOf([]byte("surplus")), Size: len("surplus")}}
+	x.replica.Receive(x.now, "n1", hold)
+	for _, s := range x.replica.Take().Sends {
+		if s.Message.Held != nil {
+			t.Error("it tells that it holds what it removes")
+		}
+	}
+	x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("surplus")})
+	x.replica.Stored(x.now, nil)
+	out := x.replica.Take()
+	if out.Store == nil || out.Store.Hash != HashOf([]byte("surplus")) || string(out.Store.Document) != "surplus" {
+		t.Fatalf("it is not stored again: %+v", out.Store)
+	}
+	x.replica.Stored(x.now, nil)
+	held := false
+	for _, s := range x.replica.Take().Sends {
+		held = held || s.To == "n1" && s.Message.Held != nil
+	}
+	if !held {
+		t.Error("it does not tell that it holds it")
+	}
+}
+
+// What could not be removed is removed with a later request.
+func TestRemovalAgain(t *testing.T) {
+	x := withSurplus(&lonely{self: "n4"}, "surplus")
+	if request := x.getSecond(); request == nil || len(request.Remove) != 1 {
+		t.Fatalf("%+v", request)
+	}
+	x.replica.Stored(x.now, errDisk)
+	x.now += storeRetryFirst
+	x.replica.Tick(x.now)
+	if out := x.replica.Take(); out.Store == nil || len(out.Store.Remove) != 1 || out.Store.Remove[0] != HashOf([]byte("surplus")) {
+		t.Errorf("%+v", out.Store)
+	}
+}
+
+// A voter that does not know the state yet removes nothing, nor does anybody right after its start.
+func TestNoEarlyRemoval(t *testing.T) {
+	if request := withSurplus(&lonely{self: "n2"}, "surplus").getSecond(); request == nil || len(request.Remove) != 0 {
+		t.Errorf("a voter that does not vote: %+v", request)
+	}
+	x := withSurplus(&lonely{self: "n4"}, "surplus")
+	x.replica.began = x.now - removeAfter + 100
+	if request := x.getSecond(); request == nil || len(request.Remove) != 0 {
+		t.Errorf("right after its start: %+v", request)
+	}
+}
+
+// A report is sent to the next relay if the first does not answer, and the answer of another does not count.
+func TestReportToNextRelay(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	var asked []members.ID
+	for x.now < 8000 {
+		x.now = x.replica.Next()
+		x.replica.Tick(x.now)
+		for _, s := range x.replica.Take().Sends {
+			if s.Message.Reports != nil && s.Message.Reports.List[0].ID == "n4" {
+				asked = append(asked, s.To)
+				x.replica.Receive(x.now, "n9", &Message{Reported: &ReportsReply{Sequence: s.Message.Reports.Sequence}})
+			}
+		}
+	}
+	relays := x.replica.ownRelays()
+	if len(relays) != 3 || len(asked) < 2 || asked[0] == asked[1] {
+		t.Errorf("relays %v, asked %v", relays, asked)
+	}
+}
