Hollow fleets: a zone that restarts, and what rushes cost voters and others

Need: the worst hour is to be measured as well as rest. Change: a tenth of a fleet restarts at once; spending of a voter and of an ordinary controller while most start or a zone restarts. Controllers count a restart as known when they see the new runs.

--- a/internal/lab/scale/hollow/child.go
+++ b/internal/lab/scale/hollow/child.go
@@ -18,6 +18,7 @@
 	actionStart        action = "start"
 	actionStop         action = "stop"
 	actionAwaitMembers action = "await members"
+	actionAwaitRestart action = "await restarts"
 	actionAwaitLoss    action = "await loss"
 	actionViews        action = "views"
 	actionStandings    action = "standings"
@@ -29,8 +30,8 @@
 	Action  action `json:"action"`
 	Spec    *Spec  `json:"spec,omitempty"`    // of actionOpen
 	Folder  string `json:"folder,omitempty"`  // of actionOpen
-	Numbers []int  `json:"numbers,omitempty"` // of actionStart and actionStop
-	Expect  int    `json:"expect,omitempty"`  // members, of actionStart and actionAwaitMembers
+	Numbers []int  `json:"numbers,omitempty"` // of actionStart, actionStop and actionAwaitRestart
+	Expect  int    `json:"expect,omitempty"`  // members, of actionStart, actionAwaitMembers and actionAwaitRestart
 	Lost    int    `json:"lost,omitempty"`    // of actionAwaitLoss
 }
 
@@ -94,6 +95,8 @@
 		c.share.Stop(r.Numbers)
 	case actionAwaitMembers:
 		c.share.AwaitMembers(r.Expect)
+	case actionAwaitRestart:
+		c.share.AwaitRestarts(r.Expect, r.Numbers)
 	case actionAwaitLoss:
 		c.share.AwaitLoss(r.Lost)
 	case actionViews:
--- a/internal/lab/scale/hollow/fleet.go
+++ b/internal/lab/scale/hollow/fleet.go
@@ -207,6 +207,19 @@
 	return err
 }
 
+// AwaitRestarts has the running controllers note when they know of so many members alive, some of which have restarted
+// since.
+func (f *Fleet) AwaitRestarts(ctx context.Context, expect int, of []int) error {
+	const noted = 2 * lookEach * time.Millisecond // until all have seen which runs are the old ones
+	_, err := f.all(askTime, func(*process) *request {
+		return &request{Action: actionAwaitRestart, Expect: expect, Numbers: of}
+	})
+	if err != nil {
+		return err
+	}
+	return pause(ctx, noted)
+}
+
 // AwaitLoss has the running controllers note when they know that one is gone.
 func (f *Fleet) AwaitLoss(number int) error {
 	_, err := f.all(askTime, func(*process) *request { return &request{Action: actionAwaitLoss, Lost: number} })
--- a/internal/lab/scale/hollow/measure.go
+++ b/internal/lab/scale/hollow/measure.go
@@ -30,17 +30,18 @@
 	targetVoters      = 7
 	targetLeases      = 64
 
-	budgetCores   = 0.021
-	budgetMB      = 128
-	budgetBytes   = 17000
-	budgetChange  = 5000 // ms, for a change of primary
-	bytesOfMB     = 1e6
-	knownWithin   = 120 * time.Second
-	leaderWithin  = 60 * time.Second
-	usualLease    = 10 * time.Second
-	usualVoters   = 5
-	leasesAtRest  = 2
-	partOfTargets = 200.0 / targetControllers // of a fleet runs when the rest starts at once
+	budgetCores  = 0.021
+	budgetMB     = 128
+	budgetBytes  = 17000
+	budgetChange = 5000 // ms, for a change of primary
+	bytesOfMB    = 1e6
+	knownWithin  = 120 * time.Second
+	leaderWithin = 60 * time.Second
+	usualLease   = 10 * time.Second
+	usualVoters  = 5
+	leasesAtRest = 2
+	partOfTarget = 200.0 / targetControllers // of a fleet runs when the rest starts at once
+	zoneOfTarget = 67.0 / targetControllers  // of a fleet restarts at once
 )
 
 type measurement struct {
@@ -205,9 +206,11 @@
 	}
 	m.note(size, "start/known", milliseconds(last.Sub(began)))
 	m.Tell("%d controllers: all know all after %v", size, last.Sub(began).Round(time.Millisecond))
-	if err := m.noteRush(f, size, "start"); err != nil {
+	samples, err := f.Samples()
+	if err != nil {
 		return err
 	}
+	m.noteRush(samples, size, "start")
 	leader, _, err := f.AwaitLeader(ctx, leaderWithin, voters)
 	if err != nil {
 		return err
@@ -242,29 +245,24 @@
 }
 
 // noteRush notes what a start did to the voters.
-func (m *measurement) noteRush(f *Fleet, size int, when string) error {
-	samples, err := f.Samples()
-	if err != nil {
-		return err
-	}
-	refused, peak, dropped, problems := 0.0, 0.0, 0.0, ""
+func (m *measurement) noteRush(samples []Sample, size int, when string) {
+	refused, peak, dropped, problem := 0.0, 0.0, 0.0, ""
 	for _, s := range samples {
 		for _, u := range s.Controllers {
 			refused += float64(u.Refused)
 			dropped += float64(u.Dropped)
 			peak = max(peak, float64(u.PeakIn))
-			if problems == "" {
-				problems = u.FirstProblem
+			if problem == "" {
+				problem = u.FirstProblem
 			}
 		}
 	}
 	m.note(size, when+"/refused", refused)
 	m.note(size, when+"/peak", peak)
 	m.note(size, when+"/dropped", dropped)
-	if problems != "" {
-		m.Tell("%d controllers: an error was logged: %s", size, problems)
+	if problem != "" {
+		m.Tell("%d controllers: an error was logged: %s", size, problem)
 	}
-	return nil
 }
 
 // loseLeader ends the leader.
@@ -305,10 +303,10 @@
 	return nil
 }
 
-// partStart has a part of the fleet run, and starts the rest at once.
+// partStart has a part of the fleet run, and starts the rest at once. Then a zone restarts.
 func (m *measurement) partStart(ctx context.Context, size int) error {
 	voters := min(m.Voters, size-2) | 1
-	first := max(voters+1, int(float64(size)*partOfTargets))
+	first := max(voters+1, int(float64(size)*partOfTarget))
 	f, err := m.open(ctx, Spec{Controllers: size, Voters: voters, Leases: leasesAtRest})
 	if err != nil {
 		return err
@@ -326,15 +324,58 @@
 	if err := f.AwaitMembers(size); err != nil {
 		return err
 	}
-	began := time.Now()
-	if err := f.Start(numbers(first, size), size); err != nil {
+	took, err := m.rush(ctx, f, size, voters, "part", func() error { return f.Start(numbers(first, size), size) })
+	if err != nil {
+		return err
+	}
+	m.Tell("%d controllers: all know all %v after the last %d started", size, took, size-first)
+	if err := pause(ctx, m.settle); err != nil {
+		return err
+	}
+	zone := numbers(size-max(1, int(float64(size)*zoneOfTarget)), size)
+	if err := f.AwaitRestarts(ctx, size, zone); err != nil {
 		return err
 	}
+	took, err = m.rush(ctx, f, size, voters, "zone", func() error {
+		if err := f.Stop(zone); err != nil {
+			return err
+		}
+		return f.Start(zone, size)
+	})
+	m.Tell("%d controllers: all know all %v after %d restarted", size, took, len(zone))
+	return err
+}
+
+// rush has many controllers begin at once, and notes when all know of it, what it did to the voters and what the time
+// until then, or a window after it, cost.
+func (m *measurement) rush(ctx context.Context, f *Fleet, size, voters int, figure string, begin func() error) (time.Duration, error) {
+	before, err := f.Samples()
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if err := begin(); err != nil {
+		return 0, err
+	}
 	last, err := f.AwaitAllKnown(ctx, knownWithin)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	m.note(size, "part/known", milliseconds(last.Sub(began)))
-	m.Tell("%d controllers: all know all %v after the last %d started", size, last.Sub(began).Round(time.Millisecond), size-first)
-	return m.noteRush(f, size, "part")
+	if err := pause(ctx, m.window-time.Since(began)); err != nil {
+		return 0, err
+	}
+	after, err := f.Samples()
+	if err != nil {
+		return 0, err
+	}
+	took := last.Sub(began)
+	m.note(size, figure+"/known", milliseconds(took))
+	m.noteRush(after, size, figure)
+	interval := Interval{f.layout(), before, after}
+	for role, of := range map[string][]int{"voter": numbers(0, voters), "controller": {voters}} {
+		spent := interval.Of(of...)
+		m.note(size, figure+"/"+role+"/bytes", spent.Sent+spent.Received)
+		m.note(size, figure+"/"+role+"/cores", spent.Processor)
+	}
+	return took.Round(time.Millisecond), nil
 }
--- a/internal/lab/scale/hollow/probe.go
+++ b/internal/lab/scale/hollow/probe.go
@@ -14,8 +14,9 @@
 // probe is the job that looks at the fleet from within a controller.
 type probe struct {
 	mu      sync.Mutex
-	expect  int       // members alive for which it waits; 0: it does not
-	knownAt time.Time // when there were as many
+	expect  int                   // members alive for which it waits; 0: it does not
+	knownAt time.Time             // when there were as many
+	again   map[members.ID]uint64 // members that are to be seen in another run than this, for knownAt; 0: the run to be noted
 	lost    members.ID
 	goneAt  time.Time // when the lost member was no longer taken to be alive or suspect
 	lookAt  float64
@@ -66,14 +67,20 @@
 		return
 	}
 	p.lookAt = now + lookEach
-	alive, lostLives := 0, false
+	alive, old, lostLives := 0, 0, false
 	for _, m := range h.Members() {
 		if m.State == members.Alive {
 			alive++
 		}
+		if run, awaited := p.again[m.ID]; awaited && run == 0 {
+			p.again[m.ID] = m.Run
+			old++
+		} else if awaited && run == m.Run {
+			old++
+		}
 		lostLives = lostLives || m.ID == p.lost && m.State <= members.Suspect
 	}
-	if p.expect > 0 && p.knownAt.IsZero() && alive >= p.expect {
+	if p.expect > 0 && p.knownAt.IsZero() && alive >= p.expect && old == 0 {
 		p.knownAt = time.Now()
 	}
 	if p.lost != "" && p.goneAt.IsZero() && !lostLives {
@@ -85,7 +92,17 @@
 func (p *probe) awaitMembers(expect int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expect, p.knownAt = expect, time.Time{}
+	p.expect, p.knownAt, p.again = expect, time.Time{}, nil
+}
+
+// awaitRestarts has the probe note when it sees so many members alive, and some of them in another run than now.
+func (p *probe) awaitRestarts(expect int, of []members.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expect, p.knownAt, p.again = expect, time.Time{}, map[members.ID]uint64{}
+	for _, id := range of {
+		p.again[id] = 0
+	}
 }
 
 // awaitLoss has the probe note when it knows that a member is gone.
--- a/internal/lab/scale/hollow/rows.go
+++ b/internal/lab/scale/hollow/rows.go
@@ -50,6 +50,7 @@
 	for _, start := range []struct{ figure, condition string }{
 		{"start", "all start at once"},
 		{"part", "the last 70% start at once"},
+		{"zone", "a zone of 10% restarts at once"},
 	} {
 		rows = append(rows,
 			sizeRow{start.figure + "/known", slope.Row{Role: "fleet", Cost: "membership: all know all", Unit: "ms", Condition: start.condition}},
@@ -60,5 +61,18 @@
 			sizeRow{start.figure + "/dropped", slope.Row{Role: "fleet", Cost: "messages dropped by senders", Unit: "messages",
 				Condition: start.condition, Note: "at all controllers"}})
 	}
+	for _, rush := range []struct{ figure, condition string }{
+		{"part", "the last 70% start at once"},
+		{"zone", "a zone of 10% restarts at once"},
+	} {
+		for _, role := range []string{"voter", "controller"} {
+			const note = "mean from the start until all know all, or 30 s where that is sooner (4 s if quick)"
+			rows = append(rows,
+				sizeRow{rush.figure + "/" + role + "/bytes", slope.Row{Role: role, Cost: "control: bytes sent and received", Unit: "bytes/s",
+					Condition: rush.condition, Budget: budgetBytes, Note: note}},
+				sizeRow{rush.figure + "/" + role + "/cores", slope.Row{Role: role, Cost: "control: processor", Unit: "cores",
+					Condition: rush.condition, Budget: budgetCores, Note: note}})
+		}
+	}
 	return rows
 }
--- a/internal/lab/scale/hollow/share.go
+++ b/internal/lab/scale/hollow/share.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mintkeel/internal/core/fleet/members"
 )
 
 // Share is the controllers of a fleet that run in this process.
@@ -125,6 +127,17 @@
 	}
 }
 
+// AwaitRestarts has all controllers note when they know of so many members alive, some of which have restarted since.
+func (s *Share) AwaitRestarts(expect int, of []int) {
+	ids := make([]members.ID, len(of))
+	for i, number := range of {
+		ids[i] = name(number)
+	}
+	for _, c := range s.running() {
+		c.probe.awaitRestarts(expect, ids)
+	}
+}
+
 // AwaitLoss has all controllers note when they know that one is gone.
 func (s *Share) AwaitLoss(number int) {
 	for _, c := range s.running() {
