Hollow fleets: documents put by operators; agreement and digest are measurements of their own

Need: configuration is to be measured as soon as the service carries it; sizes alone take minutes. Change: a host of hollow controllers that notes versions, and the time from put to in force at the last (not registered yet: puts is 0 until the service takes a host). Children run on one core.

--- a/cmd/mintkeel-lab/scale.go
+++ b/cmd/mintkeel-lab/scale.go
@@ -126,13 +126,15 @@
 	return fmt.Sprintf("%d rows are over their budget and not listed as that", e.rows)
 }
 
-// shareProcess is a process of this program that runs a share of a hollow fleet.
+// shareProcess is a process of this program that runs a share of a hollow fleet on one core, as a controller does.
 func shareProcess(ctx context.Context) *exec.Cmd {
 	path, err := os.Executable()
 	if err != nil {
 		path = os.Args[0]
 	}
-	return exec.CommandContext(ctx, path, "scale", "share")
+	command := exec.CommandContext(ctx, path, "scale", "share")
+	command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	return command
 }
 
 func shareCommand() *cobra.Command {
--- a/internal/lab/scale/hollow/child.go
+++ b/internal/lab/scale/hollow/child.go
@@ -20,6 +20,7 @@
 	actionAwaitMembers action = "await members"
 	actionAwaitRestart action = "await restarts"
 	actionAwaitLoss    action = "await loss"
+	actionPut          action = "put"
 	actionViews        action = "views"
 	actionStandings    action = "standings"
 	actionSample       action = "sample"
@@ -27,17 +28,19 @@
 
 // request is a line that a child reads.
 type request struct {
-	Action  action `json:"action"`
-	Spec    *Spec  `json:"spec,omitempty"`    // of actionOpen
-	Folder  string `json:"folder,omitempty"`  // of actionOpen
-	Numbers []int  `json:"numbers,omitempty"` // of actionStart, actionStop and actionAwaitRestart
-	Expect  int    `json:"expect,omitempty"`  // members, of actionStart, actionAwaitMembers and actionAwaitRestart
-	Lost    int    `json:"lost,omitempty"`    // of actionAwaitLoss
+	Action   action `json:"action"`
+	Spec     *Spec  `json:"spec,omitempty"`     // of actionOpen
+	Folder   string `json:"folder,omitempty"`   // of actionOpen
+	Numbers  []int  `json:"numbers,omitempty"`  // of actionStart, actionStop, actionAwaitRestart and actionPut
+	Expect   int    `json:"expect,omitempty"`   // members, of actionStart, actionAwaitMembers and actionAwaitRestart
+	Document []byte `json:"document,omitempty"` // of actionPut
+	Lost     int    `json:"lost,omitempty"`     // of actionAwaitLoss
 }
 
 // reply is the line with which a child answers.
 type reply struct {
 	Error     string     `json:"error,omitempty"`
+	Version   uint64     `json:"version,omitempty"`
 	Views     []View     `json:"views,omitempty"`
 	Standings []Standing `json:"standings,omitempty"`
 	Sample    *Sample    `json:"sample,omitempty"`
@@ -99,6 +102,11 @@
 		c.share.AwaitRestarts(r.Expect, r.Numbers)
 	case actionAwaitLoss:
 		c.share.AwaitLoss(r.Lost)
+	case actionPut:
+		if len(r.Numbers) != 1 {
+			return answer, errors.New("one controller puts a document")
+		}
+		answer.Version, err = c.share.Put(r.Numbers[0], r.Document)
 	case actionViews:
 		answer.Views = c.share.Views()
 	case actionStandings:
--- /dev/null
+++ b/internal/lab/scale/hollow/configuration.go
@@ -0,0 +1,143 @@
+package hollow
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/fleet"
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// host stands for the program that uses the fleet's configuration. It takes every version at once.
+type host struct {
+	mu      sync.Mutex
+	applied []Applied
+}
+
+// Applied is a version of the configuration that a controller took into use.
+type Applied struct {
+	Number uint64    `json:"number"`
+	Bytes  int       `json:"bytes"`
+	At     time.Time `json:"at"`
+}
+
+const mostApplied = 1000
+
+func (h *host) apply(v config.Version, document []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.applied) < mostApplied {
+		h.applied = append(h.applied, Applied{v.Number, len(document), time.Now()})
+	}
+	return nil
+}
+
+func (h *host) list() []Applied {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.applied)
+}
+
+func (h *host) host() *fleet.ConfigHost {
+	return &fleet.ConfigHost{Check: func([]byte) error { return nil }, Apply: h.apply}
+}
+
+// Put has a controller of this share propose a document, and tells the number of the version that was agreed on.
+func (s *Share) Put(number int, document []byte) (uint64, error) {
+	s.mu.Lock()
+	c := s.controllers[number]
+	s.mu.Unlock()
+	if c == nil {
+		return 0, fmt.Errorf("n%d does not run here", number)
+	}
+	order := fleet.ConfigOrder{Action: fleet.ConfigPut, Document: document, Author: "rig", Reason: "measurement"}
+	status, err := c.service.Ask(fleet.Request{Do: "config", Config: &order})
+	switch {
+	case err != nil:
+		return 0, err
+	case status.Config == nil || status.Config.Version == nil:
+		return 0, errors.New("no version is told")
+	case status.Config.Result != "agreed":
+		return 0, fmt.Errorf("the document was not agreed on: %s, %s", status.Config.Result, status.Config.Reason)
+	}
+	return status.Config.Version.Number, nil
+}
+
+// Put has a controller propose a document, and tells the number of the version that was agreed on.
+func (f *Fleet) Put(number int, document []byte) (version uint64, err error) {
+	replies, err := f.all(askTime, func(p *process) *request {
+		if !slices.Contains(p.numbers, number) {
+			return nil
+		}
+		return &request{Action: actionPut, Numbers: []int{number}, Document: document}
+	})
+	for _, r := range replies {
+		version = max(version, r.Version)
+	}
+	return version, err
+}
+
+// AwaitInForce waits until all running controllers have a version or a later one in force, and tells when the last one had.
+func (f *Fleet) AwaitInForce(ctx context.Context, within time.Duration, version uint64) (last time.Time, err error) {
+	return f.awaitLast(ctx, within, fmt.Sprintf("version %d is in force at all", version), func(v View) time.Time {
+		i := slices.IndexFunc(v.Applied, func(a Applied) bool { return a.Number >= version })
+		if i < 0 {
+			return time.Time{}
+		}
+		return v.Applied[i].At
+	})
+}
+
+// documentSizes are the bytes of the documents that are put.
+var documentSizes = []int{4 << 10, 64 << 10}
+
+// putDocuments puts documents of each size in a running fleet, one after the other, and notes the median and the longest
+// time until the last controller had it in force.
+func (m *measurement) putDocuments(ctx context.Context, f *Fleet, size int) error {
+	rng := rand.New(rand.NewSource(m.Seed + int64(size)))
+	for _, bytes := range documentSizes {
+		var took []time.Duration
+		for range m.puts {
+			document := make([]byte, bytes)
+			rng.Read(document)
+			began := time.Now()
+			version, err := f.Put(rng.Intn(size), document)
+			if err != nil {
+				return err
+			}
+			last, err := f.AwaitInForce(ctx, knownWithin, version)
+			if err != nil {
+				return err
+			}
+			took = append(took, last.Sub(began))
+		}
+		slices.SortFunc(took, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+		median, longest := took[len(took)/2], took[len(took)-1]
+		m.note(size, putFigure(bytes, "median"), milliseconds(median))
+		m.note(size, putFigure(bytes, "longest"), milliseconds(longest))
+		m.Tell("%d controllers: a document of %d bytes was in force at the last after %v, at most %v, of %d", size, bytes,
+			median.Round(time.Millisecond), longest.Round(time.Millisecond), len(took))
+	}
+	return nil
+}
+
+func putFigure(bytes int, which string) string { return fmt.Sprintf("put/%d/%s", bytes, which) }
+
+// putRows are the rows of putDocuments.
+func putRows() (rows []sizeRow) {
+	for _, bytes := range documentSizes {
+		for _, which := range []string{"median", "longest"} {
+			rows = append(rows, sizeRow{putFigure(bytes, which), slope.Row{Role: "fleet",
+				Cost: "configuration: from put to in force at the last, " + which, Unit: "ms", Log: true, Budget: budgetInForce,
+				Condition: fmt.Sprintf("at rest, documents of %d KB", bytes>>10), Note: "few puts at each size"}})
+		}
+	}
+	return rows
+}
--- a/internal/lab/scale/hollow/controller.go
+++ b/internal/lab/scale/hollow/controller.go
@@ -18,6 +18,7 @@
 	service *fleet.Service
 	probe   *probe
 	dialer  *dialer
+	host    *host
 	errors  *errorLog
 	peak    atomic.Int64 // of connections in, where it is looked at
 }
@@ -43,7 +44,7 @@
 
 // start starts a controller whose connections are counted in peers too, by acceptor.
 func start(s Spec, folder string, number, expect int, peers []flowCounter) (*controller, error) {
-	c := &controller{number: number, probe: &probe{expect: expect}, errors: &errorLog{}}
+	c := &controller{number: number, probe: &probe{expect: expect}, host: &host{}, errors: &errorLog{}}
 	c.dialer = &dialer{source: s.Network.address(number).Addr(), network: s.Network, own: &flowCounter{}, peers: peers}
 	log := slog.New(c.errors)
 	jobs := []fleet.Job{c.probe}
@@ -51,8 +52,12 @@
 		learner := fleet.Learner{Source: statistics{s.Engines, s.TableGroups}, Settings: 1, Log: log}
 		jobs = append(jobs, fleet.NewDigest(learner))
 	}
+	var configHost *fleet.ConfigHost
+	if s.Configured {
+		configHost = c.host.host()
+	}
 	var err error
-	c.service, err = fleet.Start(s.block(folder, number, c.dialer), string(name(number)), jobs, nil, log)
+	c.service, err = fleet.Start(s.block(folder, number, c.dialer), string(name(number)), jobs, configHost, log)
 	if err != nil {
 		return nil, fmt.Errorf("n%d: %w", number, err)
 	}
--- a/internal/lab/scale/hollow/hollow.go
+++ b/internal/lab/scale/hollow/hollow.go
@@ -21,6 +21,7 @@
 	LeaseTime   time.Duration `json:"lease_time"`
 	Leases      int           `json:"leases"`       // leases on nothing, beside the digest's
 	OneHolder   bool          `json:"one_holder"`   // the first ordinary controller alone takes leases on
+	Configured  bool          `json:"configured"`   // controllers take their configuration from the fleet
 	Digest      bool          `json:"digest"`       // the statistics digest is one of the leases
 	Engines     int           `json:"engines"`      // that each controller has statistics of
 	TableGroups int           `json:"table_groups"` // that each controller has statistics of
--- a/internal/lab/scale/hollow/measure.go
+++ b/internal/lab/scale/hollow/measure.go
@@ -30,18 +30,19 @@
 	targetVoters      = 7
 	targetLeases      = 64
 
-	budgetCores  = 0.021
-	budgetMB     = 128
-	budgetBytes  = 17000
-	budgetChange = 5000 // ms, for a change of primary
-	bytesOfMB    = 1e6
-	knownWithin  = 120 * time.Second
-	leaderWithin = 60 * time.Second
-	usualLease   = 10 * time.Second
-	usualVoters  = 5
-	leasesAtRest = 2
-	partOfTarget = 200.0 / targetControllers // of a fleet runs when the rest starts at once
-	zoneOfTarget = 67.0 / targetControllers  // of a fleet restarts at once
+	budgetCores   = 0.021
+	budgetMB      = 128
+	budgetBytes   = 17000
+	budgetInForce = 19000 // ms, for a change of configuration
+	budgetChange  = 5000  // ms, for a change of primary
+	bytesOfMB     = 1e6
+	knownWithin   = 120 * time.Second
+	leaderWithin  = 60 * time.Second
+	usualLease    = 10 * time.Second
+	usualVoters   = 5
+	leasesAtRest  = 2
+	partOfTarget  = 200.0 / targetControllers // of a fleet runs when the rest starts at once
+	zoneOfTarget  = 67.0 / targetControllers  // of a fleet restarts at once
 )
 
 type measurement struct {
@@ -49,15 +50,28 @@
 	settle  time.Duration // before something is measured
 	window  time.Duration // in which it is
 	lease   time.Duration
+	puts    int  // of documents, of each size
 	deaths  bool // how long it takes until a death is known is measured
-	fleets  atomic.Int64
 	mu      sync.Mutex
 	figures []figures
 }
 
-// Measure runs fleets of hollow controllers and tells what they cost by their size. What could not be measured is told in
-// the error, beside the rows of what could.
-func Measure(ctx context.Context, o Options) ([]slope.Row, error) {
+// Measure runs fleets of several sizes and tells what they cost at rest, when many controllers start or restart at once,
+// and for how long a leader and a lease's holder are missing. It returns what it could measure also where it returns an
+// error.
+func Measure(ctx context.Context, o Options) ([]slope.Row, error) { return o.measurement().sizes(ctx) }
+
+// MeasureAgreement tells what the quorum's leader spends by leases and by voters.
+func MeasureAgreement(ctx context.Context, o Options) ([]slope.Row, error) {
+	return o.measurement().agreement(ctx)
+}
+
+// MeasureDigest tells what the statistics digest costs by engines and table groups.
+func MeasureDigest(ctx context.Context, o Options) ([]slope.Row, error) {
+	return o.measurement().digest(ctx)
+}
+
+func (o Options) measurement() *measurement {
 	m := &measurement{Options: o, settle: 25 * time.Second, window: 30 * time.Second, lease: usualLease, deaths: true}
 	if o.Quick {
 		m.settle, m.window = 2*time.Second, 4*time.Second
@@ -74,18 +88,15 @@
 	if m.Tell == nil {
 		m.Tell = func(string, ...any) {}
 	}
-	parts := []func(context.Context) ([]slope.Row, error){m.sizes, m.agreement, m.digest}
-	rows := make([][]slope.Row, len(parts))
-	err := each(m, numbers(0, len(parts)), func(i int) (err error) {
-		rows[i], err = parts[i](ctx)
-		return err
-	})
-	return slices.Concat(rows...), err
+	return m
 }
 
+// fleets counts the fleets of this process, each of which has a network of its own.
+var fleets atomic.Int64
+
 // open opens a fleet with a network of its own.
 func (m *measurement) open(ctx context.Context, s Spec) (*Fleet, error) {
-	s.Network = NewNetwork(int(m.fleets.Add(1)))
+	s.Network = NewNetwork(int(fleets.Add(1)))
 	s.LeaseTime = m.lease
 	return Open(ctx, s, m.Command)
 }
@@ -179,7 +190,7 @@
 		})
 	})
 	var rows []slope.Row
-	for _, r := range sizeRows() {
+	for _, r := range slices.Concat(sizeRows(), putRows()) {
 		r.row.Points, r.row.Per, r.row.Method, r.row.Target = m.points(r.figure), "controllers", "sockets", targetControllers
 		if len(r.row.Points) > 0 {
 			rows = append(rows, r.row)
@@ -332,6 +343,11 @@
 	if err := pause(ctx, m.settle); err != nil {
 		return err
 	}
+	if m.puts > 0 {
+		if err := m.putDocuments(ctx, f, size); err != nil {
+			return err
+		}
+	}
 	zone := numbers(size-max(1, int(float64(size)*zoneOfTarget)), size)
 	if err := f.AwaitRestarts(ctx, size, zone); err != nil {
 		return err
--- a/internal/lab/scale/hollow/probe.go
+++ b/internal/lab/scale/hollow/probe.go
@@ -119,6 +119,7 @@
 	GoneAt  time.Time    `json:"gone_at"`  // zero: not yet
 	Holds   []lease.Name `json:"holds,omitempty"`
 	Grants  []Grant      `json:"grants,omitempty"`
+	Applied []Applied    `json:"applied,omitempty"`
 }
 
 func (p *probe) view(number int) View {
--- a/internal/lab/scale/hollow/share.go
+++ b/internal/lab/scale/hollow/share.go
@@ -149,7 +149,9 @@
 func (s *Share) Views() []View {
 	var views []View
 	for _, c := range s.running() {
-		views = append(views, c.probe.view(c.number))
+		view := c.probe.view(c.number)
+		view.Applied = c.host.list()
+		views = append(views, view)
 	}
 	return views
 }
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -36,13 +36,17 @@
 // Measurements are all, in the order in which they are made.
 func Measurements() []Measurement {
 	return []Measurement{
-		{"hollow", measureHollow},
+		{"hollow", onHollow(hollow.Measure)},
+		{"agreement", onHollow(hollow.MeasureAgreement)},
+		{"digest", onHollow(hollow.MeasureDigest)},
 		{"leases", measureLeases},
 	}
 }
 
-func measureHollow(ctx context.Context, o Options) ([]slope.Row, error) {
-	return hollow.Measure(ctx, hollow.Options{Quick: o.Quick, Seed: o.Seed, Sizes: o.Sizes, Command: o.Command, Tell: o.Tell})
+func onHollow(measure func(context.Context, hollow.Options) ([]slope.Row, error)) func(context.Context, Options) ([]slope.Row, error) {
+	return func(ctx context.Context, o Options) ([]slope.Row, error) {
+		return measure(ctx, hollow.Options{Quick: o.Quick, Seed: o.Seed, Sizes: o.Sizes, Command: o.Command, Tell: o.Tell})
+	}
 }
 
 // Select are the measurements of these names, or all if there is no name.
