Time from put to in force in virtual time, at rest and under five kinds of trouble

Package scale/spread: the real cores of up to 670 controllers, 7 voters over 3 regions with 80 ms one way between them; lags are counted for those that nothing happened to from the put, for the others from their start or the heal.

--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"mintkeel/internal/lab/fleet"
+	"mintkeel/internal/lab/scale/spread"
 )
 
 // configurationSum is what histories of a configuration told together.
@@ -79,3 +80,35 @@
 	}
 	return nil
 }
+
+func fleetSpreadCommand() *cobra.Command {
+	o := spread.Options{Seed: 1}
+	c := &cobra.Command{
+		Use:   "spread",
+		Short: "Measure how long a version of the configuration takes until it is in force everywhere, in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var mu sync.Mutex
+			o.Tell = func(format string, args ...any) {
+				mu.Lock()
+				defer mu.Unlock()
+				fmt.Fprintf(c.ErrOrStderr(), format+"\n", args...)
+			}
+			rows, err := spread.Measure(c.Context(), o)
+			for _, r := range rows {
+				value, _ := r.AtTarget()
+				fmt.Fprintf(c.OutOrStdout(), "| %s | %s | %s | %.0f %s at %.0f, %s | %.2f | %s |\n", r.Role, r.Cost, r.Condition, value, r.Unit, r.Target,
+					r.Origin(), r.Ratio(), r.Note)
+			}
+			return err
+		},
+	}
+	c.Flags().Int64Var(&o.Seed, "seed", o.Seed, "of the first history")
+	c.Flags().IntVar(&o.Seeds, "seeds", 5, "histories of each condition")
+	c.Flags().IntVar(&o.Changes, "changes", 40, "of each history")
+	c.Flags().IntVar(&o.Workers, "workers", 2, "histories at a time")
+	c.Flags().StringVar(&o.Only, "only", "", "one condition")
+	c.Flags().BoolVar(&o.Largest, "largest", false, "fleets of 670 alone")
+	c.Flags().BoolVar(&o.Quick, "quick", false, "small fleets and few changes")
+	return c
+}
--- a/internal/lab/fleet/configuration.go
+++ b/internal/lab/fleet/configuration.go
@@ -57,10 +57,11 @@
 
 // configPending is what an operator waits for at a controller.
 type configPending struct {
-	reason   string // of a proposal
-	rollback uint64 // the version to go back to, whose document is asked for
-	expect   uint64
-	status   func(config.Answer)
+	reason    string // of a proposal
+	rollback  uint64 // the version to go back to, whose document is asked for
+	expect    uint64
+	status    func(config.Answer)
+	concluded func(config.Outcome) // nil: nobody but the checker is told
 }
 
 // configWorld is what a world has for the fleet's configuration.
@@ -73,7 +74,10 @@
 	replays   []configReplay
 	healed    float64 // when the last fault's trace was gone: the last process was started again
 
-	times ConfigurationTimes
+	times    ConfigurationTimes
+	observed func(machine int, number uint64, started bool)
+	killAt   uint64  // the version at which the leader is to be killed; 0: it is not
+	killFor  float64 // for so long
 }
 
 type configReplay struct {
@@ -93,7 +97,7 @@
 	for _, m := range nodes {
 		ids = append(ids, m.id)
 	}
-	return &configWorld{checker: configuration.NewChecker(ids), documents: map[config.Hash][]byte{}}
+	return &configWorld{checker: configuration.NewChecker(ids), documents: map[config.Hash][]byte{}, observed: func(int, uint64, bool) {}}
 }
 
 // Configuration is the checker of the fleet's configuration; nil where the plan has none.
@@ -151,6 +155,7 @@
 		return
 	}
 	w.config.checker.Started(w.now, m.incarnation(), m.configFolder(), m.config.inForce)
+	w.config.observed(m.number, m.config.inForce.Number, true)
 	w.config.healed = w.now
 }
 
@@ -238,7 +243,7 @@
 // applyConfig takes a version into use after the time that it takes.
 func (w *World) applyConfig(m *machine, run uint64, a *config.ApplyRequest) {
 	took := m.config.applyMS * (0.1 + 2*w.rng.Float64())
-	busy := w.rng.Intn(20) == 0
+	busy := w.rng.Float64() < w.plan.Busy
 	w.at(w.now+took, func() {
 		if m.run != run || m.core == nil {
 			return
@@ -270,6 +275,7 @@
 	}
 	w.config.checker.Applied(w.now, m.incarnation(), m.configFolder(), v)
 	m.config.inForce = v
+	w.config.observed(m.number, v.Number, false)
 }
 
 // configSent looks at a message on its way: a status is judged when it is made; some are changed or kept to come again.
@@ -394,6 +400,9 @@
 	}
 	w.trace("n%d tells that %s is %s: version %d, %s", m.number, asked.reason, resultNames[o.Result], o.Version.Number, o.Reason)
 	w.config.checker.Concluded(w.now, asked.reason, o)
+	if asked.concluded != nil {
+		asked.concluded(o)
+	}
 }
 
 var resultNames = [...]string{"not known", "agreed", "lost", "refused"}
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -26,6 +26,7 @@
 	Settle  float64                // ms after the last fault within which all must be well again
 	Mutant  string                 // a check that is left out, to see whether that is noticed; empty: none
 	Config  bool                   // the fleet agrees on a configuration
+	Busy    float64                // the share of versions that can not be applied at once
 	Latency func(a, b int) float64 // ms that a message from one to another takes at least; nil: 0.3
 }
 
@@ -110,6 +111,7 @@
 	config   *configWorld // nil: the plan has none
 	numbers  map[members.ID]int
 	replaced bool // an operator had a voter replaced
+	traffic  []Traffic
 
 	Judge     *Judge
 	Promises  *Promises
@@ -277,6 +279,9 @@
 	if m.core == nil {
 		return
 	}
+	if w.killsLeader(m) {
+		return
+	}
 	run := m.run
 	out := m.core.Take()
 	for _, s := range out.Sends {
@@ -436,6 +441,7 @@
 		w.Judge.fail(w.now, "message: %v", err)
 		return
 	}
+	w.countSent(from.number, to, &s.Message, len(data))
 	w.Messages++
 	w.Bytes += len(data) + 40
 	if s.Message.Members != nil {
