--- a/internal/core/fleet/config/harness_test.go
+++ b/internal/core/fleet/config/harness_test.go
@@ -83,6 +83,7 @@
 	applyErr func(v Version) (err error, retryable bool)
 	corrupt  bool // it sends chunks with wrong bytes
 	delay    float64
+	ahead    float64 // of its clock
 
 	runApplied map[uint64]uint64 // by run, the version in force
 	appliedAt  map[uint64]float64
@@ -93,6 +94,9 @@
 	sent       int64
 }
 
+// clock is the time that this controller is told.
+func (c *controller) clock() float64 { return c.fleet.now + c.ahead }
+
 // fleet is a simulation in virtual time.
 type fleet struct {
 	t      testing.TB
@@ -156,8 +160,8 @@
 	if v := kept.Current; v.Number > 0 {
 		f.noteApplied(c, v, c.folder.documents[v.Hash])
 	}
-	c.replica = New(Facts{Self: c.id, Run: c.run, Seed: f.rng.Int63()}, c, kept, f.now)
-	c.replica.Agreed(f.now)
+	c.replica = New(Facts{Self: c.id, Run: c.run, Seed: f.rng.Int63()}, c, kept, c.clock())
+	c.replica.Agreed(c.clock())
 	if c.voter {
 		f.learnLater(c)
 	}
@@ -178,7 +182,7 @@
 	f.before, f.leader, f.leaderAt = f.leader, id, f.now
 	for _, c := range f.all {
 		if c.voter && c.up {
-			c.replica.Agreed(f.now)
+			c.replica.Agreed(c.clock())
 			f.settle(c)
 		}
 	}
@@ -278,17 +282,17 @@
 }
 
 func (f *fleet) wake(c *controller) {
-	next := max(c.replica.Next(), f.now)
+	next := max(c.replica.Next()-c.ahead, f.now)
 	if next > f.now+1e9 || c.tickAt > f.now && c.tickAt <= next {
 		return
 	}
 	c.tickAt = next
 	run := c.run
 	f.after(next-f.now, func() {
-		if c.up && c.run == run && f.now >= c.replica.Next() {
+		if c.up && c.run == run && c.clock() >= c.replica.Next() {
 			c.tickAt = 0
-			c.replica.Tick(f.now)
-			if next := c.replica.Next(); next <= f.now {
+			c.replica.Tick(c.clock())
+			if next := c.replica.Next(); next <= c.clock() {
 				f.fail("%s wants to wake up at once again", c.id)
 			}
 			f.settle(c)
@@ -333,7 +337,7 @@
 			f.fail("decoding: %v", err)
 			return
 		}
-		to.replica.Receive(f.now, from.id, &got)
+		to.replica.Receive(to.clock(), from.id, &got)
 		f.settle(to)
 		if then != nil {
 			then()
@@ -362,7 +366,7 @@
 			return
 		}
 		c.storing = false
-		c.replica.Stored(f.now, err)
+		c.replica.Stored(c.clock(), err)
 		f.settle(c)
 	})
 }
@@ -416,13 +420,13 @@
 		c.applying = false
 		if c.applyErr != nil {
 			if err, retryable := c.applyErr(request.Version); err != nil {
-				c.replica.Applied(f.now, err, retryable)
+				c.replica.Applied(c.clock(), err, retryable)
 				f.settle(c)
 				return
 			}
 		}
 		f.noteApplied(c, request.Version, request.Document)
-		c.replica.Applied(f.now, nil, false)
+		c.replica.Applied(c.clock(), nil, false)
 		f.settle(c)
 	})
 }
@@ -557,7 +561,7 @@
 		for ; c.learnt < len(f.log); c.learnt++ {
 			c.state.Apply(f.log[c.learnt])
 		}
-		c.replica.Agreed(f.now)
+		c.replica.Agreed(c.clock())
 		f.settle(c)
 	})
 }
@@ -647,7 +651,7 @@
 // put proposes at one controller and returns the reference.
 func (f *fleet) put(c *controller, document []byte, expect uint64) uint64 {
 	f.ref++
-	c.replica.Propose(f.now, f.ref, document, expect, Version{Author: "operator", Reason: "test", Time: int64(f.now)})
+	c.replica.Propose(c.clock(), f.ref, document, expect, Version{Author: "operator", Reason: "test", Time: int64(f.now)})
 	f.settle(c)
 	return f.ref
 }
@@ -703,7 +707,7 @@
 func (f *fleet) ask(c *controller, kind QueryKind) (Answer, bool) {
 	f.ref++
 	ref := f.ref
-	c.replica.Ask(f.now, ref, kind)
+	c.replica.Ask(c.clock(), ref, kind)
 	f.settle(c)
 	f.runUntil(queryTimeout+100, func() bool { _, ok := c.answers[ref]; return ok })
 	a, ok := c.answers[ref]
--- a/internal/core/fleet/config/take_test.go
+++ b/internal/core/fleet/config/take_test.go
@@ -33,6 +33,51 @@
 	f.everywhere(3, 5000)
 }
 
+// One that is killed while it writes the document starts with the version before, and catches up.
+func TestKilledWhileWriting(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[7], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	victim := f.all[6]
+	f.put(f.all[7], randomDocument(100000, 1), 1)
+	f.runUntil(5000, func() bool { return victim.storing })
+	if !victim.storing {
+		t.Fatal("it writes nothing")
+	}
+	f.kill(victim)
+	f.runFor(100)
+	f.start(victim)
+	if victim.replica.Current().Number != 1 {
+		t.Errorf("after the start: %+v", victim.replica.Current())
+	}
+	f.everywhere(2, 5000)
+}
+
+// Clocks that jump by an hour, of a voter, of the leader and of others, neither lose a version nor bring one back.
+func TestClockJumps(t *testing.T) {
+	const hour = 3600000.0
+	f := newFleet(t, 1, 20, 5)
+	f.runFor(1000)
+	f.putAgreed(f.all[7], []byte("one"), 0)
+	f.runFor(20)
+	for _, i := range []int{0, 2, 7, 9} {
+		f.all[i].ahead = hour
+		f.all[i].replica.Tick(f.all[i].clock())
+		f.settle(f.all[i])
+	}
+	f.everywhere(1, 5000)
+	f.putAgreed(f.all[9], []byte("two"), 1)
+	f.all[1].ahead, f.all[10].ahead = hour, hour
+	f.putAgreed(f.all[10], []byte("three"), 2)
+	f.everywhere(3, 8000)
+	f.all[0].ahead, f.all[9].ahead = 0, 0 // and back: time stands still for an hour there
+	f.putAgreed(f.all[12], []byte("four"), 3)
+	if f.runUntil(8000, func() bool { return inForce(4, f.all[1:9]) && inForce(4, f.all[10:]) }) < 0 {
+		t.Error("not in force where the clocks are well")
+	}
+}
+
 // An older summary after a newer one, the same again, and another document of that number change nothing.
 func TestOlderAfterNewer(t *testing.T) {
 	f := newFleet(t, 1, 8, 3)
--- a/internal/core/fleet/config/unit_test.go
+++ b/internal/core/fleet/config/unit_test.go
@@ -183,3 +183,88 @@
 		t.Errorf("relays %v, asked %v", relays, asked)
 	}
 }
+
+// One that sent corrupt bytes is not asked for another document for a while, then it is again.
+func TestCorruptSourceIsAvoided(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(x.now, "n3", &Message{Summary: summaryOf(2, "second")})
+	x.replica.Take()
+	corrupt := chunkOf("second")
+	corrupt.Data = []byte("sEcond")
+	x.replica.Receive(x.now, "n3", &Message{Chunk: corrupt})
+	if x.replica.Counts().Corrupt != 1 {
+		t.Fatalf("%+v", x.replica.Counts())
+	}
+	for _, s := range x.replica.Take().Sends {
+		if s.To == "n3" && s.Message.Fetch != nil {
+			t.Error("it is asked again")
+		}
+	}
+	asked := func(number uint64, text string) bool {
+		x.replica.Receive(x.now, "n3", &Message{Summary: summaryOf(number, text)})
+		for _, s := range x.replica.Take().Sends {
+			if s.To == "n3" && s.Message.Fetch != nil {
+				return true
+			}
+		}
+		return false
+	}
+	x.now += avoidFor - 1
+	if asked(3, "third") {
+		t.Error("it is asked for another document")
+	}
+	if x.now++; !asked(4, "fourth") {
+		t.Error("it is never asked again")
+	}
+}
+
+// Only the leader has documents held.
+func TestHoldOfLeaderAlone(t *testing.T) {
+	x := newTargets()[1]
+	x.replica.Take()
+	hold := &Message{Hold: &HoldRequest{Hash: HashOf([]byte("x")), Size: 1}}
+	x.replica.Receive(x.now, "n3", hold)
+	if got := fetches(x.replica.Take()); len(got) != 0 || len(x.replica.holds) != 0 {
+		t.Errorf("for another it fetches %v", got)
+	}
+	x.replica.Receive(x.now, "n1", hold)
+	if got := fetches(x.replica.Take()); len(got) != 1 || len(x.replica.holds) != 1 {
+		t.Errorf("for the leader it fetches %v", got)
+	}
+}
+
+// One that has just begun to lead and does not know the expected version yet says nothing of it: the proposal may be one
+// that was agreed on under the leader before.
+func TestLateLeader(t *testing.T) {
+	x := newTargets()[0]
+	x.replica.Take()
+	p := proposal(2, 7, "third")
+	p.Version.ID.Origin = "n3"
+	reply := func() *ProposeReply {
+		for _, s := range x.replica.Take().Sends {
+			if s.Message.Proposed != nil {
+				return s.Message.Proposed
+			}
+		}
+		return nil
+	}
+	x.env.leads = false
+	x.replica.Tick(x.now)
+	x.env.leads = true
+	x.replica.Receive(x.now, "n3", &Message{Propose: &ProposeRequest{Proposal: p}})
+	for x.now < catchUp-600 {
+		x.now += 500
+		x.replica.Tick(x.now)
+		if got := reply(); got != nil {
+			t.Fatalf("after %.0f ms: %+v", x.now, got)
+		}
+	}
+	second := proposal(1, 6, "second")
+	x.env.state.Apply(second)
+	x.env.state.Apply(p)
+	x.replica.Agreed(x.now)
+	if got := reply(); got == nil || got.Result != Agreed || got.Version.Number != 3 {
+		t.Errorf("when it knows: %+v", got)
+	}
+}
