Author and reason of a version reach controllers that don't vote

Need: one log line for each version taken, with author and reason. Summaries tell number, hash and size alone, so at all but the voters both were empty (seen in the process test).

The first chunk of a document tells the version that it is sent for; it is taken in if number, hash and size are those that are fetched and the texts are within their bounds. The proposer, who has the document already, knows them from its proposal. A first try took them from the answer to the proposal: it came after the version was applied, and the log had none. A controller that takes a rollback to a document that it still stores fetches nothing, and tells none; history does.

--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -217,7 +217,7 @@
 	n1.expect(0, "version 1 in force at 4 of 4", "put", "--reason", "first", "--expect", "0", "--author", "anna", n1.file(ruleRefusing("one")))
 	for _, p := range all {
 		p.serves("one")
-		p.log.wait(t, "configuration version in force")
+		p.log.wait(t, "configuration version in force author=anna") // at those that don't vote too
 	}
 	n4.expect(1, "line 2, column 9: field log.level", "put", "--reason", "bad", n4.file("log {\nlevel = \"loud\"\n}\n"))
 	n2.expect(1, "field fleet.name is each controller's own", "put", "--reason", "bad", n2.file("fleet {\n name = \"x\"\n}\n"))
--- a/internal/core/fleet/config/config.go
+++ b/internal/core/fleet/config/config.go
@@ -98,6 +98,8 @@
 	Total   int    `cbor:"3,keyasint"`
 	Data    []byte `cbor:"4,keyasint,omitempty"`
 	Missing bool   `cbor:"5,keyasint,omitempty"`
+
+	About *Version `cbor:"6,keyasint,omitempty"` // with the first bytes: the version that the document is sent for
 }
 
 // ProposeRequest asks the leader for a new version; the leader fetches the document from the sender.
--- a/internal/core/fleet/config/fetch.go
+++ b/internal/core/fleet/config/fetch.go
@@ -259,6 +259,7 @@
 		return
 	}
 	d.chunks[index] = c.Data
+	r.takeDescription(c.About)
 	d.have++
 	d.progressAt = r.now
 	if !slices.Contains(d.contributors, from) {
--- a/internal/core/fleet/config/serve.go
+++ b/internal/core/fleet/config/serve.go
@@ -30,5 +30,7 @@
 	}
 	r.served.bytes += len(part)
 	r.counts.ServedBytes += int64(len(part))
-	r.send(from, Message{Chunk: &Chunk{Hash: f.Hash, Offset: f.Offset, Total: len(data), Data: part}})
+	c := &Chunk{Hash: f.Hash, Offset: f.Offset, Total: len(data), Data: part}
+	r.describe(c)
+	r.send(from, Message{Chunk: c})
 }
--- a/internal/core/fleet/config/spread.go
+++ b/internal/core/fleet/config/spread.go
@@ -113,7 +113,7 @@
 	if r.target.Hash != v.Hash {
 		r.release(r.target.Hash, forTaking)
 	}
-	r.target = v
+	r.target = r.describeOwn(v)
 	if r.library.get(v.Hash) == nil {
 		r.fetch(v.Hash, v.Size, forTaking, tellers...)
 	}
