A new leader answers for the quorum once it has applied an entry of its own term

Found by drawn histories (a voter that can't use a document is elected between agreement and commit): the new leader had the entry in its log and had not applied it, did not know the proposal, refused it by its own check, and then it became a version: told refused, and in the history all the same. Now configuration heeds LeadsCaughtUp.

--- a/internal/core/fleet/config/candidate.go
+++ b/internal/core/fleet/config/candidate.go
@@ -12,6 +12,7 @@
 	catchUp          = 3000.0  // after which one that leads knows all that was agreed on before: else it would not lead any more
 	proposeRetry     = 200.0   // after the quorum did not take a proposal
 	proposeAgain     = 2000.0  // after it took one that was not agreed on since
+	fetchPatience    = 3000.0  // after which one whose document has not come lets the next one pass
 )
 
 // candidate is a proposal at the leader: its document is fetched, checked and held by a majority of the voters before
@@ -20,6 +21,7 @@
 	proposal  Proposal
 	origin    members.ID
 	began     float64 // to be worked on; 0: it waits
+	turnAt    float64 // it came to the head of the queue; 0: it waits
 	checked   bool
 	held      []members.ID // voters that hold the document durably
 	holdAt    float64      // of the next HoldRequests
@@ -97,14 +99,27 @@
 		if c.began == 0 {
 			c.began = max(r.now, 1)
 		}
+		if c.turnAt == 0 {
+			c.turnAt = max(r.now, 1)
+		}
 		if !r.advanceCandidate(c) {
-			return
+			if !r.letsPass(c) {
+				return
+			}
+			c.turnAt = 0
+			r.queue = append(r.queue[1:], c)
+			continue
 		}
 		r.release(c.proposal.Version.Hash, forProposal)
 		r.queue = r.queue[1:]
 	}
 }
 
+// letsPass tells whether a proposal at the head of the queue makes room for the next one, as its document does not come.
+func (r *Replica) letsPass(c *candidate) bool {
+	return len(r.queue) > 1 && r.now >= c.turnAt+fetchPatience && r.library.get(c.proposal.Version.Hash) == nil
+}
+
 // advanceCandidate does the next step of a proposal, and tells whether it has ended.
 func (r *Replica) advanceCandidate(c *candidate) bool {
 	if r.decided(c.origin, c.proposal) {
@@ -205,6 +220,9 @@
 	}
 	c := r.queue[0]
 	next := c.began + candidateTimeout
+	if len(r.queue) > 1 && r.now < c.turnAt+fetchPatience {
+		next = min(next, c.turnAt+fetchPatience)
+	}
 	switch {
 	case r.env.State() != nil && r.env.State().Newest() < c.proposal.Expect:
 		next = min(next, r.ledSince+catchUp)
--- a/internal/core/fleet/config/fetch.go
+++ b/internal/core/fleet/config/fetch.go
@@ -13,6 +13,7 @@
 	sourceWait   = 300.0   // between two looks for a source where there is none
 	missingFor   = 1000.0  // for which one that did not have the document is not asked
 	avoidFor     = 10000.0 // for which one that sent bytes that did not fit is not asked
+	avoidOnly    = 1000.0  // the same where nobody else has the document
 	maxSources   = 16      // of one document
 	maxExcluded  = 64
 	maxDownloads = 16
@@ -129,7 +130,7 @@
 }
 
 func (r *Replica) runDownload(d *download) {
-	if d.source == "" || r.excluded(d, d.source) {
+	if d.source == "" || r.excluded(d, d.source) && d.source != r.avoidedSource(d) {
 		if r.now < d.waitUntil {
 			return
 		}
@@ -193,9 +194,24 @@
 	if fallback == "" && d.slow != "" && !r.excluded(d, d.slow) {
 		return d.slow
 	}
+	if fallback == "" {
+		return r.avoidedSource(d)
+	}
 	return fallback
 }
 
+// avoidedSource is one that sent bytes that did not fit, and told that it has the document: it may be the only one, and
+// the bytes may have been changed on their way. It is asked again a while after each such failure.
+func (r *Replica) avoidedSource(d *download) members.ID {
+	for _, id := range d.sources {
+		until, avoided := r.avoided[id]
+		if avoided && r.now >= until-avoidFor+avoidOnly && r.now >= d.missing[id] && id != r.facts.Self {
+			return id
+		}
+	}
+	return ""
+}
+
 // tickDownloads asks again for chunks that did not come in time, and gives up a version of which nothing comes.
 func (r *Replica) tickDownloads() {
 	for _, d := range slices.Clone(r.downloads) {
--- a/internal/core/fleet/config/propose_test.go
+++ b/internal/core/fleet/config/propose_test.go
@@ -341,3 +341,30 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// The origin of a proposal may be the only one that has the document: bytes that were changed on their way from it do
+// not keep it from being asked again, and proposals behind it don't wait for it.
+func TestOriginWithChangedBytes(t *testing.T) {
+	f := newFleet(t, 1, 8, 3)
+	f.runFor(1000)
+	origin, other := f.all[6], f.all[5]
+	origin.corrupt = true
+	first := f.put(origin, randomDocument(1000, 1), 0)
+	f.runFor(2000)
+	second := f.put(other, randomDocument(1000, 2), 0)
+	answered := func(c *controller, ref uint64) func() bool {
+		return func() bool { _, ok := c.outcomes[ref]; return ok }
+	}
+	if took := f.runUntil(4000, answered(other, second)); took < 0 || other.outcomes[second].Result != Agreed {
+		t.Errorf("the proposal behind it took %v ms: %+v", took, other.outcomes[second])
+	}
+	if o := f.outcome(origin, first); o.Result != Lost {
+		t.Errorf("the proposal of the changed bytes: %+v", o)
+	}
+	third := f.put(origin, randomDocument(1000, 3), 1)
+	f.runFor(1500)
+	origin.corrupt = false
+	if took := f.runUntil(3000, answered(origin, third)); took < 0 || origin.outcomes[third].Result != Agreed {
+		t.Errorf("once nothing is changed on its way: %v ms, %+v", took, origin.outcomes[third])
+	}
+}
--- a/internal/core/fleet/node/config.go
+++ b/internal/core/fleet/node/config.go
@@ -27,8 +27,8 @@
 // Leader is the quorum's; empty: not known.
 func (e configEnvironment) Leader() members.ID { return e.node.Leader() }
 
-// Leads tells whether this one leads the quorum.
-func (e configEnvironment) Leads() bool { return e.node.quorum.Leads() }
+// Leads tells whether this one leads the quorum and knows all that was agreed on.
+func (e configEnvironment) Leads() bool { return e.node.quorum.LeadsCaughtUp() }
 
 // Voting tells whether this one is a voter.
 func (e configEnvironment) Voting() bool {
@@ -82,7 +82,7 @@
 // tellConfig lets the replica know what the quorum agreed on and who leads it, when either has changed.
 func (n *Node) tellConfig() {
 	newest := n.quorum.ConfigState().Newest()
-	seen := configSeen{number: newest, leads: n.quorum.Leads(), voting: configEnvironment{n}.Voting(), leader: n.Leader()}
+	seen := configSeen{number: newest, leads: n.quorum.LeadsCaughtUp(), voting: configEnvironment{n}.Voting(), leader: n.Leader()}
 	if seen == n.configSeen {
 		return
 	}
--- a/internal/core/fleet/quorum/config_test.go
+++ b/internal/core/fleet/quorum/config_test.go
@@ -77,3 +77,40 @@
 		}
 	}
 }
+
+// One that has just been elected may hold what was agreed on in its log and not have applied it yet: it answers for the
+// quorum only once it has applied an entry of its own term.
+func TestLeadsCaughtUp(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	before := r.leader()
+	if !before.LeadsCaughtUp() {
+		t.Fatal("a leader at rest has not caught up")
+	}
+	before.ProposeConfig("x", proposalOf(0, 1))
+	name := before.Incarnation().Name
+	r.run(100)
+	r.cut = func(from, to members.ID) bool { return from == name || to == name }
+	behind := false
+	for range 400 {
+		r.run(25)
+		for _, other := range r.founders {
+			c := r.members[other]
+			if other == name || !c.Leads() {
+				continue
+			}
+			behind = behind || !c.LeadsCaughtUp()
+			if c.LeadsCaughtUp() && c.ConfigState().Newest() != 1 {
+				t.Fatalf("%s answers for the quorum and does not know its version", other)
+			}
+		}
+	}
+	if !behind {
+		t.Error("no leader was seen before it had caught up: nothing is shown")
+	}
+	for _, c := range r.members {
+		if !c.Leads() && c.LeadsCaughtUp() {
+			t.Error("one that does not lead answers for the quorum")
+		}
+	}
+}
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -197,6 +197,7 @@
 		return
 	}
 	r.appliedIndex = entry.GetIndex()
+	r.appliedTerm = entry.GetTerm()
 	switch entry.GetType() {
 	case pb.EntryNormal:
 		var p proposal
--- a/internal/core/fleet/quorum/records.go
+++ b/internal/core/fleet/quorum/records.go
@@ -131,6 +131,7 @@
 	metadata := snap.GetMetadata()
 	r.voters = metadata.GetConfState()
 	r.appliedIndex, r.snapshotIndex = metadata.GetIndex(), metadata.GetIndex()
+	r.appliedTerm = metadata.GetTerm()
 	return nil
 }
 
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -33,6 +33,7 @@
 	retired        []Incarnation
 	removed        []members.ID // taken out by an operator's command: they don't come back by themselves
 	appliedIndex   uint64
+	appliedTerm    uint64 // of the entry at appliedIndex
 	snapshotIndex  uint64
 	snapshotWanted bool
 	leading        bool
@@ -231,6 +232,10 @@
 // Leads tells whether this member leads, as far as it knows.
 func (r *Replica) Leads() bool { return r.leading }
 
+// LeadsCaughtUp tells whether this member leads and has applied an entry of its own term: only then does its state hold all
+// that was agreed on before, and it can answer for the quorum.
+func (r *Replica) LeadsCaughtUp() bool { return r.leading && r.appliedTerm == r.Term() }
+
 // Leader is the member that leads, as far as this one knows; empty: none.
 func (r *Replica) Leader() members.ID {
 	if r.node == nil {
