Members: pings on a fixed overlay, views compared by checksums, answers that come late

Change: - A controller pings its successors in ten rings, each of another hash (the topology of Rapid): these connections stay open. Up to eleven controllers: all, as before. Controllers of earlier versions are answered as before. One that is gone and was never known is not taken in: controllers that forget at different times told each other of it for ever, up to the bound of 4,096.

--- a/internal/core/fleet/members/index.go
+++ b/internal/core/fleet/members/index.go
@@ -63,6 +63,11 @@
 	return slices.BinarySearchFunc(list, id, func(e *entry, id ID) int { return cmp.Compare(e.ID, id) })
 }
 
+func hasEntry(list []*entry, id ID) bool {
+	_, found := findEntry(list, id)
+	return found
+}
+
 func insertEntry(list *[]*entry, e *entry) {
 	if i, found := findEntry(*list, e.ID); !found {
 		*list = slices.Insert(*list, i, e)
--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -64,7 +64,7 @@
 	PingFor                 // asks the receiver to ping About and to pass the Ack on, or to say Nack
 	Ack
 	Nack // "I am here, but have not heard of About": tells who asked that it is heard itself
-	Sync // all that the sender believes, in parts; asks for the same if Want is set
+	Sync // compares the sender's view with the receiver's by Sums, or carries what differs, in parts; asks for the same if Want is set
 )
 
 // Message is one of the protocol. Each carries news.
@@ -74,6 +74,9 @@
 	About ID       `cbor:"3,keyasint,omitempty"`
 	Want  bool     `cbor:"4,keyasint,omitempty"`
 	News  []Member `cbor:"5,keyasint,omitempty"`
+	Sums  Sums     `cbor:"6,keyasint,omitempty"` // of the sender's view: the receiver sends what differs
+	// Buckets are, as bits, those of which News has all that the sender knows.
+	Buckets uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Out is a message to be sent.
@@ -97,7 +100,7 @@
 	Helpers  int     // who are asked
 	Suspect  float64 // times the logarithm of the fleet's size times Period: the shortest time as a suspect
 	Longest  float64 // times that, while nobody else says so too
-	SyncEach float64 // between exchanges of all with one member
+	SyncEach float64 // between comparisons of the whole view with one member's
 	Retry    float64 // between pings of members that are gone, in case a cut has healed
 	Forget   float64 // after which who is gone or has left is forgotten
 	News     int     // of a message
@@ -108,7 +111,7 @@
 // Usual is the pace that fleets of three to a thousand run at. A ping each second is what the paper measured; with five
 // of the fleet's logarithm a suspect has 5 to 30 s in a thousand, which spares who pauses for some seconds.
 func Usual() Pace {
-	return Pace{Period: 1000, Answer: 400, Helpers: 3, Suspect: 4, Longest: 6, SyncEach: 30000, Retry: 5000,
+	return Pace{Period: 1000, Answer: 400, Helpers: 3, Suspect: 4, Longest: 6, SyncEach: 10000, Retry: 5000,
 		Forget: 24 * 3600 * 1000, News: 8, Part: 200, Most: 4096}
 }
 
@@ -121,6 +124,7 @@
 // entry is what is kept of a member.
 type entry struct {
 	Member
+	position   uint64 // of its id in the rings
 	suspectAt  float64
 	suspectors map[ID]bool
 	changedAt  float64
@@ -129,13 +133,8 @@
 	sent       int  // and was passed on so often
 }
 
-// relayed is a ping made in another's place.
-type relayed struct {
-	ping  uint32 // sequence number of the ping made
-	for_  ID
-	seq   uint32
-	about ID
-	until float64
+func newEntry(m Member, now float64) *entry {
+	return &entry{Member: m, position: positionOf(m.ID), changedAt: now}
 }
 
 // Table is one controller's view. It is for one goroutine.
@@ -163,8 +162,8 @@
 	periodAt float64
 	syncAt   float64
 	retryAt  float64
-	slow     int       // how slow this one takes itself to be, from 0
-	relays   []relayed // by ping, and so by until
+	slow     int // how slow this one takes itself to be, from 0
+	relays   relays
 	left     bool
 	refuted  int
 
@@ -176,13 +175,13 @@
 func New(self Member, seeds []Member, pace Pace, seed int64, now float64) *Table {
 	t := &Table{pace: pace, rng: rand.New(rand.NewSource(seed)), now: now, all: map[ID]*entry{}}
 	self.State = Alive
-	t.self = &entry{Member: self, changedAt: now}
+	t.self = newEntry(self, now)
 	t.all[self.ID] = t.self
 	insertEntry(&t.index.all, t.self)
 	for _, s := range seeds {
 		if s.ID != self.ID && t.all[s.ID] == nil {
 			s.State, s.Incarnation = Gone, 0 // until it is heard of; Retry and the first Sync reach it
-			t.all[s.ID] = &entry{Member: s, changedAt: now}
+			t.all[s.ID] = newEntry(s, now)
 			t.index.add(t.all[s.ID])
 		}
 	}
@@ -212,8 +211,8 @@
 	if t.target != "" && !t.asked && !t.acked {
 		next = min(next, t.targetAt+t.pace.Answer*t.stretch())
 	}
-	if len(t.relays) > 0 {
-		next = min(next, t.relays[0].until)
+	if waiting := t.relays.waiting; len(waiting) > 0 {
+		next = min(next, waiting[0].until)
 	}
 	return min(next, t.firstExpiry())
 }
@@ -344,10 +343,8 @@
 			e.suspectAt += late
 		}
 	}
-	for len(t.relays) > 0 && t.now >= t.relays[0].until {
-		r := t.relays[0]
-		t.relays = t.relays[1:]
-		if e := t.all[r.for_]; e != nil {
+	for _, r := range t.relays.expired(t.now, t.pace.Period-t.pace.Answer) {
+		if e := t.all[r.asker]; e != nil {
 			t.send(e, Message{Kind: Nack, Seq: r.seq, About: r.about})
 		}
 	}
@@ -366,10 +363,10 @@
 	if t.now >= t.syncAt {
 		t.syncAt = t.now + t.pace.SyncEach*(0.9+0.2*t.rng.Float64())
 		if some := t.pick(1, t.index.active, nil); len(some) > 0 {
-			t.sync(some[0], true)
+			t.compare(some[0])
 		} else if some := t.pick(1, t.index.all, t.self); len(some) > 0 { // nobody yet: a seed
 			t.syncAt = t.now + t.pace.Period
-			t.sync(some[0], true)
+			t.compare(some[0])
 		}
 	}
 	if t.now >= t.retryAt {
@@ -423,7 +420,7 @@
 	for range len(t.order) + 1 {
 		if t.at >= len(t.order) {
 			t.order = t.order[:0]
-			for _, e := range t.index.active {
+			for _, e := range t.subjects() {
 				t.order = append(t.order, e.ID)
 			}
 			t.rng.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
@@ -441,14 +438,29 @@
 	}
 }
 
+// askOthers has others ping the target, which has not answered in time, and pings it once more itself, as either may have
+// been lost.
 func (t *Table) askOthers() {
 	t.asked = true
-	for _, e := range t.pick(t.pace.Helpers, t.index.alive, t.all[t.target]) {
+	if e := t.all[t.target]; e != nil {
+		t.send(e, Message{Kind: Ping, Seq: t.nextSeq()})
+	}
+	for _, e := range t.pick(t.pace.Helpers, t.helpers(), t.all[t.target]) {
 		t.expected++
 		t.send(e, Message{Kind: PingFor, Seq: t.seq, About: t.target})
 	}
 }
 
+// helpers are members that can be asked to ping another: those that are pinged anyway, as a connection to them is open.
+func (t *Table) helpers() (list []*entry) {
+	for _, e := range t.subjects() {
+		if e.State == Alive {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // pick draws n members of a list, without the one excluded if it is not nil.
 func (t *Table) pick(n int, list []*entry, exclude *entry) (picked []*entry) {
 	var taken []int // places that are not drawn any more, in order
@@ -485,20 +497,6 @@
 	t.outs = append(t.outs, Out{e.ID, e.Addr, m})
 }
 
-// sync tells one all that is believed, in parts.
-func (t *Table) sync(e *entry, want bool) {
-	known := make([]Member, 0, len(t.index.all))
-	for _, x := range t.index.all {
-		if x.Run != 0 {
-			known = append(known, x.Member)
-		}
-	}
-	for part := range slices.Chunk(known, t.pace.Part) {
-		t.outs = append(t.outs, Out{e.ID, e.Addr, Message{Kind: Sync, Want: want, News: part}})
-		want = false // one answer is enough
-	}
-}
-
 // Receive takes in a message of a member at an address. From is who its frame proves to have sent it.
 func (t *Table) Receive(now float64, from ID, m Message) {
 	t.now = max(t.now, now)
@@ -516,16 +514,14 @@
 	case Ping:
 		t.send(e, Message{Kind: Ack, Seq: m.Seq})
 	case PingFor:
-		if about := t.all[m.About]; about != nil && about != t.self && len(t.relays) < t.pace.Most {
+		if about := t.all[m.About]; about != nil && about != t.self && t.relays.len() < t.pace.Most {
 			seq := t.nextSeq()
-			t.relays = append(t.relays, relayed{seq, from, m.Seq, m.About, t.now + t.pace.Answer})
+			t.relays.waiting = append(t.relays.waiting, relay{seq, from, m.Seq, m.About, t.now + t.pace.Answer})
 			t.send(about, Message{Kind: Ping, Seq: seq})
 		}
 	case Ack:
-		if i := t.relayOf(m.Seq, from); i >= 0 {
-			r := t.relays[i]
-			t.relays = slices.Delete(t.relays, i, i+1)
-			if back := t.all[r.for_]; back != nil {
+		if r, ok := t.relays.answered(m.Seq, from); ok {
+			if back := t.all[r.asker]; back != nil {
 				t.send(back, Message{Kind: Ack, Seq: r.seq, About: r.about})
 			}
 		} else if from == t.target || m.About == t.target {
@@ -536,17 +532,10 @@
 			t.nacks++
 		}
 	case Sync:
-		if m.Want {
-			t.sync(e, false)
-		}
+		t.answerSync(e, m)
 	}
 }
 
-// relayOf is the place of a ping that was made in another's place, and that was of one member; -1: there is none.
-func (t *Table) relayOf(ping uint32, about ID) int {
-	return slices.IndexFunc(t.relays, func(r relayed) bool { return r.ping == ping && r.about == about })
-}
-
 // believe takes in what somebody says of a member.
 func (t *Table) believe(n Member, by ID) {
 	if n.ID == "" || n.State > Left {
@@ -561,13 +550,16 @@
 		if len(t.all) >= t.pace.Most || n.Addr == "" {
 			return
 		}
-		e = &entry{Member: n, changedAt: t.now}
+		if n.State >= Gone { // nothing is to be done about it, and what all forget in turn would never end if it were passed on
+			return
+		}
+		e = newEntry(n, t.now)
 		t.all[n.ID] = e
 		t.index.add(e)
 		t.suspected(e)
 		t.updates.add(e)
 		t.changes = append(t.changes, Change{Member: n, Was: n.State, New: true})
-		if n.State <= Suspect { // into the round, at a place drawn, that no newcomer waits for the next
+		if len(t.index.active) <= rings { // into the round, at a place drawn, that no newcomer waits for the next
 			i := t.at + t.rng.Intn(len(t.order)-t.at+1)
 			t.order = slices.Insert(t.order, i, n.ID)
 		}
