Lab: what membership costs, and how long until all know, by the size of the fleet

Change: package scale/membership: an event queue of its own around membership tables; sizes as the node and frames encode them; TCP and IP headers, acknowledgements, connections with their handshakes under the bounds of links, their latency, and messages lost at a peer that has started again; three regions, 80 ms there and back. At rest, under loss, under pauses, with a tenth that restarts, with a third that is cut off. Distributions over seeds, processor time of the process and heap of tables.

--- /dev/null
+++ b/internal/lab/scale/membership/measure_test.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// TestMeasureQuick has all rows measured at four sizes, and the bounds kept that don't depend on the machine.
+func TestMeasureQuick(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes some seconds")
+	}
+	rows, err := Measure(context.Background(), Options{Quick: true, Seeds: 1, fleetSizes: measuredSizes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		if len(row.Points) != 4 {
+			t.Errorf("%s, %s: %d sizes", row.Cost, row.Condition, len(row.Points))
+		}
+		for _, p := range row.Points {
+			switch {
+			case strings.Contains(row.Cost, "bytes sent") && p.Value <= 0, row.Unit == "bytes/s" && p.Value > 5000:
+				t.Errorf("%s, %s, %g controllers: %g bytes/s", row.Cost, row.Condition, p.Size, p.Value)
+			case strings.Contains(row.Cost, "death is known") && (p.Value < 4000 || p.Value > 40_000):
+				t.Errorf("%s, %s, %g controllers: %g ms", row.Cost, row.Condition, p.Size, p.Value)
+			case strings.Contains(row.Cost, "taken to be gone") && p.Value > 0:
+				t.Errorf("%s, %s, %g controllers: %g an hour", row.Cost, row.Condition, p.Size, p.Value)
+			}
+		}
+	}
+}
+
+// TestSameSeed has a history be the same again.
+func TestSameSeed(t *testing.T) {
+	for name, play := range map[string]func(context.Context, plan) (outcome, error){
+		"loss": func(ctx context.Context, p plan) (outcome, error) { return steady(ctx, p, tenthLost, 1) },
+		"zone": zoneRestarts,
+	} {
+		first, err := play(context.Background(), plan{size: 20, seed: 3, far: farLatency})
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := play(context.Background(), plan{size: 20, seed: 3, far: farLatency})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(first, again) {
+			t.Errorf("%s: %+v, then %+v", name, first, again)
+		}
+	}
+}
+
+// TestCancelled has a measurement end when it is told to.
+func TestCancelled(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := Measure(ctx, Options{Quick: true}); err == nil {
+		t.Error("it went on")
+	}
+}
+
+// TestConnectionSizes compares the sizes of a connection's opening with what frames and TCP make them.
+func TestConnectionSizes(t *testing.T) {
+	if got, want := segments(100), (traffic{100 + 52, 52}); got != want {
+		t.Errorf("a small frame costs %+v", got)
+	}
+	if got, want := segments(3000), (traffic{3000 + 3*52, 2 * 52}); got != want {
+		t.Errorf("a frame of three segments costs %+v", got)
+	}
+	hello, err := helloBytes("n1", "n2", 1<<63)
+	if err != nil || hello < 80 || hello > 120 {
+		t.Errorf("a hello has %d bytes, %v", hello, err)
+	}
+	cost := handshake(100)
+	if cost.sender != 60+52+152+104 || cost.receiver != 60+92+52+52 {
+		t.Errorf("a connection costs %+v", cost)
+	}
+}
+
+// TestPeerTable has connections that are idle opened anew, and their number bounded.
+func TestPeerTable(t *testing.T) {
+	peers := peerTable{}
+	for i := range 100 {
+		id := peerName(i)
+		peers.opened(id, &connection{used: float64(i)})
+	}
+	if len(peers) != 64 || peers[peerName(35)] != nil || peers[peerName(36)] == nil {
+		t.Errorf("%d connections", len(peers))
+	}
+	if peers.reuse(peerName(99), 99+idle()) == nil || peers.reuse(peerName(99), 100+idle()) != nil {
+		t.Error("an idle connection is not closed after its time")
+	}
+}
+
+func peerName(i int) members.ID { return members.ID(fmt.Sprintf("n%d", i)) }
--- /dev/null
+++ b/internal/lab/scale/membership/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package membership
+
+var measuredSizes = Options{Quick: true}.sizes()
--- /dev/null
+++ b/internal/lab/scale/membership/scenarios.go
@@ -0,0 +1,194 @@
+package membership
+
+import (
+	"context"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+const (
+	warmMost    = 300_000.0 // ms within which a fleet has to find itself
+	restTime    = 60_000.0  // ms of which costs are the mean
+	eventEvery  = 8_000.0   // ms between a death and the next one
+	pauseEvery  = 1000.0    // ms between two pauses of some controller
+	pauseLeast  = 200.0
+	pauseSpread = 2800.0
+	restartTime = 5_000.0   // ms within which those of a zone that restarts are back
+	cutTime     = 300_000.0 // ms for which a region is cut off
+)
+
+// costs are what one controller pays, as the mean over the fleet.
+type costs struct {
+	bytes, handshakeBytes float64 // sent, a second
+	messages, wakeUps     float64 // a second
+	falseSuspicions       float64 // an hour, of the whole fleet
+	falseDeaths           float64 // an hour, of the whole fleet
+	busiest               float64 // bytes that the controller with the busiest second sent in it
+}
+
+// outcome is what one seed of a scenario gave.
+type outcome struct {
+	costs  costs
+	healed costs     // in the minute after a region is back
+	deaths []float64 // ms until a death is known to all
+	joins  []float64 // ms until a new controller is known to all
+	whole  []float64 // ms until all know all again
+}
+
+// trouble is what goes on while a fleet is measured.
+type trouble struct {
+	name   string
+	loss   float64
+	pauses bool
+}
+
+var (
+	atRest     = trouble{name: "at rest"}
+	tenthLost  = trouble{name: "10% loss", loss: 0.1}
+	withPauses = trouble{name: "each second one pauses for 0.2 to 3 s", pauses: true}
+)
+
+// warm starts a fleet and plays until all know all.
+func warm(ctx context.Context, p plan) (*simulation, error) {
+	s := newSimulation(p)
+	if err := s.runUntil(ctx, 2*starting); err != nil {
+		return nil, err
+	}
+	_, err := s.settle(ctx, []*watch{s.wholeWatch()}, warmMost)
+	if err == nil {
+		err = s.runUntil(ctx, s.now+20_000) // what is still passed on of the start
+	}
+	return s, err
+}
+
+// resetCosts begins a measurement of costs.
+func (s *simulation) resetCosts() {
+	s.counters, s.wronged, s.since = counters{}, map[members.Member]bool{}, s.now
+	for _, c := range s.controllers {
+		c.busiest, c.inSecond = 0, 0
+	}
+}
+
+// costs are those since resetCosts.
+func (s *simulation) costs() costs {
+	seconds := (s.now - s.since) / 1000
+	size := float64(len(s.running()))
+	per := func(n int) float64 { return float64(n) / size / seconds }
+	hourly := 3600 / seconds
+	k := &s.counters
+	result := costs{
+		bytes: per(k.bytes), handshakeBytes: per(k.handshakeBytes),
+		messages: per(k.messages), wakeUps: per(k.timers + k.messages),
+		falseSuspicions: float64(k.falseSuspicions) * hourly, falseDeaths: float64(k.falseDeaths) * hourly,
+	}
+	for _, c := range s.controllers {
+		result.busiest = max(result.busiest, float64(c.busiest))
+	}
+	return result
+}
+
+// measureCosts plays for a time and gives what it cost.
+func (s *simulation) measureCosts(ctx context.Context, length float64) (costs, error) {
+	s.resetCosts()
+	err := s.runUntil(ctx, s.now+length)
+	return s.costs(), err
+}
+
+// begin has a trouble begin; it lasts as long as the simulation.
+func (s *simulation) begin(t trouble) {
+	s.network.loss = t.loss
+	if t.pauses {
+		s.pause()
+	}
+}
+
+// pause has one controller stand still, and another one a second later.
+func (s *simulation) pause() {
+	c := s.controllers[s.rng.Intn(len(s.controllers))]
+	c.pausedUntil = max(c.pausedUntil, s.now+pauseLeast+pauseSpread*s.rng.Float64())
+	s.at(s.now+pauseEvery, s.pause)
+}
+
+// steady measures a fleet's costs, then kills some controllers and starts new ones, one after another.
+func steady(ctx context.Context, p plan, t trouble, events int) (outcome, error) {
+	s, err := warm(ctx, p)
+	if err != nil {
+		return outcome{}, err
+	}
+	s.begin(t)
+	var o outcome
+	if o.costs, err = s.measureCosts(ctx, restTime); err != nil {
+		return outcome{}, err
+	}
+	var deaths, joins []*watch
+	for i := range events {
+		dead := s.controllers[min(voters, p.size/2)+i] // no voter
+		deaths = append(deaths, s.deathWatch(dead))
+		s.stop(dead)
+		if _, err := s.settle(ctx, append(deaths, joins...), eventEvery/2); err != nil {
+			return outcome{}, err
+		}
+		started := s.addController()
+		s.start(started)
+		joins = append(joins, s.startWatch(started))
+		if _, err := s.settle(ctx, append(deaths, joins...), eventEvery/2); err != nil {
+			return outcome{}, err
+		}
+	}
+	if _, err := s.settle(ctx, append(deaths, joins...), tookMost); err != nil {
+		return outcome{}, err
+	}
+	o.deaths, o.joins = times(deaths), times(joins)
+	return o, nil
+}
+
+// zoneRestarts kills a tenth of a fleet at once; each of them starts again within some seconds. Its time is counted from
+// when all have started.
+func zoneRestarts(ctx context.Context, p plan) (outcome, error) {
+	s, err := warm(ctx, p)
+	if err != nil {
+		return outcome{}, err
+	}
+	s.resetCosts()
+	for i := range max(1, p.size/10) {
+		c := s.controllers[p.size-1-regions*i] // all of one region
+		s.stop(c)
+		s.at(s.now+restartTime*s.rng.Float64(), func() { s.start(c) })
+	}
+	if err := s.runUntil(ctx, s.now+restartTime); err != nil {
+		return outcome{}, err
+	}
+	o, err := s.untilWhole(ctx)
+	o.costs = s.costs()
+	return o, err
+}
+
+// untilWhole plays until all know all, and gives the time that it took.
+func (s *simulation) untilWhole(ctx context.Context) (outcome, error) {
+	whole := []*watch{s.wholeWatch()}
+	_, err := s.settle(ctx, whole, tookMost)
+	return outcome{whole: times(whole)}, err
+}
+
+// regionCutOff cuts a third of a fleet off for five minutes. Its time is counted from when the region is back.
+func regionCutOff(ctx context.Context, p plan) (outcome, error) {
+	s, err := warm(ctx, p)
+	if err != nil {
+		return outcome{}, err
+	}
+	s.network.cutOff = regions - 1
+	during, err := s.measureCosts(ctx, cutTime)
+	if err != nil {
+		return outcome{}, err
+	}
+	s.network.cutOff = -1
+	s.resetCosts()
+	back := s.now
+	o, err := s.untilWhole(ctx)
+	if err != nil {
+		return outcome{}, err
+	}
+	err = s.runUntil(ctx, max(s.now, back+restTime))
+	o.costs, o.healed = during, s.costs()
+	return o, err
+}
--- /dev/null
+++ b/internal/lab/scale/membership/watch.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"context"
+	"slices"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// watch waits until all controllers that run know of one event.
+type watch struct {
+	known   func(*members.Table) bool
+	from    float64 // ms
+	done    float64 // ms after from; 0: not yet
+	pending []*controller
+}
+
+// deathWatch waits until nobody takes a run of a controller to be there any more.
+func (s *simulation) deathWatch(dead *controller) *watch {
+	id, run := dead.id, dead.run
+	return s.newWatch(func(t *members.Table) bool {
+		m, known := t.Of(id)
+		return !known || m.Run != run || m.State > members.Suspect
+	})
+}
+
+// startWatch waits until all take a run of a controller to be there.
+func (s *simulation) startWatch(started *controller) *watch {
+	id, run := started.id, started.run
+	return s.newWatch(func(t *members.Table) bool {
+		m, known := t.Of(id)
+		return known && m.Run == run && m.State <= members.Suspect
+	})
+}
+
+func (s *simulation) newWatch(known func(*members.Table) bool) *watch {
+	return &watch{known: known, from: s.now, pending: s.running()}
+}
+
+// look finds out who has heard by now. When all that were asked have, all are asked again: one may have started meanwhile.
+func (w *watch) look(s *simulation) {
+	if w.done > 0 {
+		return
+	}
+	heard := func(c *controller) bool { return c.table == nil || w.known(c.table) }
+	if w.pending = slices.DeleteFunc(w.pending, heard); len(w.pending) > 0 {
+		return
+	}
+	if w.pending = slices.DeleteFunc(s.running(), heard); len(w.pending) == 0 {
+		w.done = s.now - w.from
+	}
+}
+
+// settle plays until all watches are done, for a time at most, and tells whether they are.
+func (s *simulation) settle(ctx context.Context, watches []*watch, most float64) (bool, error) {
+	for end := s.now + most; s.now < end; {
+		if err := s.runUntil(ctx, s.now+pollEvery); err != nil {
+			return false, err
+		}
+		waiting := 0
+		for _, w := range watches {
+			if w.look(s); w.done == 0 {
+				waiting++
+			}
+		}
+		if waiting == 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// wholeWatch waits until all that run take all that run to be alive, and nobody else.
+func (s *simulation) wholeWatch() *watch {
+	return s.newWatch(func(t *members.Table) bool {
+		for _, c := range s.controllers {
+			m, known := t.Of(c.id)
+			alive := known && m.State == members.Alive
+			if alive != (c.table != nil) || alive && m.Run != c.run {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// tookMost is the time given to what should be known within seconds.
+const tookMost = 600_000.0 // ms
+
+// times are those of watches, in ms; what was not done in time counts as tookMost.
+func times(watches []*watch) (list []float64) {
+	for _, w := range watches {
+		if w.done == 0 {
+			list = append(list, tookMost)
+		} else {
+			list = append(list, w.done)
+		}
+	}
+	return list
+}
