Data path: connections that end between queries, processor of pings, daemons side by side when quick

Change: 160 engines behind busy connections, processor time in nanoseconds by thread, discovery's processor from a daemon of its own; rows for connections that the daemon ends between two queries at the fleet's mean gap, and for pings by daemons with and without.

--- a/internal/lab/scale/datapath/connections.go
+++ b/internal/lab/scale/datapath/connections.go
@@ -134,30 +134,44 @@
 	row := slope.Row{Role: controllerRole, Cost: "connections: resident memory", Unit: "MB", Per: "client connections",
 		Condition: "each with an open query", Method: methodSockets}
 	sizes, _ := possible(b.busy)
-	for _, n := range sizes {
-		resident, open, served, err := b.askAll(ctx, n)
-		if err != nil {
-			return nil, err
-		}
-		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: resident})
-		if open != n {
-			row.Note += fmt.Sprintf("of %d queries %d were at engines, %v; ", n, open, served)
+	costs := make([]busyCost, len(sizes))
+	err := sideBySide(len(sizes), b.beside, func(i int) (err error) {
+		costs[i], err = b.askAll(ctx, sizes[i])
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, n := range sizes {
+		cost := costs[i]
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: cost.resident})
+		if cost.open != n {
+			row.Note += fmt.Sprintf("of %d queries %d were at engines, %v; ", n, cost.open, cost.service)
 		}
 	}
 	row.Note += "with their connections to engines"
 	return forEach(row, clientTargets...), nil
 }
 
-// askAll opens n connections, has each ask at one time and tells the memory while the answers are awaited, and how many
-// queries were at engines then.
-func (b *bench) askAll(ctx context.Context, n int) (resident float64, open int, served service, err error) {
-	r, err := b.open(ctx, connectionEngines)
+// busyEngines can run all queries of the busy rows at one time.
+const busyEngines = 160
+
+// busyCost is what connections with an open query each cost the daemon.
+type busyCost struct {
+	resident float64
+	open     int // queries that were at engines
+	service  service
+}
+
+// askAll opens n connections, has each ask at one time and takes the cost while the answers are awaited.
+func (b *bench) askAll(ctx context.Context, n int) (cost busyCost, err error) {
+	r, err := b.open(ctx, busyEngines)
 	if err != nil {
-		return 0, 0, served, err
+		return cost, err
 	}
 	defer r.close()
 	if err := r.connect(ctx, n); err != nil {
-		return 0, 0, served, err
+		return cost, err
 	}
 	r.touch()
 	answers := make(chan standin.Verdict, n)
@@ -169,12 +183,12 @@
 		}()
 	}
 	time.Sleep(b.busyWork * 2 / 3)
-	resident, err = r.daemon.resident()
+	cost.resident, err = r.daemon.resident()
 	for _, e := range r.engines {
-		open += len(e.Running())
+		cost.open += len(e.Running())
 	}
 	for range n {
-		served.add(<-answers, 0)
+		cost.service.add(<-answers, 0)
 	}
-	return resident, open, served, err
+	return cost, err
 }
--- a/internal/lab/scale/datapath/daemon.go
+++ b/internal/lab/scale/datapath/daemon.go
@@ -35,7 +35,6 @@
 	warmGroups    = 1 << 10
 	daemonMemory  = 2048 // MB
 	daemonCores   = 1.0
-	ownSockets    = 64 // descriptors that are left for the process itself
 	deadline      = 8 * time.Second
 	startTime     = 20 * time.Second
 	lookupName    = "lookup"
@@ -49,7 +48,7 @@
 type object = map[string]any
 
 // deploymentSettings are those of a fleet of the size that is built for, with a query class of each effect.
-func deploymentSettings(controllers int) object {
+func deploymentSettings(controllers int, probes bool) object {
 	class := func(name, effect string, objective time.Duration) object {
 		return object{"name": name, "effect": effect, "dedup_scope": "all", "repeat_window_ns": int64(time.Minute),
 			"promise_ns": int64(objective), "hard_limit_ns": int64(deadline), "late_worth": 0.3}
@@ -60,7 +59,7 @@
 		"report": object{"fields": []string{"util", "inflight"}},
 		"family_info": object{"size_cores": []float64{engineCores}, "size_mb": []float64{engineMemory},
 			"width_by_class": []int{1, 1, 1, 1}},
-		"bounds": object{"cancel": true, "probes": true, "send_cap": 3, "connect_timeout_ns": int64(250 * time.Millisecond),
+		"bounds": object{"cancel": true, "probes": probes, "send_cap": 3, "connect_timeout_ns": int64(250 * time.Millisecond),
 			"max_streams": 100, "retry_after": true, "max_retry_after_ns": int64(500 * time.Millisecond)},
 		"contract": object{"cold_share": 0.5, "cold_ns": int64(2 * time.Second), "overload_factor": 4,
 			"tip_after_ns": int64(time.Second)},
@@ -77,12 +76,13 @@
 }
 
 // startDaemon starts a controller before these engines and waits until it serves.
-func startDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64) (*daemon, error) {
+func startDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64,
+	probes bool) (*daemon, error) {
 	addr, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	path, err := writeConfiguration(dir, addr, feed, engines, seed)
+	path, err := writeConfiguration(dir, addr, feed, engines, seed, probes)
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 	return listener.Addr().String(), listener.Close()
 }
 
-func writeConfiguration(dir, addr, feed string, engines []*standin.Engine, seed int64) (string, error) {
+func writeConfiguration(dir, addr, feed string, engines []*standin.Engine, seed int64, probes bool) (string, error) {
 	var hosts []object
 	for _, e := range engines {
 		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
@@ -122,7 +122,7 @@
 		"name": "n1", "listen": addr, "seed": fmt.Sprintf("%016x", uint64(seed)), "bulletin": feed,
 		"limits":   object{"cores": daemonCores, "memory_mb": daemonMemory, "sockets": descriptorLimit()},
 		"known":    object{"no": knownSequence, "items": []object{{"no": knownSequence, "roster": roster}}},
-		"settings": deploymentSettings(controllers),
+		"settings": deploymentSettings(controllers, probes),
 	})
 	if err != nil {
 		return "", err
@@ -150,30 +150,42 @@
 	})
 }
 
-// tick is the kernel's unit of a process's time.
-const tick = 0.01 // s
-
-// processor is the time that the process has had on processors, in seconds.
-func (d *daemon) processor() (float64, error) {
-	text, err := os.ReadFile(d.proc("stat"))
+// processor is the time that the process has had on processors, in seconds: the sum of its threads', which the kernel
+// counts in nanoseconds. The Go runtime ends threads rarely, and then their time is lost.
+func (d *daemon) processor() (sum float64, err error) {
+	tasks, err := os.ReadDir(d.proc("task"))
 	if err != nil {
 		return 0, err
 	}
-	return parseProcessor(string(text))
+	for _, task := range tasks {
+		text, err := os.ReadFile(filepath.Join(d.proc("task"), task.Name(), "schedstat"))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		seconds, err := parseProcessor(string(text))
+		if err != nil {
+			return 0, err
+		}
+		sum += seconds
+	}
+	return sum, nil
 }
 
 func (d *daemon) proc(name string) string {
 	return filepath.Join("/proc", strconv.Itoa(d.cmd.Process.Pid), name)
 }
 
-func parseProcessor(stat string) (float64, error) {
-	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:]) // from the third on
-	if len(fields) < 13 {
-		return 0, errors.New("the kernel's form of stat is not known")
+// parseProcessor reads a thread's time on processors, the first of three figures, in seconds.
+func parseProcessor(schedstat string) (float64, error) {
+	fields := strings.Fields(schedstat)
+	if len(fields) != 3 {
+		return 0, errors.New("the kernel's form of schedstat is not known")
 	}
-	user, err1 := strconv.ParseFloat(fields[11], 64)
-	system, err2 := strconv.ParseFloat(fields[12], 64)
-	return (user + system) * tick, errors.Join(err1, err2)
+	nanoseconds, err := strconv.ParseFloat(fields[0], 64)
+	return nanoseconds / 1e9, err
 }
 
 // resident is the process's memory in the machine, in MB of 2^20 bytes; buffers of its sockets are the kernel's and
--- a/internal/lab/scale/datapath/datapath.go
+++ b/internal/lab/scale/datapath/datapath.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"mintkeel/internal/lab/scale/slope"
@@ -34,6 +36,7 @@
 	regionGoneClients = 12760
 	reconnectBurst    = 4250 // that come to a controller as those of a region leave it
 	regions           = 3
+	coresBudget       = 0.021 // for control
 	bytesBudget       = 17000 // a second, for control
 	replacedWithin    = 5000  // ms until a change of primary is over
 )
@@ -49,6 +52,7 @@
 // plan is how much is measured.
 type plan struct {
 	settle, window time.Duration // before and while a cost is taken
+	beside         int           // daemons that are measured side by side, where only what each takes itself is counted
 
 	rates       []float64 // statements a second
 	rateEngines int
@@ -60,6 +64,10 @@
 	busy           []int         // connections with an open query each,
 	busyWork       time.Duration // on which an engine works so long
 
+	gaps       []int // clients that ask at random
+	gapsSettle time.Duration
+	gapsWindow time.Duration
+
 	reconnects []int
 
 	listed      []int // engines
@@ -67,7 +75,9 @@
 
 	peers       []int // engines that are talked with
 	peersWindow time.Duration
-	peersBeside int // sizes that are measured side by side
+	peersBeside int // of them side by side
+
+	probed []int // engines that are probed, and are not
 
 	stepEngines []int
 	stepsWithin time.Duration
@@ -77,40 +87,41 @@
 	replacedBefore  time.Duration // under load, before the engine goes
 	replacedAfter   time.Duration // and after the list told
 	hungTold        time.Duration // until the list tells of one that hangs
-	replacedBeside  int           // ways of going that are measured side by side
 }
 
 func fullPlan() plan {
 	return plan{
-		settle: 2 * time.Second, window: 5 * time.Second,
+		settle: 2 * time.Second, window: 5 * time.Second, beside: 1,
 		rates:       []float64{250, 500, 1000, statementRate, zoneGoneRate, regionGoneRate},
 		rateEngines: engineCount,
 		engines:     []int{10, 100, 300, engineCount}, engineRate: statementRate,
 		connections: []int{500, 1000, 2000, 4000, clientCount, zoneGoneClients, regionGoneClients}, connectionRate: 400,
 		busy: []int{250, 500, 1000, 2000, 4000}, busyWork: 3500 * time.Millisecond,
+		gaps: []int{100, 200, 400, 800}, gapsSettle: 6 * time.Second, gapsWindow: 15 * time.Second,
 		reconnects: []int{500, 1000, 2000, reconnectBurst, 8500},
-		listed:     []int{10, 100, 300, engineCount}, listRepeats: 100,
+		listed:     []int{10, 100, 300, engineCount}, listRepeats: 50,
 		peers: []int{5, 10, 20, 40, 300, engineCount}, peersWindow: 10 * time.Second, peersBeside: 3,
+		probed:      []int{100, 300, 600, engineCount},
 		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 2 * time.Second,
 		replacedRates: []float64{200, 400, 800, statementRate}, replacedRepeats: 3,
-		replacedBefore: 700 * time.Millisecond, replacedAfter: 1500 * time.Millisecond, hungTold: 2 * time.Second, replacedBeside: 1,
+		replacedBefore: 700 * time.Millisecond, replacedAfter: 1500 * time.Millisecond, hungTold: 2 * time.Second,
 	}
 }
 
 func quickPlan() plan {
 	return plan{
-		settle: 200 * time.Millisecond, window: 500 * time.Millisecond,
+		settle: 200 * time.Millisecond, window: 500 * time.Millisecond, beside: 4,
 		rates:       []float64{250, 500, 750, 1000},
 		rateEngines: 50,
 		engines:     []int{5, 10, 50, 100}, engineRate: 500,
 		connections: []int{100, 200, 400, 800}, connectionRate: 100,
-		busy: []int{50, 100, 200, 400}, busyWork: 800 * time.Millisecond,
+		busy: []int{50, 100, 200, 400}, busyWork: 400 * time.Millisecond,
 		reconnects: []int{100, 200, 400, 800},
-		listed:     []int{10, 100, 300, engineCount}, listRepeats: 10,
-		peers: []int{5, 10, 20, 40}, peersWindow: 1000 * time.Millisecond, peersBeside: 4,
-		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 50 * time.Millisecond,
+		listed:     []int{10, 100, 300, engineCount}, listRepeats: 5,
+		peers: []int{5, 10, 20, 40}, peersWindow: 700 * time.Millisecond, peersBeside: 4,
+		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 30 * time.Millisecond,
 		replacedRates: []float64{200, 300, 400, 500}, replacedRepeats: 1,
-		replacedBefore: 300 * time.Millisecond, replacedAfter: 600 * time.Millisecond, hungTold: time.Second, replacedBeside: 2,
+		replacedBefore: 300 * time.Millisecond, replacedAfter: 500 * time.Millisecond, hungTold: 800 * time.Millisecond,
 	}
 }
 
@@ -132,8 +143,10 @@
 	{"decision", (*bench).decision},
 	{"statements", (*bench).statements},
 	{"connections", (*bench).connectionRows},
+	{"gaps", (*bench).gapRows},
 	{"reconnects", (*bench).reconnectRows},
 	{"talk", (*bench).talk},
+	{"probes", (*bench).probes},
 	{"replacement", (*bench).replacement},
 }
 
@@ -206,6 +219,22 @@
 	size      float64
 }
 
+// sideBySide calls f for each of n, so many at one time, and joins their errors.
+func sideBySide(n, beside int, f func(i int) error) error {
+	errs := make([]error, n)
+	room := make(chan bool, max(1, beside))
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() {
+			room <- true
+			defer func() { <-room }()
+			errs[i] = f(i)
+		})
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
 // What the rows by statements and by connections are built for: all of the fleet is there, a zone is gone (1.11 times as
 // much at each controller that is left), a region is gone (1.5 times).
 var (
--- a/internal/lab/scale/datapath/datapath_test.go
+++ b/internal/lab/scale/datapath/datapath_test.go
@@ -75,11 +75,10 @@
 }
 
 func TestProcessFiles(t *testing.T) {
-	stat := "7 (a (b) c) S 1 7 7 0 -1 4194560 1 0 0 0 250 50 0 0 20 0 8 0 1 1 1"
-	if s, err := parseProcessor(stat); err != nil || s != 3 {
+	if s, err := parseProcessor("3000000000 2445019 13\n"); err != nil || s != 3 {
 		t.Error(s, err)
 	}
-	if _, err := parseProcessor("7 (a) S 1"); err == nil {
+	if _, err := parseProcessor("7 (a)"); err == nil {
 		t.Error("a short line is taken")
 	}
 	if mb, err := parseResident("Name:\ta\nVmHWM:\t 9 kB\nVmRSS:\t  2048 kB\n"); err != nil || mb != 2 {
@@ -104,7 +103,7 @@
 
 func TestWireBytes(t *testing.T) {
 	traffic := standin.Traffic{Pings: 2, PingBytes: 10, Replies: 2, ReplyBytes: 90, Opened: 1, Queries: 5, AnswerBytes: 1000}
-	if got := wireBytes(traffic, 2); got != (100+4*104+7*52)/2.0 {
+	if got := wireBytes(traffic, 2); got != (100+2*3*52+7*52)/2.0 {
 		t.Error(got)
 	}
 }
@@ -156,16 +155,16 @@
 	small := []int{1, 2, 3, 4}
 	p := plan{settle: moment, window: moment, rates: []float64{50, 60, 70, 80}, rateEngines: 4, engines: small, engineRate: 50,
 		connections: []int{20, 40, 60, 80}, connectionRate: 50, busy: []int{2, 4, 6, 8}, busyWork: moment, reconnects: []int{10, 20, 30, 40},
-		listed: []int{3, 6, 9, 12}, listRepeats: 3, peers: small, peersWindow: moment, peersBeside: 4,
+		listed: []int{3, 6, 9, 12}, listRepeats: 3, beside: 4, gaps: small, gapsWindow: moment, probed: small, peers: small, peersWindow: moment, peersBeside: 4,
 		stepEngines: small, stepsWithin: time.Millisecond, replacedRates: []float64{100}, replacedRepeats: 1,
-		replacedBefore: moment, replacedAfter: moment, hungTold: 3 * moment, replacedBeside: 2}
+		replacedBefore: moment, replacedAfter: moment, hungTold: 3 * moment}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	rows, err := measure(ctx, Options{Seed: 1}, p)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(rows) < 60 {
+	if len(rows) < 65 {
 		t.Errorf("%d rows", len(rows))
 	}
 	for _, r := range rows {
--- a/internal/lab/scale/datapath/discovery.go
+++ b/internal/lab/scale/datapath/discovery.go
@@ -1,7 +1,6 @@
 package datapath
 
 import (
-	"bufio"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -10,8 +9,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
-	"syscall"
 	"time"
 
 	"mintkeel/internal/bulletin"
@@ -46,13 +45,57 @@
 	return b
 }
 
+// teller is the feed's end of a controller's connection.
+type teller struct {
+	listener net.Listener
+	conn     net.Conn
+	last     uint64 // number of the last frame
+}
+
+func newTeller() (*teller, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &teller{listener: listener}, nil
+}
+
+func (f *teller) addr() string { return f.listener.Addr().String() }
+
+// accept waits for the controller, which begins by the number of the last frame that it has.
+func (f *teller) accept() (err error) {
+	f.listener.(*net.TCPListener).SetDeadline(time.Now().Add(startTime))
+	if f.conn, err = f.listener.Accept(); err != nil {
+		return err
+	}
+	f.conn.SetDeadline(time.Now().Add(startTime))
+	head := make([]byte, 8)
+	_, err = io.ReadFull(f.conn, head)
+	f.last = binary.BigEndian.Uint64(head)
+	return err
+}
+
+// tell writes a frame of the next number.
+func (f *teller) tell(kind byte, first, last int, state router.State) error {
+	f.last++
+	f.conn.SetDeadline(time.Now().Add(startTime))
+	_, err := f.conn.Write(frame(f.last, kind, first, last, state))
+	return err
+}
+
+func (f *teller) close() {
+	f.listener.Close()
+	if f.conn != nil {
+		f.conn.Close()
+	}
+}
+
 // watcher is the daemon's way of taking the list, in this process: the feed's follower, the loop, the pool of
-// connections to engines and the decision module, behind a socket that frames are written to.
+// connections to engines and the decision module.
 type watcher struct {
+	feed   *teller
 	loop   *controller.Loop
-	conn   net.Conn // the feed's end
-	last   uint64
-	news   int64
+	news   int64 // frames so far
 	cancel context.CancelFunc
 }
 
@@ -61,27 +104,20 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	feed, err := newTeller()
 	if err != nil {
 		return nil, err
 	}
-	defer listener.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	l := limits.For(descriptorLimit(), daemonMemory, facts.Links.ConnectTimeout, facts.Links.Idle, deadline)
 	loop := controller.New(facts.Router(seed), controller.SystemClock(), l.Inbox, 0)
 	loop.SetEngines(engines.New(l, facts.Links.Streams, loop.Post, log))
 	go loop.Run(ctx)
-	feed := bulletin.NewFeed(listener.Addr().String(), 0, &facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
-	go feed.Follow(ctx)
-	w := &watcher{loop: loop, cancel: cancel}
-	listener.(*net.TCPListener).SetDeadline(time.Now().Add(startTime))
-	if w.conn, err = listener.Accept(); err != nil {
-		cancel()
-		return nil, err
-	}
-	w.conn.SetDeadline(time.Now().Add(startTime))
-	if _, err := io.ReadFull(bufio.NewReader(w.conn), make([]byte, 8)); err != nil {
+	follower := bulletin.NewFeed(feed.addr(), 0, &facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
+	go follower.Follow(ctx)
+	w := &watcher{feed: feed, loop: loop, cancel: cancel}
+	if err := feed.accept(); err != nil {
 		w.close()
 		return nil, err
 	}
@@ -90,7 +126,7 @@
 
 // deploymentFacts are those of the daemon's settings.
 func deploymentFacts() (*settings.Facts, error) {
-	text, err := json.Marshal(deploymentSettings(controllers))
+	text, err := json.Marshal(deploymentSettings(controllers, true))
 	if err != nil {
 		return nil, err
 	}
@@ -102,17 +138,14 @@
 }
 
 func (w *watcher) close() {
-	w.conn.Close()
+	w.feed.close()
 	w.cancel()
 }
 
-// tell writes a frame of the next number and waits until the module has taken it in.
+// tell writes a frame and waits until the module has taken it in.
 func (w *watcher) tell(kind byte, first, last int, state router.State) (time.Duration, error) {
-	w.last++
-	b := frame(w.last, kind, first, last, state)
 	began := time.Now()
-	w.conn.SetDeadline(began.Add(startTime))
-	if _, err := w.conn.Write(b); err != nil {
+	if err := w.feed.tell(kind, first, last, state); err != nil {
 		return 0, err
 	}
 	w.news++
@@ -126,66 +159,119 @@
 	return time.Since(began), nil
 }
 
-// told is what frames of a size cost.
-type told struct {
+// change is what is told of a list again and again.
+type change struct {
+	name   string
+	kind   byte
+	share  float64        // of the engines
+	states []router.State // that take turns
+}
+
+// listCost is what one frame of a change costs.
+type listCost struct {
 	bytes        int
-	median, most float64 // ms
-	processor    float64 // ms of each, the rig's own looks included
+	median, most float64 // ms until the module has taken it
+	processor    float64 // ms of the daemon
 }
 
-// repeat tells one kind of change again and again, states taking turns.
-func (w *watcher) repeat(times int, kind byte, first, last int, states ...router.State) (out told, err error) {
-	out.bytes = len(frame(1, kind, first, last, states[0]))
+func (c change) engines(n int) int { return int(float64(n)*c.share + 0.5) }
+
+// frameTimes has a controller in this process take a list of n engines and then the change, again and again.
+func (b *bench) frameTimes(ctx context.Context, n int, c change, cost *listCost) error {
+	w, err := newWatcher(ctx, b.seed)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	if _, err := w.tell(frameWhole, 0, n, router.Ready); err != nil {
+		return err
+	}
 	var took []float64
-	before := selfProcessor()
-	for i := range times {
-		one, err := w.tell(kind, first, last, states[i%len(states)])
+	for i := range b.listRepeats {
+		one, err := w.tell(c.kind, 0, c.engines(n), c.states[i%len(c.states)])
 		if err != nil {
-			return out, err
+			return err
 		}
 		took = append(took, float64(one)/1e6)
 	}
-	out.processor = (selfProcessor() - before) * 1000 / float64(times)
 	slices.Sort(took)
-	out.median, out.most = quantile(took, 0.5), quantile(took, 1)
-	return out, nil
+	cost.median, cost.most = quantile(took, 0.5), quantile(took, 1)
+	return nil
 }
 
-// selfProcessor is the time that this process has had on processors, in seconds.
-func selfProcessor() float64 {
-	var use syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
-		return 0
+// frameSpacing is the time between two frames to the daemon, so that each is a step of its own.
+const frameSpacing = 25 * time.Millisecond
+
+// frameProcessor has the daemon do the same, and takes its time on processors.
+func (b *bench) frameProcessor(ctx context.Context, n int, c change, cost *listCost) error {
+	feed, err := newTeller()
+	if err != nil {
+		return err
+	}
+	defer feed.close()
+	dir, err := os.MkdirTemp(b.dir, "discovery")
+	if err != nil {
+		return err
+	}
+	d, err := startDaemon(ctx, b.mintkeel, dir, feed.addr(), nil, b.seed, true)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	if err := feed.accept(); err != nil {
+		return err
+	}
+	tell := func(kind byte, last int, state router.State) error {
+		err := feed.tell(kind, 0, last, state)
+		time.Sleep(frameSpacing)
+		return err
+	}
+	if err := tell(frameWhole, n, router.Ready); err != nil {
+		return err
 	}
-	return float64(use.Utime.Nano()+use.Stime.Nano()) / 1e9
+	time.Sleep(4 * frameSpacing)
+	before, err := d.processor()
+	if err != nil {
+		return err
+	}
+	for i := range b.listRepeats {
+		if err := tell(c.kind, c.engines(n), c.states[i%len(c.states)]); err != nil {
+			return err
+		}
+	}
+	after, err := d.processor()
+	cost.processor = (after - before) * 1000 / float64(b.listRepeats)
+	return err
+}
+
+// changes are the whole list, and a region's worth of engines at once.
+var changes = []change{
+	{"whole list", frameWhole, 1, []router.State{router.Ready}},
+	{"a region's engines go and come back", frameChange, 1.0 / regions, []router.State{router.Gone, router.Ready}},
 }
 
-// discovery measures the whole list, and changes of a region's worth of engines at once.
-func (b *bench) discovery(ctx context.Context) ([]slope.Row, error) {
+// discovery measures lists and changes by their engines.
+func (b *bench) discovery(ctx context.Context) (rows []slope.Row, err error) {
 	bound := float64(limits.For(descriptorLimit(), daemonMemory, 0, 0, 0).FrameBytes)
-	var rows []slope.Row
-	for _, c := range []struct {
-		name   string
-		kind   byte
-		share  float64
-		states []router.State
-	}{
-		{"whole list", frameWhole, 1, []router.State{router.Ready}},
-		{"a region's engines go and come back", frameChange, 1.0 / regions, []router.State{router.Gone, router.Ready}},
-	} {
+	for _, c := range changes {
 		row := func(cost, unit string, budget float64, note string) slope.Row {
 			return slope.Row{Role: controllerRole, Cost: "discovery: " + cost, Unit: unit, Per: "engines", Condition: c.name,
 				Method: methodSockets, Target: engineCount, Budget: budget, Note: note}
 		}
 		bytes := row("bytes of a frame", "bytes", bound, "the budget is the bound of a frame")
 		took := row("median until it is taken", "ms", 0, "")
-		processor := row("processor for each", "ms", 0, "with the rig's own looks")
-		for _, n := range b.listed {
-			cost, err := b.list(ctx, n, c.kind, int(float64(n)*c.share+0.5), c.states)
-			if err != nil {
-				return rows, err
-			}
-			size := float64(n)
+		processor := row("processor for each", "ms", 0, "")
+		costs := make([]listCost, len(b.listed))
+		err := sideBySide(len(b.listed), b.beside, func(i int) error {
+			n := b.listed[i]
+			costs[i].bytes = len(frame(1, c.kind, 0, c.engines(n), router.Ready))
+			return errors.Join(b.frameTimes(ctx, n, c, &costs[i]), b.frameProcessor(ctx, n, c, &costs[i]))
+		})
+		if err != nil {
+			return rows, err
+		}
+		for i, n := range b.listed {
+			cost, size := costs[i], float64(n)
 			bytes.Points = append(bytes.Points, slope.Point{Size: size, Value: float64(cost.bytes)})
 			took.Points = append(took.Points, slope.Point{Size: size, Value: cost.median})
 			took.Note += fmt.Sprintf("at %d %.2f at the most; ", n, cost.most)
@@ -195,16 +281,3 @@
 	}
 	return rows, nil
 }
-
-// list has a controller of its own take a list of n engines and then changes of the first of them.
-func (b *bench) list(ctx context.Context, n int, kind byte, changed int, states []router.State) (told, error) {
-	w, err := newWatcher(ctx, b.seed)
-	if err != nil {
-		return told{}, err
-	}
-	defer w.close()
-	if _, err := w.tell(frameWhole, 0, n, router.Ready); err != nil {
-		return told{}, err
-	}
-	return w.repeat(b.listRepeats, kind, 0, changed, states...)
-}
--- /dev/null
+++ b/internal/lab/scale/datapath/gaps.go
@@ -0,0 +1,100 @@
+package datapath
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+)
+
+// meanGap is the mean time between two queries of one client: connections over statements a second.
+const meanGap = clientCount * time.Second / statementRate
+
+// gapRows measures how many clients a second find that the daemon has ended their connection between two queries, where
+// each asks at random, as often on average as in the fleet that is built for. Sizes are measured side by side.
+func (b *bench) gapRows(ctx context.Context) ([]slope.Row, error) {
+	if len(b.gaps) == 0 {
+		return nil, nil
+	}
+	ended := make([]float64, len(b.gaps))
+	err := sideBySide(len(b.gaps), len(b.gaps), func(i int) (err error) {
+		ended[i], err = b.endedBetween(ctx, b.gaps[i])
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	row := slope.Row{Role: controllerRole, Cost: "connections: ended between two queries", Unit: "connections/s",
+		Per: "client connections", Condition: "random gaps of 5.18 s on average", Method: methodSockets,
+		Note: "the daemon ends a connection after 5 s without a query"}
+	for i, n := range b.gaps {
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: ended[i]})
+	}
+	return forEach(row, clientTargets...), nil
+}
+
+// endedBetween has n clients ask at random for a while and tells how many a second found their connection ended.
+func (b *bench) endedBetween(ctx context.Context, n int) (float64, error) {
+	r, err := b.open(ctx, connectionEngines)
+	if err != nil {
+		return 0, err
+	}
+	defer r.close()
+	if err := r.connect(ctx, n); err != nil {
+		return 0, err
+	}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	ended, began := 0, time.Now()
+	steady := began.Add(b.gapsSettle) // before it few can have ended
+	end := steady.Add(b.gapsWindow)
+	for range n {
+		c := &gapClient{session: <-r.sessions, rng: rand.New(rand.NewSource(r.rng.Int63())), addr: r.daemon.addr}
+		group.Go(func() {
+			count := c.play(ctx, steady, end)
+			mu.Lock()
+			defer mu.Unlock()
+			ended += count
+		})
+	}
+	group.Wait()
+	return float64(ended) / b.gapsWindow.Seconds(), ctx.Err()
+}
+
+// gapClient is a client that asks at random on one connection while that lasts, and opens another when it has ended.
+type gapClient struct {
+	session *standin.Client
+	rng     *rand.Rand
+	addr    string
+}
+
+// play asks until the end and counts the connections that it found ended since it counts.
+func (c *gapClient) play(ctx context.Context, counts, end time.Time) (ended int) {
+	defer func() { c.session.Close() }()
+	draw := rig{rng: c.rng}
+	for {
+		at := time.Now().Add(time.Duration(c.rng.ExpFloat64() * float64(meanGap)))
+		if at.After(end) || ctx.Err() != nil {
+			return ended
+		}
+		time.Sleep(time.Until(at))
+		s := draw.usual()
+		if _, err := c.session.Query(s.fields, s.text, deadline); err == nil {
+			continue
+		}
+		if at.After(counts) {
+			ended++
+		}
+		again, err := standin.Dial(ctx, c.addr, deadline)
+		if err != nil {
+			return ended
+		}
+		c.session.Close()
+		c.session = again
+		s = draw.usual()
+		c.session.Query(s.fields, s.text, deadline)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/probes.go
@@ -0,0 +1,34 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// probes measures what pings to engines take of the processor: what a daemon that sends them takes over one that does
+// not, by engines, each engine under its usual share of the controller's statements.
+func (b *bench) probes(ctx context.Context) ([]slope.Row, error) {
+	if len(b.probed) == 0 {
+		return nil, nil
+	}
+	row := slope.Row{Role: controllerRole, Cost: "talk with engines: processor of pings", Unit: "cores", Per: "engines",
+		Condition: fmt.Sprintf("%.2f statements/s an engine", engineShare), Method: methodSockets, Target: engineCount,
+		Budget: coresBudget, Note: "a daemon with probes less one without, one pair for each size"}
+	for _, n := range b.probed {
+		rate := engineShare * float64(n)
+		with, err := b.takeBefore(ctx, n, rate, true)
+		if err != nil {
+			return nil, err
+		}
+		without, err := b.takeBefore(ctx, n, rate, false)
+		if err != nil {
+			return nil, err
+		}
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: with.cores - without.cores})
+		row.Note += fmt.Sprintf("; at %d %.4f with %d pings, %.4f with %d", n, with.cores, with.traffic.Pings, without.cores,
+			without.traffic.Pings)
+	}
+	return []slope.Row{row}, nil
+}
--- a/internal/lab/scale/datapath/replacement.go
+++ b/internal/lab/scale/datapath/replacement.go
@@ -153,18 +153,12 @@
 // replacement measures what queries in flight see of an engine that is replaced.
 func (b *bench) replacement(ctx context.Context) (rows []slope.Row, err error) {
 	endings := b.endings()
-	byEnding, errs := make([][]slope.Row, len(endings)), make([]error, len(endings))
-	room := make(chan bool, b.replacedBeside)
-	var group sync.WaitGroup
-	for i, way := range endings {
-		group.Go(func() {
-			room <- true
-			defer func() { <-room }()
-			byEnding[i], errs[i] = b.replacementBy(ctx, way)
-		})
-	}
-	group.Wait()
-	return slices.Concat(byEnding...), errors.Join(errs...)
+	byEnding := make([][]slope.Row, len(endings))
+	err = sideBySide(len(endings), b.beside, func(i int) (err error) {
+		byEnding[i], err = b.replacementBy(ctx, endings[i])
+		return err
+	})
+	return slices.Concat(byEnding...), err
 }
 
 // replacementBy measures one way in which engines go.
--- a/internal/lab/scale/datapath/rig.go
+++ b/internal/lab/scale/datapath/rig.go
@@ -39,9 +39,14 @@
 const mostSessions = 1 << 14
 
 func (b *bench) open(ctx context.Context, engines int) (*rig, error) {
+	return b.openWith(ctx, engines, true)
+}
+
+// openWith is open with a daemon that may probe engines or not.
+func (b *bench) openWith(ctx context.Context, engines int, probes bool) (*rig, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &rig{sessions: make(chan *standin.Client, mostSessions), rng: rand.New(rand.NewSource(b.seed)), cancel: cancel}
-	err := r.start(ctx, b, engines)
+	err := r.start(ctx, b, engines, probes)
 	if err != nil {
 		r.close()
 		return nil, err
@@ -49,7 +54,7 @@
 	return r, nil
 }
 
-func (r *rig) start(ctx context.Context, b *bench, engines int) (err error) {
+func (r *rig) start(ctx context.Context, b *bench, engines int, probes bool) (err error) {
 	for i := range engines {
 		e, err := newEngine(i+1, b.seed)
 		if err != nil {
@@ -64,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	r.daemon, err = startDaemon(ctx, b.mintkeel, dir, r.feed.Addr, r.engines, b.seed)
+	r.daemon, err = startDaemon(ctx, b.mintkeel, dir, r.feed.Addr, r.engines, b.seed, probes)
 	return err
 }
 
--- a/internal/lab/scale/datapath/statements.go
+++ b/internal/lab/scale/datapath/statements.go
@@ -82,20 +82,25 @@
 func (b *bench) statementEngines(ctx context.Context) ([]slope.Row, error) {
 	row := slope.Row{Role: controllerRole, Cost: "data path: processor", Unit: "cores", Per: "engines",
 		Condition: fmt.Sprintf("%g statements/s", b.engineRate), Method: methodSockets, Target: engineCount}
-	for _, n := range b.engines {
-		cost, err := b.takeBefore(ctx, n, b.engineRate)
-		if err != nil {
-			return nil, err
-		}
+	costs := make([]taken, len(b.engines))
+	err := sideBySide(len(b.engines), b.beside, func(i int) (err error) {
+		costs[i], err = b.takeBefore(ctx, b.engines[i], b.engineRate, true)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, n := range b.engines {
+		cost := costs[i]
 		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: cost.cores})
 		row.Note += note(fmt.Sprintf("%d", n), cost.service)
 	}
 	return []slope.Row{row}, nil
 }
 
-// takeBefore takes the costs of a daemon of its own before so many engines.
-func (b *bench) takeBefore(ctx context.Context, engines int, rate float64) (taken, error) {
-	r, err := b.open(ctx, engines)
+// takeBefore takes the costs of a daemon of its own before so many engines, which it may probe or not.
+func (b *bench) takeBefore(ctx context.Context, engines int, rate float64, probes bool) (taken, error) {
+	r, err := b.openWith(ctx, engines, probes)
 	if err != nil {
 		return taken{}, err
 	}
--- a/internal/lab/scale/datapath/talk.go
+++ b/internal/lab/scale/datapath/talk.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"mintkeel/internal/lab/scale/slope"
@@ -13,12 +12,13 @@
 // engineShare is what of a controller's statements comes to one engine each second, where all of the fleet is there.
 const engineShare = float64(statementRate) / engineCount
 
-// Bytes that lower layers add to what is counted at the engines: an IPv4 and a TCP header with timestamps for each
-// frame, as if each went alone and with an acknowledgement of its own, and for each connection its seven packets.
+// Bytes that lower layers add to what is counted at the engines: an IPv4 and a TCP header with timestamps for each of
+// the three packets of a question, its reply and the acknowledgement of that, and for the seven of a connection's begin
+// and end.
 const (
-	packetHeaders    = 52
-	frameOverhead    = 2 * packetHeaders
-	connectionPacket = 7
+	packetHeaders     = 52
+	pairPackets       = 3
+	connectionPackets = 7
 )
 
 // quietSettle is after which a daemon's connections to engines that it reached at its start have ended: it closes
@@ -35,21 +35,12 @@
 // talk measures what a controller and engines say that is no traffic.
 func (b *bench) talk(ctx context.Context) ([]slope.Row, error) {
 	all := make([]peerTalk, len(b.peers))
-	errs := make([]error, len(b.peers))
-	room := make(chan bool, b.peersBeside)
-	var group sync.WaitGroup
-	for i, n := range b.peers {
-		group.Go(func() {
-			room <- true
-			defer func() { <-room }()
-			all[i], errs[i] = b.talkWith(ctx, n)
-		})
-	}
-	group.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return nil, err
-		}
+	err := sideBySide(len(b.peers), b.peersBeside, func(i int) (err error) {
+		all[i], err = b.talkWith(ctx, b.peers[i])
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
 	idle := talkRows("idle", b.peers, all, func(t peerTalk) standin.Traffic { return t.idle })
 	light := talkRows(fmt.Sprintf("%.2f statements/s an engine", engineShare), b.peers, all,
@@ -122,6 +113,6 @@
 // wireBytes is an estimate of what control talk puts on the wire each second: what was counted, with headers.
 func wireBytes(t standin.Traffic, seconds float64) float64 {
 	frames, bytes := t.Control()
-	handshakes := t.Opened * connectionPacket * packetHeaders
-	return float64(bytes+frames*frameOverhead+handshakes) / seconds
+	headers := (float64(frames)/2*pairPackets + float64(t.Opened*connectionPackets)) * packetHeaders
+	return (float64(bytes) + headers) / seconds
 }
