--- a/internal/core/fleet/digest/digest.go
+++ b/internal/core/fleet/digest/digest.go
@@ -154,9 +154,9 @@
 
 func mergeTables(sources []Source, lead int, now float64, lives recall.Lives) (out []router.LearnedTables) {
 	type sum struct {
-		demand, held, weight float64
-		latest               router.LearnedTables
-		homes                []router.EngineID
+		demand, held float64
+		latest       router.LearnedTables
+		homes        []router.EngineID
 	}
 	sums, weights := map[router.TableGroup]*sum{}, 0.0
 	for i, s := range sources {
--- a/internal/core/fleet/maintenance/plan.go
+++ b/internal/core/fleet/maintenance/plan.go
@@ -12,11 +12,14 @@
 )
 
 type (
-	// EngineID, Zone, Kind and Group are names as the list and the settings have them.
+	// EngineID is the name of an engine, as the endpoint list has it.
 	EngineID string
-	Zone     string
-	Kind     string
-	Group    int64
+	// Zone is the name of a zone, as the endpoint list has it.
+	Zone string
+	// Kind is the name of a kind of engine, as the settings have it.
+	Kind string
+	// Group is the number of a table group, as the settings have it.
+	Group int64
 	// PlanID names a plan.
 	PlanID string
 )
--- a/internal/enginewire/enginewire.go
+++ b/internal/enginewire/enginewire.go
@@ -74,11 +74,10 @@
 // peekLine waits for a whole line, its end included.
 func peekLine(r *bufio.Reader, most int) ([]byte, error) {
 	for need := 1; ; {
-		have, err := r.Peek(need)
-		if err != nil {
+		if _, err := r.Peek(need); err != nil {
 			return nil, err
 		}
-		have, _ = r.Peek(r.Buffered())
+		have, _ := r.Peek(r.Buffered())
 		if at := bytes.IndexByte(have, '\n'); at >= 0 && at < most {
 			if at == 0 || have[at-1] != '\r' {
 				return nil, fmt.Errorf("%w: line without CR", ErrMalformed)
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -67,13 +67,12 @@
 	listener net.Listener
 	control  net.Listener
 
-	inbox  chan func(*session) // what others ask the goroutine of the core to do
-	ctx    context.Context
-	end    context.CancelFunc
-	group  sync.WaitGroup
-	stop   atomic.Bool
-	status atomic.Pointer[Status]
-	done   chan struct{}
+	inbox chan func(*session) // what others ask the goroutine of the core to do
+	ctx   context.Context
+	end   context.CancelFunc
+	group sync.WaitGroup
+	stop  atomic.Bool
+	done  chan struct{}
 
 	counts struct{ unread, full, restarts, saves, effects, turned atomic.Int64 }
 }
--- a/internal/lab/exprs/exprs.go
+++ b/internal/lab/exprs/exprs.go
@@ -39,13 +39,13 @@
 	eval   func(match.Row) value
 }
 
-// Bool, Number and Text are what the expression comes to on a row, by plain walking.
+// Bool is the truth value of the expression on a row, by plain walking.
 func (e *Expr) Bool(r match.Row) bool { return e.eval(r).b }
 
-// Number is a number, or a duration in ms.
+// Number is its value that is a number, or a duration in ms.
 func (e *Expr) Number(r match.Row) float64 { return e.eval(r).x }
 
-// Text is a text.
+// Text is its value that is a text.
 func (e *Expr) Text(r match.Row) string { return e.eval(r).s }
 
 var words = []string{"", "load", "lookup", "report", "menu_17", "sales", "store-12-east", "acme", "Ümlaut", "a*b", "\xff\xfe",
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -75,12 +75,10 @@
 	full     float64 // until when its disk takes nothing
 	wake     uint64  // of the timer that counts
 	restarts int
-	seen     map[lease.Name]lease.Token
 	gated    *lease.FencingCheck // an endpoint beside the controller, that lasts
 	effects  uint64
 	handed   map[lease.Name]uint64 // the serial of what was handed on, as this run was told
 	inbox    []func()
-	workAt   float64
 }
 
 type copyOf struct {
@@ -101,7 +99,6 @@
 	dropTo  float64
 	delay   float64
 	delayTo float64
-	ended   bool
 
 	Judge     *Judge
 	Promises  *Promises
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -36,7 +36,8 @@
 	}
 	c := &Client{conn, bufio.NewReader(conn)}
 	conn.SetDeadline(time.Now().Add(within))
-	if _, err := io.WriteString(conn, "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00"); err == nil {
+	_, err = io.WriteString(conn, "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00")
+	if err == nil {
 		_, _, err = c.reply()
 	}
 	if err != nil {
--- a/internal/lab/worlds/worlds_test.go
+++ b/internal/lab/worlds/worlds_test.go
@@ -104,7 +104,6 @@
 type broken struct {
 	Controller
 	change func(b *broken, now float64, events []router.Event, actions []router.Action) []router.Action
-	seen   map[router.CommandID]bool
 	sent   map[router.CommandID]router.EngineID
 	listed router.EngineID
 	n      int
--- a/internal/store/disk/disktest/disktest.go
+++ b/internal/store/disk/disktest/disktest.go
@@ -220,7 +220,7 @@
 	off  bool
 }
 
-// Create, Open and the others are those of disk.Disk.
+// Create is that of disk.Disk, as are Open and the others.
 func (d *Disk) Create(name string) (disk.File, error) {
 	err := d.op()
 	defer d.mu.Unlock()
--- a/match/match.go
+++ b/match/match.go
@@ -51,13 +51,13 @@
 	Has    bool // it is there
 }
 
-// TextOf, NumberOf and BoolOf are values that are there.
+// TextOf is a text that is there.
 func TextOf(s string) Value { return Value{Text: s, Has: true} }
 
-// NumberOf is a number, or a duration in ms.
+// NumberOf is a number that is there, or a duration in ms.
 func NumberOf(x float64) Value { return Value{Number: x, Has: true} }
 
-// BoolOf is a truth value.
+// BoolOf is a truth value that is there.
 func BoolOf(b bool) Value {
 	if b {
 		return Value{Number: 1, Has: true}
--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,6 @@
-// Every decision of a controller stands here with its tuned values. A caller gets a Router by New, hands each
-// batch of events to Step, from one goroutine, and carries out what comes back, in order. The interface is
-// types.go; state.go keeps the books, and its emit alone diffs wanted and present.
+// Package router is every decision of a controller, with its tuned values. A caller gets a Router by New,
+// hands each batch of events to Step, from one goroutine, and carries out what comes back, in order. The
+// interface is types.go; state.go keeps the books, and its emit alone diffs wanted and present.
 package router
 
 import (
