--- a/internal/lab/fleet/takeover.go
+++ b/internal/lab/fleet/takeover.go
@@ -30,7 +30,27 @@
 // TakeOver is the ms for which a work had nobody that acted for it, from when its owner was lost; and how many effects of
 // the old owner an endpoint refused.
 func TakeOver(seed int64, leaseTime float64, l Loss) (free float64, refused int) {
-	p := Plan{Seed: seed, Nodes: 7, Council: 3, Works: 1, Lease: leaseTime, Pace: members.Usual()}
+	return TakeOverAcross(seed, leaseTime, l, Regions{})
+}
+
+// Regions are places far from each other, over which controllers are spread in turn. The zero value is one place.
+type Regions struct {
+	Count   int
+	Between float64 // ms that a message takes from one to another
+}
+
+// latency is the ms that a message takes at least between two controllers.
+func (r Regions) latency(a, b int) float64 {
+	const near = 0.3
+	if r.Count <= 1 || a%r.Count == b%r.Count {
+		return near
+	}
+	return r.Between
+}
+
+// TakeOverAcross is TakeOver in a fleet whose controllers, and among them its voters, are spread over regions.
+func TakeOverAcross(seed int64, leaseTime float64, l Loss, regions Regions) (free float64, refused int) {
+	p := Plan{Seed: seed, Nodes: 7, Council: 3, Works: 1, Lease: leaseTime, Pace: members.Usual(), Latency: regions.latency}
 	w := NewWorld(p)
 	w.Run(20000 + 2*leaseTime + rand.New(rand.NewSource(seed)).Float64()*leaseTime)
 	var owner *machine
