Hollow fleets: the median controller's time until it knows all; small fleets run beside each other

Need: four sizes one after the other take 18 minutes, most of it waiting. Change: fleets run beside each other while there are not more controllers than the largest fleet has.

--- a/internal/lab/scale/hollow/measure.go
+++ b/internal/lab/scale/hollow/measure.go
@@ -181,14 +181,24 @@
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (m *measurement) sizes(ctx context.Context) ([]slope.Row, error) {
-	err := each(m, m.Sizes, func(size int) error {
-		return each(m, []func(context.Context, int) error{m.wholeStart, m.partStart}, func(measure func(context.Context, int) error) error {
-			if err := measure(ctx, size); err != nil {
-				return fmt.Errorf("%d controllers: %w", size, err)
-			}
-			return nil
-		})
-	})
+	room := newRoom(max(targetControllers, slices.Max(m.Sizes)))
+	var errs []error
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, size := range m.Sizes {
+		for _, measure := range []func(context.Context, int) error{m.wholeStart, m.partStart} {
+			room.take(size)
+			group.Go(func() {
+				defer room.give(size)
+				if err := measure(ctx, size); err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					errs = append(errs, fmt.Errorf("%d controllers: %w", size, err))
+				}
+			})
+		}
+	}
+	group.Wait()
 	var rows []slope.Row
 	for _, r := range slices.Concat(sizeRows(), putRows()) {
 		r.row.Points, r.row.Per, r.row.Method, r.row.Target = m.points(r.figure), "controllers", "sockets", targetControllers
@@ -196,7 +206,7 @@
 			rows = append(rows, r.row)
 		}
 	}
-	return rows, err
+	return rows, errors.Join(errs...)
 }
 
 // wholeStart starts a fleet at once, watches it at rest, and takes its leader and a lease's holder from it.
@@ -216,6 +226,9 @@
 		return err
 	}
 	m.note(size, "start/known", milliseconds(last.Sub(began)))
+	if err := m.noteMedian(f, size, "start", began); err != nil {
+		return err
+	}
 	m.Tell("%d controllers: all know all after %v", size, last.Sub(began).Round(time.Millisecond))
 	samples, err := f.Samples()
 	if err != nil {
@@ -255,6 +268,17 @@
 	return nil
 }
 
+// noteMedian notes after how long half of the controllers knew all.
+func (m *measurement) noteMedian(f *Fleet, size int, when string, began time.Time) error {
+	views, err := f.Views()
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(views, func(a, b View) int { return a.KnownAt.Compare(b.KnownAt) })
+	m.note(size, when+"/median", milliseconds(views[len(views)/2].KnownAt.Sub(began)))
+	return nil
+}
+
 // noteRush notes what a start did to the voters.
 func (m *measurement) noteRush(samples []Sample, size int, when string) {
 	refused, peak, dropped, problem := 0.0, 0.0, 0.0, ""
@@ -377,6 +401,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := m.noteMedian(f, size, figure, began); err != nil {
+		return 0, err
+	}
 	if err := pause(ctx, m.window-time.Since(began)); err != nil {
 		return 0, err
 	}
--- a/internal/lab/scale/hollow/rows.go
+++ b/internal/lab/scale/hollow/rows.go
@@ -54,6 +54,8 @@
 	} {
 		rows = append(rows,
 			sizeRow{start.figure + "/known", slope.Row{Role: "fleet", Cost: "membership: all know all", Unit: "ms", Condition: start.condition}},
+			sizeRow{start.figure + "/median", slope.Row{Role: "fleet", Cost: "membership: half of all know all", Unit: "ms",
+				Condition: start.condition}},
 			sizeRow{start.figure + "/peak", slope.Row{Role: "voter", Cost: "connections in, at most", Unit: "connections", Condition: start.condition,
 				Note: "the bound is 256"}},
 			sizeRow{start.figure + "/refused", slope.Row{Role: "fleet", Cost: "connections refused at the bound", Unit: "connections",
