--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -14,8 +14,10 @@
 	"sync"
 	"text/tabwriter"
 
+	"mintkeel/internal/lab/scale/datapath"
 	"mintkeel/internal/lab/scale/hollow"
 	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/scale/spread"
 )
 
 // Options say how measurements are made.
@@ -40,9 +42,19 @@
 		{"agreement", onHollow(hollow.MeasureAgreement)},
 		{"digest", onHollow(hollow.MeasureDigest)},
 		{"leases", measureLeases},
+		{"datapath", measureDataPath},
+		{"spread", measureSpread},
 	}
 }
 
+func measureDataPath(ctx context.Context, o Options) ([]slope.Row, error) {
+	return datapath.Measure(ctx, datapath.Options{Quick: o.Quick, Seed: o.Seed})
+}
+
+func measureSpread(ctx context.Context, o Options) ([]slope.Row, error) {
+	return spread.Measure(ctx, spread.Options{Quick: o.Quick, Seed: o.Seed})
+}
+
 func onHollow(measure func(context.Context, hollow.Options) ([]slope.Row, error)) func(context.Context, Options) ([]slope.Row, error) {
 	return func(ctx context.Context, o Options) ([]slope.Row, error) {
 		return measure(ctx, hollow.Options{Quick: o.Quick, Seed: o.Seed, Sizes: o.Sizes, Command: o.Command, Tell: o.Tell})
