--- a/internal/fleet/configcontrol.go
+++ b/internal/fleet/configcontrol.go
@@ -28,9 +28,6 @@
 // configRequestBytes bounds a request with a document of config.MaxDocument bytes, in base64.
 const configRequestBytes = 2 << 20
 
-// maxProblemBytes bounds what is told of a document that can't be used.
-const maxProblemBytes = 16 << 10
-
 var (
 	errNoConfig   = errors.New("there is no block config in this controller's file")
 	errUnanswered = errors.New("no answer in time")
@@ -125,8 +122,7 @@
 		return tooBig(len(document))
 	}
 	if err := s.config.check(document); err != nil {
-		problems := err.Error()
-		return problems[:min(len(problems), maxProblemBytes)]
+		return problemsOf(err)
 	}
 	return ""
 }
--- a/internal/fleet/configfleet_test.go
+++ b/internal/fleet/configfleet_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -105,6 +107,7 @@
 	services []*Service  // nil: not running
 	change   func(i int, b *Block)
 	off      bool // the fleet has no say in configuration
+	log      *slog.Logger
 }
 
 const configVoters = 3
@@ -112,7 +115,7 @@
 // startConfigFleet starts services; prepare may change what they start with.
 func startConfigFleet(t *testing.T, count int, prepare func(*configFleet)) *configFleet {
 	t.Helper()
-	f := &configFleet{t: t, dir: t.TempDir(), disks: make([]disk.Disk, count), services: make([]*Service, count)}
+	f := &configFleet{t: t, dir: t.TempDir(), log: quiet, disks: make([]disk.Disk, count), services: make([]*Service, count)}
 	for range count {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -158,7 +161,7 @@
 	case f.disks[i] != nil:
 		configuration.disk = f.disks[i]
 	}
-	s, err := start(b, fmt.Sprint("n", i), nil, configuration, quiet)
+	s, err := start(b, fmt.Sprint("n", i), nil, configuration, f.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -281,3 +284,22 @@
 	}
 	return n
 }
+
+// logText is a log that a test reads.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write adds a line.
+func (l *logText) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *logText) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
--- a/internal/fleet/configservice.go
+++ b/internal/fleet/configservice.go
@@ -22,6 +22,7 @@
 	storeGrace       = time.Second            // that a session's end waits for a write
 	readinessPoll    = 20 * time.Millisecond
 	maxConfigWaiters = 32
+	maxProblemBytes  = 16 << 10 // that are told of a document that can't be used
 )
 
 var (
@@ -75,6 +76,12 @@
 	return c.host.Check(document)
 }
 
+// problemsOf is what is told of a document that can't be used, within a bound.
+func problemsOf(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxProblemBytes)]
+}
+
 // apply has the host take a version into use, unless a later one is. One call is made at a time.
 func (c *configuration) apply(ctx context.Context, next appliedVersion) (err error) {
 	if !c.reserveApply(ctx) {
@@ -232,7 +239,16 @@
 		return nil, fmt.Errorf("folder of configuration: %w", err)
 	}
 	c.local.Store(&config.Readiness{Number: kept.Current.Number, Latest: kept.Current.Number})
-	return &node.ConfigFacts{Kept: kept, Check: c.check}, nil
+	return &node.ConfigFacts{Kept: kept, Check: in.checkConfig}, nil
+}
+
+// checkConfig is the replica's check of a document: one that it is to take, or to have agreed on.
+func (in *session) checkConfig(document []byte) error {
+	err := in.Service.config.check(document)
+	if err != nil {
+		in.Service.log.Warn("fleet: a document of the configuration can't be used here", "hash", config.HashOf(document).String(), "why", problemsOf(err))
+	}
+	return err
 }
 
 // openConfigFolder opens the folder, unless the service ends first: a disk that hangs is left to the system.
@@ -286,7 +302,7 @@
 			return
 		case !errors.Is(err, ErrRetryable) || try == keptTries:
 			in.Service.log.Error("fleet: the stored version of the configuration can't be used", "version", record.Version.Number,
-				"generation", record.Generation, "why", err)
+				"generation", record.Generation, "why", problemsOf(err))
 			return
 		}
 		select {
@@ -403,7 +419,11 @@
 
 // configApplied takes in the answer to an ApplyRequest.
 func (in *session) configApplied(err error) {
-	in.core.Config(in.now(), func(r *config.Replica) { r.Applied(in.now(), err, errors.Is(err, ErrRetryable)) })
+	retryable := errors.Is(err, ErrRetryable)
+	if err != nil {
+		in.Service.log.Warn("fleet: a version of the configuration is not in force here", "tried_again", retryable, "why", problemsOf(err))
+	}
+	in.core.Config(in.now(), func(r *config.Replica) { r.Applied(in.now(), err, retryable) })
 	in.observeConfig()
 }
 
--- a/internal/fleet/configservice_test.go
+++ b/internal/fleet/configservice_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -37,7 +38,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := startConfigFleet(t, 4, nil)
+			log := &logText{}
+			f := startConfigFleet(t, 4, func(f *configFleet) { f.log = slog.New(slog.NewTextHandler(log, nil)) })
 			spoil(f.hosts[3])
 			before := f.put(0, []byte("good"))
 			f.inForce(before, []byte("good"), 0, 1, 2, 3)
@@ -50,6 +52,9 @@
 			if !f.hosts[3].uses(before.Number, []byte("good")) {
 				t.Error("the version before is not in force")
 			}
+			if !log.contains("can't use this") {
+				t.Error("it is not in the log")
+			}
 			f.stop(3) // what it refused is not what it starts with
 			f.hosts[3] = &fakeHost{}
 			spoil(f.hosts[3])
