--- a/internal/fleet/configservice.go
+++ b/internal/fleet/configservice.go
@@ -347,14 +347,14 @@
 // closeConfig ends what operators wait for, and lets the folder go once the last write is over. It waits for a write, but
 // not for a disk that hangs: then the folder stays locked by this process.
 func (in *session) closeConfig() {
-	for ref := range in.config.waiters {
-		in.replyConfig(ref, configReply{err: errRestarted})
-	}
 	if c := in.Service.config; c != nil { // what is in force stays; whether it is the latest is not known any more
 		local := c.readiness()
 		local.Confirmed = false
 		c.local.Store(&local)
 	}
+	for ref := range in.config.waiters {
+		in.replyConfig(ref, configReply{err: errRestarted})
+	}
 	folder := in.config.folder
 	switch {
 	case folder == nil:
