--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -118,6 +118,9 @@
 	run := draw()
 	s.links = links.New(frames.Hello{Fleet: b.Name, Generation: b.Generation, From: s.self, Run: run}, keys, links.Usual(), s.received,
 		log)
+	if b.Dial != nil {
+		s.links.SetDial(b.Dial)
+	}
 	s.links.Serve(listener)
 	if s.control != nil {
 		s.group.Go(s.answerOperators)
