--- a/internal/core/fleet/config/propose_test.go
+++ b/internal/core/fleet/config/propose_test.go
@@ -333,6 +333,8 @@
 		c.replica.Receive(f.now, from, &Message{Proposed: &reply})
 	}
 	c.replica.Receive(f.now, "n000", &Message{Proposed: &ProposeReply{ID: id, Result: Agreed, Version: Version{Number: 9, ID: id, Hash: HashOf([]byte("other"))}}})
+	c.replica.Receive(f.now, "n000", &Message{Proposed: &ProposeReply{ID: id, Result: Agreed, // the same document of another
+		Version: Version{Number: 9, ID: ProposalID{Origin: "n005", Run: 1, Ref: 1}, Hash: HashOf([]byte("one")), Size: 3}}})
 	f.settle(c)
 	if len(c.outcomes) != 0 {
 		t.Errorf("%+v", c.outcomes)
--- a/internal/core/fleet/config/status_test.go
+++ b/internal/core/fleet/config/status_test.go
@@ -183,7 +183,7 @@
 	f.kill(f.all[0])
 	f.runFor(1000)
 	f.setLeader(f.all[3].id)
-	took := f.runUntil(11000, func() bool { return f.all[3].replica.status().InForce >= 99 })
+	took := f.runUntil(3000, func() bool { return f.all[3].replica.status().InForce >= 99 })
 	if took < 0 {
 		t.Fatalf("%+v", f.all[3].replica.status())
 	}
--- a/internal/core/fleet/config/unit_test.go
+++ b/internal/core/fleet/config/unit_test.go
@@ -268,3 +268,49 @@
 		t.Errorf("when it knows: %+v", got)
 	}
 }
+
+// A document in the folder that does not match its hash is not used, nor handed on.
+func TestKeptCorruptDocument(t *testing.T) {
+	one, two := HashOf([]byte("one")), HashOf([]byte("two"))
+	e := &lonely{self: "n4"}
+	r := New(Facts{Self: "n4", Run: 5, Seed: 1}, e, Kept{Current: Version{Number: 1, Hash: one, Size: 3},
+		Documents: map[Hash][]byte{one: []byte("one"), two: []byte("tw0")}}, 0)
+	r.Receive(0, "n3", &Message{Fetch: &Fetch{Hash: two}})
+	for _, s := range r.Take().Sends {
+		if s.Message.Chunk != nil && !s.Message.Chunk.Missing {
+			t.Errorf("it hands on %q", s.Message.Chunk.Data)
+		}
+	}
+	r = New(Facts{Self: "n4", Run: 5, Seed: 1}, e, Kept{Current: Version{Number: 1, Hash: one, Size: 3},
+		Documents: map[Hash][]byte{one: []byte("0ne")}}, 0)
+	if r.Summary() != nil || r.Current().Number != 1 {
+		t.Errorf("it tells %+v", r.Summary())
+	}
+	r.Receive(0, "n3", &Message{Summary: summaryOf(1, "one")}) // what is in force stays, and its document comes again
+	if got := r.findDownload(one); got == nil {
+		t.Error("it does not fetch the document of its version")
+	}
+}
+
+// A version told with the hash of a document that is here, and with another size, is none.
+func TestWrongSizeOfKnownDocument(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(x.now, "n3", &Message{Summary: &Summary{Number: 2, Hash: HashOf([]byte("one")), Size: 99}})
+	if out := x.replica.Take(); out.Store != nil || x.replica.Counts().Conflicts != 1 || x.replica.target.Number != 1 {
+		t.Errorf("%+v, %+v", out.Store, x.replica.Counts())
+	}
+	x = newTargets()[0]
+	x.replica.Take()
+	p := proposal(1, 7, "one")
+	p.Version.ID.Origin, p.Version.Size = "n3", 99
+	x.replica.queue = nil // what this one proposed itself
+	x.replica.Receive(x.now, "n3", &Message{Propose: &ProposeRequest{Proposal: p}})
+	refused := false
+	for _, s := range x.replica.Take().Sends {
+		refused = refused || s.To == "n3" && s.Message.Proposed != nil && s.Message.Proposed.Result == Refused
+	}
+	if !refused {
+		t.Error("a proposal with a wrong size is worked on")
+	}
+}
