--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -73,7 +73,6 @@
 	end    context.CancelFunc
 	group  sync.WaitGroup
 	stop   atomic.Bool
-	status atomic.Pointer[Status]
 	leases atomic.Pointer[[]lease.Name] // nil: those of the block
 	done   chan struct{}
 
