--- a/cmd/mintkeel/agreed_test.go
+++ b/cmd/mintkeel/agreed_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -222,3 +224,85 @@
 		t.Errorf("pending %+v", pending)
 	}
 }
+
+// Without the block config there is nothing of it: no goroutine, descriptor or folder, and operators are told so. With it
+// there is, so that the same looks would tell.
+func TestConfigOff(t *testing.T) {
+	for name, on := range map[string]bool{"off": false, "on": true} {
+		t.Run(name, func(t *testing.T) {
+			feed, engine, _ := feedAndEngine(t)
+			h := found(t, good, feed, engine, "")
+			own := configFleet(t, h.dir, "8s")
+			if !on {
+				own = strings.Replace(own, "config {\n wait = \"8s\"\n}\n", "", 1)
+			}
+			h.put(h.from.operator, own)
+			waited, served := make(chan bool), make(chan bool)
+			go func() { // looks while the latest version may be waited for
+				seen := false
+				for ended := false; !ended; {
+					select {
+					case <-served:
+						ended = true
+					default:
+						waits := strings.Contains(stacks(), "awaitConfig")
+						conn, err := net.Dial("tcp", h.addr)
+						if err == nil {
+							conn.Close()
+						}
+						if seen = seen || waits; waits && err == nil && strings.Contains(stacks(), "awaitConfig") {
+							t.Error("clients are let in while the latest version is waited for")
+						}
+					}
+				}
+				waited <- seen
+			}()
+			d := h.serve()
+			close(served)
+			if <-waited != on {
+				t.Error("at a start the latest version is waited for, or is not, against the file")
+			}
+			defer h.stop()
+			if (d.agreed != nil) != on {
+				t.Error("the daemon's side of it")
+			}
+			if _, err := os.Stat(filepath.Join(h.dir, "fleet", "config")); (err == nil) != on {
+				t.Errorf("folder: %v", err)
+			}
+			open := strings.Join(descriptors(t), " ")
+			if strings.Contains(open, filepath.Join(h.dir, "fleet", "config")) != on {
+				t.Errorf("descriptors: %s", open)
+			}
+			if at := stacks(); !on && (strings.Contains(at, "agreedConfig") || strings.Contains(at, "onfig(")) {
+				t.Errorf("goroutines: %s", at)
+			}
+			var out, errs strings.Builder
+			code := execute([]string{"fleet", "config", "status", "--folder", filepath.Join(h.dir, "fleet")}, &out, &errs)
+			if strings.Contains(errs.String(), "no block config") == on {
+				t.Errorf("status: %d, %s, %s", code, out.String(), errs.String())
+			}
+		})
+	}
+}
+
+// stacks are those of all goroutines of this process.
+func stacks() string {
+	text := make([]byte, 1<<20)
+	return string(text[:runtime.Stack(text, true)])
+}
+
+// descriptors are what this process has open.
+func descriptors(t *testing.T) (names []string) {
+	t.Helper()
+	const folder = "/proc/self/fd"
+	list, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range list {
+		if name, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil { // else it is closed by now
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -281,13 +280,3 @@
 	n4.serves("one")
 	n2.await("version 4 in force at 3 of 4; 1 refused: n4 (line 3")
 }
-
-// configDescriptors are how many descriptors this process has open.
-func openDescriptors(t *testing.T, pid int) int {
-	t.Helper()
-	list, err := os.ReadDir("/proc/" + strconv.Itoa(pid) + "/fd")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(list)
-}
