Dropped checks of the configuration's core by command; stricter checks of a status

A status is judged against the runs that its maker took the controllers to be of. A quarter of the histories now last 110 s, in which documents are removed.

--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"mintkeel/internal/lab/fleet"
+	"mintkeel/internal/lab/mutants"
 	"mintkeel/internal/lab/scale/spread"
 )
 
@@ -112,3 +114,51 @@
 	c.Flags().BoolVar(&o.Quick, "quick", false, "small fleets and few changes")
 	return c
 }
+
+func fleetChecksCommand() *cobra.Command {
+	workers, name := 1, ""
+	c := &cobra.Command{
+		Use:   "checks",
+		Short: "Leave out each check that the configuration's promises rest on, and see that histories notice",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var chosen []mutants.Mutant
+			names := map[string]string{}
+			for _, d := range fleet.DroppedChecks() {
+				m, err := d.Mutant(".")
+				if err != nil {
+					return err
+				}
+				if name == "" || strings.Contains(d.Name, name) {
+					chosen = append(chosen, m)
+					names[m.String()] = d.Name
+				}
+			}
+			tests := []string{"-run=Configuration ./internal/lab/fleet"}
+			missed := 0
+			err := mutants.Try(c.Context(), ".", chosen, tests, workers, 5*time.Minute, func(m mutants.Mutant, v mutants.Verdict, text string) {
+				if v != mutants.Noticed && v != mutants.TimedOut {
+					missed++
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%v: %s\n    %s\n", v, names[m.String()], firstFailure(text))
+			})
+			if err == nil && missed > 0 {
+				err = fmt.Errorf("%d dropped checks were not noticed", missed)
+			}
+			return err
+		},
+	}
+	c.Flags().IntVar(&workers, "workers", workers, "at a time")
+	c.Flags().StringVar(&name, "name", name, "those whose name holds this; empty: all")
+	return c
+}
+
+// firstFailure is the line that tells what failed first.
+func firstFailure(text string) string {
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, "_test.go:") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return strings.TrimSpace(text[:min(len(text), 300)])
+}
--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -56,7 +56,7 @@
 	c.Flags().StringVar(&script, "script", "", "maintenance: all engines are taken out once meanwhile")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
 	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
-	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand(), fleetOrdersCommand(), fleetSpreadCommand())
+	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand(), fleetOrdersCommand(), fleetSpreadCommand(), fleetChecksCommand())
 	return c
 }
 
--- a/internal/lab/fleet/configuration.go
+++ b/internal/lab/fleet/configuration.go
@@ -183,6 +183,9 @@
 	for _, a := range out.Answers {
 		if asked, ok := m.config.pending[a.Ref]; ok && asked.status != nil {
 			delete(m.config.pending, a.Ref)
+			if a.From == m.id && a.Answer.Status != nil { // made here, now
+				w.config.checker.StatusMade(w.now, w.mutateStatus(a.Answer.Status), runsKnown(m))
+			}
 			asked.status(a.Answer)
 		}
 	}
@@ -284,7 +287,7 @@
 		return
 	}
 	if a := message.Config.Answer; a != nil && a.Status != nil {
-		w.config.checker.StatusMade(w.now, w.mutateStatus(a.Status))
+		w.config.checker.StatusMade(w.now, w.mutateStatus(a.Status), runsKnown(from))
 	}
 	if w.now < w.config.corruptTo && message.Config.Chunk != nil && w.rng.Intn(3) == 0 {
 		message.Config = corrupted(w.rng, message.Config)
@@ -294,6 +297,15 @@
 	}
 }
 
+// runsKnown are the runs of which a machine takes the others to be.
+func runsKnown(m *machine) map[members.ID]uint64 {
+	runs := map[members.ID]uint64{}
+	for _, about := range m.core.Members() {
+		runs[about.ID] = about.Run
+	}
+	return runs
+}
+
 // mutateStatus counts one more, where that is the mutant.
 func (w *World) mutateStatus(s *config.Status) *config.Status {
 	if w.plan.Mutant != "count twice" {
--- a/internal/lab/fleet/configuration/checker_test.go
+++ b/internal/lab/fleet/configuration/checker_test.go
@@ -149,62 +149,70 @@
 		}, "is lost"},
 		"a status": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
-			c.StatusMade(5, status())
+			c.StatusMade(5, status(), nil)
 		}, ""},
 		"a status counts one that has not applied it yet": {func(c *Checker) {
 			applyAt(c, "n0")
 			c.Applied(6, other, Folder{"n1", 0}, version(1, 1, "a"))
-			c.StatusMade(5, status())
+			c.StatusMade(5, status(), nil)
 		}, "2 as in force at version 1, and 1 had"},
 		"a status counts another than the one that has": {func(c *Checker) {
 			applyAt(c, "n0", "n2")
-			c.StatusMade(5, status())
+			c.StatusMade(5, status(), nil)
 		}, "takes n1 as in force"},
 		"a status counts one that has long been down": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			c.Ended(10, "n1")
-			c.StatusMade(11+FreshFor, status())
+			c.StatusMade(11+FreshFor, status(), nil)
 		}, "2 as in force"},
 		"a status counts one that has just gone down": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			c.Ended(10, "n1")
-			c.StatusMade(11, status())
+			c.StatusMade(11, status(), nil)
 		}, ""},
 		"a status counts one twice": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			s := status()
 			s.Counts[1] = 3
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "4 controllers by version, of 3"},
+		"a status counts one whose newer run had not applied it": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			c.StatusMade(5, status(), map[members.ID]uint64{"n0": 1, "n1": 77})
+		}, "2 as in force at version 1, and 1 had"},
+		"a status counts one by the run that had": {func(c *Checker) {
+			applyAt(c, "n0", "n1")
+			c.StatusMade(5, status(), map[members.ID]uint64{"n0": 1, "n1": 2})
+		}, ""},
 		"a status names one twice": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			s := status()
 			s.Unheard = s.Behind
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "names n2 twice"},
 		"a status leaves one out": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			s := status()
 			s.InForce = 1
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "1 as in force and 1 others, of 3"},
 		"a status tells a version of one that it had not applied": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			s := status()
 			s.Behind[0].Applied = 7
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "n2/9 is at version 7"},
 		"a status names a stranger": {func(c *Checker) {
 			applyAt(c, "n0", "n1", "n2")
 			s := status()
 			s.Behind[0].ID = "x"
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "none of the fleet"},
 		"a status knows too many": {func(c *Checker) {
 			applyAt(c, "n0", "n1")
 			s := status()
 			s.Members = 4
-			c.StatusMade(5, s)
+			c.StatusMade(5, s, nil)
 		}, "4 members of 3"},
 	} {
 		c := NewChecker(fleet)
--- a/internal/lab/fleet/configuration/status.go
+++ b/internal/lab/fleet/configuration/status.go
@@ -11,8 +11,9 @@
 // that have been down for longer.
 const FreshFor = 30000.0
 
-// StatusMade takes in a status at the time at which the leader made it.
-func (c *Checker) StatusMade(now float64, s *config.Status) {
+// StatusMade takes in a status at the time at which the leader made it, and of which run the leader took each controller
+// to be at that time; a controller that is missing there may count by any of its runs.
+func (c *Checker) StatusMade(now float64, s *config.Status, runs map[members.ID]uint64) {
 	c.Statuses++
 	c.identify(now, "a status", s.Latest.Number, s.Latest.Hash)
 	listed := c.listed(now, s)
@@ -25,7 +26,7 @@
 	c.checkCounts(now, s)
 	able := 0
 	for _, id := range c.controllers {
-		if c.countable(now, id, s.Latest.Number) {
+		if c.countable(now, id, s.Latest.Number, runs) {
 			able++
 		}
 	}
@@ -36,15 +37,21 @@
 		return // who is counted can't be told from who is not listed
 	}
 	for _, id := range c.controllers {
-		if !listed[id] && !c.countable(now, id, s.Latest.Number) {
+		if !listed[id] && !c.countable(now, id, s.Latest.Number, runs) {
 			c.fail(now, "a status takes %s as in force at version %d, which it had not applied, or it was long down", id, s.Latest.Number)
 		}
 	}
 }
 
-// countable tells whether a controller may count as in force at a version.
-func (c *Checker) countable(now float64, id members.ID, number uint64) bool {
-	return c.HasApplied(id, number, now) && !(c.down[id] && now > c.lastSeen[id]+FreshFor)
+// countable tells whether a controller may count as in force at a version: its run had applied it, and it is not long down.
+func (c *Checker) countable(now float64, id members.ID, number uint64, runs map[members.ID]uint64) bool {
+	if c.down[id] && now > c.lastSeen[id]+FreshFor {
+		return false
+	}
+	if run, ok := runs[id]; ok {
+		return c.runApplied(id, run, number, now)
+	}
+	return c.HasApplied(id, number, now)
 }
 
 // checkCounts checks the sums: no controller counts twice.
--- a/internal/lab/fleet/configuration_history.go
+++ b/internal/lab/fleet/configuration_history.go
@@ -25,7 +25,10 @@
 	if nodes >= 5 && rng.Intn(2) == 0 {
 		p.Council = 5
 	}
-	const within = 30000.0
+	within := 30000.0
+	if rng.Intn(4) == 0 { // long enough for documents to be removed
+		within = 110000
+	}
 	p.Script = DrawScript(rng, nodes, p.Council, faults, within)
 	p.Script = append(p.Script, drawOrders(rng, nodes, p.Council, within)...)
 	if nodes > p.Council && rng.Intn(4) == 0 {
@@ -37,7 +40,7 @@
 
 // drawOrders draws what operators ask for, and faults of the configuration's own.
 func drawOrders(rng *rand.Rand, nodes, council int, within float64) (s Script) {
-	for range ordersLeast + rng.Intn(ordersLeast) {
+	for range (ordersLeast + rng.Intn(ordersLeast)) * int(1+within/60000) {
 		f := Fault{At: 2000 + rng.Float64()*(within+3000), A: rng.Intn(nodes), B: rng.Intn(nodes), N: -1}
 		switch kind := rng.Intn(20); {
 		case kind < 9:
--- /dev/null
+++ b/internal/lab/fleet/dropped.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"path/filepath"
+
+	"mintkeel/internal/lab/mutants"
+)
+
+// DroppedCheck is a check of the configuration's core that is left out, to see that histories notice.
+type DroppedCheck struct {
+	Name string
+	File string // in internal/core/fleet/config
+	From string // as it stands in the file, once
+	To   string
+}
+
+// DroppedChecks are those on which the promises of the configuration rest.
+func DroppedChecks() []DroppedCheck {
+	return []DroppedCheck{
+		{"the number that the author saw is not compared", "state.go", "p.Expect != s.Newest() || ", ""},
+		{"a proposal that comes twice is agreed on twice", "state.go",
+			"if v, ok := s.FindProposal(p.Version.ID); ok {\n\t\treturn v, true\n\t}", ""},
+		{"a leader does not look whether a proposal was agreed on", "candidate.go",
+			"if v, ok := state.FindProposal(p.Version.ID); ok {", "if v, ok := state.FindProposal(p.Version.ID); ok && false {"},
+		{"a leader does not check a document", "candidate.go", "if err := r.env.Check(data); err != nil {", "if err := r.env.Check(data); err != nil && false {"},
+		{"a leader asks for agreement before a majority holds the document", "candidate.go", "2*held > len(voters)", "held >= 0 && len(voters) >= 0"},
+		{"a voter tells that it holds a document before it does", "hold.go", "!h.replied && r.library.stored(h.hash)", "!h.replied"},
+		{"a document is not compared with its hash", "fetch.go", "if HashOf(data) == d.hash {", "if HashOf(data) == d.hash || true {"},
+		{"an older version is taken", "take.go", "v.Number > t.current.Number && !slices", "v.Number != t.current.Number && v.Number > 0 && !slices"},
+		{"an older version is fetched", "spread.go", "case s.Number < r.target.Number:\n\t\treturn false\n", "case s.Number < r.target.Number:\n"},
+		{"a version is applied unchecked", "take.go", "t.checked.summary() == v.summary() || r.check(v)", "true || r.check(v)"},
+		{"a version is applied before it is stored", "take.go", "t.persisted.Number == v.Number && !r.storesCurrent() && ", ""},
+		{"a failed store counts as done", "take.go", "\tif err != nil {\n\t\tr.storeFailed(request, err)", "\tif err != nil && false {\n\t\tr.storeFailed(request, err)"},
+		{"documents in use are removed", "take.go", "hashes := r.library.surplus(needed)", "hashes := r.library.surplus(map[Hash]bool{})"},
+		{"an old report counts after a newer one", "reports.go", "case h.Sequence >= report.Sequence:", "case h.Sequence == report.Sequence:"},
+		{"a report of an earlier run counts", "status.go", "h.Run != m.Run || ", ""},
+		{"a report counts for ever", "status.go", "h.at < r.now-freshFor || m.State != members.Alive", "false"},
+		{"any answer ends a proposal", "propose.go", "if reply.Version.ID != own.ID || ", "if "},
+	}
+}
+
+// Mutant is the changed source, in the module at a folder.
+func (d DroppedCheck) Mutant(module string) (mutants.Mutant, error) {
+	return mutants.Edit(filepath.Join(module, "internal/core/fleet/config", d.File), d.From, d.To)
+}
--- a/internal/lab/mutants/mutants.go
+++ b/internal/lab/mutants/mutants.go
@@ -117,6 +117,20 @@
 	return all, nil
 }
 
+// Edit is the mutant of a file that has another text in place of one that stands in it once.
+func Edit(path, from, to string) (Mutant, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return Mutant{}, err
+	}
+	if n := bytes.Count(source, []byte(from)); n != 1 {
+		return Mutant{}, fmt.Errorf("%s: %q stands there %d times", path, from, n)
+	}
+	offset := bytes.Index(source, []byte(from))
+	line := 1 + bytes.Count(source[:offset], []byte("\n"))
+	return Mutant{File: path, Line: line, From: from, To: to, Text: from, offset: offset}, nil
+}
+
 // Some draws n of them.
 func Some(all []Mutant, n int, seed int64) []Mutant {
 	drawn := slices.Clone(all)
@@ -143,7 +157,7 @@
 
 func (v Verdict) String() string { return verdicts[v] }
 
-// Try runs the tests of packages, one package after another, against each mutant, several at a time, and tells done of each verdict, in any
+// Try runs the tests of packages, one package after another (each may have flags of go test before it, by spaces), against each mutant, several at a time, and tells done of each verdict, in any
 // order. dir is the module's root.
 func Try(ctx context.Context, dir string, mutants []Mutant, packages []string, workers int, within time.Duration,
 	done func(Mutant, Verdict, string)) error {
@@ -211,8 +225,8 @@
 	defer cancel()
 	var out []byte
 	for _, one := range packages { // the quickest to fail stands first
-		cmd := exec.CommandContext(ctx, "go", "test", "-vet=off", "-failfast", "-short", "-timeout", within.String(),
-			"-overlay", list, one)
+		args := []string{"test", "-vet=off", "-failfast", "-short", "-timeout", within.String(), "-overlay", list}
+		cmd := exec.CommandContext(ctx, "go", append(args, strings.Fields(one)...)...)
 		cmd.Dir = dir
 		cmd.WaitDelay = time.Second
 		if out, err = cmd.CombinedOutput(); err != nil {
--- a/internal/lab/mutants/mutants_test.go
+++ b/internal/lab/mutants/mutants_test.go
@@ -69,3 +69,21 @@
 		}
 	}
 }
+
+// A text that stands once is replaced; one that does not is told.
+func TestEdit(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.go")
+	text := "package r\n\nfunc f(a int) bool { return a < 1 }\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m, err := Edit(path, "a < 1", "true")
+	if err != nil || m.Line != 3 || !strings.Contains(string(m.apply([]byte(text))), "return true }") {
+		t.Errorf("%v, %v", m, err)
+	}
+	for _, from := range []string{"a > 1", "a"} {
+		if _, err := Edit(path, from, ""); err == nil {
+			t.Errorf("%q is taken", from)
+		}
+	}
+}
