--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -109,7 +109,7 @@
 	c.Flags().IntVar(&o.Seeds, "seeds", 5, "histories of each condition")
 	c.Flags().IntVar(&o.Changes, "changes", 40, "of each history")
 	c.Flags().IntVar(&o.Workers, "workers", 2, "histories at a time")
-	c.Flags().StringVar(&o.Only, "only", "", "one condition")
+	c.Flags().StringSliceVar(&o.Only, "only", nil, "some conditions: at rest, 10% loss, ...; none: all")
 	c.Flags().BoolVar(&o.Largest, "largest", false, "fleets of 670 alone")
 	c.Flags().BoolVar(&o.Quick, "quick", false, "small fleets and few changes")
 	return c
--- a/internal/lab/scale/spread/bytes.go
+++ b/internal/lab/scale/spread/bytes.go
@@ -33,7 +33,12 @@
 	sizes := o.sizes()
 	costs := make([]map[string]dayCosts, len(sizes))
 	errs := make([]error, len(sizes))
-	o.each(len(sizes), func(i int) { costs[i], errs[i] = playDay(ctx, o.Seed, sizes[i], o.Quick) })
+	o.each(len(sizes), func(i int) {
+		costs[i], errs[i] = playDay(ctx, o.Seed, sizes[i], o.Quick)
+		if o.Tell != nil {
+			o.Tell("%s, %d controllers, seed %d: bytes a second: %+v; %v", bytesName, sizes[i], o.Seed, costs[i], errs[i])
+		}
+	})
 	var rows []slope.Row
 	for _, role := range []string{"controller", "voter", "leader"} {
 		all := slope.Row{Role: role, Cost: "all of the fleet's talk: bytes sent and received", Unit: "bytes/s", Per: "controllers", Condition: bytesName,
--- a/internal/lab/scale/spread/measure.go
+++ b/internal/lab/scale/spread/measure.go
@@ -17,7 +17,7 @@
 	Seed    int64                            // of the first
 	Changes int                              // of each history; 0: forty
 	Workers int                              // histories at a time; 0: two
-	Only    string                           // the name of one condition; empty: all
+	Only    []string                         // names of conditions; none: all
 	Largest bool                             // fleets of the largest size alone
 	Tell    func(format string, args ...any) // is told of each history; nil: nobody
 }
@@ -44,13 +44,13 @@
 
 // Times between two changes, in ms. A change that takes longer is looked at to its end all the same.
 const (
-	apart        = 8000.0
-	apartLoss    = 10000.0
-	apartZone    = 16000.0
-	apartLeader  = 13000.0
-	apartRegion  = 15000.0
+	apart        = 4000.0
+	apartLoss    = 6000.0
+	apartZone    = 12000.0
+	apartLeader  = 9000.0
+	apartRegion  = 7400.0
 	cutFor       = 300000.0
-	changesOfCut = 20
+	changesOfCut = 40
 	lastWait     = 30000.0 // after the last change
 )
 
@@ -115,13 +115,13 @@
 	return s.run(ctx, lastWait)
 }
 
-// regionCutOff cuts a third of the fleet off for five minutes, in which twenty changes are agreed on, again and again.
+// regionCutOff cuts a third of the fleet off for five minutes, in which forty changes are agreed on, again and again.
 func regionCutOff(ctx context.Context, s *simulation, changes int) error {
 	for i := 0; i < changes; i += changesOfCut {
 		region := 1 + i/changesOfCut%(Regions-1)
 		heal := s.cutOff(region)
 		for range min(changesOfCut, changes-i) {
-			if err := s.run(ctx, apartRegion*0.9); err != nil {
+			if err := s.run(ctx, apartRegion); err != nil {
 				return err
 			}
 			s.put(s.outside(region))
@@ -241,7 +241,7 @@
 	})
 	var rows []slope.Row
 	for _, c := range conditions() {
-		if o.Only == "" || o.Only == c.name {
+		if o.chosen(c.name) {
 			rows = append(rows, rowsOf(c, jobs)...)
 		}
 	}
@@ -250,7 +250,7 @@
 			return rows, fmt.Errorf("%s, seed %d, %d controllers: %w", j.condition.name, j.seed, j.nodes, j.err)
 		}
 	}
-	if o.Only != "" && o.Only != bytesName {
+	if !o.chosen(bytesName) {
 		return rows, nil
 	}
 	costs, err := o.measureBytes(ctx)
@@ -290,6 +290,9 @@
 	return o
 }
 
+// chosen tells whether a condition is to be measured.
+func (o Options) chosen(name string) bool { return len(o.Only) == 0 || slices.Contains(o.Only, name) }
+
 // sizes are the fleets that are measured; the last one by all seeds and with all changes.
 func (o Options) sizes() []int {
 	switch {
@@ -306,7 +309,7 @@
 	sizes := o.sizes()
 	for i := len(sizes) - 1; i >= 0; i-- {
 		for _, c := range conditions() {
-			if o.Only != "" && o.Only != c.name {
+			if !o.chosen(c.name) {
 				continue
 			}
 			seeds, changes := o.Seeds, o.Changes
