--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -37,10 +37,12 @@
 	return binary
 }
 
-// reserveAddress is one that nothing listens on.
+// reserveAddress is one that nothing listens on. It is of a loopback address of this process alone, so that others don't
+// come upon its port between this and its use.
 func reserveAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -16,7 +17,8 @@
 // The leases of a fleet change while it runs: what is new gets a holder, what is not wanted any more is held by nobody.
 func TestSetLeases(t *testing.T) {
 	dir := t.TempDir()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid() // of this process alone: its port stays free until it is used
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
 	if err != nil {
 		t.Fatal(err)
 	}
