A version's author and reason reach all: from proposals and holds too

The first form told them with the first chunk by whoever knew the version. Now what is known from a proposal is told as well, HoldRequest carries it to voters, and the answer to a proposal is no longer needed for it.

--- a/internal/core/fleet/config/candidate.go
+++ b/internal/core/fleet/config/candidate.go
@@ -186,7 +186,7 @@
 	v := &c.proposal.Version
 	for _, id := range r.env.Voters() {
 		if id != r.facts.Self && !slices.Contains(c.held, id) {
-			r.send(id, Message{Hold: &HoldRequest{Hash: v.Hash, Size: v.Size}})
+			r.send(id, Message{Hold: &HoldRequest{Hash: v.Hash, Size: v.Size, About: v}})
 		}
 	}
 }
--- a/internal/core/fleet/config/config.go
+++ b/internal/core/fleet/config/config.go
@@ -130,6 +130,8 @@
 type HoldRequest struct {
 	Hash Hash `cbor:"1,keyasint"`
 	Size int  `cbor:"2,keyasint"`
+
+	About *Version `cbor:"3,keyasint,omitempty"` // the proposed version; its Number is not set yet
 }
 
 // HoldReply tells that a document is stored durably.
--- a/internal/core/fleet/config/describe_test.go
+++ b/internal/core/fleet/config/describe_test.go
@@ -8,15 +8,18 @@
 	"mintkeel/internal/core/fleet/members"
 )
 
-// Every controller learns who made a version and why, voters and others.
+// Every controller learns who made a version and why: voters and others, those that fetch its document and the proposer,
+// whether that hears of the version first or of its proposal's end.
 func TestDescription(t *testing.T) {
-	f := newFleet(t, 5, 20, 3)
-	f.runFor(1000)
-	f.putAgreed(f.all[7], randomDocument(3*ChunkBytes, 1), 0)
-	f.everywhere(1, 5000)
-	for _, c := range f.all {
-		if v := c.replica.Current(); v.Author != "operator" || v.Reason != "test" || v.Time == 0 {
-			t.Errorf("%s has %+v in force", c.id, v)
+	for seed := range int64(20) {
+		f := newFleet(t, seed, 20, 3)
+		f.runFor(1000)
+		f.putAgreed(f.all[seed], randomDocument(3*ChunkBytes, 1), 0)
+		f.everywhere(1, 5000)
+		for _, c := range f.all {
+			if v := c.replica.Current(); v.Author != "operator" || v.Reason != "test" || v.Time == 0 {
+				t.Errorf("seed %d: %s has %+v in force", seed, c.id, v)
+			}
 		}
 	}
 }
--- a/internal/core/fleet/config/hold.go
+++ b/internal/core/fleet/config/hold.go
@@ -22,6 +22,7 @@
 	from    members.ID
 	at      float64 // of the last request
 	replied bool
+	about   *Version // what the leader told of the version that is proposed
 }
 
 // holdRequested takes in that a leader wants a document to be stored here.
@@ -31,6 +32,9 @@
 	}
 	h := r.addHold(request.Hash)
 	h.from, h.replied = from, false
+	if request.About != nil && request.About.bounded() {
+		h.about = request.About
+	}
 	if r.library.get(h.hash) == nil {
 		r.fetch(h.hash, request.Size, forHold, from)
 	}
--- a/internal/core/fleet/config/spread.go
+++ b/internal/core/fleet/config/spread.go
@@ -113,7 +113,8 @@
 	if r.target.Hash != v.Hash {
 		r.release(r.target.Hash, forTaking)
 	}
-	r.target = r.describeOwn(v)
+	v.complete(r.description(v.Hash))
+	r.target = v
 	if r.library.get(v.Hash) == nil {
 		r.fetch(v.Hash, v.Size, forTaking, tellers...)
 	}
