--- /dev/null
+++ b/internal/core/fleet/node/view.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"mintkeel/internal/core/fleet/lease"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/quorum"
+)
+
+func (n *Node) viewOf() *View {
+	v := &View{Leader: n.quorum.Leader(), Council: n.quorum.Names()}
+	if standing, _ := n.quorum.Role(); standing == quorum.Outside {
+		v.Leader, v.Council = n.leader, n.voters
+	} else {
+		v.Grants = n.quorum.State().List()
+		for i := range v.Grants { // the state of a lease is for its holders
+			v.Grants[i].State = nil
+		}
+	}
+	return v
+}
+
+func (n *Node) receiveView(v *View) {
+	if v.Leader != "" {
+		if n.leader != v.Leader { // what it asked of another comes too late if it waits for its turn
+			n.client.Hurry(n.now)
+		}
+		n.leader, n.heardAt = v.Leader, n.now
+	}
+	if len(v.Council) > 0 {
+		n.voters = v.Council
+	}
+	if v.Grants != nil {
+		n.leaseView = v.Grants
+		n.raiseTokens(v.Grants)
+	}
+}
+
+// raiseTokens takes in which fencing tokens have begun: one that restarted and lost what its fencing check had seen learns it again.
+func (n *Node) raiseTokens(grants []lease.Lease) {
+	before := n.fencing.Seen()
+	for _, g := range grants {
+		if g.Token > before[g.Name] {
+			n.fencing.Raise(g.Name, g.Token)
+			n.out.Seen = true
+		}
+	}
+}
+
+// Members are all that this one knows, itself among them.
+func (n *Node) Members() []members.Member { return n.members.Members() }
+
+// Quorum is this one's part of it.
+func (n *Node) Quorum() *quorum.Replica { return n.quorum }
+
+// Table is this one's view of the members.
+func (n *Node) Table() *members.Table { return n.members }
+
+// Seen are the fencing tokens that the fencing check has seen.
+func (n *Node) Seen() map[lease.Name]lease.Token { return n.fencing.Seen() }
+
+// Leases are the leases as this one knows them, and whether it votes itself: else they may be late.
+func (n *Node) Leases() (list []lease.Lease, own bool) {
+	if standing, _ := n.quorum.Role(); standing == quorum.Voting {
+		return n.quorum.State().List(), true
+	}
+	return n.leaseView, false
+}
+
+// Voters are the quorum's members, as far as this one knows.
+func (n *Node) Voters() []members.ID {
+	if standing, _ := n.quorum.Role(); standing != quorum.Outside {
+		return n.quorum.Names()
+	}
+	return n.voters
+}
+
+// Leader is the quorum's leader as far as this one knows; empty: none.
+func (n *Node) Leader() members.ID {
+	if lead := n.quorum.Leader(); lead != "" {
+		return lead
+	}
+	return n.leader
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -293,7 +293,7 @@
 		in.close()
 		return err
 	}
-	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.wantedLeases(),
+	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Leases: s.wantedLeases(),
 		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1),
 		Config: configFacts}
 	for id, addr := range s.block.Council {
@@ -474,13 +474,13 @@
 					"new", c.New)
 			}
 		}
-		for _, t := range out.Taken {
+		for _, t := range out.Effects {
 			in.counts.effects.Add(1)
 			for _, p := range in.programs {
 				p.EffectReceived(in, t.From, t.Effect)
 			}
 		}
-		for _, r := range out.Passed {
+		for _, r := range out.Verdicts {
 			if !r.OK {
 				in.counts.turned.Add(1)
 			}
@@ -488,20 +488,20 @@
 				p.VerdictReceived(r)
 			}
 		}
-		for _, w := range out.Words {
+		for _, w := range out.JobMessages {
 			for _, p := range in.programs {
 				if p.MessageReceived(in, w.From, w.Data) {
 					break
 				}
 			}
 		}
-		for _, s := range out.Handed {
+		for _, s := range out.Checkpoints {
 			for _, p := range in.programs {
 				p.StateReceived(in, s)
 			}
 		}
 		in.carryOutConfig(out.Config)
-		again := len(out.Began)+len(out.Ended)+len(out.Taken)+len(out.Words)+len(out.Handed) > 0
+		again := len(out.Began)+len(out.Ended)+len(out.Effects)+len(out.JobMessages)+len(out.Checkpoints) > 0
 		switch {
 		case out.Whole != nil:
 			if err := in.keep(job{whole: true, record: out.Whole}, out.Whole); err != nil {
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -246,7 +246,7 @@
 	}
 	m.run = w.rng.Uint64()
 	core, err := node.New(node.Facts{Self: members.Member{ID: m.id, Addr: string(m.id), Willing: true, Run: m.run}, Seeds: seeds,
-		Founders: founders, Works: w.works(), Terms: lease.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
+		Founders: founders, Leases: w.works(), Terms: lease.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
 		Seed: w.rng.Int63(), Config: w.configFacts(m)}, slices.Clone(m.kept), nil, w.local(m))
 	if err != nil {
 		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
@@ -292,11 +292,11 @@
 		w.trace("n%d owns %s no more, epoch %d", m.number, c.Name, c.Token)
 		w.Judge.ended(m.run, c, w.now)
 	}
-	for _, t := range out.Taken {
+	for _, t := range out.Effects {
 		from := w.number(t.From)
 		w.Judge.took(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
 	}
-	for _, h := range out.Handed {
+	for _, h := range out.Checkpoints {
 		w.Judge.handedOn(h, w.now)
 		m.handed[h.Claim.Name] = h.Serial
 	}
