--- a/internal/core/fleet/config/replica.go
+++ b/internal/core/fleet/config/replica.go
@@ -56,6 +56,7 @@
 	leading   bool
 	ledSince  float64
 	history   historyFetch
+	kept      keptVersions
 }
 
 // New begins with what the folder holds. Kept.Current is in force already: the caller applied it before.
@@ -245,13 +246,26 @@
 	return needed
 }
 
-// keptHistory are the versions of the state whose documents a voter keeps: the newest two, and those before them as far
-// as MaxStored goes; newest first.
-func (r *Replica) keptHistory() (kept []Version) {
+// keptVersions are the versions whose documents a voter keeps, as of a state of this newest one.
+type keptVersions struct {
+	newest Version
+	list   []Version
+}
+
+// keptHistory are the versions of the state whose documents a voter keeps; newest first.
+func (r *Replica) keptHistory() []Version {
 	if !r.votes() {
 		return nil
 	}
-	versions := r.env.State().Versions
+	state := r.env.State()
+	if latest := state.Latest(); r.kept.newest != latest {
+		r.kept = keptVersions{newest: latest, list: selectKept(state.Versions)}
+	}
+	return r.kept.list
+}
+
+// selectKept are the newest two versions, and those before them as far as MaxStored goes.
+func selectKept(versions []Version) (kept []Version) {
 	counted := map[Hash]bool{}
 	bytes := 0
 	for i := len(versions) - 1; i >= 0; i-- {
--- a/internal/core/fleet/config/take.go
+++ b/internal/core/fleet/config/take.go
@@ -153,6 +153,9 @@
 		before := t.current // what was refused when it was applied is not to be in force at a start
 		return r.storeRequest(before.Hash, &before)
 	}
+	if !r.library.volatile() {
+		return nil
+	}
 	for _, h := range r.storable() {
 		if r.library.get(h) != nil && !r.library.stored(h) {
 			return r.storeRequest(h, nil)
