--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"slices"
 
+	"mintkeel/internal/core/fleet/config"
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/quorum"
@@ -32,6 +33,7 @@
 	Put     *lease.Put       `cbor:"14,keyasint,omitempty"`
 	Get     *lease.Get       `cbor:"15,keyasint,omitempty"`
 	State   *Checkpoint      `cbor:"16,keyasint,omitempty"`
+	Config  *config.Message  `cbor:"17,keyasint,omitempty"` // may ride on a Members message
 }
 
 // Checkpoint is what the holders of a lease hand on, as it was agreed upon a Put or Get of its holder.
@@ -99,6 +101,7 @@
 	Pace     members.Pace
 	Disk     uint64 // drawn: the next life's in the quorum
 	Seed     int64
+	Config   *ConfigFacts // nil: the fleet does not agree on configuration
 }
 
 // Send is a message to be sent.
@@ -132,7 +135,8 @@
 	Passed  []Verdict
 	Words   []JobMessage
 	Handed  []Checkpoint
-	Seen    bool // the fencing check has seen a higher fencing token
+	Seen    bool          // the fencing check has seen a higher fencing token
+	Config  config.Output // its Sends are among Sends
 }
 
 const (
@@ -155,22 +159,24 @@
 	fencing *lease.FencingCheck
 	out     Output
 
-	leader   members.ID // as far as this one has been told
-	names    []members.ID
-	view     []lease.Lease
-	viewAt   float64 // to be asked for anew
-	offerAt  float64
-	stewdAt  float64
-	askAt    int // whom to ask next
-	heardAt  float64
-	ref      uint64
-	asked    map[uint64]bool // what this one proposed and is to be answered
-	stopping bool
-	wholeOut bool
-	given    []given
-	giveAt   float64
-	wants    []wanted
-	wantAt   float64
+	leader     members.ID // as far as this one has been told
+	names      []members.ID
+	view       []lease.Lease
+	viewAt     float64 // to be asked for anew
+	offerAt    float64
+	stewdAt    float64
+	askAt      int // whom to ask next
+	heardAt    float64
+	ref        uint64
+	asked      map[uint64]bool // what this one proposed and is to be answered
+	stopping   bool
+	wholeOut   bool
+	given      []given
+	giveAt     float64
+	wants      []wanted
+	wantAt     float64
+	config     *config.Replica // nil: off
+	configSeen configSeen
 }
 
 // given is a lease that was given up, of which the quorum may not know yet.
@@ -189,12 +195,16 @@
 	n := &Node{facts: f, now: now, quorum: c, members: members.New(f.Self, f.Seeds, f.Pace, f.Seed, now),
 		client: lease.NewClient(lease.Holder{ID: f.Self.ID, Run: f.Self.Run}, f.Terms), fencing: lease.NewFencingCheck(seen),
 		names: slices.Clone(f.Founders), viewAt: now, asked: map[uint64]bool{}, ref: uint64(rand.New(rand.NewSource(f.Seed + 2)).Int63())}
+	n.startConfig()
 	return n, nil
 }
 
 // Receive takes in a message that a controller of this fleet and generation is proved to have sent.
 func (n *Node) Receive(now float64, from members.ID, m *Message) {
 	n.now = max(n.now, now)
+	if m.Config != nil && n.config != nil {
+		n.config.Receive(n.now, from, m.Config)
+	}
 	switch {
 	case m.Members != nil:
 		n.members.Receive(n.now, from, *m.Members)
@@ -214,7 +224,7 @@
 	case m.Release != nil:
 		n.ordered(from, m, lease.Command{Release: m.Release})
 	case m.Want != nil:
-		n.ordered(from, m, lease.Command{Want: m.Want})
+		n.ordered(from, m, lease.Command{Prefer: m.Want})
 	case m.Put != nil:
 		n.ordered(from, m, lease.Command{Put: m.Put})
 	case m.Get != nil:
@@ -244,6 +254,9 @@
 	n.now = max(n.now, now)
 	n.members.Tick(n.now)
 	n.quorum.Tick(n.now)
+	if n.config != nil {
+		n.config.Tick(n.now)
+	}
 	n.turn()
 }
 
@@ -277,6 +290,9 @@
 	if !n.quorum.Leads() {
 		next = min(next, n.viewAt)
 	}
+	if n.config != nil {
+		next = min(next, n.config.Next())
+	}
 	return max(next, n.now)
 }
 
@@ -309,7 +325,7 @@
 	case m.Release != nil:
 		n.propose(n.facts.Self.ID, lease.Command{Release: m.Release})
 	case m.Want != nil:
-		n.propose(n.facts.Self.ID, lease.Command{Want: m.Want})
+		n.propose(n.facts.Self.ID, lease.Command{Prefer: m.Want})
 	case m.Put != nil:
 		n.propose(n.facts.Self.ID, lease.Command{Put: m.Put})
 	case m.Get != nil:
@@ -397,7 +413,7 @@
 	n.client.Renewed(n.now, g.Token, g.Held)
 	for _, c := range g.Lost {
 		n.client.Refused(c)
-		n.given = slices.DeleteFunc(n.given, func(g given) bool { return g.release.Claim == c })
+		n.given = slices.DeleteFunc(n.given, func(g given) bool { return g.release.Grant == c })
 	}
 	for _, w := range g.Yield {
 		n.Release(n.now, w, false)
@@ -448,9 +464,9 @@
 // HandOver has a lease go to another controller, by an operator's word.
 func (n *Node) HandOver(now float64, w lease.Name, to members.ID) {
 	n.now = max(n.now, now)
-	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool { return o.want.Work == w })
+	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool { return o.want.Name == w })
 	if len(n.wants) < mostGiven {
-		n.wants = append(n.wants, wanted{&lease.Prefer{Work: w, To: to}, n.now + mostGiving})
+		n.wants = append(n.wants, wanted{&lease.Prefer{Name: w, To: to}, n.now + mostGiving})
 	}
 	n.wantAt = n.now
 	n.tellWants()
@@ -468,7 +484,7 @@
 	list, _ := n.Leases()
 	n.wants = slices.DeleteFunc(n.wants, func(o wanted) bool {
 		return n.now > o.until || slices.ContainsFunc(list, func(g lease.Lease) bool {
-			return g.Name == o.want.Work && (g.Preferred == o.want.To || g.Holder.ID == o.want.To)
+			return g.Name == o.want.Name && (g.Preferred == o.want.To || g.Holder.ID == o.want.To)
 		})
 	})
 	if len(n.wants) == 0 || n.now < n.wantAt {
@@ -569,6 +585,14 @@
 	n.members.SetWilling(now, willing && !n.stopping)
 }
 
+// SetLeases says anew which leases there are to be. It counts where this one leads the quorum.
+func (n *Node) SetLeases(now float64, names []lease.Name) {
+	n.now = max(n.now, now)
+	n.facts.Works = slices.Clone(names)
+	n.stewdAt = n.now
+	n.turn()
+}
+
 // turn lets each part do what is to be done by now.
 func (n *Node) turn() {
 	for range 4 { // what one part says to another of the same controller is heard at once
@@ -586,9 +610,11 @@
 			break
 		}
 	}
+	n.turnConfig()
+	summary := n.summary()
 	for _, o := range n.members.Out() {
 		m := o.Message
-		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, Message{Members: &m}})
+		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, Message{Members: &m, Config: summary}})
 	}
 	for _, m := range n.quorum.Out() {
 		n.send(m.To.Name, Message{Council: &m})
@@ -611,7 +637,7 @@
 			continue
 		}
 		n.leases.Applied(n.now, a.Command, a.Changed)
-		if a.Command.Give != nil && len(a.Changed) > 0 {
+		if a.Command.Assign != nil && len(a.Changed) > 0 {
 			n.offer(a.Changed[0])
 		}
 		if !n.asked[a.Ref] {
@@ -625,10 +651,10 @@
 			n.answerState(p.Holder, p.Grant)
 		}
 		if g := a.Command.Get; g != nil {
-			n.answerState(g.Holder, g.Claim)
+			n.answerState(g.Holder, g.Grant)
 		}
 		if r := a.Command.Release; r != nil {
-			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []lease.Grant{r.Claim}, Leader: n.facts.Self.ID}})
+			n.send(r.Holder.ID, Message{Granted: &Granted{To: r.Holder, Lost: []lease.Grant{r.Grant}, Leader: n.facts.Self.ID}})
 		}
 	}
 	return len(list) > 0
@@ -679,7 +705,7 @@
 	n.now = max(n.now, now)
 	e, _, ok := n.client.CanAct(n.now, w)
 	if ok {
-		n.toLeader(Message{Get: &lease.Get{Holder: n.self(), Claim: lease.Grant{Name: w, Token: e}}})
+		n.toLeader(Message{Get: &lease.Get{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}}})
 	}
 	return ok
 }
@@ -705,7 +731,7 @@
 		return
 	}
 	if wanted := n.facts.Works; !named(state, wanted) {
-		n.propose(n.facts.Self.ID, lease.Command{Name: &lease.Declare{Names: wanted}})
+		n.propose(n.facts.Self.ID, lease.Command{Declare: &lease.Declare{Names: wanted}})
 	}
 	for _, c := range n.leases.Decide(n.now, state, n.candidates()) {
 		n.propose(n.facts.Self.ID, c)
--- /dev/null
+++ b/internal/lab/scale/datapath/connections.go
@@ -0,0 +1,194 @@
+package datapath
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/lab/standin"
+)
+
+// sparedTime is how long connections of clients stay without a sign of life, with some to spare: the daemon ends them
+// after 5 s.
+const sparedTime = 3 * time.Second
+
+// connectionEngines are the engines behind the rows by connections.
+const connectionEngines = 40
+
+// heldCost is what connections cost the daemon.
+type heldCost struct {
+	resident, descriptors, cores float64
+	ended                        int // that the daemon had ended
+	service                      service
+}
+
+// connectionRows measures processor, memory and descriptors by clients' connections.
+func (b *bench) connectionRows(ctx context.Context) ([]slope.Row, error) {
+	idle, err := b.idleConnections(ctx)
+	if err != nil {
+		return idle, err
+	}
+	busy, err := b.busyConnections(ctx)
+	return append(idle, busy...), err
+}
+
+// possible are the sizes that the machine's descriptors allow.
+func possible(sizes []int) (fit []int, left []int) {
+	for _, n := range sizes {
+		if n <= clientLimit() {
+			fit = append(fit, n)
+		} else {
+			left = append(left, n)
+		}
+	}
+	return fit, left
+}
+
+func (b *bench) idleConnections(ctx context.Context) ([]slope.Row, error) {
+	r, err := b.open(ctx, connectionEngines)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	condition := fmt.Sprintf("%d engines, %g statements/s", connectionEngines, b.connectionRate)
+	row := func(cost, unit, condition string) slope.Row {
+		return slope.Row{Role: controllerRole, Cost: "connections: " + cost, Unit: unit, Per: "client connections",
+			Condition: condition, Method: methodSockets}
+	}
+	memory, open := row("resident memory", "MB", "idle"), row("descriptors", "descriptors", "idle")
+	processor := row("processor", "cores", condition)
+	sizes, left := possible(b.connections)
+	for _, n := range sizes {
+		cost, err := b.hold(ctx, r, n)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		memory.Points = append(memory.Points, slope.Point{Size: size, Value: cost.resident})
+		open.Points = append(open.Points, slope.Point{Size: size, Value: cost.descriptors})
+		processor.Points = append(processor.Points, slope.Point{Size: size, Value: cost.cores})
+		processor.Note += note(fmt.Sprintf("%d", n), cost.service)
+		if cost.ended > 0 {
+			memory.Note += fmt.Sprintf("at %d the daemon had ended %d; ", n, cost.ended)
+		}
+	}
+	if len(left) > 0 {
+		open.Note += fmt.Sprintf("%v not run: %d descriptors allow %d connections; ", left, descriptorLimit(), clientLimit())
+	}
+	memory.Note += "the kernel's buffers are not in it"
+	open.Note += "a daemon gives clients 21 of 40 descriptors"
+	rows := append(forEach(memory, clientTargets...), forEach(open, clientTargets...)...)
+	return append(rows, forEach(processor, clientTargets...)...), nil
+}
+
+// hold opens connections up to n and takes what they cost while idle and then, until the first would end, under load.
+func (b *bench) hold(ctx context.Context, r *rig, n int) (cost heldCost, err error) {
+	if err := r.connect(ctx, n); err != nil {
+		return cost, err
+	}
+	cost.ended = r.touch()
+	if err := r.connect(ctx, n); err != nil {
+		return cost, err
+	}
+	time.Sleep(b.settle / 4)
+	if cost.resident, err = r.daemon.resident(); err != nil {
+		return cost, err
+	}
+	if cost.descriptors, err = r.daemon.descriptors(); err != nil {
+		return cost, err
+	}
+	windows := int(math.Ceil(float64(b.window) / float64(sparedTime)))
+	before, spent, passed := 0.0, 0.0, time.Duration(0)
+	for range windows {
+		cost.ended += r.touch()
+		if before, err = r.daemon.processor(); err != nil {
+			return cost, err
+		}
+		began := time.Now()
+		served := r.load(ctx, b.connectionRate, min(b.window, sparedTime), r.usual)
+		passed += time.Since(began)
+		after, err := r.daemon.processor()
+		if err != nil {
+			return cost, err
+		}
+		spent += after - before
+		cost.service.merge(served)
+	}
+	cost.cores = spent / passed.Seconds()
+	return cost, nil
+}
+
+// merge takes in what clients saw at another time; times of answers stay apart.
+func (s *service) merge(other service) {
+	s.asked += other.asked
+	s.answered += other.answered
+	s.shed += other.shed
+	s.failed += other.failed
+	s.lost += other.lost
+}
+
+// busyConnections has each connection wait for an answer at one time.
+func (b *bench) busyConnections(ctx context.Context) ([]slope.Row, error) {
+	row := slope.Row{Role: controllerRole, Cost: "connections: resident memory", Unit: "MB", Per: "client connections",
+		Condition: "each with an open query", Method: methodSockets}
+	sizes, _ := possible(b.busy)
+	costs := make([]busyCost, len(sizes))
+	err := sideBySide(len(sizes), b.beside, func(i int) (err error) {
+		costs[i], err = b.askAll(ctx, sizes[i])
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, n := range sizes {
+		cost := costs[i]
+		row.Points = append(row.Points, slope.Point{Size: float64(n), Value: cost.resident})
+		if cost.open != n {
+			row.Note += fmt.Sprintf("of %d queries %d were at engines, %v; ", n, cost.open, cost.service)
+		}
+	}
+	row.Note += "with their connections to engines"
+	return forEach(row, clientTargets...), nil
+}
+
+// busyEngines can run all queries of the busy rows at one time.
+const busyEngines = 160
+
+// busyCost is what connections with an open query each cost the daemon.
+type busyCost struct {
+	resident float64
+	open     int // queries that were at engines
+	service  service
+}
+
+// askAll opens n connections, has each ask at one time and takes the cost while the answers are awaited.
+func (b *bench) askAll(ctx context.Context, n int) (cost busyCost, err error) {
+	r, err := b.open(ctx, busyEngines)
+	if err != nil {
+		return cost, err
+	}
+	defer r.close()
+	if err := r.connect(ctx, n); err != nil {
+		return cost, err
+	}
+	r.touch()
+	answers := make(chan standin.Verdict, n)
+	for range n {
+		s := r.statement(reportName, float64(b.busyWork)/1e6)
+		go func() {
+			verdict, _ := r.ask(ctx, s)
+			answers <- verdict
+		}()
+	}
+	time.Sleep(b.busyWork * 2 / 3)
+	cost.resident, err = r.daemon.resident()
+	for _, e := range r.engines {
+		cost.open += len(e.Running())
+	}
+	for range n {
+		cost.service.add(<-answers, 0)
+	}
+	return cost, err
+}
--- /dev/null
+++ b/internal/lab/scale/datapath/discovery.go
@@ -0,0 +1,283 @@
+package datapath
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"mintkeel/internal/bulletin"
+	"mintkeel/internal/controller"
+	"mintkeel/internal/engines"
+	"mintkeel/internal/lab/scale/slope"
+	"mintkeel/internal/limits"
+	"mintkeel/internal/settings"
+	"mintkeel/router"
+)
+
+// Kinds of frames, and the size of a record, as package bulletin reads them.
+const (
+	frameWhole  = 1
+	frameChange = 2
+	recordBytes = 27
+	headBytes   = 13
+)
+
+// frame is a frame of the feed that tells the states of engines first to last.
+func frame(number uint64, kind byte, first, last int, state router.State) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(headBytes-4+recordBytes*(last-first)))
+	b = append(binary.BigEndian.AppendUint64(b, number), kind)
+	for i := first; i < last; i++ {
+		b = binary.BigEndian.AppendUint32(b, uint32(i+1))
+		b = binary.BigEndian.AppendUint16(append(b, 127, 0, 0, 1), uint16(1024+i))
+		b = append(b, byte(state), 0, 0) // zone and kind: the first of the settings
+		b = binary.BigEndian.AppendUint16(b, 0)
+		b = binary.BigEndian.AppendUint32(b, 1000)
+		b = binary.BigEndian.AppendUint64(b, 0)
+	}
+	return b
+}
+
+// teller is the feed's end of a controller's connection.
+type teller struct {
+	listener net.Listener
+	conn     net.Conn
+	last     uint64 // number of the last frame
+}
+
+func newTeller() (*teller, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &teller{listener: listener}, nil
+}
+
+func (f *teller) addr() string { return f.listener.Addr().String() }
+
+// accept waits for the controller, which begins by the number of the last frame that it has.
+func (f *teller) accept() (err error) {
+	f.listener.(*net.TCPListener).SetDeadline(time.Now().Add(startTime))
+	if f.conn, err = f.listener.Accept(); err != nil {
+		return err
+	}
+	f.conn.SetDeadline(time.Now().Add(startTime))
+	head := make([]byte, 8)
+	_, err = io.ReadFull(f.conn, head)
+	f.last = binary.BigEndian.Uint64(head)
+	return err
+}
+
+// tell writes a frame of the next number.
+func (f *teller) tell(kind byte, first, last int, state router.State) error {
+	f.last++
+	f.conn.SetDeadline(time.Now().Add(startTime))
+	_, err := f.conn.Write(frame(f.last, kind, first, last, state))
+	return err
+}
+
+func (f *teller) close() {
+	f.listener.Close()
+	if f.conn != nil {
+		f.conn.Close()
+	}
+}
+
+// watcher is the daemon's way of taking the list, in this process: the feed's follower, the loop, the pool of
+// connections to engines and the decision module.
+type watcher struct {
+	feed   *teller
+	loop   *controller.Loop
+	news   int64 // frames so far
+	cancel context.CancelFunc
+}
+
+func newWatcher(ctx context.Context, seed int64) (*watcher, error) {
+	facts, err := deploymentFacts()
+	if err != nil {
+		return nil, err
+	}
+	feed, err := newTeller()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	l := limits.For(descriptorLimit(), daemonMemory, facts.Links.ConnectTimeout, facts.Links.Idle, deadline)
+	loop := controller.New(facts.Router(seed), controller.SystemClock(), l.Inbox, 0)
+	loop.SetEngines(engines.New(l, facts.Links.Streams, loop.Post, log))
+	go loop.Run(ctx)
+	follower := bulletin.NewFeed(feed.addr(), 0, &facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
+	go follower.Follow(ctx)
+	w := &watcher{feed: feed, loop: loop, cancel: cancel}
+	if err := feed.accept(); err != nil {
+		w.close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// deploymentFacts are those of the daemon's settings.
+func deploymentFacts() (*settings.Facts, error) {
+	text, err := json.Marshal(deploymentSettings(controllers, true))
+	if err != nil {
+		return nil, err
+	}
+	var nested map[string]any
+	if err := json.Unmarshal(text, &nested); err != nil {
+		return nil, err
+	}
+	return settings.Read(settings.Flatten(nested))
+}
+
+func (w *watcher) close() {
+	w.feed.close()
+	w.cancel()
+}
+
+// tell writes a frame and waits until the module has taken it in.
+func (w *watcher) tell(kind byte, first, last int, state router.State) (time.Duration, error) {
+	began := time.Now()
+	if err := w.feed.tell(kind, first, last, state); err != nil {
+		return 0, err
+	}
+	w.news++
+	for w.loop.Counts().News < w.news {
+		if time.Since(began) > startTime {
+			return 0, errors.New("the list was not taken")
+		}
+		time.Sleep(20 * time.Microsecond)
+	}
+	w.loop.Counts() // it answers after the step that the news belonged to
+	return time.Since(began), nil
+}
+
+// change is what is told of a list again and again.
+type change struct {
+	name   string
+	kind   byte
+	share  float64        // of the engines
+	states []router.State // that take turns
+}
+
+// listCost is what one frame of a change costs.
+type listCost struct {
+	bytes        int
+	median, most float64 // ms until the module has taken it
+	processor    float64 // ms of the daemon
+}
+
+func (c change) engines(n int) int { return int(float64(n)*c.share + 0.5) }
+
+// frameTimes has a controller in this process take a list of n engines and then the change, again and again.
+func (b *bench) frameTimes(ctx context.Context, n int, c change, cost *listCost) error {
+	w, err := newWatcher(ctx, b.seed)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	if _, err := w.tell(frameWhole, 0, n, router.Ready); err != nil {
+		return err
+	}
+	var took []float64
+	for i := range b.listRepeats {
+		one, err := w.tell(c.kind, 0, c.engines(n), c.states[i%len(c.states)])
+		if err != nil {
+			return err
+		}
+		took = append(took, float64(one)/1e6)
+	}
+	slices.Sort(took)
+	cost.median, cost.most = quantile(took, 0.5), quantile(took, 1)
+	return nil
+}
+
+// frameSpacing is the time between two frames to the daemon, so that each is a step of its own.
+const frameSpacing = 25 * time.Millisecond
+
+// frameProcessor has the daemon do the same, and takes its time on processors.
+func (b *bench) frameProcessor(ctx context.Context, n int, c change, cost *listCost) error {
+	feed, err := newTeller()
+	if err != nil {
+		return err
+	}
+	defer feed.close()
+	dir, err := os.MkdirTemp(b.dir, "discovery")
+	if err != nil {
+		return err
+	}
+	d, err := startDaemon(ctx, b.mintkeel, dir, feed.addr(), nil, b.seed, true)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	if err := feed.accept(); err != nil {
+		return err
+	}
+	tell := func(kind byte, last int, state router.State) error {
+		err := feed.tell(kind, 0, last, state)
+		time.Sleep(frameSpacing)
+		return err
+	}
+	if err := tell(frameWhole, n, router.Ready); err != nil {
+		return err
+	}
+	time.Sleep(4 * frameSpacing)
+	before, err := d.processor()
+	if err != nil {
+		return err
+	}
+	for i := range b.listRepeats {
+		if err := tell(c.kind, c.engines(n), c.states[i%len(c.states)]); err != nil {
+			return err
+		}
+	}
+	after, err := d.processor()
+	cost.processor = (after - before) * 1000 / float64(b.listRepeats)
+	return err
+}
+
+// changes are the whole list, and a region's worth of engines at once.
+var changes = []change{
+	{"whole list", frameWhole, 1, []router.State{router.Ready}},
+	{"a region's engines go and come back", frameChange, 1.0 / regions, []router.State{router.Gone, router.Ready}},
+}
+
+// discovery measures lists and changes by their engines.
+func (b *bench) discovery(ctx context.Context) (rows []slope.Row, err error) {
+	bound := float64(limits.For(descriptorLimit(), daemonMemory, 0, 0, 0).FrameBytes)
+	for _, c := range changes {
+		row := func(cost, unit string, budget float64, note string) slope.Row {
+			return slope.Row{Role: controllerRole, Cost: "discovery: " + cost, Unit: unit, Per: "engines", Condition: c.name,
+				Method: methodSockets, Target: engineCount, Budget: budget, Note: note}
+		}
+		bytes := row("bytes of a frame", "bytes", bound, "the budget is the bound of a frame")
+		took := row("median until it is taken", "ms", 0, "")
+		processor := row("processor for each", "ms", 0, "")
+		costs := make([]listCost, len(b.listed))
+		err := sideBySide(len(b.listed), b.beside, func(i int) error {
+			n := b.listed[i]
+			costs[i].bytes = len(frame(1, c.kind, 0, c.engines(n), router.Ready))
+			return errors.Join(b.frameTimes(ctx, n, c, &costs[i]), b.frameProcessor(ctx, n, c, &costs[i]))
+		})
+		if err != nil {
+			return rows, err
+		}
+		for i, n := range b.listed {
+			cost, size := costs[i], float64(n)
+			bytes.Points = append(bytes.Points, slope.Point{Size: size, Value: float64(cost.bytes)})
+			took.Points = append(took.Points, slope.Point{Size: size, Value: cost.median})
+			took.Note += fmt.Sprintf("at %d %.2f at the most; ", n, cost.most)
+			processor.Points = append(processor.Points, slope.Point{Size: size, Value: cost.processor})
+		}
+		rows = append(rows, bytes, took, processor)
+	}
+	return rows, nil
+}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -36,7 +36,8 @@
 	}
 	c := &Client{conn, bufio.NewReader(conn)}
 	conn.SetDeadline(time.Now().Add(within))
-	if _, err := io.WriteString(conn, "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00"); err == nil {
+	_, err = io.WriteString(conn, "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00")
+	if err == nil {
 		_, _, err = c.reply()
 	}
 	if err != nil {
@@ -93,6 +94,16 @@
 	return fields
 }
 
+// Sync asks for nothing but a sign of life, which keeps an idle session open.
+func (c *Client) Sync(within time.Duration) error {
+	c.conn.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c.conn, "S\x00\x00\x00\x04"); err != nil {
+		return err
+	}
+	_, _, err := c.reply()
+	return err
+}
+
 // Query sends a command and waits for its answer, up to its limit and a little more.
 func (c *Client) Query(fields string, statement string, limit time.Duration) (Verdict, error) {
 	body := fmt.Sprintf("/* %s,limit=%d */ %s\x00", fields, limit.Milliseconds(), statement)
