--- a/internal/core/fleet/config/fetch.go
+++ b/internal/core/fleet/config/fetch.go
@@ -228,7 +228,7 @@
 // stalled gives up a document of which nothing came for a while, where nobody waits for just this one.
 func (r *Replica) stalled(d *download) {
 	if d.purposes&forTaking != 0 && d.hash == r.target.Hash {
-		r.abandon(d.sources)
+		r.abandon(slices.Clone(d.sources))
 	}
 	if d.purposes == forHistory {
 		r.history.at = r.now + historyLater
--- a/internal/core/fleet/config/propose.go
+++ b/internal/core/fleet/config/propose.go
@@ -94,7 +94,7 @@
 	}
 	r.endProposal(p, Outcome{Result: reply.Result, Version: reply.Version, Reason: bounded(reply.Reason)})
 	if reply.Result == Agreed {
-		r.hear(from, reply.Version.summary())
+		r.receiveSummary(from, reply.Version.summary())
 	}
 }
 
--- a/internal/core/fleet/config/query.go
+++ b/internal/core/fleet/config/query.go
@@ -212,7 +212,7 @@
 	}
 	s.told[from] = a.Latest.Number
 	s.latest = max(s.latest, a.Latest.Number)
-	r.hear(from, a.Latest)
+	r.receiveSummary(from, a.Latest)
 }
 
 // heard tells whether the leader, or a majority of the voters, has told its latest version.
--- a/internal/core/fleet/config/replica.go
+++ b/internal/core/fleet/config/replica.go
@@ -39,7 +39,7 @@
 	spread    spreading
 	downloads []*download
 	avoided   map[members.ID]float64 // sources of bytes that did not fit, until when
-	given     abandonment
+	abandoned abandonment
 	served    servedBytes
 	take      taking
 	store     storing
@@ -91,7 +91,7 @@
 	if from == "" || from == r.facts.Self || len(from) > maxID || m == nil {
 		return
 	}
-	if m.Summary != nil && !r.hear(from, *m.Summary) && *m == (Message{Summary: m.Summary}) {
+	if m.Summary != nil && !r.receiveSummary(from, *m.Summary) && *m == (Message{Summary: m.Summary}) {
 		r.noticeLeader()
 		return // most messages tell nothing new: they cost next to nothing
 	}
--- a/internal/core/fleet/config/spread.go
+++ b/internal/core/fleet/config/spread.go
@@ -33,7 +33,7 @@
 type abandonment struct {
 	summary Summary
 	until   float64
-	tellers []members.ID
+	sources []members.ID
 }
 
 // Summary is what rides on membership's messages; nil: there is nothing to tell.
@@ -68,8 +68,8 @@
 	}
 }
 
-// hear takes in which version a member has, and tells whether that is news. A lower number, or the same again, is none.
-func (r *Replica) hear(from members.ID, s Summary) bool {
+// receiveSummary takes in which version a member has, and tells whether that is news. A lower number, or the same again, is none.
+func (r *Replica) receiveSummary(from members.ID, s Summary) bool {
 	switch {
 	case s.Number == 0 || s.Size < 1 || s.Size > MaxDocument:
 		return false
@@ -79,11 +79,11 @@
 	case s.Number < r.target.Number:
 		return false
 	case s.Number == r.target.Number:
-		return r.addTeller(from)
-	case s == r.given.summary && r.now < r.given.until && slices.Contains(r.given.tellers, from):
+		return r.addTargetSource(from)
+	case s == r.abandoned.summary && r.now < r.abandoned.until && slices.Contains(r.abandoned.sources, from):
 		return false
 	}
-	r.aim(Version{Number: s.Number, Hash: s.Hash, Size: s.Size}, from)
+	r.setTarget(Version{Number: s.Number, Hash: s.Hash, Size: s.Size}, from)
 	return true
 }
 
@@ -102,20 +102,20 @@
 	return false
 }
 
-// addTeller notes one more member that has the version being fetched.
-func (r *Replica) addTeller(from members.ID) bool {
+// addTargetSource notes one more member that has the version being fetched.
+func (r *Replica) addTargetSource(from members.ID) bool {
 	d := r.findDownload(r.target.Hash)
 	return d != nil && d.addSource(from)
 }
 
-// aim makes a version the one to get: the fetch of one before it ends.
-func (r *Replica) aim(v Version, tellers ...members.ID) {
+// setTarget makes a version the one to get: the fetch of one before it ends.
+func (r *Replica) setTarget(v Version, sources ...members.ID) {
 	if r.target.Hash != v.Hash {
 		r.release(r.target.Hash, forTaking)
 	}
 	r.target = v
 	if r.library.get(v.Hash) == nil {
-		r.fetch(v.Hash, v.Size, forTaking, tellers...)
+		r.fetch(v.Hash, v.Size, forTaking, sources...)
 	}
 }
 
@@ -132,7 +132,7 @@
 	known, found := r.env.State().Find(r.target.Number)
 	forged := found && known.Hash != r.target.Hash && r.newest.Number < r.target.Number
 	if latest.Number > r.target.Number || forged {
-		r.aim(latest)
+		r.setTarget(latest)
 	}
 	if latest.Number == r.target.Number && latest.Hash == r.target.Hash {
 		r.target = latest // with its author and reason, which summaries don't tell
@@ -164,13 +164,13 @@
 
 // abandon gives up a version whose document nobody gives, so that one before it can be fetched. One that the state of
 // this voter knows is not given up.
-func (r *Replica) abandon(tellers []members.ID) {
+func (r *Replica) abandon(sources []members.ID) {
 	if r.votes() {
 		if v, ok := r.env.State().Find(r.target.Number); ok && v.Hash == r.target.Hash {
 			return
 		}
 	}
-	r.given = abandonment{summary: r.target.summary(), until: r.now + abandonedFor, tellers: tellers}
+	r.abandoned = abandonment{summary: r.target.summary(), until: r.now + abandonedFor, sources: sources}
 	r.release(r.target.Hash, forTaking)
 	r.target = r.newest
 	if r.take.current.Number > r.target.Number {
