--- a/internal/core/fleet/config/unit_test.go
+++ b/internal/core/fleet/config/unit_test.go
@@ -343,3 +343,22 @@
 		t.Errorf("answered %v, %d proposals", answered, len(x.replica.queue))
 	}
 }
+
+// A summary that tells nothing new takes up no memory: one rides on each of membership's messages.
+func TestKnownSummaryCostsNothing(t *testing.T) {
+	for i, x := range newTargets() {
+		x.replica.Take()
+		m := &Message{Summary: summaryOf(1, "one")}
+		if n := testing.AllocsPerRun(100, func() { x.replica.Receive(x.now, "n3", m) }); n != 0 {
+			t.Errorf("target %d: %g allocations", i, n)
+		}
+	}
+}
+
+func BenchmarkKnownSummary(b *testing.B) {
+	x := plainTarget()
+	m := &Message{Summary: summaryOf(1, "one")}
+	for b.Loop() {
+		x.replica.Receive(x.now, "n3", m)
+	}
+}
