--- a/internal/fleet/configcontrol_test.go
+++ b/internal/fleet/configcontrol_test.go
@@ -31,14 +31,15 @@
 	f.statusIs(4, "in force at all", func(s *config.Status) bool {
 		return s.Latest.Number == 3 && s.Members == 5 && s.InForce == 5 && s.Counts[3] == 5
 	})
-	for name, big := range map[string][]byte{"too large": make([]byte, config.MaxDocument+1), "empty": nil} {
-		answer, err := f.order(1, ConfigOrder{Action: ConfigPut, Document: big})
-		if err != nil || answer.Result != ConfigRefused || answer.Reason == "" {
-			t.Errorf("%s: %+v, %v", name, answer, err)
+	for bytes, want := range map[int]string{config.MaxDocument + 1: tooBig(config.MaxDocument + 1), 0: "the document is empty"} {
+		order := ConfigOrder{Action: ConfigPut, Document: make([]byte, bytes)}
+		answer, err := f.order(1, order)
+		if err != nil || answer.Result != ConfigRefused || answer.Reason != want {
+			t.Errorf("%d bytes: %+v, %v", bytes, answer, err)
 		}
-		status, err := f.services[1].Ask(Request{Do: "config", Config: &ConfigOrder{Action: ConfigPut, Document: big}})
-		if err != nil || status.Config.Result != ConfigRefused {
-			t.Errorf("%s, past the bound of the client: %+v, %v", name, status.Config, err)
+		status, err := f.services[1].Ask(Request{Do: "config", Config: &order})
+		if err != nil || status.Config.Result != ConfigRefused || status.Config.Reason != want {
+			t.Errorf("%d bytes, past the bound of the client: %+v, %v", bytes, status.Config, err)
 		}
 	}
 	history, err := f.order(3, ConfigOrder{Action: ConfigHistory})
@@ -160,6 +161,11 @@
 		!strings.Contains(err.Error(), errNoConfig.Error()) {
 		t.Errorf("an order is answered: %v", err)
 	}
+	long := ConfigOrder{Action: ConfigPut, Document: make([]byte, controlBytes)}
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "config", Config: &long}); err == nil ||
+		!strings.Contains(err.Error(), errTooLong.Error()) {
+		t.Errorf("a long order is read: %v", err)
+	}
 	if _, err := os.Stat(filepath.Join(dir, "n0", configFolderName)); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("there is a folder: %v", err)
 	}
@@ -174,15 +180,18 @@
 	f := startConfigFleet(t, 1, nil)
 	long := strings.Repeat("x", controlBytes)
 	for name, r := range map[string]Request{
-		"a long request of another kind": {Do: "handover", Work: long},
-		"longer than any may be":         {Do: "config", Config: &ConfigOrder{Action: ConfigPut, Reason: strings.Repeat("x", configRequestBytes)}},
-		"no order":                       {Do: "config"},
-		"an order that is not known":     {Do: "config", Config: &ConfigOrder{Action: "jump"}},
+		"longer than any may be":     {Do: "config", Config: &ConfigOrder{Action: ConfigPut, Reason: strings.Repeat("x", configRequestBytes)}},
+		"no order":                   {Do: "config"},
+		"an order that is not known": {Do: "config", Config: &ConfigOrder{Action: "jump"}},
 	} {
 		if _, err := Call(context.Background(), f.folder(0), r); err == nil {
 			t.Errorf("%s: done", name)
 		}
 	}
+	if _, err := Call(context.Background(), f.folder(0), Request{Do: "status", Work: long}); err == nil ||
+		!strings.Contains(err.Error(), errTooLong.Error()) {
+		t.Errorf("a long request of another kind: %v", err)
+	}
 	f.put(0, []byte("x"))
 	for name, o := range map[string]ConfigOrder{
 		"an author too long": {Action: ConfigPut, Document: []byte("y"), Author: strings.Repeat("a", config.MaxAuthor+1)},
--- a/internal/fleet/configfleet_test.go
+++ b/internal/fleet/configfleet_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -263,14 +264,26 @@
 	return true
 }
 
-// logBytes measures what all send for some seconds, where somebody reads it.
-func (f *configFleet) logBytes(what string, cost restingCost) {
+// logRest measures what all send and compute for some seconds, where somebody reads it.
+func (f *configFleet) logRest(what string, cost restingCost) {
 	if !testing.Verbose() {
 		return
 	}
-	before, began := f.bytesOut(), time.Now()
+	bytesBefore, processorBefore, began := f.bytesOut(), processorTime(f.t), time.Now()
 	time.Sleep(30 * time.Second)
-	f.t.Logf("%s: %+v, %.0f bytes a second of all three", what, cost, float64(f.bytesOut()-before)/time.Since(began).Seconds())
+	seconds := time.Since(began).Seconds()
+	f.t.Logf("%s: %+v, of all three: %.0f bytes and %.2f ms of processor time a second", what, cost,
+		float64(f.bytesOut()-bytesBefore)/seconds, float64((processorTime(f.t)-processorBefore).Microseconds())/1000/seconds)
+}
+
+// processorTime is that of this process.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // bytesOut are those that all have sent.
--- a/internal/fleet/configservice_test.go
+++ b/internal/fleet/configservice_test.go
@@ -369,7 +369,7 @@
 			off.goroutines, off.descriptors = max(off.goroutines, now.goroutines), max(off.descriptors, now.descriptors)
 			time.Sleep(20 * time.Millisecond)
 		}
-		f.logBytes("off", off)
+		f.logRest("off", off)
 	})
 	t.Run("on", func(t *testing.T) {
 		f := startConfigFleet(t, 3, nil)
@@ -381,6 +381,6 @@
 			now = measureRest(t)
 			return now.goroutines <= off.goroutines && now.descriptors <= off.descriptors+locks
 		})
-		f.logBytes("on", now)
+		f.logRest("on", now)
 	})
 }
--- a/internal/fleet/configstore_test.go
+++ b/internal/fleet/configstore_test.go
@@ -107,12 +107,25 @@
 	f.neverOlder()
 }
 
+// openedDisk tells when it is about to be opened.
+type openedDisk struct {
+	*disktest.Disk
+	opened chan struct{}
+}
+
+// Make is the first operation of who opens the folder.
+func (d *openedDisk) Make() error {
+	d.opened <- struct{}{}
+	return d.Disk.Make()
+}
+
 // TestConfigHangingDisk has one controller's disk hang: its part in the fleet goes on, closing does not wait for it, and
 // nobody else has the folder before it is well.
 func TestConfigHangingDisk(t *testing.T) {
 	t.Parallel()
-	hanging := disktest.New()
+	hanging := &openedDisk{Disk: disktest.New(), opened: make(chan struct{}, 100)}
 	f := startConfigFleet(t, 4, func(f *configFleet) { f.disks[3] = hanging })
+	<-hanging.opened
 	one := f.put(0, []byte("one"))
 	f.inForce(one, []byte("one"), 0, 1, 2, 3)
 	release := hanging.Hang()
@@ -132,6 +145,7 @@
 		t.Error("closing waits for the disk")
 	}
 	f.start(3)
+	<-hanging.opened
 	began := time.Now()
 	f.stop(3) // while it opens the folder
 	if took := time.Since(began); took > 5*time.Second {
