--- a/internal/fleet/configcontrol_test.go
+++ b/internal/fleet/configcontrol_test.go
@@ -223,3 +223,49 @@
 		t.Error("the last version is not in force")
 	}
 }
+
+// TestConfigLeaderStops has the leader stop while a put is under way: the put is answered by what was agreed on, which is
+// in force at the others, and at the one that stopped once it is back. Never are two documents of one number agreed on.
+func TestConfigLeaderStops(t *testing.T) {
+	t.Parallel()
+	f := startConfigFleet(t, 4, nil)
+	one := f.put(3, []byte("one"))
+	f.inForce(one, []byte("one"), 0, 1, 2, 3)
+	history, err := f.order(3, ConfigOrder{Action: ConfigHistory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := slices.Index([]string{"n0", "n1", "n2"}, history.From)
+	if leader < 0 {
+		t.Fatalf("%q leads", history.From)
+	}
+	document := bytes.Repeat([]byte("two"), 200<<10)
+	answered := make(chan ConfigAnswer, 1)
+	go func() {
+		answer, err := f.order(3, ConfigOrder{Action: ConfigPut, Document: document, Expect: &one.Number})
+		if err != nil {
+			t.Error(err)
+		}
+		answered <- answer
+	}()
+	f.eventually("the leader has the proposal, or has had it agreed on", func() bool {
+		n, err := ask(f.services[3], controlTime, func(in *session) int { return len(in.config.waiters) })
+		return err == nil && n > 0 || len(answered) > 0
+	})
+	f.stop(leader)
+	answer := <-answered
+	if answer.Result != ConfigAgreed || answer.Version.Number != one.Number+1 {
+		t.Fatalf("%+v", answer)
+	}
+	others := slices.DeleteFunc([]int{0, 1, 2, 3}, func(i int) bool { return i == leader })
+	f.inForce(*answer.Version, document, others...)
+	f.start(leader)
+	f.inForce(*answer.Version, document, leader)
+	for i := range f.services {
+		history, err := f.order(i, ConfigOrder{Action: ConfigHistory})
+		if err != nil || len(history.Versions) != 2 || history.Versions[1] != *answer.Version {
+			t.Errorf("n%d: %+v, %v", i, history, err)
+		}
+	}
+	f.neverOlder()
+}
