--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -162,3 +163,52 @@
 	}
 	return strings.TrimSpace(text[:min(len(text), 300)])
 }
+
+// configurationProcesses plays histories of a fleet's configuration with daemons as processes.
+func configurationProcesses(c *cobra.Command, mintkeel string, n, nodes, faults, beside int, seed int64, tell bool) error {
+	if mintkeel == "" {
+		dir, err := os.MkdirTemp("", "lab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		if mintkeel, err = buildLab(c.Context(), dir); err != nil {
+			return err
+		}
+	}
+	var mu sync.Mutex
+	var sum fleet.Report
+	var catchUp, afterPut []float64
+	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+		s := fleet.ConfigurationScene(mintkeel, seed, nodesOf(nodes, seed), faults)
+		var told []string
+		s.Tell = func(line string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if told = append(told, line); tell {
+				fmt.Fprintln(c.ErrOrStderr(), line)
+			}
+		}
+		r, err := fleet.PlayProcesses(c.Context(), s)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Broken != "" {
+			return fmt.Errorf("seed %d, %d controllers, %d of them voters: %s\n%v\n%s", seed, s.Nodes, s.Council, r.Broken, s.Script, strings.Join(told, "\n"))
+		}
+		sum.ConfigProposals += r.ConfigProposals
+		sum.ConfigAgreed += r.ConfigAgreed
+		sum.ConfigApplied += r.ConfigApplied
+		sum.ConfigStatuses += r.ConfigStatuses
+		catchUp = append(catchUp, float64(r.ConfigCatchUp)/1e6)
+		afterPut = append(afterPut, float64(r.ConfigAfterPut)/1e6)
+		return nil
+	})
+	out := c.OutOrStdout()
+	fmt.Fprintf(out, "%d histories of a configuration with processes\n%d proposals, %d agreed; %d versions applied; %d statuses\n", len(catchUp),
+		sum.ConfigProposals, sum.ConfigAgreed, sum.ConfigApplied, sum.ConfigStatuses)
+	fmt.Fprintf(out, "newest in force once all was whole: %s ms\na put after that in force: %s ms\n", spreadOf(catchUp), spreadOf(afterPut))
+	return err
+}
--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -22,7 +22,7 @@
 func fleetCommand() *cobra.Command {
 	var histories, nodes, faults, beside int
 	var seed int64
-	var virtual, tell, config, goOn bool
+	var virtual, tell, config, processes, goOn bool
 	var mintkeel, script string
 	c := &cobra.Command{
 		Use:   "fleet",
@@ -33,6 +33,9 @@
 where the history is one of virtual time.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if config && processes {
+				return configurationProcesses(c, mintkeel, histories, nodes, faults, beside, seed, tell)
+			}
 			if config {
 				return configurationHistories(c, histories, nodes, faults, beside, seed, goOn)
 			}
@@ -52,6 +55,7 @@
 	c.Flags().IntVar(&beside, "beside", 1, "histories at a time")
 	c.Flags().BoolVar(&virtual, "virtual", false, "in virtual time, in this process")
 	c.Flags().BoolVar(&config, "config", false, "of the fleet's configuration, in virtual time; --nodes 0: 3 to 12, by the seed")
+	c.Flags().BoolVar(&processes, "processes", false, "with --config: with daemons as processes")
 	c.Flags().BoolVar(&goOn, "go-on", false, "with --config: play all, whatever fails")
 	c.Flags().StringVar(&script, "script", "", "maintenance: all engines are taken out once meanwhile")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
--- /dev/null
+++ b/internal/lab/fleet/configuration_processes.go
@@ -0,0 +1,375 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mintkeel/internal/core/fleet/config"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/fleet"
+	"mintkeel/internal/lab/fleet/configuration"
+)
+
+// configRig is what a rig of processes has for the fleet's configuration. What the rig sees is written down with its time,
+// and judged at the end together with what the daemons wrote down.
+type configRig struct {
+	checker   *configuration.Checker
+	events    []configEvent
+	proposals int
+	newest    uint64 // that an operator was told of
+}
+
+// configEvent is something to be judged, at a time.
+type configEvent struct {
+	at    time.Time
+	judge func(c *configuration.Checker, now float64)
+}
+
+// ConfigurationScene is a scene of daemons with the block config, whose script is drawn from a seed.
+func ConfigurationScene(mintkeel string, seed int64, nodes, faults int) Scene {
+	s := UsualScene(mintkeel, seed, nodes, faults)
+	s.Config, s.Works, s.Rate = true, 1, 1
+	rng := rand.New(rand.NewSource(seed * 17))
+	for _, f := range drawOrders(rng, nodes, s.Council, 12000) {
+		switch f.Kind {
+		case KillLeader, Corrupt, Replay: // the rig's faults are those of processes
+			f.Kind, f.For = Put, 0
+		}
+		f.Amount, f.N = min(f.Amount, config.MaxDocument), -1
+		s.Script = append(s.Script, f)
+	}
+	slices.SortStableFunc(s.Script, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return s
+}
+
+// openConfig begins to judge the configuration.
+func (r *rig) openConfig() {
+	var ids []members.ID
+	for i := range r.Nodes {
+		ids = append(ids, members.ID(fmt.Sprintf("n%d", i)))
+	}
+	r.config = &configRig{checker: configuration.NewChecker(ids)}
+	r.config.checker.RunsUnknown = true
+}
+
+// note writes something down to be judged.
+func (r *rig) note(judge func(c *configuration.Checker, now float64)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config.events = append(r.config.events, configEvent{time.Now(), judge})
+}
+
+// startMark is what the rig writes into a daemon's log ahead of each start.
+const startMark = "=== start"
+
+// markStart tells in the log that another run begins, on which folder.
+func (r *rig) markStart(n *machineProc, log *os.File) {
+	if r.config != nil {
+		n.runs++
+		fmt.Fprintf(log, "%s %d %d %d\n", startMark, n.runs, n.folder, time.Now().UnixNano())
+	}
+}
+
+// configFault does what of a script is about the configuration.
+func (r *rig) configFault(f Fault) {
+	if r.config == nil {
+		return
+	}
+	n := r.nodes[f.A%len(r.nodes)]
+	expect := r.known(n)
+	switch f.Kind {
+	case Put:
+		if f.B%7 == 0 && expect > 0 {
+			expect--
+		}
+		r.putConfig(n, expect, int(f.Amount))
+	case PutTwice:
+		r.group.Go(func() { r.putConfig(r.nodes[f.B%len(r.nodes)], expect, int(f.Amount/2)) })
+		r.putConfig(n, expect, int(f.Amount))
+	case RollBack:
+		if expect >= 2 {
+			back := expect - min(expect-1, uint64(1+f.B%4))
+			r.changeConfig(n, fleet.ConfigOrder{Action: fleet.ConfigRollback, Number: back, Expect: &expect}, nil)
+		}
+	case AskStatus:
+		r.configStatus(n)
+	}
+}
+
+// known is the newest version that an operator at a controller knows of.
+func (r *rig) known(n *machineProc) uint64 {
+	number := uint64(0)
+	if a, err := r.askConfig(n, fleet.ConfigOrder{Action: fleet.ConfigHistory}); err == nil && len(a.Versions) > 0 {
+		number = a.Versions[len(a.Versions)-1].Number
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config.newest = max(r.config.newest, number)
+	return r.config.newest
+}
+
+// askConfig asks a controller, which may be down.
+func (r *rig) askConfig(n *machineProc, order fleet.ConfigOrder) (*fleet.ConfigAnswer, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, 30*time.Second)
+	defer cancel()
+	s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "config", Config: &order})
+	if err != nil {
+		return nil, err
+	}
+	if s.Config == nil {
+		return nil, errors.New("no answer about the configuration")
+	}
+	return s.Config, nil
+}
+
+// putConfig has an operator put a document at a controller.
+func (r *rig) putConfig(n *machineProc, expect uint64, size int) {
+	r.mu.Lock()
+	r.config.proposals++
+	text := fmt.Sprintf("# configuration %d\nlog {\n  burst = 1000\n}\n", r.config.proposals)
+	r.mu.Unlock()
+	if pad := size - len(text); pad > 0 {
+		text += "#" + strings.Repeat("x", pad-1)
+	}
+	r.changeConfig(n, fleet.ConfigOrder{Action: fleet.ConfigPut, Document: []byte(text), Expect: &expect}, []byte(text))
+}
+
+// changeConfig has an operator ask for a change, and writes down what was proposed and told. The document of a rollback is
+// that of the version it goes back to.
+func (r *rig) changeConfig(n *machineProc, order fleet.ConfigOrder, document []byte) {
+	r.mu.Lock()
+	r.config.proposals++
+	reason := fmt.Sprintf("change %d", r.config.proposals)
+	r.mu.Unlock()
+	order.Author, order.Reason = "rig", reason
+	back, expect := order.Number, *order.Expect
+	r.note(func(c *configuration.Checker, _ float64) {
+		hash := shortened(config.HashOf(document))
+		if document == nil {
+			hash, _ = c.Version(back)
+		}
+		c.Proposed(configuration.Proposal{Reason: reason, Expect: expect, Hash: hash})
+	})
+	r.tell("%s is asked for %s after version %d", n.name, reason, expect)
+	a, err := r.askConfig(n, order)
+	if err != nil {
+		r.tell("%s: %v", reason, err)
+		return
+	}
+	o := config.Outcome{Result: resultOf(a.Result), Reason: a.Reason}
+	if a.Version != nil {
+		o.Version = *a.Version
+		o.Version.Hash = shortened(o.Version.Hash)
+	}
+	r.tell("%s is %s: %s, version %d", reason, a.Result, a.Reason, o.Version.Number)
+	r.note(func(c *configuration.Checker, now float64) { c.Concluded(now, reason, o) })
+}
+
+func resultOf(text string) config.Result {
+	switch text {
+	case fleet.ConfigAgreed:
+		return config.Agreed
+	case fleet.ConfigLost:
+		return config.Lost
+	case fleet.ConfigRefused:
+		return config.Refused
+	}
+	return config.Unknown
+}
+
+// shortened is a hash as far as the daemons' logs tell it.
+func shortened(h config.Hash) (short config.Hash) {
+	copy(short[:], h[:loggedHash])
+	return short
+}
+
+const loggedHash = 6 // bytes of a hash in a log line
+
+// configStatus asks a controller for the status, writes it down and returns it; nil: there is none.
+func (r *rig) configStatus(n *machineProc) *config.Status {
+	a, err := r.askConfig(n, fleet.ConfigOrder{Action: fleet.ConfigState})
+	if err != nil || a.Status == nil {
+		return nil
+	}
+	s := *a.Status
+	s.Latest.Hash = shortened(s.Latest.Hash)
+	r.note(func(c *configuration.Checker, now float64) { c.StatusMade(now, &s, nil) })
+	return &s
+}
+
+// configSettled waits until the newest version is in force at all, as each tells of itself, then has one more put and a
+// status tell that it is in force at all. What they tell is judged by their logs at the end.
+func (r *rig) configSettled() {
+	began := time.Now()
+	r.awaitConfig("after the last heal", func() string { return r.configLacks(0) })
+	r.report.ConfigCatchUp = time.Since(began)
+	began = time.Now()
+	last := r.nodes[len(r.nodes)-1]
+	before := r.known(last)
+	r.awaitConfig("after a put when all was whole", func() string {
+		if r.known(last) == before {
+			r.putConfig(last, before, 4096)
+		}
+		return r.configLacks(before + 1)
+	})
+	r.report.ConfigAfterPut = time.Since(began)
+	r.awaitConfig("after all had the newest version in force", func() string {
+		s := r.configStatus(r.nodes[0])
+		if s == nil || s.InForce != r.Nodes || s.Members != r.Nodes {
+			return fmt.Sprintf("a status tells %+v", s)
+		}
+		return ""
+	})
+	r.survivedConfig()
+}
+
+// awaitConfig waits for the operators' bound at most until nothing is lacking.
+func (r *rig) awaitConfig(since string, lacks func() string) {
+	const slack = 2 * time.Second // of the rig's own looks
+	end := time.Now().Add(settleWithin*time.Millisecond + slack)
+	for r.ctx.Err() == nil {
+		why := lacks()
+		if why == "" {
+			return
+		}
+		if time.Now().After(end) {
+			r.broke("%.0f s %s: %s", settleWithin/1000, since, why)
+			return
+		}
+		r.sleep(100 * time.Millisecond)
+	}
+}
+
+// configLacks tells which controller does not have the newest version in force, at least a given one.
+func (r *rig) configLacks(least uint64) string {
+	newest := max(r.known(r.nodes[0]), least)
+	for _, n := range r.nodes {
+		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+		s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "config", Config: &fleet.ConfigOrder{Action: fleet.ConfigHistory}})
+		cancel()
+		switch {
+		case err != nil:
+			return fmt.Sprintf("%s: %v", n.name, err)
+		case s.Config == nil || s.Config.Local.Number < newest:
+			return fmt.Sprintf("%s has %+v, version %d is agreed on", n.name, s.Config.Local, newest)
+		}
+	}
+	return ""
+}
+
+// survivedConfig writes down the history as the leader tells it at the end.
+func (r *rig) survivedConfig() {
+	a, err := r.askConfig(r.nodes[0], fleet.ConfigOrder{Action: fleet.ConfigHistory})
+	if err != nil {
+		r.broke("no history at the end: %v", err)
+		return
+	}
+	versions := slices.Clone(a.Versions)
+	for i := range versions {
+		versions[i].Hash = shortened(versions[i].Hash)
+	}
+	r.note(func(c *configuration.Checker, now float64) { c.Survived(now, "the history", versions) })
+}
+
+// inForceLine is what a daemon logs when it has taken a version over.
+var inForceLine = regexp.MustCompile(`^(\S+) INF configuration version in force .*\bhash=([0-9a-f]{12}) .*\bversion=(\d+)`)
+
+// readConfigLogs writes down what the daemons applied, by their logs.
+func (r *rig) readConfigLogs() {
+	for _, n := range r.nodes {
+		text, err := os.ReadFile(filepath.Join(n.dir, "log"))
+		if err != nil {
+			r.broke("log of %s: %v", n.name, err)
+			continue
+		}
+		r.readConfigLog(n, string(text))
+	}
+}
+
+func (r *rig) readConfigLog(n *machineProc, text string) {
+	run, folder := 0, 0
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, startMark) {
+			words := strings.Fields(line)
+			run, _ = strconv.Atoi(words[2])
+			folder, _ = strconv.Atoi(words[3])
+			continue
+		}
+		found := inForceLine.FindStringSubmatch(line)
+		if found == nil {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, found[1])
+		hash, _ := hex.DecodeString(found[2])
+		number, _ := strconv.ParseUint(found[3], 10, 64)
+		if err != nil || number == 0 {
+			r.broke("%s wrote %q: %v", n.name, line, err)
+			return
+		}
+		v := config.Version{Number: number}
+		copy(v.Hash[:], hash)
+		who := configuration.Incarnation{Controller: members.ID(n.name), Run: uint64(run)}
+		on := configuration.Folder{Controller: members.ID(n.name), Generation: folder}
+		r.config.events = append(r.config.events, configEvent{at, func(c *configuration.Checker, now float64) { c.Applied(now, who, on, v) }})
+		r.report.ConfigApplied++
+	}
+}
+
+// judgeConfig judges all that was written down, in the order of time.
+func (r *rig) judgeConfig() {
+	r.readConfigLogs()
+	slices.SortStableFunc(r.config.events, func(a, b configEvent) int { return a.at.Compare(b.at) })
+	for _, e := range r.config.events {
+		e.judge(r.config.checker, float64(e.at.Sub(r.began))/1e6)
+	}
+	c := r.config.checker
+	r.report.ConfigAgreed, r.report.ConfigProposals, r.report.ConfigStatuses = c.Agreed, c.Proposals, c.Statuses
+	if c.Broken != "" {
+		r.broke("%s", c.Broken)
+	}
+}
+
+// copyFolder copies a controller's folder with all in it but locks and sockets, while the controller may be writing there;
+// the records of what is current come first.
+func copyFolder(from, to string) error {
+	if err := copyRecords(from, to); err != nil {
+		return err
+	}
+	documents := filepath.Join(from, "config")
+	files, err := os.ReadDir(documents)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Mkdir(filepath.Join(to, "config"), 0o700); err != nil {
+		return err
+	}
+	slices.SortFunc(files, func(a, b os.DirEntry) int { return cmp.Compare(a.Name(), b.Name()) }) // "current" is ahead of "document-"
+	for _, f := range files {
+		if f.Name() == "lock" || strings.HasSuffix(f.Name(), ".new") {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(documents, f.Name()))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(to, "config", f.Name()), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
