--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -73,7 +73,7 @@
 	end    context.CancelFunc
 	group  sync.WaitGroup
 	stop   atomic.Bool
-	status atomic.Pointer[Status]
+	leases atomic.Pointer[[]lease.Name] // nil: those of the block
 	done   chan struct{}
 
 	counts struct{ unread, full, restarts, saves, effects, turned atomic.Int64 }
@@ -257,6 +257,7 @@
 	*Service
 	core    *node.Node
 	willing bool
+	leases  *[]lease.Name // that the core knows; nil: those of the block
 	kept    *records.Log
 	jobs    chan job
 	results chan result
@@ -292,7 +293,7 @@
 		in.close()
 		return err
 	}
-	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.block.Works,
+	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Works: s.wantedLeases(),
 		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1),
 		Config: configFacts}
 	for id, addr := range s.block.Council {
@@ -434,6 +435,7 @@
 		now := in.now()
 		if now >= in.tickAt {
 			in.tickAt = now + tickMost
+			in.updateLeases()
 			for _, p := range in.programs {
 				p.Tick(in, now)
 			}
