--- a/internal/lab/scale/hollow/hollow.go
+++ b/internal/lab/scale/hollow/hollow.go
@@ -37,7 +37,7 @@
 
 // NewNetwork is the network of the fleet of this number in this process.
 func NewNetwork(number int) Network {
-	const firstPort, portsEach, processes = 7000, 20, 200
+	const firstPort, portsEach, processes = 2000, 64, 156 // below the source ports
 	pid := os.Getpid()
 	return Network{Octet: uint8(16 + pid%224), Port: uint16(firstPort + pid/224%processes*portsEach + number%portsEach)}
 }
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -267,6 +267,10 @@
 	if len(seen) != good.Controllers {
 		t.Errorf("%d controllers", len(seen))
 	}
+	if last := NewNetwork(1 << 20); last.Port >= firstSourcePort || NewNetwork(0) == NewNetwork(40) {
+		t.Errorf("fleets of one process listen at %+v and %+v, and open connections from port %d on", NewNetwork(0), NewNetwork(40),
+			firstSourcePort)
+	}
 	if good.Network.number("[::1]:1") != -1 || good.Network.number("here") != -1 {
 		t.Error("a foreign address is a controller's")
 	}
