--- a/internal/lab/scale/hollow/await.go
+++ b/internal/lab/scale/hollow/await.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// LateError is something that was awaited in vain.
+type LateError struct {
+	What   string
+	Within time.Duration
+}
+
+// Error implements error.
+func (e *LateError) Error() string { return fmt.Sprintf("after %v still not so: %s", e.Within, e.What) }
+
 // await looks again and again until something is so.
 func await(ctx context.Context, within, each time.Duration, what string, is func() (bool, error)) error {
 	for end := time.Now().Add(within); ; {
@@ -29,7 +38,7 @@
 			return err
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("after %v still not so: %s", within, what)
+			return &LateError{What: what, Within: within}
 		}
 		if err := pause(ctx, each); err != nil {
 			return err
--- a/internal/lab/scale/hollow/configuration.go
+++ b/internal/lab/scale/hollow/configuration.go
@@ -113,11 +113,17 @@
 				return err
 			}
 			last, err := f.AwaitInForce(ctx, knownWithin, version)
+			if err != nil && m.isLate(size, err) {
+				continue
+			}
 			if err != nil {
 				return err
 			}
 			took = append(took, last.Sub(began))
 		}
+		if len(took) == 0 {
+			continue
+		}
 		slices.SortFunc(took, func(a, b time.Duration) int { return cmp.Compare(a, b) })
 		median, longest := took[len(took)/2], took[len(took)-1]
 		m.note(size, putFigure(bytes, "median"), milliseconds(median))
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -275,3 +275,22 @@
 		t.Error("a foreign address is a controller's")
 	}
 }
+
+// What is awaited in vain is told at the end, and does not keep the rest from being measured; other errors do.
+func TestLate(t *testing.T) {
+	m := Options{}.measurement()
+	err := await(t.Context(), 0, time.Millisecond, "all know all", func() (bool, error) { return false, nil })
+	if err == nil || !m.isLate(30, err) || len(m.late) != 1 {
+		t.Errorf("%v; late: %v", err, m.late)
+	}
+	err = await(t.Context(), time.Minute, time.Millisecond, "x", func() (bool, error) { return false, io.ErrUnexpectedEOF })
+	if err != io.ErrUnexpectedEOF || m.isLate(30, err) {
+		t.Errorf("%v is late", err)
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	err = await(ended, time.Minute, time.Minute, "x", func() (bool, error) { return false, nil })
+	if err != context.Canceled || m.isLate(30, err) {
+		t.Errorf("%v is late", err)
+	}
+}
--- a/internal/lab/scale/hollow/interval.go
+++ b/internal/lab/scale/hollow/interval.go
@@ -14,6 +14,7 @@
 	Resident  float64 // bytes
 	Heap      float64 // bytes
 	WakeUps   float64 // a second
+	Files     float64 // descriptors open
 }
 
 // Interval is the time between two samples of all processes of a fleet.
@@ -53,6 +54,7 @@
 			Private:   after.Process.Private / with,
 			Resident:  after.Process.Resident / with,
 			Heap:      after.Process.Heap / with,
+			Files:     float64(after.Process.Descriptors) / with,
 		}
 	}
 	return Spending{}
@@ -86,9 +88,10 @@
 	s.Resident += t.Resident
 	s.Heap += t.Heap
 	s.WakeUps += t.WakeUps
+	s.Files += t.Files
 }
 
 func (s Spending) over(n float64) Spending {
 	return Spending{s.Sent / n, s.Received / n, s.Opened / n, s.Out / n, s.In / n, s.Processor / n, s.Private / n, s.Resident / n,
-		s.Heap / n, s.WakeUps / n}
+		s.Heap / n, s.WakeUps / n, s.Files / n}
 }
--- a/internal/lab/scale/hollow/measure.go
+++ b/internal/lab/scale/hollow/measure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,7 @@
 	deaths  bool // how long it takes until a death is known is measured
 	mu      sync.Mutex
 	figures []figures
+	late    []error // what was awaited in vain while the rest was measured
 }
 
 // Measure runs fleets of several sizes and tells what they cost at rest, when many controllers start or restart at once,
@@ -155,6 +157,7 @@
 	m.note(size, role+"/resident", s.Resident/bytesOfMB)
 	m.note(size, role+"/heap", s.Heap/bytesOfMB)
 	m.note(size, role+"/wake-ups", s.WakeUps)
+	m.note(size, role+"/files", s.Files)
 	m.note(size, role+"/opened", s.Opened)
 	m.note(size, role+"/connections", s.Out+s.In)
 }
@@ -206,7 +209,20 @@
 			rows = append(rows, r.row)
 		}
 	}
-	return rows, errors.Join(errs...)
+	return rows, errors.Join(append(errs, m.late...)...)
+}
+
+// isLate tells whether an error is of something that was awaited in vain. It is told at the end; the rest can be measured.
+func (m *measurement) isLate(size int, err error) bool {
+	var late *LateError
+	if !errors.As(err, &late) {
+		return false
+	}
+	m.Tell("%d controllers: %v", size, err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.late = append(m.late, fmt.Errorf("%d controllers: %w", size, err))
+	return true
 }
 
 // wholeStart starts a fleet at once, watches it at rest, and takes its leader and a lease's holder from it.
@@ -222,10 +238,12 @@
 		return err
 	}
 	last, err := f.AwaitAllKnown(ctx, knownWithin)
-	if err != nil {
+	if err != nil && !m.isLate(size, err) {
 		return err
 	}
-	m.note(size, "start/known", milliseconds(last.Sub(began)))
+	if err == nil {
+		m.note(size, "start/known", milliseconds(last.Sub(began)))
+	}
 	if err := m.noteMedian(f, size, "start", began); err != nil {
 		return err
 	}
@@ -261,6 +279,9 @@
 	}
 	last, err = f.AwaitLossKnown(ctx, knownWithin)
 	if err != nil {
+		if m.isLate(size, err) {
+			return nil
+		}
 		return err
 	}
 	m.note(size, "loss/known", milliseconds(last.Sub(lost)))
@@ -274,8 +295,22 @@
 	if err != nil {
 		return err
 	}
-	slices.SortFunc(views, func(a, b View) int { return a.KnownAt.Compare(b.KnownAt) })
-	m.note(size, when+"/median", milliseconds(views[len(views)/2].KnownAt.Sub(began)))
+	unknowing := 0
+	took := make([]float64, len(views))
+	for i, v := range views {
+		took[i] = milliseconds(v.KnownAt.Sub(began))
+		if v.KnownAt.IsZero() {
+			took[i] = math.Inf(1)
+			unknowing++
+		}
+	}
+	slices.Sort(took)
+	if median := took[len(took)/2]; !math.IsInf(median, 1) {
+		m.note(size, when+"/median", median)
+	}
+	if unknowing > 0 {
+		m.Tell("%d controllers, %s: %d of %d do not know all", size, when, unknowing, len(views))
+	}
 	return nil
 }
 
@@ -350,7 +385,7 @@
 	if err := f.Start(numbers(0, first), first); err != nil {
 		return err
 	}
-	if _, err := f.AwaitAllKnown(ctx, knownWithin); err != nil {
+	if _, err := f.AwaitAllKnown(ctx, knownWithin); err != nil && !m.isLate(size, err) {
 		return err
 	}
 	if err := pause(ctx, m.settle); err != nil {
@@ -398,9 +433,13 @@
 		return 0, err
 	}
 	last, err := f.AwaitAllKnown(ctx, knownWithin)
-	if err != nil {
+	if err != nil && !m.isLate(size, err) {
 		return 0, err
 	}
+	took := last.Sub(began)
+	if err == nil {
+		m.note(size, figure+"/known", milliseconds(took))
+	}
 	if err := m.noteMedian(f, size, figure, began); err != nil {
 		return 0, err
 	}
@@ -411,8 +450,6 @@
 	if err != nil {
 		return 0, err
 	}
-	took := last.Sub(began)
-	m.note(size, figure+"/known", milliseconds(took))
 	m.noteRush(after, size, figure)
 	interval := Interval{f.layout(), before, after}
 	for role, of := range map[string][]int{"voter": numbers(0, voters), "controller": {voters}} {
--- a/internal/lab/scale/hollow/rows.go
+++ b/internal/lab/scale/hollow/rows.go
@@ -32,6 +32,8 @@
 				Note: role.note}},
 			sizeRow{role.figure + "/wake-ups", slope.Row{Role: role.name, Cost: "control: wake-ups of threads", Unit: "1/s",
 				Condition: atRest, Note: role.note}},
+			sizeRow{role.figure + "/files", slope.Row{Role: role.name, Cost: "control: descriptors", Unit: "descriptors", Condition: atRest,
+				Note: role.note}},
 			sizeRow{role.figure + "/opened", slope.Row{Role: role.name, Cost: "connections opened", Unit: "1/s", Condition: atRest}},
 			sizeRow{role.figure + "/connections", slope.Row{Role: role.name, Cost: "connections open, out and in", Unit: "connections",
 				Condition: atRest}})
