--- a/internal/core/fleet/config/unit_test.go
+++ b/internal/core/fleet/config/unit_test.go
@@ -183,3 +183,134 @@
 		t.Errorf("relays %v, asked %v", relays, asked)
 	}
 }
+
+// One that sent corrupt bytes is not asked for another document for a while, then it is again.
+func TestCorruptSourceIsAvoided(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(x.now, "n3", &Message{Summary: summaryOf(2, "second")})
+	x.replica.Take()
+	corrupt := chunkOf("second")
+	corrupt.Data = []byte("sEcond")
+	x.replica.Receive(x.now, "n3", &Message{Chunk: corrupt})
+	if x.replica.Counts().Corrupt != 1 {
+		t.Fatalf("%+v", x.replica.Counts())
+	}
+	for _, s := range x.replica.Take().Sends {
+		if s.To == "n3" && s.Message.Fetch != nil {
+			t.Error("it is asked again")
+		}
+	}
+	asked := func(number uint64, text string) bool {
+		x.replica.Receive(x.now, "n3", &Message{Summary: summaryOf(number, text)})
+		for _, s := range x.replica.Take().Sends {
+			if s.To == "n3" && s.Message.Fetch != nil {
+				return true
+			}
+		}
+		return false
+	}
+	x.now += avoidFor - 1
+	if asked(3, "third") {
+		t.Error("it is asked for another document")
+	}
+	if x.now++; !asked(4, "fourth") {
+		t.Error("it is never asked again")
+	}
+}
+
+// Only the leader has documents held.
+func TestHoldOfLeaderAlone(t *testing.T) {
+	x := newTargets()[1]
+	x.replica.Take()
+	hold := &Message{Hold: &HoldRequest{Hash: HashOf([]byte("x")), Size: 1}}
+	x.replica.Receive(x.now, "n3", hold)
+	if got := fetches(x.replica.Take()); len(got) != 0 || len(x.replica.holds) != 0 {
+		t.Errorf("for another it fetches %v", got)
+	}
+	x.replica.Receive(x.now, "n1", hold)
+	if got := fetches(x.replica.Take()); len(got) != 1 || len(x.replica.holds) != 1 {
+		t.Errorf("for the leader it fetches %v", got)
+	}
+}
+
+// One that has just begun to lead and does not know the expected version yet says nothing of it: the proposal may be one
+// that was agreed on under the leader before.
+func TestLateLeader(t *testing.T) {
+	x := newTargets()[0]
+	x.replica.Take()
+	p := proposal(2, 7, "third")
+	p.Version.ID.Origin = "n3"
+	reply := func() *ProposeReply {
+		for _, s := range x.replica.Take().Sends {
+			if s.Message.Proposed != nil {
+				return s.Message.Proposed
+			}
+		}
+		return nil
+	}
+	x.env.leads = false
+	x.replica.Tick(x.now)
+	x.env.leads = true
+	x.replica.Receive(x.now, "n3", &Message{Propose: &ProposeRequest{Proposal: p}})
+	for x.now < catchUp-600 {
+		x.now += 500
+		x.replica.Tick(x.now)
+		if got := reply(); got != nil {
+			t.Fatalf("after %.0f ms: %+v", x.now, got)
+		}
+	}
+	second := proposal(1, 6, "second")
+	x.env.state.Apply(second)
+	x.env.state.Apply(p)
+	x.replica.Agreed(x.now)
+	if got := reply(); got == nil || got.Result != Agreed || got.Version.Number != 3 {
+		t.Errorf("when it knows: %+v", got)
+	}
+}
+
+// A document in the folder that does not match its hash is not used, nor handed on.
+func TestKeptCorruptDocument(t *testing.T) {
+	one, two := HashOf([]byte("one")), HashOf([]byte("two"))
+	e := &lonely{self: "n4"}
+	r := New(Facts{Self: "n4", Run: 5, Seed: 1}, e, Kept{Current: Version{Number: 1, Hash: one, Size: 3},
+		Documents: map[Hash][]byte{one: []byte("one"), two: []byte("tw0")}}, 0)
+	r.Receive(0, "n3", &Message{Fetch: &Fetch{Hash: two}})
+	for _, s := range r.Take().Sends {
+		if s.Message.Chunk != nil && !s.Message.Chunk.Missing {
+			t.Errorf("it hands on %q", s.Message.Chunk.Data)
+		}
+	}
+	r = New(Facts{Self: "n4", Run: 5, Seed: 1}, e, Kept{Current: Version{Number: 1, Hash: one, Size: 3},
+		Documents: map[Hash][]byte{one: []byte("0ne")}}, 0)
+	if r.Summary() != nil || r.Current().Number != 1 {
+		t.Errorf("it tells %+v", r.Summary())
+	}
+	r.Receive(0, "n3", &Message{Summary: summaryOf(1, "one")}) // what is in force stays, and its document comes again
+	if got := r.findDownload(one); got == nil {
+		t.Error("it does not fetch the document of its version")
+	}
+}
+
+// A version told with the hash of a document that is here, and with another size, is none.
+func TestWrongSizeOfKnownDocument(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(x.now, "n3", &Message{Summary: &Summary{Number: 2, Hash: HashOf([]byte("one")), Size: 99}})
+	if out := x.replica.Take(); out.Store != nil || x.replica.Counts().Conflicts != 1 || x.replica.target.Number != 1 {
+		t.Errorf("%+v, %+v", out.Store, x.replica.Counts())
+	}
+	x = newTargets()[0]
+	x.replica.Take()
+	p := proposal(1, 7, "one")
+	p.Version.ID.Origin, p.Version.Size = "n3", 99
+	x.replica.queue = nil // what this one proposed itself
+	x.replica.Receive(x.now, "n3", &Message{Propose: &ProposeRequest{Proposal: p}})
+	refused := false
+	for _, s := range x.replica.Take().Sends {
+		refused = refused || s.To == "n3" && s.Message.Proposed != nil && s.Message.Proposed.Result == Refused
+	}
+	if !refused {
+		t.Error("a proposal with a wrong size is worked on")
+	}
+}
