--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -16,6 +16,7 @@
 
 	"mintkeel/internal/lab/scale/datapath"
 	"mintkeel/internal/lab/scale/hollow"
+	"mintkeel/internal/lab/scale/membership"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/scale/spread"
 )
@@ -42,11 +43,16 @@
 		{"agreement", onHollow(hollow.MeasureAgreement)},
 		{"digest", onHollow(hollow.MeasureDigest)},
 		{"leases", measureLeases},
+		{"membership", measureMembership},
 		{"datapath", measureDataPath},
 		{"spread", measureSpread},
 	}
 }
 
+func measureMembership(ctx context.Context, o Options) ([]slope.Row, error) {
+	return membership.Measure(ctx, membership.Options{Quick: o.Quick, Seed: o.Seed})
+}
+
 func measureDataPath(ctx context.Context, o Options) ([]slope.Row, error) {
 	return datapath.Measure(ctx, datapath.Options{Quick: o.Quick, Seed: o.Seed})
 }
