--- a/cmd/mintkeel-lab/scale.go
+++ b/cmd/mintkeel-lab/scale.go
@@ -49,10 +49,7 @@
 			defer cancel()
 			options.Command = shareProcess
 			if tell {
-				began := time.Now()
-				options.Tell = func(format string, args ...any) {
-					fmt.Fprintf(c.ErrOrStderr(), "%6.1f s "+format+"\n", append([]any{time.Since(began).Seconds()}, args...)...)
-				}
+				options.Tell = teller(c.ErrOrStderr())
 			}
 			rows, failed := scale.Run(ctx, measurements, options)
 			return errors.Join(failed, report(c.OutOrStdout(), rows, asJSON), unlisted(c.ErrOrStderr(), rows, page))
@@ -71,6 +68,14 @@
 	return c
 }
 
+// teller writes lines with the time since it was made.
+func teller(w io.Writer) func(format string, args ...any) {
+	began := time.Now()
+	return func(format string, args ...any) {
+		fmt.Fprintf(w, "%6.1f s "+format+"\n", append([]any{time.Since(began).Seconds()}, args...)...)
+	}
+}
+
 // scaleRow is a row as it is printed as JSON, with what follows from its points.
 type scaleRow struct {
 	slope.Row
--- a/internal/lab/scale/hollow/agreement.go
+++ b/internal/lab/scale/hollow/agreement.go
@@ -71,14 +71,10 @@
 			return Spending{}, err
 		}
 	}
-	leader, _, err := f.AwaitLeader(ctx, leaderWithin, s.Voters)
-	if err != nil {
-		return Spending{}, err
-	}
 	if err := pause(ctx, m.settle); err != nil {
 		return Spending{}, err
 	}
-	interval, err := m.watch(ctx, f, m.window)
+	leader, interval, err := m.watchLed(ctx, f, s.Voters)
 	return interval.Of(leader), err
 }
 
--- a/internal/lab/scale/hollow/rows.go
+++ b/internal/lab/scale/hollow/rows.go
@@ -65,6 +65,11 @@
 			sizeRow{start.figure + "/dropped", slope.Row{Role: "fleet", Cost: "messages dropped by senders", Unit: "messages",
 				Condition: start.condition, Note: "at all controllers"}})
 	}
+	return append(rows, rushRows()...)
+}
+
+// rushRows are what a voter and an ordinary controller spend while many start.
+func rushRows() (rows []sizeRow) {
 	for _, rush := range []struct{ figure, condition string }{
 		{"part", "the last 70% start at once"},
 		{"zone", "a zone of 10% restarts at once"},
