--- a/internal/lab/scale/hollow/rows.go
+++ b/internal/lab/scale/hollow/rows.go
@@ -32,6 +32,8 @@
 				Note: role.note}},
 			sizeRow{role.figure + "/wake-ups", slope.Row{Role: role.name, Cost: "control: wake-ups of threads", Unit: "1/s",
 				Condition: atRest, Note: role.note}},
+			sizeRow{role.figure + "/files", slope.Row{Role: role.name, Cost: "control: descriptors", Unit: "descriptors", Condition: atRest,
+				Note: role.note}},
 			sizeRow{role.figure + "/opened", slope.Row{Role: role.name, Cost: "connections opened", Unit: "1/s", Condition: atRest}},
 			sizeRow{role.figure + "/connections", slope.Row{Role: role.name, Cost: "connections open, out and in", Unit: "connections",
 				Condition: atRest}})
@@ -63,6 +65,11 @@
 			sizeRow{start.figure + "/dropped", slope.Row{Role: "fleet", Cost: "messages dropped by senders", Unit: "messages",
 				Condition: start.condition, Note: "at all controllers"}})
 	}
+	return append(rows, rushRows()...)
+}
+
+// rushRows are what a voter and an ordinary controller spend while many start.
+func rushRows() (rows []sizeRow) {
 	for _, rush := range []struct{ figure, condition string }{
 		{"part", "the last 70% start at once"},
 		{"zone", "a zone of 10% restarts at once"},
