The module's state by job: five files beside state.go, code moved only

No line of code changed: the sorted lines before and after differ by package clauses, imports and one comment a file. The policy stays router/router.go alone; none of the new files decides anything.

--- a/router/state.go
+++ b/router/state.go
@@ -1,9 +1,6 @@
 package router
 
 import (
-	"cmp"
-	"hash/fnv"
-	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -11,289 +8,6 @@
 
 // This file holds what a controller remembers and the bookkeeping that keeps it whole. It decides nothing.
 
-// decay is a pair of sums that halve every life milliseconds, brought up to date when something is added. Reading it
-// changes nothing, so that who reads more or less of them, or at other times, still reads the same to the last bit.
-type decay struct {
-	life, at, sum, n float64
-	readAt, left     float64 // what faded last said, as many ask at one moment
-}
-
-// faded is what is left of one by now.
-func (d *decay) faded(now float64) float64 {
-	if now <= d.at {
-		return 1
-	}
-	if now != d.readAt {
-		d.readAt, d.left = now, math.Exp2((d.at-now)/d.life)
-	}
-	return d.left
-}
-
-func (d *decay) fade(now float64) {
-	if now > d.at {
-		f := d.faded(now)
-		d.sum, d.n, d.at, d.readAt = d.sum*f, d.n*f, now, 0
-	}
-}
-
-func (d *decay) add(now, x, n float64) { d.fade(now); d.sum += x; d.n += n }
-
-// cap makes what is there weigh as much as n additions at most.
-func (d *decay) cap(now, n float64) {
-	if d.fade(now); d.n > n {
-		d.sum, d.n = d.sum*n/d.n, n
-	}
-}
-
-// mean leans on a prior that counts as much as weight of what was added.
-func (d *decay) mean(now, prior, weight float64) float64 {
-	if d.n == 0 && d.sum == 0 {
-		return prior
-	}
-	f := d.faded(now)
-	if d.n*f+weight < 1e-9 {
-		return prior
-	}
-	return (d.sum*f + prior*weight) / (d.n*f + weight)
-}
-
-// rate is what was added for each millisecond, over about the last life.
-func (d *decay) rate(now float64) float64 {
-	if d.sum == 0 {
-		return 0
-	}
-	return d.sum * d.faded(now) * math.Ln2 / d.life
-}
-
-// stamps are amounts at times within a sliding window.
-type stamps struct {
-	at, amount []float64
-	total      float64
-}
-
-func (s *stamps) add(at, amount float64) {
-	s.at, s.amount, s.total = append(s.at, at), append(s.amount, amount), s.total+amount
-}
-
-// since is the sum of what came at from or later; what came before is dropped.
-func (s *stamps) since(from float64) float64 {
-	for len(s.at) > 0 && s.at[0] < from {
-		s.total -= s.amount[0]
-		s.at, s.amount = s.at[1:], s.amount[1:]
-	}
-	if len(s.at) == 0 {
-		s.total = 0
-	}
-	return s.total
-}
-
-type ending int
-
-const (
-	open ending = iota
-	shed
-	failed
-)
-
-// sendState is one send of a command.
-type sendState struct {
-	engine         *engine
-	at, word       float64 // when it left, and when last heard of
-	out, cancelled bool
-	lost           bool // out, but not waited for
-	failed         bool // by what is known of it, or its engine has gone quiet
-	erred          bool // it ended as an error, which may be the command's own fault
-	mem            float64
-}
-
-// command is one that is owed an answer, or has a send without an outcome. The want fields are the wanted
-// state: emit alone compares them with the rest.
-type command struct {
-	id             CommandID
-	profile        *profile
-	tables         *tableGroup
-	tenant         *tenant // nil: none
-	overShare      bool
-	lines          []*line // of its order keys, in whose turns it stands
-	turn           uint64  // its place among all by arrival
-	rest           float64 // until when nothing may follow it under a key, by its doubtful outcomes
-	arrived        float64
-	asked          float64 // when its client first did, as far as its client timeout tells
-	timeout        float64
-	estimate, need float64
-	stated         float64  // its estimate before an operator's rule cut it: what guards cold engines learns by that
-	kinds          []KindID // that its profile's are narrowed to; nil: they are not
-	zones          []Zone
-	sends          []sendState
-	out            int // sends that are waited for
-	pending        int // and all without an outcome
-	over, begun    bool
-	doubtAt        float64 // when the first send left that may have run
-	doubt          *engine // where it went; nil: none may have run
-
-	wantEngine *engine
-	wantBegin  float64 // with it: by when the send must have gone out; 0: at any time
-	wantEnd    ending
-	wantCancel bool
-	touched    bool
-	held       bool    // it is among the held
-	parked     bool    // and not the first in one of its lines
-	wiseEpoch  int     // by which it was found wise to hold it on,
-	wiseUntil  float64 // and until when it is
-	watched    bool    // and looked at for giving up, when its time comes
-}
-
-// profile is what is stated of a profile, with what was learned of it.
-type profile struct {
-	Profile
-	number    int
-	fullLeft  float64 // what a first try leaves until its client gives up: the most seen
-	best      float64 // least mean, lately, of the time taken over the unit: how it runs alone
-	unit      decay   // time taken over the unit
-	run       decay   // logarithm of the time taken over the time alone, lately
-	work      decay   // what a command needs on one thread
-	workScale decay   // true work over estimate
-	needScale decay   // true memory over estimate
-	hearsayAt float64 // when best and scales were put in or last borne out, if they are remembered; 0: they are its own
-	watches   watches // its held commands, to be given up in time
-	wisdom    wisdom
-}
-
-// line is the queue of one order key, by arrival; rest is when its next command may start after a doubtful outcome.
-type line struct {
-	key   OrderKey
-	cmds  []*command
-	rest  float64
-	mixed bool // commands came to it that were held or out before, so one behind the first may be out
-}
-
-// others tells whether a command behind the first is out.
-func (l *line) others() bool {
-	return l.mixed && slices.ContainsFunc(l.cmds[1:], func(c *command) bool { return c.pending > 0 })
-}
-
-// engine is one of the list, or one that left it with sends still out.
-type engine struct {
-	hash       uint64 // of the id
-	bounds     bounds
-	out        int     // own sends out
-	threads    float64 // of these
-	id         EngineID
-	state      State
-	zone       Zone
-	kind       KindID
-	cell       CellID
-	since      float64
-	cores      float64
-	loads      map[*tableGroup]int     // own loads out, by what they hold
-	heldUntil  map[*tableGroup]float64 // by a note that a load holds them
-	others     decay                   // commands of other controllers, by its reports
-	util, disk decay
-	granted    float64 // share of its memory, by its last report
-	reportAt   float64
-	slow       decay  // time taken over the time alone
-	outcomes   uint64 // the last outcomes, a bit each, 1 for success
-	retryAt    float64
-	retryWait  float64
-	probing    bool
-	probeAt    float64
-	width      float64 // threads a core that all controllers together may run here, by what this one sees
-	cutAt      float64
-	rests      []rest  // of profiles that it turned away, by number
-	goodAt     float64 // when a send last did well, whatever its profile
-	coldSent   stamps
-	tookAt     float64 // when what it last answered was sent to it
-	brokeAt    float64 // when a connection to it was last lost, or not to be had
-	owner      *owner  // which it has
-	home       *owner  // among whose engines it was found last, and
-	fit        float64 // how well it suits an owner, while engines are handed out
-}
-
-// rest is how long something waits between tries: twice as long after each that fails, half as long after
-// each that does well. What left before the last change tells nothing of it.
-type rest struct {
-	changed, until, wait float64
-	bad                  bool    // the last send failed
-	goodAt               float64 // when one last did well
-}
-
-func (t *rest) away(now, sent, least, most float64) {
-	if sent >= t.changed {
-		t.changed, t.wait = now, min(most, max(least, 2*t.wait))
-		t.until = now + t.wait
-	}
-}
-
-func (t *rest) took(now, sent, least float64) {
-	t.goodAt = now
-	if t.wait > 0 && sent >= t.changed {
-		if t.changed, t.wait = sent, t.wait/2; t.wait < least {
-			t.wait = 0
-		}
-		t.until = sent + t.wait
-	}
-}
-
-// try takes in that one try is made: until the rest is over, or this does well, it is the only one.
-func (t *rest) try(now float64) {
-	if t.wait > 0 {
-		t.until = now + t.wait
-	}
-}
-
-// good tells whether the last send did well, since then.
-func (t *rest) good(since float64) bool { return !t.bad && t.goodAt > since }
-
-// turned is the rest of a profile at an engine.
-func (e *engine) turned(p *profile) *rest {
-	return &e.rests[p.number]
-}
-
-// holds is how many loads are known to hold a table group on the engine.
-func (e *engine) holds(g *tableGroup, now float64) float64 {
-	if len(g.holders) == 0 {
-		return 0
-	}
-	if now < e.heldUntil[g] {
-		return float64(e.loads[g] + 1)
-	}
-	return float64(e.loads[g])
-}
-
-// failedAt is how many sends of c failed on e.
-func (c *command) failedAt(e *engine) (n float64) {
-	for _, s := range c.sends {
-		if s.failed && s.engine == e {
-			n++
-		}
-	}
-	return n
-}
-
-// tableGroup is a group of tables with its learned demand.
-type tableGroup struct {
-	id      TableGroup
-	asked   float64   // when it was last named
-	open    int       // commands on it in the books
-	hot     bool      // it was said to be
-	known   bool      // commands on it have been answered; else any stranger may have named it
-	demand  decay     // work asked for
-	held    decay     // memory times time, of this controller's sends
-	homes   []*owner  // by kind
-	holders []*engine // on which loads may hold it
-}
-
-// owner is a pack, or several packs that share as merged, with the engines of one kind that it owns.
-type owner struct {
-	packs   [][]*tableGroup
-	engines []*engine
-	want    int     // how many it is to have
-	asks    float64 // its demand, when counts were last made
-	spare   spare
-}
-
-func (o *owner) groups() []*tableGroup { return slices.Concat(o.packs...) }
-
 // Router is the decision module of one controller.
 type Router struct {
 	rng         *rand.Rand
@@ -356,12 +70,6 @@
 	expired            float64 // it has expired: drains older than this count as told; 0: it has not
 }
 
-// tenant is one that shares the fleet, with what it asks for here.
-type tenant struct {
-	Tenant
-	took decay // commands taken
-}
-
 // New makes the module of a controller that has just started.
 func New(seed int64, place Place, kinds []Kind, profiles []Profile, tenants []Tenant, allowed Allowed,
 	guards Guards) *Router {
@@ -389,334 +97,6 @@
 	return r
 }
 
-// touch lets emit look at c.
-func (r *Router) touch(c *command) {
-	if !c.touched {
-		c.touched = true
-		r.touched = append(r.touched, c)
-	}
-}
-
-// insert keeps list ordered by compare, which must tell all its members apart.
-func insert[T any](list []T, x T, compare func(a, b T) int) []T {
-	at, _ := slices.BinarySearchFunc(list, x, compare)
-	return slices.Insert(list, at, x)
-}
-
-func byEngine(a, b *engine) int    { return cmp.Compare(a.id, b.id) }
-func byGroup(a, b *tableGroup) int { return cmp.Compare(a.id, b.id) }
-func byTimeout(a, b *command) int {
-	return cmp.Or(cmp.Compare(a.timeout, b.timeout), cmp.Compare(a.id, b.id))
-}
-
-// groupOf is the table group of an id; a new one finds its owners.
-func (r *Router) groupOf(id TableGroup) *tableGroup {
-	g := r.tables[id]
-	if g == nil {
-		g = &tableGroup{id: id, demand: decay{life: demandLife}, held: decay{life: demandLife},
-			homes: make([]*owner, len(r.kinds))}
-		r.tables[id], r.groups = g, insert(r.groups, g, byGroup)
-		for k := range r.owners {
-			r.join(k, g)
-		}
-	}
-	return g
-}
-
-// enrol files a new command, in the line of its key if it has one.
-func (r *Router) enrol(ev Arrived) *command {
-	g := r.groupOf(ev.Tables)
-	g.asked = r.now
-	c := &command{id: ev.ID, profile: r.profiles[ev.Profile], tables: g, arrived: r.now,
-		asked: r.now, timeout: r.now + ev.Left, estimate: ev.Estimate, stated: ev.Estimate, need: ev.NeedMB, kinds: ev.Kinds, zones: ev.Zones}
-	if ev.Most > 0 {
-		c.estimate = min(c.estimate, ev.Most)
-	}
-	r.cmds[c.id] = c
-	g.open++
-	r.rate.add(r.now, 1, 0)
-	if ev.Tenant >= 0 {
-		c.tenant = r.tenants[ev.Tenant]
-		c.tenant.took.add(r.now, 1, 0)
-	}
-	if r.firstAt == 0 {
-		r.firstAt = r.now
-	}
-	if r.guards.Budgeted {
-		r.taken.add(r.now, 1)
-	}
-	r.turns++
-	c.turn = r.turns
-	r.stand(c, ev.Key)
-	for _, key := range ev.Also {
-		r.stand(c, key)
-	}
-	return c
-}
-
-func byTurn(a, b *command) int { return cmp.Compare(a.turn, b.turn) }
-
-// stand files a command in the line of a key, if its profile keeps order.
-func (r *Router) stand(c *command, key OrderKey) {
-	if !c.profile.InOrder || key == "" {
-		return
-	}
-	l := r.lines[key]
-	if l == nil {
-		l = &line{key: key}
-		r.lines[key] = l
-	}
-	if !slices.Contains(c.lines, l) {
-		l.mixed = l.mixed || len(l.cmds) > 0 && byTurn(c, l.cmds[len(l.cmds)-1]) < 0 || c.pending > 0
-		c.lines, l.cmds = append(c.lines, l), insert(l.cmds, c, byTurn)
-		l.rest = max(l.rest, c.rest)
-	}
-}
-
-// book counts a send of c on e as out, so that the next choice of the same step sees it.
-func (r *Router) book(c *command, e *engine, mem, work, begin float64) {
-	if len(c.sends) > 0 && r.guards.Budgeted {
-		r.resends.add(r.now, 1)
-	}
-	r.unhold(c)
-	c.sends = append(c.sends, sendState{engine: e, at: r.now, word: r.now, out: true, mem: mem})
-	c.pending++
-	c.out, e.out, r.out = c.out+1, e.out+1, r.out+1
-	e.threads, r.threads = e.threads+c.profile.Threads, r.threads+c.profile.Threads
-	if r.now < e.since+r.guards.ColdTime+r.guards.ColdWindow {
-		e.coldSent.add(r.now, work)
-	}
-	if c.profile.HoldsTables {
-		e.loads[c.tables]++
-		c.tables.heldOn(e)
-	}
-	r.weigh(e)
-	c.wantEngine, c.wantBegin = e, begin
-	r.touch(c)
-}
-
-// unbook takes in that a send has its outcome: what may have run by it, and whether its key must rest.
-func (r *Router) unbook(c *command, s *sendState, ev Ended) {
-	if !s.lost {
-		r.free(c, s)
-	}
-	c.pending--
-	c.tables.held.add(r.now, s.mem*ev.Took, 1)
-	s.out, c.over = false, c.over || ev.Over
-	switch ev.Outcome {
-	case Errored, Reset, TimedOut, Refused:
-		s.failed = true
-	}
-	switch ev.Outcome {
-	case Answered:
-		s.engine.tookAt, s.engine.brokeAt = max(s.engine.tookAt, s.at), math.Inf(-1) // the process is the same
-		c.tables.known = true
-	case Refused, Reset, NotSent:
-		s.engine.brokeAt = r.now
-	}
-	if !ev.Outcome.NeverRan() && c.doubt == nil {
-		c.doubtAt, c.doubt = s.at, s.engine
-	}
-	if ev.Outcome.MayRunOn() {
-		c.rest = r.now + r.guards.OrderRest + r.guards.Round
-	}
-	for _, l := range c.lines {
-		l.rest = max(l.rest, c.rest)
-	}
-	r.touch(c)
-}
-
-// told files what an answer tells of a command's true work and memory, and reports whether it told the work.
-func (p *profile) told(now float64, c *command, ev Ended) bool {
-	if ev.NeedMB > 0 && c.need > 0 {
-		p.needScale.add(now, ev.NeedMB/c.need, 1)
-	}
-	if ev.Work > 0 && c.stated > 0 {
-		p.workScale.add(now, ev.Work/c.stated, 1)
-	}
-	return ev.Work > 0 && c.stated > 0
-}
-
-// lose takes in that a send's answer is not waited for any more; it may have run.
-func (r *Router) lose(c *command, s *sendState) {
-	s.lost = true
-	r.free(c, s)
-	if c.doubt == nil {
-		c.doubtAt, c.doubt = s.at, s.engine
-	}
-}
-
-// free gives back what a send that is waited for holds.
-func (r *Router) free(c *command, s *sendState) {
-	e := s.engine
-	c.out, e.out, r.out = c.out-1, e.out-1, r.out-1
-	e.threads, r.threads = e.threads-c.profile.Threads, r.threads-c.profile.Threads
-	if c.profile.HoldsTables {
-		if e.loads[c.tables]--; e.loads[c.tables] == 0 {
-			delete(e.loads, c.tables)
-		}
-	}
-	r.weigh(e)
-}
-
-// forget drops a command that no rule needs any more; a line that still rests is kept until it has.
-func (r *Router) forget(c *command) {
-	delete(r.cmds, c.id)
-	c.tables.open--
-	for _, l := range c.lines {
-		if l.cmds[0] == c { // the usual one; the rest need not be moved
-			l.cmds[0], l.cmds = nil, l.cmds[1:]
-		} else if at, found := slices.BinarySearchFunc(l.cmds, c, byTurn); found {
-			l.cmds = slices.Delete(l.cmds, at, at+1)
-		}
-		if len(l.cmds) == 0 {
-			l.mixed, l.cmds = false, nil
-			r.resting = append(r.resting, l.key)
-		} else if next := l.cmds[0]; next.held && next.parked {
-			r.park(next)
-		}
-	}
-}
-
-// forgetOld drops what no rule needs any more.
-func (r *Router) forgetOld() {
-	r.forgetLines()
-	r.forgetEngines()
-}
-
-// forgetTables drops table groups that nobody has named since then, or since the later time if no command on
-// them was ever answered, and that have no command open, with all that is kept by them.
-func (r *Router) forgetTables(since, strange float64) {
-	for _, e := range r.order {
-		maps.DeleteFunc(e.heldUntil, func(_ *tableGroup, until float64) bool { return r.now >= until })
-	}
-	for _, g := range r.groups {
-		g.release(r.now)
-	}
-	gone := func(g *tableGroup) bool {
-		return g.open == 0 && (g.asked < since || !g.known && g.asked < strange)
-	}
-	r.groups = slices.DeleteFunc(r.groups, gone)
-	for _, o := range slices.Concat(r.owners...) {
-		for i := range o.packs {
-			o.packs[i] = slices.DeleteFunc(o.packs[i], gone)
-		}
-	}
-	maps.DeleteFunc(r.tables, func(_ TableGroup, g *tableGroup) bool { return gone(g) })
-}
-
-// forgetLines drops empty lines that have rested.
-func (r *Router) forgetLines() {
-	r.resting = slices.DeleteFunc(r.resting, func(key OrderKey) bool {
-		l := r.lines[key]
-		if l != nil && len(l.cmds) == 0 && r.now >= l.rest {
-			delete(r.lines, key)
-		}
-		return l == nil || len(l.cmds) > 0 || r.now >= l.rest
-	})
-}
-
-// forgetEngines drops engines that left the list and owe no outcome.
-func (r *Router) forgetEngines() {
-	r.order = slices.DeleteFunc(r.order, func(e *engine) bool {
-		done := e.state == Gone && e.out == 0 && !e.probing
-		if done {
-			r.fleet++
-			delete(r.engines, e.id)
-		}
-		return done
-	})
-}
-
-// setAlarm has c looked at when its time has come.
-func (r *Router) setAlarm(at float64, c *command) {
-	if !math.IsInf(at, 1) {
-		r.alarms.push(alarm{at, c})
-	}
-}
-
-// due is the next command whose time has come, or nil.
-func (r *Router) due() *command {
-	if len(r.alarms.list) == 0 || r.alarms.list[0].at > r.now {
-		return nil
-	}
-	return r.alarms.pop().cmd
-}
-
-// ready is the engines of a kind that the list calls ready, by id.
-func (r *Router) ready(k int) (list []*engine) {
-	for _, e := range r.order {
-		if e.readyOf(k) {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// demand is the work asked of an owner's groups, for each millisecond.
-func (r *Router) demand(o *owner) float64 {
-	sum := 1e-9
-	for _, pack := range o.packs {
-		for _, g := range pack {
-			if sum += g.demand.rate(r.now); g.hot {
-				sum += (hotWeight - 1) * g.demand.rate(r.now)
-			}
-		}
-	}
-	return sum
-}
-
-// allows tells whether a list, of which nil is all, holds something.
-func allows[T comparable](list []T, x T) bool { return list == nil || slices.Contains(list, x) }
-
-// fresh forgets what was learned of an engine's earlier process.
-func (e *engine) fresh() {
-	e.outcomes, e.retryWait, e.retryAt = math.MaxUint64, firstTrial, 0
-	e.others, e.util, e.disk = decay{life: othersLife}, decay{life: reportLife}, decay{life: reportLife}
-	e.slow, e.reportAt, e.width = decay{life: reportLife}, 0, startWidth
-	e.goodAt = 0
-	clear(e.rests)
-}
-
-// enlist takes in the entries of a list; what a whole list doesn't name has left.
-func (r *Router) enlist(ev Listed) {
-	r.fleet++
-	if r.expired = ev.Expired; r.expired == 0 {
-		r.heardAt = r.now
-	}
-	named := map[EngineID]bool{}
-	for _, entry := range ev.Entries {
-		named[entry.Engine] = true
-		e, since := r.engines[entry.Engine], entry.Since
-		if since == 0 {
-			since = math.Inf(-1)
-		}
-		if e == nil {
-			h := fnv.New64a()
-			h.Write([]byte(entry.Engine))
-			e = &engine{id: entry.Engine, hash: h.Sum64(), loads: map[*tableGroup]int{},
-				heldUntil: map[*tableGroup]float64{}, rests: make([]rest, len(r.profiles))}
-			r.engines[e.id], r.order = e, insert(r.order, e, byEngine)
-			e.fresh()
-		} else if since > e.since {
-			e.fresh()
-		}
-		e.state, e.zone, e.kind, e.cell = entry.State, entry.Zone, entry.Kind, entry.Cell
-		e.since = since
-		e.cores = spareCores
-		if e.kind >= 0 {
-			e.cores = r.kinds[e.kind].Cores
-		}
-		r.weigh(e)
-	}
-	for _, e := range r.order {
-		if ev.Whole && !named[e.id] {
-			e.state = Gone
-			r.weigh(e)
-		}
-	}
-}
-
 // take hands an event to who decides by it, or files it.
 func (r *Router) take(event Event) {
 	switch ev := event.(type) {
@@ -745,6 +125,12 @@
 	}
 }
 
+func (r *Router) setClock(now float64) {
+	if r.now = now; r.born < 0 {
+		r.born = now
+	}
+}
+
 // stopping has every command looked at by the time that this controller ends.
 func (r *Router) stopping(within float64) {
 	r.stopAt = r.now + within
@@ -754,95 +140,42 @@
 	r.rewatch()
 }
 
-func (r *Router) begun(id CommandID) {
-	if c := r.cmds[id]; c != nil {
-		c.begun = true
-	}
-}
-
-// left takes in that c's client has gone: nothing is owed, and what is out is not wanted.
-func (r *Router) left(id CommandID) {
-	if c := r.cmds[id]; c != nil {
-		c.over, c.wantCancel = true, true
-		r.touch(c)
-	}
-}
-
-func (r *Router) probed(ev Probed) {
-	if e := r.engines[ev.Engine]; e != nil {
-		e.probing = false
-		e.judge(r.now, ev.Outcome == Answered)
-		r.report(e, ev.Load)
-		r.weigh(e)
+// setAlarm has c looked at when its time has come.
+func (r *Router) setAlarm(at float64, c *command) {
+	if !math.IsInf(at, 1) {
+		r.alarms.push(alarm{at, c})
 	}
 }
 
-// likes is a fixed leaning from 0 to 1 of a table group to an engine, the same at every controller.
-func likes(g *tableGroup, e *engine) float64 {
-	x := e.hash ^ uint64(g.id)*0x9e3779b97f4a7c15
-	x ^= x >> 31
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 29
-	return float64(x>>11) / (1 << 53)
-}
-
-// report files a load report.
-func (r *Router) report(e *engine, l *Load) {
-	if l == nil || !l.plausible(e) {
-		return
-	}
-	e.reportAt, e.granted = r.now, max(0, l.Memory)
-	if l.Util >= 0 {
-		e.util.add(r.now, l.Util, 1)
-	}
-	if l.Disk >= 0 {
-		e.disk.add(r.now, l.Disk, 1)
-	}
-	if l.Inflight >= 0 {
-		e.others.cap(r.now, 1)
-		e.others.add(r.now, max(0, l.Inflight-float64(e.out)), 1)
-		r.busy.add(r.now, max(0, l.Inflight-float64(e.out)), e.cores)
-		if r.cores > 0 {
-			r.share.add(r.now, float64(r.out)*e.cores/r.cores, l.Inflight)
-		}
+// due is the next command whose time has come, or nil.
+func (r *Router) due() *command {
+	if len(r.alarms.list) == 0 || r.alarms.list[0].at > r.now {
+		return nil
 	}
-	r.weigh(e)
-}
-
-// holds tells whether two engines drop each other's repeats.
-func (s Scope) holds(a, b *engine) bool {
-	return s == ScopeAll || s == ScopeZone && a.zone == b.zone || s == ScopeCell && a.cell == b.cell
+	return r.alarms.pop().cmd
 }
 
-// mean is an owner's load: that of its engines, on average.
-func (r *Router) mean(o *owner) (sum float64) {
-	for _, e := range o.engines {
-		sum += r.load(e) / float64(len(o.engines))
+func (r *Router) nextAlarm() float64 {
+	if len(r.alarms.list) == 0 {
+		return math.Inf(1)
 	}
-	return sum
+	return r.alarms.list[0].at
 }
 
-// sendOf finds a send that is out; nil if there is none such.
-func (r *Router) sendOf(id CommandID, send SendID) (*command, *sendState) {
-	c := r.cmds[id]
-	if c == nil || send < 0 || int(send) >= len(c.sends) || !c.sends[send].out {
-		return nil, nil
-	}
-	return c, &c.sends[send]
+// forgetOld drops what no rule needs any more.
+func (r *Router) forgetOld() {
+	r.forgetLines()
+	r.forgetEngines()
 }
 
-func (r *Router) setClock(now float64) {
-	if r.now = now; r.born < 0 {
-		r.born = now
-	}
+// insert keeps list ordered by compare, which must tell all its members apart.
+func insert[T any](list []T, x T, compare func(a, b T) int) []T {
+	at, _ := slices.BinarySearchFunc(list, x, compare)
+	return slices.Insert(list, at, x)
 }
 
-func (r *Router) nextAlarm() float64 {
-	if len(r.alarms.list) == 0 {
-		return math.Inf(1)
-	}
-	return r.alarms.list[0].at
-}
+// allows tells whether a list, of which nil is all, holds something.
+func allows[T comparable](list []T, x T) bool { return list == nil || slices.Contains(list, x) }
 
 // emit is the one place where the wanted state meets the present.
 func (r *Router) emit() (actions []Action) {
