--- a/internal/core/fleet/config/spread.go
+++ b/internal/core/fleet/config/spread.go
@@ -50,6 +50,9 @@
 	if r.newest.Number <= r.spread.summary.Number || !r.library.stored(r.newest.Hash) {
 		return
 	}
+	if r.votes() && r.env.State().Newest() < r.newest.Number {
+		return // a voter tells of what its own state knows, with its author and reason
+	}
 	r.spread = spreading{summary: r.newest.summary(), left: pushes, at: r.now}
 	r.tickPushes()
 }
@@ -140,6 +143,9 @@
 	if latest.Number == r.newest.Number && latest.Hash == r.newest.Hash {
 		r.newest = latest
 	}
+	if latest.Number == r.take.current.Number && latest.Hash == r.take.current.Hash {
+		r.take.current = latest
+	}
 }
 
 // noticeDocument takes in that the document of the version aimed at is here.
