Tests of the fleet's service use addresses that nobody else comes upon

Seen twice in three runs: 'bind: address already in use' in TestConfigKeptUnusable and TestConfigPut. A port that a test reserves on 127.0.0.1 for a service that starts later may be taken as the local end of a connection of one that runs already, or by another process. Reserved addresses are now of a loopback address of the process alone.

--- a/internal/fleet/configfleet_test.go
+++ b/internal/fleet/configfleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -118,13 +117,8 @@
 	t.Helper()
 	f := &configFleet{t: t, dir: t.TempDir(), log: quiet, disks: make([]disk.Disk, count), services: make([]*Service, count)}
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.addrs = append(f.addrs, l.Addr().String())
+		f.addrs = append(f.addrs, reserveAddress(t))
 		f.hosts = append(f.hosts, &fakeHost{})
-		l.Close()
 	}
 	t.Cleanup(func() {
 		for i := range f.services {
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -14,16 +14,23 @@
 	"mintkeel/internal/core/fleet/maintenance"
 )
 
-// The leases of a fleet change while it runs: what is new gets a holder, what is not wanted any more is held by nobody.
-func TestSetLeases(t *testing.T) {
-	dir := t.TempDir()
-	pid := os.Getpid() // of this process alone: its port stays free until it is used
+// reserveAddress is one that nothing listens on. It is of a loopback address of this process alone, so that neither another
+// process nor the local end of a connection comes upon its port between this and its use.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	pid := os.Getpid()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := listener.Addr().String()
-	listener.Close()
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// The leases of a fleet change while it runs: what is new gets a holder, what is not wanted any more is held by nobody.
+func TestSetLeases(t *testing.T) {
+	dir := t.TempDir()
+	addr := reserveAddress(t)
 	s, err := Start(blockOf(t, dir, 0, []string{addr}), "n0", nil, nil, quiet)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -39,13 +38,7 @@
 	dir := t.TempDir()
 	var addrs []string
 	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-		l.Close()
+		addrs = append(addrs, reserveAddress(t))
 	}
 	var all []*Service
 	for i := range addrs {
