--- a/internal/core/fleet/config/reports.go
+++ b/internal/core/fleet/config/reports.go
@@ -55,7 +55,6 @@
 	batches []batch
 	leader  members.ID
 	purgeAt float64
-	status  cachedStatus
 }
 
 func newReporting(now float64) reporting {
--- a/internal/core/fleet/config/status.go
+++ b/internal/core/fleet/config/status.go
@@ -1,35 +1,18 @@
 package config
 
-import (
-	"mintkeel/internal/core/fleet/members"
-)
-
-// statusFor is how long a Status is told again without counting anew, in ms.
-const statusFor = 100.0
-
-// cachedStatus is the last Status that was counted.
-type cachedStatus struct {
-	status *Status
-	at     float64
-}
+import "mintkeel/internal/core/fleet/members"
 
 // status counts where versions are in force. Each member counts once: by its newest report if that is of the run that
 // membership believes in and was heard lately of a member that is alive, else as not heard of.
 func (r *Replica) status() *Status {
-	cached := &r.reports.status
-	latest := r.env.State().Latest()
-	if cached.status != nil && r.now < cached.at+statusFor && cached.status.Latest == latest {
-		return cached.status
-	}
 	r.mergeReport(r.reports.own, r.now)
-	s := &Status{Latest: latest, Counts: map[uint64]int{}, Since: r.now - r.ledSince}
+	s := &Status{Latest: r.env.State().Latest(), Counts: map[uint64]int{}, Since: r.now - r.ledSince}
 	for _, m := range r.env.Members() {
 		if m.State != members.Left {
 			s.Members++
 			r.countMember(s, m)
 		}
 	}
-	*cached = cachedStatus{status: s, at: r.now}
 	return s
 }
 
--- a/internal/core/fleet/config/status_test.go
+++ b/internal/core/fleet/config/status_test.go
@@ -139,7 +139,6 @@
 	}
 	report.Age = 0
 	leader.Receive(f.now, "n003", &Message{Reports: &Reports{Sequence: 1, List: []Report{report}}})
-	f.runFor(statusFor)
 	if s := f.status(t, f.all[0]); s.InForce != 5 {
 		t.Errorf("a new report does not count: %+v", s)
 	}
@@ -289,3 +288,22 @@
 		}
 	}
 }
+
+// A status is of the moment at which it is asked for: of one that has restarted meanwhile nothing is told again.
+func TestStatusOfThisMoment(t *testing.T) {
+	f := newFleet(t, 1, 20, 3)
+	f.runFor(1000)
+	f.putAgreed(f.all[0], []byte("one"), 0)
+	f.everywhere(1, 5000)
+	f.runFor(2000)
+	if s := f.status(t, f.all[0]); s.InForce != 20 {
+		t.Fatalf("%+v", s)
+	}
+	c := f.all[10]
+	f.kill(c)
+	c.folder = &folder{documents: map[Hash][]byte{}}
+	f.start(c)
+	if s := f.status(t, f.all[0]); s.InForce != 19 {
+		t.Errorf("%+v", s)
+	}
+}
