--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -294,3 +294,24 @@
 		t.Errorf("%v is late", err)
 	}
 }
+
+// No more controllers run at a time than there is room for.
+func TestRoom(t *testing.T) {
+	room := newRoom(10)
+	room.take(6)
+	taken := make(chan struct{})
+	go func() {
+		room.take(5)
+		close(taken)
+	}()
+	select {
+	case <-taken:
+		t.Fatal("there is room for 11")
+	case <-time.After(20 * time.Millisecond):
+	}
+	room.give(6)
+	<-taken
+	if room.free != 5 {
+		t.Errorf("%d are free", room.free)
+	}
+}
