--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -85,19 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var sent, received Flow
-	for _, u := range sample.Controllers {
-		sent = sent.Plus(u.Sent)
-		if u.Sent.Opened == 0 || u.Errors > 0 {
-			t.Errorf("n%d: %+v", u.Number, u)
-		}
-	}
-	for _, flow := range sample.Received {
-		received = received.Plus(flow)
-	}
-	if received.Opened < sent.Opened || received.Written < sent.Written {
-		t.Errorf("sent %+v and received %+v", sent, received) // received was counted later
-	}
+	checkCounts(t, sample)
 	share.AwaitLoss(4)
 	share.Leave([]int{4})
 	eventually(t, "a loss is not known", func() bool {
@@ -113,6 +101,24 @@
 	eventually(t, "descriptors stay", func() bool { return descriptors(t) <= open })
 }
 
+// checkCounts looks at whether what controllers sent was received.
+func checkCounts(t *testing.T, sample Sample) {
+	t.Helper()
+	var sent, received Flow
+	for _, u := range sample.Controllers {
+		sent = sent.Plus(u.Sent)
+		if u.Sent.Opened == 0 || u.Errors > 0 {
+			t.Errorf("n%d: %+v", u.Number, u)
+		}
+	}
+	for _, flow := range sample.Received {
+		received = received.Plus(flow)
+	}
+	if received.Opened < sent.Opened || received.Written < sent.Written {
+		t.Errorf("sent %+v and received %+v", sent, received) // received was counted later
+	}
+}
+
 // The smallest fleets in processes are measured, and no process stays.
 func TestMeasure(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
