Maintenance's job in the fleet by job: five files in place of one of 763 lines

Conductor becomes MaintenanceJob, Keeper MaintenanceHost, MaintenanceOrder MaintenanceRequest with Action in place of Do, the status's Conductor and Epoch Holder and Token. CBOR and JSON keys, the order of arrays, log lines and operators' messages stay; docs need no change.

--- a/cmd/mintkeel/jobs.go
+++ b/cmd/mintkeel/jobs.go
@@ -16,7 +16,7 @@
 		return programs
 	}
 	facts := d.start.facts
-	k := fleet.Keeper{Engines: d.loop.EnginesNow, Hold: func(held []router.EngineID) { d.loop.Post(controller.Hold{Engines: held}) },
+	k := fleet.MaintenanceHost{Engines: d.loop.EnginesNow, Hold: func(held []router.EngineID) { d.loop.Post(controller.Hold{Engines: held}) },
 		Kinds: make([]string, len(facts.Kinds)), Log: d.log}
 	for name, i := range facts.Names.Kinds {
 		if int(i) >= 0 && int(i) < len(k.Kinds) {
@@ -28,7 +28,7 @@
 			k.Bounds = append(k.Bounds, p.Kinds)
 		}
 	}
-	d.conductor = fleet.NewConductor(k, *d.file.Maintenance)
+	d.conductor = fleet.NewMaintenanceJob(k, *d.file.Maintenance)
 	return append(programs, d.conductor)
 }
 
--- a/cmd/mintkeel/maintenance.go
+++ b/cmd/mintkeel/maintenance.go
@@ -31,7 +31,7 @@
 	var asJSON bool
 	c.PersistentFlags().StringVar(&folder, "folder", os.Getenv("MINTKEEL_FLEET"), "the controller's `folder` (MINTKEEL_FLEET)")
 	c.PersistentFlags().BoolVar(&asJSON, "json", false, "print the whole answer as JSON")
-	call := func(c *cobra.Command, o fleet.MaintenanceOrder, print func(io.Writer, *fleet.MaintenanceStatus)) error {
+	call := func(c *cobra.Command, o fleet.MaintenanceRequest, print func(io.Writer, *fleet.MaintenanceStatus)) error {
 		if folder == "" {
 			return errors.New("no folder: set --folder or MINTKEEL_FLEET")
 		}
@@ -53,7 +53,7 @@
 	named := func(use, short, do string, print func(io.Writer, *fleet.MaintenanceStatus)) *cobra.Command {
 		args := strings.Count(use, " ")
 		return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(args), RunE: func(c *cobra.Command, args []string) error {
-			o := fleet.MaintenanceOrder{Do: do}
+			o := fleet.MaintenanceRequest{Action: do}
 			if len(args) > 0 {
 				o.Name = args[0]
 			}
@@ -73,7 +73,7 @@
 			if len(plans) == 0 {
 				return fmt.Errorf("%s: holds no plan", args[0])
 			}
-			return call(c, fleet.MaintenanceOrder{Do: do, Plans: plans}, func(out io.Writer, s *fleet.MaintenanceStatus) {
+			return call(c, fleet.MaintenanceRequest{Action: do, Plans: plans}, func(out io.Writer, s *fleet.MaintenanceStatus) {
 				if len(s.Problems) == 0 && do == "check" {
 					fmt.Fprintln(out, "can be done, as far as can be foreseen")
 				} else if do == "plan" {
@@ -105,7 +105,7 @@
 
 func printMaintenance(out io.Writer, s *fleet.MaintenanceStatus) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	fmt.Fprintf(t, "conducted by %s, epoch %d, state %d\nplan\tat once\tis\n", s.Conductor, s.Epoch, s.Serial)
+	fmt.Fprintf(t, "conducted by %s, epoch %d, state %d\nplan\tat once\tis\n", s.Holder, s.Token, s.Serial)
 	for _, p := range s.Plans {
 		is := "under way"
 		if p.Over {
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -77,7 +77,7 @@
 	fleet  *fleet.Service // nil: off
 	agreed *agreedConfig  // nil: the fleet has no say in this controller's configuration
 
-	conductor *fleet.Conductor // nil: maintenance is off
+	conductor *fleet.MaintenanceJob // nil: maintenance is off
 
 	remembers bool // its own folder held something to begin with
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -36,8 +36,8 @@
 	To   string `json:"to,omitempty"`
 	Old  string `json:"old,omitempty"`
 
-	Maintenance *MaintenanceOrder `json:"maintenance,omitempty"`
-	Config      *ConfigOrder      `json:"config,omitempty"`
+	Maintenance *MaintenanceRequest `json:"maintenance,omitempty"`
+	Config      *ConfigOrder        `json:"config,omitempty"`
 }
 
 // Status is what a controller knows of its fleet. What it can't know it does not tell as known: Members are what it
@@ -197,7 +197,7 @@
 }
 
 // askConductor passes an order on to who conducts maintenance, and waits for the answer.
-func (s *Service) askConductor(o *MaintenanceOrder) (Status, error) {
+func (s *Service) askConductor(o *MaintenanceRequest) (Status, error) {
 	if o == nil {
 		return Status{}, errors.New("nothing is asked for")
 	}
@@ -207,7 +207,7 @@
 	}
 	found, err := ask(s, controlTime, func(in *session) sent {
 		for _, p := range in.programs {
-			if c, ok := p.(*Conductor); ok {
+			if c, ok := p.(*MaintenanceJob); ok {
 				owner := members.ID("")
 				grants, _ := in.core.Leases()
 				for _, g := range grants {
@@ -215,7 +215,7 @@
 						owner = g.Holder.ID
 					}
 				}
-				reply, err := c.Order(in, owner, *o)
+				reply, err := c.SendRequest(in, owner, *o)
 				return sent{reply, err}
 			}
 		}
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -63,7 +63,7 @@
 	if err := os.WriteFile(script, []byte("#!/bin/sh\necho \"$1 $2 $3\" > "+mark+"\n"), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	c := NewConductor(Keeper{Log: quiet}, MaintenanceBlock{Within: time.Minute})
+	c := NewMaintenanceJob(MaintenanceHost{Log: quiet}, MaintenanceBlock{Within: time.Minute})
 	defer c.Close()
 	task := maintenance.Task{Engine: "e1", Step: maintenance.Working, Number: 7}
 	if m := c.step(nil, maintenance.View{}, task); m != nil || c.waits["e1"] != "a person's word that the work is done" {
--- /dev/null
+++ b/internal/fleet/maintenance_step.go
@@ -0,0 +1,274 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"slices"
+	"strconv"
+	"time"
+
+	"mintkeel/internal/core/fleet/maintenance"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/router"
+)
+
+// hookRun is the last run of a program of the installation.
+type hookRun struct {
+	number  uint64 // of the task
+	running bool
+	done    bool
+	err     error
+	at      time.Time
+}
+
+// view is what the decisions of core/fleet/maintenance go by.
+func (j *MaintenanceJob) view(h Context) maintenance.View {
+	engines := j.currentEngines()
+	v := maintenance.View{Now: j.now(), Tasks: j.agreed.Tasks, Plans: j.agreed.Plans, Listed: j.block.Load().List}
+	if len(engines) == 0 {
+		v.Behind = "the engines have not been looked at yet"
+	}
+	for _, e := range engines {
+		if e.State != router.Gone {
+			v.Engines = append(v.Engines, j.viewEngine(e))
+		}
+	}
+	v.Lost = j.lostEngines(v)
+	for _, kinds := range j.host.Bounds {
+		v.Bounds = append(v.Bounds, j.bound(kinds, v.Engines))
+	}
+	for _, m := range h.Members() {
+		if m.State == members.Suspect {
+			v.Behind = string(m.ID) + " does not answer just now"
+		}
+	}
+	return v
+}
+
+// kindName is the name of a kind; empty: it is not known.
+func (j *MaintenanceJob) kindName(k router.KindID) string {
+	if int(k) < 0 || int(k) >= len(j.host.Kinds) {
+		return ""
+	}
+	return j.host.Kinds[k]
+}
+
+func (j *MaintenanceJob) viewEngine(e router.EngineNow) maintenance.Engine {
+	viewed := maintenance.Engine{
+		ID:     maintenance.EngineID(e.Engine),
+		Zone:   maintenance.Zone(e.Zone),
+		Kind:   maintenance.Kind(j.kindName(e.Kind)),
+		Cores:  e.Cores,
+		Ready:  e.State == router.Ready,
+		Since:  e.Since,
+		WarmAt: e.WarmAt,
+		Load:   min(1, e.Load),
+	}
+	if slices.Contains(j.held.Engines, e.Engine) { // maintenance itself has it drain: whether it is back, the list tells
+		viewed.Ready = e.Listed == router.Ready
+	}
+	for _, t := range e.Tables {
+		viewed.Groups = append(viewed.Groups, maintenance.Held{Group: maintenance.Group(t.Tables), Asked: t.Asked, Homes: t.Homes})
+	}
+	return viewed
+}
+
+// lostEngines are the known engines that are missing and that nobody took out, until they count as left for good.
+func (j *MaintenanceJob) lostEngines(v maintenance.View) (lost []maintenance.Engine) {
+	for _, id := range j.agreed.Known {
+		ready := slices.ContainsFunc(v.Engines, func(e maintenance.Engine) bool { return e.ID == id && e.Ready })
+		takenOut := slices.ContainsFunc(v.Tasks, func(t maintenance.Task) bool {
+			return t.Engine == id && t.Step != maintenance.Done
+		})
+		if ready || takenOut {
+			delete(j.engineLostFrom, id)
+			continue
+		}
+		if j.engineLostFrom[id] == 0 {
+			j.engineLostFrom[id] = v.Now
+		}
+		if v.Now < j.engineLostFrom[id]+lostEngineTime {
+			lost = append(lost, maintenance.Engine{ID: id})
+		}
+	}
+	return lost
+}
+
+// bound is the need of the query classes that run on some kinds alone: all that runs there may be of them.
+func (j *MaintenanceJob) bound(kinds []router.KindID, engines []maintenance.Engine) maintenance.Bound {
+	b := maintenance.Bound{}
+	for _, k := range kinds {
+		if int(k) >= 0 && int(k) < len(j.host.Kinds) {
+			b.Kinds = append(b.Kinds, maintenance.Kind(j.host.Kinds[k]))
+		}
+	}
+	for _, e := range engines {
+		if slices.Contains(b.Kinds, e.Kind) {
+			b.Needs += e.Load * e.Cores
+		}
+	}
+	return b
+}
+
+// advance makes the next step, if there is one, and has it agreed on.
+func (j *MaintenanceJob) advance(h Context) {
+	v := j.view(h)
+	for _, t := range j.agreed.Tasks {
+		if m := j.step(h, v, t); m != nil {
+			j.move(h, v, *m)
+			return
+		}
+	}
+	limits := maintenance.Usual()
+	limits.Prepare = float64(j.block.Load().Prepare) / 1e6
+	m, reasons := maintenance.Decide(v, limits)
+	j.reasons = reasons
+	if m != nil {
+		j.move(h, v, *m)
+	}
+}
+
+// step is the next move of a task by its programs, confirmations and operators; nil: it waits, and waits says for what.
+func (j *MaintenanceJob) step(h Context, _ maintenance.View, t maintenance.Task) *maintenance.Move {
+	to := func(s maintenance.Step) *maintenance.Move {
+		return &maintenance.Move{Engine: t.Engine, Plan: t.Plan, From: t.Step, To: s}
+	}
+	wait := func(format string, args ...any) *maintenance.Move {
+		j.waits[t.Engine] = fmt.Sprintf(format, args...)
+		return nil
+	}
+	delete(j.waits, t.Engine)
+	block := j.block.Load()
+	switch t.Step {
+	case maintenance.Draining:
+		if done, why := j.runHook("drain", block.Drain, t); !done {
+			return wait("%s", why)
+		}
+		if list := j.unconfirmed(h, t.Engine); len(list) > 0 {
+			return wait("not confirmed by %s", firstNames(list))
+		}
+		if block.List && j.listedState(t.Engine) == router.Ready {
+			return wait("the list still tells that it is there for work: a controller that starts now would send to it")
+		}
+		return to(maintenance.Free)
+	case maintenance.Free:
+		return to(maintenance.Working)
+	case maintenance.Working:
+		if block.Work == "" {
+			if j.agreed.Hooked["work "+string(t.Engine)] != t.Number {
+				return wait("a person's word that the work is done")
+			}
+		} else if done, why := j.runHook("work", block.Work, t); !done {
+			return wait("%s", why)
+		}
+		return to(maintenance.Returning)
+	case maintenance.Returning:
+		if done, why := j.runHook("back", block.Back, t); !done {
+			return wait("%s", why)
+		}
+	}
+	return nil
+}
+
+// namesShown is how many names a reason lists.
+const namesShown = 5
+
+func firstNames(list []string) string {
+	if len(list) > namesShown {
+		return fmt.Sprintf("%v and %d more", list[:namesShown], len(list)-namesShown)
+	}
+	return fmt.Sprint(list)
+}
+
+// listedState is what the endpoint list says of an engine, whether or not this controller holds it.
+func (j *MaintenanceJob) listedState(id maintenance.EngineID) router.State {
+	for _, e := range j.currentEngines() {
+		if maintenance.EngineID(e.Engine) == id {
+			return e.Listed
+		}
+	}
+	return router.Gone
+}
+
+// move proposes the state after a move.
+func (j *MaintenanceJob) move(h Context, v maintenance.View, m maintenance.Move) {
+	engine := maintenance.Engine{ID: m.Engine}
+	for _, e := range v.Engines {
+		if e.ID == m.Engine {
+			engine = e
+		}
+	}
+	tasks, ok := maintenance.Apply(j.agreed.Tasks, m, engine, v.Now)
+	if !ok {
+		return
+	}
+	state := j.agreed
+	state.Tasks = tasks
+	state.Known = j.knownEngines(v)
+	j.host.Log.Info("maintenance: step", "engine", string(m.Engine), "to", m.To.String())
+	j.propose(h, state)
+}
+
+// knownEngines are the engines that there should be: all that were ever there while there were plans, but for those that
+// left for good.
+func (j *MaintenanceJob) knownEngines(v maintenance.View) []maintenance.EngineID {
+	list := slices.DeleteFunc(slices.Clone(j.agreed.Known), func(id maintenance.EngineID) bool {
+		return j.engineLostFrom[id] > 0 && v.Now >= j.engineLostFrom[id]+lostEngineTime
+	})
+	for _, e := range v.Engines {
+		if e.Ready && !slices.Contains(list, e.ID) && len(list) < maxKnownEngines {
+			list = append(list, e.ID)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// runHook has a program of the installation do its part, once for each number of a task. If a holder died meanwhile, the
+// next one runs it again, with the same number.
+func (j *MaintenanceJob) runHook(step, path string, t maintenance.Task) (done bool, why string) {
+	if path == "" {
+		return true, ""
+	}
+	key := step + " " + string(t.Engine)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	run := j.hooks[key]
+	if run.number != t.Number {
+		run = hookRun{number: t.Number}
+	}
+	switch {
+	case run.done:
+		return true, ""
+	case run.running:
+		return false, step + " is under way"
+	case run.err != nil && time.Since(run.at) < hookBackoff:
+		return false, fmt.Sprintf("%s: %v; tried again after 10 s", step, run.err)
+	}
+	run.running = true
+	j.hooks[key] = run
+	within := j.block.Load().Within
+	j.group.Go(func() {
+		err := j.execute(path, step, t, within)
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if j.hooks[key].number == t.Number {
+			j.hooks[key] = hookRun{number: t.Number, done: err == nil, err: err, at: time.Now()}
+		}
+	})
+	return false, step + " is under way"
+}
+
+// execute runs a program to its end, or until its time is up.
+func (j *MaintenanceJob) execute(path, step string, t maintenance.Task, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(j.ctx, within)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, path, step, string(t.Engine), strconv.FormatUint(t.Number, 10))
+	cmd.WaitDelay = hookWaitDelay
+	err := cmd.Run()
+	if ctx.Err() != nil {
+		return fmt.Errorf("not done within %v", within)
+	}
+	return err
+}
--- a/internal/lab/fleet/maintain.go
+++ b/internal/lab/fleet/maintain.go
@@ -125,7 +125,7 @@
 }
 
 // order has some controller pass an order on to who conducts, until one does.
-func (r *rig) order(o fleet.MaintenanceOrder) {
+func (r *rig) order(o fleet.MaintenanceRequest) {
 	began := time.Now()
 	for r.ctx.Err() == nil {
 		why := ""
@@ -133,14 +133,14 @@
 			ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
 			s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &o})
 			if cancel(); err == nil && s.Maintenance != nil {
-				r.tell("%s done, conducted by %s", o.Do, s.Maintenance.Conductor)
+				r.tell("%s done, conducted by %s", o.Action, s.Maintenance.Holder)
 				return
 			} else if err != nil {
 				why = err.Error()
 			}
 		}
 		if time.Since(began) > r.Settle {
-			r.broke("%s was not done: %s", o.Do, why)
+			r.broke("%s was not done: %s", o.Action, why)
 			return
 		}
 		r.sleep(200 * time.Millisecond)
@@ -149,7 +149,7 @@
 
 // plan has the whole fleet of engines taken out once.
 func (r *rig) plan() {
-	r.order(fleet.MaintenanceOrder{Do: "plan", Plans: []maintenance.Plan{{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}},
+	r.order(fleet.MaintenanceRequest{Action: "plan", Plans: []maintenance.Plan{{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}},
 		Needs: 1000, AtOnce: r.AtOnce}}})
 }
 
@@ -164,7 +164,7 @@
 		r.report.Back, r.report.MostOut = back, r.yard.most
 		r.mu.Unlock()
 		if back > 0 && !ordered {
-			r.order(fleet.MaintenanceOrder{Do: "withdraw", Name: "all"})
+			r.order(fleet.MaintenanceRequest{Action: "withdraw", Name: "all"})
 			ordered = true
 		}
 		switch {
@@ -212,7 +212,7 @@
 			status := "nobody tells"
 			for _, n := range r.nodes {
 				ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
-				s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &fleet.MaintenanceOrder{Do: "status"}})
+				s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &fleet.MaintenanceRequest{Action: "status"}})
 				if cancel(); err == nil {
 					status = fmt.Sprintf("%+v", *s.Maintenance)
 					break
