--- a/cmd/mintkeel/agreed.go
+++ b/cmd/mintkeel/agreed.go
@@ -163,12 +163,20 @@
 // shortHash is enough of a hash to tell documents apart by eye.
 func shortHash(v config.Version) string { return v.Hash.String()[:12] }
 
+// mostProblems are told of a document that can't be used; mintkeel check tells all.
+const mostProblems = 16
+
 // documentError is why a document can't be used, in one line for logs and for other controllers.
 type documentError struct{ err error }
 
 func (e *documentError) Error() string {
 	var texts []string
-	for _, p := range operator.Problems(e.err) {
+	problems := operator.Problems(e.err)
+	for i, p := range problems {
+		if i == mostProblems {
+			texts = append(texts, fmt.Sprintf("%d more", len(problems)-i))
+			break
+		}
 		text := p.Why
 		if p.Field != "" {
 			text = "field " + p.Field + " " + text
--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -202,7 +202,8 @@
 }
 
 // Four daemons as processes: a version is put in force at each; a document that can't be used, and one whose author has not
-// seen the newest version, change nothing; a reload and restarts keep the version in force; an earlier one is put back.
+// seen the newest version, change nothing; a reload and restarts keep the version in force; an earlier one is put back; of two at
+// once one wins.
 func TestConfigProcesses(t *testing.T) {
 	all := configProcesses(t, 4)
 	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
@@ -281,4 +282,29 @@
 	n4.start()
 	n4.serves("one")
 	n2.await("version 4 in force at 3 of 4; 1 refused: n4 (line 3")
+
+	// Two at once: one wins, the other is told so.
+	codes := make(chan int, 2)
+	for _, p := range []*process{n1, n3} {
+		path := p.file(ruleRefusing("from " + p.name))
+		go func() {
+			code, _, _ := p.config("put", "--reason", "at once", "--expect", "4", path)
+			codes <- code
+		}()
+	}
+	if first, second := <-codes, <-codes; min(first, second) != 0 || max(first, second) != 4 {
+		t.Errorf("two at once ended with %d and %d", first, second)
+	}
+	for i, size := range []int{1, 64 << 10, 1 << 20} {
+		text := ruleRefusing(fmt.Sprint("size ", size))
+		text = strings.Repeat("#", max(1, size-len(text)-1)) + "\n" + text
+		n2.expect(0, fmt.Sprintf("version %d in force at 4 of 4", 6+i), "put", "--reason", "size", n2.file(text[:size]))
+	}
+	n2.expect(1, "has over 1048576 bytes", "put", "--reason", "size", n2.file(strings.Repeat("#", 1<<20+1)))
+	for _, p := range all {
+		p.serves("size 1048576")
+		if err := p.end(syscall.SIGTERM); err != nil {
+			t.Error(err)
+		}
+	}
 }
