--- a/cmd/mintkeel/agreed.go
+++ b/cmd/mintkeel/agreed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -27,7 +28,8 @@
 type agreedConfig struct {
 	name     string
 	facts    *settings.Facts
-	local    atomic.Pointer[operator.File] // this controller's own
+	local    atomic.Pointer[operator.File]  // this controller's own
+	parsed   atomic.Pointer[parsedDocument] // the last that can be used
 	requests chan versionRequest
 	version  config.Version // in force; Number 0: none yet. Of the main goroutine alone
 
@@ -88,12 +90,24 @@
 // stopTaking has no more versions taken over.
 func (a *agreedConfig) stopTaking() { a.stop.Do(func() { close(a.stopped) }) }
 
+// parsedDocument is a document as it was read: it is checked before it is taken over, and a large one takes a second to read.
+type parsedDocument struct {
+	hash  [sha256.Size]byte
+	local *operator.File // beside which it was read
+	file  *operator.File // is never changed
+}
+
 // parse reads a document by the same code as mintkeel check.
 func (a *agreedConfig) parse(document []byte) (*operator.File, error) {
-	file, err := operator.ParseDocument("", document, operator.Local{Name: a.name, File: a.local.Load()}, a.facts)
+	hash, local := sha256.Sum256(document), a.local.Load()
+	if last := a.parsed.Load(); last != nil && last.hash == hash && last.local == local {
+		return last.file, nil
+	}
+	file, err := operator.ParseDocument("", document, operator.Local{Name: a.name, File: local}, a.facts)
 	if err != nil {
 		return nil, &documentError{err}
 	}
+	a.parsed.Store(&parsedDocument{hash: hash, local: local, file: file})
 	return file, nil
 }
 
--- a/cmd/mintkeel/agreed_test.go
+++ b/cmd/mintkeel/agreed_test.go
@@ -170,6 +170,34 @@
 	}
 }
 
+// A document is read once, unless the controller's own file was read again since; what can't be used is not remembered.
+func TestParseOnce(t *testing.T) {
+	a := newAgreedConfig(&start{Name: "n1"}, &operator.File{Log: logs.Usual()})
+	parse := func(text string) *operator.File {
+		t.Helper()
+		file, err := a.parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	one := parse("log {\n}\n")
+	if _, err := a.parse([]byte("x = 1\n")); err == nil {
+		t.Error("an unknown name can be used")
+	}
+	if _, err := a.parse([]byte("x = 1\n")); err == nil {
+		t.Error("an unknown name can be used the second time")
+	}
+	if parse("log {\n}\n") != one {
+		t.Error("read twice")
+	}
+	a.setLocal(&operator.File{Log: logs.Usual()})
+	two := parse("log {\n}\n")
+	if two == one || parse("log {\n burst = 7\n}\n").Log.Burst != 7 || parse("log {\n}\n") == two {
+		t.Error("not read again")
+	}
+}
+
 // awaiting is a daemon that has not begun to serve clients, in its wait for the latest version.
 func awaiting(t *testing.T, wait string) *daemon {
 	t.Helper()
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -163,3 +163,22 @@
 		}
 	})
 }
+
+// BenchmarkParseDocument tells what a document costs to check, by its size: rules of 90 bytes, up to the most there may be.
+func BenchmarkParseDocument(b *testing.B) {
+	for _, rules := range []int{10, 100, 1000, 10_000} {
+		var text strings.Builder
+		for i := range rules {
+			fmt.Fprintf(&text, "rule \"r%d\" {\n when = \"tenant == 'acme%d' && table_name startswith 'menu_%d'\"\n hot = true\n}\n", i, i, i)
+		}
+		document, local := []byte(text.String()), localOf(nil, "digest")
+		b.Run(fmt.Sprintf("%d bytes", len(document)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := ParseDocument("d", document, local, facts); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
