--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -141,6 +141,24 @@
 	return said, nil
 }
 
+// message is what the messages up to the next ReadyForQuery hold, as it stands on the wire.
+func (c *client) message() (text string) {
+	c.t.Helper()
+	for {
+		head := make([]byte, 5)
+		if _, err := io.ReadFull(c, head); err != nil {
+			c.t.Fatal(err)
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+		if _, err := io.ReadFull(c, body); err != nil {
+			c.t.Fatal(err)
+		}
+		if text += string(body); head[0] == 'Z' {
+			return text
+		}
+	}
+}
+
 // The daemon with all its parts: it answers, takes over a new configuration and stays with the old one if that is bad,
 // goes on while told to stop, gives up in time what hangs, and ends.
 func TestServe(t *testing.T) {
@@ -277,7 +295,7 @@
 }
 
 // serve starts the daemon and waits until it serves.
-func (h *house) serve() {
+func (h *house) serve() *daemon {
 	h.t.Helper()
 	s, file, err := h.from.read()
 	if err != nil {
@@ -295,6 +313,7 @@
 	d := &daemon{from: h.from, start: s, file: file, limits: l, lines: logs.New(h.log, file.Log)}
 	go func(ended chan error, signals chan os.Signal) { ended <- d.run(signals) }(h.ended, h.signals)
 	h.log.wait(h.t, "serving")
+	return d
 }
 
 // dial opens a session. It may be called by any goroutine.
@@ -579,6 +598,7 @@
 	dir := t.TempDir()
 	config, badHCL := filepath.Join(dir, "c.json"), filepath.Join(dir, "bad.hcl")
 	text := strings.NewReplacer("%FEED%", "127.0.0.1:1", "%ENGINE%", "127.0.0.1:1").Replace(good)
+	own, leases := filepath.Join(dir, "own.hcl"), filepath.Join(dir, "leases.hcl")
 	ruled, cases, badCases := filepath.Join(dir, "rules.hcl"), filepath.Join(dir, "cases.hcl"), filepath.Join(dir, "bad_cases.hcl")
 	const query = "/* verb=lookup,txn=9b1f03aa5c7e2d41,limit=1500,store=12-east */ SELECT 1 FROM menu_17.items"
 	for path, text := range map[string]string{
@@ -586,7 +606,10 @@
 			"rule \"no\" {\n when = \"table_name == 'secrets'\"\n refuse = \"no\"\n}\n",
 		cases:    fmt.Sprintf("case \"a\" {\n query = %q\n hot = true\n matches = [\"hot\"]\n profile = \"lookup\"\n refuse = \"\"\n}\n", query),
 		badCases: fmt.Sprintf("case \"a\" {\n query = %q\n hot = false\n kinds = [\"std\"]\n}\n", query),
-		config:   text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
+		own: "fleet {\n name = \"e\"\n listen = \"10.0.0.1:9\"\n key_file = \"/k\"\n folder = \"/f\"\n council = { n1 = \"10.0.0.1:9\" }\n" +
+			" works = [\"digest\", \"plan\"]\n}\nconfig {\n}\n",
+		leases: "fleet {\n works = [\"digest\"]\n}\nmaintenance {\n}\n",
+		config: text, badHCL: "log {\n level = 1\n}\nx = 1\n"} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -611,6 +634,11 @@
 		{"check --config " + config + " --operator " + badHCL + " --json", 1, `"field": "x"`, "field x"},
 		{"check --config " + config + " --operator " + badHCL + "x", 1, "", "no such file"},
 		{"check --config " + config + "x --json", 1, `"ok": false`, "no such file"},
+		{"check --config " + config + " --operator " + own + " --document " + ruled, 0, "rules.hcl: can be used; memory off, 2 rules", ""},
+		{"check --config " + config + " --operator " + own + " --document " + badHCL, 1, "", "bad.hcl:2:10: field log.level"},
+		{"check --config " + config + " --operator " + own + " --document " + own, 1, "", "own.hcl:2:9: field fleet.name: is each controller's own"},
+		{"check --config " + config + " --operator " + own + " --json --document " + leases, 1, `"field": "maintenance"`, "leases.hcl:4:1: field maintenance"},
+		{"check --config " + config + " --operator " + own + " --document " + own + "x", 1, "", "no such file"},
 		{"version", 0, "mintkeel", ""},
 		{"version --json", 0, `"go": "go`, ""},
 		{"--help", 0, "serve", ""},
--- a/internal/core/fleet/quorum/quorum_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -102,7 +102,7 @@
 
 func (r *room) propose(ref uint64) {
 	r.t.Helper()
-	if !r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{lease.Name(fmt.Sprint("w", ref))}}}) {
+	if !r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{lease.Name(fmt.Sprint("w", ref))}}}) {
 		r.t.Fatal("not proposed")
 	}
 	r.run(500)
@@ -130,7 +130,7 @@
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
 	for ref := range uint64(600) { // past a snapshot or two
-		r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
+		r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{"w"}}})
 		r.run(50)
 	}
 	r.run(1000)
@@ -139,7 +139,7 @@
 		if got := len(r.agreed[name]); got != 600 || fmt.Sprint(r.agreed[name]) != fmt.Sprint(r.agreed["a"]) {
 			t.Errorf("%s agreed on %d", name, got)
 		}
-		if n := len(r.kept[name]); n > 3*snapEach {
+		if n := len(r.kept[name]); n > 3*snapshotEntries {
 			t.Errorf("%s keeps %d records", name, n)
 		}
 	}
@@ -222,7 +222,7 @@
 		r.run(4000)
 		r.standing("b", Voting)
 		if c.Incarnation() != lives[slices.IndexFunc(lives, func(l Incarnation) bool { return l.Name == "b" })] {
-			t.Errorf("%s: another life again", what)
+			t.Errorf("%s: another incarnation again", what)
 		}
 	}
 }
@@ -260,7 +260,7 @@
 	before := r.leader().Term()
 	for range 100 {
 		ghost.Tick(r.now)
-		ghost.heard()
+		ghost.postponeCampaign()
 		if ghost.node != nil {
 			ghost.node.Campaign()
 		}
@@ -403,13 +403,13 @@
 		r := newRoom(t, "a", "b", "c")
 		r.run(5000)
 		for ref := range proposals {
-			r.leader().Propose("x", ref, lease.Command{Name: &lease.Declare{Names: []lease.Name{"w"}}})
+			r.leader().Propose("x", ref, lease.Command{Declare: &lease.Declare{Names: []lease.Name{"w"}}})
 			r.run(50)
 		}
 		voted := 0
 		for _, name := range r.founders {
 			before, _, _ := r.members[name].storage.InitialState()
-			applied := r.members[name].applied
+			applied := r.members[name].appliedIndex
 			c := r.start(name)
 			after, _, _ := c.storage.InitialState()
 			if before.GetTerm() != after.GetTerm() || before.GetVote() != after.GetVote() {
@@ -523,13 +523,13 @@
 	}
 	c := r.start(out)
 	r.cut = func(from, to members.ID) bool { return to == out } // it is heard, and hears nothing
-	c.led, c.startedAt = true, r.now-giveUpAsking-1
+	c.othersHaveLeader, c.startedAt = true, r.now-giveUpAsking-1
 	r.run(3000)
 	for _, other := range c.others() { // answers of before it was taken in
 		c.Receive(r.now, other, &Message{From: Incarnation{other, 0}, To: Incarnation{out, 0}, Answer: &Answer{Run: c.run, Mark: 0}})
 	}
 	if c.Incarnation().Disk != 0 {
-		t.Fatal("it has begun another life by itself")
+		t.Fatal("it has begun another incarnation by itself")
 	}
 	r.cut = nil
 	r.run(10000)
@@ -538,3 +538,42 @@
 		t.Errorf("it is %v, the council has %v", c.Incarnation(), lives)
 	}
 }
+
+// A voter that lost its folder knows the founders alone. Where one of them was replaced and the newcomer leads, the
+// voter has to learn of the newcomer to be taken in again.
+func TestRejoinAfterReplacement(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	newcomer, err := New(Facts{Self: "d", Founders: r.founders, Run: 50, Disk: 51, Seed: 50}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.members["d"] = newcomer
+	r.run(5000)
+	out := members.ID("c")
+	if r.leader() == r.members["c"] {
+		out = "a"
+	}
+	if !r.leader().Replace(out, "d") {
+		t.Fatal("not replaced")
+	}
+	r.run(20000)
+	r.standing("d", Voting)
+	for range 20 { // until the newcomer leads
+		if newcomer.Leads() {
+			break
+		}
+		leader := r.leader().Incarnation().Name
+		r.cut = func(from, to members.ID) bool { return from == leader || to == leader }
+		r.run(5000)
+		r.cut = nil
+		r.run(5000)
+	}
+	if !newcomer.Leads() {
+		t.Fatal("the newcomer does not lead")
+	}
+	lost := members.ID("b")
+	r.kept[lost] = nil
+	r.start(lost)
+	r.run(30000)
+	r.standing(lost, Voting)
+}
--- /dev/null
+++ b/internal/lab/scale/hollow/measure.go
@@ -0,0 +1,203 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// Options say what Measure measures.
+type Options struct {
+	Quick   bool
+	Seed    int64
+	Sizes   []int // of fleets; nil: the usual ones
+	Voters  int   // 0: 5
+	Command Command
+	Tell    func(format string, args ...any) // is told of what is measured; nil: nobody
+}
+
+// The size that the fleet is built for, and what the operators let a controller spend for control.
+const (
+	targetControllers = 670
+	targetEngines     = 1100
+	targetVoters      = 7
+	targetLeases      = 64
+
+	budgetCores   = 0.021
+	budgetMB      = 128
+	budgetBytes   = 17000
+	budgetInForce = 19000 // ms, for a change of configuration
+	budgetChange  = 5000  // ms, for a change of primary
+	bytesOfMB     = 1e6
+	knownWithin   = 120 * time.Second
+	leaderWithin  = 60 * time.Second
+	usualLease    = 10 * time.Second
+	usualVoters   = 5
+	leasesAtRest  = 2
+	partOfTarget  = 200.0 / targetControllers // of a fleet runs when the rest starts at once
+	zoneOfTarget  = 67.0 / targetControllers  // of a fleet restarts at once
+)
+
+type measurement struct {
+	Options
+	settle  time.Duration // before something is measured
+	window  time.Duration // in which it is
+	lease   time.Duration
+	puts    int  // of documents, of each size
+	deaths  bool // how long it takes until a death is known is measured
+	mu      sync.Mutex
+	figures []figures
+	late    []error // what was awaited in vain while the rest was measured
+}
+
+// Measure runs fleets of several sizes and tells what they cost at rest, when many controllers start or restart at once,
+// and for how long a leader and a lease's holder are missing. It returns what it could measure also where it returns an
+// error.
+func Measure(ctx context.Context, o Options) ([]slope.Row, error) { return o.measurement().sizes(ctx) }
+
+// MeasureAgreement tells what the quorum's leader spends by leases and by voters.
+func MeasureAgreement(ctx context.Context, o Options) ([]slope.Row, error) {
+	return o.measurement().agreement(ctx)
+}
+
+// MeasureDigest tells what the statistics digest costs by engines and table groups.
+func MeasureDigest(ctx context.Context, o Options) ([]slope.Row, error) {
+	return o.measurement().digest(ctx)
+}
+
+func (o Options) measurement() *measurement {
+	m := &measurement{Options: o, settle: 25 * time.Second, window: 30 * time.Second, lease: usualLease, deaths: true, puts: 5}
+	if o.Quick {
+		m.settle, m.window, m.puts = 2*time.Second, 4*time.Second, 2
+	}
+	if m.Voters == 0 {
+		m.Voters = usualVoters
+	}
+	if m.Sizes == nil {
+		m.Sizes = []int{30, 100, 300, targetControllers}
+		if o.Quick {
+			m.Sizes = []int{8, 16, 32, 48}
+		}
+	}
+	if m.Tell == nil {
+		m.Tell = func(string, ...any) {}
+	}
+	return m
+}
+
+// fleets counts the fleets of this process, each of which has a network of its own.
+var fleets atomic.Int64
+
+// open opens a fleet with a network of its own.
+func (m *measurement) open(ctx context.Context, s Spec) (*Fleet, error) {
+	s.Network = NewNetwork(int(fleets.Add(1)))
+	s.LeaseTime = m.lease
+	return Open(ctx, s, m.Command)
+}
+
+// each measures several cases: one after the other, or all beside each other where it is to be quick.
+func each[T any](m *measurement, cases []T, measure func(T) error) error {
+	errs := make([]error, len(cases))
+	var group sync.WaitGroup
+	for i, c := range cases {
+		if m.Quick {
+			group.Go(func() { errs[i] = measure(c) })
+		} else {
+			errs[i] = measure(c)
+		}
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+// watch is what is spent within the window.
+func (m *measurement) watch(ctx context.Context, f *Fleet, window time.Duration) (Interval, error) {
+	before, err := f.Samples()
+	if err != nil {
+		return Interval{}, err
+	}
+	if err := pause(ctx, window); err != nil {
+		return Interval{}, err
+	}
+	after, err := f.Samples()
+	return Interval{f.layout(), before, after}, err
+}
+
+// watchLed is what is spent within the window by a fleet at rest, and which voter led it. A window in which another one came
+// to lead is watched again.
+func (m *measurement) watchLed(ctx context.Context, f *Fleet, voters int) (leader int, interval Interval, err error) {
+	const tries = 3
+	leader, _, err = f.AwaitLeader(ctx, leaderWithin, voters)
+	for range tries {
+		if err != nil {
+			return leader, interval, err
+		}
+		if interval, err = m.watch(ctx, f, m.window); err != nil {
+			return leader, interval, err
+		}
+		was := leader
+		leader, _, err = f.AwaitLeader(ctx, leaderWithin, voters)
+		if leader == was {
+			return leader, interval, err
+		}
+		m.Tell("n%d leads after n%d, though nothing was done", leader, was)
+	}
+	return leader, interval, &LateError{What: "one voter leads throughout a window", Within: tries * m.window}
+}
+
+// figures are those of a fleet of one size; a figure that is missing was not measured.
+type figures struct {
+	size   int
+	values map[string]float64
+}
+
+func (m *measurement) note(size int, name string, value float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.figures {
+		if f.size == size {
+			f.values[name] = value
+			return
+		}
+	}
+	m.figures = append(m.figures, figures{size, map[string]float64{name: value}})
+}
+
+func (m *measurement) noteSpending(size int, role string, s Spending) {
+	m.note(size, role+"/bytes", s.Sent+s.Received)
+	m.note(size, role+"/sent", s.Sent)
+	m.note(size, role+"/cores", s.Processor)
+	m.note(size, role+"/memory", s.Private/bytesOfMB)
+	m.note(size, role+"/resident", s.Resident/bytesOfMB)
+	m.note(size, role+"/heap", s.Heap/bytesOfMB)
+	m.note(size, role+"/wake-ups", s.WakeUps)
+	m.note(size, role+"/files", s.Files)
+	m.note(size, role+"/opened", s.Opened)
+	m.note(size, role+"/connections", s.Out+s.In)
+}
+
+// points are the points of one figure by size.
+func (m *measurement) points(name string) (points []slope.Point) {
+	for _, f := range m.figures {
+		if value, ok := f.values[name]; ok {
+			points = append(points, slope.Point{Size: float64(f.size), Value: value})
+		}
+	}
+	slices.SortFunc(points, func(a, b slope.Point) int { return int(a.Size - b.Size) })
+	return points
+}
+
+func numbers(from, to int) []int {
+	list := make([]int, 0, to-from)
+	for i := from; i < to; i++ {
+		list = append(list, i)
+	}
+	return list
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/lab/scale/spread/bytes.go
@@ -0,0 +1,135 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+const bytesName = "a day's mix"
+
+// A day of the fleet, and the share of it that is played.
+const (
+	dayMS          = 24 * 3600 * 1000.0
+	dayChanges     = 1000
+	dayReplaced    = 260
+	dayFailed      = 2
+	playedShare    = 200.0 // one of so many parts of a day
+	controlBytes   = 17000 // a second: the operators' budget for all that is for control
+	replacedAfter  = 5000.0
+	changesInPart  = dayChanges / playedShare
+	replacedInPart = dayReplaced / playedShare
+)
+
+// dayCosts are bytes a second of one role, sent and received together.
+type dayCosts struct {
+	whole, config float64
+}
+
+// day is a part of a day's mix on a fleet of some size.
+type day struct {
+	nodes int
+	costs map[string]dayCosts
+	err   error
+}
+
+// days are those to be played, the largest first; none where they are not chosen.
+func (o Options) days() (days []*day) {
+	if o.chosen(bytesName) {
+		for _, size := range slices.Backward(o.sizes()) {
+			days = append(days, &day{nodes: size})
+		}
+	}
+	return days
+}
+
+// tellDay tells of a part of a day.
+func (o Options) tellDay(d *day) {
+	if o.Tell != nil {
+		o.Tell("%s, %d controllers, seed %d: bytes a second, sent and received, all and of the configuration: %+v; %v", bytesName, d.nodes, o.Seed, d.costs, d.err)
+	}
+}
+
+// dayRows are the bytes of a two-hundredth of a day by role: 5 changes, at 670 one replacement, and one failure, of which a
+// day has two: a hundred times too many.
+func dayRows(days []*day) (rows []slope.Row, err error) {
+	for _, role := range []string{"controller", "voter", "leader"} {
+		all := slope.Row{Role: role, Cost: "all of the fleet's talk: bytes sent and received", Unit: "bytes/s", Per: "controllers", Condition: bytesName,
+			Method: "virtual time", Target: FleetSize, Budget: controlBytes,
+			Note: "a two-hundredth of a day: 5 changes of 4 KiB, 1 replacement and 1 failure at 670; messages and 40 bytes each, no handshakes"}
+		part := all
+		part.Cost = "of which configuration"
+		for _, d := range slices.Backward(days) {
+			if d.err == nil {
+				all.Points = append(all.Points, slope.Point{Size: float64(d.nodes), Value: d.costs[role].whole})
+				part.Points = append(part.Points, slope.Point{Size: float64(d.nodes), Value: d.costs[role].config})
+			}
+		}
+		if len(all.Points) > 0 {
+			rows = append(rows, all, part)
+		}
+	}
+	for _, d := range days {
+		if d.err != nil {
+			err = errors.Join(err, fmt.Errorf("a day's mix at %d: %w", d.nodes, d.err))
+		}
+	}
+	return rows, err
+}
+
+// playDay plays a part of a day, and tells what a second cost each role.
+func playDay(ctx context.Context, seed int64, nodes int, quick bool) (map[string]dayCosts, error) {
+	s, err := newSimulation(ctx, seed, nodes)
+	if err != nil {
+		return nil, err
+	}
+	long := dayMS / playedShare
+	changes := int(changesInPart)
+	if quick {
+		long, changes = long/5, changes/5
+	}
+	s.world.CountTraffic()
+	leader := s.world.Leader()
+	replacements := max(1, int(replacedInPart*float64(nodes)/FleetSize+0.5))
+	for range replacements {
+		s.world.After(long*s.rng.Float64(), func() { s.world.Replace(Voters+s.rng.Intn(nodes-Voters), replacedAfter) })
+	}
+	s.world.After(long/2, func() { s.world.Restart(Voters+s.rng.Intn(nodes-Voters), 60000) })
+	for range changes {
+		s.put(s.rng.Intn(nodes))
+		if err := s.run(ctx, long/float64(changes)); err != nil {
+			return nil, err
+		}
+	}
+	if s.world.Leader() != leader {
+		return nil, fmt.Errorf("another leader than at the beginning")
+	}
+	return s.dayCosts(long/1000, leader), nil
+}
+
+// dayCosts are the means over the controllers of each role.
+func (s *simulation) dayCosts(seconds float64, leader int) map[string]dayCosts {
+	sums, counts := map[string]dayCosts{}, map[string]float64{}
+	for machine := range s.nodes {
+		role := "controller"
+		switch {
+		case machine == leader:
+			role = "leader"
+		case machine < Voters:
+			role = "voter"
+		}
+		t := s.world.Traffic(machine)
+		sum := sums[role]
+		sum.whole += (t.Sent + t.Received) / seconds
+		sum.config += (t.ConfigSent + t.ConfigReceived) / seconds
+		sums[role] = sum
+		counts[role]++
+	}
+	for role, sum := range sums {
+		sums[role] = dayCosts{sum.whole / counts[role], sum.config / counts[role]}
+	}
+	return sums
+}
