--- a/internal/lab/scale/membership/wire.go
+++ b/internal/lab/scale/membership/wire.go
@@ -70,10 +70,6 @@
 	}
 }
 
-func (t traffic) plus(other traffic) traffic {
-	return traffic{t.sender + other.sender, t.receiver + other.receiver}
-}
-
 // peerTable is a controller's connections out.
 type peerTable map[members.ID]*connection
 
