--- a/internal/lab/fleet/norace_test.go
+++ b/internal/lab/fleet/norace_test.go
@@ -5,4 +5,5 @@
 const (
 	historiesPlayed        = 100
 	configurationHistories = 24
+	raced                  = false
 )
--- a/internal/lab/fleet/race_test.go
+++ b/internal/lab/fleet/race_test.go
@@ -6,4 +6,5 @@
 const (
 	historiesPlayed        = 8
 	configurationHistories = 3
+	raced                  = true
 )
