--- a/internal/lab/fleet/configuration_measure.go
+++ b/internal/lab/fleet/configuration_measure.go
@@ -25,7 +25,10 @@
 	w.config.observed = observed
 }
 
-// PutDocument has an operator propose a document of some bytes at a machine, after the newest version that voters hold.
+// Runs tells whether a machine's process runs now.
+func (w *World) Runs(machine int) bool { return w.nodes[machine].core != nil }
+
+// PutDocument has an operator propose a document of some bytes at a machine that runs, after the newest version that voters hold.
 // Ended is told how that went, and not at all if the machine's process ends before.
 func (w *World) PutDocument(machine, size int, ended func(config.Outcome)) {
 	w.lookAtHistories()
--- a/internal/lab/scale/spread/world.go
+++ b/internal/lab/scale/spread/world.go
@@ -96,8 +96,11 @@
 	return nil
 }
 
-// put proposes a version at a controller.
+// put proposes a version at a controller, or at the next one that runs.
 func (s *simulation) put(machine int) {
+	for !s.world.Runs(machine) {
+		machine = (machine + 1) % s.nodes
+	}
 	s.changes = append(s.changes, change{at: s.world.Now()})
 	i := len(s.changes) - 1
 	s.world.PutDocument(machine, changeBytes, func(o config.Outcome) {
