Members: news that came with a view's differences goes behind fresh news

Cause of joins and refutations that were known late at 670 after all had started: hundreds of members learned at once were each to be passed on 38 times, eight a message; news was passed on about three times and then waited behind them. A join reached 88% of 670 within 6 s and the last after 17.2 s; and one controller that had stood still for 3 s was taken to be gone by one other, which its refutation had not reached in 11.6 s.

Change: what comes with a comparison of views is taken to have been sent ten times already, as others compare their views too.

A newcomer that knows nobody yet takes the first part to have been sent less often, by the size that it knows.

--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -118,6 +118,7 @@
 const (
 	mostSlow   = 8   // steps by which a slow one stretches its own period
 	spreadEach = 4.0 // times the logarithm of the fleet's size: so often a piece of news is passed on
+	bulkSent   = 10  // so often is news that came with a view's differences taken to have been passed on: fresh news goes first
 	confirmers = 3   // who say so too, after whom a suspect has the shortest time
 )
 
@@ -148,9 +149,10 @@
 	order []ID // the round in which members are pinged
 	at    int
 
-	updates updates
-	changes []Change
-	outs    []Out
+	updates     updates
+	alreadySent int // of the news that is being taken in
+	changes     []Change
+	outs        []Out
 
 	seq      uint32
 	target   ID // of the ping under way
@@ -187,7 +189,7 @@
 	}
 	t.periodAt = now + t.rng.Float64()*pace.Period
 	t.syncAt, t.retryAt = now, now+t.rng.Float64()*pace.Retry
-	t.updates.add(t.self)
+	t.updates.add(t.self, 0)
 	return t
 }
 
@@ -248,7 +250,7 @@
 	if t.now = max(t.now, now); t.self.Willing != willing {
 		t.self.Willing = willing
 		t.self.Incarnation++
-		t.updates.add(t.self)
+		t.updates.add(t.self, 0)
 	}
 }
 
@@ -256,7 +258,7 @@
 func (t *Table) Leave(now float64) {
 	t.now = max(t.now, now)
 	t.left, t.self.State, t.expiryKnown = true, Left, false
-	t.updates.add(t.self)
+	t.updates.add(t.self, 0)
 	for _, e := range t.pick(t.pace.Helpers, t.index.alive, nil) {
 		t.send(e, Message{Kind: Ping, Seq: t.nextSeq()})
 	}
@@ -283,6 +285,9 @@
 
 func (t *Table) logSize() float64 { return max(1, math.Log10(float64(t.size()))) }
 
+// sendLimit is how often a piece of news is passed on.
+func (t *Table) sendLimit() int { return int(spreadEach*math.Log2(float64(t.size())+1)) + 1 }
+
 // goneAt is when a suspect is taken to be gone: late while nobody else suspects it, for the fault may be ours.
 func (t *Table) goneAt(e *entry) float64 {
 	return e.suspectAt + t.suspicionTimes()[e.confirmations()]
@@ -490,8 +495,7 @@
 	if m.Kind == Ping { // who has not heard of this one yet could not answer, and would be suspected for it
 		m.News = append(m.News, t.self.Member)
 	}
-	limit := int(spreadEach*math.Log2(float64(t.size())+1)) + 1
-	m.News = t.updates.take(m.News, t.pace.News, limit, func(about *entry) bool {
+	m.News = t.updates.take(m.News, t.pace.News, t.sendLimit(), func(about *entry) bool {
 		return about == e || m.Kind == Ping && about == t.self
 	})
 	t.outs = append(t.outs, Out{e.ID, e.Addr, m})
@@ -503,9 +507,13 @@
 	if len(m.News) > max(t.pace.Part, t.pace.News+2) || from == t.self.ID {
 		return
 	}
+	if m.Kind == Sync && len(m.Sums) == 0 {
+		t.alreadySent = min(bulkSent, t.sendLimit()/2)
+	}
 	for _, n := range m.News {
 		t.believe(n, from)
 	}
+	t.alreadySent = 0
 	e := t.all[from]
 	if e == nil {
 		return // nobody says where it is
@@ -557,7 +565,7 @@
 		t.all[n.ID] = e
 		t.index.add(e)
 		t.suspected(e)
-		t.updates.add(e)
+		t.updates.add(e, t.alreadySent)
 		t.changes = append(t.changes, Change{Member: n, Was: n.State, New: true})
 		if len(t.index.active) <= rings { // into the round, at a place drawn, that no newcomer waits for the next
 			i := t.at + t.rng.Intn(len(t.order)-t.at+1)
@@ -569,7 +577,7 @@
 		if len(e.suspectors) <= confirmers && n.By != "" && !e.suspectors[n.By] {
 			e.suspectors[n.By], e.By = true, n.By
 			t.expiryKnown = false
-			t.updates.add(e)
+			t.updates.add(e, t.alreadySent)
 		}
 		return
 	}
@@ -582,7 +590,7 @@
 	e.Member, e.changedAt = n, t.now
 	t.index.move(e, was)
 	t.suspected(e)
-	t.updates.add(e)
+	t.updates.add(e, t.alreadySent)
 	if was != n.State || heard {
 		t.changes = append(t.changes, Change{Member: n, Was: was})
 	}
@@ -601,7 +609,7 @@
 	if t.left {
 		if n.State != Left && n.Incarnation >= t.self.Incarnation {
 			t.self.Incarnation = n.Incarnation + 1
-			t.updates.add(t.self)
+			t.updates.add(t.self, 0)
 		}
 		return
 	}
@@ -614,5 +622,5 @@
 		t.setSlow(1)
 	}
 	t.self.Incarnation = n.Incarnation + 1
-	t.updates.add(t.self)
+	t.updates.add(t.self, 0)
 }
--- a/internal/core/fleet/members/updates.go
+++ b/internal/core/fleet/members/updates.go
@@ -10,11 +10,11 @@
 	queue []*entry // sorted by sent
 }
 
-// add puts an entry behind those that were not sent yet, as if it had never been sent.
-func (u *updates) add(e *entry) {
+// add puts an entry behind those that were sent as often as it is taken to have been.
+func (u *updates) add(e *entry, sent int) {
 	u.remove(e)
-	e.queued, e.sent = true, 0
-	u.queue = slices.Insert(u.queue, u.after(0, 0), e)
+	e.queued, e.sent = true, sent
+	u.queue = slices.Insert(u.queue, u.after(0, sent), e)
 }
 
 // remove takes an entry out.
