Hollow fleets: how many members those know that do not know all; times of starts told once

Cause: the trial at 670 controllers told a time for a start after which 670 of 670 did not know all within 120 s, and not how many each knew.

--- a/internal/lab/scale/hollow/probe.go
+++ b/internal/lab/scale/hollow/probe.go
@@ -15,6 +15,7 @@
 type probe struct {
 	mu      sync.Mutex
 	expect  int                   // members alive for which it waits; 0: it does not
+	alive   int                   // members seen alive at the last look
 	knownAt time.Time             // when there were as many
 	again   map[members.ID]uint64 // members that are to be seen in another run than this, for knownAt; 0: the run to be noted
 	lost    members.ID
@@ -80,6 +81,7 @@
 		}
 		lostLives = lostLives || m.ID == p.lost && m.State <= members.Suspect
 	}
+	p.alive = alive
 	if p.expect > 0 && p.knownAt.IsZero() && alive >= p.expect && old == 0 {
 		p.knownAt = time.Now()
 	}
@@ -116,6 +118,7 @@
 type View struct {
 	Number  int          `json:"number"`
 	KnownAt time.Time    `json:"known_at"` // zero: not yet
+	Alive   int          `json:"alive"`    // members seen alive at the last look while something was awaited
 	GoneAt  time.Time    `json:"gone_at"`  // zero: not yet
 	Holds   []lease.Name `json:"holds,omitempty"`
 	Grants  []Grant      `json:"grants,omitempty"`
@@ -125,7 +128,7 @@
 func (p *probe) view(number int) View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := View{Number: number, KnownAt: p.knownAt, GoneAt: p.goneAt, Grants: slices.Clone(p.grants)}
+	v := View{Number: number, KnownAt: p.knownAt, Alive: p.alive, GoneAt: p.goneAt, Grants: slices.Clone(p.grants)}
 	for held := range p.held {
 		v.Holds = append(v.Holds, held)
 	}
--- a/internal/lab/scale/hollow/sizes.go
+++ b/internal/lab/scale/hollow/sizes.go
@@ -73,11 +73,11 @@
 	}
 	if err == nil {
 		m.note(size, "start/known", milliseconds(last.Sub(began)))
+		m.Tell("%d controllers: all know all after %v", size, last.Sub(began).Round(time.Millisecond))
 	}
 	if err := m.noteMedian(f, size, "start", began); err != nil {
 		return err
 	}
-	m.Tell("%d controllers: all know all after %v", size, last.Sub(began).Round(time.Millisecond))
 	samples, err := f.Samples()
 	if err != nil {
 		return err
@@ -126,13 +126,14 @@
 	if err != nil {
 		return err
 	}
-	unknowing := 0
+	unknowing, fewest, most := 0, size, 0
 	took := make([]float64, len(views))
 	for i, v := range views {
 		took[i] = milliseconds(v.KnownAt.Sub(began))
 		if v.KnownAt.IsZero() {
 			took[i] = math.Inf(1)
 			unknowing++
+			fewest, most = min(fewest, v.Alive), max(most, v.Alive)
 		}
 	}
 	slices.Sort(took)
@@ -140,7 +141,7 @@
 		m.note(size, when+"/median", median)
 	}
 	if unknowing > 0 {
-		m.Tell("%d controllers, %s: %d of %d do not know all", size, when, unknowing, len(views))
+		m.Tell("%d controllers, %s: %d of %d do not know all, but %d to %d", size, when, unknowing, len(views), fewest, most)
 	}
 	return nil
 }
@@ -225,11 +226,10 @@
 	if err := f.AwaitMembers(size); err != nil {
 		return err
 	}
-	took, err := m.rush(ctx, f, size, voters, "part", func() error { return f.Start(numbers(first, size), size) })
+	err = m.rush(ctx, f, size, voters, "part", func() error { return f.Start(numbers(first, size), size) })
 	if err != nil {
 		return err
 	}
-	m.Tell("%d controllers: all know all %v after the last %d started", size, took, size-first)
 	if err := pause(ctx, m.settle); err != nil {
 		return err
 	}
@@ -242,44 +242,43 @@
 	if err := f.AwaitRestarts(ctx, size, zone); err != nil {
 		return err
 	}
-	took, err = m.rush(ctx, f, size, voters, "zone", func() error {
+	return m.rush(ctx, f, size, voters, "zone", func() error {
 		if err := f.Stop(zone); err != nil {
 			return err
 		}
 		return f.Start(zone, size)
 	})
-	m.Tell("%d controllers: all know all %v after %d restarted", size, took, len(zone))
-	return err
 }
 
 // rush has many controllers begin at once, and notes when all know of it, what it did to the voters and what the time
 // until then, or a window after it, cost.
-func (m *measurement) rush(ctx context.Context, f *Fleet, size, voters int, figure string, begin func() error) (time.Duration, error) {
+func (m *measurement) rush(ctx context.Context, f *Fleet, size, voters int, figure string, begin func() error) error {
 	before, err := f.Samples()
 	if err != nil {
-		return 0, err
+		return err
 	}
 	began := time.Now()
 	if err := begin(); err != nil {
-		return 0, err
+		return err
 	}
 	last, err := f.AwaitAllKnown(ctx, knownWithin)
 	if err != nil && !m.isLate(size, err) {
-		return 0, err
+		return err
 	}
 	took := last.Sub(began)
 	if err == nil {
 		m.note(size, figure+"/known", milliseconds(took))
+		m.Tell("%d controllers, %s: all know all after %v", size, figure, took.Round(time.Millisecond))
 	}
 	if err := m.noteMedian(f, size, figure, began); err != nil {
-		return 0, err
+		return err
 	}
 	if err := pause(ctx, m.window-time.Since(began)); err != nil {
-		return 0, err
+		return err
 	}
 	after, err := f.Samples()
 	if err != nil {
-		return 0, err
+		return err
 	}
 	m.noteRush(after, size, figure)
 	interval := Interval{f.layout(), before, after}
@@ -288,5 +287,5 @@
 		m.note(size, figure+"/"+role+"/bytes", spent.Sent+spent.Received)
 		m.note(size, figure+"/"+role+"/cores", spent.Processor)
 	}
-	return took.Round(time.Millisecond), nil
+	return nil
 }
