--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -206,10 +206,25 @@
 // once one wins.
 func TestConfigProcesses(t *testing.T) {
 	all := configProcesses(t, 4)
-	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
 	for _, p := range all {
 		p.launch()
 	}
+	playPuts(t, all)
+	playRestarts(t, all)
+	playRollback(t, all)
+	playUnusable(t, all)
+	playAtOnce(t, all)
+	playSizes(t, all)
+	for _, p := range all {
+		if err := p.end(syscall.SIGTERM); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// playPuts puts two versions in force, and tries what can't be agreed on.
+func playPuts(t *testing.T, all []*process) {
+	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
 	for _, p := range all {
 		p.log.wait(t, "serving")
 		p.serves("own")
@@ -230,6 +245,11 @@
 	for _, p := range all {
 		p.serves("two")
 	}
+}
+
+// playRestarts has the version in force outlast a reload, a restart, and the death of all, after which one begins alone.
+func playRestarts(t *testing.T, all []*process) {
+	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
 	n2.cmd.Process.Signal(syscall.SIGHUP)
 	n2.log.wait(t, "configuration version stays in force")
 	n2.serves("two")
@@ -259,6 +279,11 @@
 		p.log.wait(t, "serving")
 		p.serves("two")
 	}
+}
+
+// playRollback puts the first version back, and looks at what is remembered.
+func playRollback(t *testing.T, all []*process) {
+	n1, n2, n3, n4 := all[0], all[1], all[2], all[3]
 	n4.awaitLeader()
 	n4.expect(0, "version 3 in force at 4 of 4", "rollback", "1", "--reason", "two was bad")
 	for _, p := range all {
@@ -268,8 +293,11 @@
 	n2.expect(0, "+rule \"two\" {", "diff", "1", "2")
 	n3.expect(0, ruleRefusing("one"), "show", "3")
 	n3.expect(1, "version 9", "show", "9")
+}
 
-	// What one can't use is in force at the others, and that one keeps the version before.
+// playUnusable puts a version that one can't use: it is in force at the others, and that one keeps the version before.
+func playUnusable(t *testing.T, all []*process) {
+	n1, n2, n4 := all[0], all[1], all[3]
 	n1.expect(3, "version 4 in force at 3 of 4; 1 refused: n4 (line 3, column 10: field rule \"four\".kinds", "put", "--reason", "fourth",
 		n1.file("rule \"four\" {\n refuse = \"four\"\n kinds = [\"std\"]\n}\n"))
 	for i, p := range all {
@@ -282,10 +310,12 @@
 	n4.start()
 	n4.serves("one")
 	n2.await("version 4 in force at 3 of 4; 1 refused: n4 (line 3")
+}
 
-	// Two at once: one wins, the other is told so.
+// playAtOnce puts two versions at once: one wins, the other is told so.
+func playAtOnce(t *testing.T, all []*process) {
 	codes := make(chan int, 2)
-	for _, p := range []*process{n1, n3} {
+	for _, p := range []*process{all[0], all[2]} {
 		path := p.file(ruleRefusing("from " + p.name))
 		go func() {
 			code, _, _ := p.config("put", "--reason", "at once", "--expect", "4", path)
@@ -295,6 +325,11 @@
 	if first, second := <-codes, <-codes; min(first, second) != 0 || max(first, second) != 4 {
 		t.Errorf("two at once ended with %d and %d", first, second)
 	}
+}
+
+// playSizes puts documents of the least and the largest size, and of one too large.
+func playSizes(t *testing.T, all []*process) {
+	n2 := all[1]
 	for i, size := range []int{1, 64 << 10, 1 << 20} {
 		text := ruleRefusing(fmt.Sprint("size ", size))
 		text = strings.Repeat("#", max(1, size-len(text)-1)) + "\n" + text
@@ -303,8 +338,5 @@
 	n2.expect(1, "has over 1048576 bytes", "put", "--reason", "size", n2.file(strings.Repeat("#", 1<<20+1)))
 	for _, p := range all {
 		p.serves("size 1048576")
-		if err := p.end(syscall.SIGTERM); err != nil {
-			t.Error(err)
-		}
 	}
 }
