--- a/internal/core/fleet/config/config.go
+++ b/internal/core/fleet/config/config.go
@@ -98,6 +98,8 @@
 	Total   int    `cbor:"3,keyasint"`
 	Data    []byte `cbor:"4,keyasint,omitempty"`
 	Missing bool   `cbor:"5,keyasint,omitempty"`
+
+	About *Version `cbor:"6,keyasint,omitempty"` // with the first bytes: the version that the document is sent for
 }
 
 // ProposeRequest asks the leader for a new version; the leader fetches the document from the sender.
@@ -128,6 +130,8 @@
 type HoldRequest struct {
 	Hash Hash `cbor:"1,keyasint"`
 	Size int  `cbor:"2,keyasint"`
+
+	About *Version `cbor:"3,keyasint,omitempty"` // the proposed version; its Number is not set yet
 }
 
 // HoldReply tells that a document is stored durably.
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -9,6 +9,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"mintkeel/router"
 )
 
 // childVariable has the test's binary run as a child process.
@@ -85,19 +87,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var sent, received Flow
-	for _, u := range sample.Controllers {
-		sent = sent.Plus(u.Sent)
-		if u.Sent.Opened == 0 || u.Errors > 0 {
-			t.Errorf("n%d: %+v", u.Number, u)
-		}
-	}
-	for _, flow := range sample.Received {
-		received = received.Plus(flow)
-	}
-	if received.Opened < sent.Opened || received.Written < sent.Written {
-		t.Errorf("sent %+v and received %+v", sent, received) // received was counted later
-	}
+	checkCounts(t, sample)
 	share.AwaitLoss(4)
 	share.Leave([]int{4})
 	eventually(t, "a loss is not known", func() bool {
@@ -113,6 +103,24 @@
 	eventually(t, "descriptors stay", func() bool { return descriptors(t) <= open })
 }
 
+// checkCounts looks at whether what controllers sent was received.
+func checkCounts(t *testing.T, sample Sample) {
+	t.Helper()
+	var sent, received Flow
+	for _, u := range sample.Controllers {
+		sent = sent.Plus(u.Sent)
+		if u.Sent.Opened == 0 || u.Errors > 0 {
+			t.Errorf("n%d: %+v", u.Number, u)
+		}
+	}
+	for _, flow := range sample.Received {
+		received = received.Plus(flow)
+	}
+	if received.Opened < sent.Opened || received.Written < sent.Written {
+		t.Errorf("sent %+v and received %+v", sent, received) // received was counted later
+	}
+}
+
 // The smallest fleets in processes are measured, and no process stays.
 func TestMeasure(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
@@ -267,7 +275,66 @@
 	if len(seen) != good.Controllers {
 		t.Errorf("%d controllers", len(seen))
 	}
+	if last := NewNetwork(1 << 20); last.Port >= firstSourcePort || NewNetwork(0) == NewNetwork(40) {
+		t.Errorf("fleets of one process listen at %+v and %+v, and open connections from port %d on", NewNetwork(0), NewNetwork(40),
+			firstSourcePort)
+	}
 	if good.Network.number("[::1]:1") != -1 || good.Network.number("here") != -1 {
 		t.Error("a foreign address is a controller's")
 	}
 }
+
+// What is awaited in vain is told at the end, and does not keep the rest from being measured; other errors do.
+func TestLate(t *testing.T) {
+	m := Options{}.measurement()
+	err := await(t.Context(), 0, time.Millisecond, "all know all", func() (bool, error) { return false, nil })
+	if err == nil || !m.isLate(30, err) || len(m.late) != 1 {
+		t.Errorf("%v; late: %v", err, m.late)
+	}
+	err = await(t.Context(), time.Minute, time.Millisecond, "x", func() (bool, error) { return false, io.ErrUnexpectedEOF })
+	if err != io.ErrUnexpectedEOF || m.isLate(30, err) {
+		t.Errorf("%v is late", err)
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	err = await(ended, time.Minute, time.Minute, "x", func() (bool, error) { return false, nil })
+	if err != context.Canceled || m.isLate(30, err) {
+		t.Errorf("%v is late", err)
+	}
+}
+
+// No more controllers run at a time than there is room for.
+func TestRoom(t *testing.T) {
+	room := newRoom(10)
+	room.take(6)
+	taken := make(chan struct{})
+	go func() {
+		room.take(5)
+		close(taken)
+	}()
+	select {
+	case <-taken:
+		t.Fatal("there is room for 11")
+	case <-time.After(20 * time.Millisecond):
+	}
+	room.give(6)
+	<-taken
+	if room.free != 5 {
+		t.Errorf("%d are free", room.free)
+	}
+}
+
+// All controllers know the same processes of engines, as a merge would have them many times over otherwise.
+func TestStatistics(t *testing.T) {
+	first, _ := statistics{engines: 30, tableGroups: 20}.Learned(t.Context(), router.Cursor{}, 0)
+	time.Sleep(2 * time.Millisecond)
+	second, _ := statistics{engines: 30, tableGroups: 20}.Learned(t.Context(), router.Cursor{}, 0)
+	if len(first.Learned.Engines) != 30 || len(first.Learned.Tables) != 20 || first.More {
+		t.Errorf("%d engines and %d table groups", len(first.Learned.Engines), len(first.Learned.Tables))
+	}
+	for i, e := range first.Learned.Engines {
+		if other := second.Learned.Engines[i]; e.Engine != other.Engine || e.Since != other.Since {
+			t.Fatalf("%s of %g and %s of %g", e.Engine, e.Since, other.Engine, other.Since)
+		}
+	}
+}
