--- a/internal/lab/scale/datapath/daemon.go
+++ b/internal/lab/scale/datapath/daemon.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"mintkeel/internal/lab/standin"
@@ -70,13 +69,27 @@
 
 // daemon is a controller as a process.
 type daemon struct {
-	cmd  *exec.Cmd
-	addr string
-	once sync.Once
+	cmd   *exec.Cmd
+	addr  string
+	ended chan struct{} // closed when the process has ended
 }
 
+// startAttempts bounds the addresses that are tried: another listener may come to one between its choice and its use.
+const startAttempts = 3
+
 // startDaemon starts a controller before these engines and waits until it serves.
 func startDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64,
+	probes bool) (d *daemon, err error) {
+	for range startAttempts {
+		d, err = tryDaemon(ctx, mintkeel, dir, feed, engines, seed, probes)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return d, err
+}
+
+func tryDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64,
 	probes bool) (*daemon, error) {
 	addr, err := freeAddress()
 	if err != nil {
@@ -91,11 +104,15 @@
 		return nil, err
 	}
 	defer log.Close()
-	d := &daemon{cmd: exec.CommandContext(ctx, mintkeel, "serve", "--config", path), addr: addr}
+	d := &daemon{cmd: exec.CommandContext(ctx, mintkeel, "serve", "--config", path), addr: addr, ended: make(chan struct{})}
 	d.cmd.Stderr = log
 	if err := d.cmd.Start(); err != nil {
 		return nil, err
 	}
+	go func() {
+		d.cmd.Wait()
+		close(d.ended)
+	}()
 	if err := d.await(ctx); err != nil {
 		d.stop()
 		said, _ := os.ReadFile(log.Name())
@@ -137,17 +154,19 @@
 			c.Close()
 			return nil
 		}
-		time.Sleep(5 * time.Millisecond)
+		select {
+		case <-d.ended:
+			return errors.New("the daemon has ended")
+		case <-time.After(5 * time.Millisecond):
+		}
 	}
 	return errors.New("the daemon does not answer")
 }
 
 // stop kills the process and waits for its end.
 func (d *daemon) stop() {
-	d.once.Do(func() {
-		d.cmd.Process.Kill()
-		d.cmd.Wait()
-	})
+	d.cmd.Process.Kill()
+	<-d.ended
 }
 
 // processor is the time that the process has had on processors, in seconds: the sum of its threads', which the kernel
--- a/internal/lab/scale/datapath/datapath.go
+++ b/internal/lab/scale/datapath/datapath.go
@@ -72,7 +72,8 @@
 	listed      []int // engines
 	listRepeats int
 
-	peers       []int // engines that are talked with
+	peers       []int         // engines that are talked with
+	peersSettle time.Duration // under load, until connections to engines stand
 	peersWindow time.Duration
 	peersBeside int // of them side by side
 
@@ -99,7 +100,7 @@
 		gaps: []int{100, 200, 400, 800}, gapsSettle: 6 * time.Second, gapsWindow: 15 * time.Second,
 		reconnects: []int{500, 1000, 2000, reconnectBurst, 8500},
 		listed:     []int{10, 100, 300, engineCount}, listRepeats: 50,
-		peers: []int{5, 10, 20, 40, 300, engineCount}, peersWindow: 10 * time.Second, peersBeside: 3,
+		peers: []int{5, 10, 20, 40, 300, engineCount}, peersSettle: 5 * time.Second, peersWindow: 10 * time.Second, peersBeside: 3,
 		probed:      []int{100, 300, 600, engineCount},
 		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 2 * time.Second,
 		replacedRates: []float64{200, 400, 800, statementRate}, replacedRepeats: 3,
@@ -117,7 +118,7 @@
 		busy: []int{50, 100, 200, 400}, busyWork: 400 * time.Millisecond,
 		reconnects: []int{100, 200, 400, 800},
 		listed:     []int{10, 100, 300, engineCount}, listRepeats: 5,
-		peers: []int{20, 100, 300, engineCount}, peersWindow: time.Second, peersBeside: 4,
+		peers: []int{20, 100, 300, engineCount}, peersSettle: 3 * time.Second, peersWindow: time.Second, peersBeside: 4,
 		stepEngines: []int{10, 100, 300, engineCount}, stepsWithin: 30 * time.Millisecond,
 		replacedRates: []float64{200, 300, 400, 500}, replacedRepeats: 1,
 		replacedBefore: 300 * time.Millisecond, replacedAfter: 500 * time.Millisecond, hungTold: 800 * time.Millisecond,
--- a/internal/lab/scale/datapath/datapath_test.go
+++ b/internal/lab/scale/datapath/datapath_test.go
@@ -155,7 +155,7 @@
 	small := []int{1, 2, 3, 4}
 	p := plan{settle: moment, window: moment, rates: []float64{50, 60, 70, 80}, rateEngines: 4, engines: small, engineRate: 50,
 		connections: []int{20, 40, 60, 80}, connectionRate: 50, busy: []int{2, 4, 6, 8}, busyWork: moment, reconnects: []int{10, 20, 30, 40},
-		listed: []int{3, 6, 9, 12}, listRepeats: 3, beside: 4, gaps: small, gapsWindow: moment, probed: small, peers: small, peersWindow: moment, peersBeside: 4,
+		listed: []int{3, 6, 9, 12}, listRepeats: 3, beside: 4, gaps: small, gapsWindow: moment, probed: small, peers: small, peersSettle: moment, peersWindow: moment, peersBeside: 4,
 		stepEngines: small, stepsWithin: time.Millisecond, replacedRates: []float64{100}, replacedRepeats: 1,
 		replacedBefore: moment, replacedAfter: moment, hungTold: 3 * moment}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
--- a/internal/lab/scale/datapath/talk.go
+++ b/internal/lab/scale/datapath/talk.go
@@ -66,7 +66,7 @@
 	time.Sleep(b.peersWindow)
 	out.idle = r.traffic().Sub(before)
 	rate := engineShare * float64(n)
-	r.load(ctx, rate, max(b.settle, b.peersWindow/2), r.usual)
+	r.load(ctx, rate, b.peersSettle, r.usual)
 	before = r.traffic()
 	out.service = r.load(ctx, rate, b.peersWindow, r.usual)
 	out.light = r.traffic().Sub(before)
