The leader's name rides on membership's messages; views are asked for ten times a second by all

Cause, measured on sockets with 670 hollow controllers: each controller outside the quorum asked the voters for their view each 5 s, so a voter had its 256 connections in full (46,447 refused), 36 KB/s where 17 are stated, the leader 57 KB/s, and the fleet was not whole 120 s after a start. Now the interval grows with the fleet (670: 67 s), the leader and its term ride on membership's messages (some 20 bytes), a start begins with a drawn voter, and questions for the latest version at a start come at growing intervals.

--- a/internal/core/fleet/config/query.go
+++ b/internal/core/fleet/config/query.go
@@ -11,10 +11,9 @@
 	queryEach     = 500.0
 	queryTimeout  = 5000.0
 	lookupTimeout = 10000.0
-	latestEach    = 300.0 // between two questions at a start
-	latestLater   = 2000.0
-	latestSoon    = 10000.0 // after the start, in which latestEach holds
-	latestVoters  = 2       // that are asked at a time
+	latestEach    = 300.0  // between two questions at a start
+	latestLater   = 2000.0 // the same, once it has gone on for some seconds
+	latestVoters  = 2      // that are asked at a time
 	maxQuestions  = 16
 )
 
@@ -176,9 +175,7 @@
 	if s.confirmed || r.now < s.at {
 		return
 	}
-	if s.at = r.now + latestEach; r.now > r.began+latestSoon {
-		s.at = r.now + latestLater
-	}
+	s.at = r.now + min(latestLater, latestEach+(r.now-r.began)/2) // hundreds that start together must not keep the voters busy
 	if s.heard(r) {
 		return // what was told is on its way here
 	}
--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -274,8 +274,8 @@
 
 func (t *Table) setSlow(by int) { t.slow = max(0, min(mostSlow, t.slow+by)) }
 
-// size is of how many the fleet is taken to be.
-func (t *Table) size() int {
+// Size is how many members are taken to be there, this one among them.
+func (t *Table) Size() int {
 	n := len(t.index.active)
 	if t.self.State <= Suspect {
 		n++
@@ -283,10 +283,10 @@
 	return n
 }
 
-func (t *Table) logSize() float64 { return max(1, math.Log10(float64(t.size()))) }
+func (t *Table) logSize() float64 { return max(1, math.Log10(float64(t.Size()))) }
 
 // sendLimit is how often a piece of news is passed on.
-func (t *Table) sendLimit() int { return int(spreadEach*math.Log2(float64(t.size())+1)) + 1 }
+func (t *Table) sendLimit() int { return int(spreadEach*math.Log2(float64(t.Size())+1)) + 1 }
 
 // goneAt is when a suspect is taken to be gone: late while nobody else suspects it, for the fault may be ours.
 func (t *Table) goneAt(e *entry) float64 {
--- /dev/null
+++ b/internal/core/fleet/node/leaderhint.go
@@ -0,0 +1,68 @@
+package node
+
+import "mintkeel/internal/core/fleet/members"
+
+// LeaderHint names the quorum's leader of a term. It rides on membership's messages, so that a controller outside the
+// quorum learns of a new leader within seconds and need not ask the voters for it: in a fleet of hundreds these could
+// not answer all of them each few seconds.
+type LeaderHint struct {
+	ID   members.ID `cbor:"1,keyasint"`
+	Term uint64     `cbor:"2,keyasint"`
+}
+
+// Times between two requests for the quorum's view by a controller outside it, in ms.
+const (
+	viewInterval    = 5000.0 // at least
+	viewPerMember   = 100.0  // for each member of the fleet, so that all together ask ten times a second
+	viewJitterShare = 0.1    // by which the time is drawn shorter or longer
+)
+
+// leaderHint is what this controller knows of the leader; nil: nothing.
+func (n *Node) leaderHint() *LeaderHint {
+	if leader := n.quorum.Leader(); leader != "" {
+		n.leader, n.leaderTerm = leader, n.quorum.Term()
+	}
+	if n.leader == "" || n.leaderTerm == 0 {
+		return nil
+	}
+	return &LeaderHint{ID: n.leader, Term: n.leaderTerm}
+}
+
+// receiveLeaderHint takes in which controller leads. Of one term there is one leader, and a lower term is over.
+func (n *Node) receiveLeaderHint(hint *LeaderHint) {
+	if hint == nil || hint.ID == "" || hint.Term < n.leaderTerm {
+		return
+	}
+	n.leader, n.leaderTerm = hint.ID, hint.Term
+}
+
+// nextView is when the view is to be asked for again.
+func (n *Node) nextView() float64 {
+	interval := viewInterval
+	if n.leader != "" {
+		interval = max(viewInterval, viewPerMember*float64(n.members.Size()))
+	}
+	return n.now + interval*(1-viewJitterShare+2*viewJitterShare*n.rng.Float64())
+}
+
+// requestView asks for the quorum's view, unless this controller leads it.
+func (n *Node) requestView() {
+	n.viewAt = n.nextView()
+	if !n.quorum.Leads() {
+		n.toLeader(Message{Where: &ViewRequest{}})
+	}
+}
+
+// sendMembership hands out what membership has to send. What this controller knows of the configuration and of the leader
+// rides on it.
+func (n *Node) sendMembership() {
+	outs := n.members.Out()
+	if len(outs) == 0 {
+		return
+	}
+	summary, hint := n.summary(), n.leaderHint()
+	for _, o := range outs {
+		m := Message{Members: &o.Message, Config: summary, Leader: hint}
+		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, m})
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/node/leaderhint_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"mintkeel/internal/core/fleet/lease"
+	"mintkeel/internal/core/fleet/members"
+)
+
+// outsider is a controller outside the quorum a, b, c that knows so many members.
+func outsider(t *testing.T, size int) *Node {
+	t.Helper()
+	seeds := []members.Member{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "c", Addr: "c"}}
+	n, err := New(Facts{Self: members.Member{ID: "x", Addr: "x", Run: 1}, Seeds: seeds, Founders: []members.ID{"a", "b", "c"},
+		Terms: lease.Terms{Lease: 10000}, Pace: members.Usual(), Seed: 1}, nil, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var known []members.Member
+	for i := 1; i < size; i++ {
+		id := fmt.Sprint("m", i)
+		known = append(known, members.Member{ID: members.ID(id), Addr: id, Run: 1})
+	}
+	for len(known) > 0 {
+		part := known[:min(len(known), 100)]
+		known = known[len(part):]
+		n.Receive(1, "a", &Message{Members: &members.Message{Kind: members.Sync, News: part}})
+	}
+	n.Take()
+	return n
+}
+
+// All controllers of a fleet together ask the voters for their view ten times a second at most, however many there are.
+func TestViewInterval(t *testing.T) {
+	for _, c := range []struct {
+		size        int
+		leader      members.ID
+		least, most float64 // ms
+	}{
+		{3, "a", 4500, 5500},
+		{50, "a", 4500, 5500},
+		{670, "a", 60300, 73700},
+		{670, "", 4500, 5500}, // one that knows no leader goes on asking
+	} {
+		n := outsider(t, c.size)
+		n.leader = c.leader
+		for range 100 {
+			if wait := n.nextView() - n.now; wait < c.least || wait > c.most {
+				t.Fatalf("%d members, leader %q: asks after %v ms", c.size, c.leader, wait)
+			}
+		}
+	}
+}
+
+// A controller outside the quorum learns of a leader by what rides on membership's messages, and tells it on.
+func TestLeaderHint(t *testing.T) {
+	n := outsider(t, 3)
+	hear := func(id members.ID, term uint64) {
+		n.Receive(n.now+1, "m1", &Message{Members: &members.Message{Kind: members.Ping, Seq: 1}, Leader: &LeaderHint{ID: id, Term: term}})
+	}
+	for _, c := range []struct {
+		id   members.ID
+		term uint64
+		want members.ID
+	}{{"a", 5, "a"}, {"b", 4, "a"}, {"", 9, "a"}, {"c", 6, "c"}, {"a", 5, "c"}} {
+		n.Take()
+		hear(c.id, c.term)
+		if n.Leader() != c.want {
+			t.Errorf("after %q in term %d: %q leads", c.id, c.term, n.Leader())
+		}
+		told := false
+		for _, s := range n.Take().Sends {
+			if s.Message.Members != nil {
+				told = s.Message.Leader != nil && s.Message.Leader.ID == c.want
+			}
+		}
+		if !told {
+			t.Errorf("after %q in term %d: its answer does not name %q", c.id, c.term, c.want)
+		}
+	}
+}
--- a/internal/core/fleet/node/messages.go
+++ b/internal/core/fleet/node/messages.go
@@ -26,6 +26,7 @@
 	Get     *lease.Get       `cbor:"15,keyasint,omitempty"`
 	State   *Checkpoint      `cbor:"16,keyasint,omitempty"`
 	Config  *config.Message  `cbor:"17,keyasint,omitempty"` // may ride on a Members message
+	Leader  *LeaderHint      `cbor:"18,keyasint,omitempty"` // may ride on a Members message
 }
 
 // Checkpoint is the state that the holders of a lease hand on, agreed on by a Put or Get of its holder.
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -28,7 +28,6 @@
 }
 
 const (
-	viewInterval    = 5000.0 // ms after which a controller outside the quorum asks for its view
 	offerInterval   = 1000.0
 	releaseInterval = 300.0   // between two messages that tell of a release,
 	releaseTimeout  = 10000.0 // for so long
@@ -48,6 +47,8 @@
 	out     Output
 
 	leader       members.ID // as far as this one knows
+	leaderTerm   uint64     // of the quorum, in which leader leads
+	rng          *rand.Rand
 	voters       []members.ID
 	leaseView    []lease.Lease
 	viewAt       float64 // to be asked for anew
@@ -83,9 +84,13 @@
 		fencing: lease.NewFencingCheck(seen),
 		voters:  slices.Clone(f.Founders),
 		viewAt:  now,
+		rng:     rand.New(rand.NewSource(f.Seed + 4)),
 		asked:   map[uint64]bool{},
 		ref:     uint64(rand.New(rand.NewSource(f.Seed + 2)).Int63()),
 	}
+	if len(f.Founders) > 0 { // controllers that start together begin with different voters
+		n.nextVoter = n.rng.Intn(len(f.Founders))
+	}
 	n.startConfig()
 	return n, nil
 }
@@ -96,6 +101,7 @@
 	if m.Config != nil && n.config != nil {
 		n.config.Receive(n.now, from, m.Config)
 	}
+	n.receiveLeaderHint(m.Leader)
 	switch {
 	case m.Members != nil:
 		n.members.Receive(n.now, from, *m.Members)
@@ -178,9 +184,7 @@
 	if len(n.preferences) > 0 {
 		next = min(next, n.preferenceAt)
 	}
-	if !n.quorum.Leads() {
-		next = min(next, n.viewAt)
-	}
+	next = min(next, n.viewAt)
 	if n.config != nil {
 		next = min(next, n.config.Next())
 	}
@@ -220,22 +224,15 @@
 		n.renewLeases()
 		n.sendReleases()
 		n.sendPreferences()
-		if n.quorum.Leads() {
-			n.viewAt = n.now + viewInterval
-		} else if n.now >= n.viewAt {
-			n.viewAt = n.now + viewInterval
-			n.toLeader(Message{Where: &ViewRequest{}})
+		if n.now >= n.viewAt {
+			n.requestView()
 		}
 		if !n.applyAgreed() {
 			break
 		}
 	}
 	n.turnConfig()
-	summary := n.summary()
-	for _, o := range n.members.Out() {
-		m := o.Message
-		n.out.Sends = append(n.out.Sends, Send{o.To, o.Addr, Message{Members: &m, Config: summary}})
-	}
+	n.sendMembership()
 	for _, m := range n.quorum.Out() {
 		n.send(m.To.Name, Message{Council: &m})
 	}
