--- a/internal/core/fleet/config/take.go
+++ b/internal/core/fleet/config/take.go
@@ -6,7 +6,7 @@
 const (
 	applyRetry      = 1000.0
 	storeRetryFirst = 5000.0
-	storeRetryMost  = 30000.0
+	storeRetryMost  = 10000.0 // in force within 19 s of the time at which there is room again
 )
 
 // taking is how far this one is with the versions it knows.
