--- a/internal/lab/fleet/configuration_history.go
+++ b/internal/lab/fleet/configuration_history.go
@@ -136,14 +136,17 @@
 	}
 }
 
-// leader is a machine that leads the quorum; nil: none does.
-func (w *World) leader() *machine {
+// leader is the machine that leads the quorum; nil: none does. One that led before may not know yet that another does.
+func (w *World) leader() (leader *machine) {
 	for _, m := range w.nodes {
-		if m.core != nil && m.core.Quorum().Leads() {
-			return m
+		if m.core == nil || !m.core.Quorum().Leads() {
+			continue
+		}
+		if leader == nil || m.core.Quorum().Term() > leader.core.Quorum().Term() {
+			leader = m
 		}
 	}
-	return nil
+	return leader
 }
 
 // looks has the checker look at histories all along.
@@ -278,14 +281,21 @@
 	return ""
 }
 
-// survived checks that all that was agreed on is held by the leader still.
+// survived checks that all that was agreed on is held by the leader still, once that knows all that was.
 func (w *World) survived() string {
-	if lead := w.leader(); lead != nil {
+	end := w.now + settleWithin
+	why := w.until(func() float64 { return end }, func() string {
+		if lead := w.leader(); lead == nil || !lead.core.Quorum().LeadsCaughtUp() {
+			return "no leader knows what was agreed on"
+		}
+		return ""
+	})
+	if lead := w.leader(); why == "" && lead != nil {
 		if state := w.configState(lead); state != nil {
 			w.config.checker.Survived(w.now, string(lead.id), state.Versions)
 		}
 	}
-	return ""
+	return why
 }
 
 // notInForce tells where the newest version is not in force, though it can be.
