--- a/internal/lab/fleet/configuration_history.go
+++ b/internal/lab/fleet/configuration_history.go
@@ -82,14 +82,14 @@
 	return config.MaxDocument + 1
 }
 
-// replaceVoter adds that an operator replaces a voter by another controller. No voter loses its folder in that history: one
-// that did would not find back to a quorum that a newcomer leads, which is a fault of the quorum and not looked at here.
+// replaceVoter adds that an operator replaces a voter by another controller. That one loses no folder: with one lost by a
+// former voter a majority of the disks could be lost.
 func replaceVoter(rng *rand.Rand, p Plan, within float64) Script {
 	f := Fault{At: 3000 + rng.Float64()*within, Kind: ReplaceVoter, A: rng.Intn(p.Council), B: p.Council + rng.Intn(p.Nodes-p.Council)}
 	s := slices.Clone(p.Script)
 	for i := range s {
 		lost := s[i].Kind == Empty || s[i].Kind == OldCopy || s[i].Kind == Full
-		if lost && (s[i].A < p.Council || s[i].A == f.B) {
+		if lost && s[i].A == f.B {
 			s[i].Kind, s[i].For = Kill, min(s[i].For, 5000)
 		}
 	}
