A member known by two runs of one incarnation is asked which is its own

Traced: the survivor went on believing a run that had ended, as the new one had the same incarnation, neither overrode the other, and on the fixed overlay the two did not ping each other; reports of the new run were held back by it as a relay. Before the overlay each pinged each in turn, which hid it. Now whoever hears of another run asks the member, which ends it by a higher incarnation.

--- a/internal/core/fleet/members/members.go
+++ b/internal/core/fleet/members/members.go
@@ -129,9 +129,10 @@
 	suspectAt  float64
 	suspectors map[ID]bool
 	changedAt  float64
-	odd        bool // it said of itself what does not override what is believed: it began anew, and has to be told
-	queued     bool // it is among the updates to be passed on,
-	sent       int  // and was passed on so often
+	odd        bool    // it said of itself what does not override what is believed: it began anew, and has to be told
+	askAt      float64 // it is not asked before which of two runs is its own
+	queued     bool    // it is among the updates to be passed on,
+	sent       int     // and was passed on so often
 }
 
 func newEntry(m Member, now float64) *entry {
@@ -584,6 +585,7 @@
 	heard := e.Run == 0 && n.Run != 0 // a seed that is heard of for the first time
 	if !n.overrides(e.Member) && !heard {
 		e.odd = e.odd || by == n.ID && (n.Run != e.Run || n.State < e.State)
+		t.askRun(e, n)
 		return
 	}
 	was := e.State
@@ -604,6 +606,17 @@
 	}
 }
 
+// askRun pings a member of which another one knows a different run with the same incarnation: neither overrides the other,
+// and the member itself, which is told what is believed here, ends it by a higher incarnation.
+func (t *Table) askRun(e *entry, n Member) {
+	conflict := n.Run != 0 && n.Run != e.Run && n.Incarnation == e.Incarnation && e.State <= Suspect && e != t.self
+	if !conflict || t.now < e.askAt {
+		return
+	}
+	e.odd, e.askAt = true, t.now+t.pace.Period
+	t.send(e, Message{Kind: Ping, Seq: t.nextSeq()})
+}
+
 // refute says that this one is there, if somebody says otherwise; who is said to be gone was slow, it seems.
 func (t *Table) refute(n Member) {
 	if t.left {
--- a/internal/core/fleet/members/members_test.go
+++ b/internal/core/fleet/members/members_test.go
@@ -228,3 +228,32 @@
 		t.Error("the confirmation is not passed on")
 	}
 }
+
+// One that restarted with the incarnation that it had before is known by two runs. Who hears of the other run asks the
+// member itself, though it would not ping it otherwise, and all come to know the new run.
+func TestTwoRuns(t *testing.T) {
+	former := Member{ID: "b", Addr: "b", Run: 1}
+	restarted := Member{ID: "b", Addr: "b", Run: 2}
+	survivor := New(Member{ID: "a", Addr: "a", Run: 9}, nil, pace, 1, 0)
+	other := Member{ID: "c", Addr: "c", Run: 3}
+	survivor.Receive(1, "c", Message{Kind: Ack, News: []Member{other, former}})
+	survivor.Out()
+	survivor.Receive(2, "c", Message{Kind: Ack, News: []Member{restarted}})
+	outs := survivor.Out()
+	if len(outs) != 1 || outs[0].To != "b" || !slices.Contains(outs[0].Message.News, former) {
+		t.Fatalf("the member is not asked: %+v", outs)
+	}
+	survivor.Receive(3, "c", Message{Kind: Ack, News: []Member{restarted}})
+	if outs := survivor.Out(); len(outs) != 0 {
+		t.Errorf("it is asked again within a period: %+v", outs)
+	}
+	member := New(restarted, []Member{other}, pace, 2, 0)
+	member.Receive(4, "a", outs[0].Message)
+	if self := member.Self(); self.Incarnation != 1 || self.Run != 2 {
+		t.Errorf("the member does not refute: %+v", self)
+	}
+	survivor.Receive(5, "c", Message{Kind: Ack, News: []Member{member.Self()}})
+	if about, _ := survivor.Of("b"); about.Run != 2 {
+		t.Errorf("the former run is still believed: %+v", about)
+	}
+}
