--- a/cmd/mintkeel/agreed_test.go
+++ b/cmd/mintkeel/agreed_test.go
@@ -265,9 +265,9 @@
 				own = strings.Replace(own, "config {\n wait = \"8s\"\n}\n", "", 1)
 			}
 			h.put(h.from.operator, own)
-			waited, served := make(chan bool), make(chan bool)
+			looked, served := make(chan struct{}), make(chan struct{})
 			go func() { // looks while the latest version may be waited for
-				seen := false
+				defer close(looked)
 				for ended := false; !ended; {
 					select {
 					case <-served:
@@ -278,16 +278,18 @@
 						if err == nil {
 							conn.Close()
 						}
-						if seen = seen || waits; waits && err == nil && strings.Contains(stacks(), "awaitConfig") {
+						if waits && err == nil && strings.Contains(stacks(), "awaitConfig") {
 							t.Error("clients are let in while the latest version is waited for")
 						}
 					}
 				}
-				waited <- seen
 			}()
 			d := h.serve()
 			close(served)
-			if <-waited != on {
+			<-looked
+			h.log.wait(t, "serving")
+			known := strings.Index(h.log.String(), "as the latest")
+			if waited := known >= 0 && known < strings.Index(h.log.String(), "serving"); waited != on {
 				t.Error("at a start the latest version is waited for, or is not, against the file")
 			}
 			defer h.stop()
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -209,6 +209,7 @@
 		}
 	}()
 	d := &dialer{source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 2)}
+	d.next.Store(sourcePorts / 2) // away from the ports of the tests before, which rest for a while
 	conn, err := d.dial(t.Context(), listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
