Tests reserve loopback addresses below the system's ports, each given once

Two test packages did so, with a host that two processes shared if their ids differed in bit 7; two tests of the daemon and a rig did so on 127.0.0.1.

--- a/cmd/mintkeel/main_test.go
+++ b/cmd/mintkeel/main_test.go
@@ -163,12 +163,7 @@
 // goes on while told to stop, gives up in time what hangs, and ends.
 func TestServe(t *testing.T) {
 	feed, engine, hangs := feedAndEngine(t)
-	reserve, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := reserve.Addr().String()
-	reserve.Close()
+	addr := reserveAddress(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	configure := func(text, feed string) {
 		text = strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", addr).Replace(text)
@@ -275,12 +270,7 @@
 // found writes a configuration for a feed and an engine, and an operator's file.
 func found(t *testing.T, text, feed, engine, hcl string) *house {
 	t.Helper()
-	reserve, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := &house{t: t, dir: t.TempDir(), addr: reserve.Addr().String()}
-	reserve.Close()
+	h := &house{t: t, dir: t.TempDir(), addr: reserveAddress(t)}
 	h.from = sources{filepath.Join(h.dir, "config.json"), filepath.Join(h.dir, "operator.hcl")}
 	h.put(h.from.config, strings.NewReplacer("%FEED%", feed, "%ENGINE%", engine, "127.0.0.1:0", h.addr).Replace(text))
 	h.put(h.from.operator, hcl)
--- a/cmd/mintkeel/processes_test.go
+++ b/cmd/mintkeel/processes_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mintkeel/internal/lab/loopback"
 )
 
 // process is a real daemon with its folder and addresses.
@@ -37,17 +39,14 @@
 	return binary
 }
 
-// reserveAddress is one that nothing listens on. It is of a loopback address of this process alone, so that others don't
-// come upon its port between this and its use.
+// reserveAddress is a loopback address that nothing listens on, and that no other caller is given.
 func reserveAddress(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // configProcesses are controllers n1 to nN of one fleet with the block config, not started. The first three vote. The
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,19 +10,17 @@
 
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/maintenance"
+	"mintkeel/internal/lab/loopback"
 )
 
-// reserveAddress is one that nothing listens on. It is of a loopback address of this process alone, so that neither another
-// process nor the local end of a connection comes upon its port between this and its use.
+// reserveAddress is a loopback address that nothing listens on, and that no other caller is given.
 func reserveAddress(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // The leases of a fleet change while it runs: what is new gets a holder, what is not wanted any more is held by nobody.
--- a/internal/lab/scale/datapath/daemon.go
+++ b/internal/lab/scale/datapath/daemon.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"mintkeel/internal/lab/loopback"
 	"mintkeel/internal/lab/standin"
 )
 
@@ -91,7 +91,7 @@
 
 func tryDaemon(ctx context.Context, mintkeel, dir, feed string, engines []*standin.Engine, seed int64,
 	probes bool) (*daemon, error) {
-	addr, err := freeAddress()
+	addr, err := loopback.Reserve()
 	if err != nil {
 		return nil, err
 	}
@@ -121,14 +121,6 @@
 	return d, nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 func writeConfiguration(dir, addr, feed string, engines []*standin.Engine, seed int64, probes bool) (string, error) {
 	var hosts []object
 	for _, e := range engines {
