Documents of the configuration are checked beside the fleet's session

Change: a check is asked for by an output and answered by an input, as storing and applying are (internal/core/fleet/config/checks.go): one is out at a time, nothing of a version is stored or applied before its check ended, a result is forgotten when neither a proposal nor the next version waits for it. The service runs it in a goroutine that ends with the check. Virtual time has checks take half of the time of applying.

The core's tests have a check under way, a newer version and the loss of leadership meanwhile, and checks of 2 s at all. Four tests of the core answered no check and were given that step; what they demand stays, and they demand beside it that nothing else is asked for before.

--- a/internal/core/fleet/config/candidate.go
+++ b/internal/core/fleet/config/candidate.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"slices"
 
 	"mintkeel/internal/core/fleet/members"
@@ -139,8 +140,12 @@
 		return false
 	}
 	if !c.checked {
-		if reason := r.checkCandidate(v, data); reason != "" {
-			r.reply(c.origin, c.proposal, ProposeReply{Result: Refused, Reason: reason})
+		ended, err := r.checkCandidate(v, data)
+		if !ended {
+			return false
+		}
+		if err != nil {
+			r.reply(c.origin, c.proposal, ProposeReply{Result: Refused, Reason: err.Error()})
 			return true
 		}
 		c.checked = true
@@ -167,14 +172,14 @@
 	return true
 }
 
-func (r *Replica) checkCandidate(v *Version, data []byte) string {
+var errSize = errors.New("the document has another size than the proposal")
+
+// checkCandidate tells whether the check of a proposal's document ended, and why the document can't be used.
+func (r *Replica) checkCandidate(v *Version, data []byte) (ended bool, err error) {
 	if len(data) != v.Size {
-		return "the document has another size than the proposal"
-	}
-	if err := r.env.Check(data); err != nil {
-		return err.Error()
+		return true, errSize
 	}
-	return ""
+	return r.checkEnded(v.Hash)
 }
 
 // askVoters has the voters that don't hold the document yet fetch and store it.
--- /dev/null
+++ b/internal/core/fleet/config/checks_test.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"errors"
+	"testing"
+)
+
+// TestCheckUnderWay has the check of a version take long: meanwhile nothing of it is stored, applied or told, messages
+// and ticks are answered, and no other check is asked for. A result for another document, or a second one, does nothing.
+func TestCheckUnderWay(t *testing.T) {
+	x := plainTarget()
+	x.replica.Take()
+	x.replica.Receive(x.now, "n1", &Message{Summary: summaryOf(2, "second")})
+	x.replica.Take()
+	x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("second")})
+	request := x.replica.Take().Check
+	if request == nil || request.Hash != HashOf([]byte("second")) || string(request.Document) != "second" {
+		t.Fatalf("%+v", request)
+	}
+	x.replica.Checked(x.now, HashOf([]byte("one")), nil) // of another document
+	for range 20 {
+		x.now = x.replica.Next()
+		x.replica.Tick(x.now)
+		x.replica.Receive(x.now, "n3", &Message{Fetch: &Fetch{Hash: HashOf([]byte("one"))}})
+		out := x.replica.Take()
+		if out.Check != nil || out.Store != nil || out.Apply != nil {
+			t.Fatalf("while the check is under way: %+v", out)
+		}
+		if len(out.Sends) == 0 {
+			t.Error("it serves no documents while a check is under way")
+		}
+	}
+	if x.replica.Summary().Number != 1 {
+		t.Error("others hear of a version that was not checked")
+	}
+	x.replica.Checked(x.now, request.Hash, nil)
+	if out := x.replica.Take(); out.Store == nil || out.Store.Current == nil || out.Store.Current.Number != 2 {
+		t.Fatalf("after the check: %+v", out)
+	}
+	x.replica.Checked(x.now, request.Hash, errors.New("late")) // nobody waits for it
+	if v, _ := x.replica.Refused(); v.Number != 0 {
+		t.Errorf("version %d is refused by a result that nobody waits for", v.Number)
+	}
+}
+
+// TestNewerDuringCheck has a newer version come while an older one is checked: the older one is never stored or applied,
+// whether it passes or not, and what is known of it is forgotten.
+func TestNewerDuringCheck(t *testing.T) {
+	for name, result := range map[string]error{"passes": nil, "fails": errors.New("bad")} {
+		t.Run(name, func(t *testing.T) {
+			x := plainTarget()
+			x.replica.Take()
+			x.replica.Receive(x.now, "n1", &Message{Summary: summaryOf(2, "second")})
+			x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("second")})
+			older := x.replica.Take().Check
+			x.replica.Receive(x.now, "n1", &Message{Summary: summaryOf(3, "third")})
+			x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("third")})
+			if out := x.replica.Take(); out.Check != nil {
+				t.Fatal("two checks are out")
+			}
+			x.replica.Checked(x.now, older.Hash, result)
+			out := x.answerCheck(t)
+			if out.Store == nil || out.Store.Current == nil || out.Store.Current.Number != 3 {
+				t.Errorf("after both checks: %+v", out.Store)
+			}
+			if v, _ := x.replica.Refused(); v.Number != 0 {
+				t.Errorf("version %d is refused, and a newer one was to be taken", v.Number)
+			}
+			if len(x.replica.checks.results) != 0 {
+				t.Errorf("%d results are remembered", len(x.replica.checks.results))
+			}
+		})
+	}
+}
+
+// TestLeaderLostDuringCheck has a leader lose its office while it checks a proposal: it asks for no agreement, and a
+// result that comes then changes nothing. When it leads again the proposal is checked anew.
+func TestLeaderLostDuringCheck(t *testing.T) {
+	one := []byte("one")
+	v := Version{Number: 1, Hash: HashOf(one), Size: len(one)}
+	x := &target{env: &lonely{self: "n0", leads: true, voting: true, state: State{Versions: []Version{v}}}}
+	x.replica = New(Facts{Self: "n0", Run: 5, Seed: 1}, x.env, Kept{Current: v, Documents: map[Hash][]byte{v.Hash: one}}, 0)
+	x.replica.Take()
+	document := []byte("proposed")
+	p := Proposal{Expect: 1, Version: Version{Hash: HashOf(document), Size: len(document),
+		ID: ProposalID{Origin: "n3", Run: 7, Ref: 1}}}
+	propose := func() *CheckRequest {
+		x.replica.Receive(x.now, "n3", &Message{Propose: &ProposeRequest{Proposal: p}})
+		x.replica.Receive(x.now, "n3", &Message{Chunk: chunkOf(string(document))})
+		return x.replica.Take().Check
+	}
+	request := propose()
+	if request == nil || request.Hash != p.Version.Hash {
+		t.Fatalf("%+v", request)
+	}
+	x.env.leads = false
+	x.replica.Agreed(x.now)
+	x.replica.Checked(x.now, request.Hash, errors.New("bad"))
+	for _, s := range x.replica.Take().Sends {
+		if s.Message.Proposed != nil || s.Message.Hold != nil {
+			t.Errorf("one that does not lead any more sends %+v", s.Message)
+		}
+	}
+	x.env.leads = true
+	x.replica.Agreed(x.now)
+	if again := propose(); again == nil || again.Hash != request.Hash {
+		t.Errorf("when it leads again: %+v", again)
+	}
+}
+
+// TestSlowChecks has every check take two seconds: versions are in force everywhere all the same, in their order, and a
+// document that can't be used is refused to its author.
+func TestSlowChecks(t *testing.T) {
+	f := newFleet(t, 1, 9, 3)
+	for _, c := range f.all {
+		c.checkMS = 2000
+	}
+	f.runFor(3000)
+	for number := uint64(1); number <= 3; number++ {
+		document := randomDocument(5000, int64(number))
+		ref := f.put(f.all[5], document, number-1)
+		if o := f.outcome(f.all[5], ref); o.Result != Agreed || o.Version.Number != number {
+			t.Fatalf("%+v", o)
+		}
+		took := f.runUntil(19000, func() bool {
+			for _, c := range f.all {
+				if c.replica.Current().Number != number {
+					return false
+				}
+			}
+			return true
+		})
+		if took < 0 {
+			t.Fatalf("version %d is not in force everywhere", number)
+		}
+	}
+	ref := f.put(f.all[5], []byte("nonsense"), 3)
+	if o := f.outcome(f.all[5], ref); o.Result != Refused {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/core/fleet/config/config.go
+++ b/internal/core/fleet/config/config.go
@@ -225,13 +225,12 @@
 type Environment interface {
 	Members() []members.Member // all that are known, this one among them
 	Member(id members.ID) (members.Member, bool)
-	Voters() []members.ID        // of the quorum, as far as this one knows
-	Leader() members.ID          // of the quorum; empty: not known
-	Leads() bool                 // this one leads the quorum
-	Voting() bool                // this one is a voter whose State counts
-	State() *State               // what the quorum agreed on, where Voting
-	Propose(Proposal) bool       // into the quorum's log, where Leads; false: not taken
-	Check(document []byte) error // the same as `mintkeel check`; pure
+	Voters() []members.ID  // of the quorum, as far as this one knows
+	Leader() members.ID    // of the quorum; empty: not known
+	Leads() bool           // this one leads the quorum
+	Voting() bool          // this one is a voter whose State counts
+	State() *State         // what the quorum agreed on, where Voting
+	Propose(Proposal) bool // into the quorum's log, where Leads; false: not taken
 }
 
 // Facts are what a replica is told at its start.
@@ -283,10 +282,11 @@
 	Document []byte
 }
 
-// Output is what is to be done after some input. At most one StoreRequest and one ApplyRequest are out at a time; an
-// ApplyRequest comes only after its version was stored as Current.
+// Output is what is to be done after some input. At most one CheckRequest, one StoreRequest and one ApplyRequest are out
+// at a time; an ApplyRequest comes only after its version passed the check and was stored as Current.
 type Output struct {
 	Sends     []Send
+	Check     *CheckRequest
 	Store     *StoreRequest
 	Apply     *ApplyRequest
 	Outcomes  []Outcome
--- a/internal/core/fleet/config/harness_test.go
+++ b/internal/core/fleet/config/harness_test.go
@@ -76,6 +76,7 @@
 	state   State // what this voter has learnt of the quorum's log
 	learnt  int   // entries of the log
 
+	checking bool
 	storing  bool
 	applying bool
 	diskFull bool
@@ -83,6 +84,7 @@
 	applyErr func(v Version) (err error, retryable bool)
 	corrupt  bool // it sends chunks with wrong bytes
 	delay    float64
+	checkMS  float64 // that a check takes beside the usual
 	ahead    float64 // of its clock
 
 	runApplied map[uint64]uint64 // by run, the version in force
@@ -155,7 +157,7 @@
 	f.runs++
 	c.run, c.up, c.changedAt = f.runs, true, f.now
 	c.votesAt = f.now + voteAfter
-	c.storing, c.applying, c.state, c.learnt = false, false, State{}, 0
+	c.checking, c.storing, c.applying, c.state, c.learnt = false, false, false, State{}, 0
 	kept := Kept{Current: c.folder.current, Documents: maps.Clone(c.folder.documents)}
 	if v := kept.Current; v.Number > 0 {
 		f.noteApplied(c, v, c.folder.documents[v.Hash])
@@ -254,6 +256,9 @@
 			f.deliver(c, to, s.Message, nil)
 		}
 	}
+	if out.Check != nil {
+		f.checkLater(c, out.Check)
+	}
 	if out.Store != nil {
 		f.storeLater(c, out.Store)
 	}
@@ -347,6 +352,26 @@
 
 var errDisk = errors.New("no space left on device")
 
+// checkLater checks a document a little later.
+func (f *fleet) checkLater(c *controller, request *CheckRequest) {
+	if c.checking {
+		f.fail("%s: two CheckRequests are out", c.id)
+	}
+	if HashOf(request.Document) != request.Hash {
+		f.fail("%s checks a document that does not match its hash", c.id)
+	}
+	c.checking = true
+	run := c.run
+	f.after(1+f.rng.Float64()*9+c.checkMS, func() {
+		if !c.up || c.run != run {
+			return
+		}
+		c.checking = false
+		c.replica.Checked(c.clock(), request.Hash, c.check(request.Document))
+		f.settle(c)
+	})
+}
+
 // storeLater writes to the folder a little later.
 func (f *fleet) storeLater(c *controller, request *StoreRequest) {
 	if c.storing {
@@ -631,7 +656,8 @@
 
 func (c *controller) Propose(p Proposal) bool { return c.fleet.propose(c, p) }
 
-func (c *controller) Check(document []byte) error {
+// check tells whether a document could be used here.
+func (c *controller) check(document []byte) error {
 	if strings.HasPrefix(string(document), "nonsense") {
 		return errors.New("line 1: nonsense")
 	}
--- a/internal/core/fleet/config/hostile_test.go
+++ b/internal/core/fleet/config/hostile_test.go
@@ -52,7 +52,8 @@
 func (e *lonely) State() *State         { return &e.state }
 func (e *lonely) Propose(Proposal) bool { return true }
 
-func (e *lonely) Check(document []byte) error {
+// check tells whether a document could be used here.
+func (e *lonely) check(document []byte) error {
 	if bytes.HasPrefix(document, []byte("bad")) {
 		return errors.New("bad")
 	}
@@ -104,6 +105,9 @@
 		if len(out.Sends) > 64 {
 			return fmt.Errorf("%d messages at once", len(out.Sends))
 		}
+		if out.Check != nil {
+			x.replica.Checked(x.now, out.Check.Hash, x.env.check(out.Check.Document))
+		}
 		if out.Store != nil {
 			x.replica.Stored(x.now, nil)
 		}
--- a/internal/core/fleet/config/replica.go
+++ b/internal/core/fleet/config/replica.go
@@ -41,6 +41,7 @@
 	avoided   map[members.ID]float64 // sources of bytes that did not fit, until when
 	abandoned abandonment
 	served    servedBytes
+	checks    checking
 	take      taking
 	store     storing
 	proposals []*ownProposal
@@ -70,6 +71,7 @@
 		library: newLibrary(kept.Documents),
 		target:  kept.Current,
 		avoided: map[members.ID]float64{},
+		checks:  checking{results: map[Hash]error{}},
 		take:    taking{current: kept.Current, persisted: kept.Current},
 		start:   starting{at: now, told: map[members.ID]uint64{}},
 	}
@@ -194,6 +196,7 @@
 	r.updateReport()
 	r.confirm()
 	r.sweep()
+	r.sweepChecks()
 }
 
 // send hands a message out.
--- a/internal/core/fleet/config/take.go
+++ b/internal/core/fleet/config/take.go
@@ -61,24 +61,26 @@
 		if !ok {
 			return
 		}
-		if t.checked.summary() == v.summary() || r.check(v) {
-			if t.persisted.Number == v.Number && !r.storesCurrent() && r.now >= t.retryAt {
-				r.apply(v)
+		if !t.passed(v) {
+			ended, err := r.checkEnded(v.Hash)
+			if !ended {
+				return
 			}
-			return
+			if err != nil {
+				r.refuse(v, err.Error())
+				continue
+			}
+			t.checked = v
 		}
+		if t.persisted.Number == v.Number && !r.storesCurrent() && r.now >= t.retryAt {
+			r.apply(v)
+		}
+		return
 	}
 }
 
-// check tells whether a version can be used here; one that can't be is refused.
-func (r *Replica) check(v Version) bool {
-	if err := r.env.Check(r.library.get(v.Hash)); err != nil {
-		r.refuse(v, err.Error())
-		return false
-	}
-	r.take.checked = v
-	return true
-}
+// passed tells whether a version is known to pass the check here.
+func (t *taking) passed(v Version) bool { return t.checked.summary() == v.summary() }
 
 // storesCurrent tells whether a StoreRequest is out that changes the version to be in force at a start.
 func (r *Replica) storesCurrent() bool { return r.store.out != nil && r.store.out.Current != nil }
@@ -150,6 +152,7 @@
 	v, open := r.candidate()
 	switch {
 	case t.applying != nil:
+	case open && !t.passed(v): // its check has not ended
 	case open && t.persisted.Number != v.Number:
 		return r.storeRequest(v.Hash, &v)
 	case !open && t.persisted.Number != t.current.Number:
--- a/internal/core/fleet/config/unit_test.go
+++ b/internal/core/fleet/config/unit_test.go
@@ -58,7 +58,7 @@
 		t.Fatal("a chunk of one that was not asked is taken")
 	}
 	x.replica.Receive(0, "n1", &Message{Chunk: chunkOf("second")})
-	out := x.replica.Take()
+	out := x.answerCheck(t)
 	if out.Store == nil || out.Store.Current == nil || out.Store.Current.Number != 2 || out.Apply != nil {
 		t.Fatalf("%+v", out)
 	}
@@ -100,17 +100,29 @@
 	return x
 }
 
+// answerCheck answers the CheckRequest that must be all that a replica asks for, and returns what it asks for then.
+func (x *target) answerCheck(t *testing.T) Output {
+	t.Helper()
+	out := x.replica.Take()
+	if out.Check == nil || out.Store != nil || out.Apply != nil {
+		t.Fatalf("before the check: %+v", out)
+	}
+	x.replica.Checked(x.now, out.Check.Hash, x.env.check(out.Check.Document))
+	return x.replica.Take()
+}
+
 // getSecond has a replica get version 2 and tells what it has stored then.
-func (x *target) getSecond() *StoreRequest {
+func (x *target) getSecond(t *testing.T) *StoreRequest {
+	t.Helper()
 	x.replica.Receive(x.now, "n1", &Message{Summary: summaryOf(2, "second")})
 	x.replica.Receive(x.now, "n1", &Message{Chunk: chunkOf("second")})
-	return x.replica.Take().Store
+	return x.answerCheck(t).Store
 }
 
 // A document whose removal is under way does not count as held, whether or not the removal comes about.
 func TestHoldWhileRemoved(t *testing.T) {
 	x := withSurplus(&lonely{self: "n2", voting: true}, "surplus")
-	request := x.getSecond()
+	request := x.getSecond(t)
 	if request == nil || len(request.Remove) != 1 || request.Remove[0] != HashOf([]byte("surplus")) {
 		t.Fatalf("%+v", request)
 	}
@@ -140,7 +152,7 @@
 // What could not be removed is removed with a later request.
 func TestRemovalAgain(t *testing.T) {
 	x := withSurplus(&lonely{self: "n4"}, "surplus")
-	if request := x.getSecond(); request == nil || len(request.Remove) != 1 {
+	if request := x.getSecond(t); request == nil || len(request.Remove) != 1 {
 		t.Fatalf("%+v", request)
 	}
 	x.replica.Stored(x.now, errDisk)
@@ -153,12 +165,12 @@
 
 // A voter that does not know the state yet removes nothing, nor does anybody right after its start.
 func TestNoEarlyRemoval(t *testing.T) {
-	if request := withSurplus(&lonely{self: "n2"}, "surplus").getSecond(); request == nil || len(request.Remove) != 0 {
+	if request := withSurplus(&lonely{self: "n2"}, "surplus").getSecond(t); request == nil || len(request.Remove) != 0 {
 		t.Errorf("a voter that does not vote: %+v", request)
 	}
 	x := withSurplus(&lonely{self: "n4"}, "surplus")
 	x.replica.began = x.now - removeAfter + 100
-	if request := x.getSecond(); request == nil || len(request.Remove) != 0 {
+	if request := x.getSecond(t); request == nil || len(request.Remove) != 0 {
 		t.Errorf("right after its start: %+v", request)
 	}
 }
--- a/internal/core/fleet/node/config.go
+++ b/internal/core/fleet/node/config.go
@@ -8,8 +8,7 @@
 
 // ConfigFacts are what a node is told at its start where the fleet agrees on configuration.
 type ConfigFacts struct {
-	Kept  config.Kept
-	Check func(document []byte) error // pure: the same code as `mintkeel check`
+	Kept config.Kept
 }
 
 // configEnvironment is what the configuration's replica sees of its node.
@@ -44,9 +43,6 @@
 	return e.node.quorum.ProposeConfig(e.node.facts.Self.ID, p)
 }
 
-// Check tells whether a document could be used here.
-func (e configEnvironment) Check(document []byte) error { return e.node.facts.Config.Check(document) }
-
 // Config lets the caller use the configuration's replica, and carries out what follows. It does nothing where the fleet
 // does not agree on configuration.
 func (n *Node) Config(now float64, use func(*config.Replica)) {
@@ -128,6 +124,9 @@
 		}
 		n.send(s.To, Message{Config: &s.Message})
 	}
+	if out.Check != nil {
+		n.out.Config.Check = out.Check
+	}
 	if out.Store != nil {
 		n.out.Config.Store = out.Store
 	}
--- a/internal/fleet/configfleet_test.go
+++ b/internal/fleet/configfleet_test.go
@@ -282,16 +282,40 @@
 
 // bytesOut are those that all have sent.
 func (f *configFleet) bytesOut() (n int64) {
-	for _, s := range f.services {
-		for _, a := range s.links.LogValue().Group() {
-			if a.Key == "bytes_out" {
-				n += a.Value.Int64()
-			}
-		}
+	for i := range f.services {
+		n += f.linkCount(i, "bytes_out")
 	}
 	return n
 }
 
+// linkCount is a count of the i-th controller's connections, by its name in the log.
+func (f *configFleet) linkCount(i int, name string) int64 {
+	f.t.Helper()
+	for _, a := range f.services[i].links.LogValue().Group() {
+		if a.Key == name {
+			return a.Value.Int64()
+		}
+	}
+	f.t.Fatalf("no count is named %s", name)
+	return 0
+}
+
+// leaderOf is the number of the controller that the i-th one takes for the leader.
+func (f *configFleet) leaderOf(i int) int {
+	f.t.Helper()
+	status, err := Call(f.t.Context(), f.folder(i), Request{Do: "status"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for j := range f.services {
+		if status.Council.Leader == fmt.Sprint("n", j) {
+			return j
+		}
+	}
+	f.t.Fatalf("the leader is %q", status.Council.Leader)
+	return 0
+}
+
 // logText is a log that a test reads.
 type logText struct {
 	mu   sync.Mutex
--- a/internal/fleet/configservice.go
+++ b/internal/fleet/configservice.go
@@ -196,13 +196,20 @@
 // sessionConfig is a session's part in the fleet's configuration. Its zero value is that of one that has none.
 type sessionConfig struct {
 	folder  *configFolder
-	stored  chan error // answers the StoreRequest that is out
-	applied chan error // answers the ApplyRequest that is out
+	checked chan configCheck // answers the CheckRequest that is out
+	stored  chan error       // answers the StoreRequest that is out
+	applied chan error       // answers the ApplyRequest that is out
 	storing bool
 	refused config.Version          // that the log was told of
 	waiters map[uint64]configWaiter // by the request's ref
 }
 
+// configCheck is how the check of a document ended.
+type configCheck struct {
+	hash config.Hash
+	err  error
+}
+
 // configWaiter is who waits for an answer of the replica.
 type configWaiter struct {
 	reply chan configReply // has room for the one reply
@@ -232,6 +239,7 @@
 	if contents.damaged > 0 {
 		in.Service.log.Error("fleet: stored configuration was damaged, and is dropped", "files", contents.damaged)
 	}
+	in.config.checked = make(chan configCheck, 1)
 	in.config.stored, in.config.applied = make(chan error, 1), make(chan error, 1)
 	in.config.waiters = map[uint64]configWaiter{}
 	in.applyKept(contents)
@@ -240,16 +248,7 @@
 		return nil, fmt.Errorf("folder of configuration: %w", err)
 	}
 	c.local.Store(&config.Readiness{Number: kept.Current.Number, Latest: kept.Current.Number})
-	return &node.ConfigFacts{Kept: kept, Check: in.checkConfig}, nil
-}
-
-// checkConfig is the replica's check of a document: one that it is to take, or to have agreed on.
-func (in *session) checkConfig(document []byte) error {
-	err := in.Service.config.check(document)
-	if err != nil {
-		in.Service.log.Warn("fleet: a document of the configuration can't be used here", "hash", config.HashOf(document).String(), "why", problemsOf(err))
-	}
-	return err
+	return &node.ConfigFacts{Kept: kept}, nil
 }
 
 // openConfigFolder opens the folder, unless the service ends first: a disk that hangs is left to the system.
@@ -377,6 +376,9 @@
 
 // carryOutConfig does what the replica asks for.
 func (in *session) carryOutConfig(out config.Output) {
+	if out.Check != nil {
+		in.checkConfig(out.Check)
+	}
 	if out.Store != nil {
 		in.storeConfig(out.Store)
 	}
@@ -394,6 +396,12 @@
 	}
 }
 
+// checkConfig checks a document that this controller is to take, or to have agreed on, beside the core, which has one
+// CheckRequest out at a time.
+func (in *session) checkConfig(request *config.CheckRequest) {
+	go func() { in.config.checked <- configCheck{request.Hash, in.Service.config.check(request.Document)} }()
+}
+
 // storeConfig writes beside the core, which has one StoreRequest out at a time.
 func (in *session) storeConfig(request *config.StoreRequest) {
 	in.config.storing = true
@@ -406,6 +414,14 @@
 	go func() { in.config.applied <- in.Service.config.apply(in.ctx, next) }()
 }
 
+// configChecked takes in the answer to a CheckRequest.
+func (in *session) configChecked(c configCheck) {
+	if c.err != nil {
+		in.Service.log.Warn("fleet: a document of the configuration can't be used here", "hash", c.hash.String(), "why", problemsOf(c.err))
+	}
+	in.core.Config(in.now(), func(r *config.Replica) { r.Checked(in.now(), c.hash, c.err) })
+}
+
 // configStored takes in the answer to a StoreRequest.
 func (in *session) configStored(err error) {
 	in.config.storing = false
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -422,6 +422,8 @@
 			} else {
 				in.core.Saved(in.now(), r.batch)
 			}
+		case check := <-in.config.checked:
+			in.configChecked(check)
 		case err := <-in.config.stored:
 			in.configStored(err)
 		case err := <-in.config.applied:
--- a/internal/lab/fleet/configuration.go
+++ b/internal/lab/fleet/configuration.go
@@ -21,6 +21,9 @@
 // errBusy is what applying tells now and then, and does not tell again.
 var errBusy = errors.New("busy")
 
+// checkShare is the part that checking a document takes of the time for applying it.
+const checkShare = 0.5
+
 // configDisk is the part of a controller's folder that holds its configuration. It is replaced, never changed, so that
 // copies may share it.
 type configDisk struct {
@@ -128,7 +131,7 @@
 	}
 	m.config.inForce = disk.current
 	m.config.pending = map[uint64]configPending{}
-	return &node.ConfigFacts{Kept: config.Kept{Current: disk.current, Documents: maps.Clone(disk.documents)}, Check: m.checkDocument}
+	return &node.ConfigFacts{Kept: config.Kept{Current: disk.current, Documents: maps.Clone(disk.documents)}}
 }
 
 // olderDisk is the latest copy with a lower version than the folder's.
@@ -171,6 +174,9 @@
 	if w.config == nil {
 		return
 	}
+	if out.Check != nil {
+		w.checkConfig(m, m.run, out.Check)
+	}
 	if out.Store != nil {
 		w.storeConfig(m, m.run, out.Store)
 	}
@@ -197,6 +203,18 @@
 	}
 }
 
+// checkConfig checks a document for a part of the time that applying takes.
+func (w *World) checkConfig(m *machine, run uint64, c *config.CheckRequest) {
+	w.at(w.now+checkShare*m.config.applyMS, func() {
+		if m.run != run || m.core == nil {
+			return
+		}
+		w.deliver(m, func() {
+			m.core.Config(w.local(m), func(r *config.Replica) { r.Checked(w.local(m), c.Hash, m.checkDocument(c.Document)) })
+		})
+	})
+}
+
 // storeConfig makes what a replica asks for durable, one step after another; a process that ends meanwhile leaves the
 // steps done so far.
 func (w *World) storeConfig(m *machine, run uint64, s *config.StoreRequest) {
