A quorum elects a leader after changes of its voters that some missed or had not stored

Four causes, all in changes of the voters:

A voter that was cut off while another was replaced does not know the newcomer, and dropped its answers to it (sendRaft looked for the receiver among the members alone), so a newcomer was never elected, nor a newcomer that leads told what the voter lacks. The commit index is not persisted by itself, so voters that restarted knew the voters of before a change that they had taken in: one took itself for a learner, one asked a controller that had left. The hard state is durable with each committed change of the members now. A voter that could not be vouched for asked to be taken in as another incarnation; when it was vouched for after all and voted, the leader still took the learner in, and the voter gave up its vote for it. A request is left alone while the former incarnation answers, a voter with a leader ignores it, and the learner is dropped. The former one is removed when the learner has answered and caught up.

--- a/internal/core/fleet/quorum/membership.go
+++ b/internal/core/fleet/quorum/membership.go
@@ -45,7 +45,7 @@
 
 // isVoter tells whether this incarnation has a vote.
 func (r *Replica) isVoter() bool {
-	return slices.Contains(r.voters.GetVoters(), r.incarnation.Number())
+	return r.votes(r.incarnation)
 }
 
 // others are the names of the other members as this one knows them, sorted.
@@ -76,14 +76,19 @@
 	return false
 }
 
-// hasVote tells whether an incarnation of a name has a vote.
+// hasVote tells whether a name's one incarnation has a vote. Where there are two, the one that votes has ended.
 func (r *Replica) hasVote(name members.ID) bool {
-	for number, incarnation := range r.incarnations {
-		if incarnation.Name == name && slices.Contains(r.voters.GetVoters(), number) {
-			return true
+	voting, all := 0, 0
+	for _, incarnation := range r.incarnations {
+		if incarnation.Name != name {
+			continue
+		}
+		all++
+		if r.votes(incarnation) {
+			voting++
 		}
 	}
-	return false
+	return voting == 1 && all == 1
 }
 
 // invited tells whether a controller outside has been asked to join.
@@ -130,20 +135,37 @@
 }
 
 // changeMembers brings the members to those wanted, one change at a time: a member that came back as another incarnation
-// is taken in as a learner in place of the one that has ended, and votes when it has caught up.
+// is taken in as a learner. Its former incarnation keeps its vote until the learner has caught up and gets one: a quorum
+// that is smaller meanwhile would not be whole again if one more member failed.
 func (r *Replica) changeMembers() {
 	if r.changePending && r.now < r.changeAt+changeTimeout {
 		return
 	}
 	r.changePending = false
-	if r.takeInJoining() || r.promoteLearner() {
+	if r.now < r.ledSince+settleTime {
+		return
+	}
+	answering := r.answeringMembers()
+	if r.takeInJoining(answering) || r.dropUnusedLearner(answering) || r.promoteLearner() {
 		return
 	}
 	r.carryOutReplacements()
 }
 
-// takeInJoining proposes the next change that a request to join needs, and tells whether there was one.
-func (r *Replica) takeInJoining() bool {
+// answeringMembers are those that answered this leader lately, by their number.
+func (r *Replica) answeringMembers() map[uint64]bool {
+	answering := map[uint64]bool{r.incarnation.Number(): true}
+	r.node.WithProgress(func(id uint64, _ raft.ProgressType, progress raftProgress) {
+		if progress.RecentActive {
+			answering[id] = true
+		}
+	})
+	return answering
+}
+
+// takeInJoining proposes the next change that a request to join needs, and tells whether there was one. A request is left
+// alone while a former incarnation of its sender goes on to vote: its disk was vouched for after all.
+func (r *Replica) takeInJoining(answering map[uint64]bool) bool {
 	for _, name := range slices.Sorted(maps.Keys(r.joins)) {
 		request := r.joins[name]
 		if r.now > request.at+joinTimeout {
@@ -153,11 +175,13 @@
 		if slices.Contains(r.retired, request.incarnation) {
 			continue
 		}
-		for _, number := range slices.Sorted(maps.Keys(r.incarnations)) {
-			if former := r.incarnations[number]; former.Name == name && former != request.incarnation {
-				r.proposeChange(pb.ConfChangeRemoveNode, memberChange{Incarnation: former})
-				return true
-			}
+		former, found := r.formerIncarnation(request.incarnation)
+		if found && r.votes(former) && answering[former.Number()] {
+			continue
+		}
+		if found && !r.votes(former) {
+			r.proposeChange(pb.ConfChangeRemoveNode, memberChange{Incarnation: former})
+			return true
 		}
 		if r.incarnations[request.incarnation.Number()] != request.incarnation {
 			r.proposeChange(pb.ConfChangeAddLearnerNode, memberChange{Incarnation: request.incarnation})
@@ -167,19 +191,60 @@
 	return false
 }
 
-// promoteLearner proposes a vote for a learner that has caught up, and tells whether there was one.
+// dropUnusedLearner proposes to remove a learner whose former incarnation goes on to vote in its place, and tells whether
+// there was one.
+func (r *Replica) dropUnusedLearner(answering map[uint64]bool) bool {
+	for _, number := range slices.Sorted(maps.Keys(r.incarnations)) {
+		learner := r.incarnations[number]
+		if r.votes(learner) || answering[number] {
+			continue
+		}
+		if former, ok := r.formerIncarnation(learner); ok && r.votes(former) && answering[former.Number()] {
+			r.proposeChange(pb.ConfChangeRemoveNode, memberChange{Incarnation: learner})
+			return true
+		}
+	}
+	return false
+}
+
+// formerIncarnation is a member of the same name, first one without a vote.
+func (r *Replica) formerIncarnation(of Incarnation) (former Incarnation, ok bool) {
+	for _, number := range slices.Sorted(maps.Keys(r.incarnations)) {
+		incarnation := r.incarnations[number]
+		if incarnation.Name != of.Name || incarnation == of {
+			continue
+		}
+		if former, ok = incarnation, true; !r.votes(incarnation) {
+			break
+		}
+	}
+	return former, ok
+}
+
+// votes tells whether an incarnation has a vote.
+func (r *Replica) votes(incarnation Incarnation) bool {
+	return slices.Contains(r.voters.GetVoters(), incarnation.Number())
+}
+
+// promoteLearner proposes a vote for a learner that has caught up, once the former incarnation has none, and tells
+// whether there was one.
 func (r *Replica) promoteLearner() bool {
 	last, _ := r.storage.LastIndex()
 	promoted := Incarnation{}
 	r.node.WithProgress(func(id uint64, _ raft.ProgressType, progress raftProgress) {
 		learner, ok := r.incarnations[id]
-		if ok && progress.IsLearner && progress.Match+promotionDistance > last && progress.RecentActive {
+		answered := progress.RecentActive && progress.Match > 0 // one that was just added counts as active
+		if ok && progress.IsLearner && answered && progress.Match+promotionDistance > last {
 			promoted = learner
 		}
 	})
 	if promoted.Name == "" {
 		return false
 	}
+	if former, ok := r.formerIncarnation(promoted); ok {
+		r.proposeChange(pb.ConfChangeRemoveNode, memberChange{Incarnation: former})
+		return true
+	}
 	r.proposeChange(pb.ConfChangeAddNode, memberChange{Incarnation: promoted})
 	return true
 }
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -87,7 +87,10 @@
 	if run, ok := r.askers[m.From]; ok && run != m.Run {
 		return
 	}
-	if m.To == r.nextIncarnation() && m.To != r.incarnation && !r.newIncarnation { // its old incarnation has left the quorum, whether or not it was vouched for since
+	if m.To == r.nextIncarnation() && m.To != r.incarnation && !r.newIncarnation {
+		if r.role == Voting && r.node != nil && r.node.BasicStatus().Lead != raft.None {
+			return // its disk was vouched for meanwhile, and the quorum goes on with this incarnation
+		}
 		r.endIncarnation("taken in as another incarnation, as not all others could vouch for its disk")
 		return
 	}
@@ -98,9 +101,7 @@
 	if proto.Unmarshal(m.Raft, inner) != nil || inner.GetFrom() != m.From.Number() || inner.GetTo() != r.incarnation.Number() {
 		return
 	}
-	if len(r.incarnations) == 0 { // a member that is being taken in knows only the one that writes to it
-		r.contact = m.From
-	}
+	r.rememberSender(m.From)
 	if m.Serial > r.marks[m.From] {
 		if len(r.waiting) < maxWaiting {
 			r.waitingMarks[m.From] = max(r.waitingMarks[m.From], m.Serial)
@@ -111,6 +112,21 @@
 	r.stepConsensus(inner)
 }
 
+// rememberSender has a sender be answered that is no member as this one knows them. The members may have changed while
+// this one was cut off: without its answer a new voter is not elected, and a new leader does not learn what it lacks.
+func (r *Replica) rememberSender(from Incarnation) {
+	if r.incarnations[from.Number()] == from {
+		return
+	}
+	if len(r.strangers) >= maxRetired {
+		clear(r.strangers) // those that are of the quorum write again
+	}
+	r.strangers[from.Number()] = from
+	if len(r.incarnations) == 0 { // a member that is being taken in knows only the one that writes to it
+		r.contact = from
+	}
+}
+
 // stepConsensus hands a message to the consensus.
 func (r *Replica) stepConsensus(m *raftMessage) {
 	switch m.GetType() {
@@ -153,15 +169,15 @@
 	if leading == r.leading {
 		return
 	}
-	r.leading, r.changePending = leading, false
+	r.leading, r.changePending, r.ledSince = leading, false, r.now
 	r.joins, r.replacements = map[members.ID]joinRequest{}, nil
 }
 
 // sendRaft enqueues a message of the consensus, with the serial of the last durable record if it depends on one.
 func (r *Replica) sendRaft(m *raftMessage) {
 	to, ok := r.incarnations[m.GetTo()]
-	if !ok && r.contact.Number() == m.GetTo() {
-		to, ok = r.contact, true
+	if !ok {
+		to, ok = r.strangers[m.GetTo()]
 	}
 	if !ok {
 		return
--- a/internal/core/fleet/quorum/records.go
+++ b/internal/core/fleet/quorum/records.go
@@ -51,9 +51,14 @@
 	return rec.HardState == nil && rec.Entries == nil && rec.Snapshot == nil && rec.Marks == nil
 }
 
-// fill takes over what the consensus wants to be durable.
-func (rec *Record) fill(ready *raftReady) {
-	if ready.HardState != nil && (ready.MustSync || ready.Snapshot != nil) { // a commit index alone is found out again
+// fill takes over what the consensus wants to be durable, of which current is the hard state. A commit index alone is
+// found out again after a restart, but not that of a change of the members: one that restarts has to know which members
+// it may elect, or be elected by, before it hears from a leader.
+func (rec *Record) fill(ready *raftReady, current *pb.HardState) {
+	switch {
+	case changesMembers(ready.CommittedEntries):
+		rec.HardState, _ = proto.Marshal(current)
+	case ready.HardState != nil && (ready.MustSync || ready.Snapshot != nil):
 		rec.HardState, _ = proto.Marshal(ready.HardState)
 	}
 	rec.addEntries(ready.Entries)
@@ -62,6 +67,10 @@
 	}
 }
 
+func changesMembers(committed []*pb.Entry) bool {
+	return slices.ContainsFunc(committed, func(entry *pb.Entry) bool { return entry.GetType() == pb.EntryConfChange })
+}
+
 func (rec *Record) addEntries(entries []*pb.Entry) {
 	for _, entry := range entries {
 		data, _ := proto.Marshal(entry)
--- /dev/null
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -0,0 +1,186 @@
+package quorum
+
+import (
+	"slices"
+	"testing"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// withNewcomer is a room of three voters, a leader among them, and a controller d outside.
+func withNewcomer(t *testing.T) (r *room, leader members.ID, others []members.ID) {
+	t.Helper()
+	r = newRoom(t, "a", "b", "c")
+	newcomer, err := New(Facts{Self: "d", Founders: r.founders, Run: 50, Disk: 51, Seed: 50}, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.members["d"] = newcomer
+	r.run(5000)
+	leader = r.leader().Incarnation().Name
+	for _, name := range r.founders {
+		if name != leader {
+			others = append(others, name)
+		}
+	}
+	return r, leader, others
+}
+
+// loseDisk has a member start with an empty folder.
+func (r *room) loseDisk(name members.ID) {
+	r.t.Helper()
+	r.kept[name] = nil
+	r.start(name)
+}
+
+// leads tells whether any of these leads.
+func (r *room) leads(names ...members.ID) bool {
+	return slices.ContainsFunc(names, func(name members.ID) bool { return r.members[name].Leads() })
+}
+
+// TestLateVoterElectsStranger has a voter be cut off while another is replaced, and the third one end: the voter that
+// was cut off does not know the newcomer as a member, and has to answer it all the same, or nobody is ever elected.
+func TestLateVoterElectsStranger(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	late, ended := others[0], others[1]
+	r.cut = func(from, to members.ID) bool { return from == late || to == late }
+	if !r.leader().Replace(leader, "d") {
+		t.Fatal("not replaced")
+	}
+	r.run(20000)
+	r.standing("d", Voting)
+	r.standing(leader, Outside)
+	delete(r.members, ended)
+	r.run(5000)
+	if r.members[late].knows("d") {
+		t.Fatal("the one that was cut off has heard of the newcomer")
+	}
+	r.cut = nil
+	r.run(20000)
+	if !r.leads(late, "d") {
+		t.Fatal("nobody leads")
+	}
+	r.propose(7)
+	if r.members[late].State().Leases["w7"] == nil || !r.members[late].knows("d") {
+		t.Error("the one that was cut off does not hear what is agreed")
+	}
+}
+
+// TestStrangersBounded has many strangers write: no more than a bound are remembered.
+func TestStrangersBounded(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(3000)
+	a := r.members["a"]
+	for disk := range uint64(10 * maxRetired) {
+		a.rememberSender(Incarnation{Name: "x", Disk: disk + 1})
+	}
+	if len(a.strangers) > maxRetired {
+		t.Errorf("%d strangers are remembered", len(a.strangers))
+	}
+	a.rememberSender(Incarnation{Name: "b"})
+	if _, remembered := a.strangers[Incarnation{Name: "b"}.Number()]; remembered {
+		t.Error("a member counts as a stranger")
+	}
+}
+
+// TestVouchedVoterKeepsVote has a voter restart that is cut off from one other, so that it asks to be taken in as another
+// incarnation; then the leader gets an older copy of its folder, and the cut heals. The two that hold all that was agreed
+// on go on: the voter does not give up its vote for the learner that it asked to be.
+func TestVouchedVoterKeepsVote(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	restarted, third := others[0], others[1]
+	old := slices.Clone(r.kept[leader])
+	for ref := range uint64(3) {
+		r.propose(ref)
+	}
+	r.cut = func(from, to members.ID) bool {
+		return from == restarted && to == third || from == third && to == restarted
+	}
+	r.start(restarted)
+	for end := r.now + 60000; !r.members[restarted].askedToJoin; {
+		if r.run(25); r.now > end {
+			t.Fatal("it does not ask to be taken in")
+		}
+	}
+	r.kept[leader] = old
+	r.start(leader)
+	r.run(5000)
+	if r.leads("a", "b", "c") {
+		t.Fatal("one leads without a majority")
+	}
+	r.cut = nil
+	r.run(40000)
+	if !r.leads("a", "b", "c") {
+		t.Fatal("nobody leads")
+	}
+	for _, name := range r.founders {
+		r.standing(name, Voting)
+	}
+	if list, votes := r.leader().Members(); len(list) != 3 || slices.Contains(votes, false) {
+		t.Errorf("the quorum is %v, %v", list, votes)
+	}
+	for _, name := range r.founders {
+		if r.members[name].State().Leases["w2"] == nil {
+			t.Errorf("%s has forgotten what was agreed", name)
+		}
+	}
+}
+
+// TestFormerKeepsVoteUntilCaughtUp has a voter lose its folder and the leader's messages to it be lost: the quorum does
+// not become smaller before the newcomer has caught up.
+func TestFormerKeepsVoteUntilCaughtUp(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	lost := others[0]
+	former := r.members[lost].Incarnation()
+	r.loseDisk(lost)
+	r.cut = func(from, to members.ID) bool { return from == leader && to == lost }
+	r.run(15000)
+	if _, votes := r.leader().Members(); countTrue(votes) != 3 || !r.leader().votes(former) {
+		t.Errorf("of the quorum %d vote, and the former incarnation does not", countTrue(votes))
+	}
+	r.cut = nil
+	r.run(15000)
+	r.standing(lost, Voting)
+	if list, votes := r.leader().Members(); len(list) != 3 || countTrue(votes) != 3 {
+		t.Errorf("the quorum is %v, %v", list, votes)
+	}
+}
+
+func countTrue(list []bool) (n int) {
+	for _, x := range list {
+		if x {
+			n++
+		}
+	}
+	return n
+}
+
+// TestMembersKnownAtRestart has a voter be replaced, and then the leader lose its folder while the other two restart:
+// those know at once which members vote, and elect one of them.
+func TestMembersKnownAtRestart(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	if !r.leader().Replace(others[0], "d") {
+		t.Fatal("not replaced")
+	}
+	for end := r.now + 30000; r.members[others[0]].role != Outside; {
+		if r.run(25); r.now > end {
+			t.Fatal("not replaced in time")
+		}
+	}
+	r.run(1000) // the change is known to all, and nothing else is agreed on
+	delete(r.members, others[0])
+	r.loseDisk(leader)
+	r.start(others[1])
+	r.start("d")
+	r.run(1)
+	if list, votes := r.members["d"].Members(); len(list) != 3 || countTrue(votes) != 3 {
+		t.Errorf("after its restart the newcomer knows %v, %v", list, votes)
+	}
+	r.run(40000)
+	if !r.leads(leader, others[1], "d") {
+		t.Fatal("nobody leads")
+	}
+	for _, name := range []members.ID{leader, others[1], "d"} {
+		r.standing(name, Voting)
+	}
+}
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -37,6 +37,7 @@
 	snapshotIndex  uint64
 	snapshotWanted bool
 	leading        bool
+	ledSince       float64 // ms, since leading last changed
 	tickAt         float64
 	campaignAt     float64
 
@@ -57,6 +58,7 @@
 	askAt            float64                // ms
 	askers           map[Incarnation]uint64 // which run of an incarnation asked last: messages of earlier runs are ignored
 	contact          Incarnation            // the member that wrote last to this one while it knew no member
+	strangers        map[uint64]Incarnation // senders that are no members as far as this one knows, by their number
 	leaderHint       members.ID             // the member that leads, as another one told this one when it asked to join
 
 	// Changes of the members that this leader carries out.
@@ -82,6 +84,7 @@
 		incarnations: map[uint64]Incarnation{},
 		vouched:      map[members.ID]bool{},
 		askers:       map[Incarnation]uint64{},
+		strangers:    map[uint64]Incarnation{},
 		joins:        map[members.ID]joinRequest{},
 		startedAt:    now,
 		tickAt:       now,
@@ -157,7 +160,7 @@
 	if r.node != nil && r.node.HasReady() {
 		ready := r.node.Ready()
 		b.ready = &ready
-		b.Record.fill(&ready)
+		b.Record.fill(&ready, r.node.BasicStatus().HardState)
 	}
 	if b.ready == nil && b.received == nil {
 		return nil
