The checker of histories lets a folder hold no current version where none was in force

It had stored a version that it could not take yet (busy), and could not use the two that followed, so nothing was to be in force at its next start: the core's documented request of number 0, which the daemon's folder carries out (configFolder.setCurrent) and the core's own harness allows. The checker of the virtual folders was wrong. It is as strict otherwise, and stricter in one case: number 0 is a break where a version is in force. TestCurrentCleared has the four cases.

--- a/internal/lab/fleet/configuration_test.go
+++ b/internal/lab/fleet/configuration_test.go
@@ -259,3 +259,28 @@
 		t.Error("nothing was agreed on")
 	}
 }
+
+// A folder may be told that no version is to be in force at a start: of a controller that stored one, could not take it
+// yet, and could not use the next two. Where a version is in force, or a document is missing, that is a break.
+func TestCurrentCleared(t *testing.T) {
+	one := []byte("one")
+	version := config.Version{Number: 1, Hash: config.HashOf(one), Size: len(one)}
+	for name, c := range map[string]struct {
+		inForce config.Version
+		store   config.StoreRequest
+		broken  bool
+	}{
+		"none is in force":         {store: config.StoreRequest{Current: &config.Version{}}},
+		"one is in force":          {inForce: version, store: config.StoreRequest{Current: &config.Version{}}, broken: true},
+		"its document is missing":  {store: config.StoreRequest{Current: &version}, broken: true},
+		"its document comes along": {store: config.StoreRequest{Hash: version.Hash, Document: one, Current: &version}},
+	} {
+		w := NewWorld(configurationScene(1, 3))
+		m := w.nodes[0]
+		m.config.inForce = c.inForce
+		w.writeConfig(m, &c.store)
+		if broken := w.config.checker.Broken != ""; broken != c.broken {
+			t.Errorf("%s: %q", name, w.config.checker.Broken)
+		}
+	}
+}
