The rigs' daemon process has a package of its own

Change: internal/lab/scale/datapath/daemon.go becomes internal/lab/scale/daemon (the process, its settings, emulated engines), with named options; datapath uses it; its test of the kernel's files moves with it.

--- /dev/null
+++ b/internal/lab/scale/daemon/daemon.go
@@ -0,0 +1,207 @@
+// Package daemon runs the shipped daemon as a process, as a controller of a deployment of the size that is built for, and
+// reads what the process spends.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"mintkeel/internal/lab/loopback"
+	"mintkeel/internal/lab/standin"
+)
+
+const (
+	// StartTime is within which a daemon serves after its start.
+	StartTime = 20 * time.Second
+
+	// startAttempts bounds the addresses that are tried: another listener may come to one between its choice and its use.
+	startAttempts = 3
+	dialTime      = time.Second
+	lookEach      = 5 * time.Millisecond
+)
+
+var (
+	errEnded  = errors.New("the daemon has ended")
+	errSilent = errors.New("the daemon does not answer")
+)
+
+// Options are what a daemon is started with.
+type Options struct {
+	Binary      string // as Build returned it
+	Folder      string // for its files
+	Name        string
+	Feed        string            // the address of discovery
+	Engines     []*standin.Engine // that it knows at its start
+	Controllers int               // of the deployment
+	Seed        int64
+	Probes      bool   // they are allowed
+	Operator    string // path of the operator's file; empty: none
+}
+
+// Process is a daemon that runs.
+type Process struct {
+	Addr string // for clients
+
+	cmd   *exec.Cmd
+	log   string        // its path
+	ended chan struct{} // closed when the process has ended
+}
+
+// Build builds the daemon as it is shipped, into a folder, and returns its path.
+func Build(ctx context.Context, folder string) (string, error) {
+	path := filepath.Join(folder, "mintkeel")
+	command := exec.CommandContext(ctx, "go", "build", "-o", path, "mintkeel/cmd/mintkeel")
+	if out, err := command.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the daemon: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// Start starts a daemon and waits until it serves.
+func Start(ctx context.Context, o Options) (p *Process, err error) {
+	for range startAttempts {
+		p, err = o.try(ctx)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return p, err
+}
+
+func (o Options) try(ctx context.Context) (*Process, error) {
+	addr, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	path, err := o.writeConfiguration(addr)
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(o.Folder, "log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	arguments := []string{"serve", "--config", path}
+	if o.Operator != "" {
+		arguments = append(arguments, "--operator", o.Operator)
+	}
+	p := &Process{cmd: exec.CommandContext(ctx, o.Binary, arguments...), log: log.Name(), Addr: addr, ended: make(chan struct{})}
+	p.cmd.Stderr = log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // an interrupt is for the parent, which ends its children
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.cmd.Wait()
+		close(p.ended)
+	}()
+	if err := p.await(ctx); err != nil {
+		p.Stop()
+		logged, _ := p.Log()
+		return nil, fmt.Errorf("%w\n%s", err, logged)
+	}
+	return p, nil
+}
+
+func (p *Process) await(ctx context.Context) error {
+	for end := time.Now().Add(StartTime); time.Now().Before(end) && ctx.Err() == nil; {
+		if c, err := standin.Dial(ctx, p.Addr, dialTime); err == nil {
+			c.Close()
+			return nil
+		}
+		select {
+		case <-p.ended:
+			return errEnded
+		case <-time.After(lookEach):
+		}
+	}
+	return errSilent
+}
+
+// Stop kills the process and waits for its end.
+func (p *Process) Stop() {
+	p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// Signal sends the process a signal.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Log is what the daemon has logged since its start.
+func (p *Process) Log() (string, error) {
+	text, err := os.ReadFile(p.log)
+	return string(text), err
+}
+
+// ProcessorTime is the time that the process has had on processors, in seconds: the sum of its threads', which the kernel
+// counts in nanoseconds. The Go runtime ends threads rarely, and then their time is lost.
+func (p *Process) ProcessorTime() (sum float64, err error) {
+	tasks, err := os.ReadDir(p.proc("task"))
+	if err != nil {
+		return 0, err
+	}
+	for _, task := range tasks {
+		text, err := os.ReadFile(filepath.Join(p.proc("task"), task.Name(), "schedstat"))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		seconds, err := parseProcessorTime(string(text))
+		if err != nil {
+			return 0, err
+		}
+		sum += seconds
+	}
+	return sum, nil
+}
+
+func (p *Process) proc(name string) string {
+	return filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), name)
+}
+
+// parseProcessorTime reads a thread's time on processors, the first of three figures, in seconds.
+func parseProcessorTime(schedstat string) (float64, error) {
+	fields := strings.Fields(schedstat)
+	if len(fields) != 3 {
+		return 0, errors.New("the kernel's form of schedstat is not known")
+	}
+	nanoseconds, err := strconv.ParseFloat(fields[0], 64)
+	return nanoseconds / 1e9, err
+}
+
+// Resident is the process's memory in the machine, in MB of 2^20 bytes; buffers of its sockets are the kernel's and
+// are not part of it.
+func (p *Process) Resident() (float64, error) {
+	text, err := os.ReadFile(p.proc("status"))
+	if err != nil {
+		return 0, err
+	}
+	return parseResident(string(text))
+}
+
+func parseResident(status string) (float64, error) {
+	for line := range strings.Lines(status) {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 64)
+			return kilobytes / 1024, err
+		}
+	}
+	return 0, errors.New("the kernel's form of status is not known")
+}
+
+// Descriptors is how many the process has open.
+func (p *Process) Descriptors() (float64, error) {
+	entries, err := os.ReadDir(p.proc("fd"))
+	return float64(len(entries)), err
+}
--- a/internal/lab/scale/datapath/connections.go
+++ b/internal/lab/scale/datapath/connections.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/standin"
 )
@@ -75,7 +76,7 @@
 		}
 	}
 	if len(left) > 0 {
-		open.Note += fmt.Sprintf("%v not run: %d descriptors allow %d connections; ", left, descriptorLimit(), clientLimit())
+		open.Note += fmt.Sprintf("%v not run: %d descriptors allow %d connections; ", left, daemon.DescriptorLimit(), clientLimit())
 	}
 	memory.Note += "the kernel's buffers are not in it"
 	open.Note += "a daemon gives clients 21 of 40 descriptors"
@@ -93,23 +94,23 @@
 		return cost, err
 	}
 	time.Sleep(b.settle / 4)
-	if cost.resident, err = r.daemon.resident(); err != nil {
+	if cost.resident, err = r.daemon.Resident(); err != nil {
 		return cost, err
 	}
-	if cost.descriptors, err = r.daemon.descriptors(); err != nil {
+	if cost.descriptors, err = r.daemon.Descriptors(); err != nil {
 		return cost, err
 	}
 	windows := int(math.Ceil(float64(b.window) / float64(sparedTime)))
 	before, spent, passed := 0.0, 0.0, time.Duration(0)
 	for range windows {
 		cost.ended += r.touch()
-		if before, err = r.daemon.processor(); err != nil {
+		if before, err = r.daemon.ProcessorTime(); err != nil {
 			return cost, err
 		}
 		began := time.Now()
 		served := r.load(ctx, b.connectionRate, min(b.window, sparedTime), r.usual)
 		passed += time.Since(began)
-		after, err := r.daemon.processor()
+		after, err := r.daemon.ProcessorTime()
 		if err != nil {
 			return cost, err
 		}
@@ -173,14 +174,14 @@
 	r.touch()
 	answers := make(chan standin.Verdict, n)
 	for range n {
-		s := r.statement(reportName, float64(b.busyWork)/1e6)
+		s := r.statement(daemon.ReportClass, float64(b.busyWork)/1e6)
 		go func() {
 			verdict, _ := r.ask(ctx, s)
 			answers <- verdict
 		}()
 	}
 	time.Sleep(b.busyWork * 2 / 3)
-	cost.resident, err = r.daemon.resident()
+	cost.resident, err = r.daemon.Resident()
 	for _, e := range r.engines {
 		cost.open += len(e.Running())
 	}
--- a/internal/lab/scale/datapath/datapath.go
+++ b/internal/lab/scale/datapath/datapath.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 )
 
@@ -171,7 +172,7 @@
 	}
 	defer os.RemoveAll(b.dir)
 	if b.mintkeel == "" {
-		if b.mintkeel, err = build(ctx, b.dir); err != nil {
+		if b.mintkeel, err = daemon.Build(ctx, b.dir); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/lab/scale/datapath/datapath_test.go
+++ b/internal/lab/scale/datapath/datapath_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mintkeel/internal/bulletin"
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/standin"
 	"mintkeel/router"
@@ -74,21 +75,6 @@
 	}
 }
 
-func TestProcessFiles(t *testing.T) {
-	if s, err := parseProcessor("3000000000 2445019 13\n"); err != nil || s != 3 {
-		t.Error(s, err)
-	}
-	if _, err := parseProcessor("7 (a)"); err == nil {
-		t.Error("a short line is taken")
-	}
-	if mb, err := parseResident("Name:\ta\nVmHWM:\t 9 kB\nVmRSS:\t  2048 kB\n"); err != nil || mb != 2 {
-		t.Error(mb, err)
-	}
-	if _, err := parseResident("Name:\ta\n"); err == nil {
-		t.Error("no figure is taken")
-	}
-}
-
 func TestSteps(t *testing.T) {
 	if got := summarizeSteps([]float64{4, 1, 2, 3, 10}); got != (stepCosts{4, 3, 10}) {
 		t.Error(got)
@@ -117,28 +103,28 @@
 		begun     int
 		verdict   standin.Verdict
 		after     time.Duration
-	}{{"a", lookupName, 2, standin.Answered, time.Second}, {"b", writeName, 1, standin.Failed, 2 * time.Second},
-		{"c", writeName, 2, standin.Answered, -time.Second}} {
+	}{{"a", daemon.LookupClass, 2, standin.Answered, time.Second}, {"b", daemon.WriteClass, 1, standin.Failed, 2 * time.Second},
+		{"c", daemon.WriteClass, 2, standin.Answered, -time.Second}} {
 		g.asked(statement{id: q.id, class: q.class})
 		g.begun[q.id] = q.begun
 		g.answered[q.id], g.verdicts[q.id] = end.Add(q.after), q.verdict
 	}
-	g.asked(statement{id: "d", class: loadName}) // never answered
+	g.asked(statement{id: "d", class: daemon.LoadClass}) // never answered
 	into := map[string]*outcome{}
 	g.judge([]string{"a", "b", "c", "d"}, end, into)
-	if o := into[lookupName]; !slices.Equal(o.took, []float64{1000}) || o.again != 1 || o.verdicts[standin.Answered] != 1 {
+	if o := into[daemon.LookupClass]; !slices.Equal(o.took, []float64{1000}) || o.again != 1 || o.verdicts[standin.Answered] != 1 {
 		t.Errorf("%+v", o)
 	}
-	if o := into[writeName]; !slices.Equal(o.took, []float64{2000, 0}) || o.again != 1 || o.verdicts[standin.Failed] != 1 {
+	if o := into[daemon.WriteClass]; !slices.Equal(o.took, []float64{2000, 0}) || o.again != 1 || o.verdicts[standin.Failed] != 1 {
 		t.Errorf("%+v", o)
 	}
-	if o := into[loadName]; o.verdicts[standin.Lost] != 1 {
+	if o := into[daemon.LoadClass]; o.verdicts[standin.Lost] != 1 {
 		t.Errorf("%+v", o)
 	}
 	if got := g.twice(); got != 1 {
 		t.Errorf("%d non-idempotent queries begun twice, want 1", got)
 	}
-	rows := addOutcome(nil, effectClasses[2], "x", 50, into[writeName])
+	rows := addOutcome(nil, effectClasses[2], "x", 50, into[daemon.WriteClass])
 	rows = addOutcome(rows, effectClasses[2], "x", 100, nil)
 	if len(rows) != 3 || len(rows[2].Points) != 1 || rows[2].Points[0].Value != 2000 ||
 		!strings.Contains(rows[0].Note, "2 in flight, 1 answered, 1 failed, 1 begun twice") {
--- a/internal/lab/scale/datapath/discovery.go
+++ b/internal/lab/scale/datapath/discovery.go
@@ -16,6 +16,7 @@
 	"mintkeel/internal/bulletin"
 	"mintkeel/internal/controller"
 	"mintkeel/internal/engines"
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/settings"
@@ -64,11 +65,11 @@
 
 // accept waits for the controller, which begins by the number of the last frame that it has.
 func (f *teller) accept() (err error) {
-	f.listener.(*net.TCPListener).SetDeadline(time.Now().Add(startTime))
+	f.listener.(*net.TCPListener).SetDeadline(time.Now().Add(daemon.StartTime))
 	if f.conn, err = f.listener.Accept(); err != nil {
 		return err
 	}
-	f.conn.SetDeadline(time.Now().Add(startTime))
+	f.conn.SetDeadline(time.Now().Add(daemon.StartTime))
 	head := make([]byte, 8)
 	_, err = io.ReadFull(f.conn, head)
 	f.last = binary.BigEndian.Uint64(head)
@@ -78,7 +79,7 @@
 // tell writes a frame of the next number.
 func (f *teller) tell(kind byte, first, last int, state router.State) error {
 	f.last++
-	f.conn.SetDeadline(time.Now().Add(startTime))
+	f.conn.SetDeadline(time.Now().Add(daemon.StartTime))
 	_, err := f.conn.Write(frame(f.last, kind, first, last, state))
 	return err
 }
@@ -110,7 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l := limits.For(descriptorLimit(), daemonMemory, facts.Links.ConnectTimeout, facts.Links.Idle, deadline)
+	l := limits.For(daemon.DescriptorLimit(), daemon.Memory, facts.Links.ConnectTimeout, facts.Links.Idle, daemon.Deadline)
 	loop := controller.New(facts.Router(seed), controller.SystemClock(), l.Inbox, 0)
 	loop.SetEngines(engines.New(l, facts.Links.Streams, loop.Post, log))
 	go loop.Run(ctx)
@@ -126,7 +127,7 @@
 
 // deploymentFacts are those of the daemon's settings.
 func deploymentFacts() (*settings.Facts, error) {
-	text, err := json.Marshal(deploymentSettings(controllers, true))
+	text, err := json.Marshal(daemon.Settings(controllers, true))
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +151,7 @@
 	}
 	w.news++
 	for w.loop.Counts().News < w.news {
-		if time.Since(began) > startTime {
+		if time.Since(began) > daemon.StartTime {
 			return 0, errors.New("the list was not taken")
 		}
 		time.Sleep(20 * time.Microsecond)
@@ -213,11 +214,12 @@
 	if err != nil {
 		return err
 	}
-	d, err := startDaemon(ctx, b.mintkeel, dir, feed.addr(), nil, b.seed, true)
+	d, err := daemon.Start(ctx, daemon.Options{Binary: b.mintkeel, Folder: dir, Name: daemonName, Feed: feed.addr(),
+		Controllers: controllers, Seed: b.seed, Probes: true})
 	if err != nil {
 		return err
 	}
-	defer d.stop()
+	defer d.Stop()
 	if err := feed.accept(); err != nil {
 		return err
 	}
@@ -230,7 +232,7 @@
 		return err
 	}
 	time.Sleep(4 * frameSpacing)
-	before, err := d.processor()
+	before, err := d.ProcessorTime()
 	if err != nil {
 		return err
 	}
@@ -239,7 +241,7 @@
 			return err
 		}
 	}
-	after, err := d.processor()
+	after, err := d.ProcessorTime()
 	cost.processor = (after - before) * 1000 / float64(b.listRepeats)
 	return err
 }
@@ -252,7 +254,7 @@
 
 // discovery measures lists and changes by their engines.
 func (b *bench) discovery(ctx context.Context) (rows []slope.Row, err error) {
-	bound := float64(limits.For(descriptorLimit(), daemonMemory, 0, 0, 0).FrameBytes)
+	bound := float64(limits.For(daemon.DescriptorLimit(), daemon.Memory, 0, 0, 0).FrameBytes)
 	for _, c := range changes {
 		row := func(cost, unit string, budget float64, note string) slope.Row {
 			return slope.Row{Role: controllerRole, Cost: "discovery: " + cost, Unit: unit, Per: "engines", Condition: c.name,
--- a/internal/lab/scale/datapath/gaps.go
+++ b/internal/lab/scale/datapath/gaps.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/standin"
 )
@@ -52,7 +53,7 @@
 	steady := began.Add(b.gapsSettle) // before it few can have ended
 	end := steady.Add(b.gapsWindow)
 	for range n {
-		c := &gapClient{session: <-r.sessions, rng: rand.New(rand.NewSource(r.rng.Int63())), addr: r.daemon.addr}
+		c := &gapClient{session: <-r.sessions, rng: rand.New(rand.NewSource(r.rng.Int63())), addr: r.daemon.Addr}
 		group.Go(func() {
 			count := c.play(ctx, steady, end)
 			mu.Lock()
@@ -82,19 +83,19 @@
 		}
 		time.Sleep(time.Until(at))
 		s := draw.usual()
-		if _, err := c.session.Query(s.fields, s.text, deadline); err == nil {
+		if _, err := c.session.Query(s.fields, s.text, daemon.Deadline); err == nil {
 			continue
 		}
 		if at.After(counts) {
 			ended++
 		}
-		again, err := standin.Dial(ctx, c.addr, deadline)
+		again, err := standin.Dial(ctx, c.addr, daemon.Deadline)
 		if err != nil {
 			return ended
 		}
 		c.session.Close()
 		c.session = again
 		s = draw.usual()
-		c.session.Query(s.fields, s.text, deadline)
+		c.session.Query(s.fields, s.text, daemon.Deadline)
 	}
 }
--- a/internal/lab/scale/datapath/reconnects.go
+++ b/internal/lab/scale/datapath/reconnects.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 )
 
@@ -50,7 +51,7 @@
 	if err := r.connect(ctx, workers); err != nil { // connections to engines stand
 		return cost, err
 	}
-	before, err := r.daemon.processor()
+	before, err := r.daemon.ProcessorTime()
 	if err != nil {
 		return cost, err
 	}
@@ -60,20 +61,20 @@
 		return cost, err
 	}
 	cost.took, cost.service = time.Since(began), r.firsts
-	after, err := r.daemon.processor()
+	after, err := r.daemon.ProcessorTime()
 	if err != nil {
 		return cost, err
 	}
 	cost.processor = after - before
 	queries := make([]statement, n)
 	for i := range queries {
-		queries[i] = r.statement(lookupName, 1)
+		queries[i] = r.statement(daemon.LookupClass, 1)
 	}
 	inParallel(n, func(i int) error {
 		r.ask(ctx, queries[i])
 		return nil
 	})
-	again, err := r.daemon.processor()
+	again, err := r.daemon.ProcessorTime()
 	cost.queries = again - after
 	return cost, err
 }
--- a/internal/lab/scale/datapath/replacement.go
+++ b/internal/lab/scale/datapath/replacement.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/standin"
 )
@@ -41,7 +42,7 @@
 // effectClass is a class of queries by what running one again does.
 type effectClass struct{ class, effect string }
 
-var effectClasses = []effectClass{{lookupName, "idempotent"}, {loadName, "deduplicated"}, {writeName, "non-idempotent"}}
+var effectClasses = []effectClass{{daemon.LookupClass, "idempotent"}, {daemon.LoadClass, "deduplicated"}, {daemon.WriteClass, "non-idempotent"}}
 
 // register is what engines and clients wrote down of each query.
 type register struct {
@@ -141,7 +142,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, begun := range g.begun {
-		if begun > 1 && g.classes[id] == writeName {
+		if begun > 1 && g.classes[id] == daemon.WriteClass {
 			n++
 		}
 	}
@@ -259,7 +260,7 @@
 	end = time.Now()
 	inFlight = way.end(old)
 	time.Sleep(way.told)
-	replaced, err := newEngine(replacedEngines+number, b.seed)
+	replaced, err := daemon.NewEngine(replacedEngines+number, b.seed)
 	if err == nil {
 		g.watch(replaced, replacedEngines+number)
 		err = errors.Join(r.feed.Tell(uint32(number), old.Addr, standin.Gone, 0),
@@ -280,9 +281,9 @@
 	work := replacedWork * (0.5 + r.rng.Float64())
 	switch r.rng.Intn(5) {
 	case 0:
-		return r.statement(loadName, work)
+		return r.statement(daemon.LoadClass, work)
 	case 1:
-		return r.statement(writeName, work)
+		return r.statement(daemon.WriteClass, work)
 	}
-	return r.statement(lookupName, work)
+	return r.statement(daemon.LookupClass, work)
 }
--- a/internal/lab/scale/datapath/rig.go
+++ b/internal/lab/scale/datapath/rig.go
@@ -7,29 +7,20 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
+	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/standin"
 )
 
-// descriptorLimit is how many descriptors a process of this machine may have.
-func descriptorLimit() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 1024
-	}
-	return int(min(limit.Cur, 1<<20))
-}
-
 // clientLimit is how many connections of clients a daemon with that limit serves: see package limits.
-func clientLimit() int { return descriptorLimit() * 21 / 40 }
+func clientLimit() int { return daemon.DescriptorLimit() * 21 / 40 }
 
 // rig is a daemon with emulated engines, the feed and clients' sessions.
 type rig struct {
 	engines  []*standin.Engine
 	feed     *standin.Feed
-	daemon   *daemon
+	daemon   *daemon.Process
 	sessions chan *standin.Client // that are idle, the longest so first
 	rng      *rand.Rand
 	cancel   context.CancelFunc
@@ -38,6 +29,9 @@
 	firsts service // what became of each session's first query
 }
 
+// daemonName is the daemon's, as a controller.
+const daemonName = "n1"
+
 // mostSessions bounds a rig's sessions.
 const mostSessions = 1 << 14
 
@@ -59,7 +53,7 @@
 
 func (r *rig) start(ctx context.Context, b *bench, engines int, probes bool) (err error) {
 	for i := range engines {
-		e, err := newEngine(i+1, b.seed)
+		e, err := daemon.NewEngine(i+1, b.seed)
 		if err != nil {
 			return err
 		}
@@ -72,21 +66,17 @@
 	if err != nil {
 		return err
 	}
-	r.daemon, err = startDaemon(ctx, b.mintkeel, dir, r.feed.Addr, r.engines, b.seed, probes)
+	r.daemon, err = daemon.Start(ctx, daemon.Options{Binary: b.mintkeel, Folder: dir, Name: daemonName, Feed: r.feed.Addr,
+		Engines: r.engines, Controllers: controllers, Seed: b.seed, Probes: probes})
 	return err
 }
 
-func newEngine(number int, seed int64) (*standin.Engine, error) {
-	model := standin.Model{Cores: engineCores, Slow: 1, Sessions: engineSlots, Warm: warmGroups, ColdCost: 1}
-	return standin.NewEngine(fmt.Sprintf("s-%08x", number), model, seed)
-}
-
 func (r *rig) close() {
 	for len(r.sessions) > 0 {
 		(<-r.sessions).Close()
 	}
 	if r.daemon != nil {
-		r.daemon.stop()
+		r.daemon.Stop()
 	}
 	r.cancel()
 	for _, e := range r.engines {
@@ -131,14 +121,16 @@
 func (r *rig) statement(class string, work float64) statement {
 	s := statement{id: fmt.Sprintf("%016x", r.rng.Uint64()), class: class}
 	s.fields = fmt.Sprintf("verb=%s,txn=%s,cpu=%.1f", class, s.id, work*(0.7+0.6*r.rng.Float64()))
-	if class == loadName {
+	if class == daemon.LoadClass {
 		s.fields += ",unique=u" + s.id
 	}
 	s.text = fmt.Sprintf("SELECT WORK(%.3f) FROM sales_%d.orders", work, r.rng.Intn(tableGroups))
 	return s
 }
 
-func (r *rig) usual() statement { return r.statement(lookupName, usualWork*(0.5+r.rng.Float64())) }
+func (r *rig) usual() statement {
+	return r.statement(daemon.LookupClass, usualWork*(0.5+r.rng.Float64()))
+}
 
 // workers are how many sessions are opened or touched at one time.
 const workers = 64
@@ -175,15 +167,15 @@
 	missing := n - len(r.sessions)
 	first := make([]statement, max(0, missing))
 	for i := range first {
-		first[i] = r.statement(lookupName, 1)
+		first[i] = r.statement(daemon.LookupClass, 1)
 	}
 	return inParallel(len(first), func(i int) error {
-		c, err := standin.Dial(ctx, r.daemon.addr, deadline)
+		c, err := standin.Dial(ctx, r.daemon.Addr, daemon.Deadline)
 		if err != nil {
 			return err
 		}
 		began := time.Now()
-		verdict, err := c.Query(first[i].fields, first[i].text, deadline)
+		verdict, err := c.Query(first[i].fields, first[i].text, daemon.Deadline)
 		if err != nil {
 			c.Close()
 			return err
@@ -202,7 +194,7 @@
 	var mu sync.Mutex
 	inParallel(len(r.sessions), func(int) error {
 		c := <-r.sessions
-		if c.Sync(deadline) == nil {
+		if c.Sync(daemon.Deadline) == nil {
 			r.sessions <- c
 			return nil
 		}
@@ -293,11 +285,11 @@
 	case c = <-r.sessions:
 	default:
 		var err error
-		if c, err = standin.Dial(ctx, r.daemon.addr, deadline); err != nil {
+		if c, err = standin.Dial(ctx, r.daemon.Addr, daemon.Deadline); err != nil {
 			return standin.Lost, time.Since(began)
 		}
 	}
-	verdict, err := c.Query(s.fields, s.text, deadline)
+	verdict, err := c.Query(s.fields, s.text, daemon.Deadline)
 	took := time.Since(began)
 	if err != nil {
 		c.Close()
--- a/internal/lab/scale/datapath/statements.go
+++ b/internal/lab/scale/datapath/statements.go
@@ -23,14 +23,14 @@
 func (b *bench) take(ctx context.Context, r *rig, rate float64) (out taken, err error) {
 	r.load(ctx, rate, b.settle, r.usual)
 	trafficBefore := r.traffic()
-	before, err := r.daemon.processor()
+	before, err := r.daemon.ProcessorTime()
 	if err != nil {
 		return out, err
 	}
 	began := time.Now()
 	out.service = r.load(ctx, rate, b.window, r.usual)
 	passed := time.Since(began)
-	after, err := r.daemon.processor()
+	after, err := r.daemon.ProcessorTime()
 	out.cores = (after - before) / passed.Seconds()
 	out.traffic = r.traffic().Sub(trafficBefore)
 	return out, err
