Proposals without a document hold up no other; a voter keeps its vote while a leader is near

The leader now fetches the documents of all that wait (8 at most) and works on the first whose document is here; one whose document does not come in 12 s is dropped. TestProposalsWithoutDocument (six dead proposals before a live one) fails on the code before and passes within 3 s now.

--- a/internal/core/fleet/config/candidate.go
+++ b/internal/core/fleet/config/candidate.go
@@ -13,7 +13,6 @@
 	catchUp          = 3000.0  // after which one that leads knows all that was agreed on before: else it would not lead any more
 	proposeRetry     = 200.0   // after the quorum did not take a proposal
 	proposeAgain     = 2000.0  // after it took one that was not agreed on since
-	fetchPatience    = 3000.0  // after which one whose document has not come lets the next one pass
 )
 
 // candidate is a proposal at the leader: its document is fetched, checked and held by a majority of the voters before
@@ -21,8 +20,8 @@
 type candidate struct {
 	proposal  Proposal
 	origin    members.ID
+	arrived   float64
 	began     float64 // to be worked on; 0: it waits
-	turnAt    float64 // it came to the head of the queue; 0: it waits
 	checked   bool
 	held      []members.ID // voters that hold the document durably
 	holdAt    float64      // of the next HoldRequests
@@ -57,7 +56,7 @@
 		r.reply(origin, p, ProposeReply{Result: Refused, Reason: "busy"})
 		return
 	}
-	r.queue = append(r.queue, &candidate{proposal: p, origin: origin})
+	r.queue = append(r.queue, &candidate{proposal: p, origin: origin, arrived: r.now})
 }
 
 // decided answers a proposal of which the state tells how it ended. Where another version than the expected one follows,
@@ -85,8 +84,8 @@
 	r.send(to, Message{Proposed: &reply})
 }
 
-// advanceCandidates works on the first proposal of the queue. One that does not lead drops them all: their origins ask
-// the next leader.
+// advanceCandidates works on the first proposal of the queue whose document is here. One that does not lead drops them
+// all: their origins ask the next leader.
 func (r *Replica) advanceCandidates() {
 	if !r.env.Leads() || !r.votes() {
 		for _, c := range r.queue {
@@ -95,30 +94,46 @@
 		r.queue = nil
 		return
 	}
+	r.fetchProposed()
 	for len(r.queue) > 0 {
-		c := r.queue[0]
+		c := r.selectCandidate()
 		if c.began == 0 {
 			c.began = max(r.now, 1)
 		}
-		if c.turnAt == 0 {
-			c.turnAt = max(r.now, 1)
-		}
 		if !r.advanceCandidate(c) {
-			if !r.letsPass(c) {
-				return
-			}
-			c.turnAt = 0
-			r.queue = append(r.queue[1:], c)
-			continue
+			return
 		}
 		r.release(c.proposal.Version.Hash, forProposal)
 		r.queue = r.queue[1:]
 	}
 }
 
-// letsPass tells whether a proposal at the head of the queue makes room for the next one, as its document does not come.
-func (r *Replica) letsPass(c *candidate) bool {
-	return len(r.queue) > 1 && r.now >= c.turnAt+fetchPatience && r.library.get(c.proposal.Version.Hash) == nil
+// fetchProposed has the documents of all proposals fetched, so that one whose document does not come holds up no other,
+// and drops a proposal whose document has not come in time: its origin may have given it up.
+func (r *Replica) fetchProposed() {
+	r.queue = slices.DeleteFunc(r.queue, func(c *candidate) bool {
+		v := &c.proposal.Version
+		if r.library.get(v.Hash) != nil {
+			return false
+		}
+		if r.now >= c.arrived+candidateTimeout {
+			r.release(v.Hash, forProposal)
+			return true
+		}
+		r.fetch(v.Hash, v.Size, forProposal, c.origin)
+		return false
+	})
+	r.runDownloads()
+}
+
+// selectCandidate moves the first proposal whose document is here to the head of the queue, and returns the head.
+func (r *Replica) selectCandidate() *candidate {
+	i := slices.IndexFunc(r.queue, func(c *candidate) bool { return r.library.get(c.proposal.Version.Hash) != nil })
+	if i > 0 {
+		c := r.queue[i]
+		r.queue = slices.Insert(slices.Delete(r.queue, i, i+1), 0, c)
+	}
+	return r.queue[0]
 }
 
 // advanceCandidate does the next step of a proposal, and tells whether it has ended.
@@ -135,8 +150,6 @@
 	v := &c.proposal.Version
 	data := r.library.get(v.Hash)
 	if data == nil {
-		r.fetch(v.Hash, v.Size, forProposal, c.origin)
-		r.runDownloads()
 		return false
 	}
 	if !c.checked {
@@ -225,8 +238,10 @@
 	}
 	c := r.queue[0]
 	next := c.began + candidateTimeout
-	if len(r.queue) > 1 && r.now < c.turnAt+fetchPatience {
-		next = min(next, c.turnAt+fetchPatience)
+	for _, waiting := range r.queue {
+		if r.library.get(waiting.proposal.Version.Hash) == nil {
+			next = min(next, waiting.arrived+candidateTimeout)
+		}
 	}
 	switch {
 	case r.env.State() != nil && r.env.State().Newest() < c.proposal.Expect:
--- a/internal/core/fleet/config/checks_test.go
+++ b/internal/core/fleet/config/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 )
 
@@ -139,3 +140,31 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// TestProposalsWithoutDocument has many proposals come whose origins end before the leader has their documents, as when a
+// leader goes on that stood still: they hold up no proposal whose document comes, and are forgotten in time.
+func TestProposalsWithoutDocument(t *testing.T) {
+	f := newFleet(t, 3, 12, 3)
+	f.runFor(3000)
+	leader := f.all[0]
+	gone := f.all[4:10]
+	f.onMessage = func(from, to *controller, m *Message) bool { return m.Chunk == nil || !slices.Contains(gone, from) }
+	for i, c := range gone {
+		f.put(c, randomDocument(3000, int64(i)), 0)
+	}
+	f.runFor(200)
+	if len(leader.replica.queue) != len(gone) {
+		t.Fatalf("%d proposals wait", len(leader.replica.queue))
+	}
+	author := f.all[10]
+	ref := f.put(author, randomDocument(3000, 100), 0)
+	const within = 3000.0
+	took := f.runUntil(within, func() bool { return author.outcomes[ref].Result == Agreed })
+	if took < 0 {
+		t.Errorf("not agreed on within %.0f ms: %+v", within, author.outcomes[ref])
+	}
+	f.runFor(candidateTimeout + 5000)
+	if n := len(leader.replica.queue); n != 0 {
+		t.Errorf("%d proposals are still at the leader", n)
+	}
+}
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -88,8 +88,8 @@
 		return
 	}
 	if m.To == r.nextIncarnation() && m.To != r.incarnation && !r.newIncarnation {
-		if r.role == Voting && r.node != nil && r.node.BasicStatus().Lead != raft.None {
-			return // its disk was vouched for meanwhile, and the quorum goes on with this incarnation
+		if r.keepsVote() {
+			return
 		}
 		r.endIncarnation("taken in as another incarnation, as not all others could vouch for its disk")
 		return
@@ -112,6 +112,19 @@
 	r.stepConsensus(inner)
 }
 
+// keepsVote tells whether this incarnation stays, though a leader writes to the one as which it asked to be taken in: its
+// disk was vouched for meanwhile. If it hears from no leader for a while, the quorum goes on without it.
+func (r *Replica) keepsVote() bool {
+	if r.role != Voting || r.node == nil {
+		return false
+	}
+	if r.node.BasicStatus().Lead != raft.None || r.now > r.unledCall.last+settleTime {
+		r.unledCall.since = r.now
+	}
+	r.unledCall.last = r.now
+	return r.now < r.unledCall.since+settleTime
+}
+
 // rememberSender has a sender be answered that is no member as this one knows them. The members may have changed while
 // this one was cut off: without its answer a new voter is not elected, and a new leader does not learn what it lacks.
 func (r *Replica) rememberSender(from Incarnation) {
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -58,6 +58,7 @@
 	askAt            float64                // ms
 	askers           map[Incarnation]uint64 // which run of an incarnation asked last: messages of earlier runs are ignored
 	contact          Incarnation            // the member that wrote last to this one while it knew no member
+	unledCall        unledCall              // messages to the incarnation as which this one asked to be taken in, while it votes
 	strangers        map[uint64]Incarnation // senders that are no members as far as this one knows, by their number
 	leaderHint       members.ID             // the member that leads, as another one told this one when it asked to join
 
@@ -71,6 +72,9 @@
 	applied []Applied
 }
 
+// unledCall is the time in which messages came to another incarnation of this member and none from a leader to this one.
+type unledCall struct{ since, last float64 } // ms
+
 // New takes up what the records of a folder hold; none, for a folder that is new.
 func New(f Facts, records []Record, now float64) (*Replica, error) {
 	r := &Replica{
@@ -232,6 +236,9 @@
 // State is what is agreed, as far as this member knows. It may be late unless this member leads.
 func (r *Replica) State() *lease.State { return &r.state }
 
+// AppliedIndex is that of the last entry of the consensus that this member has applied.
+func (r *Replica) AppliedIndex() uint64 { return r.appliedIndex }
+
 // Leads tells whether this member leads, as far as it knows.
 func (r *Replica) Leads() bool { return r.leading }
 
