Histories tell apart those whose script lost the folders of most voters

The checker now looks, when a folder is lost or put back, whether a majority of the voters last agreed on still holds theirs, from each machine's own incarnation.

--- a/internal/lab/fleet/configuration_history.go
+++ b/internal/lab/fleet/configuration_history.go
@@ -159,6 +159,9 @@
 func (w *World) playConfiguration() string {
 	w.at(0, w.looks)
 	w.Run(w.plan.Script.End())
+	if w.lost {
+		return cmp.Or(w.playLost(), w.broken())
+	}
 	for _, step := range []func() string{w.catchUp, w.settleQuorum, w.putAfter, w.statusAfter, w.survived} {
 		if why := step(); why != "" {
 			return why
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand"
@@ -84,6 +85,8 @@
 	handed   map[lease.Name]uint64 // the serial of what was handed on, as this run was told
 	inbox    []func()
 	config   configMachine
+
+	stoppedAs quorum.Incarnation // of the quorum, when it stopped last
 }
 
 type copyOf struct {
@@ -109,6 +112,7 @@
 	config   *configWorld // nil: the plan has none
 	numbers  map[members.ID]int
 	replaced bool // an operator had a voter replaced
+	lost     bool // a majority of the voters lost their folders: nothing more can be agreed on
 	traffic  []Traffic
 
 	Judge     *Judge
@@ -169,13 +173,16 @@
 }
 
 // Play plays the whole plan and tells what broke; empty: nothing. It ends when all has been well for some seconds after the
-// last fault, and Whole is how long that took.
+// last fault, and Whole is how long that took. Where a majority of the voters lost their folders no promise may be broken.
 func (w *World) Play() string {
 	if w.config != nil {
 		return w.playConfiguration()
 	}
 	end := w.plan.Script.End()
 	w.Run(end)
+	if w.lost {
+		return w.playLost()
+	}
 	const look, lasting = 500.0, 5000.0
 	well, why := 0.0, "it has just ended"
 	for w.Judge.Broken == "" {
@@ -195,6 +202,16 @@
 	return w.Judge.Broken
 }
 
+// Lost tells whether a majority of the voters lost their folders. Nothing more can be agreed on then, and what was is
+// still judged.
+func (w *World) Lost() bool { return w.lost }
+
+// playLost plays on for a while without a majority, and tells what broke.
+func (w *World) playLost() string {
+	w.Run(w.now + w.plan.Settle)
+	return cmp.Or(w.Judge.Broken, w.Promises.Check())
+}
+
 // whole tells what is missing to a fleet that is well: all known as alive by all, an owner that acts for every work.
 func (w *World) whole() string {
 	owners := map[lease.Name]int{}
@@ -270,6 +287,7 @@
 	w.trace("n%d ends", m.number)
 	w.Judge.gone(m.run, w.now)
 	w.configEnded(m)
+	m.stoppedAs = m.core.Quorum().Incarnation()
 	m.core = nil
 	m.wake++
 }
@@ -550,6 +568,10 @@
 		}
 	}
 	again := w.restart
+	if f.Kind == Empty || f.Kind == OldCopy {
+		w.lost = w.lost || w.losesMajority(m)
+		defer func() { m.stoppedAs = quorum.Incarnation{} }()
+	}
 	switch f.Kind {
 	case Kill:
 		again(m, f.For)
