--- a/internal/lab/scale/hollow/await.go
+++ b/internal/lab/scale/hollow/await.go
@@ -49,15 +49,16 @@
 // AwaitAllKnown waits until all running controllers have seen as many members as they were told to expect, and tells when
 // the last one had.
 func (f *Fleet) AwaitAllKnown(ctx context.Context, within time.Duration) (last time.Time, err error) {
-	return f.awaitLast(ctx, within, "all know all", func(v View) time.Time { return v.KnownAt })
+	return f.awaitLast(ctx, within, "all know all", nil, func(v View) time.Time { return v.KnownAt })
 }
 
 // AwaitLossKnown waits until all running controllers know of a loss, and tells when the last one did.
 func (f *Fleet) AwaitLossKnown(ctx context.Context, within time.Duration) (last time.Time, err error) {
-	return f.awaitLast(ctx, within, "all know of the loss", func(v View) time.Time { return v.GoneAt })
+	return f.awaitLast(ctx, within, "all know of the loss", nil, func(v View) time.Time { return v.GoneAt })
 }
 
-func (f *Fleet) awaitLast(ctx context.Context, within time.Duration, what string, of func(View) time.Time) (last time.Time, err error) {
+// awaitLast waits until some controllers, or all that run if none are named, tell a time, and returns the latest.
+func (f *Fleet) awaitLast(ctx context.Context, within time.Duration, what string, at []int, of func(View) time.Time) (last time.Time, err error) {
 	const lookEach = 250 * time.Millisecond
 	err = await(ctx, within, lookEach, what, func() (bool, error) {
 		views, err := f.Views()
@@ -66,12 +67,15 @@
 		}
 		last = time.Time{}
 		for _, v := range views {
-			at := of(v)
-			if at.IsZero() {
+			if at != nil && !slices.Contains(at, v.Number) {
+				continue
+			}
+			told := of(v)
+			if told.IsZero() {
 				return false, nil
 			}
-			if at.After(last) {
-				last = at
+			if told.After(last) {
+				last = told
 			}
 		}
 		return true, nil
@@ -82,9 +86,17 @@
 // AwaitLeader waits until all running voters take part and name the same running leader, and tells its number and when
 // that was seen.
 func (f *Fleet) AwaitLeader(ctx context.Context, within time.Duration, voters int) (leader int, at time.Time, err error) {
+	return f.awaitLeaderAmong(ctx, within, nil, voters)
+}
+
+// awaitLeaderAmong is AwaitLeader of some voters; nil: all that run.
+func (f *Fleet) awaitLeaderAmong(ctx context.Context, within time.Duration, among []int, voters int) (leader int, at time.Time, err error) {
 	const lookEach = 20 * time.Millisecond
 	err = await(ctx, within, lookEach, "the voters have a leader", func() (bool, error) {
 		standings, err := f.Standings()
+		if among != nil {
+			standings = slices.DeleteFunc(standings, func(s Standing) bool { return !slices.Contains(among, s.Number) })
+		}
 		if err != nil || len(standings) < voters {
 			return false, err
 		}
--- a/internal/lab/scale/hollow/child.go
+++ b/internal/lab/scale/hollow/child.go
@@ -24,6 +24,8 @@
 	actionViews        action = "views"
 	actionStandings    action = "standings"
 	actionSample       action = "sample"
+	actionCut          action = "cut"
+	actionHeal         action = "heal"
 )
 
 // request is a line that a child reads.
@@ -31,7 +33,7 @@
 	Action   action `json:"action"`
 	Spec     *Spec  `json:"spec,omitempty"`     // of actionOpen
 	Folder   string `json:"folder,omitempty"`   // of actionOpen
-	Numbers  []int  `json:"numbers,omitempty"`  // of actionStart, actionStop, actionAwaitRestart and actionPut
+	Numbers  []int  `json:"numbers,omitempty"`  // of actionStart, actionStop, actionAwaitRestart, actionPut and actionCut
 	Expect   int    `json:"expect,omitempty"`   // members, of actionStart, actionAwaitMembers and actionAwaitRestart
 	Document []byte `json:"document,omitempty"` // of actionPut
 	Lost     int    `json:"lost,omitempty"`     // of actionAwaitLoss
@@ -115,6 +117,10 @@
 		var sample Sample
 		sample, err = c.share.Sample()
 		answer.Sample = &sample
+	case actionCut:
+		c.share.Cut(r.Numbers)
+	case actionHeal:
+		c.share.Heal()
 	default:
 		err = fmt.Errorf("%q is not known", r.Action)
 	}
--- /dev/null
+++ b/internal/lab/scale/hollow/daemons.go
@@ -0,0 +1,145 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/scale/daemon"
+	"mintkeel/internal/lab/standin"
+)
+
+// daemons are real controllers among hollow ones: shipped daemons as processes, without clients.
+type daemons struct {
+	folder string
+	list   []*daemon.Process
+	feed   *standin.Feed
+	engine *standin.Engine
+	end    context.CancelFunc
+}
+
+// startDaemons builds the daemon and starts some that join the fleet. Their addresses follow those of the hollow
+// controllers.
+func (f *Fleet) startDaemons(ctx context.Context, count int, seed int64) (d *daemons, err error) {
+	d = &daemons{}
+	ctx, d.end = context.WithCancel(ctx)
+	defer func() {
+		if err != nil {
+			d.close()
+		}
+	}()
+	if d.folder, err = os.MkdirTemp("", "daemons"); err != nil {
+		return nil, err
+	}
+	binary, err := daemon.Build(ctx, d.folder)
+	if err != nil {
+		return nil, err
+	}
+	if d.feed, err = standin.NewFeed(ctx); err != nil {
+		return nil, err
+	}
+	if d.engine, err = daemon.NewEngine(1, seed); err != nil {
+		return nil, err
+	}
+	d.list = make([]*daemon.Process, count)
+	errs := make([]error, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() { d.list[i], errs[i] = d.start(ctx, f, binary, i, seed) })
+	}
+	group.Wait()
+	return d, errors.Join(errs...)
+}
+
+func (d *daemons) start(ctx context.Context, f *Fleet, binary string, i int, seed int64) (*daemon.Process, error) {
+	name := daemonName(i)
+	folder := filepath.Join(d.folder, name)
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		return nil, err
+	}
+	operator := filepath.Join(folder, "operator.hcl")
+	if err := os.WriteFile(operator, []byte(f.operatorFile(folder, f.spec.Controllers+i)), 0o600); err != nil {
+		return nil, err
+	}
+	return daemon.Start(ctx, daemon.Options{Binary: binary, Folder: folder, Name: name, Feed: d.feed.Addr,
+		Engines: []*standin.Engine{d.engine}, Controllers: f.spec.Controllers, Seed: seed + int64(i), Operator: operator})
+}
+
+func daemonName(i int) string { return fmt.Sprintf("daemon-%d", i) }
+
+// operatorFile is that of a daemon that listens for the fleet at the address of this number.
+func (f *Fleet) operatorFile(folder string, number int) string {
+	var voters []string
+	for voter := range f.spec.Voters {
+		voters = append(voters, fmt.Sprintf("%q = %q", name(voter), f.spec.Network.address(voter)))
+	}
+	return fmt.Sprintf("fleet {\n name = %q\n listen = %q\n key_file = %q\n folder = %q\n council = { %s }\n works = []\n"+
+		" lease = %q\n willing = false\n}\nconfig {\n wait = \"2s\"\n}\n", fleetName, f.spec.Network.address(number),
+		filepath.Join(f.folder, keyFile), filepath.Join(folder, "fleet"), strings.Join(voters, ", "), f.spec.LeaseTime)
+}
+
+func (d *daemons) close() {
+	for _, p := range d.list {
+		if p != nil {
+			p.Stop()
+		}
+	}
+	if d.engine != nil {
+		d.engine.Close()
+	}
+	d.end()
+	if d.folder != "" {
+		os.RemoveAll(d.folder)
+	}
+}
+
+// awaitInForce waits until all daemons have a version in force.
+func (d *daemons) awaitInForce(ctx context.Context, within time.Duration, version uint64) error {
+	const lookEach = 50 * time.Millisecond
+	what := fmt.Sprintf("version %d is in force at all daemons", version)
+	return await(ctx, within, lookEach, what, func() (bool, error) {
+		for _, p := range d.list {
+			log, err := p.Log()
+			if err != nil || !hasInForce(log, version) {
+				return false, err
+			}
+		}
+		return true, nil
+	})
+}
+
+// hasInForce tells whether a daemon's log tells that a version is in force.
+func hasInForce(log string, version uint64) bool {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "configuration version in force") &&
+			strings.HasSuffix(strings.TrimSpace(line), fmt.Sprintf("version=%d", version)) {
+			return true
+		}
+	}
+	return false
+}
+
+// spentBy is what a daemon has had of processors, and has in memory.
+type spentBy struct {
+	processor float64 // seconds
+	resident  float64 // MB of 2^20 bytes
+}
+
+func (d *daemons) spent() ([]spentBy, error) {
+	list := make([]spentBy, len(d.list))
+	for i, p := range d.list {
+		var err error
+		if list[i].processor, err = p.ProcessorTime(); err != nil {
+			return nil, err
+		}
+		if list[i].resident, err = p.Resident(); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/lab/scale/hollow/day.go
@@ -0,0 +1,382 @@
+package hollow
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// What happens on a day, as the operators tell it.
+const (
+	changesOfDay      = 1000
+	replacementsOfDay = 260
+	failuresOfDay     = 2
+
+	dayDocument = 4 << 10 // bytes
+	dayVoters   = 7
+	dayWindow   = 10 * time.Minute
+	dayDaemons  = 10
+	downFor     = 30 * time.Second // that a controller which failed is away
+	cutFor      = 60 * time.Second // that a region is cut off
+	regionOfAll = 3                // a region is one in so many
+	cutPuts     = 3
+	mbOfBinary  = 1 << 20
+)
+
+// day is how much of a day is measured.
+type day struct {
+	window  time.Duration
+	daemons int
+	cut     time.Duration
+	down    time.Duration
+}
+
+// MeasureDay tells what controllers spend for control through a part of a day's mix of changes, replacements and
+// failures, with real daemons among the hollow controllers, and how long a version takes to all while a region is cut
+// off, and to the region once that has ended.
+func MeasureDay(ctx context.Context, o Options) ([]slope.Row, error) {
+	m := o.measurement()
+	d := day{window: dayWindow, daemons: dayDaemons, cut: cutFor, down: downFor}
+	if m.Sizes = o.Sizes; m.Sizes == nil {
+		m.Sizes = []int{67, targetControllers}
+	}
+	if o.Quick {
+		d = day{window: 10 * time.Second, daemons: 2, cut: 8 * time.Second, down: 3 * time.Second}
+		if o.Sizes == nil {
+			m.Sizes = []int{20, 30}
+		}
+	}
+	return m.day(ctx, d)
+}
+
+func (m *measurement) day(ctx context.Context, d day) ([]slope.Row, error) {
+	errs := make([]error, len(m.Sizes))
+	var group sync.WaitGroup
+	for i, size := range m.Sizes {
+		group.Go(func() {
+			if err := m.dayOf(ctx, size, d); err != nil {
+				errs[i] = fmt.Errorf("%d controllers: %w", size, err)
+			}
+		})
+	}
+	group.Wait()
+	var rows []slope.Row
+	for _, r := range dayRows(d) {
+		r.row.Points, r.row.Per, r.row.Method, r.row.Target = m.points(r.figure), "controllers", "sockets", targetControllers
+		if len(r.row.Points) > 0 {
+			rows = append(rows, r.row)
+		}
+	}
+	return rows, errors.Join(append(errs, m.late...)...)
+}
+
+// dayOf measures a fleet of one size.
+func (m *measurement) dayOf(ctx context.Context, size int, d day) error {
+	voters := min(dayVoters, size-d.daemons-2) | 1
+	hollow := size - d.daemons
+	f, err := m.open(ctx, Spec{Controllers: hollow, Voters: voters, Leases: leasesAtRest, Configured: true})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Start(numbers(0, hollow), size); err != nil {
+		return err
+	}
+	real, err := f.startDaemons(ctx, d.daemons, m.Seed)
+	if err != nil {
+		return err
+	}
+	defer real.close()
+	if _, err := f.AwaitAllKnown(ctx, knownWithin); err != nil && !m.isLate(size, err) {
+		return err
+	}
+	if err := pause(ctx, m.settle); err != nil {
+		return err
+	}
+	run := &dayRun{measurement: m, fleet: f, daemons: real, size: size, hollow: hollow, voters: voters, day: d,
+		rng: rand.New(rand.NewSource(m.Seed + int64(size)))}
+	if err := run.mix(ctx); err != nil {
+		return err
+	}
+	real.close()
+	return run.cutRegion(ctx)
+}
+
+// dayRun is the measurement of one fleet.
+type dayRun struct {
+	*measurement
+	fleet   *Fleet
+	daemons *daemons
+	size    int // daemons among them
+	hollow  int
+	voters  int
+	day     day
+	rng     *rand.Rand
+	took    []time.Duration // of versions, until they were in force at all
+}
+
+// happening is one thing of the mix, at a time from its start.
+type happening struct {
+	at time.Duration
+	do func(context.Context) error
+}
+
+// mix plays a part of a day's mix and notes what controllers spent.
+func (r *dayRun) mix(ctx context.Context) error {
+	leader, _, err := r.fleet.AwaitLeader(ctx, leaderWithin, r.voters)
+	if err != nil {
+		return err
+	}
+	before, err := r.fleet.Samples()
+	if err != nil {
+		return err
+	}
+	spentBefore, err := r.daemons.spent()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	for _, h := range r.plan() {
+		if err := pause(ctx, h.at-time.Since(began)); err != nil {
+			return err
+		}
+		if err := h.do(ctx); err != nil {
+			return err
+		}
+	}
+	if err := pause(ctx, r.day.window-time.Since(began)); err != nil {
+		return err
+	}
+	after, err := r.fleet.Samples()
+	if err != nil {
+		return err
+	}
+	spentAfter, err := r.daemons.spent()
+	if err != nil {
+		return err
+	}
+	r.noteMix(Interval{r.fleet.layout(), before, after}, leader)
+	r.noteDaemons(spentBefore, spentAfter, time.Since(began))
+	r.notePuts("mix", r.took)
+	return nil
+}
+
+// plan is the mix of the window, in order: of each kind at least one, spread evenly.
+func (r *dayRun) plan() (plan []happening) {
+	const hoursOfDay = 24
+	share := r.day.window.Hours() / hoursOfDay
+	for _, kind := range []struct {
+		perDay float64
+		do     func(context.Context) error
+	}{
+		{changesOfDay, r.put},
+		{replacementsOfDay, r.replace},
+		{failuresOfDay, r.fail},
+	} {
+		count := int(math.Ceil(kind.perDay * share))
+		for i := range count {
+			at := (float64(i) + 0.2 + 0.6*r.rng.Float64()) / float64(count)
+			plan = append(plan, happening{time.Duration(at * float64(r.day.window)), kind.do})
+		}
+	}
+	slices.SortFunc(plan, func(a, b happening) int { return cmp.Compare(a.at, b.at) })
+	return plan
+}
+
+// put has one controller propose a document, and notes when it is in force at all, the daemons among them.
+func (r *dayRun) put(ctx context.Context) error {
+	began := time.Now()
+	version, err := r.fleet.Put(r.rng.Intn(r.voters), r.document())
+	if err != nil {
+		return err
+	}
+	last, err := r.fleet.AwaitInForce(ctx, knownWithin, version)
+	if err == nil {
+		err = r.daemons.awaitInForce(ctx, knownWithin, version)
+	}
+	if err != nil && r.isLate(r.size, err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if now := time.Now(); last.Before(now) && len(r.daemons.list) > 0 {
+		last = now // daemons are looked at after the others
+	}
+	r.took = append(r.took, last.Sub(began))
+	return nil
+}
+
+// document is one that daemons can use, of random bytes for the rest.
+func (r *dayRun) document() []byte {
+	const head = "log {\n level = \"info\"\n}\n# "
+	data := make([]byte, (dayDocument-len(head))/2)
+	r.rng.Read(data)
+	return []byte(head + hex.EncodeToString(data) + "\n")
+}
+
+// replace has an ordinary controller end and start again at once.
+func (r *dayRun) replace(ctx context.Context) error {
+	number := r.ordinary()
+	if err := r.fleet.Stop([]int{number}); err != nil {
+		return err
+	}
+	return r.fleet.Start([]int{number}, r.size)
+}
+
+// fail has an ordinary controller end and start again after a while.
+func (r *dayRun) fail(ctx context.Context) error {
+	number := r.ordinary()
+	if err := r.fleet.Stop([]int{number}); err != nil {
+		return err
+	}
+	if err := pause(ctx, r.day.down); err != nil {
+		return err
+	}
+	return r.fleet.Start([]int{number}, r.size)
+}
+
+// ordinary is a controller that shares its process with others.
+func (r *dayRun) ordinary() int { return r.voters + 1 + r.rng.Intn(r.hollow-r.voters-1) }
+
+func (r *dayRun) noteMix(v Interval, leader int) {
+	followers := slices.DeleteFunc(numbers(0, r.voters), func(n int) bool { return n == leader })
+	r.noteSpending(r.size, "mix/leader", v.Of(leader))
+	r.noteSpending(r.size, "mix/voter", v.Of(followers...))
+	r.noteSpending(r.size, "mix/controller", v.Of(r.voters))
+	r.noteSpending(r.size, "mix/packed", v.Of(numbers(r.voters+1, r.hollow)...))
+	r.Tell("%d controllers, a day's mix: controller %+.4g, leader %+.4g", r.size, v.Of(r.voters), v.Of(leader))
+}
+
+func (r *dayRun) noteDaemons(before, after []spentBy, long time.Duration) {
+	cores, memory := 0.0, 0.0
+	for i := range before {
+		cores = max(cores, (after[i].processor-before[i].processor)/long.Seconds())
+		memory = max(memory, after[i].resident*mbOfBinary/bytesOfMB)
+	}
+	if len(before) > 0 {
+		r.note(r.size, "mix/daemon/cores", cores)
+		r.note(r.size, "mix/daemon/resident", memory)
+		r.Tell("%d controllers, a day's mix: of %d daemons the most %.4f cores and %.1f MB", r.size, len(before), cores, memory)
+	}
+}
+
+// notePuts notes the median and the longest time until versions were in force.
+func (r *dayRun) notePuts(figure string, took []time.Duration) {
+	if len(took) == 0 {
+		return
+	}
+	slices.Sort(took)
+	median, longest := took[len(took)/2], took[len(took)-1]
+	r.note(r.size, figure+"/put/median", milliseconds(median))
+	r.note(r.size, figure+"/put/longest", milliseconds(longest))
+	r.Tell("%d controllers, %s: %d versions in force at the last after %v, at most %v", r.size, figure, len(took),
+		median.Round(time.Millisecond), longest.Round(time.Millisecond))
+}
+
+// cutRegion cuts a region off that has a minority of the voters, has versions agreed on meanwhile, and notes how long they
+// took in the rest, and in the region from the heal.
+func (r *dayRun) cutRegion(ctx context.Context) error {
+	region, rest := r.regions()
+	if err := r.fleet.Cut(region); err != nil {
+		return err
+	}
+	began := time.Now()
+	votersOfRest := slices.DeleteFunc(slices.Clone(rest), func(n int) bool { return n >= r.voters })
+	if _, _, err := r.fleet.awaitLeaderAmong(ctx, leaderWithin, votersOfRest, len(votersOfRest)); err != nil {
+		return err
+	}
+	var newest uint64
+	var took []time.Duration
+	for i := range cutPuts {
+		if err := pause(ctx, r.day.cut*time.Duration(i+1)/(cutPuts+1)-time.Since(began)); err != nil {
+			return err
+		}
+		put := time.Now()
+		version, err := r.fleet.Put(rest[0], r.document())
+		if err != nil {
+			return err
+		}
+		last, err := r.fleet.awaitInForceAt(ctx, knownWithin, version, rest)
+		if err != nil {
+			return err
+		}
+		newest, took = version, append(took, last.Sub(put))
+	}
+	r.notePuts("cut", took)
+	if err := pause(ctx, r.day.cut-time.Since(began)); err != nil {
+		return err
+	}
+	if err := r.fleet.Heal(); err != nil {
+		return err
+	}
+	healed := time.Now()
+	last, err := r.fleet.AwaitInForce(ctx, knownWithin, newest)
+	if err != nil {
+		return err
+	}
+	r.note(r.size, "heal/put/longest", milliseconds(last.Sub(healed)))
+	r.Tell("%d controllers: the region of %d had the newest version %v after its heal", r.size, len(region),
+		last.Sub(healed).Round(time.Millisecond))
+	return nil
+}
+
+// regions are the hollow controllers inside a region and outside: one in three, voters among them.
+func (r *dayRun) regions() (inside, outside []int) {
+	for number := range r.hollow {
+		if number%regionOfAll == regionOfAll-1 {
+			inside = append(inside, number)
+		} else {
+			outside = append(outside, number)
+		}
+	}
+	return inside, outside
+}
+
+// dayRows are the rows of a day's mix, without their points.
+func dayRows(d day) (rows []sizeRow) {
+	mix := fmt.Sprintf("a day's mix for %v", d.window)
+	cut := fmt.Sprintf("a region cut off for %v", d.cut)
+	for _, role := range []struct{ figure, name, note string }{
+		{"controller", "controller", "alone in its process"},
+		{"voter", "voter", "one that follows, alone in its process"},
+		{"leader", "quorum leader", "alone in its process; the one that led at the beginning"},
+	} {
+		figure := "mix/" + role.figure
+		rows = append(rows,
+			sizeRow{figure + "/bytes", slope.Row{Role: role.name, Cost: "control: bytes sent and received", Unit: "bytes/s", Condition: mix,
+				Budget: budgetBytes, Note: role.note}},
+			sizeRow{figure + "/cores", slope.Row{Role: role.name, Cost: "control: processor", Unit: "cores", Condition: mix,
+				Budget: budgetCores, Note: role.note}},
+			sizeRow{figure + "/memory", slope.Row{Role: role.name, Cost: "control: private memory", Unit: "MB", Condition: mix,
+				Budget: budgetMB, Note: role.note}})
+	}
+	rows = append(rows,
+		sizeRow{"mix/packed/bytes", slope.Row{Role: "controller", Cost: "control: bytes sent and received, mean of many", Unit: "bytes/s",
+			Condition: mix, Budget: budgetBytes}},
+		sizeRow{"mix/daemon/cores", slope.Row{Role: "daemon", Cost: "processor without clients", Unit: "cores", Condition: mix,
+			Budget: budgetCores, Note: "the most of the daemons"}},
+		sizeRow{"mix/daemon/resident", slope.Row{Role: "daemon", Cost: "resident memory without clients", Unit: "MB", Condition: mix,
+			Budget: budgetMB, Note: "the most of the daemons; with the program's pages"}})
+	for _, when := range []struct{ figure, condition, note string }{
+		{"mix", mix, "daemons among them, which are looked at each 50 ms"},
+		{"cut", cut, "the rest; connections are closed, new ones hang"},
+		{"heal", cut + ", then healed", "the region, from its heal"},
+	} {
+		for _, which := range []string{"median", "longest"} {
+			rows = append(rows, sizeRow{when.figure + "/put/" + which, slope.Row{Role: "fleet",
+				Cost: "configuration: from put to in force at the last, " + which, Unit: "ms", Log: true, Budget: budgetInForce,
+				Condition: when.condition, Note: when.note}})
+		}
+	}
+	return rows
+}
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -208,7 +208,8 @@
 			conn.Close()
 		}
 	}()
-	d := &dialer{source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 2)}
+	d := &dialer{source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 2),
+		conns: map[*countedConn]bool{}}
 	d.next.Store(sourcePorts / 2) // away from the ports of the tests before, which rest for a while
 	conn, err := d.dial(t.Context(), listener.Addr().String())
 	if err != nil {
@@ -339,3 +340,25 @@
 		}
 	}
 }
+
+// A part of a day's mix is measured with real daemons among hollow controllers, a region is cut off, and no process stays.
+func TestDay(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 120*time.Second)
+	defer cancel()
+	m := &measurement{Options: Options{Quick: true, Command: testCommand, Tell: t.Logf}, settle: 200 * time.Millisecond, lease: 2 * time.Second}
+	m.Sizes = []int{12}
+	d := day{window: 4 * time.Second, daemons: 2, cut: 4 * time.Second, down: 200 * time.Millisecond}
+	rows, err := m.day(ctx, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		if len(r.Points) != 1 || r.Points[0].Value <= 0 {
+			t.Errorf("%s: %s (%s) has the points %v", r.Role, r.Cost, r.Condition, r.Points)
+		}
+	}
+	if len(rows) != len(dayRows(d))-1 { // after the heal there is one time alone
+		t.Errorf("%d of %d rows", len(rows), len(dayRows(d)))
+	}
+	eventually(t, "processes stay", func() bool { return children(t) == 0 })
+}
--- /dev/null
+++ b/internal/lab/scale/hollow/partition_test.go
@@ -0,0 +1,75 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestPartition has a connection between two sides end and a new one hang until the partition is healed, while
+// connections within a side are left alone.
+func TestPartition(t *testing.T) {
+	network := NewNetwork(20)
+	cut := &partitions{}
+	accept := func(number int) {
+		listener, err := net.Listen("tcp", network.address(number).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		go func() {
+			for {
+				if _, err := listener.Accept(); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	accept(1)
+	accept(2)
+	d := &dialer{number: 0, source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 3),
+		partitions: cut, conns: map[*countedConn]bool{}}
+	dial := func(ctx context.Context, number int) net.Conn {
+		t.Helper()
+		conn, err := d.dial(ctx, network.address(number).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	same, other := dial(t.Context(), 1), dial(t.Context(), 2)
+	cut.begin([]int{0, 1})
+	d.closeParted()
+	if _, err := other.Write([]byte{1}); err == nil {
+		t.Error("a connection between the sides goes on")
+	}
+	if _, err := same.Write([]byte{1}); err != nil {
+		t.Errorf("a connection within a side: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := d.dial(ctx, network.address(2).String()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a new connection between the sides: %v", err)
+	}
+	connected := make(chan error, 1)
+	go func() {
+		conn, err := d.dial(t.Context(), network.address(2).String())
+		if err == nil {
+			conn.Close()
+		}
+		connected <- err
+	}()
+	cut.end()
+	if err := <-connected; err != nil {
+		t.Errorf("after the heal: %v", err)
+	}
+	other.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) != 1 {
+		t.Errorf("%d connections are known to be open", len(d.conns))
+	}
+}
--- a/internal/lab/scale/hollow/share.go
+++ b/internal/lab/scale/hollow/share.go
@@ -24,6 +24,7 @@
 	mu          sync.Mutex
 	controllers map[int]*controller
 	lost        map[int]Flow // of controllers that were stopped
+	partitions  partitions
 
 	end   chan struct{}
 	group sync.WaitGroup
@@ -52,7 +53,7 @@
 	var group sync.WaitGroup
 	for i, number := range numbers {
 		group.Go(func() {
-			c, err := start(s.spec, s.folder, number, expect, s.peers)
+			c, err := start(s.spec, s.folder, number, expect, s.peers, &s.partitions)
 			if errs[i] = err; err == nil {
 				s.mu.Lock()
 				s.controllers[number] = c
--- a/internal/lab/scale/hollow/sockets.go
+++ b/internal/lab/scale/hollow/sockets.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 )
@@ -72,18 +73,27 @@
 
 // dialer opens a controller's connections, from its own address, and counts what goes over them.
 type dialer struct {
-	source  netip.Addr
-	network Network
-	next    atomic.Uint32
-	own     *flowCounter
-	peers   []flowCounter // of all that open connections in this process, by the number of the acceptor
-	open    atomic.Int64  // connections now
+	number     int // of the controller
+	source     netip.Addr
+	network    Network
+	next       atomic.Uint32
+	own        *flowCounter
+	peers      []flowCounter // of all that open connections in this process, by the number of the acceptor
+	open       atomic.Int64  // connections now
+	partitions *partitions
+
+	mu    sync.Mutex
+	conns map[*countedConn]bool // that are open
 }
 
 func (d *dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
 	counters := [2]*flowCounter{d.own, &flowCounter{}}
-	if number := d.network.number(addr); number >= 0 && number < len(d.peers) {
-		counters[1] = &d.peers[number]
+	peer := d.network.number(addr)
+	if peer >= 0 && peer < len(d.peers) {
+		counters[1] = &d.peers[peer]
+	}
+	if err := d.partitions.await(ctx, d.number, peer); err != nil {
+		return nil, err
 	}
 	conn, err := d.connect(ctx, addr)
 	for _, c := range counters {
@@ -97,7 +107,14 @@
 		return nil, err
 	}
 	d.open.Add(1)
-	return &countedConn{Conn: conn, counters: counters, dialer: d}, nil
+	counted := &countedConn{Conn: conn, counters: counters, dialer: d, peer: peer}
+	d.mu.Lock()
+	d.conns[counted] = true
+	d.mu.Unlock()
+	if d.partitions.between(d.number, peer) != nil { // it began meanwhile
+		conn.Close()
+	}
+	return counted, nil
 }
 
 // connect tries source ports until one is free.
@@ -118,6 +135,7 @@
 	net.Conn
 	counters [2]*flowCounter
 	dialer   *dialer
+	peer     int // the acceptor's number
 	closed   atomic.Bool
 }
 
@@ -142,6 +160,9 @@
 func (c *countedConn) Close() error {
 	if !c.closed.Swap(true) {
 		c.dialer.open.Add(-1)
+		c.dialer.mu.Lock()
+		delete(c.dialer.conns, c)
+		c.dialer.mu.Unlock()
 	}
 	return c.Conn.Close()
 }
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -42,6 +42,7 @@
 		{"hollow", onHollow(hollow.Measure)},
 		{"agreement", onHollow(hollow.MeasureAgreement)},
 		{"digest", onHollow(hollow.MeasureDigest)},
+		{"day", onHollow(hollow.MeasureDay)},
 		{"leases", measureLeases},
 		{"membership", measureMembership},
 		{"datapath", measureDataPath},
