Ways of spreading a configuration are compared in one model, in place of estimates

Need: docs/design/config.md told estimates for the two ways that were not chosen. Change: internal/lab/scale/dissemination plays pushes by voters, a tree in each region and summaries with pulls on one network in virtual time; mintkeel-lab fleet dissemination prints the table.

--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -12,6 +12,7 @@
 
 	"mintkeel/internal/lab/fleet"
 	"mintkeel/internal/lab/mutants"
+	"mintkeel/internal/lab/scale/dissemination"
 	"mintkeel/internal/lab/scale/spread"
 )
 
@@ -88,6 +89,22 @@
 	return err
 }
 
+func fleetDisseminationCommand() *cobra.Command {
+	o := dissemination.Options{Seed: 1}
+	c := &cobra.Command{
+		Use:   "dissemination",
+		Short: "Compare ways in which a document may reach all controllers, in a model in virtual time",
+		Args:  cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			dissemination.Print(c.OutOrStdout(), dissemination.Compare(o))
+		},
+	}
+	c.Flags().IntVar(&o.Nodes, "nodes", 670, "controllers")
+	c.Flags().IntVar(&o.Seeds, "seeds", 20, "plays of each way under each condition")
+	c.Flags().Int64Var(&o.Seed, "seed", o.Seed, "of the first play")
+	return c
+}
+
 func fleetSpreadCommand() *cobra.Command {
 	o := spread.Options{Seed: 1}
 	c := &cobra.Command{
--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -60,7 +60,8 @@
 	c.Flags().StringVar(&script, "script", "", "maintenance: all engines are taken out once meanwhile")
 	c.Flags().BoolVar(&tell, "tell", false, "tell each fault as it happens")
 	c.Flags().StringVar(&mintkeel, "mintkeel", "", "a daemon built with -tags mintkeel_lab; none: one is built from the sources here")
-	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand(), fleetOrdersCommand(), fleetSpreadCommand(), fleetChecksCommand())
+	c.AddCommand(fleetModelCommand(), fleetMembersCommand(), fleetTakeOverCommand(), fleetOrdersCommand(), fleetSpreadCommand(), fleetDisseminationCommand(),
+		fleetChecksCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/lab/scale/dissemination/compare.go
@@ -0,0 +1,149 @@
+package dissemination
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Options say what is compared.
+type Options struct {
+	Nodes int
+	Seeds int
+	Seed  int64 // of the first play
+	Sizes []int // bytes of documents
+}
+
+// The usual fleet, as package spread's.
+const (
+	usualNodes = 670
+	usualSeeds = 20
+	voters     = 7
+
+	playFor  = 60000.0 // ms
+	zone     = 10      // one in so many restarts
+	restarts = 50.0    // ms after the agreement
+	downFor  = 5000.0  // ms
+)
+
+// condition is what happens meanwhile.
+type condition struct {
+	name         string
+	loss         float64
+	zoneRestarts bool
+}
+
+func conditions() []condition {
+	return []condition{{name: "at rest"}, {name: "10% loss", loss: 0.1}, {name: "a zone restarts", zoneRestarts: true}}
+}
+
+// Result is how one way did under one condition, over all seeds.
+type Result struct {
+	Way, Condition string
+	Size           int
+	Median, Most   float64 // ms until the last had it, counted from its own start where it restarted
+	Missing        int     // controllers that did not have it in the end
+	Leader, Voter  int     // bytes that the leader, and the voter that sent most, sent at the median
+	Node, MostNode int     // bytes that an ordinary controller sent: mean and most, at the median
+}
+
+// play is one play of a way.
+type play struct {
+	last    float64
+	missing int
+	leader  int
+	voter   int
+	node    int
+	most    int
+}
+
+// Compare plays all ways under all conditions, with the same seeds.
+func Compare(o Options) (results []Result) {
+	o.Nodes, o.Seeds = cmp.Or(o.Nodes, usualNodes), cmp.Or(o.Seeds, usualSeeds)
+	if o.Sizes == nil {
+		o.Sizes = []int{4 << 10, 64 << 10}
+	}
+	for _, size := range o.Sizes {
+		for _, c := range conditions() {
+			for _, name := range Ways() {
+				var plays []play
+				for i := range o.Seeds {
+					plays = append(plays, playOnce(name, c, o.Seed+int64(i), o.Nodes, size))
+				}
+				results = append(results, summarize(name, c.name, size, plays))
+			}
+		}
+	}
+	return results
+}
+
+func playOnce(name string, c condition, seed int64, nodes, size int) play {
+	n := newNetwork(seed, nodes, voters, size, c.loss)
+	w := newWay(name, n)
+	w.begin()
+	if c.zoneRestarts {
+		n.after(restarts, func() {
+			for number := voters; number < nodes; number++ {
+				if number%zone == 0 {
+					n.stop(number, downFor, w.started)
+				}
+			}
+		})
+	}
+	n.run(playFor)
+	return n.outcome()
+}
+
+func (n *network) outcome() (p play) {
+	p.leader = n.nodes[0].sent
+	sum := 0
+	for number, at := range n.nodes {
+		switch {
+		case number < n.voters:
+			p.voter = max(p.voter, at.sent)
+			continue
+		case !at.has:
+			p.missing++
+		default:
+			p.last = max(p.last, at.had-at.startAt)
+		}
+		sum += at.sent
+		p.most = max(p.most, at.sent)
+	}
+	p.node = sum / (len(n.nodes) - n.voters)
+	return p
+}
+
+func summarize(way, condition string, size int, plays []play) Result {
+	r := Result{Way: way, Condition: condition, Size: size}
+	for _, p := range plays {
+		r.Most = max(r.Most, p.last)
+		r.Missing += p.missing
+	}
+	r.Median = median(plays, func(p play) float64 { return p.last })
+	r.Leader = int(median(plays, func(p play) float64 { return float64(p.leader) }))
+	r.Voter = int(median(plays, func(p play) float64 { return float64(p.voter) }))
+	r.Node = int(median(plays, func(p play) float64 { return float64(p.node) }))
+	r.MostNode = int(median(plays, func(p play) float64 { return float64(p.most) }))
+	return r
+}
+
+func median(plays []play, of func(play) float64) float64 {
+	values := make([]float64, len(plays))
+	for i, p := range plays {
+		values[i] = of(p)
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// Print prints results as a table.
+func Print(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "| bytes | condition | way | last has it, median; most, ms | missing | leader sent | most of a voter | a controller sent, mean; most |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %d | %s | %s | %.0f; %.0f | %d | %d | %d | %d; %d |\n", r.Size, r.Condition, r.Way, r.Median, r.Most, r.Missing, r.Leader,
+			r.Voter, r.Node, r.MostNode)
+	}
+}
