A frame between controllers that has begun has to come within the time for writing it

Seen: a history with daemons whose bytes are changed on their way failed: 19 s after the last change one controller had no answer of the quorum's leader, while others had. The reader's deadline was 40 s from the end of the frame before, and it reads as many bytes as a length says, up to 1 MiB: a bit of the length changed, and the frames behind it, some hundred bytes a second, were taken for its payload, while their sender saw nothing wrong. Excluded: the quorum had a leader and another controller's put was agreed on in 20 ms; frames with changed payloads end their connection at once.

Change: links waits for a frame's first byte as before, and from then on for 2 s, which is what a sender has to write it. The wire is as it was.

--- a/internal/fleet/frames/frames.go
+++ b/internal/fleet/frames/frames.go
@@ -215,6 +215,12 @@
 	return nil, ErrForged
 }
 
+// Await waits until a frame has begun to come.
+func (r *Reader) Await() error {
+	_, err := r.r.Peek(1)
+	return err
+}
+
 // Read is the next payload. It holds no more memory than has come.
 func (r *Reader) Read() ([]byte, error) {
 	payload, mac, err := read(r.r, FrameBytes)
--- a/internal/fleet/links/links.go
+++ b/internal/fleet/links/links.go
@@ -25,7 +25,7 @@
 	Queue    int           // messages that wait for one
 	Bytes    int           // bytes that wait for one
 	Dial     time.Duration // to be connected and greeted
-	Write    time.Duration // to write a message
+	Write    time.Duration // to write a message, and to read one that has begun to come
 	Idle     time.Duration // without a message, after which a connection is closed
 	Again    time.Duration // between two tries to reach one, at least
 	Rate     int           // bytes a second that one may send here; it is slowed to that
@@ -312,8 +312,7 @@
 	l.mu.Unlock()
 	began, bytes := time.Now(), 0
 	for {
-		conn.SetReadDeadline(time.Now().Add(2 * l.bounds.Idle))
-		payload, err := in.Read()
+		payload, err := l.readFrame(conn, in)
 		if err != nil {
 			l.note(conn, err)
 			return
@@ -340,6 +339,17 @@
 	}
 }
 
+// readFrame waits for the next frame and reads it. Once it has begun it has to come as soon as its sender has to write it:
+// a length that was changed on its way would else have the messages behind it taken for its payload, unseen by the sender.
+func (l *Links) readFrame(conn net.Conn, in *frames.Reader) ([]byte, error) {
+	conn.SetReadDeadline(time.Now().Add(2 * l.bounds.Idle))
+	if err := in.Await(); err != nil {
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Now().Add(l.bounds.Write))
+	return in.Read()
+}
+
 func (l *Links) note(conn net.Conn, err error) {
 	switch {
 	case errors.Is(err, frames.ErrForged), errors.Is(err, frames.ErrTooLong), errors.Is(err, frames.ErrForm):
--- a/internal/fleet/links/links_test.go
+++ b/internal/fleet/links/links_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +154,79 @@
 	second.Close()
 	eventually(t, "goroutines stay", func() bool { return runtime.NumGoroutine() <= before+1 })
 }
+
+// lengthChanger passes on what one writes to another, and changes the length of the second frame after the hello.
+func lengthChanger(t *testing.T, to string) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var changed atomic.Bool
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				conn.Close()
+				return
+			}
+			go func() { io.Copy(conn, far); conn.Close() }()
+			go func() {
+				defer far.Close()
+				for i := 0; ; i++ {
+					frame, err := readRaw(conn)
+					if err != nil {
+						return
+					}
+					if i == 2 && !changed.Swap(true) {
+						frame[1] ^= 1 // 64 KiB more
+					}
+					if _, err := far.Write(frame); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRaw reads one frame with its length and its authentication code.
+func readRaw(conn net.Conn) ([]byte, error) {
+	const macSize = 16
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return nil, err
+	}
+	frame := append(head, make([]byte, int(binary.BigEndian.Uint32(head))+macSize)...)
+	_, err := io.ReadFull(conn, frame[len(head):])
+	return frame, err
+}
+
+// A length that is changed on its way has the connection end within the time for writing a message, though messages go on
+// to come behind it; those after that get through on another connection.
+func TestChangedLength(t *testing.T) {
+	b := Usual()
+	b.Write, b.Again = 300*time.Millisecond, 10*time.Millisecond
+	receiver, sender := open(t, "a", "f", keys, b), open(t, "b", "f", keys, b)
+	through := lengthChanger(t, receiver.addr)
+	began := time.Now()
+	for n := 0; ; n++ {
+		sender.Send("a", through, fmt.Append(nil, n))
+		time.Sleep(10 * time.Millisecond)
+		if receiver.received.Load() > 1 {
+			break
+		}
+		if time.Since(began) > 5*time.Second {
+			t.Fatalf("of %d messages %d came", n, receiver.received.Load())
+		}
+	}
+	if took := time.Since(began); took < b.Write {
+		t.Errorf("the connection ended after %v: no length was changed", took)
+	}
+}
