Histories with daemons change bytes on their way and put versions that one can't use

Change: the last controller of a fleet that has one beside its voters names another kind of engine, a part of the puts narrow rules to the usual kind, and at the end of each history one such version has to be in force at all others and told as refused by that one; what it took over is judged by its log. The switch changes one bit in a tenth of what is written while bytes are corrupt.

--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -229,14 +229,15 @@
 		sum.ConfigProposals += r.ConfigProposals
 		sum.ConfigAgreed += r.ConfigAgreed
 		sum.ConfigApplied += r.ConfigApplied
+		sum.ConfigRefused += r.ConfigRefused
 		sum.ConfigStatuses += r.ConfigStatuses
 		catchUp = append(catchUp, float64(r.ConfigCatchUp)/1e6)
 		afterPut = append(afterPut, float64(r.ConfigAfterPut)/1e6)
 		return nil
 	})
 	out := c.OutOrStdout()
-	fmt.Fprintf(out, "%d histories of a configuration with processes passed, %d failed\n%d proposals, %d agreed; %d versions applied; %d statuses\n", len(catchUp), failed,
-		sum.ConfigProposals, sum.ConfigAgreed, sum.ConfigApplied, sum.ConfigStatuses)
+	fmt.Fprintf(out, "%d histories of a configuration with processes passed, %d failed\n%d proposals, %d agreed; %d versions applied, %d refused by one that can't use them; %d statuses\n", len(catchUp), failed,
+		sum.ConfigProposals, sum.ConfigAgreed, sum.ConfigApplied, sum.ConfigRefused, sum.ConfigStatuses)
 	fmt.Fprintf(out, "newest in force once all was whole: %s ms\na put after that in force: %s ms\n", spreadOf(catchUp), spreadOf(afterPut))
 	if err == nil && failed > 0 {
 		err = fmt.Errorf("%d of %d histories failed", failed, n)
--- a/internal/lab/fleet/configuration_processes.go
+++ b/internal/lab/fleet/configuration_processes.go
@@ -29,6 +29,21 @@
 	events    []configEvent
 	proposals int
 	newest    uint64 // that an operator was told of
+
+	latest   config.Version       // of the history that was told last
+	unusable map[config.Hash]bool // documents that controllers of another kind can't use, by their shortened hashes
+}
+
+// changedShare is the part of what is written that has a bit changed while bytes are corrupt.
+const changedShare = 0.1
+
+// otherKind is the kind of engine of the controllers that can't use each document.
+const otherKind = "big"
+
+// ofOtherKind tells whether a controller's settings name another kind of engine than the others'. Voters' don't, nor those
+// of fleets without a configuration.
+func (r *rig) ofOtherKind(n *machineProc) bool {
+	return r.Config && r.Nodes > r.Council && n.number == r.Nodes-1
 }
 
 // configEvent is something to be judged, at a time.
@@ -44,10 +59,10 @@
 	rng := rand.New(rand.NewSource(seed * 17))
 	for _, f := range drawOrders(rng, nodes, s.Council, 12000) {
 		switch f.Kind {
-		case KillLeader, Corrupt, Replay: // the rig's faults are those of processes
+		case KillLeader, Replay: // the rig's faults are those of processes
 			f.Kind, f.For = Put, 0
 		}
-		f.Amount, f.N = min(f.Amount, config.MaxDocument), -1
+		f.Amount = min(f.Amount, config.MaxDocument)
 		s.Script = append(s.Script, f)
 	}
 	slices.SortStableFunc(s.Script, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
@@ -60,7 +75,7 @@
 	for i := range r.Nodes {
 		ids = append(ids, members.ID(fmt.Sprintf("n%d", i)))
 	}
-	r.config = &configRig{checker: configuration.NewChecker(ids)}
+	r.config = &configRig{checker: configuration.NewChecker(ids), unusable: map[config.Hash]bool{}}
 	r.config.checker.RunsUnknown = true
 }
 
@@ -94,10 +109,10 @@
 		if f.B%7 == 0 && expect > 0 {
 			expect--
 		}
-		r.putConfig(n, expect, int(f.Amount))
+		r.putConfig(n, expect, int(f.Amount), f.N >= 0)
 	case PutTwice:
-		r.group.Go(func() { r.putConfig(r.nodes[f.B%len(r.nodes)], expect, int(f.Amount/2)) })
-		r.putConfig(n, expect, int(f.Amount))
+		r.group.Go(func() { r.putConfig(r.nodes[f.B%len(r.nodes)], expect, int(f.Amount/2), false) })
+		r.putConfig(n, expect, int(f.Amount), f.N >= 0)
 	case RollBack:
 		if expect >= 2 {
 			back := expect - min(expect-1, uint64(1+f.B%4))
@@ -105,18 +120,23 @@
 		}
 	case AskStatus:
 		r.configStatus(n)
+	case Corrupt:
+		r.sw.Corrupt(changedShare, time.Now().Add(time.Duration(f.For*1e6)))
 	}
 }
 
 // known is the newest version that an operator at a controller knows of.
 func (r *rig) known(n *machineProc) uint64 {
-	number := uint64(0)
+	var latest config.Version
 	if a, err := r.askConfig(n, fleet.ConfigOrder{Action: fleet.ConfigHistory}); err == nil && len(a.Versions) > 0 {
-		number = a.Versions[len(a.Versions)-1].Number
+		latest = a.Versions[len(a.Versions)-1]
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.config.newest = max(r.config.newest, number)
+	if latest.Number > r.config.latest.Number {
+		r.config.latest = latest
+	}
+	r.config.newest = max(r.config.newest, latest.Number)
 	return r.config.newest
 }
 
@@ -134,15 +154,23 @@
 	return s.Config, nil
 }
 
-// putConfig has an operator put a document at a controller.
-func (r *rig) putConfig(n *machineProc, expect uint64, size int) {
+// putConfig has an operator put a document at a controller, which those of another kind may not be able to use.
+func (r *rig) putConfig(n *machineProc, expect uint64, size int, unusable bool) {
 	r.mu.Lock()
 	r.config.proposals++
 	text := fmt.Sprintf("# configuration %d\nlog {\n  burst = 1000\n}\n", r.config.proposals)
 	r.mu.Unlock()
+	if unusable {
+		text += fmt.Sprintf("rule \"usual\" {\n  kinds = [%q]\n}\n", usualKind)
+	}
 	if pad := size - len(text); pad > 0 {
 		text += "#" + strings.Repeat("x", pad-1)
 	}
+	if unusable {
+		r.mu.Lock()
+		r.config.unusable[shortened(config.HashOf([]byte(text)))] = true
+		r.mu.Unlock()
+	}
 	r.changeConfig(n, fleet.ConfigOrder{Action: fleet.ConfigPut, Document: []byte(text), Expect: &expect}, []byte(text))
 }
 
@@ -215,12 +243,15 @@
 	began := time.Now()
 	r.awaitConfig("after the last heal", func() string { return r.configLacks(0) })
 	r.report.ConfigCatchUp = time.Since(began)
-	began = time.Now()
 	last := r.nodes[len(r.nodes)-1]
+	if r.ofOtherKind(last) {
+		r.settleUnusable()
+	}
+	began = time.Now()
 	before := r.known(last)
 	r.awaitConfig("after a put when all was whole", func() string {
 		if r.known(last) == before {
-			r.putConfig(last, before, 4096)
+			r.putConfig(last, before, 4096, false)
 		}
 		return r.configLacks(before + 1)
 	})
@@ -235,6 +266,26 @@
 	r.survivedConfig()
 }
 
+// settleUnusable has a version put that the last controller can't use: it is in force at all others, and a status tells
+// which one refuses it.
+func (r *rig) settleUnusable() {
+	voter := r.nodes[0]
+	before := r.known(voter)
+	r.awaitConfig("after a put that one can't use", func() string {
+		if r.known(voter) == before {
+			r.putConfig(voter, before, 4096, true)
+		}
+		return r.configLacks(before + 1)
+	})
+	r.awaitConfig("after a version that one can't use was in force at all others", func() string {
+		s := r.configStatus(voter)
+		if s == nil || s.InForce != r.Nodes-1 || len(s.Refused) != 1 {
+			return fmt.Sprintf("a status tells %+v", s)
+		}
+		return ""
+	})
+}
+
 // awaitConfig waits for the operators' bound at most until nothing is lacking.
 func (r *rig) awaitConfig(since string, lacks func() string) {
 	const slack = 2 * time.Second // of the rig's own looks
@@ -262,6 +313,7 @@
 		switch {
 		case err != nil:
 			return fmt.Sprintf("%s: %v", n.name, err)
+		case s.Config != nil && r.mayRefuse(n, newest):
 		case s.Config == nil || s.Config.Local.Number < newest:
 			return fmt.Sprintf("%s has %+v, version %d is agreed on", n.name, s.Config.Local, newest)
 		}
@@ -269,6 +321,14 @@
 	return ""
 }
 
+// mayRefuse tells whether a controller can't use the newest version.
+func (r *rig) mayRefuse(n *machineProc, newest uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latest := r.config.latest
+	return r.ofOtherKind(n) && latest.Number == newest && r.config.unusable[shortened(latest.Hash)]
+}
+
 // survivedConfig writes down the history as the leader tells it at the end.
 func (r *rig) survivedConfig() {
 	a, err := r.askConfig(r.nodes[0], fleet.ConfigOrder{Action: fleet.ConfigHistory})
@@ -307,6 +367,9 @@
 			folder, _ = strconv.Atoi(words[3])
 			continue
 		}
+		if strings.Contains(line, "configuration version refused") {
+			r.report.ConfigRefused++
+		}
 		found := inForceLine.FindStringSubmatch(line)
 		if found == nil {
 			continue
@@ -320,6 +383,10 @@
 		}
 		v := config.Version{Number: number}
 		copy(v.Hash[:], hash)
+		if r.ofOtherKind(n) && r.config.unusable[v.Hash] {
+			r.broke("%s took version %d over, which it can't use", n.name, number)
+			return
+		}
 		who := configuration.Incarnation{Controller: members.ID(n.name), Run: uint64(run)}
 		on := configuration.Folder{Controller: members.ID(n.name), Generation: folder}
 		r.config.events = append(r.config.events, configEvent{at, func(c *configuration.Checker, now float64) { c.Applied(now, who, on, v) }})
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -83,9 +84,9 @@
 	Maintained    time.Duration
 	Whole         time.Duration
 
-	ConfigProposals, ConfigAgreed, ConfigApplied, ConfigStatuses int
-	ConfigCatchUp                                                time.Duration // after all was whole, until the newest was in force at all
-	ConfigAfterPut                                               time.Duration
+	ConfigProposals, ConfigAgreed, ConfigApplied, ConfigRefused, ConfigStatuses int
+	ConfigCatchUp                                                               time.Duration // after all was whole, until the newest was in force at all
+	ConfigAfterPut                                                              time.Duration
 
 	Free []time.Duration // between the last effect of one owner and the first of the next
 }
@@ -241,17 +242,20 @@
 	return nil
 }
 
+// usualKind is the kind of engine that controllers' settings name.
+const usualKind = "std"
+
 func (r *rig) configure(n *machineProc) error {
 	type object = map[string]any
 	var hosts []object
 	for _, e := range r.engines {
-		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
+		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": usualKind, "health": "active"})
 	}
 	config, err := json.Marshal(object{"name": n.name, "listen": n.serve, "seed": fmt.Sprintf("%016x", r.Seed),
 		"limits":   object{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"bulletin": r.feed.Addr,
 		"known":    object{"no": 1, "items": []object{{"no": 1, "roster": object{"seq": 1, "whole": true, "hosts": hosts}}}},
-		"settings": object{"n_instances": r.Nodes, "me": n.number, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{"std"},
+		"settings": object{"n_instances": r.Nodes, "me": n.number, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{usualKind},
 			"report":      object{"fields": []string{"util", "inflight"}},
 			"family_info": object{"size_cores": []float64{64}, "size_mb": []float64{64000}, "width_by_class": []int{1}},
 			"bounds": object{"cancel": true, "probes": true, "send_cap": 3, "connect_timeout_ns": 250000000,
@@ -262,6 +266,9 @@
 	if err != nil {
 		return err
 	}
+	if r.ofOtherKind(n) {
+		config = bytes.ReplaceAll(config, []byte(strconv.Quote(usualKind)), []byte(strconv.Quote(otherKind)))
+	}
 	if err := os.WriteFile(filepath.Join(n.dir, "config.json"), config, 0o600); err != nil {
 		return err
 	}
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -72,7 +72,8 @@
 	group.Wait()
 }
 
-// A drawn history of daemons that agree on a configuration. `mintkeel-lab fleet --config --processes` plays more.
+// A drawn history of daemons that agree on a configuration, then bytes that are changed on their way and a version that
+// one of them can't use. `mintkeel-lab fleet --config --processes` plays more.
 func TestConfigurationProcesses(t *testing.T) {
 	if testing.Short() || historiesPlayed < 50 {
 		t.Skip("daemons as processes are played once, without the race detector")
@@ -85,12 +86,14 @@
 	defer cancel()
 	var said []string
 	s := ConfigurationScene(daemon, 3, 4, 4)
+	end := s.Script.End()
+	s.Script = append(s.Script, Fault{At: end + 500, Kind: Corrupt, For: 2500}, Fault{At: end + 1000, Kind: Put, A: 1, B: 1, Amount: 100 << 10, N: -1})
 	s.Tell = func(line string) { said = append(said, line) }
 	r, err := PlayProcesses(ctx, s)
 	if err != nil || r.Broken != "" {
 		t.Fatalf("%v, %s\n%s", err, r.Broken, strings.Join(said, "\n"))
 	}
-	if r.ConfigAgreed == 0 || r.ConfigApplied < 4*r.ConfigAgreed/2 || r.ConfigStatuses == 0 {
+	if r.ConfigAgreed == 0 || r.ConfigApplied < 4*r.ConfigAgreed/2 || r.ConfigStatuses == 0 || r.ConfigRefused == 0 {
 		t.Errorf("too little was seen: %+v", r)
 	}
 }
--- a/internal/lab/fleet/switch.go
+++ b/internal/lab/fleet/switch.go
@@ -21,6 +21,8 @@
 	dropTo    time.Time
 	delay     time.Duration
 	delayTo   time.Time
+	corrupt   float64
+	corruptTo time.Time
 	listeners []net.Listener
 	conns     map[net.Conn]bool
 	ctx       context.Context
@@ -79,6 +81,13 @@
 	s.drop, s.dropTo = share, until
 }
 
+// Corrupt has a share of what is written have one bit changed, until a time.
+func (s *Switch) Corrupt(share float64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.corrupt, s.corruptTo = share, until
+}
+
 // Delay has all take up to so much longer, until a time.
 func (s *Switch) Delay(most time.Duration, until time.Time) {
 	s.mu.Lock()
@@ -179,6 +188,9 @@
 			if now.Before(s.delayTo) {
 				late = time.Duration(s.rng.Float64() * float64(s.delay))
 			}
+			if now.Before(s.corruptTo) && s.rng.Float64() < s.corrupt {
+				buffer[s.rng.Intn(n)] ^= 1 << s.rng.Intn(8)
+			}
 			s.mu.Unlock()
 			if reset {
 				if tcp, ok := to.(*net.TCPConn); ok {
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -172,9 +172,19 @@
 	w.now = max(w.now, until)
 }
 
-// Play plays the whole plan and tells what broke; empty: nothing. It ends when all has been well for some seconds after the
+// Play is play, of which a panic of a core counts as a break.
+func (w *World) Play() (why string) {
+	defer func() {
+		if x := recover(); x != nil {
+			why = fmt.Sprintf("%.1f ms: a core failed: %v", w.now, x)
+		}
+	}()
+	return w.play()
+}
+
+// play plays the whole plan and tells what broke; empty: nothing. It ends when all has been well for some seconds after the
 // last fault, and Whole is how long that took. Where a majority of the voters lost their folders no promise may be broken.
-func (w *World) Play() string {
+func (w *World) play() string {
 	if w.config != nil {
 		return w.playConfiguration()
 	}
