Members that joined later vouch for a voter's folder too

A voter had come back as another incarnation while a newcomer led, and got back the folder of right after that. It knew the founders alone, who had received nothing from that incarnation, and was vouched for, though what it had promised the newcomer was gone: it could have voted against what it had agreed to. The same holds for any copy from before another voter joined.

Change: an answer to a voter that starts names the members that its sender knows of, those of stored changes that may not be agreed on yet among them; they have to vouch too. Of the members of before, a majority has stored each change that was agreed on, and all of them are asked. A folder that is new names none.

--- a/internal/core/fleet/quorum/incarnation.go
+++ b/internal/core/fleet/quorum/incarnation.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"slices"
 
+	"github.com/fxamacker/cbor/v2"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
 	"mintkeel/internal/core/fleet/members"
 )
 
@@ -36,7 +40,7 @@
 		return
 	}
 	r.askAt = r.now + askInterval
-	for _, name := range r.others() {
+	for _, name := range r.vouchers() {
 		r.send(Incarnation{Name: name}, Message{Ask: &Ask{r.run}})
 	}
 	r.askedToJoin = r.othersHaveLeader && r.now > r.startedAt+giveUpAsking
@@ -94,6 +98,7 @@
 		Run:     m.Ask.Run,
 		Mark:    max(r.marks[m.From], r.waitingMarks[m.From], r.inflightMarks[m.From]),
 		Retired: slices.Contains(r.retired, m.From),
+		Members: r.knownMembers(),
 	}
 	if r.node != nil && r.role == Voting {
 		leader := r.Leader()
@@ -102,6 +107,63 @@
 	r.send(m.From, Message{Answer: answer})
 }
 
+// knownMembers are the names of all members that this one knows of, those of changes among them that it has stored and
+// does not know to be agreed on yet: of the members of before, a majority has stored each change that was agreed on. One
+// whose folder is new knows none: the founders may have left long ago.
+func (r *Replica) knownMembers() []members.ID {
+	if r.serial == 0 || len(r.incarnations) == 0 {
+		return nil
+	}
+	names := r.others()
+	first, _ := r.storage.FirstIndex()
+	last, _ := r.storage.LastIndex()
+	entries, err := r.storage.Entries(max(first, r.appliedIndex+1), max(first, last+1), maxEntriesBytes)
+	if err != nil {
+		return names
+	}
+	for _, entry := range entries {
+		if added := addedMember(entry); added != "" && !slices.Contains(names, added) && len(names) < maxRetired {
+			names = append(names, added)
+		}
+	}
+	return names
+}
+
+// addedMember is the member that an entry adds; empty: none.
+func addedMember(entry *pb.Entry) members.ID {
+	change := &pb.ConfChange{}
+	if entry.GetType() != pb.EntryConfChange || proto.Unmarshal(entry.GetData(), change) != nil ||
+		change.GetType() == pb.ConfChangeRemoveNode {
+		return ""
+	}
+	var c memberChange
+	if cbor.Unmarshal(change.GetContext(), &c) != nil {
+		return ""
+	}
+	return c.Incarnation.Name
+}
+
+// vouchers are the names of all that have to vouch for this disk: the members that it knows of, and those that they know
+// of. An older copy of a folder does not know the members that came later, which may have received the most from it.
+func (r *Replica) vouchers() []members.ID {
+	names := r.others()
+	for name := range r.toldMembers {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (r *Replica) addVouchers(names []members.ID) {
+	for _, name := range names {
+		if name != "" && len(name) <= maxName && name != r.facts.Self && len(r.toldMembers) < maxRetired {
+			r.toldMembers[name] = true
+		}
+	}
+}
+
 // receiveAnswer takes in what another member knows of this incarnation.
 func (r *Replica) receiveAnswer(from members.ID, answer *Answer) {
 	if r.role != Doubted || answer.Run != r.run {
@@ -117,7 +179,8 @@
 	}
 	r.othersHaveLeader = r.othersHaveLeader || answer.Led
 	r.vouched[from] = true
-	for _, name := range r.others() {
+	r.addVouchers(answer.Members)
+	for _, name := range r.vouchers() {
 		if !r.vouched[name] {
 			return
 		}
--- a/internal/core/fleet/quorum/messages.go
+++ b/internal/core/fleet/quorum/messages.go
@@ -27,6 +27,8 @@
 	Mark    uint64 `cbor:"2,keyasint"`
 	Retired bool   `cbor:"3,keyasint,omitempty"` // that incarnation has ended
 	Led     bool   `cbor:"4,keyasint,omitempty"` // the quorum has a leader other than the asker
+
+	Members []members.ID `cbor:"5,keyasint,omitempty"` // that the sender knows of, which have to be asked too
 }
 
 // Join asks to be taken in, as a new incarnation.
--- a/internal/core/fleet/quorum/quorum.go
+++ b/internal/core/fleet/quorum/quorum.go
@@ -7,7 +7,8 @@
 // A member must not vote as itself if its disk lacks anything that it ever promised. It can't detect that alone, because
 // an old copy of a folder looks like a good one. So each record has a serial number that rises, each message that depends
 // on a record carries that number, and its receiver persists the number before it uses the message. A member that starts
-// is doubted: it promises nothing until every other member has answered with the highest serial that it received from it.
+// is doubted: it promises nothing until every other member, and every one that those know of, has answered with the
+// highest serial that it received from it.
 // If one of them knows a higher serial than the disk holds, this incarnation of the member ends: the member comes back as
 // another incarnation, which the others take in as a newcomer, or never.
 //
--- a/internal/core/fleet/quorum/quorum_test.go
+++ b/internal/core/fleet/quorum/quorum_test.go
@@ -558,19 +558,7 @@
 	}
 	r.run(20000)
 	r.standing("d", Voting)
-	for range 20 { // until the newcomer leads
-		if newcomer.Leads() {
-			break
-		}
-		leader := r.leader().Incarnation().Name
-		r.cut = func(from, to members.ID) bool { return from == leader || to == leader }
-		r.run(5000)
-		r.cut = nil
-		r.run(5000)
-	}
-	if !newcomer.Leads() {
-		t.Fatal("the newcomer does not lead")
-	}
+	r.elect("d")
 	lost := members.ID("b")
 	r.kept[lost] = nil
 	r.start(lost)
--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -26,6 +26,22 @@
 	return r, leader, others
 }
 
+// elect cuts the leader off, again and again, until another one leads.
+func (r *room) elect(name members.ID) {
+	r.t.Helper()
+	for range 20 {
+		if r.members[name].Leads() {
+			return
+		}
+		leader := r.leader().Incarnation().Name
+		r.cut = func(from, to members.ID) bool { return from == leader || to == leader }
+		r.run(5000)
+		r.cut = nil
+		r.run(5000)
+	}
+	r.t.Fatalf("%s does not lead", name)
+}
+
 // loseDisk has a member start with an empty folder.
 func (r *room) loseDisk(name members.ID) {
 	r.t.Helper()
@@ -184,3 +200,45 @@
 		r.standing(name, Voting)
 	}
 }
+
+// TestNewcomerVouches has a voter lose its folder, be taken in as another incarnation by a newcomer that leads, and get back
+// the folder of right after that: the founders received nothing from this incarnation, and the newcomer, which this folder
+// does not know, received what it lacks.
+func TestNewcomerVouches(t *testing.T) {
+	for what, age := range map[string]func(old, now []Record) []Record{
+		"the first record of an incarnation": func(_, now []Record) []Record { return now[:1] },
+		"from before the newcomer":           func(old, _ []Record) []Record { return old },
+	} {
+		t.Run(what, func(t *testing.T) {
+			r, leader, others := withNewcomer(t)
+			old := slices.Clone(r.kept[others[0]])
+			r.run(1000)
+			if !r.leader().Replace(leader, "d") {
+				t.Fatal("not replaced")
+			}
+			r.run(20000)
+			r.standing("d", Voting)
+			r.elect("d")
+			lost := others[0]
+			if what != "from before the newcomer" {
+				r.loseDisk(lost)
+				r.run(20000)
+				r.standing(lost, Voting)
+				if r.members[lost].Incarnation().Disk == 0 {
+					t.Fatal("it came back as itself")
+				}
+			}
+			for ref := range uint64(3) {
+				r.propose(ref)
+			}
+			before := r.members[lost].Incarnation()
+			r.kept[lost] = slices.Clone(age(old, r.kept[lost]))
+			r.start(lost)
+			r.run(30000)
+			r.standing(lost, Voting)
+			if after := r.members[lost].Incarnation(); after == before {
+				t.Errorf("it votes as %v, whose folder lacks what it promised", after)
+			}
+		})
+	}
+}
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -52,6 +52,7 @@
 
 	// How this disk is vouched for, and the others'.
 	vouched          map[members.ID]bool    // the members that have vouched for this disk
+	toldMembers      map[members.ID]bool    // that others know of, and that have to vouch for it too
 	othersHaveLeader bool                   // a member says that the others have a leader without this one
 	askedToJoin      bool                   // it asks to join as another incarnation, and goes on as itself if all vouch for it first
 	startedAt        float64                // ms
@@ -87,6 +88,7 @@
 		waitingMarks: map[Incarnation]uint64{},
 		incarnations: map[uint64]Incarnation{},
 		vouched:      map[members.ID]bool{},
+		toldMembers:  map[members.ID]bool{},
 		askers:       map[Incarnation]uint64{},
 		strangers:    map[uint64]Incarnation{},
 		joins:        map[members.ID]joinRequest{},
