--- a/cmd/mintkeel/config.go
+++ b/cmd/mintkeel/config.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"mintkeel/internal/bulletin"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/settings"
 )
 
@@ -24,13 +24,13 @@
 		MemoryMB    int     `json:"memory_mb"`
 		Descriptors int     `json:"sockets"`
 	} `json:"limits"`
-	Feed     string         `json:"bulletin"`
-	Known    bulletin.Known `json:"known"`
-	Settings map[string]any `json:"settings"`
+	Feed     string          `json:"bulletin"`
+	Known    discovery.Known `json:"known"`
+	Settings map[string]any  `json:"settings"`
 
 	seed  int64
 	facts *settings.Facts
-	news  []bulletin.News
+	news  []discovery.Update
 }
 
 func bad(field, why string) error { return &settings.FieldError{Field: field, Why: why} }
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -15,9 +15,9 @@
 
 	"github.com/spf13/cobra"
 
-	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
 	"mintkeel/internal/controller"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/fleet"
 	"mintkeel/internal/limits"
@@ -70,7 +70,7 @@
 	log    *slog.Logger
 	loop   *controller.Loop
 	pool   *engines.Pool
-	feed   *bulletin.Feed
+	feed   *discovery.Watcher
 	server *clients.Server
 	keeper *memory.Keeper // nil: memory is off
 	gone   []*memory.Keeper
@@ -141,7 +141,7 @@
 	}, d.loop.Post, d.log)
 	go d.loop.Run(ctx)
 	d.loop.SetRules(d.file.Rules)
-	d.feed = bulletin.NewFeed(d.start.Feed, last, &facts.Names, d.limits, func(news bulletin.News) { d.loop.Post(news) }, d.log)
+	d.feed = discovery.NewWatcher(d.start.Feed, last, &facts.Names, d.limits, func(news discovery.Update) { d.loop.Post(news) }, d.log)
 	go d.feed.Follow(ctx)
 	if d.from.operator != "" {
 		d.server.Describe()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
 	"mintkeel/internal/core/rules"
 	"mintkeel/internal/core/spacing"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
@@ -329,7 +329,7 @@
 		}
 	case engines.Probed:
 		l.events = append(l.events, router.Probed{Engine: ev.Engine, Outcome: ev.Outcome, Load: ev.Load})
-	case bulletin.News:
+	case discovery.Update:
 		l.News(ev, false)
 	case Stop:
 		l.events = append(l.events, router.Stopping{Within: float64(ev.Within) / 1e6})
@@ -443,7 +443,7 @@
 
 // News takes in what the feed tells, first where engines are and then what the module decides by it. Before Run,
 // cached tells that it was known at start.
-func (l *Loop) News(news bulletin.News, cached bool) {
+func (l *Loop) News(news discovery.Update, cached bool) {
 	l.counts.News++
 	listed := router.Listed{Whole: news.Whole, Cached: cached, Expired: float64(news.Expired) / 1e6}
 	var addresses []engines.Address
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"mintkeel/internal/bulletin"
 	"mintkeel/internal/clients"
 	"mintkeel/internal/core/rules"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
@@ -61,7 +61,7 @@
 	told := make(chan bool)
 	go func() {
 		for i := range 100 {
-			if l.Post(bulletin.News{}); i == 50 {
+			if l.Post(discovery.Update{}); i == 50 {
 				close(told)
 			}
 		}
@@ -78,7 +78,7 @@
 	h := &hands{sent: make(chan *exchange.Command, 10), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
-	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go l.Run(ctx)
@@ -97,7 +97,7 @@
 	h := &hands{sent: make(chan *exchange.Command, 10000), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 1000, 0)
 	l.SetEngines(h)
-	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
 	answers := make(chan exchange.Verdict, 2000)
 	offered := 0
 	for i := range 1200 {
@@ -136,7 +136,7 @@
 	h := &hands{sent: make(chan *exchange.Command, 10), cancelled: make(chan router.SendID, 10), begins: make(chan time.Duration, 10)}
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
-	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}, {Entry: router.Entry{Engine: "f"}}}}, true)
+	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}, {Entry: router.Entry{Engine: "f"}}}}, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.Run(ctx)
@@ -162,7 +162,7 @@
 	h := &hands{sent: make(chan *exchange.Command, 1000), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 1000, 0)
 	l.SetEngines(h)
-	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.Run(ctx)
@@ -197,7 +197,7 @@
 	h := &hands{sent: make(chan *exchange.Command, 100), cancelled: make(chan router.SendID, 100)}
 	l := New(module, since, 100, 0)
 	l.SetEngines(h)
-	l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
+	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	answered := make(chan time.Duration, 1)
@@ -324,8 +324,8 @@
 		}
 		return router.Learned{}
 	})
-	for _, entries := range [][]bulletin.Entry{nil, {{Entry: router.Entry{Engine: "e"}}}, {{}}} {
-		fresh.News(bulletin.News{Entries: entries}, true)
+	for _, entries := range [][]discovery.Entry{nil, {{Entry: router.Entry{Engine: "e"}}}, {{}}} {
+		fresh.News(discovery.Update{Entries: entries}, true)
 	}
 	if _, recalled := fresh.events[2].(router.Recalled); asked != 1 || len(fresh.events) != 4 || !recalled {
 		t.Errorf("asked %d times: %v", asked, fresh.events)
@@ -346,7 +346,7 @@
 			Threads: 1, LateShare: 1}}, nil, router.Allowed{MaxSends: 1}, router.Guards{OrderRest: 20})
 		l := New(module, func() float64 { return now }, 0, 20)
 		l.SetEngines(h)
-		l.News(bulletin.News{Whole: true, Entries: []bulletin.Entry{{Entry: router.Entry{Engine: "e", Kind: -1}}}}, true)
+		l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e", Kind: -1}}}}, true)
 		var active []*rules.Set // that were in force since the oldest command that is open came
 		var open, out []*exchange.Command
 		var resting []*exchange.Command // they are over, and a send of theirs may still run
@@ -479,8 +479,8 @@
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
 	l.KeepList()
-	entry := func(id router.EngineID, s router.State, since float64, dial string) bulletin.News {
-		return bulletin.News{Entries: []bulletin.Entry{{Entry: router.Entry{Engine: id, State: s, Since: since}, Dial: dial}}}
+	entry := func(id router.EngineID, s router.State, since float64, dial string) discovery.Update {
+		return discovery.Update{Entries: []discovery.Entry{{Entry: router.Entry{Engine: id, State: s, Since: since}, Dial: dial}}}
 	}
 	state := func(id router.EngineID) (now router.EngineNow) {
 		l.step()
--- a/internal/bulletin/bulletin.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,5 @@
-// Package bulletin follows the feed that tells of engines, and reads what was known of it at start.
-package bulletin
+// Package discovery watches the endpoint list of engines, and reads what was known of it at start.
+package discovery
 
 import (
 	"bufio"
@@ -20,21 +20,21 @@
 	"mintkeel/router"
 )
 
-// Entry is an engine as the feed tells of it.
+// Entry is an engine of the list.
 type Entry struct {
 	router.Entry
 	Dial string
 }
 
-// News is one event of the feed.
-type News struct {
+// Update is one change of the list, or the whole list.
+type Update struct {
 	No      uint64
 	Whole   bool
 	Expired time.Duration // above 0: nothing new, but nothing heard either for so long that what is older counts as told
 	Entries []Entry
 }
 
-// Known is what a configuration holds of the feed: the events so far.
+// Known is what a configuration holds of the list: the updates so far.
 type Known struct {
 	No    uint64 `json:"no"`
 	Items []struct {
@@ -59,14 +59,14 @@
 
 var states = map[string]router.State{"active": router.Ready, "leaving": router.Draining, "left": router.Gone}
 
-// Read turns what was known at start into news, in the feed's order.
-func (k *Known) Read(names *settings.Names) ([]News, error) {
-	var all []News
+// Read turns what was known at start into updates, in their order.
+func (k *Known) Read(names *settings.Names) ([]Update, error) {
+	var all []Update
 	for i, item := range k.Items {
 		if item.Roster == nil {
 			continue
 		}
-		news := News{No: item.No, Whole: item.Roster.Whole}
+		update := Update{No: item.No, Whole: item.Roster.Whole}
 		for j, h := range item.Roster.Hosts {
 			at := fmt.Sprintf("known.items.%d.roster.hosts.%d.", i, j)
 			state, known := states[h.Health]
@@ -79,16 +79,16 @@
 			if h.Host == "" {
 				return nil, &settings.FieldError{Field: at + "host", Why: "is missing"}
 			}
-			news.Entries = append(news.Entries, Entry{Dial: h.Dial, Entry: router.Entry{
+			update.Entries = append(update.Entries, Entry{Dial: h.Dial, Entry: router.Entry{
 				Engine: router.EngineID(h.Host), State: state, Zone: router.Zone(h.Site), Kind: names.Kind(h.Class),
 				Cell: router.CellID(h.Block), Since: h.BornMS}})
 		}
-		all = append(all, news)
+		all = append(all, update)
 	}
 	return all, nil
 }
 
-// ErrMalformed is what no feed says.
+// ErrMalformed is a frame of the watch that has no valid form.
 var ErrMalformed = errors.New("malformed frame")
 
 const (
@@ -100,30 +100,30 @@
 )
 
 // ReadFrame takes one frame, which holds most bytes at most; fresh is false where it holds nothing new.
-func ReadFrame(r *bufio.Reader, most int, names *settings.Names) (news News, fresh bool, err error) {
+func ReadFrame(r *bufio.Reader, most int, names *settings.Names) (update Update, fresh bool, err error) {
 	head, err := r.Peek(frameHead)
 	if err != nil {
-		return news, false, err
+		return update, false, err
 	}
 	length, kind := int(binary.BigEndian.Uint32(head)), head[12]
-	news.No, news.Whole = binary.BigEndian.Uint64(head[4:]), kind == kindWhole
+	update.No, update.Whole = binary.BigEndian.Uint64(head[4:]), kind == kindWhole
 	size := length - (frameHead - 4)
 	if length > most || size < 0 || kind > kindChange || size%recordSize != 0 || kind == kindNone && size != 0 {
-		return news, false, fmt.Errorf("%w: length %d, kind %d", ErrMalformed, length, kind)
+		return update, false, fmt.Errorf("%w: length %d, kind %d", ErrMalformed, length, kind)
 	}
 	r.Discard(frameHead)
 	record := make([]byte, recordSize)
 	for range size / recordSize {
 		if _, err := io.ReadFull(r, record); err != nil {
-			return news, false, err
+			return update, false, err
 		}
 		entry, err := parse(record, names)
 		if err != nil {
-			return news, false, err
+			return update, false, err
 		}
-		news.Entries = append(news.Entries, entry)
+		update.Entries = append(update.Entries, entry)
 	}
-	return news, kind != kindNone, nil
+	return update, kind != kindNone, nil
 }
 
 func parse(b []byte, names *settings.Names) (e Entry, err error) {
@@ -145,12 +145,12 @@
 	return e, nil
 }
 
-// Feed is a follower of the feed.
-type Feed struct {
-	last    uint64 // number of the last event that it has
+// Watcher follows the endpoint list.
+type Watcher struct {
+	last    uint64 // number of the last update that it has
 	names   *settings.Names
 	limits  *limits.Limits
-	post    func(News)
+	post    func(Update)
 	log     *slog.Logger
 	logged  time.Time // when its absence was last logged
 	expired bool
@@ -159,155 +159,155 @@
 	addr  string
 	conn  net.Conn  // nil while there is none
 	moved bool      // since conn was dialled
-	told  time.Time // by when what the feed has to tell may count as told, unless it speaks
+	told  time.Time // when the list expires, unless something comes
 }
 
-// NewFeed makes a follower that has all events up to last.
-func NewFeed(addr string, last uint64, names *settings.Names, l *limits.Limits, post func(News),
-	log *slog.Logger) *Feed {
-	return &Feed{addr: addr, last: last, names: names, limits: l, post: post, log: log,
+// NewWatcher makes a watcher that has all updates up to last.
+func NewWatcher(addr string, last uint64, names *settings.Names, l *limits.Limits, post func(Update),
+	log *slog.Logger) *Watcher {
+	return &Watcher{addr: addr, last: last, names: names, limits: l, post: post, log: log,
 		told: time.Now().Add(l.FeedTold)}
 }
 
-// Move has the feed followed at another address, from the last event; the connection to the old one ends at once,
-// as nothing more is told there.
-func (f *Feed) Move(addr string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if addr == f.addr {
+// Move has the list watched at another address, from the last update; the connection to the old one ends at once, as
+// nothing more is told there.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
 		return
 	}
-	f.addr, f.moved = addr, true
-	f.within(f.limits.FeedTold)
-	if f.conn != nil {
-		f.conn.Close()
+	w.addr, w.moved = addr, true
+	w.within(w.limits.FeedTold)
+	if w.conn != nil {
+		w.conn.Close()
 	}
 }
 
-// within takes in that what the feed has to tell may count as told after this long, if it didn't before; mu is held.
-func (f *Feed) within(long time.Duration) {
-	if told := time.Now().Add(long); told.Before(f.told) {
-		f.told = told
+// within notes that the list counts as expired after this long, if it did not before; mu is held.
+func (w *Watcher) within(long time.Duration) {
+	if told := time.Now().Add(long); told.Before(w.told) {
+		w.told = told
 	}
 }
 
-// Follow keeps a connection to the feed until ctx ends, and hands on what comes after the last event, in order and
-// once. A connection that is silent, malformed or skips a number is begun anew from that event.
-func (f *Feed) Follow(ctx context.Context) {
+// Follow keeps a watch open until ctx ends, and hands on what comes after the last update, in order and once. A
+// connection that is silent, malformed or skips a number is begun anew from that update.
+func (w *Watcher) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.follow(ctx)
+		err := w.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if now := time.Now(); now.Sub(f.logged) >= f.limits.LogEvery {
-			f.logged = now
-			f.log.Warn("feed connection ended", "why", err, "last", f.last)
+		if now := time.Now(); now.Sub(w.logged) >= w.limits.LogEvery {
+			w.logged = now
+			w.log.Warn("discovery connection ended", "why", err, "last", w.last)
 		}
-		f.mu.Lock()
-		at := f.told
-		f.mu.Unlock()
-		if !f.expired && !time.Now().Before(at) {
-			f.expired = true
-			f.log.Warn("nothing heard from the feed for too long: only engines that go on answering get commands")
-			f.post(News{Expired: f.limits.FeedBroken})
+		w.mu.Lock()
+		at := w.told
+		w.mu.Unlock()
+		if !w.expired && !time.Now().Before(at) {
+			w.expired = true
+			w.log.Warn("nothing heard from discovery for too long: only engines that go on answering get queries")
+			w.post(Update{Expired: w.limits.FeedBroken})
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(f.limits.FeedRetry - time.Since(began)): // none after a connection that lasted
+		case <-time.After(w.limits.FeedRetry - time.Since(began)): // none after a connection that lasted
 		}
 	}
 }
 
-// silence is until when the feed may say nothing: no longer than its connection may be trusted or, the first time,
-// than the list may be.
-func (f *Feed) silence() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	until := time.Now().Add(f.limits.FeedSilence)
-	if !f.expired && f.told.Before(until) {
-		return f.told
+// silence is until when nothing may come: no longer than the connection may be trusted or, the first time, than the
+// list may be.
+func (w *Watcher) silence() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	until := time.Now().Add(w.limits.FeedSilence)
+	if !w.expired && w.told.Before(until) {
+		return w.told
 	}
 	return until
 }
 
-// dial opens a connection where the feed is now, and closes it when ctx ends or the feed moves.
-func (f *Feed) dial(ctx context.Context) (net.Conn, error) {
-	f.mu.Lock()
-	addr := f.addr
-	f.moved = false
-	f.mu.Unlock()
-	dialer := net.Dialer{Timeout: min(f.limits.ConnectTime, max(time.Millisecond, time.Until(f.silence())))}
+// dial opens a connection to the address of now, and closes it when ctx ends or the address changes.
+func (w *Watcher) dial(ctx context.Context) (net.Conn, error) {
+	w.mu.Lock()
+	addr := w.addr
+	w.moved = false
+	w.mu.Unlock()
+	dialer := net.Dialer{Timeout: min(w.limits.ConnectTime, max(time.Millisecond, time.Until(w.silence())))}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.moved {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved {
 		conn.Close()
 		return nil, errMoved
 	}
-	f.conn = conn
+	w.conn = conn
 	return conn, nil
 }
 
-var errMoved = errors.New("the feed has another address now")
+var errMoved = errors.New("discovery has another address now")
 
 // follow reads one connection to its end, which is a break, but for silence.
-func (f *Feed) follow(ctx context.Context) (err error) {
-	conn, err := f.dial(ctx)
+func (w *Watcher) follow(ctx context.Context) (err error) {
+	conn, err := w.dial(ctx)
 	if err != nil {
 		return err
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer func() {
 		conn.Close()
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.conn = nil; f.moved {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.conn = nil; w.moved {
 			err = errMoved
 		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
-			f.within(f.limits.FeedBroken)
+			w.within(w.limits.FeedBroken)
 		}
 	}()
-	conn.SetDeadline(f.silence())
-	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, f.last)); err != nil {
+	conn.SetDeadline(w.silence())
+	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, w.last)); err != nil {
 		return err
 	}
 	r := bufio.NewReader(conn)
 	for {
-		conn.SetDeadline(f.silence())
-		news, fresh, err := ReadFrame(r, f.limits.FrameBytes, f.names)
+		conn.SetDeadline(w.silence())
+		update, fresh, err := ReadFrame(r, w.limits.FrameBytes, w.names)
 		if err != nil {
 			return err
 		}
-		if next := f.last + 1; news.No > next && !news.Whole || news.No == next && !fresh {
-			return fmt.Errorf("%w: number %d after %d", ErrMalformed, news.No, f.last)
+		if next := w.last + 1; update.No > next && !update.Whole || update.No == next && !fresh {
+			return fmt.Errorf("%w: number %d after %d", ErrMalformed, update.No, w.last)
 		}
-		if news.No < f.last {
+		if update.No < w.last {
 			continue // older than what is known: it does not tell that what is known still holds
 		}
-		fresh = fresh && news.No > f.last
-		if !f.heard() {
+		fresh = fresh && update.No > w.last
+		if !w.heard() {
 			return errMoved
 		}
 		if fresh {
-			f.last = news.No
-			f.post(news)
-		} else if f.expired {
-			f.post(News{No: f.last})
+			w.last = update.No
+			w.post(update)
+		} else if w.expired {
+			w.post(Update{No: w.last})
 		}
-		f.expired = false
+		w.expired = false
 	}
 }
 
-// heard takes in that the feed spoke; false if it has moved since, and may have more to tell elsewhere.
-func (f *Feed) heard() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.moved {
-		f.told = time.Now().Add(f.limits.FeedTold)
+// heard notes that something came; false if the address has changed since, and there may be more at the new one.
+func (w *Watcher) heard() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.moved {
+		w.told = time.Now().Add(w.limits.FeedTold)
 	}
-	return !f.moved
+	return !w.moved
 }
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package bulletin
+package discovery
 
 import (
 	"bufio"
@@ -67,9 +67,9 @@
 		{"far too long", append([]byte{0xff, 0xff, 0xff, 0xff}, whole[4:]...), nil, false, true},
 		{"cut", whole[:30], nil, false, true},
 	} {
-		news, fresh, err := ReadFrame(bufio.NewReader(bytes.NewReader(c.bytes)), 1000, names)
-		if c.bad != (err != nil) || !c.bad && (fresh != c.fresh || !reflect.DeepEqual(news.Entries, c.want)) {
-			t.Errorf("%s: %+v, %t, %v", c.name, news, fresh, err)
+		update, fresh, err := ReadFrame(bufio.NewReader(bytes.NewReader(c.bytes)), 1000, names)
+		if c.bad != (err != nil) || !c.bad && (fresh != c.fresh || !reflect.DeepEqual(update.Entries, c.want)) {
+			t.Errorf("%s: %+v, %t, %v", c.name, update, fresh, err)
 		}
 	}
 }
@@ -89,12 +89,12 @@
 		if err := json.Unmarshal(text, &k); err != nil {
 			t.Fatal(err)
 		}
-		news, err := k.Read(names)
+		update, err := k.Read(names)
 		if field, ok := err.(*settings.FieldError); c.bad != "" && (!ok || field.Field != c.bad) {
 			t.Errorf("%s: %v", c.to, err)
 		}
-		if c.bad == "" && !reflect.DeepEqual(news, []News{{No: 4, Whole: true, Entries: []Entry{engine}}}) {
-			t.Errorf("%+v, %v", news, err)
+		if c.bad == "" && !reflect.DeepEqual(update, []Update{{No: 4, Whole: true, Entries: []Entry{engine}}}) {
+			t.Errorf("%+v, %v", update, err)
 		}
 	}
 }
@@ -110,14 +110,14 @@
 	l := limits.For(1024, 192, time.Second, 0, 0)
 	l.FeedRetry, l.FeedSilence = time.Millisecond, 50*time.Millisecond
 	l.FeedTold, l.FeedBroken = 120*time.Millisecond, 110*time.Millisecond
-	told := make(chan News, 10)
-	feed := NewFeed(listener.Addr().String(), 4, names, l, func(n News) { told <- n },
+	told := make(chan Update, 10)
+	watcher := NewWatcher(listener.Addr().String(), 4, names, l, func(n Update) { told <- n },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { feed.Follow(ctx); close(done) }()
+	go func() { watcher.Follow(ctx); close(done) }()
 	change := func(no uint64) []byte { return frame(no, 2, record(0xc41f7a, 0, 0, 0)) }
-	next := func(want News) {
+	next := func(want Update) {
 		t.Helper()
 		select {
 		case got := <-told:
@@ -129,29 +129,29 @@
 		}
 	}
 	for _, c := range []struct {
-		name string
-		last uint64
-		says [][]byte
-		news []News
+		name   string
+		last   uint64
+		says   [][]byte
+		update []Update
 	}{
-		{"breaks after two", 4, [][]byte{change(5), frame(5, 0), change(6)}, []News{{No: 5}, {No: 6}}},
-		{"the same again", 6, [][]byte{change(5), change(6), change(7)}, []News{{No: 7}}},
+		{"breaks after two", 4, [][]byte{change(5), frame(5, 0), change(6)}, []Update{{No: 5}, {No: 6}}},
+		{"the same again", 6, [][]byte{change(5), change(6), change(7)}, []Update{{No: 7}}},
 		{"skips one", 7, [][]byte{change(9)}, nil},
 		{"nothing new, but one that did not come", 7, [][]byte{frame(8, 0), change(8)}, nil},
 		{"nothing new, but several", 7, [][]byte{frame(9, 0), change(8)}, nil},
-		{"skips to a whole list", 7, [][]byte{frame(9, 1, record(1, 0, 0, 0))}, []News{{No: 9}}},
-		{"malformed", 9, [][]byte{change(10), {0, 0, 0, 1}, change(11)}, []News{{No: 10}}},
+		{"skips to a whole list", 7, [][]byte{frame(9, 1, record(1, 0, 0, 0))}, []Update{{No: 9}}},
+		{"malformed", 9, [][]byte{change(10), {0, 0, 0, 1}, change(11)}, []Update{{No: 10}}},
 	} {
 		t.Log(c.name)
 		conn := accept(t, listener, c.last)
 		conn.Write(bytes.Join(c.says, nil))
-		for _, n := range c.news {
+		for _, n := range c.update {
 			next(n)
 		}
 		conn.Close()
 	}
 	silent := accept(t, listener, 10) // and those after it stay unanswered
-	next(News{Expired: l.FeedBroken})
+	next(Update{Expired: l.FeedBroken})
 	for len(told) == 0 {
 		conn := accept(t, listener, 10)
 		conn.Write(frame(10, 0))
@@ -160,7 +160,7 @@
 			t.Fatal("the follower said more than its last event")
 		}
 	}
-	next(News{No: 10})
+	next(Update{No: 10})
 	silent.Close()
 	cancel()
 	listener.Close()
@@ -181,12 +181,12 @@
 	defer listener.Close()
 	l := limits.For(1024, 192, time.Second, 0, 0)
 	l.FeedSilence, l.FeedTold = 20*time.Millisecond, patience
-	told := make(chan News, 10)
-	feed := NewFeed(listener.Addr().String(), 4, names, l, func(n News) { told <- n },
+	told := make(chan Update, 10)
+	watcher := NewWatcher(listener.Addr().String(), 4, names, l, func(n Update) { told <- n },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go feed.Follow(ctx)
+	go watcher.Follow(ctx)
 	silent := accept(t, listener, 4)
 	defer silent.Close()
 	silent.Write(frame(5, 2, record(0xc41f7a, 0, 0, 0)))
@@ -214,12 +214,12 @@
 	defer listener.Close()
 	l := limits.For(1024, 192, time.Second, 0, 0)
 	l.FeedRetry, l.FeedTold, l.FeedSilence = time.Millisecond, 20*time.Millisecond, patience
-	told := make(chan News, 10)
-	feed := NewFeed(listener.Addr().String(), 10, names, l, func(n News) { told <- n },
+	told := make(chan Update, 10)
+	watcher := NewWatcher(listener.Addr().String(), 10, names, l, func(n Update) { told <- n },
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go feed.Follow(ctx)
+	go watcher.Follow(ctx)
 	accept(t, listener, 10).Close() // down
 	if got := <-told; got.Expired != l.FeedBroken {
 		t.Fatalf("told %+v, not that the list has expired", got)
@@ -247,17 +247,17 @@
 		return listener
 	}
 	first, second, third := listen(), listen(), listen()
-	told := make(chan News, 10)
-	feed := NewFeed(first.Addr().String(), 4, names, limits.For(1024, 192, time.Second, 0, 0),
-		func(n News) { told <- n }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	told := make(chan Update, 10)
+	watcher := NewWatcher(first.Addr().String(), 4, names, limits.For(1024, 192, time.Second, 0, 0),
+		func(n Update) { told <- n }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go feed.Follow(ctx)
+	go watcher.Follow(ctx)
 	change := func(no uint64) []byte { return frame(no, 2, record(0xc41f7a, 0, 0, 0)) }
 	old := accept(t, first, 4)
 	old.Write(change(5))
 	<-told
-	feed.Move(second.Addr().String())
+	watcher.Move(second.Addr().String())
 	at := accept(t, second, 5)
 	old.Write(change(6)) // crosses the move
 	at.Write(append(change(6), change(7)...))
@@ -268,13 +268,13 @@
 	}
 	second.Close()
 	at.Close()
-	feed.Move("127.0.0.1:1") // nobody there
-	feed.Move(third.Addr().String())
+	watcher.Move("127.0.0.1:1") // nobody there
+	watcher.Move(third.Addr().String())
 	accept(t, third, 7)
-	feed.mu.Lock()
-	conn := feed.conn
-	feed.mu.Unlock()
-	if feed.Move(third.Addr().String()); conn.SetDeadline(time.Time{}) != nil {
+	watcher.mu.Lock()
+	conn := watcher.conn
+	watcher.mu.Unlock()
+	if watcher.Move(third.Addr().String()); conn.SetDeadline(time.Time{}) != nil {
 		t.Error("the connection to where it is already was closed")
 	}
 }
@@ -299,12 +299,12 @@
 	f.Add(frame(2, 2, record(1, 3, 0, 0)))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		for r := bufio.NewReader(bytes.NewReader(in)); ; {
-			news, _, err := ReadFrame(r, 1000, names)
+			update, _, err := ReadFrame(r, 1000, names)
 			if err != nil {
 				return
 			}
-			if len(news.Entries) > len(in)/recordSize {
-				t.Fatalf("%d entries of %d bytes", len(news.Entries), len(in))
+			if len(update.Entries) > len(in)/recordSize {
+				t.Fatalf("%d entries of %d bytes", len(update.Entries), len(in))
 			}
 		}
 	})
--- a/internal/lab/scale/datapath/datapath_test.go
+++ b/internal/lab/scale/datapath/datapath_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"mintkeel/internal/bulletin"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
 	"mintkeel/internal/lab/standin"
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	b := frame(7, frameChange, 2, 5, router.Draining)
-	news, fresh, err := bulletin.ReadFrame(bufio.NewReader(bytes.NewReader(b)), len(b), &facts.Names)
+	news, fresh, err := discovery.ReadFrame(bufio.NewReader(bytes.NewReader(b)), len(b), &facts.Names)
 	if err != nil || !fresh || news.No != 7 || news.Whole || len(news.Entries) != 3 {
 		t.Fatalf("%+v, %v, %v", news, fresh, err)
 	}
--- a/internal/lab/scale/datapath/discovery.go
+++ b/internal/lab/scale/datapath/discovery.go
@@ -13,8 +13,8 @@
 	"slices"
 	"time"
 
-	"mintkeel/internal/bulletin"
 	"mintkeel/internal/controller"
+	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
 	"mintkeel/internal/lab/scale/daemon"
 	"mintkeel/internal/lab/scale/slope"
@@ -23,7 +23,7 @@
 	"mintkeel/router"
 )
 
-// Kinds of frames, and the size of a record, as package bulletin reads them.
+// Kinds of frames, and the size of a record, as package discovery reads them.
 const (
 	frameWhole  = 1
 	frameChange = 2
@@ -115,7 +115,7 @@
 	loop := controller.New(facts.Router(seed), controller.SystemClock(), l.Inbox, 0)
 	loop.SetEngines(engines.New(l, facts.Links.Streams, loop.Post, log))
 	go loop.Run(ctx)
-	follower := bulletin.NewFeed(feed.addr(), 0, &facts.Names, l, func(news bulletin.News) { loop.Post(news) }, log)
+	follower := discovery.NewWatcher(feed.addr(), 0, &facts.Names, l, func(news discovery.Update) { loop.Post(news) }, log)
 	go follower.Follow(ctx)
 	w := &watcher{feed: feed, loop: loop, cancel: cancel}
 	if err := feed.accept(); err != nil {
