Rename: package exchange is request, its command a query, its verdicts by the field's terms

By the operators' list of names: request.Query with Succeeded, Rejected, Failed and Disconnected in place of exchange.Command with Answered, Shed, Failed and Left; events that carry one have a field Query. What clients and logs see stays.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"mintkeel/internal/core/rules"
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/pgwire"
+	"mintkeel/internal/request"
 	"mintkeel/internal/settings"
 	"mintkeel/router"
 )
@@ -25,9 +25,9 @@
 // What the loop is told.
 type (
 	// Taken is a command that a client wrote whole.
-	Taken struct{ Command *exchange.Command }
+	Taken struct{ Query *request.Query }
 	// Gone says that a command's client has left; nothing is owed.
-	Gone struct{ Command *exchange.Command }
+	Gone struct{ Query *request.Query }
 )
 
 // Server is a listener with its sessions.
@@ -131,7 +131,7 @@
 
 // rule has the operator's rules change a command that is not posted yet; its text is what they refuse it with, empty
 // if they don't. Nothing is decided here.
-func (s *Server) rule(cmd *exchange.Command, c rules.Command) (refused string) {
+func (s *Server) rule(cmd *request.Query, c rules.Command) (refused string) {
 	r := s.rules.Load()
 	if r == nil {
 		return ""
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/pgwire"
+	"mintkeel/internal/request"
 	"mintkeel/internal/settings"
 	"mintkeel/router"
 )
@@ -115,12 +115,12 @@
 	}
 }
 
-func (f *front) taken() *exchange.Command {
+func (f *front) taken() *request.Query {
 	f.t.Helper()
 	select {
 	case ev := <-f.events:
 		if t, ok := ev.(Taken); ok {
-			return t.Command
+			return t.Query
 		}
 		f.t.Fatalf("told %+v", ev)
 	case <-time.After(patience):
@@ -141,20 +141,20 @@
 	}
 	conn.Write(append(hello, ask(query)...))
 	for _, c := range []struct {
-		answer exchange.Answer
+		answer request.Answer
 		said   string
 	}{
-		{exchange.Answer{Verdict: exchange.Answered, Pages: [][]byte{[]byte("a\tb\tc\nd\te\tf\n"), []byte("\t\t\n")}},
+		{request.Answer{Verdict: request.Succeeded, Pages: [][]byte{[]byte("a\tb\tc\nd\te\tf\n"), []byte("\t\t\n")}},
 			"TDDDCZ"},
-		{exchange.Answer{Verdict: exchange.Answered}, "TCZ"},
-		{exchange.Answer{Verdict: exchange.Shed, After: time.Second}, "E53000Z"},
-		{exchange.Answer{Verdict: exchange.Failed}, "E58000Z"},
+		{request.Answer{Verdict: request.Succeeded}, "TCZ"},
+		{request.Answer{Verdict: request.Rejected, After: time.Second}, "E53000Z"},
+		{request.Answer{Verdict: request.Failed}, "E58000Z"},
 	} {
 		cmd := f.taken()
 		if cmd.Tables != 17 || cmd.Left != 1500*time.Millisecond-f.server.limits.AnswerTime || string(cmd.Statement) != query[len(head):] {
 			t.Errorf("took %+v", cmd)
 		}
-		if !cmd.Finish(c.answer) || cmd.Finish(exchange.Answer{Verdict: exchange.Failed}) {
+		if !cmd.Finish(c.answer) || cmd.Finish(request.Answer{Verdict: request.Failed}) {
 			t.Error("not one final answer")
 		}
 		said, _ := f.hears(conn, "Z")
@@ -182,7 +182,7 @@
 		t.Errorf("said %q", got)
 	}
 	conn.Write(ask(query))
-	f.taken().Finish(exchange.Answer{Verdict: exchange.Answered})
+	f.taken().Finish(request.Answer{Verdict: request.Succeeded})
 	if said, _ := f.hears(conn, "Z"); said != "TCZ" {
 		t.Errorf("then said %s", said)
 	}
@@ -191,7 +191,7 @@
 func TestRows(t *testing.T) {
 	f := newFront(t, nil)
 	conn := f.dial(hello, ask(query))
-	f.taken().Finish(exchange.Answer{Verdict: exchange.Answered, Pages: [][]byte{[]byte("one\t\tthree\n")}})
+	f.taken().Finish(request.Answer{Verdict: request.Succeeded, Pages: [][]byte{[]byte("one\t\tthree\n")}})
 	f.hears(conn, "Z")
 	want := append(pgwire.AppendRowDescription(nil), message('D', "\x00\x03\x00\x00\x00\x03one\x00\x00\x00\x00\x00\x00\x00\x05three")...)
 	want = append(append(want, message('C', "SELECT 1\x00")...), message('Z', "I")...)
@@ -294,7 +294,7 @@
 		if ev := <-f.events; ev != any(Gone{cmd}) {
 			t.Errorf("%s: told %+v", c.name, ev)
 		}
-		if cmd.Finish(exchange.Answer{Verdict: exchange.Answered}) {
+		if cmd.Finish(request.Answer{Verdict: request.Succeeded}) {
 			t.Errorf("%s: answered after its client had left", c.name)
 		}
 		if said, _ := f.hears(conn, "Z"); said != c.said {
@@ -332,7 +332,7 @@
 		t.Error("taken before the first was answered")
 	}
 	answeredAt := time.Now()
-	first.Finish(exchange.Answer{Verdict: exchange.Shed})
+	first.Finish(request.Answer{Verdict: request.Rejected})
 	if second := f.taken(); !second.Read.Before(answeredAt) {
 		t.Error("its time counts from its turn")
 	}
@@ -343,7 +343,7 @@
 func TestFullHouse(t *testing.T) {
 	f := newFront(t, func(l *limits.Limits) { l.Connections, l.FreshTime = 3, 0 })
 	answer := func(conn net.Conn) {
-		f.taken().Finish(exchange.Answer{Verdict: exchange.Shed})
+		f.taken().Finish(request.Answer{Verdict: request.Rejected})
 		f.hears(conn, "E")
 		f.hears(conn, "Z")
 		for f.server.Quiet() == 0 { // until the session is at rest
@@ -371,7 +371,7 @@
 	if said, _ := f.hears(f.dial(hello), ""); said != "E53300$" {
 		t.Errorf("past a house full of open commands: %s", said)
 	}
-	cmd.Finish(exchange.Answer{Verdict: exchange.Answered})
+	cmd.Finish(request.Answer{Verdict: request.Succeeded})
 	if said, _ := f.hears(open, "C"); said != welcome+"TC" {
 		t.Errorf("who has a command open: %s", said)
 	}
@@ -426,7 +426,7 @@
 		if string(cmd.Statement) != want[len(head):] {
 			t.Errorf("took a statement of %d bytes, not %d", len(cmd.Statement), len(want)-len(head))
 		}
-		cmd.Finish(exchange.Answer{Verdict: exchange.Shed})
+		cmd.Finish(request.Answer{Verdict: request.Rejected})
 	}
 	f.hears(conn, "Z")
 	f.hears(conn, "Z")
@@ -476,7 +476,7 @@
 	f.Add([]byte(fmt.Sprint(head)))
 	server := New(limits.For(64, 32, 0, 0, 0), &settings.Names{Profiles: map[string]router.ProfileID{"report": 0}},
 		[]router.Profile{{}}, func(t Taken) bool {
-			t.Command.Finish(exchange.Answer{Verdict: exchange.Answered})
+			t.Query.Finish(request.Answer{Verdict: request.Succeeded})
 			return true
 		}, nil, func(any) {}, slog.Default())
 	f.Fuzz(func(t *testing.T, in []byte) {
@@ -533,7 +533,7 @@
 			}
 		})
 		conn := f.dial(hello, ask(query))
-		f.taken().Finish(exchange.Answer{Verdict: exchange.Failed})
+		f.taken().Finish(request.Answer{Verdict: request.Failed})
 		f.hears(conn, "Z")
 		f.hears(conn, "Z")
 		f.until("at rest", func() bool { return f.server.Quiet() > 0 })
@@ -589,9 +589,9 @@
 		t.Error("over with an answer owed")
 	default:
 	}
-	first.Finish(exchange.Answer{Verdict: exchange.Answered})
+	first.Finish(request.Answer{Verdict: request.Succeeded})
 	pages := slices.Repeat([][]byte{bytes.Repeat([]byte("one\ttwo\tthree\n"), 400)}, 8)
-	f.taken().Finish(exchange.Answer{Verdict: exchange.Answered, Pages: pages})
+	f.taken().Finish(request.Answer{Verdict: request.Succeeded, Pages: pages})
 	if said, orderly := f.ends(owed); said != "TCZT"+strings.Repeat("D", 8*400)+"CZ$" || !orderly {
 		t.Errorf("who is owed two answers: said %s, orderly %t", said, orderly)
 	}
@@ -635,7 +635,7 @@
 	f.hears(conn, "Z")
 	conn.Write(bytes.Repeat(ask(query), 4000))
 	f.until("it is too much", func() bool { return f.server.counts.flooded.Load() == 1 })
-	cmd.Finish(exchange.Answer{Verdict: exchange.Answered})
+	cmd.Finish(request.Answer{Verdict: request.Succeeded})
 	if said, orderly := f.ends(conn); said != "TCZE54000$" || !orderly {
 		t.Errorf("said %s, orderly %t", said, orderly)
 	}
@@ -650,10 +650,10 @@
 	first := f.taken()
 	f.hears(conn, "Z")
 	conn.Write(bytes.Repeat(ask(query), all))
-	first.Finish(exchange.Answer{Verdict: exchange.Failed})
+	first.Finish(request.Answer{Verdict: request.Failed})
 	for range all {
 		f.hears(conn, "Z")
-		f.taken().Finish(exchange.Answer{Verdict: exchange.Failed})
+		f.taken().Finish(request.Answer{Verdict: request.Failed})
 	}
 	if n := f.server.counts.flooded.Load(); n != 0 {
 		t.Errorf("%d times too much", n)
@@ -672,7 +672,7 @@
 		f.hears(f.dial(startUp(80877102, string(key))), "") // until it is closed, so has been heeded
 		conn.Write(ask(query))
 		if c.within == 0 {
-			f.taken().Finish(exchange.Answer{Verdict: exchange.Answered})
+			f.taken().Finish(request.Answer{Verdict: request.Succeeded})
 		}
 		if said, _ := f.hears(conn, "Z"); said != c.said {
 			t.Errorf("within %v: said %s", c.within, said)
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"mintkeel/internal/core/rules"
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/pgwire"
+	"mintkeel/internal/request"
 	"mintkeel/internal/settings"
 	"mintkeel/match"
 	"mintkeel/router"
@@ -42,7 +42,7 @@
 	closing atomic.Bool   // it is on its way out; set under the mutex
 
 	mu          sync.Mutex
-	open        *exchange.Command
+	open        *request.Query
 	cancelledAt time.Time // when a cancel came while nothing was open
 }
 
@@ -207,11 +207,11 @@
 }
 
 // command makes a command of a query, or tells what to reply in its place.
-func (ses *session) command(text []byte, now time.Time) (*exchange.Command, []byte) {
+func (ses *session) command(text []byte, now time.Time) (*request.Query, []byte) {
 	if blank(text) {
 		return nil, pgwire.AppendEmpty(nil)
 	}
-	no := func(code, why string) (*exchange.Command, []byte) {
+	no := func(code, why string) (*request.Query, []byte) {
 		ses.server.counts.badQueries.Add(1)
 		ses.server.note(ses, why)
 		return nil, pgwire.AppendError(nil, false, code, why)
@@ -243,7 +243,7 @@
 	if !found {
 		return no(pgwire.CodeField, "the statement names no group of tables")
 	}
-	cmd := &exchange.Command{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
+	cmd := &request.Query{ID: f.ID, Profile: profile, Verb: f.Verb, Tenant: tenant, Unique: f.Unique,
 		Key: router.OrderKey(f.Item), Estimate: f.CPU, NeedMB: f.EstMB, Tables: router.TableGroup(table.Group),
 		First: !ses.used, Read: now, Left: ses.within(f.LimitMS),
 		Patience: time.Duration(p.Timeout * float64(time.Millisecond))}
@@ -304,7 +304,7 @@
 }
 
 // wait posts a command, waits for its answer and writes it.
-func (ses *session) wait(cmd *exchange.Command) error {
+func (ses *session) wait(cmd *request.Query) error {
 	ses.mu.Lock()
 	ses.open = cmd
 	overtaken := time.Since(ses.cancelledAt) < ses.server.limits.CancelTime
@@ -316,9 +316,9 @@
 		close(ready)
 	})
 	if overtaken {
-		cmd.Finish(exchange.Answer{Verdict: exchange.Left})
+		cmd.Finish(request.Answer{Verdict: request.Disconnected})
 	} else if !ses.server.offer(Taken{cmd}) {
-		cmd.Finish(exchange.Answer{Verdict: exchange.Shed, After: ses.server.away()})
+		cmd.Finish(request.Answer{Verdict: request.Rejected, After: ses.server.away()})
 	}
 	err := ses.watch()
 	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errFlood) {
@@ -379,18 +379,18 @@
 		ses.cancelledAt = time.Now()
 	}
 	ses.mu.Unlock()
-	if cmd != nil && cmd.Finish(exchange.Answer{Verdict: exchange.Left}) {
+	if cmd != nil && cmd.Finish(request.Answer{Verdict: request.Disconnected}) {
 		ses.server.post(Gone{cmd})
 	}
 }
 
-func (ses *session) answer(a exchange.Answer) error {
+func (ses *session) answer(a request.Answer) error {
 	switch a.Verdict {
-	case exchange.Shed:
+	case request.Rejected:
 		return ses.write(pgwire.AppendReady(pgwire.AppendShed(nil, a.After)))
-	case exchange.Failed:
+	case request.Failed:
 		return ses.write(pgwire.AppendReady(pgwire.AppendError(nil, false, pgwire.CodeFailed, "the command failed")))
-	case exchange.Left:
+	case request.Disconnected:
 		const why = "the command was given up at its client's request"
 		return ses.write(pgwire.AppendReady(pgwire.AppendError(nil, false, pgwire.CodeCancelled, why)))
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,8 +16,8 @@
 	"mintkeel/internal/core/spacing"
 	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
+	"mintkeel/internal/request"
 	"mintkeel/router"
 )
 
@@ -35,15 +35,15 @@
 type Engines interface {
 	List(addresses []engines.Address, whole bool)
 	Expire(expired bool)
-	Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within, begin time.Duration)
-	Cancel(cmd *exchange.Command, number router.SendID, to router.EngineID)
+	Send(cmd *request.Query, number router.SendID, to router.EngineID, within, begin time.Duration)
+	Cancel(cmd *request.Query, number router.SendID, to router.EngineID)
 	Probe(id router.EngineID)
 	Close()
 }
 
 // command is one that the module holds, with where its sends went.
 type command struct {
-	*exchange.Command
+	*request.Query
 	epoch rules.Epoch
 	keyed bool
 	over  bool // it has its final answer
@@ -312,9 +312,9 @@
 func (l *Loop) take(event any) {
 	switch ev := event.(type) {
 	case clients.Taken:
-		l.taken(ev.Command)
+		l.taken(ev.Query)
 	case clients.Gone:
-		if c := l.commands[ev.Command.Number]; c != nil && c.Command == ev.Command {
+		if c := l.commands[ev.Query.Number]; c != nil && c.Query == ev.Query {
 			l.counts.Left++
 			c.over = true
 			l.events = append(l.events, router.Left{ID: c.Number})
@@ -323,8 +323,8 @@
 	case engines.Ended:
 		l.ended(ev)
 	case engines.Noted:
-		if l.commands[ev.Command.Number] != nil {
-			l.events = append(l.events, router.Noted{ID: ev.Command.Number, Send: ev.Send, What: ev.What,
+		if l.commands[ev.Query.Number] != nil {
+			l.events = append(l.events, router.Noted{ID: ev.Query.Number, Send: ev.Send, What: ev.What,
 				Level: ev.Level})
 		}
 	case engines.Probed:
@@ -369,20 +369,20 @@
 }
 
 // taken files a command. One whose id is open already is not told from that by engines, so it fails at once.
-func (l *Loop) taken(cmd *exchange.Command) {
+func (l *Loop) taken(cmd *request.Query) {
 	if _, open := l.ids[cmd.ID]; open {
 		l.counts.Duplicate++
-		cmd.Finish(exchange.Answer{Verdict: exchange.Failed})
+		cmd.Finish(request.Answer{Verdict: request.Failed})
 		return
 	}
-	if cmd.Answer().Verdict != exchange.None { // its client was gone before it came here
+	if cmd.Answer().Verdict != request.None { // its client was gone before it came here
 		return
 	}
 	for l.serial++; l.serial == 0 || l.commands[l.serial] != nil; {
 		l.serial++
 	}
 	cmd.Number = l.serial
-	c := &command{Command: cmd}
+	c := &command{Query: cmd}
 	key, also := cmd.Key, []router.OrderKey(nil)
 	if cmd.Described != nil {
 		c.epoch, key, also = l.epochs.Take(l.clock(), cmd.Described)
@@ -400,14 +400,14 @@
 }
 
 func (l *Loop) ended(ev engines.Ended) {
-	c := l.commands[ev.Command.Number]
+	c := l.commands[ev.Query.Number]
 	if c == nil || int(ev.Send) >= len(c.sends) {
 		return
 	}
 	c.open--
 	l.counts.Ends[ev.Outcome]++
 	if ev.Outcome == router.Answered && !c.over {
-		l.finish(c, exchange.Answer{Verdict: exchange.Answered, Pages: ev.Pages})
+		l.finish(c, request.Answer{Verdict: request.Succeeded, Pages: ev.Pages})
 	}
 	l.events = append(l.events, router.Ended{ID: c.Number, Send: ev.Send, Outcome: ev.Outcome, Over: c.over,
 		Took: float64(ev.Took) / 1e6, Load: ev.Load})
@@ -416,16 +416,16 @@
 }
 
 // finish gives a command its final answer.
-func (l *Loop) finish(c *command, a exchange.Answer) {
+func (l *Loop) finish(c *command, a request.Answer) {
 	if c.over = true; !c.Finish(a) {
 		return
 	}
 	switch a.Verdict {
-	case exchange.Answered:
+	case request.Succeeded:
 		l.counts.Answered++
-	case exchange.Shed:
+	case request.Rejected:
 		l.counts.Shed++
-	case exchange.Failed:
+	case request.Failed:
 		l.counts.Failed++
 	}
 }
@@ -497,16 +497,16 @@
 			if a.Begin > 0 { // by now at the latest, if not by a time to come
 				begin = max(1, duration(a.Begin-now))
 			}
-			l.engines.Send(c.Command, router.SendID(len(c.sends)-1), a.Engine, duration(a.Until-now), begin)
+			l.engines.Send(c.Query, router.SendID(len(c.sends)-1), a.Engine, duration(a.Until-now), begin)
 		case router.Cancel:
 			if c := l.commands[a.ID]; c != nil && int(a.Send) < len(c.sends) {
 				l.counts.Cancels++
-				l.engines.Cancel(c.Command, a.Send, c.sends[a.Send])
+				l.engines.Cancel(c.Query, a.Send, c.sends[a.Send])
 			}
 		case router.Shed:
-			l.end(a.ID, exchange.Answer{Verdict: exchange.Shed, After: duration(a.After)})
+			l.end(a.ID, request.Answer{Verdict: request.Rejected, After: duration(a.After)})
 		case router.Fail:
-			l.end(a.ID, exchange.Answer{Verdict: exchange.Failed})
+			l.end(a.ID, request.Answer{Verdict: request.Failed})
 		case router.Probe:
 			l.counts.Probes++
 			l.engines.Probe(a.Engine)
@@ -520,7 +520,7 @@
 
 // end gives a command the module's final answer. The command is kept until its sends have their outcomes, and
 // actions that follow in the same step may still name it.
-func (l *Loop) end(id router.CommandID, a exchange.Answer) {
+func (l *Loop) end(id router.CommandID, a request.Answer) {
 	if c := l.commands[id]; c != nil && !c.over {
 		l.finish(c, a)
 		l.forget(c)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -12,28 +12,28 @@
 	"mintkeel/internal/core/rules"
 	"mintkeel/internal/discovery"
 	"mintkeel/internal/engines"
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/memory"
+	"mintkeel/internal/request"
 	"mintkeel/match"
 	"mintkeel/router"
 )
 
 // hands are engines that note what they are told.
 type hands struct {
-	sent      chan *exchange.Command
+	sent      chan *request.Query
 	cancelled chan router.SendID
 	begins    chan time.Duration // nil: not noted
 }
 
 func (h *hands) List([]engines.Address, bool) {}
 func (h *hands) Expire(bool)                  {}
-func (h *hands) Send(cmd *exchange.Command, _ router.SendID, _ router.EngineID, _, begin time.Duration) {
+func (h *hands) Send(cmd *request.Query, _ router.SendID, _ router.EngineID, _, begin time.Duration) {
 	if h.begins != nil {
 		h.begins <- begin
 	}
 	h.sent <- cmd
 }
-func (h *hands) Cancel(_ *exchange.Command, number router.SendID, _ router.EngineID) {
+func (h *hands) Cancel(_ *request.Query, number router.SendID, _ router.EngineID) {
 	h.cancelled <- number
 }
 func (h *hands) Probe(router.EngineID) {}
@@ -75,7 +75,7 @@
 	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
 		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{Cancel: true, MaxSends: 3},
 		router.Guards{Round: 5, ColdShare: 0.3, ColdTime: 1000, ColdMultiple: 4, ColdWindow: 1000})
-	h := &hands{sent: make(chan *exchange.Command, 10), cancelled: make(chan router.SendID, 10)}
+	h := &hands{sent: make(chan *request.Query, 10), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
 	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
@@ -85,8 +85,8 @@
 	return l, h
 }
 
-func fromClient(id string) *exchange.Command {
-	return &exchange.Command{ID: id, Tenant: -1, Read: time.Now(), Left: 5 * time.Second}
+func fromClient(id string) *request.Query {
+	return &request.Query{ID: id, Tenant: -1, Read: time.Now(), Left: 5 * time.Second}
 }
 
 // However many commands wait, what engines tell is not behind them, one too many is refused at once, and none that was
@@ -94,17 +94,17 @@
 func TestQueue(t *testing.T) {
 	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
 		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{MaxSends: 3}, router.Guards{Round: 5})
-	h := &hands{sent: make(chan *exchange.Command, 10000), cancelled: make(chan router.SendID, 10)}
+	h := &hands{sent: make(chan *request.Query, 10000), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 1000, 0)
 	l.SetEngines(h)
 	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
-	answers := make(chan exchange.Verdict, 2000)
+	answers := make(chan request.Verdict, 2000)
 	offered := 0
 	for i := range 1200 {
 		cmd := fromClient(fmt.Sprint("c", i))
 		cmd.Left = 400 * time.Millisecond
 		cmd.OnAnswer(func() { answers <- cmd.Answer().Verdict })
-		if l.Offer(clients.Taken{Command: cmd}) {
+		if l.Offer(clients.Taken{Query: cmd}) {
 			offered++
 		}
 	}
@@ -133,7 +133,7 @@
 	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
 		[]router.Profile{{Target: 60000, Timeout: 60000, Threads: 1, Effect: router.Uniqued, RepeatWindow: 3600e3}}, nil,
 		router.Allowed{MaxSends: 3}, router.Guards{})
-	h := &hands{sent: make(chan *exchange.Command, 10), cancelled: make(chan router.SendID, 10), begins: make(chan time.Duration, 10)}
+	h := &hands{sent: make(chan *request.Query, 10), cancelled: make(chan router.SendID, 10), begins: make(chan time.Duration, 10)}
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
 	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}, {Entry: router.Entry{Engine: "f"}}}}, true)
@@ -142,12 +142,12 @@
 	go l.Run(ctx)
 	cmd := fromClient("c")
 	cmd.Left = time.Minute
-	l.Offer(clients.Taken{Command: cmd})
+	l.Offer(clients.Taken{Query: cmd})
 	if begin := <-h.begins; begin != 0 {
 		t.Errorf("the first within %v", begin)
 	}
 	<-h.sent
-	l.Post(engines.Ended{Command: cmd, Outcome: router.Reset})
+	l.Post(engines.Ended{Query: cmd, Outcome: router.Reset})
 	if begin := <-h.begins; begin <= 50*time.Minute || begin >= time.Hour {
 		t.Errorf("the repeat within %v", begin)
 	}
@@ -159,7 +159,7 @@
 	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
 		[]router.Profile{{Target: 60000, Timeout: 60000, Threads: 1, InOrder: true, LateShare: 1}}, nil, router.Allowed{MaxSends: 3},
 		router.Guards{})
-	h := &hands{sent: make(chan *exchange.Command, 1000), cancelled: make(chan router.SendID, 10)}
+	h := &hands{sent: make(chan *request.Query, 1000), cancelled: make(chan router.SendID, 10)}
 	l := New(module, SystemClock(), 1000, 0)
 	l.SetEngines(h)
 	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
@@ -169,7 +169,7 @@
 	for i := range 200 {
 		cmd := fromClient(fmt.Sprint("c", i))
 		cmd.Key, cmd.Left = "k", time.Minute
-		l.Offer(clients.Taken{Command: cmd})
+		l.Offer(clients.Taken{Query: cmd})
 	}
 	began := time.Now()
 	for i := range 200 {
@@ -177,7 +177,7 @@
 		if cmd.ID != fmt.Sprint("c", i) {
 			t.Fatalf("%s went as number %d", cmd.ID, i)
 		}
-		l.Post(engines.Ended{Command: cmd})
+		l.Post(engines.Ended{Query: cmd})
 	}
 	if took := time.Since(began); took > 5*time.Second {
 		t.Errorf("took %v", took)
@@ -194,7 +194,7 @@
 	const left, apart = 2000 * time.Millisecond, 50 * time.Millisecond
 	now := time.Now()
 	since := func() float64 { return float64(time.Since(now)) / 1e6 }
-	h := &hands{sent: make(chan *exchange.Command, 100), cancelled: make(chan router.SendID, 100)}
+	h := &hands{sent: make(chan *request.Query, 100), cancelled: make(chan router.SendID, 100)}
 	l := New(module, since, 100, 0)
 	l.SetEngines(h)
 	l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e"}}}}, true)
@@ -207,7 +207,7 @@
 		if i == 19 {
 			cmd.OnAnswer(func() { answered <- time.Since(now) })
 		}
-		l.Offer(clients.Taken{Command: cmd})
+		l.Offer(clients.Taken{Query: cmd})
 	}
 	go l.Run(ctx)
 	if took := <-answered; took > left-19*apart || took < left-19*apart-200*time.Millisecond {
@@ -219,48 +219,48 @@
 	rows := [][]byte{[]byte("a\tb\tc\n")}
 	for _, c := range []struct {
 		name   string
-		tell   func(l *Loop, h *hands, cmd *exchange.Command)
-		want   exchange.Verdict
+		tell   func(l *Loop, h *hands, cmd *request.Query)
+		want   request.Verdict
 		counts Counts
 	}{
-		{"answered", func(l *Loop, _ *hands, cmd *exchange.Command) {
-			l.Post(engines.Ended{Command: cmd, Pages: rows})
-		}, exchange.Answered, Counts{Taken: 1, Answered: 1, Sends: 1}},
-		{"resent, then answered", func(l *Loop, h *hands, cmd *exchange.Command) {
-			l.Post(engines.Ended{Command: cmd, Outcome: router.Reset})
+		{"answered", func(l *Loop, _ *hands, cmd *request.Query) {
+			l.Post(engines.Ended{Query: cmd, Pages: rows})
+		}, request.Succeeded, Counts{Taken: 1, Answered: 1, Sends: 1}},
+		{"resent, then answered", func(l *Loop, h *hands, cmd *request.Query) {
+			l.Post(engines.Ended{Query: cmd, Outcome: router.Reset})
 			<-h.sent
-			l.Post(engines.Ended{Command: cmd, Send: 1, Pages: rows})
-		}, exchange.Answered, Counts{Taken: 1, Answered: 1, Sends: 2}},
-		{"all its sends spent", func(l *Loop, h *hands, cmd *exchange.Command) {
+			l.Post(engines.Ended{Query: cmd, Send: 1, Pages: rows})
+		}, request.Succeeded, Counts{Taken: 1, Answered: 1, Sends: 2}},
+		{"all its sends spent", func(l *Loop, h *hands, cmd *request.Query) {
 			for i := range 3 {
-				if l.Post(engines.Ended{Command: cmd, Send: router.SendID(i), Outcome: router.Reset}); i < 2 {
+				if l.Post(engines.Ended{Query: cmd, Send: router.SendID(i), Outcome: router.Reset}); i < 2 {
 					<-h.sent
 				}
 			}
-		}, exchange.Shed, Counts{Taken: 1, Shed: 1, Sends: 3}},
-		{"its client left", func(l *Loop, h *hands, cmd *exchange.Command) {
-			cmd.Finish(exchange.Answer{Verdict: exchange.Left})
-			l.Post(clients.Gone{Command: cmd})
+		}, request.Rejected, Counts{Taken: 1, Shed: 1, Sends: 3}},
+		{"its client left", func(l *Loop, h *hands, cmd *request.Query) {
+			cmd.Finish(request.Answer{Verdict: request.Disconnected})
+			l.Post(clients.Gone{Query: cmd})
 			<-h.cancelled
-			l.Post(engines.Ended{Command: cmd, Outcome: router.Cancelled})
-			l.Post(engines.Ended{Command: cmd, Pages: rows}) // none such any more
-		}, exchange.Left, Counts{Taken: 1, Left: 1, Sends: 1, Cancels: 1}},
-		{"its client left as the answer came", func(l *Loop, _ *hands, cmd *exchange.Command) {
-			cmd.Finish(exchange.Answer{Verdict: exchange.Left})
-			l.Post(engines.Ended{Command: cmd, Pages: rows})
-			l.Post(clients.Gone{Command: cmd})
-		}, exchange.Left, Counts{Taken: 1, Sends: 1}},
-		{"the controller ends", func(l *Loop, h *hands, cmd *exchange.Command) {
+			l.Post(engines.Ended{Query: cmd, Outcome: router.Cancelled})
+			l.Post(engines.Ended{Query: cmd, Pages: rows}) // none such any more
+		}, request.Disconnected, Counts{Taken: 1, Left: 1, Sends: 1, Cancels: 1}},
+		{"its client left as the answer came", func(l *Loop, _ *hands, cmd *request.Query) {
+			cmd.Finish(request.Answer{Verdict: request.Disconnected})
+			l.Post(engines.Ended{Query: cmd, Pages: rows})
+			l.Post(clients.Gone{Query: cmd})
+		}, request.Disconnected, Counts{Taken: 1, Sends: 1}},
+		{"the controller ends", func(l *Loop, h *hands, cmd *request.Query) {
 			l.Post(Stop{Within: 30 * time.Millisecond})
 			<-h.cancelled
-			l.Post(engines.Ended{Command: cmd, Outcome: router.Answered, Pages: rows}) // too late
-		}, exchange.Shed, Counts{Taken: 1, Shed: 1, Sends: 1, Cancels: 1}},
+			l.Post(engines.Ended{Query: cmd, Outcome: router.Answered, Pages: rows}) // too late
+		}, request.Rejected, Counts{Taken: 1, Shed: 1, Sends: 1, Cancels: 1}},
 	} {
 		l, h := newLoop(t)
 		cmd := fromClient("c")
 		done := make(chan struct{})
 		cmd.OnAnswer(func() { close(done) })
-		l.Post(clients.Taken{Command: cmd})
+		l.Post(clients.Taken{Query: cmd})
 		<-h.sent
 		c.tell(l, h, cmd)
 		<-done
@@ -269,7 +269,7 @@
 			t.Errorf("%s: %+v, verdict %d", c.name, got, cmd.Answer().Verdict)
 		}
 		again := fromClient("c") // its id is free again
-		l.Post(clients.Taken{Command: again})
+		l.Post(clients.Taken{Query: again})
 		if taken := l.Counts().Taken; taken != 2 {
 			t.Errorf("%s: is not forgotten", c.name)
 		}
@@ -280,14 +280,14 @@
 // before its command came here has nothing sent.
 func TestNotTaken(t *testing.T) {
 	l, h := newLoop(t)
-	l.Post(clients.Taken{Command: fromClient("c")})
+	l.Post(clients.Taken{Query: fromClient("c")})
 	<-h.sent
 	second, left := fromClient("c"), fromClient("d")
-	l.Post(clients.Taken{Command: second})
-	left.Finish(exchange.Answer{Verdict: exchange.Left})
-	l.Post(clients.Gone{Command: left})
-	l.Post(clients.Taken{Command: left})
-	if c := l.Counts(); c.Taken != 1 || c.Duplicate != 1 || second.Answer().Verdict != exchange.Failed || len(h.sent) > 0 {
+	l.Post(clients.Taken{Query: second})
+	left.Finish(request.Answer{Verdict: request.Disconnected})
+	l.Post(clients.Gone{Query: left})
+	l.Post(clients.Taken{Query: left})
+	if c := l.Counts(); c.Taken != 1 || c.Duplicate != 1 || second.Answer().Verdict != request.Failed || len(h.sent) > 0 {
 		t.Errorf("%+v", c)
 	}
 }
@@ -340,7 +340,7 @@
 	sends, shared, refused := 0, 0, 0
 	for seed := range int64(24) {
 		rng := rand.New(rand.NewSource(seed))
-		h := &hands{sent: make(chan *exchange.Command, 1000), cancelled: make(chan router.SendID, 1000)}
+		h := &hands{sent: make(chan *request.Query, 1000), cancelled: make(chan router.SendID, 1000)}
 		now := 1e6
 		module := router.New(seed, router.Place{Controllers: 1}, nil, []router.Profile{{InOrder: true, Target: 1e6, Timeout: 1e7,
 			Threads: 1, LateShare: 1}}, nil, router.Allowed{MaxSends: 1}, router.Guards{OrderRest: 20})
@@ -348,20 +348,20 @@
 		l.SetEngines(h)
 		l.News(discovery.Update{Whole: true, Entries: []discovery.Entry{{Entry: router.Entry{Engine: "e", Kind: -1}}}}, true)
 		var active []*rules.Set // that were in force since the oldest command that is open came
-		var open, out []*exchange.Command
-		var resting []*exchange.Command // they are over, and a send of theirs may still run
-		rests := map[*exchange.Command]float64{}
-		since := map[*exchange.Command]int{} // place in active
+		var open, out []*request.Query
+		var resting []*request.Query // they are over, and a send of theirs may still run
+		rests := map[*request.Query]float64{}
+		since := map[*request.Query]int{} // place in active
 		var scratch rules.Scratch
-		key := func(s *rules.Set, c *exchange.Command) router.OrderKey { return s.Key(c.Described, &scratch) }
+		key := func(s *rules.Set, c *request.Query) router.OrderKey { return s.Key(c.Described, &scratch) }
 		active = append(active, nil)
-		check := func(c *exchange.Command) {
+		check := func(c *request.Query) {
 			sends++
 			oldest := len(active) - 1
 			for _, o := range open {
 				oldest = min(oldest, since[o])
 			}
-			resting = slices.DeleteFunc(resting, func(o *exchange.Command) bool { return now >= rests[o] })
+			resting = slices.DeleteFunc(resting, func(o *request.Query) bool { return now >= rests[o] })
 			for _, o := range resting {
 				oldest = min(oldest, since[o])
 			}
@@ -405,12 +405,12 @@
 			c := out[at]
 			out = slices.Delete(out, at, at+1)
 			outcome := []router.Outcome{router.Answered, router.Answered, router.Reset, router.Full}[rng.Intn(4)]
-			l.take(engines.Ended{Command: c, Outcome: outcome, Pages: [][]byte{nil}})
+			l.take(engines.Ended{Query: c, Outcome: outcome, Pages: [][]byte{nil}})
 			if outcome == router.Reset {
 				resting, rests[c] = append(resting, c), now+20
 			}
-			open = slices.DeleteFunc(open, func(o *exchange.Command) bool { return o == c })
-			if c.Answer().Verdict == exchange.None { // it had its only send; its answer comes with the step
+			open = slices.DeleteFunc(open, func(o *request.Query) bool { return o == c })
+			if c.Answer().Verdict == request.None { // it had its only send; its answer comes with the step
 				now++
 			}
 		}
@@ -418,12 +418,12 @@
 			switch x := rng.Intn(10); {
 			case x < 5:
 				store, brand := fmt.Sprintf("%d-%d", rng.Intn(2), rng.Intn(3)), fmt.Sprint(rng.Intn(3))
-				cmd := &exchange.Command{ID: fmt.Sprint("c", i), Tenant: -1, Read: time.Now(), Left: time.Hour,
+				cmd := &request.Query{ID: fmt.Sprint("c", i), Tenant: -1, Read: time.Now(), Left: time.Hour,
 					Described: &rules.Command{Labels: []match.Label{{Name: "store", Text: store}, {Name: "brand", Text: brand}},
 						Key: router.OrderKey([]string{"", "k", "s/0-0"}[rng.Intn(3)])}}
 				cmd.Key = cmd.Described.Key
 				open, since[cmd] = append(open, cmd), len(active)-1
-				l.take(clients.Taken{Command: cmd})
+				l.take(clients.Taken{Query: cmd})
 			case x < 9 && len(out) > 0:
 				end(rng.Intn(len(out)))
 			case x == 9:
@@ -475,7 +475,7 @@
 func TestHold(t *testing.T) {
 	module := router.New(1, router.Place{Controllers: 1}, []router.Kind{{Cores: 8, MemoryMB: 1000}},
 		[]router.Profile{{Target: 1000, Timeout: 5000, Threads: 1}}, nil, router.Allowed{MaxSends: 3}, router.Guards{})
-	h := &listing{hands: hands{sent: make(chan *exchange.Command, 10), cancelled: make(chan router.SendID, 10)}, states: map[router.EngineID]engines.Address{}}
+	h := &listing{hands: hands{sent: make(chan *request.Query, 10), cancelled: make(chan router.SendID, 10)}, states: map[router.EngineID]engines.Address{}}
 	l := New(module, SystemClock(), 10, 0)
 	l.SetEngines(h)
 	l.KeepList()
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -14,14 +14,14 @@
 	"time"
 
 	"mintkeel/internal/enginewire"
-	"mintkeel/internal/exchange"
+	"mintkeel/internal/request"
 	"mintkeel/internal/settings"
 	"mintkeel/router"
 )
 
 // send is one send on its connection.
 type send struct {
-	cmd       *exchange.Command
+	cmd       *request.Query
 	number    router.SendID
 	at, until time.Time
 	begin     time.Time // after which it must not be written; zero: none
@@ -39,7 +39,7 @@
 // tooLate tells that it must not be written any more: its connection may have come up after its command was answered,
 // or left by its client, or past the time by which it was to begin.
 func (s *send) tooLate(now time.Time) bool {
-	return !s.begin.IsZero() && now.After(s.begin) || s.cmd.Answer().Verdict != exchange.None
+	return !s.begin.IsZero() && now.After(s.begin) || s.cmd.Answer().Verdict != request.None
 }
 
 // item is something to be written; send is the one that it starts, if any.
@@ -213,7 +213,7 @@
 }
 
 // giveUp gives a send up if it is out here.
-func (c *conn) giveUp(cmd *exchange.Command, number router.SendID) {
+func (c *conn) giveUp(cmd *request.Query, number router.SendID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.sends[cmd.ID]; s != nil && s.cmd == cmd && s.number == number {
@@ -258,7 +258,7 @@
 			}
 		}
 	}
-	end := Ended{Command: s.cmd, Send: s.number, Outcome: outcome, Took: now.Sub(s.at), Load: s.load}
+	end := Ended{Query: s.cmd, Send: s.number, Outcome: outcome, Took: now.Sub(s.at), Load: s.load}
 	if outcome == router.Answered {
 		end.Pages = s.pages
 	}
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -14,8 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/limits"
+	"mintkeel/internal/request"
 	"mintkeel/router"
 )
 
@@ -23,7 +23,7 @@
 type (
 	// Ended is the outcome of a send; with Answered it comes when all pages are in.
 	Ended struct {
-		Command *exchange.Command
+		Query   *request.Query
 		Send    router.SendID
 		Outcome router.Outcome
 		Took    time.Duration
@@ -32,10 +32,10 @@
 	}
 	// Noted is word of a send that is out.
 	Noted struct {
-		Command *exchange.Command
-		Send    router.SendID
-		What    router.NoteKind
-		Level   float64
+		Query *request.Query
+		Send  router.SendID
+		What  router.NoteKind
+		Level float64
 	}
 	// Probed is what a ping found.
 	Probed struct {
@@ -212,7 +212,7 @@
 
 // Send writes a command to an engine, over a connection that it has not been on; its end is told by an Ended. What has
 // not gone out within begin, where that is above 0, does not go out any more.
-func (p *Pool) Send(cmd *exchange.Command, number router.SendID, to router.EngineID, within, begin time.Duration) {
+func (p *Pool) Send(cmd *request.Query, number router.SendID, to router.EngineID, within, begin time.Duration) {
 	now := time.Now()
 	s := &send{cmd: cmd, number: number, at: now, until: now.Add(within)}
 	if begin > 0 {
@@ -223,7 +223,7 @@
 		return
 	}
 	// The loop must not wait for room in its own inbox.
-	go p.post(Ended{Command: cmd, Send: number, Outcome: router.NotSent})
+	go p.post(Ended{Query: cmd, Send: number, Outcome: router.NotSent})
 }
 
 // put has a connection take a send on: an idle one, else a new one and, where there may be none, the one that
@@ -258,7 +258,7 @@
 }
 
 // Cancel gives a send up. Its Ended still comes: when the engine is known to have heard, or has had time to.
-func (p *Pool) Cancel(cmd *exchange.Command, number router.SendID, to router.EngineID) {
+func (p *Pool) Cancel(cmd *request.Query, number router.SendID, to router.EngineID) {
 	if e := p.engines[to]; e != nil {
 		for _, c := range e.conns {
 			c.giveUp(cmd, number)
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"mintkeel/internal/exchange"
 	"mintkeel/internal/limits"
+	"mintkeel/internal/request"
 	"mintkeel/router"
 )
 
@@ -57,7 +57,7 @@
 	r.pool.List([]Address{{Engine: "e", Dial: r.listener.Addr().String(), State: state}}, true)
 }
 
-func (r *rig) send(cmd *exchange.Command, number router.SendID) {
+func (r *rig) send(cmd *request.Query, number router.SendID) {
 	r.pool.Send(cmd, number, "e", time.Minute, 0)
 }
 
@@ -118,8 +118,8 @@
 	}
 }
 
-func command(id string) *exchange.Command {
-	return &exchange.Command{ID: id, Verb: "report", Statement: []byte("SELECT 1 FROM s_1.t"), Read: time.Now(),
+func command(id string) *request.Query {
+	return &request.Query{ID: id, Verb: "report", Statement: []byte("SELECT 1 FROM s_1.t"), Read: time.Now(),
 		Left: time.Minute}
 }
 
@@ -246,8 +246,8 @@
 	r.send(other, 0)
 	first.hearsDo("c2")
 	first.answers("c2", "ACK", "parts=1", "2\t2\t2\n")
-	if end := r.ended(0, router.Answered); end.Command != other {
-		t.Fatalf("the end of %s", end.Command.ID)
+	if end := r.ended(0, router.Answered); end.Query != other {
+		t.Fatalf("the end of %s", end.Query.ID)
 	}
 	second.answers("c1", "ACK", "parts=1", "new\tnew\tnew\n")
 	if end := r.ended(1, router.Answered); string(join(end.Pages)) != "new\tnew\tnew\n" {
@@ -646,18 +646,18 @@
 func TestComesUpTooLate(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		over func(c *conn, cmd *exchange.Command)
+		over func(c *conn, cmd *request.Query)
 	}{
-		{"its client has gone", func(_ *conn, cmd *exchange.Command) {
-			cmd.Finish(exchange.Answer{Verdict: exchange.Left})
+		{"its client has gone", func(_ *conn, cmd *request.Query) {
+			cmd.Finish(request.Answer{Verdict: request.Disconnected})
 		}},
-		{"answered", func(_ *conn, cmd *exchange.Command) { cmd.Finish(exchange.Answer{Verdict: exchange.Shed}) }},
-		{"past the time by which it was to begin", func(c *conn, _ *exchange.Command) {
+		{"answered", func(_ *conn, cmd *request.Query) { cmd.Finish(request.Answer{Verdict: request.Rejected}) }},
+		{"past the time by which it was to begin", func(c *conn, _ *request.Query) {
 			for _, it := range c.out {
 				it.send.begin = time.Now()
 			}
 		}},
-		{"given up", func(c *conn, cmd *exchange.Command) { c.giveUp(cmd, 1) }},
+		{"given up", func(c *conn, cmd *request.Query) { c.giveUp(cmd, 1) }},
 	} {
 		r := newRig(t, nil)
 		conn := newConn(r.pool, "e", r.listener.Addr().String())
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -11,7 +11,7 @@
 
 	"mintkeel/internal/clients"
 	"mintkeel/internal/engines"
-	"mintkeel/internal/exchange"
+	"mintkeel/internal/request"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/settings"
 	"mintkeel/router"
@@ -41,14 +41,14 @@
 		case <-ctx.Done():
 			return listener.Close()
 		case t := <-taken:
-			pool.Send(t.Command, 0, engine, t.Command.Left, 0)
+			pool.Send(t.Query, 0, engine, t.Query.Left, 0)
 		case ev := <-events:
 			if end, ok := ev.(engines.Ended); ok {
-				verdict := exchange.Shed
+				verdict := request.Rejected
 				if end.Outcome == router.Answered {
-					verdict = exchange.Answered
+					verdict = request.Succeeded
 				}
-				end.Command.Finish(exchange.Answer{Verdict: verdict, Pages: end.Pages})
+				end.Query.Finish(request.Answer{Verdict: verdict, Pages: end.Pages})
 			}
 		}
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/request/request.go
@@ -1,6 +1,6 @@
-// Package exchange holds the command: the one object in which the client's side and the engines' side meet. The
-// client's side fills it and waits on it, the controller's loop ends it, the engines' side reads its statement.
-package exchange
+// Package request holds a query in flight: the one object that the clients' side and the engines' side share. The clients'
+// side fills it and waits on it, the controller's loop finishes it, the engines' side reads its statement.
+package request
 
 import (
 	"sync"
@@ -10,26 +10,27 @@
 	"mintkeel/router"
 )
 
-// Verdict is how a command was answered.
+// Verdict is how a query was answered.
 type Verdict int
 
+// The verdicts. A query has None until it is finished.
 const (
-	None     Verdict = iota
-	Answered         // with rows
-	Shed             // trying again is harmless
-	Failed           // no promise
-	Left             // its client has gone, and is owed nothing
+	None         Verdict = iota
+	Succeeded            // with rows
+	Rejected             // load shedding: trying again is harmless
+	Failed               // no promise
+	Disconnected         // its client has gone, and is owed nothing
 )
 
-// Answer is a command's final answer.
+// Answer is a query's final answer.
 type Answer struct {
 	Verdict Verdict
 	Pages   [][]byte      // rows as an engine sent them
-	After   time.Duration // with Shed: how long to stay away; 0: no advice
+	After   time.Duration // with Rejected: how long to stay away; 0: no advice
 }
 
-// Command is one that a client wrote whole. The fields above mu don't change once it is posted.
-type Command struct {
+// Query is one that a client wrote whole. The fields above mu don't change once it is posted.
+type Query struct {
 	Number    router.CommandID // the loop's, set before anyone else has it
 	ID        string           // the client's, which goes on unchanged
 	Profile   router.ProfileID
@@ -49,7 +50,7 @@
 	First     bool          // it is the first on its connection
 	Read      time.Time     // when its last byte was read
 	Left      time.Duration // from then until it must be answered, a little before its client gives up
-	Patience  time.Duration // how long clients wait for such a command from when they want it, by the settings
+	Patience  time.Duration // how long clients wait for such a query from when they want it, by the settings
 
 	mu     sync.Mutex
 	answer Answer
@@ -57,22 +58,22 @@
 }
 
 // OnAnswer has wake called, once, when the answer is there. It must not block.
-func (c *Command) OnAnswer(wake func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wake = wake
+func (q *Query) OnAnswer(wake func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wake = wake
 }
 
 // Finish gives the final answer and reports whether it is the first: no later one takes effect, against a second
 // answer when a client leaves, a send ends and a timeout passes at one moment.
-func (c *Command) Finish(a Answer) bool {
-	c.mu.Lock()
-	first := c.answer.Verdict == None
+func (q *Query) Finish(a Answer) bool {
+	q.mu.Lock()
+	first := q.answer.Verdict == None
 	if first {
-		c.answer = a
+		q.answer = a
 	}
-	wake := c.wake
-	c.mu.Unlock()
+	wake := q.wake
+	q.mu.Unlock()
 	if first && wake != nil {
 		wake()
 	}
@@ -80,8 +81,8 @@
 }
 
 // Answer is the final answer; its verdict is None until there is one.
-func (c *Command) Answer() Answer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answer
+func (q *Query) Answer() Answer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answer
 }
