--- a/cmd/mintkeel/jobs.go
+++ b/cmd/mintkeel/jobs.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"mintkeel/internal/controller"
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/fleet"
 	"mintkeel/router"
 )
@@ -36,21 +36,21 @@
 func (d *daemon) learner() fleet.Learner {
 	l := fleet.Learner{Source: d.loop, Settings: d.identity().Settings, Log: d.log}
 	if !d.remembers {
-		l.Remember = func(learned router.Learned) { go d.restore(learned) } // it may wait
+		l.Remember = func(learned router.Learned) { go d.restoreDigest(learned) } // it may wait
 	}
 	return l
 }
 
-// restore takes over what the fleet knows. Where the fleet's configuration says whether this controller remembers for
+// restoreDigest takes over what the fleet knows. Where the fleet's configuration says whether this controller remembers for
 // itself, that is waited for.
-func (d *daemon) restore(learned router.Learned) {
+func (d *daemon) restoreDigest(learned router.Learned) {
 	if d.agreed != nil && !d.agreed.wantsDigest() {
 		return
 	}
 	d.loop.Post(controller.Remembered{Believe: func(list []router.Entry) router.Learned {
 		now := float64(time.Now().UnixMicro()) / 1e3
-		m := recall.Memory{Of: d.identity(), Learned: learned}
-		believed, account := recall.Believe(&m, d.identity(), list, now, recall.Usual())
+		m := restore.Snapshot{Of: d.identity(), Learned: learned}
+		believed, account := restore.Select(&m, d.identity(), list, now, restore.DefaultHalfLives())
 		d.log.Info("fleet: the digest", "believed", account.Believed, "aged", account.Aged, "future", account.Future,
 			"unknown", account.Unknown, "wrong", account.Wrong)
 		return believed
--- a/cmd/mintkeel/memory.go
+++ b/cmd/mintkeel/memory.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/memory"
 	"mintkeel/internal/store/disk"
@@ -41,7 +41,7 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
-			shown := memory.Show(kept, float64(time.Now().UnixMilli()), recall.Usual())
+			shown := memory.Show(kept, float64(time.Now().UnixMilli()), restore.DefaultHalfLives())
 			if asJSON {
 				return printJSON(c, shown)
 			}
--- a/cmd/mintkeel/restore.go
+++ b/cmd/mintkeel/restore.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/memory"
 	"mintkeel/internal/settings"
 	"mintkeel/internal/store/disk"
@@ -12,20 +12,20 @@
 )
 
 // identity tells whose memory this controller's is.
-func (d *daemon) identity() recall.Identity {
-	return recall.Identity{Name: d.start.Name, Settings: settings.Flatten(d.start.Settings).Sum()}
+func (d *daemon) identity() restore.Identity {
+	return restore.Identity{Name: d.start.Name, Settings: settings.Flatten(d.start.Settings).Sum()}
 }
 
-// recall has the loop told what an earlier run has learned, once the first engines are listed.
-func (d *daemon) recall() {
-	kept := memory.Recall(disk.Folder(d.file.Memory.Folder), d.limits, d.log)
+// restoreSnapshot has the loop told what an earlier run has learned, once the first engines are listed.
+func (d *daemon) restoreSnapshot() {
+	kept := memory.Restore(disk.Folder(d.file.Memory.Folder), d.limits, d.log)
 	if kept == nil {
 		return
 	}
 	d.remembers = true
-	d.loop.SetRecall(func(list []router.Entry) router.Learned {
+	d.loop.SetRestore(func(list []router.Entry) router.Learned {
 		now := float64(time.Now().UnixMicro()) / 1e3
-		learned, account := recall.Believe(&kept.Memory, d.identity(), list, now, recall.Usual())
+		learned, account := restore.Select(&kept.Memory, d.identity(), list, now, restore.DefaultHalfLives())
 		d.log.Info("remembered", "file", kept.File, "age_ms", int64(now-kept.Taken), "believed", account.Believed,
 			"aged", account.Aged, "future", account.Future, "unknown", account.Unknown, "wrong", account.Wrong,
 			"foreign", account.Foreign)
--- a/cmd/mintkeel/serve.go
+++ b/cmd/mintkeel/serve.go
@@ -121,7 +121,7 @@
 // serveClients opens the listener for clients and has them served by the file in force, until ctx ends.
 func (d *daemon) serveClients(ctx context.Context) (net.Listener, error) {
 	if d.file.Memory != nil {
-		d.recall()
+		d.restoreSnapshot()
 	}
 	if d.file.Fleet != nil {
 		d.loop.KeepList()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,7 +69,7 @@
 	epochs   rules.Epochs // by which keys are given
 	trains   spacing.Trains
 	wake     *time.Timer
-	recall   func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
+	restore  func(list []router.Entry) router.Learned // nil: nothing is remembered, or it was put in
 	listed   map[router.EngineID]router.Entry         // nil: nobody may remember something later, or hold engines
 	dials    map[router.EngineID]string               // where they are
 	held     map[router.EngineID]bool                 // taken for draining, whatever the list says
@@ -126,9 +126,9 @@
 	}
 }
 
-// SetRecall hands over, before Run and before any news, who tells what is still believed of an earlier run, once the
+// SetRestore hands over, before Run and before any news, who tells what is still believed of an earlier run, once the
 // first engines of a list are there to be known by it.
-func (l *Loop) SetRecall(recall func(list []router.Entry) router.Learned) { l.recall = recall }
+func (l *Loop) SetRestore(restore func(list []router.Entry) router.Learned) { l.restore = restore }
 
 // newRules is posted by SetRules.
 type newRules struct {
@@ -471,9 +471,9 @@
 			}
 		}
 	}
-	if l.recall != nil && len(listed.Entries) > 0 {
-		l.events = append(l.events, router.Recalled{Learned: l.recall(listed.Entries)})
-		l.recall = nil
+	if l.restore != nil && len(listed.Entries) > 0 {
+		l.events = append(l.events, router.Recalled{Learned: l.restore(listed.Entries)})
+		l.restore = nil
 	}
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -318,7 +318,7 @@
 	fresh := New(router.New(1, router.Place{}, nil, nil, nil, router.Allowed{}, router.Guards{}), SystemClock(), 1, 0)
 	fresh.SetEngines(&hands{})
 	asked := 0
-	fresh.SetRecall(func(list []router.Entry) router.Learned {
+	fresh.SetRestore(func(list []router.Entry) router.Learned {
 		if asked++; len(list) != 1 {
 			t.Errorf("asked with %d engines", len(list))
 		}
--- a/internal/core/fleet/digest/digest.go
+++ b/internal/core/fleet/digest/digest.go
@@ -1,5 +1,5 @@
 // Package digest merges what several controllers have learned into what one that starts with nothing can begin with. It is
-// free of I/O and clocks. Like what is remembered past a restart, a digest only steers: core/recall decides what of it is
+// free of I/O and clocks. Like what is remembered past a restart, a digest only steers: core/restore decides what of it is
 // believed, and no rule rests on it.
 package digest
 
@@ -10,7 +10,7 @@
 	"slices"
 
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/router"
 )
 
@@ -80,7 +80,7 @@
 // Merge is what the sources know together: each figure by weight and age, health by who saw an engine last. Which engines
 // belong together is one controller's word, or leads of one would name engines of another: that of whom most is asked,
 // as its moves rest on most.
-func (g *Gathered) Merge(now float64, lives recall.Lives) (l router.Learned) {
+func (g *Gathered) Merge(now float64, lives restore.HalfLives) (l router.Learned) {
 	sources := g.fresh(now)
 	lead := leading(sources)
 	l.Engines = mergeEngines(sources, lead, now, lives)
@@ -111,7 +111,7 @@
 	since float64
 }
 
-func mergeEngines(sources []Source, lead int, now float64, lives recall.Lives) (out []router.LearnedEngine) {
+func mergeEngines(sources []Source, lead int, now float64, lives restore.HalfLives) (out []router.LearnedEngine) {
 	type sum struct {
 		pace, width mean
 		latest      router.LearnedEngine
@@ -130,8 +130,8 @@
 				sums[p] = x
 			}
 			age := now - e.At
-			x.pace.add(e.Pace.Mean, e.Pace.Weight*recall.Factor(age, lives.Pace))
-			x.width.add(e.Width, recall.Factor(age, lives.Width))
+			x.pace.add(e.Pace.Mean, e.Pace.Weight*restore.Factor(age, lives.Pace))
+			x.width.add(e.Width, restore.Factor(age, lives.Width))
 			if e.At > x.latest.At {
 				x.latest = e
 			}
@@ -152,7 +152,7 @@
 	return out
 }
 
-func mergeTables(sources []Source, lead int, now float64, lives recall.Lives) (out []router.LearnedTables) {
+func mergeTables(sources []Source, lead int, now float64, lives restore.HalfLives) (out []router.LearnedTables) {
 	type sum struct {
 		demand, held float64
 		latest       router.LearnedTables
@@ -160,7 +160,7 @@
 	}
 	sums, weights := map[router.TableGroup]*sum{}, 0.0
 	for i, s := range sources {
-		f := recall.Factor(now-s.At, lives.Tables)
+		f := restore.Factor(now-s.At, lives.Tables)
 		weights += f
 		for _, t := range s.Learned.Tables {
 			if !(t.Demand >= 0) || !(t.Held >= 0) || math.IsInf(t.Demand+t.Held, 0) {
@@ -197,7 +197,7 @@
 	return out
 }
 
-func mergeProfiles(sources []Source, now float64, lives recall.Lives) (out []router.LearnedProfile) {
+func mergeProfiles(sources []Source, now float64, lives restore.HalfLives) (out []router.LearnedProfile) {
 	type sum struct {
 		best, work, need mean
 		left             float64
@@ -211,7 +211,7 @@
 				x = &sum{}
 				sums[p.Profile] = x
 			}
-			f := recall.Factor(now-p.At, lives.Profile)
+			f := restore.Factor(now-p.At, lives.Profile)
 			if p.Best > 0 {
 				x.best.add(p.Best, f)
 			}
--- a/internal/core/fleet/digest/digest_test.go
+++ b/internal/core/fleet/digest/digest_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"mintkeel/internal/core/fleet/members"
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/router"
 )
 
@@ -28,7 +28,7 @@
 		Tables: []router.LearnedTables{{At: now, Tables: 1, Demand: 2, Homes: []router.EngineID{"s1"}},
 			{At: now, Tables: 2, Demand: 4}, {At: now, Tables: 3, Demand: math.Inf(1)}},
 		Profiles: []router.LearnedProfile{{At: now, Best: 4, FullLeft: 1000, WorkScale: router.Weighed{Mean: 3, Weight: 3}}}}})
-	l := g.Merge(now, recall.Usual())
+	l := g.Merge(now, restore.DefaultHalfLives())
 	if len(l.Engines) != 2 || len(l.Tables) != 2 || len(l.Profiles) != 1 {
 		t.Fatalf("%+v", l)
 	}
@@ -45,7 +45,7 @@
 	if p := l.Profiles[0]; p.FullLeft != 1000 || p.Best != 3 || p.WorkScale.Mean != 2.5 {
 		t.Errorf("profile %+v", p)
 	}
-	if l := g.Merge(now+mostAge+1, recall.Usual()); l.Len() != 0 {
+	if l := g.Merge(now+mostAge+1, restore.DefaultHalfLives()); l.Len() != 0 {
 		t.Errorf("old words count: %+v", l)
 	}
 }
@@ -63,7 +63,7 @@
 		h.Put(sources[len(sources)-1-i])
 	}
 	h.Put(Source{From: "9", At: 1})
-	if a, b := fmt.Sprint(g.Merge(20, recall.Usual())), fmt.Sprint(h.Merge(20, recall.Usual())); a != b {
+	if a, b := fmt.Sprint(g.Merge(20, restore.DefaultHalfLives())), fmt.Sprint(h.Merge(20, restore.DefaultHalfLives())); a != b {
 		t.Errorf("%s\n%s", a, b)
 	}
 }
@@ -78,7 +78,7 @@
 		}
 		g.Put(s)
 	}
-	l := g.Merge(200, recall.Usual())
+	l := g.Merge(200, restore.DefaultHalfLives())
 	if g.Len(200) > mostSources || len(l.Tables) > MostTables || len(l.Engines) > MostEngines {
 		t.Errorf("%d sources, %d table groups, %d engines", g.Len(200), len(l.Tables), len(l.Engines))
 	}
--- a/internal/core/recall/recall.go
+++ b/internal/core/restore/restore.go
@@ -1,7 +1,7 @@
-// Package recall decides what is still believed of what an earlier run of a controller learned. It is free of I/O and
+// Package restore decides what of the statistics of an earlier run of a controller still counts. It is free of I/O and
 // clocks, and stands beside the loop: asked once, when the first list of engines is there. What it lets through can
 // only steer and guard: the module takes no figure of it into anything that a rule rests on.
-package recall
+package restore
 
 import (
 	"cmp"
@@ -11,22 +11,22 @@
 	"mintkeel/router"
 )
 
-// Identity tells whose memory it is. Memory of another controller, or from under other settings, is not believed:
-// profiles, kinds and tenants are known by their places in the settings.
+// Identity tells which controller a snapshot is of. One of another controller, or from under other settings, does not
+// count: profiles, kinds and tenants are known by their places in the settings.
 type Identity struct {
 	Name     string
 	Settings uint64 // a hash of the settings
 }
 
-// Memory is what was kept, as it was read.
-type Memory struct {
+// Snapshot is what was stored, as it was read.
+type Snapshot struct {
 	Of      Identity
 	Learned router.Learned
 }
 
-// Lives are the times in ms after which a record of each kind weighs half. Zero: it is not believed at all; infinite:
+// HalfLives are the times in ms after which a record of each kind weighs half. Zero: it does not count at all; infinite:
 // it never ages.
-type Lives struct {
+type HalfLives struct {
 	Pace    float64 // how slow an engine is
 	Health  float64 // outcomes of its last sends
 	Width   float64 // threads a core that it bears
@@ -36,14 +36,14 @@
 	Traffic float64 // this controller's part of the traffic
 }
 
-// Usual are the lives by which memory is believed. An engine's trouble passes or gets it replaced within a minute or
+// DefaultHalfLives are those in use. An engine's trouble passes or gets it replaced within a minute or
 // two; its caches hold as long as nobody else has filled them. How commands run, and how much is asked of each table
 // group beside the others, holds for days: with it table groups are packed at once and not after the first seconds, in
 // which a controller without memory spreads all of them over all engines (docs/results.md). The module lets go of both
 // within seconds where answers tell otherwise.
-func Usual() Lives {
+func DefaultHalfLives() HalfLives {
 	const second, minute, day = 1000.0, 60 * 1000.0, 24 * 60 * 60 * 1000.0
-	return Lives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * day,
+	return HalfLives{Pace: 30 * second, Health: 20 * second, Width: 2 * minute, Homes: 2 * minute, Tables: 3 * day,
 		Profile: 3 * day, Traffic: minute}
 }
 
@@ -82,21 +82,21 @@
 	return math.Exp2(-age / life)
 }
 
-// judge ages records and keeps the account.
-type judge struct {
+// selector ages records and counts what became of them.
+type selector struct {
 	now     float64
-	lives   Lives
+	lives   HalfLives
 	account Account
 }
 
 // factor is that of a record taken out at a time, or 0, which is then accounted for.
-func (j *judge) factor(at, life float64) float64 {
-	f := Factor(j.now-at, life)
+func (s *selector) factor(at, life float64) float64 {
+	f := Factor(s.now-at, life)
 	if f < leastBelief {
-		if j.now-at < -clockSlack {
-			j.account.Future++
+		if s.now-at < -clockSlack {
+			s.account.Future++
 		} else {
-			j.account.Aged++
+			s.account.Aged++
 		}
 		return 0
 	}
@@ -107,23 +107,23 @@
 	return !slices.ContainsFunc(xs, func(x float64) bool { return math.IsNaN(x) || math.IsInf(x, 0) || x < 0 })
 }
 
-// Believe returns what is still believed of a memory: by this controller, with this list of engines, at a time in the
+// Select returns what of a snapshot still counts for this controller, with this list of engines, at a time in the
 // module's ms. The records come out ordered by id, each with the weight that is left.
-func Believe(m *Memory, of Identity, list []router.Entry, now float64, lives Lives) (router.Learned, Account) {
-	j := &judge{now: now, lives: lives}
+func Select(m *Snapshot, of Identity, list []router.Entry, now float64, lives HalfLives) (router.Learned, Account) {
+	s := &selector{now: now, lives: lives}
 	if m.Of != of {
-		j.account.Foreign = m.Learned.Len()
-		return router.Learned{}, j.account
+		s.account.Foreign = m.Learned.Len()
+		return router.Learned{}, s.account
 	}
-	l := router.Learned{Engines: j.engines(m.Learned.Engines, list), Profiles: j.profiles(m.Learned.Profiles),
-		Traffic: j.traffic(m.Learned.Traffic)}
-	l.Tables = j.tables(m.Learned.Tables, len(list))
-	j.account.Believed = l.Len()
-	return l, j.account
+	l := router.Learned{Engines: s.engines(m.Learned.Engines, list), Profiles: s.profiles(m.Learned.Profiles),
+		Traffic: s.traffic(m.Learned.Traffic)}
+	l.Tables = s.tables(m.Learned.Tables, len(list))
+	s.account.Believed = l.Len()
+	return l, s.account
 }
 
 // once passes each id once, in the records' order of ids; later ones are wrong.
-func once[T any, K cmp.Ordered](j *judge, records []T, id func(*T) K, most int) []T {
+func once[T any, K cmp.Ordered](s *selector, records []T, id func(*T) K, most int) []T {
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b T) int { return cmp.Compare(id(&a), id(&b)) })
 	n := len(sorted)
@@ -131,35 +131,35 @@
 	if len(sorted) > most {
 		sorted = sorted[:most]
 	}
-	j.account.Wrong += n - len(sorted)
+	s.account.Wrong += n - len(sorted)
 	return sorted
 }
 
-func (j *judge) engines(records []router.LearnedEngine, list []router.Entry) (out []router.LearnedEngine) {
+func (s *selector) engines(records []router.LearnedEngine, list []router.Entry) (out []router.LearnedEngine) {
 	since := make(map[router.EngineID]float64, len(list))
 	for _, e := range list {
 		if e.State == router.Ready {
 			since[e.Engine] = e.Since
 		}
 	}
-	for _, e := range once(j, records, func(e *router.LearnedEngine) router.EngineID { return e.Engine }, mostEngines) {
+	for _, e := range once(s, records, func(e *router.LearnedEngine) router.EngineID { return e.Engine }, mostEngines) {
 		started, listed := since[e.Engine]
 		switch {
 		case !finite(e.At, e.Since, e.Pace.Mean, e.Pace.Weight, e.Width):
-			j.account.Wrong++
+			s.account.Wrong++
 			continue
 		case !listed || started != e.Since:
-			j.account.Unknown++
+			s.account.Unknown++
 			continue
 		}
-		age := j.now - e.At
-		if j.factor(e.At, max(j.lives.Pace, j.lives.Health, j.lives.Width, j.lives.Homes)) == 0 {
+		age := s.now - e.At
+		if s.factor(e.At, max(s.lives.Pace, s.lives.Health, s.lives.Width, s.lives.Homes)) == 0 {
 			continue
 		}
-		e.Pace.Weight = min(mostPaceN, e.Pace.Weight) * Factor(age, j.lives.Pace)
-		e.Width = usualWidth + (e.Width-usualWidth)*Factor(age, j.lives.Width)
-		e.Outcomes = fadeOutcomes(e.Outcomes, Factor(age, j.lives.Health))
-		if Factor(age, j.lives.Homes) < leastBelief {
+		e.Pace.Weight = min(mostPaceN, e.Pace.Weight) * Factor(age, s.lives.Pace)
+		e.Width = usualWidth + (e.Width-usualWidth)*Factor(age, s.lives.Width)
+		e.Outcomes = fadeOutcomes(e.Outcomes, Factor(age, s.lives.Health))
+		if Factor(age, s.lives.Homes) < leastBelief {
 			e.Lead = ""
 		}
 		out = append(out, e)
@@ -173,14 +173,14 @@
 	return outcomes | uint8(0xff<<kept)
 }
 
-func (j *judge) profiles(records []router.LearnedProfile) (out []router.LearnedProfile) {
-	for _, p := range once(j, records, func(p *router.LearnedProfile) router.ProfileID { return p.Profile }, mostTables) {
+func (s *selector) profiles(records []router.LearnedProfile) (out []router.LearnedProfile) {
+	for _, p := range once(s, records, func(p *router.LearnedProfile) router.ProfileID { return p.Profile }, mostTables) {
 		if p.Profile < 0 || !finite(p.At, p.FullLeft, p.Best, p.WorkScale.Mean, p.WorkScale.Weight, p.NeedScale.Mean,
 			p.NeedScale.Weight) {
-			j.account.Wrong++
+			s.account.Wrong++
 			continue
 		}
-		f := j.factor(p.At, j.lives.Profile)
+		f := s.factor(p.At, s.lives.Profile)
 		if f == 0 {
 			continue
 		}
@@ -191,13 +191,13 @@
 	return out
 }
 
-func (j *judge) traffic(records []router.LearnedTraffic) (out []router.LearnedTraffic) {
+func (s *selector) traffic(records []router.LearnedTraffic) (out []router.LearnedTraffic) {
 	for _, t := range records {
 		if len(out) > 0 || !finite(t.At, t.Part.Mean, t.Part.Weight) || t.Part.Mean > 1 {
-			j.account.Wrong++
+			s.account.Wrong++
 			continue
 		}
-		if f := j.factor(t.At, j.lives.Traffic); f > 0 {
+		if f := s.factor(t.At, s.lives.Traffic); f > 0 {
 			t.Part.Weight = min(mostTraffic, t.Part.Weight) * f
 			out = append(out, t)
 		}
@@ -206,25 +206,25 @@
 }
 
 // tables passes those that are asked for most, as many as can be put in at once with so many engines.
-func (j *judge) tables(records []router.LearnedTables, engines int) (out []router.LearnedTables) {
-	for _, t := range once(j, records, func(t *router.LearnedTables) router.TableGroup { return t.Tables }, len(records)) {
+func (s *selector) tables(records []router.LearnedTables, engines int) (out []router.LearnedTables) {
+	for _, t := range once(s, records, func(t *router.LearnedTables) router.TableGroup { return t.Tables }, len(records)) {
 		if !finite(t.At, t.Demand, t.Held) || t.Demand > mostRate {
-			j.account.Wrong++
+			s.account.Wrong++
 			continue
 		}
-		f := j.factor(t.At, j.lives.Tables)
+		f := s.factor(t.At, s.lives.Tables)
 		if f == 0 {
 			continue
 		}
 		t.Demand, t.Held = t.Demand*f, t.Held*f
-		if Factor(j.now-t.At, j.lives.Homes) < leastBelief {
+		if Factor(s.now-t.At, s.lives.Homes) < leastBelief {
 			t.Homes = nil
 		}
 		out = append(out, t)
 	}
 	if most := min(mostTables, mostFits/max(1, engines)); len(out) > most {
 		slices.SortStableFunc(out, func(a, b router.LearnedTables) int { return cmp.Compare(b.Demand, a.Demand) })
-		j.account.Wrong += len(out) - most
+		s.account.Wrong += len(out) - most
 		out = out[:most]
 		slices.SortFunc(out, func(a, b router.LearnedTables) int { return cmp.Compare(a.Tables, b.Tables) })
 	}
--- a/internal/core/recall/recall_test.go
+++ b/internal/core/restore/restore_test.go
@@ -1,4 +1,4 @@
-package recall
+package restore
 
 import (
 	"flag"
@@ -14,9 +14,9 @@
 )
 
 // ageless are the lives of the plain baseline: all is believed as if it had just been learned.
-func ageless() Lives {
+func ageless() HalfLives {
 	inf := math.Inf(1)
-	return Lives{inf, inf, inf, inf, inf, inf, inf}
+	return HalfLives{inf, inf, inf, inf, inf, inf, inf}
 }
 
 func TestMain(m *testing.M) {
@@ -34,9 +34,9 @@
 )
 
 // memory is one of each record, taken out so many ms ago.
-func memory(age float64) *Memory {
+func memory(age float64) *Snapshot {
 	at := now - age
-	return &Memory{Of: me, Learned: router.Learned{
+	return &Snapshot{Of: me, Learned: router.Learned{
 		Engines: []router.LearnedEngine{{At: at, Engine: "a", Pace: router.Weighed{Mean: 5, Weight: 3}, Width: 1.6,
 			Outcomes: 0b11110000, Lead: "a"}},
 		Tables:   []router.LearnedTables{{At: at, Tables: 7, Demand: 2, Held: 40, Homes: []router.EngineID{"a"}}},
@@ -47,11 +47,11 @@
 
 // What is left of each record by its age, and how the rest is accounted for.
 func TestAgeing(t *testing.T) {
-	u := Usual()
+	u := DefaultHalfLives()
 	for _, c := range []struct {
 		name                              string
 		age                               float64
-		lives                             Lives
+		lives                             HalfLives
 		engines, tables, profiles, traffc int
 		account                           Account
 	}{
@@ -64,9 +64,9 @@
 		{"a day", 24 * 3600e3, u, 0, 1, 1, 0, Account{Believed: 2, Aged: 2}},
 		{"two weeks", 14 * 24 * 3600e3, u, 0, 0, 0, 0, Account{Aged: 4}},
 		{"a day, by the plain baseline", 24 * 3600e3, ageless(), 1, 1, 1, 1, Account{Believed: 4}},
-		{"no life at all", 0, Lives{}, 0, 0, 0, 0, Account{Aged: 4}},
+		{"no life at all", 0, HalfLives{}, 0, 0, 0, 0, Account{Aged: 4}},
 	} {
-		l, account := Believe(memory(c.age), me, list, now, c.lives)
+		l, account := Select(memory(c.age), me, list, now, c.lives)
 		if len(l.Engines) != c.engines || len(l.Tables) != c.tables || len(l.Profiles) != c.profiles ||
 			len(l.Traffic) != c.traffc || account != c.account {
 			t.Errorf("%s: %+v, %+v", c.name, l, account)
@@ -76,8 +76,8 @@
 
 // Each figure fades towards what holds of an engine that is not known, by its own life.
 func TestFading(t *testing.T) {
-	u := Usual()
-	at := func(age float64) router.Learned { l, _ := Believe(memory(age), me, list, now, u); return l }
+	u := DefaultHalfLives()
+	at := func(age float64) router.Learned { l, _ := Select(memory(age), me, list, now, u); return l }
 	if e := at(0).Engines[0]; e.Pace.Weight != 3 || e.Width != 1.6 || e.Outcomes != 0b11110000 || e.Lead != "a" {
 		t.Errorf("fresh: %+v", e)
 	}
@@ -109,29 +109,29 @@
 	nan, inf := math.NaN(), math.Inf(1)
 	for _, c := range []struct {
 		name   string
-		change func(m *Memory)
+		change func(m *Snapshot)
 		left   int
 		tell   Account
 	}{
-		{"another controller's", func(m *Memory) { m.Of.Name = "n4" }, 0, Account{Foreign: 4}},
-		{"other settings", func(m *Memory) { m.Of.Settings++ }, 0, Account{Foreign: 4}},
-		{"an engine not listed", func(m *Memory) { m.Learned.Engines[0].Engine = "c" }, 3, Account{Believed: 3, Unknown: 1}},
-		{"an engine that drains", func(m *Memory) { m.Learned.Engines[0].Engine = "d" }, 3, Account{Believed: 3, Unknown: 1}},
-		{"another process", func(m *Memory) { m.Learned.Engines[0].Since = 5 }, 3, Account{Believed: 3, Unknown: 1}},
-		{"a pace that is no number", func(m *Memory) { m.Learned.Engines[0].Pace.Mean = nan }, 3, Account{Believed: 3, Wrong: 1}},
-		{"a width without end", func(m *Memory) { m.Learned.Engines[0].Width = inf }, 3, Account{Believed: 3, Wrong: 1}},
-		{"a weight below zero", func(m *Memory) { m.Learned.Engines[0].Pace.Weight = -1 }, 3, Account{Believed: 3, Wrong: 1}},
-		{"a demand that can't be", func(m *Memory) { m.Learned.Tables[0].Demand = 1e9 }, 3, Account{Believed: 3, Wrong: 1}},
-		{"no profile", func(m *Memory) { m.Learned.Profiles[0].Profile = -1 }, 3, Account{Believed: 3, Wrong: 1}},
-		{"more than all traffic", func(m *Memory) { m.Learned.Traffic[0].Part.Mean = 1.1 }, 3, Account{Believed: 3, Wrong: 1}},
-		{"a time that is no number", func(m *Memory) { m.Learned.Traffic[0].At = nan }, 3, Account{Believed: 3, Wrong: 1}},
-		{"twice the same engine", func(m *Memory) {
+		{"another controller's", func(m *Snapshot) { m.Of.Name = "n4" }, 0, Account{Foreign: 4}},
+		{"other settings", func(m *Snapshot) { m.Of.Settings++ }, 0, Account{Foreign: 4}},
+		{"an engine not listed", func(m *Snapshot) { m.Learned.Engines[0].Engine = "c" }, 3, Account{Believed: 3, Unknown: 1}},
+		{"an engine that drains", func(m *Snapshot) { m.Learned.Engines[0].Engine = "d" }, 3, Account{Believed: 3, Unknown: 1}},
+		{"another process", func(m *Snapshot) { m.Learned.Engines[0].Since = 5 }, 3, Account{Believed: 3, Unknown: 1}},
+		{"a pace that is no number", func(m *Snapshot) { m.Learned.Engines[0].Pace.Mean = nan }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a width without end", func(m *Snapshot) { m.Learned.Engines[0].Width = inf }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a weight below zero", func(m *Snapshot) { m.Learned.Engines[0].Pace.Weight = -1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a demand that can't be", func(m *Snapshot) { m.Learned.Tables[0].Demand = 1e9 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"no profile", func(m *Snapshot) { m.Learned.Profiles[0].Profile = -1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"more than all traffic", func(m *Snapshot) { m.Learned.Traffic[0].Part.Mean = 1.1 }, 3, Account{Believed: 3, Wrong: 1}},
+		{"a time that is no number", func(m *Snapshot) { m.Learned.Traffic[0].At = nan }, 3, Account{Believed: 3, Wrong: 1}},
+		{"twice the same engine", func(m *Snapshot) {
 			m.Learned.Engines = append(m.Learned.Engines, m.Learned.Engines[0])
 		}, 4, Account{Believed: 4, Wrong: 1}},
 	} {
 		m := memory(0)
 		c.change(m)
-		if l, account := Believe(m, me, list, now, Usual()); l.Len() != c.left || account != c.tell {
+		if l, account := Select(m, me, list, now, DefaultHalfLives()); l.Len() != c.left || account != c.tell {
 			t.Errorf("%s: %d left, %+v", c.name, l.Len(), account)
 		}
 	}
@@ -139,7 +139,7 @@
 
 // Of more table groups than can be put in at once those are passed that are asked for most, by id.
 func TestMostTables(t *testing.T) {
-	m := &Memory{Of: me}
+	m := &Snapshot{Of: me}
 	for i := range 1000 {
 		m.Learned.Tables = append(m.Learned.Tables, router.LearnedTables{At: now, Tables: router.TableGroup(i),
 			Demand: float64(i * 7919 % 1000)})
@@ -148,7 +148,7 @@
 	for range mostFits / 100 {
 		many = append(many, router.Entry{})
 	}
-	l, account := Believe(m, me, many, now, Usual())
+	l, account := Select(m, me, many, now, DefaultHalfLives())
 	if len(l.Tables) != 100 || account.Wrong != 900 {
 		t.Fatalf("%d left, %+v", len(l.Tables), account)
 	}
@@ -174,7 +174,7 @@
 		return router.EngineID(s)
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		m := &Memory{Of: me}
+		m := &Snapshot{Of: me}
 		for range rapid.IntRange(0, 6).Draw(t, "engines") {
 			m.Learned.Engines = append(m.Learned.Engines, router.LearnedEngine{At: odd(t, "at"), Engine: id.Draw(t, "id"),
 				Since: rapid.SampledFrom([]float64{0, now - 1e6, 5}).Draw(t, "since"), Pace: weighed(t),
@@ -189,8 +189,8 @@
 			WorkScale: weighed(t), NeedScale: weighed(t)}}
 		m.Learned.Traffic = []router.LearnedTraffic{{At: odd(t, "at"), Part: weighed(t)}}
 		before := clone(m)
-		sooner, _ := Believe(m, me, list, now, Usual())
-		later, account := Believe(m, me, list, now+30000, Usual())
+		sooner, _ := Select(m, me, list, now, DefaultHalfLives())
+		later, account := Select(m, me, list, now+30000, DefaultHalfLives())
 		if before != clone(m) {
 			t.Fatal("the memory itself was changed")
 		}
@@ -230,4 +230,4 @@
 }
 
 // clone is the text of a memory, in which what is no number equals itself.
-func clone(m *Memory) string { return fmt.Sprint(*m) }
+func clone(m *Snapshot) string { return fmt.Sprint(*m) }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -15,7 +15,7 @@
 	"mintkeel/internal/core/fleet/lease"
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/fleet/frames"
 	"mintkeel/internal/memory"
 	"mintkeel/router"
@@ -228,7 +228,7 @@
 	if d.gathered.Len(now) == 0 {
 		return
 	}
-	merged := d.gathered.Merge(now, recall.Usual())
+	merged := d.gathered.Merge(now, restore.DefaultHalfLives())
 	t := &told{Settings: d.learner.Settings, Now: now, Whole: true, Data: pack(&merged)}
 	data, err := cbor.Marshal(t)
 	if err != nil {
--- a/internal/lab/kills/kills.go
+++ b/internal/lab/kills/kills.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/memory"
 	"mintkeel/internal/store/disk"
@@ -26,7 +26,7 @@
 )
 
 // Identity is that of the killed.
-var Identity = recall.Identity{Name: "killed", Settings: 1}
+var Identity = restore.Identity{Name: "killed", Settings: 1}
 
 // Records are those of each snapshot; each part carries the snapshot's generation, so that one of two would show.
 const Records = 400
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -11,8 +11,8 @@
 
 	"mintkeel/internal/clients"
 	"mintkeel/internal/engines"
-	"mintkeel/internal/request"
 	"mintkeel/internal/limits"
+	"mintkeel/internal/request"
 	"mintkeel/internal/settings"
 	"mintkeel/router"
 )
--- a/internal/lab/worlds/controllers.go
+++ b/internal/lab/worlds/controllers.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/router"
 )
 
@@ -45,8 +45,8 @@
 	}
 	sim.deliver(c, router.Listed{Whole: true, Cached: true, Entries: entries})
 	if sim.Memory == Persisted && c.incarnation > 1 {
-		m := &recall.Memory{Learned: c.saved}
-		learned, _ := recall.Believe(m, recall.Identity{}, entries, sim.now, recall.Usual())
+		m := &restore.Snapshot{Learned: c.saved}
+		learned, _ := restore.Select(m, restore.Identity{}, entries, sim.now, restore.DefaultHalfLives())
 		sim.deliver(c, router.Recalled{Learned: learned})
 	}
 	if sim.Memory == Hostile {
--- a/internal/memory/bench_test.go
+++ b/internal/memory/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/snapshots"
 	"mintkeel/router"
@@ -55,10 +55,10 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			l, list := sized(n)
-			m := &recall.Memory{Of: me, Learned: l}
+			m := &restore.Snapshot{Of: me, Learned: l}
 			b.ReportAllocs()
 			for b.Loop() {
-				recall.Believe(m, me, list, 1e6+5000, recall.Usual())
+				restore.Select(m, me, list, 1e6+5000, restore.DefaultHalfLives())
 			}
 		})
 	}
@@ -69,7 +69,7 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			l, list := sized(n)
-			believed, _ := recall.Believe(&recall.Memory{Of: me, Learned: l}, me, list, 1e6, recall.Usual())
+			believed, _ := restore.Select(&restore.Snapshot{Of: me, Learned: l}, me, list, 1e6, restore.DefaultHalfLives())
 			for b.Loop() {
 				module(believed, list)
 			}
--- a/internal/memory/form.go
+++ b/internal/memory/form.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/store/snapshots"
 	"mintkeel/router"
 )
@@ -209,7 +209,7 @@
 		if err := decoder.Unmarshal(s.Payload, &h); err != nil || len(h.Name) > mostText || len(h.Build) > mostText {
 			return fmt.Errorf("%w: its head", errForm)
 		}
-		into.Memory.Of = recall.Identity{Name: h.Name, Settings: h.Settings}
+		into.Memory.Of = restore.Identity{Name: h.Name, Settings: h.Settings}
 		into.Taken, into.Build, into.head = float64(h.Taken), h.Build, true
 		return nil
 	case sectionEngines:
--- a/internal/memory/inspect.go
+++ b/internal/memory/inspect.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/snapshots"
 	"mintkeel/router"
@@ -67,20 +67,20 @@
 
 // Show judges a snapshot as a controller of its name and settings would at a time in ms since 1970, whose list holds
 // the same engines.
-func Show(k *Kept, now float64, lives recall.Lives) *Shown {
+func Show(k *Kept, now float64, lives restore.HalfLives) *Shown {
 	l := &k.Memory.Learned
 	var list []router.Entry
 	for _, e := range l.Engines {
 		list = append(list, router.Entry{Engine: e.Engine, Since: e.Since})
 	}
-	_, account := recall.Believe(&k.Memory, k.Memory.Of, list, now, lives)
+	_, account := restore.Select(&k.Memory, k.Memory.Of, list, now, lives)
 	s := &Shown{File: k.File, Serial: k.Serial, Name: k.Memory.Of.Name, Build: k.Build, AgeMS: int64(now - k.Taken),
 		Whole: k.Whole, Records: l.Len(), Believed: account.Believed, Aged: account.Aged, Future: account.Future,
 		Wrong: account.Wrong}
 	record := func(at float64, lives ...float64) ShownRecord {
 		r := ShownRecord{AgeMS: int64(now - at)}
 		for _, life := range lives {
-			r.Weighs = max(r.Weighs, recall.Factor(now-at, life))
+			r.Weighs = max(r.Weighs, restore.Factor(now-at, life))
 		}
 		return r
 	}
--- a/internal/memory/kept.go
+++ b/internal/memory/kept.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/snapshots"
@@ -17,7 +17,7 @@
 	Serial uint64
 	Taken  float64 // ms since 1970, by the clock of the machine that wrote it
 	Build  string
-	Memory recall.Memory
+	Memory restore.Snapshot
 	Whole  bool // else some of its sections could not be used, and are left out
 	head   bool
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -1,6 +1,6 @@
 // Package memory keeps what the module learns in a folder, so that a controller that restarts starts with what still
 // holds. It stands beside the loop: it asks for what was learned, a few records at a time, and writes from a goroutine
-// of its own, so that no disk, however slow, holds up a command. What is believed of it is decided in core/recall,
+// of its own, so that no disk, however slow, holds up a command. What is believed of it is decided in core/restore,
 // what is learned in the module; here is only the keeping.
 package memory
 
@@ -16,7 +16,7 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/operator/block"
 	"mintkeel/internal/store/disk"
@@ -56,7 +56,7 @@
 // Keeper writes snapshots until it is stopped.
 type Keeper struct {
 	disk   disk.Disk
-	of     recall.Identity
+	of     restore.Identity
 	build  string
 	source Source
 	limits *limits.Limits
@@ -75,7 +75,7 @@
 }
 
 // Start begins to keep what source learns in a folder, which is of the identity's controller.
-func Start(d disk.Disk, pace time.Duration, of recall.Identity, build string, source Source, l *limits.Limits,
+func Start(d disk.Disk, pace time.Duration, of restore.Identity, build string, source Source, l *limits.Limits,
 	log *slog.Logger) *Keeper {
 	ctx, end := context.WithCancel(context.Background())
 	k := &Keeper{disk: d, of: of, build: build, source: source, limits: l, log: log, paced: make(chan struct{}, 1),
@@ -241,9 +241,9 @@
 	}
 }
 
-// Recall reads a folder for a controller that starts, in a bounded time: a disk that hangs must not keep it from
+// Restore reads a folder for a controller that starts, in a bounded time: a disk that hangs must not keep it from
 // serving. It returns nil if there is nothing to be believed, and logs why.
-func Recall(d disk.Disk, l *limits.Limits, log *slog.Logger) *Kept {
+func Restore(d disk.Disk, l *limits.Limits, log *slog.Logger) *Kept {
 	type found struct {
 		kept   *Kept
 		trials []Trial
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"mintkeel/internal/core/recall"
+	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/disk/disktest"
@@ -27,7 +27,7 @@
 const patience = 10 * time.Second // for what must come
 
 var (
-	me    = recall.Identity{Name: "n3", Settings: 77}
+	me    = restore.Identity{Name: "n3", Settings: 77}
 	quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 	usual = limits.For(1024, 192, 0, 0, 0)
 )
@@ -187,7 +187,7 @@
 	release := d.Hang()
 	l := *usual
 	l.MemoryRead = 10 * time.Millisecond
-	if kept := Recall(d, &l, quiet); kept != nil {
+	if kept := Restore(d, &l, quiet); kept != nil {
 		t.Error("something was read of a disk that hangs")
 	}
 	k = begin(d, time.Millisecond, &pupil{records: 1}, usual)
@@ -200,7 +200,7 @@
 	}
 	release()
 	until(t, "the goroutine ends", k.Ended)
-	if kept := Recall(d, usual, quiet); kept == nil {
+	if kept := Restore(d, usual, quiet); kept == nil {
 		t.Error("the disk is back, and nothing is read")
 	}
 }
@@ -227,7 +227,7 @@
 	until(t, "the first has the folder", func() bool { return one.written.Load() > 0 })
 	two := begin(d, time.Millisecond, &pupil{records: 2}, &l)
 	until(t, "the second finds it taken", func() bool { return two.locked.Load() > 2 })
-	if two.written.Load() > 0 || Recall(d, &l, quiet) == nil {
+	if two.written.Load() > 0 || Restore(d, &l, quiet) == nil {
 		t.Error("the second has written, or can't read")
 	}
 	stop(t, one)
@@ -377,7 +377,7 @@
 			t.Error("it looks younger than it is")
 		}
 	}
-	shown := Show(old, old.Taken+60e3, recall.Usual())
+	shown := Show(old, old.Taken+60e3, restore.DefaultHalfLives())
 	if shown.Records != 10 || shown.Believed != 10 || shown.Engines[0].Weighs <= 0 || shown.Engines[0].Weighs >= 1 {
 		t.Errorf("%+v", shown)
 	}
@@ -402,7 +402,7 @@
 		k := begin(disk.Folder(path), time.Millisecond, &pupil{records: 1}, &l)
 		until(t, path+": failures", func() bool { return k.failed.Load() > 2 })
 		stop(t, k)
-		if k.written.Load() > 0 || Recall(disk.Folder(path), &l, quiet) != nil {
+		if k.written.Load() > 0 || Restore(disk.Folder(path), &l, quiet) != nil {
 			t.Errorf("%s is written", path)
 		}
 	}
