--- a/internal/core/fleet/quorum/membership.go
+++ b/internal/core/fleet/quorum/membership.go
@@ -104,6 +104,7 @@
 		r.role, r.roleReason = Voting, ""
 	case r.isMember():
 		r.role, r.roleReason = Learning, "it has not caught up yet"
+	case slices.Contains(r.removed, r.facts.Self) && r.leading && r.now < r.leadUntil():
 	case slices.Contains(r.removed, r.facts.Self):
 		r.role, r.roleReason = Outside, "taken out of the quorum by an operator's command"
 		r.node, r.leading = nil, false
@@ -112,6 +113,15 @@
 	}
 }
 
+// leadUntil is until when a leader that was taken out goes on to lead: its heartbeats tell the others that this is agreed
+// on. They could not elect one of them while they take it for a voter that does not answer.
+func (r *Replica) leadUntil() float64 {
+	if r.removedAt == 0 {
+		r.removedAt = r.now
+	}
+	return r.removedAt + farewellTime
+}
+
 // receiveJoin takes in a request to join, from a member, a founder that was not removed, or a controller that was invited.
 func (r *Replica) receiveJoin(from members.ID, m *Message) {
 	if !r.leading {
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -182,6 +182,7 @@
 	if leading == r.leading {
 		return
 	}
+	r.removedAt = 0
 	r.leading, r.changePending, r.ledSince = leading, false, r.now
 	r.joins, r.replacements = map[members.ID]joinRequest{}, nil
 }
--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -242,3 +242,27 @@
 		})
 	}
 }
+
+// TestRemovedLeaderTellsOthers has the leader be replaced, and another voter lose its folder as soon as the leader knows
+// that it was taken out: the others know it too, and elect one of them.
+func TestRemovedLeaderTellsOthers(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	if !r.leader().Replace(leader, "d") {
+		t.Fatal("not replaced")
+	}
+	for end := r.now + 60000; r.members[leader].removedAt == 0 && r.members[leader].role != Outside; {
+		if r.run(25); r.now > end {
+			t.Fatal("not taken out")
+		}
+	}
+	r.run(500)
+	r.loseDisk(others[0])
+	r.run(40000)
+	r.standing(leader, Outside)
+	if !r.leads(others[0], others[1], "d") {
+		t.Fatal("nobody leads")
+	}
+	for _, name := range []members.ID{others[0], others[1], "d"} {
+		r.standing(name, Voting)
+	}
+}
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -38,6 +38,7 @@
 	snapshotWanted bool
 	leading        bool
 	ledSince       float64 // ms, since leading last changed
+	removedAt      float64 // ms, when this leader learnt that it was taken out; 0: it was not
 	tickAt         float64
 	campaignAt     float64
 
@@ -135,6 +136,9 @@
 	if r.leading {
 		r.changeMembers()
 	}
+	if r.removedAt > 0 {
+		r.updateRole()
+	}
 }
 
 // Next is when Tick is to be called at the latest, in ms.
