--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -243,18 +243,26 @@
 	}
 }
 
-// TestRemovedLeaderTellsOthers has the leader be replaced, and another voter lose its folder as soon as the leader knows
-// that it was taken out: the others know it too, and elect one of them.
+// TestRemovedLeaderTellsOthers has the leader be replaced, its messages be lost for a moment when it learns that it was
+// taken out, and another voter lose its folder: the others come to know it, and elect one of them.
 func TestRemovedLeaderTellsOthers(t *testing.T) {
 	r, leader, others := withNewcomer(t)
 	if !r.leader().Replace(leader, "d") {
 		t.Fatal("not replaced")
 	}
-	for end := r.now + 60000; r.members[leader].removedAt == 0 && r.members[leader].role != Outside; {
+	const lost = 100.0 // ms in which nothing of the leader's gets through
+	r.cut = func(from, to members.ID) bool {
+		at := r.members[leader].removedAt
+		return from == leader && at > 0 && r.now < at+lost
+	}
+	for end := r.now + 60000; r.members[leader].removedAt == 0; {
 		if r.run(25); r.now > end {
 			t.Fatal("not taken out")
 		}
 	}
+	if _, votes := r.members["d"].Members(); countTrue(votes) != 4 {
+		t.Fatalf("%d vote as far as the others know", countTrue(votes))
+	}
 	r.run(500)
 	r.loseDisk(others[0])
 	r.run(40000)
