--- /dev/null
+++ b/internal/lab/fleet/processes_daemon.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+type machineProc struct {
+	number  int
+	name    string
+	serve   string // where clients go
+	fleet   string // where other controllers go
+	dir     string
+	cmd     *exec.Cmd
+	gone    chan struct{}
+	down    time.Time // it did not run, or stood still, until then
+	stopped bool
+	copies  []string
+	runs    int // starts
+	folder  int // its generation: one more when it is emptied or an older copy is put back
+	mu      sync.Mutex
+}
+
+var histories atomic.Int64
+
+// ownAddr is a loopback address that no other history of this machine has: a free port of the usual one may be taken by
+// any connection that somebody opens before the daemon listens.
+func ownAddr() string {
+	n, pid := histories.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%224, pid/224%250, 1+n%250)
+}
+
+// usualKind is the kind of engine that controllers' settings name.
+const usualKind = "std"
+
+func (r *rig) configure(n *machineProc) error {
+	type object = map[string]any
+	var hosts []object
+	for _, e := range r.engines {
+		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": usualKind, "health": "active"})
+	}
+	config, err := json.Marshal(object{"name": n.name, "listen": n.serve, "seed": fmt.Sprintf("%016x", r.Seed),
+		"limits":   object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"bulletin": r.feed.Addr,
+		"known":    object{"no": 1, "items": []object{{"no": 1, "roster": object{"seq": 1, "whole": true, "hosts": hosts}}}},
+		"settings": object{"n_instances": r.Nodes, "me": n.number, "zone": "east", "failure_domains": []string{"east"}, "kinds": []string{usualKind},
+			"report":      object{"fields": []string{"util", "inflight"}},
+			"family_info": object{"size_cores": []float64{64}, "size_mb": []float64{64000}, "width_by_class": []int{1}},
+			"bounds": object{"cancel": true, "probes": true, "send_cap": 3, "connect_timeout_ns": 250000000,
+				"max_streams": 100, "retry_after": true, "max_retry_after_ns": 500000000},
+			"contract": object{"cold_share": 0.5, "cold_ns": 2000000000, "overload_factor": 4, "tip_after_ns": 1000000000},
+			"services": []object{{"name": "lookup", "effect": "free", "promise_ns": 1000000000, "hard_limit_ns": 3000000000,
+				"late_worth": 0.1}}}})
+	if err != nil {
+		return err
+	}
+	if r.ofOtherKind(n) {
+		config = bytes.ReplaceAll(config, []byte(strconv.Quote(usualKind)), []byte(strconv.Quote(otherKind)))
+	}
+	if err := os.WriteFile(filepath.Join(n.dir, "config.json"), config, 0o600); err != nil {
+		return err
+	}
+	var council []string
+	for _, m := range r.nodes[:r.Council] {
+		council = append(council, fmt.Sprintf("%s = %q", m.name, m.fleet))
+	}
+	var names []string
+	for i := range r.Works {
+		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("work-%d", i)))
+	}
+	if r.Digest {
+		names = append(names, `"digest"`)
+	}
+	hcl := fmt.Sprintf("log {\n  burst = 1000\n}\nfleet {\n  name = \"rig\"\n  listen = %q\n  key_file = %q\n  folder = %q\n  council = { %s }\n  works = [%s]\n  lease = %q\n}\n",
+		n.fleet, filepath.Join(r.dir, "key"), filepath.Join(n.dir, "fleet"), strings.Join(council, ", "), strings.Join(names, ", "), r.Lease)
+	if r.AtOnce > 0 {
+		hook := filepath.Join(r.dir, "hook")
+		hcl += fmt.Sprintf("maintenance {\n  drain = %q\n  work = %q\n  back = %q\n  within = \"20s\"\n  prepare = \"1s\"\n}\n", hook, hook, hook)
+	}
+	if r.Config {
+		hcl += "config {\n  wait = \"1s\"\n}\n"
+	}
+	if err := os.WriteFile(filepath.Join(n.dir, "operator.hcl"), []byte(hcl), 0o600); err != nil {
+		return err
+	}
+	return r.lever(n, 1, 0)
+}
+
+// lever sets a node's clock and disk.
+func (r *rig) lever(n *machineProc, rate, diskMS float64) error {
+	b := binary.BigEndian.AppendUint64(nil, math.Float64bits(rate))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(diskMS))
+	f, err := os.OpenFile(filepath.Join(n.dir, "clock"), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.WriteAt(b, 0)
+	return err
+}
+
+func (r *rig) start(n *machineProc) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil || r.ctx.Err() != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	r.markStart(n, log)
+	cmd := exec.Command(r.Mintkeel, "serve", "--config", filepath.Join(n.dir, "config.json"), "--operator",
+		filepath.Join(n.dir, "operator.hcl"))
+	cmd.Env = append(os.Environ(), "MINTKEEL_LAB_SWITCH="+r.sw.At(n.number), "MINTKEEL_LAB_CLOCK="+filepath.Join(n.dir, "clock"),
+		"MINTKEEL_LAB_ENDPOINT="+r.endpoint.Addr().String())
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if the rig itself is killed
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	gone := make(chan struct{})
+	n.cmd, n.gone, n.stopped = cmd, gone, false
+	go func() {
+		cmd.Wait()
+		close(gone)
+		n.mu.Lock()
+		crashed := n.cmd == cmd
+		if crashed {
+			n.cmd = nil
+		}
+		n.mu.Unlock()
+		if crashed && r.ctx.Err() == nil {
+			tail, _ := os.ReadFile(filepath.Join(n.dir, "log"))
+			r.broke("%s ended by itself: %s", n.name, tail[max(0, len(tail)-1500):])
+		}
+	}()
+	return nil
+}
+
+func (r *rig) kill(n *machineProc) {
+	n.mu.Lock()
+	cmd, gone := n.cmd, n.gone
+	n.cmd = nil
+	n.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Kill()
+		<-gone
+	}
+}
+
+// out says that a node is not to be counted on for a while.
+func (n *machineProc) out(until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until.After(n.down) {
+		n.down = until
+	}
+}
+
+func (n *machineProc) isOut(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return at.Before(n.down) || n.cmd == nil || n.stopped
+}
+
+// changeFolder notes that the folder is another one from now on.
+func (n *machineProc) changeFolder() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.folder++
+}
--- /dev/null
+++ b/internal/lab/fleet/virtual_machine.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mintkeel/internal/core/fleet/lease"
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+	"mintkeel/internal/core/fleet/quorum"
+)
+
+// machine is one controller with its process, disk, clock and part of the network.
+type machine struct {
+	number   int
+	id       members.ID
+	core     *node.Node // nil: the process does not run
+	run      uint64
+	kept     []quorum.Record // durable
+	copies   []copyOf
+	rate     float64 // of its clock
+	offset   float64
+	paused   float64 // until when it stands still
+	diskMS   float64
+	full     float64 // until when its disk takes nothing
+	wake     uint64  // of the timer that counts
+	restarts int
+	gated    *lease.FencingCheck // an endpoint beside the controller, that lasts
+	effects  uint64
+	handed   map[lease.Name]uint64 // the serial of what was handed on, as this run was told
+	inbox    []func()
+	config   configMachine
+
+	stoppedAs quorum.Incarnation // of the quorum, when it stopped last
+}
+
+type copyOf struct {
+	at     float64
+	kept   []quorum.Record
+	config configDisk
+}
+
+func (w *World) local(m *machine) float64 { return m.offset + w.now*m.rate }
+
+func (w *World) start(m *machine) {
+	if m.core != nil {
+		return
+	}
+	var seeds []members.Member
+	var founders []members.ID
+	for i := range w.plan.Council {
+		founders = append(founders, w.nodes[i].id)
+		seeds = append(seeds, members.Member{ID: w.nodes[i].id, Addr: string(w.nodes[i].id)})
+	}
+	m.run = w.rng.Uint64()
+	core, err := node.New(node.Facts{Self: members.Member{ID: m.id, Addr: string(m.id), Willing: true, Run: m.run}, Seeds: seeds,
+		Founders: founders, Leases: w.works(), Terms: lease.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
+		Seed: w.rng.Int63(), Config: w.configFacts(m)}, slices.Clone(m.kept), nil, w.local(m))
+	if err != nil {
+		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
+		return
+	}
+	m.core, m.inbox, m.handed = core, nil, map[lease.Name]uint64{}
+	m.restarts++
+	w.trace("n%d starts, run %x, %d records", m.number, m.run, len(m.kept))
+	w.configStarted(m)
+	w.turn(m)
+	if !w.plan.idles() {
+		w.busy(m, m.run)
+	}
+}
+
+func (w *World) stop(m *machine) {
+	if m.core == nil {
+		return
+	}
+	w.trace("n%d ends", m.number)
+	w.Judge.gone(m.run, w.now)
+	w.configEnded(m)
+	m.stoppedAs = m.core.Quorum().Incarnation()
+	m.core = nil
+	m.wake++
+}
+
+// turn does what a core asks for after some input.
+func (w *World) turn(m *machine) {
+	if m.core == nil {
+		return
+	}
+	if w.killsLeader(m) {
+		return
+	}
+	run := m.run
+	out := m.core.Take()
+	for _, s := range out.Sends {
+		w.send(m, s)
+	}
+	for _, c := range out.Began {
+		w.trace("n%d owns %s, epoch %d", m.number, c.Name, c.Token)
+		w.Judge.began(m.run, m.number, c, w.now)
+	}
+	for _, c := range out.Ended {
+		w.trace("n%d owns %s no more, epoch %d", m.number, c.Name, c.Token)
+		w.Judge.ended(m.run, c, w.now)
+	}
+	for _, t := range out.Effects {
+		from := w.number(t.From)
+		w.Judge.took(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
+	}
+	for _, h := range out.Checkpoints {
+		w.Judge.handedOn(h, w.now)
+		m.handed[h.Claim.Name] = h.Serial
+	}
+	for _, c := range out.Changes {
+		if about := w.nodes[w.number(c.Member.ID)]; about.core != nil && w.now >= about.paused && !c.New && len(w.blocked) == 0 &&
+			c.Member.Run == about.run && m.number == 0 { // as one of them sees it: what one suspects all hear of
+			if c.Member.State == members.Suspect && c.Was == members.Alive {
+				w.False++
+			} else if c.Member.State == members.Gone {
+				w.FalseGone++
+			}
+		}
+	}
+	w.save(m, run, out.Batch, out.Whole)
+	w.configTurn(m, out.Config)
+	w.plan_(m)
+}
+
+// save makes a batch durable after the time that the disk takes; what it asks for holds only then.
+func (w *World) save(m *machine, run uint64, b *quorum.Batch, whole *quorum.Record) {
+	if b == nil && whole == nil {
+		return
+	}
+	took := 0.0
+	if whole != nil || b.Record != nil {
+		took = m.diskMS * (0.5 + w.rng.Float64())
+	}
+	if w.plan.Mutant == "sync" { // what is to be durable is so a little after it is made use of
+		w.at(w.now+500, func() { m.write(w, run, b, whole) })
+	}
+	w.at(w.now+took, func() {
+		if m.run != run || m.core == nil {
+			return
+		}
+		if w.now < m.full && (whole != nil || b.Record != nil) { // the daemon takes no part for a while, and begins anew
+			w.stop(m)
+			m.run = 0
+			w.at(w.now+1000+w.rng.Float64()*2000, func() { w.start(m) })
+			return
+		}
+		if w.plan.Mutant != "sync" {
+			m.write(w, run, b, whole)
+		}
+		w.deliver(m, func() {
+			if whole != nil {
+				m.core.Kept(w.local(m), whole)
+			} else {
+				m.core.Saved(w.local(m), b)
+			}
+		})
+	})
+}
+
+func (m *machine) write(w *World, run uint64, b *quorum.Batch, whole *quorum.Record) {
+	if m.run != run || m.core == nil {
+		return
+	}
+	record := whole
+	if whole == nil {
+		record = b.Record
+	}
+	if record == nil {
+		return
+	}
+	data, err := cbor.Marshal(record) // as the daemon does: nothing is shared with the core
+	var kept quorum.Record
+	if err == nil {
+		err = cbor.Unmarshal(data, &kept)
+	}
+	if err != nil {
+		w.Judge.fail(w.now, "record: %v", err)
+		return
+	}
+	if kept.Whole {
+		m.kept = nil
+	}
+	m.kept = append(m.kept, kept)
+	w.keepCopy(m)
+}
+
+// keepCopy keeps a copy of a folder, at most each half second.
+func (w *World) keepCopy(m *machine) {
+	if n := len(m.copies); n == 0 || w.now-m.copies[n-1].at > 500 {
+		m.copies = append(m.copies, copyOf{w.now, slices.Clone(m.kept), m.config.disk})
+		if len(m.copies) > 200 {
+			m.copies = m.copies[1:]
+		}
+	}
+}
+
+// plan_ sets the timer for the core's next look at the clock.
+func (w *World) plan_(m *machine) {
+	m.wake++
+	wake := m.wake
+	next := (m.core.Next() - m.offset) / m.rate
+	w.at(max(next, w.now+0.5), func() {
+		if m.wake == wake && m.core != nil {
+			w.Wakes++
+			w.deliver(m, func() { m.core.Tick(w.local(m)) })
+		}
+	})
+}
+
+// deliver has a process take something in: at once, or when it no longer stands still.
+func (w *World) deliver(m *machine, do func()) {
+	if w.now < m.paused {
+		run := m.run
+		w.at(m.paused, func() {
+			if m.run == run && m.core != nil {
+				w.deliver(m, do)
+			}
+		})
+		return
+	}
+	if m.core != nil {
+		do()
+		w.turn(m)
+	}
+}
