--- a/internal/lab/fleet/virtual_machine.go
+++ b/internal/lab/fleet/virtual_machine.go
@@ -125,7 +125,7 @@
 	}
 	w.save(m, run, out.Batch, out.Whole)
 	w.configTurn(m, out.Config)
-	w.plan_(m)
+	w.scheduleTick(m)
 }
 
 // save makes a batch durable after the time that the disk takes; what it asks for holds only then.
@@ -200,8 +200,8 @@
 	}
 }
 
-// plan_ sets the timer for the core's next look at the clock.
-func (w *World) plan_(m *machine) {
+// scheduleTick sets the timer for the core's next look at the clock.
+func (w *World) scheduleTick(m *machine) {
 	m.wake++
 	wake := m.wake
 	next := (m.core.Next() - m.offset) / m.rate
