--- /dev/null
+++ b/internal/fleet/outputs.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/core/fleet/node"
+)
+
+// mostOutputs bounds how often the core's outputs are carried out in one turn of the loop: carrying one out may lead to
+// another.
+const mostOutputs = 8
+
+// carryOut does what the core asks for.
+func (in *session) carryOut() error {
+	for range mostOutputs {
+		out := in.core.Take()
+		for _, m := range out.Sends {
+			in.send(m)
+		}
+		in.tellLeases(out)
+		in.logMembers(out.Changes)
+		in.tellJobs(out)
+		in.carryOutConfig(out.Config)
+		persisted, err := in.persist(out)
+		if err != nil {
+			return err
+		}
+		told := len(out.Began)+len(out.Ended)+len(out.Effects)+len(out.JobMessages)+len(out.Checkpoints) > 0
+		if !told && !persisted {
+			break
+		}
+	}
+	return nil
+}
+
+// tellLeases tells the jobs which leases this controller came to hold, and which it holds no more.
+func (in *session) tellLeases(out node.Output) {
+	for _, c := range out.Began {
+		in.Service.log.Info("fleet: holds a lease", "lease", string(c.Name), "token", uint64(c.Token))
+		for _, p := range in.programs {
+			p.Began(in, c)
+		}
+	}
+	for _, c := range out.Ended {
+		in.Service.log.Info("fleet: lease ended", "lease", string(c.Name), "token", uint64(c.Token))
+		for _, p := range in.programs {
+			p.Ended(c)
+		}
+	}
+}
+
+// logMembers logs members that are new, or of which another state is believed now.
+func (in *session) logMembers(changes []members.Change) {
+	for _, c := range changes {
+		if c.Member.State != c.Was || c.New {
+			in.Service.log.Info("fleet: member", "id", string(c.Member.ID), "is", c.Member.State.String(), "was", c.Was.String(),
+				"new", c.New)
+		}
+	}
+}
+
+// tellJobs hands the jobs what came for them.
+func (in *session) tellJobs(out node.Output) {
+	for _, t := range out.Effects {
+		in.counts.effects.Add(1)
+		for _, p := range in.programs {
+			p.EffectReceived(in, t.From, t.Effect)
+		}
+	}
+	for _, r := range out.Verdicts {
+		if !r.OK {
+			in.counts.turned.Add(1)
+		}
+		for _, p := range in.programs {
+			p.VerdictReceived(r)
+		}
+	}
+	for _, m := range out.JobMessages {
+		for _, p := range in.programs {
+			if p.MessageReceived(in, m.From, m.Data) {
+				break
+			}
+		}
+	}
+	for _, s := range out.Checkpoints {
+		for _, p := range in.programs {
+			p.StateReceived(in, s)
+		}
+	}
+}
+
+// persist has the quorum's next record written beside the loop. Where there is none to be written the batch is over at
+// once, which again tells.
+func (in *session) persist(out node.Output) (again bool, err error) {
+	switch {
+	case out.Whole != nil:
+		return false, in.keep(job{whole: true, record: out.Whole}, out.Whole)
+	case out.Batch != nil && out.Batch.Record != nil:
+		return false, in.keep(job{whole: out.Batch.Record.Whole, batch: out.Batch}, out.Batch.Record)
+	case out.Batch != nil:
+		in.core.Saved(in.now(), out.Batch)
+		return true, nil
+	}
+	return false, nil
+}
