--- a/cmd/mintkeel-lab/main.go
+++ b/cmd/mintkeel-lab/main.go
@@ -1,4 +1,4 @@
-// Command mintkeel-lab runs the project's own rigs: random worlds, changed operators, kills and measurements. No
+// Command mintkeel-lab runs the project's own rigs: random simulations, changed operators, kills and measurements. No
 // controller needs it. Here are arguments and wiring only.
 package main
 
@@ -19,7 +19,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(worldsCommand(), mutantsCommand(), killsCommand(), restartCommand(), waysCommand(), fuzzCommand(), surgeCommand(), pathCommand(), stepsCommand(), relayCommand(), daemonCommand(), behindCommand(), fleetCommand(), scaleCommand())
+	root.AddCommand(simulateCommand(), mutantsCommand(), killsCommand(), restartCommand(), waysCommand(), fuzzCommand(), surgeCommand(), pathCommand(), stepsCommand(), relayCommand(), daemonCommand(), behindCommand(), fleetCommand(), scaleCommand())
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	if err := root.ExecuteContext(ctx); err != nil {
--- a/cmd/mintkeel-lab/rules.go
+++ b/cmd/mintkeel-lab/rules.go
@@ -13,23 +13,24 @@
 	"github.com/spf13/cobra"
 
 	"mintkeel/internal/lab/mutants"
-	"mintkeel/internal/lab/worlds"
+	"mintkeel/internal/lab/simulation"
 )
 
-func worldsCommand() *cobra.Command {
+func simulateCommand() *cobra.Command {
 	n, seed := 1000, 0
 	c := &cobra.Command{
-		Use:   "worlds",
-		Short: "Play random worlds and judge the seven rules; exit code 1 if one is broken",
-		Args:  cobra.NoArgs,
+		Use:     "simulate",
+		Aliases: []string{"worlds"}, // the name of an earlier version, for one version more
+		Short:   "Play random fleets in virtual time and check the seven rules; exit code 1 if one is broken",
+		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			broken, err := playWorlds(c.Context(), n, seed, func(at int, r *worlds.Result) {
+			broken, err := playSimulations(c.Context(), n, seed, func(at int, r *simulation.Result) {
 				for _, b := range r.Breaches() {
 					fmt.Fprintf(c.OutOrStdout(), "world %d: %v\n", at, b)
 				}
 			}, c)
 			if err == nil && broken > 0 {
-				err = fmt.Errorf("%d worlds broke a rule", broken)
+				err = fmt.Errorf("%d simulations broke a rule", broken)
 			}
 			return err
 		},
@@ -39,7 +40,7 @@
 	return c
 }
 
-func playWorlds(ctx context.Context, n, seed int, tell func(int, *worlds.Result), c *cobra.Command) (int, error) {
+func playSimulations(ctx context.Context, n, seed int, tell func(int, *simulation.Result), c *cobra.Command) (int, error) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	var commands, sends, further, cold, restarts, steps, broken, played int
@@ -47,8 +48,8 @@
 	for range runtime.NumCPU() {
 		group.Go(func() {
 			for at := range jobs {
-				s := worlds.FromSeed(at)
-				r := worlds.Play(s, s.Module)
+				s := simulation.FromSeed(at)
+				r := simulation.Play(s, s.Module)
 				mu.Lock()
 				commands, sends, further = commands+r.Commands, sends+r.Sends, further+r.Further
 				cold, restarts, steps, played = cold+r.ColdSends, restarts+r.Restarts, steps+r.Steps, played+1
@@ -68,7 +69,7 @@
 	}
 	close(jobs)
 	group.Wait()
-	fmt.Fprintf(c.OutOrStdout(), "%d worlds: %d commands, %d sends, %d further sends, %d sends to cold engines, %d "+
+	fmt.Fprintf(c.OutOrStdout(), "%d simulations: %d queries, %d attempts, %d retries, %d attempts at cold engines, %d "+
 		"restarts, %d steps; %d broke a rule\n", played, commands, sends, further, cold, restarts, steps, broken)
 	return broken, ctx.Err()
 }
@@ -76,7 +77,7 @@
 func mutantsCommand() *cobra.Command {
 	n, seed, workers := 90, int64(1), max(1, runtime.NumCPU()/2)
 	file, within := "router/router.go", time.Minute
-	packages := []string{"./router", "./internal/lab/worlds"}
+	packages := []string{"./router", "./internal/lab/simulation"}
 	var funcs []string
 	checks := false
 	c := &cobra.Command{
--- a/internal/fleet/configstore.go
+++ b/internal/fleet/configstore.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mintkeel/internal/core/fleet/config"
-	"mintkeel/internal/fleet/seam"
+	"mintkeel/internal/fleet/faultinjection"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/documents"
 )
@@ -80,7 +80,7 @@
 
 // store carries out a request. Nothing is removed before the rest is durable.
 func (f *configFolder) store(request *config.StoreRequest) error {
-	if err := seam.BeforeSave(); err != nil {
+	if err := faultinjection.BeforeSave(); err != nil {
 		return err
 	}
 	if request.Document != nil {
--- a/internal/fleet/seam/seam.go
+++ b/internal/fleet/faultinjection/faultinjection.go
@@ -1,7 +1,7 @@
-// Package seam is where talk among controllers meets the machine: its steady clock and its way to open connections. The
-// daemon has no lever in it. A build with the tag mintkeel_lab, which only rigs make, has the clock follow a file and
+// Package faultinjection is where messages among controllers meet the machine: its steady clock and its way to open
+// connections. The daemon has no hook in it. A build with the tag mintkeel_lab, which only rigs make, has the clock follow a file and
 // connections go by a switch.
-package seam
+package faultinjection
 
 import (
 	"context"
--- a/internal/fleet/seam/system.go
+++ b/internal/fleet/faultinjection/system.go
@@ -1,6 +1,6 @@
 //go:build !mintkeel_lab
 
-package seam
+package faultinjection
 
 import (
 	"context"
--- a/internal/fleet/links/links.go
+++ b/internal/fleet/links/links.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/fleet/faultinjection"
 	"mintkeel/internal/fleet/frames"
-	"mintkeel/internal/fleet/seam"
 )
 
 // Bounds are sizes and times.
@@ -81,7 +81,7 @@
 // New is links of a controller that says hello as self.
 func New(self frames.Hello, keys frames.Keys, b Bounds, receive func(Received), log *slog.Logger) *Links {
 	ctx, end := context.WithCancel(context.Background())
-	l := &Links{self: self, bounds: b, receive: receive, dial: seam.Dial, log: log, ctx: ctx, end: end, peers: map[members.ID]*peer{},
+	l := &Links{self: self, bounds: b, receive: receive, dial: faultinjection.Dial, log: log, ctx: ctx, end: end, peers: map[members.ID]*peer{},
 		incoming: map[net.Conn]members.ID{}}
 	l.keys.Store(&keys)
 	return l
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -23,9 +23,9 @@
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
 	"mintkeel/internal/core/fleet/quorum"
+	"mintkeel/internal/fleet/faultinjection"
 	"mintkeel/internal/fleet/frames"
 	"mintkeel/internal/fleet/links"
-	"mintkeel/internal/fleet/seam"
 	"mintkeel/internal/store/disk"
 	"mintkeel/internal/store/records"
 )
@@ -278,7 +278,7 @@
 	err error
 }
 
-func (in *session) now() float64 { return seam.Now() }
+func (in *session) now() float64 { return faultinjection.Now() }
 
 // take runs the core until the service ends or its disk fails.
 func (s *Service) take(run uint64) error {
@@ -389,7 +389,7 @@
 // nothing else.
 func (in *session) save() {
 	for j := range in.jobs {
-		err := seam.BeforeSave()
+		err := faultinjection.BeforeSave()
 		switch {
 		case err != nil:
 		case j.whole:
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/checker/checker.go
@@ -1,7 +1,7 @@
-// Package referee judges the seven rules from outside: by what controllers were told and what they ordered, over all
+// Package checker judges the seven rules from outside: by what controllers were told and what they ordered, over all
 // controllers together. It trusts nothing that a controller says of itself and shares no code with the module but the
 // types of its interface. It is for rigs and tests; nothing of the daemon imports it.
-package referee
+package checker
 
 import (
 	"fmt"
@@ -55,8 +55,8 @@
 // Slack is what a rule's time limit grants for the reckoning with fractions.
 const slack = 1e-6
 
-// Referee is for one goroutine. Times are ms on one clock for all controllers.
-type Referee struct {
+// Checker is for one goroutine. Times are ms on one clock for all controllers.
+type Checker struct {
 	facts    Facts
 	lives    map[int]*life
 	work     map[process][]sent
@@ -120,36 +120,36 @@
 	return false
 }
 
-// New makes a referee for controllers under these settings.
-func New(f Facts) *Referee {
-	return &Referee{facts: f, lives: map[int]*life{}, work: map[process][]sent{}, count: map[Rule]int{},
+// New makes a checker for controllers under these settings.
+func New(f Facts) *Checker {
+	return &Checker{facts: f, lives: map[int]*life{}, work: map[process][]sent{}, count: map[Rule]int{},
 		drained: map[router.EngineID][]float64{}, started: map[router.EngineID][]float64{}}
 }
 
 // Breaches are the first that were found; Count tells how many there were of a rule.
-func (r *Referee) Breaches() []Breach { return r.breaches }
+func (r *Checker) Breaches() []Breach { return r.breaches }
 
 // Count is how often a rule was broken.
-func (r *Referee) Count(rule Rule) int { return r.count[rule] }
+func (r *Checker) Count(rule Rule) int { return r.count[rule] }
 
-func (r *Referee) breach(rule Rule, now float64, controller int, why string, args ...any) {
+func (r *Checker) breach(rule Rule, now float64, controller int, why string, args ...any) {
 	if r.count[rule]++; len(r.breaches) < mostBreaches {
 		r.breaches = append(r.breaches, Breach{rule, now, controller, fmt.Sprintf(why, args...)})
 	}
 }
 
 // Up tells that a controller starts, and knows nothing.
-func (r *Referee) Up(controller int, now float64) {
+func (r *Checker) Up(controller int, now float64) {
 	r.lives[controller] = &life{commands: map[router.CommandID]*command{}, lines: map[router.OrderKey][]*command{},
 		rests: map[router.OrderKey]float64{}, engines: map[router.EngineID]router.Entry{}, asked: now,
 		stop: math.Inf(1)}
 }
 
 // Killed tells that a controller is gone without a word; it owes nothing more.
-func (r *Referee) Killed(controller int) { delete(r.lives, controller) }
+func (r *Checker) Killed(controller int) { delete(r.lives, controller) }
 
 // Ended tells that a controller has ended as it was told to: all it took must have its answer.
-func (r *Referee) Ended(controller int, now float64) {
+func (r *Checker) Ended(controller int, now float64) {
 	if l := r.lives[controller]; l != nil {
 		for _, c := range l.commands {
 			if !c.over && !c.began {
@@ -161,17 +161,17 @@
 }
 
 // Drained tells that, in truth, an engine drains or goes from now on.
-func (r *Referee) Drained(engine router.EngineID, now float64) {
+func (r *Checker) Drained(engine router.EngineID, now float64) {
 	r.drained[engine] = append(r.drained[engine], now)
 }
 
 // Began tells that, in truth, a process begins under an engine's id.
-func (r *Referee) Began(engine router.EngineID, now float64) {
+func (r *Checker) Began(engine router.EngineID, now float64) {
 	r.started[engine] = append(r.started[engine], now)
 }
 
 // Told takes in what a controller is told in one step; work is what a command needs on one thread, in truth.
-func (r *Referee) Told(controller int, now float64, events []router.Event, work func(router.CommandID) float64) {
+func (r *Checker) Told(controller int, now float64, events []router.Event, work func(router.CommandID) float64) {
 	l := r.lives[controller]
 	for _, event := range events {
 		switch ev := event.(type) {
@@ -230,7 +230,7 @@
 	}
 }
 
-func (r *Referee) ended(controller int, now float64, l *life, ev router.Ended) {
+func (r *Checker) ended(controller int, now float64, l *life, ev router.Ended) {
 	c := l.commands[ev.ID]
 	if c == nil || int(ev.Send) >= len(c.sends) {
 		return
@@ -295,7 +295,7 @@
 
 // overdue looks for commands that should have had their answer by now. It is told of a step before what the
 // controller does in it, so a round is granted.
-func (r *Referee) overdue(controller int, now float64, l *life) {
+func (r *Checker) overdue(controller int, now float64, l *life) {
 	for _, c := range l.commands {
 		if by := c.by(l); !c.over && !c.began && now > by+r.facts.Guards.Round+slack {
 			r.breach(Answered, now, controller, "command %d has no answer %.1f ms after its timeout", c.ID, now-by)
@@ -310,7 +310,7 @@
 }
 
 // Ordered takes in what a controller orders in one step, in its order.
-func (r *Referee) Ordered(controller int, now float64, actions []router.Action) {
+func (r *Checker) Ordered(controller int, now float64, actions []router.Action) {
 	l := r.lives[controller]
 	for _, action := range actions {
 		switch a := action.(type) {
@@ -355,14 +355,14 @@
 	}
 }
 
-func (r *Referee) close(l *life, id router.CommandID) {
+func (r *Checker) close(l *life, id router.CommandID) {
 	if c := l.commands[id]; c != nil {
 		l.settle(c)
 	}
 }
 
 // final judges a final answer: there is one for each command, in time.
-func (r *Referee) final(controller int, now float64, l *life, id router.CommandID, how string) {
+func (r *Checker) final(controller int, now float64, l *life, id router.CommandID, how string) {
 	c := l.commands[id]
 	switch {
 	case c == nil:
@@ -389,7 +389,7 @@
 	return nil
 }
 
-func (r *Referee) mayShed(controller int, now float64, c *command) {
+func (r *Checker) mayShed(controller int, now float64, c *command) {
 	p := c.profile
 	if p.Effect == router.NonReplayable && c.doubt() != nil ||
 		p.Effect == router.Uniqued && p.Scope != router.ScopeAll && c.doubt() != nil {
@@ -408,7 +408,7 @@
 }
 
 // send judges one send by all rules that it can break.
-func (r *Referee) send(controller int, now float64, l *life, a router.Send) {
+func (r *Checker) send(controller int, now float64, l *life, a router.Send) {
 	c, e := l.commands[a.ID], l.engines[a.Engine]
 	if c == nil || c.over {
 		r.breach(Answered, now, controller, "command %d sent after its end", a.ID)
@@ -443,7 +443,7 @@
 	return false
 }
 
-func (r *Referee) drains(controller int, now float64, l *life, c *command, e router.Entry) {
+func (r *Checker) drains(controller int, now float64, l *life, c *command, e router.Entry) {
 	if e.State != router.Ready {
 		r.breach(Drains, now, controller, "command %d sent to %s, told to be state %d", c.ID, e.Engine, e.State)
 	}
@@ -459,7 +459,7 @@
 }
 
 // restarted tells whether a process began under an engine's id since a time.
-func (r *Referee) restarted(engine router.EngineID, since float64) bool {
+func (r *Checker) restarted(engine router.EngineID, since float64) bool {
 	for _, at := range r.started[engine] {
 		if at >= since {
 			return true
@@ -468,7 +468,7 @@
 	return false
 }
 
-func (r *Referee) repeats(controller int, now float64, c *command, e router.Entry) {
+func (r *Checker) repeats(controller int, now float64, c *command, e router.Entry) {
 	if len(c.sends) == 0 {
 		return
 	}
@@ -495,7 +495,7 @@
 	}
 }
 
-func (r *Referee) order(controller int, now float64, l *life, c *command) {
+func (r *Checker) order(controller int, now float64, l *life, c *command) {
 	for _, key := range c.keys {
 		ahead := true
 		for _, o := range l.lines[key] {
@@ -511,7 +511,7 @@
 	}
 }
 
-func (r *Referee) budget(controller int, now float64, l *life, c *command) {
+func (r *Checker) budget(controller int, now float64, l *life, c *command) {
 	g := r.facts.Guards
 	if !g.Budgeted || len(c.sends) == 0 {
 		return
@@ -536,7 +536,7 @@
 
 // cold judges what all controllers that were told of an engine's start have sent it within the window, as if it had
 // no more than its least capacity.
-func (r *Referee) cold(controller int, now float64, l *life, c *command, e router.Entry) {
+func (r *Checker) cold(controller int, now float64, l *life, c *command, e router.Entry) {
 	g := r.facts.Guards
 	if g.ColdMultiple <= 0 || e.Since == 0 || now > e.Since+g.ColdTime {
 		return
--- a/internal/lab/fleet/maintain.go
+++ b/internal/lab/fleet/maintain.go
@@ -18,7 +18,7 @@
 )
 
 // yard is where the engines of a scene are worked on: it stands in for the installation's programs and its platform, which
-// drain by the list, and keeps the referee's own count of who is out.
+// drain by the list, and keeps the checker's own count of which are out.
 type yard struct {
 	rig      *rig
 	listener net.Listener
--- a/internal/lab/worlds/norace_test.go
+++ b/internal/lab/simulation/norace_test.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package worlds
+package simulation
 
 const worldsPlayed = 240
--- a/internal/lab/worlds/race_test.go
+++ b/internal/lab/simulation/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package worlds
+package simulation
 
 // The detector makes worlds ten times as dear, and a world has one goroutine.
 const worldsPlayed = 24
--- a/internal/lab/worlds/worlds.go
+++ b/internal/lab/simulation/simulation.go
@@ -1,13 +1,13 @@
-// Package worlds simulates random fleets in virtual time: several controllers at once on one fleet, with the module driven
+// Package simulation simulates random fleets in virtual time: several controllers at once on one fleet, with the module driven
 // by its interface alone, through troubles that no bench draws together. It asks for no quality, only for the rules,
-// which internal/lab/referee checks. One spec is one history: the same spec gives the same breaches.
-package worlds
+// which internal/lab/checker checks. One spec is one history: the same spec gives the same breaches.
+package simulation
 
 import (
 	"container/heap"
 	"math/rand"
 
-	"mintkeel/internal/lab/referee"
+	"mintkeel/internal/lab/checker"
 	"mintkeel/router"
 )
 
@@ -36,7 +36,7 @@
 	Unequal     float64 // 0: all controllers get as much; 1: most get next to nothing
 	Keys        int
 	Tables      int
-	Facts       referee.Facts
+	Facts       checker.Facts
 	Zones       int
 	Cells       int
 	Work        []float64 // by profile: mean work on one thread
@@ -59,7 +59,7 @@
 
 // Result is what came of a simulation.
 type Result struct {
-	*referee.Referee
+	*checker.Checker
 	Steps, Restarts int
 	Log             []string // the last events, if they were recorded
 }
@@ -70,12 +70,12 @@
 		Spec:    s,
 		rng:     rand.New(rand.NewSource(s.Seed)),
 		make:    make,
-		checker: referee.New(s.Facts),
+		checker: checker.New(s.Facts),
 		engines: map[router.EngineID]*engine{},
 		works:   map[router.CommandID]float64{},
 		result:  &Result{},
 	}
-	sim.result.Referee = sim.checker
+	sim.result.Checker = sim.checker
 	sim.begin()
 	for len(sim.queue) > 0 && sim.queue[0].at <= sim.Length {
 		e := heap.Pop(&sim.queue).(event)
--- a/internal/lab/worlds/worlds_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -1,4 +1,4 @@
-package worlds
+package simulation
 
 import (
 	"flag"
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"mintkeel/internal/lab/referee"
+	"mintkeel/internal/lab/checker"
 	"mintkeel/router"
 )
 
@@ -100,7 +100,7 @@
 	return actions
 }
 
-// broken is a controller that breaks rules, to see whether the referee and the worlds notice.
+// broken is a controller that breaks rules, to see whether the checker notices in simulations.
 type broken struct {
 	Controller
 	change func(b *broken, now float64, events []router.Event, actions []router.Action) []router.Action
@@ -127,13 +127,13 @@
 	isShed := func(a router.Action) bool { _, ok := a.(router.Shed); return ok }
 	for _, c := range []struct {
 		name   string
-		rule   referee.Rule
+		rule   checker.Rule
 		change func(b *broken, now float64, events []router.Event, actions []router.Action) []router.Action
 	}{
-		{"sheds nothing", referee.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+		{"sheds nothing", checker.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 			return drop(a, isShed)
 		}},
-		{"sheds twice", referee.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+		{"sheds twice", checker.Answered, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 			for _, action := range a {
 				if isShed(action) {
 					return append(a, action)
@@ -141,7 +141,7 @@
 			}
 			return a
 		}},
-		{"sheds what is out", referee.Once, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+		{"sheds what is out", checker.Once, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 			for _, action := range a {
 				if s, ok := action.(router.Send); ok && b.n%5 == 0 {
 					return append(a, router.Shed{ID: s.ID})
@@ -149,7 +149,7 @@
 			}
 			return a
 		}},
-		{"sends all that it sends anew at once", referee.Once,
+		{"sends all that it sends anew at once", checker.Once,
 			func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 				for _, action := range a {
 					if s, ok := action.(router.Send); ok {
@@ -158,7 +158,7 @@
 				}
 				return a
 			}},
-		{"sends to engines that left", referee.Drains,
+		{"sends to engines that left", checker.Drains,
 			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
 				for _, ev := range events {
 					if l, ok := ev.(router.Listed); ok {
@@ -171,11 +171,11 @@
 				}
 				return b.aim(a, b.listed)
 			}},
-		{"sends all to one engine", referee.Placement,
+		{"sends all to one engine", checker.Placement,
 			func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 				return b.aim(a, "e00")
 			}},
-		{"knows nothing of cold engines", referee.Cold,
+		{"knows nothing of cold engines", checker.Cold,
 			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
 				for _, ev := range events {
 					if l, ok := ev.(router.Listed); ok {
@@ -188,7 +188,7 @@
 				}
 				return b.aim(a, b.listed)
 			}},
-		{"sends what is ahead of its turn", referee.Order,
+		{"sends what is ahead of its turn", checker.Order,
 			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
 				for _, ev := range events {
 					if arrived, ok := ev.(router.Arrived); ok && b.listed != "" {
@@ -202,7 +202,7 @@
 				}
 				return a
 			}},
-		{"sends as often as it likes", referee.Budget,
+		{"sends as often as it likes", checker.Budget,
 			func(b *broken, _ float64, events []router.Event, a []router.Action) []router.Action {
 				for _, ev := range events {
 					if e, ok := ev.(router.Ended); ok && e.Outcome.NeverRan() && b.sent[e.ID] != "" && !e.Over {
@@ -216,7 +216,7 @@
 				}
 				return a
 			}},
-		{"names what it has not", referee.Form, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
+		{"names what it has not", checker.Form, func(b *broken, _ float64, _ []router.Event, a []router.Action) []router.Action {
 			if b.n == 100 {
 				return append(a, router.Fail{ID: 1 << 30})
 			}
--- a/internal/lab/worlds/simulation.go
+++ b/internal/lab/simulation/steps.go
@@ -1,4 +1,4 @@
-package worlds
+package simulation
 
 import (
 	"cmp"
@@ -6,7 +6,7 @@
 	"math"
 	"math/rand"
 
-	"mintkeel/internal/lab/referee"
+	"mintkeel/internal/lab/checker"
 	"mintkeel/router"
 )
 
@@ -18,7 +18,7 @@
 	now         float64
 	queue       queue
 	made        int
-	checker     *referee.Referee
+	checker     *checker.Checker
 	engines     map[router.EngineID]*engine
 	order       []*engine // by when they joined
 	controllers []*controller
--- a/internal/lab/worlds/twin_test.go
+++ b/internal/lab/simulation/twin_test.go
@@ -1,4 +1,4 @@
-package worlds
+package simulation
 
 import (
 	"fmt"
