--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -187,21 +186,16 @@
 
 // configurationProcesses plays histories of a fleet's configuration with daemons as processes.
 func configurationProcesses(c *cobra.Command, mintkeel string, n, nodes, faults, beside int, seed int64, tell, goOn bool) error {
-	if mintkeel == "" {
-		dir, err := os.MkdirTemp("", "lab")
-		if err != nil {
-			return err
-		}
-		defer os.RemoveAll(dir)
-		if mintkeel, err = buildLab(c.Context(), dir); err != nil {
-			return err
-		}
+	mintkeel, remove, err := labDaemon(c.Context(), mintkeel)
+	if err != nil {
+		return err
 	}
+	defer remove()
 	var mu sync.Mutex
 	var sum fleet.Report
 	failed := 0
 	var catchUp, afterPut []float64
-	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+	err = each(c.Context(), n, beside, seed, func(seed int64) error {
 		s := fleet.ConfigurationScene(mintkeel, seed, nodesOf(nodes, seed), faults)
 		var told []string
 		s.Tell = func(line string) {
--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -142,6 +142,24 @@
 	return fmt.Sprintf("median %.0f, 90th %.0f, 99th %.0f, most %.0f of %d", at(0.5), at(0.9), at(0.99), at(1), len(xs))
 }
 
+// labDaemon is the daemon that rigs run: the one at a path or, if that is empty, one that is built from the sources here.
+// remove is called when it is needed no more.
+func labDaemon(ctx context.Context, path string) (binary string, remove func(), err error) {
+	if path != "" {
+		return path, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { os.RemoveAll(dir) }
+	if binary, err = buildLab(ctx, dir); err != nil {
+		remove()
+		return "", nil, err
+	}
+	return binary, remove, nil
+}
+
 // buildLab builds the daemon with the lab's levers.
 func buildLab(ctx context.Context, dir string) (string, error) {
 	path := filepath.Join(dir, "mintkeel")
@@ -153,20 +171,15 @@
 }
 
 func processHistories(c *cobra.Command, mintkeel, script string, n, nodes, faults, beside int, seed int64, tell bool) error {
-	if mintkeel == "" {
-		dir, err := os.MkdirTemp("", "lab")
-		if err != nil {
-			return err
-		}
-		defer os.RemoveAll(dir)
-		if mintkeel, err = buildLab(c.Context(), dir); err != nil {
-			return err
-		}
+	mintkeel, remove, err := labDaemon(c.Context(), mintkeel)
+	if err != nil {
+		return err
 	}
+	defer remove()
 	var mu sync.Mutex
 	var sum fleet.Report
 	var whole, free, maintained []float64
-	err := each(c.Context(), n, beside, seed, func(seed int64) error {
+	err = each(c.Context(), n, beside, seed, func(seed int64) error {
 		s := fleet.UsualScene(mintkeel, seed, nodesOf(nodes, seed), faults)
 		if script == "maintenance" {
 			s.Engines, s.AtOnce = 6, 1+int(seed%2)
