--- /dev/null
+++ b/internal/lab/layout/layout_test.go
@@ -0,0 +1,112 @@
+package layout
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// root is the project's from this folder.
+const root = "../../.."
+
+// owedFunctions are longer than they may be, with their lengths: they may only become shorter. Tables are long for good.
+var owedFunctions = map[string]int{
+	"internal/limits/limits.go For":                  63, // a table of sizes
+	"internal/store/snapshots/snapshots.go Read":     67,
+	"cmd/mintkeel/maintenance.go maintenanceCommand": 81,
+	"internal/simwire/simwire.go Reader.parse":       63, // a table of messages
+	"cmd/mintkeel-sim/names.go names.event":          69, // a table of messages
+}
+
+func readDaemon(t *testing.T) []Source {
+	t.Helper()
+	sources, err := Read(root, "internal/lab", "cmd/mintkeel-lab", "router", "bin", "journal")
+	if err != nil || len(sources) < 100 {
+		t.Fatalf("%d sources, %v", len(sources), err)
+	}
+	return sources
+}
+
+// TestLengths checks that no file of the daemon and none of its functions is longer than it may be.
+func TestLengths(t *testing.T) {
+	owed := map[string]bool{}
+	for _, s := range readDaemon(t) {
+		if s.Lines > MaxFile {
+			t.Errorf("%s has %d lines, of %d", s.Path, s.Lines, MaxFile)
+		}
+		for _, f := range s.Functions {
+			name := s.Path + " " + f.Name
+			most := MaxFunction
+			if length, found := owedFunctions[name]; found {
+				most, owed[name] = length, true
+				if f.Lines < length {
+					t.Errorf("%s has %d lines now: change its entry, or take it out if it is short", name, f.Lines)
+				}
+			}
+			if f.Lines > most {
+				t.Errorf("%s has %d lines, of %d", name, f.Lines, most)
+			}
+		}
+	}
+	for name := range owedFunctions {
+		if !owed[name] {
+			t.Errorf("%s is not there any more: take its entry out", name)
+		}
+	}
+}
+
+// TestImports checks the map of which package may import which, in the lab too.
+func TestImports(t *testing.T) {
+	sources, err := Read(root, "bin", "journal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range sources {
+		for _, imported := range s.Imports {
+			for _, r := range Rules() {
+				if why := r.Breaks(s, imported); why != "" {
+					t.Error(why)
+				}
+			}
+		}
+	}
+}
+
+// TestFound checks that breaks are found: in a small project of two files.
+func TestFound(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) {
+		t.Helper()
+		at := filepath.Join(folder, filepath.FromSlash(name))
+		if err := os.MkdirAll(filepath.Dir(at), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(at, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("internal/core/a/a.go", "package a\n\nimport (\n\t\"fmt\"\n\n\t\"mintkeel/internal/fleet\"\n\t\"mintkeel/router\"\n)\n\nfunc (x *T[K]) Long() {\n"+
+		strings.Repeat("\tfmt.Println()\n", 70)+"}\n")
+	write("internal/core/a/a_test.go", "package a\n")
+	write("skipped/b.go", "no Go at all")
+	sources, err := Read(folder, "skipped")
+	if err != nil || len(sources) != 1 {
+		t.Fatalf("%+v, %v", sources, err)
+	}
+	s := sources[0]
+	if len(s.Functions) != 1 || s.Functions[0] != (Function{"T.Long", 72}) || s.Lines < 80 {
+		t.Errorf("%+v", s)
+	}
+	broken := 0
+	for _, imported := range s.Imports {
+		for _, r := range Rules() {
+			if r.Breaks(s, imported) != "" {
+				broken++
+			}
+		}
+	}
+	if broken != 1 {
+		t.Errorf("%d breaks are found, of %v", broken, s.Imports)
+	}
+}
