--- a/internal/lab/fleet/configuration_processes.go
+++ b/internal/lab/fleet/configuration_processes.go
@@ -270,12 +270,13 @@
 // which one refuses it.
 func (r *rig) settleUnusable() {
 	voter := r.nodes[0]
-	before := r.known(voter)
 	r.awaitConfig("after a put that one can't use", func() string {
-		if r.known(voter) == before {
-			r.putConfig(voter, before, 4096, true)
+		newest := r.known(voter)
+		if !r.latestUnusable() { // a put of the script may be agreed on only now
+			r.putConfig(voter, newest, 4096, true)
+			return "the newest version is one that all can use"
 		}
-		return r.configLacks(before + 1)
+		return r.configLacks(newest)
 	})
 	r.awaitConfig("after a version that one can't use was in force at all others", func() string {
 		s := r.configStatus(voter)
@@ -323,10 +324,17 @@
 
 // mayRefuse tells whether a controller can't use the newest version.
 func (r *rig) mayRefuse(n *machineProc, newest uint64) bool {
+	r.mu.Lock()
+	latest := r.config.latest.Number
+	r.mu.Unlock()
+	return r.ofOtherKind(n) && latest == newest && r.latestUnusable()
+}
+
+// latestUnusable tells whether controllers of another kind can't use the version that was told as the newest last.
+func (r *rig) latestUnusable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	latest := r.config.latest
-	return r.ofOtherKind(n) && latest.Number == newest && r.config.unusable[shortened(latest.Hash)]
+	return r.config.unusable[shortened(r.config.latest.Hash)]
 }
 
 // survivedConfig writes down the history as the leader tells it at the end.
