Fleets of hollow controllers in one process begin at source ports of their own

A dialer now begins at a part of the ports that follows from its fleet's number; three literals become one constructor.

--- a/internal/lab/scale/hollow/controller.go
+++ b/internal/lab/scale/hollow/controller.go
@@ -45,8 +45,7 @@
 // start starts a controller whose connections are counted in peers too, by acceptor.
 func start(s Spec, folder string, number, expect int, peers []flowCounter, p *partitions) (*controller, error) {
 	c := &controller{number: number, probe: &probe{expect: expect}, host: &host{}, errors: &errorLog{}}
-	c.dialer = &dialer{number: number, source: s.Network.address(number).Addr(), network: s.Network, own: &flowCounter{},
-		peers: peers, partitions: p, conns: map[*countedConn]bool{}}
+	c.dialer = newDialer(number, s.Network, peers, p)
 	log := slog.New(c.errors)
 	jobs := []fleet.Job{c.probe}
 	if s.Digest {
--- a/internal/lab/scale/hollow/hollow.go
+++ b/internal/lab/scale/hollow/hollow.go
@@ -37,11 +37,17 @@
 
 // NewNetwork is the network of the fleet of this number in this process.
 func NewNetwork(number int) Network {
-	const firstPort, portsEach, processes = 2000, 64, 156 // below the source ports
+	const firstPort, processes = 2048, 155 // below the source ports
 	pid := os.Getpid()
-	return Network{Octet: uint8(16 + pid%224), Port: uint16(firstPort + pid/224%processes*portsEach + number%portsEach)}
+	return Network{Octet: uint8(16 + pid%224), Port: uint16(firstPort + pid/224%processes*fleetsEach + number%fleetsEach)}
 }
 
+// fleetsEach is how many fleets of a process have ports of their own.
+const fleetsEach = 64
+
+// fleet is the fleet's number among those of its process.
+func (n Network) fleet() int { return int(n.Port) % fleetsEach }
+
 const addressesPerOctet = 250
 
 // address is where a controller listens.
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -208,9 +208,7 @@
 			conn.Close()
 		}
 	}()
-	d := &dialer{source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 2),
-		conns: map[*countedConn]bool{}}
-	d.next.Store(sourcePorts / 2) // away from the ports of the tests before, which rest for a while
+	d := newDialer(0, network, make([]flowCounter, 2), nil)
 	conn, err := d.dial(t.Context(), listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/scale/hollow/partition_test.go
+++ b/internal/lab/scale/hollow/partition_test.go
@@ -29,8 +29,7 @@
 	}
 	accept(1)
 	accept(2)
-	d := &dialer{number: 0, source: network.address(0).Addr(), network: network, own: &flowCounter{}, peers: make([]flowCounter, 3),
-		partitions: cut, conns: map[*countedConn]bool{}}
+	d := newDialer(0, network, make([]flowCounter, 3), cut)
 	dial := func(ctx context.Context, number int) net.Conn {
 		t.Helper()
 		conn, err := d.dial(ctx, network.address(number).String())
@@ -73,3 +72,31 @@
 		t.Errorf("%d connections are known to be open", len(d.conns))
 	}
 }
+
+// TestSourcePortsRest has a fleet use more source ports than a dialer tries, and close its connections first, so that the
+// system lets those ports rest: another fleet of the same process connects all the same.
+func TestSourcePortsRest(t *testing.T) {
+	connect := func(network Network, count int) {
+		t.Helper()
+		listener, err := net.Listen("tcp", network.address(1).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		d := newDialer(0, network, make([]flowCounter, 2), nil)
+		for range count {
+			conn, err := d.dial(t.Context(), listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn.Close()
+			accepted.Close()
+		}
+	}
+	connect(NewNetwork(40), 2*portTries)
+	connect(NewNetwork(41), 1)
+}
--- a/internal/lab/scale/hollow/sockets.go
+++ b/internal/lab/scale/hollow/sockets.go
@@ -86,6 +86,15 @@
 	conns map[*countedConn]bool // that are open
 }
 
+// newDialer is that of a controller. The fleets of a process share its addresses: each begins at source ports of its own,
+// as the system lets those rest for a minute that an earlier fleet has used.
+func newDialer(number int, network Network, peers []flowCounter, p *partitions) *dialer {
+	d := &dialer{number: number, source: network.address(number).Addr(), network: network, own: &flowCounter{}, peers: peers,
+		partitions: p, conns: map[*countedConn]bool{}}
+	d.next.Store(uint32(network.fleet() * sourcePorts / fleetsEach))
+	return d
+}
+
 func (d *dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
 	counters := [2]*flowCounter{d.own, &flowCounter{}}
 	peer := d.network.number(addr)
