--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -274,3 +274,42 @@
 		r.standing(name, Voting)
 	}
 }
+
+// TestVoterStaysUnlessUnled has messages come to the incarnation as which a voter once asked to be taken in: the voter
+// stays while it hears from a leader, and for a while without one, as such a message may come ahead of the first
+// heartbeat of a new leader. If they go on and no leader is heard, the quorum goes on without it.
+func TestVoterStaysUnlessUnled(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	b := r.members["b"]
+	call := func() {
+		t.Helper()
+		b.Receive(r.now, "a", &Message{From: Incarnation{Name: "a"}, To: b.nextIncarnation(), Raft: raftBytes(t), Run: r.members["a"].run})
+	}
+	cutOff := func(from, to members.ID) bool { return from == "b" || to == "b" }
+	call()
+	r.standing("b", Voting) // it has a leader, or leads
+	r.cut = cutOff
+	r.run(5000)
+	if b.Leader() != "" {
+		t.Fatal("it has a leader while it is cut off")
+	}
+	call()
+	r.standing("b", Voting)
+	r.run(settleTime / 2)
+	call()
+	r.standing("b", Voting)
+	r.cut = nil
+	r.run(5000)
+	if b.Leader() == "" {
+		t.Fatal("it has no leader after the heal")
+	}
+	call()
+	r.standing("b", Voting)
+	r.cut = cutOff
+	r.run(5000)
+	for end := r.now + 2*settleTime; r.now < end && b.role == Voting; r.run(100) {
+		call()
+	}
+	r.standing("b", Joining)
+}
