A large frame between controllers may take as long as a slow network needs

Cause, found in reading: a frame that has begun had to come within 2 s, whatever its size. A sender writes 400 KB of statistics into the system's buffers at once, and a network with losses between regions takes seconds to carry them: the receiver would have ended each such connection, again and again. A length changed to 64 KB more ends after 4 s.

Shown: TestSlowNetwork (64 KiB at 100 KB/s, a time for writing of 0.1 s) fails by the rule before and passes twice under the race detector, as does TestChangedLength.

--- a/internal/fleet/frames/frames.go
+++ b/internal/fleet/frames/frames.go
@@ -36,6 +36,8 @@
 	magic     = "MKFLEET1"
 	nonceSize = 32
 	macSize   = 16
+
+	lengthBytes = 4
 	// HelloBytes and FrameBytes bound what is read ahead of any memory that a length asks for.
 	HelloBytes = 512
 	FrameBytes = 1 << 20
@@ -215,10 +217,13 @@
 	return nil, ErrForged
 }
 
-// Await waits until a frame has begun to come.
-func (r *Reader) Await() error {
-	_, err := r.r.Peek(1)
-	return err
+// Await waits until a frame has begun to come, and returns the length that it claims.
+func (r *Reader) Await() (length int, err error) {
+	head, err := r.r.Peek(lengthBytes)
+	if err != nil {
+		return 0, err
+	}
+	return int(binary.BigEndian.Uint32(head)), nil
 }
 
 // Read is the next payload. It holds no more memory than has come.
@@ -236,7 +241,7 @@
 
 // read reads a frame as it comes: a length that claims much takes memory only as fast as bytes arrive.
 func read(r *bufio.Reader, most int) (payload, mac []byte, err error) {
-	head := make([]byte, 4)
+	head := make([]byte, lengthBytes)
 	if _, err := io.ReadFull(r, head); err != nil {
 		return nil, nil, err
 	}
--- a/internal/fleet/links/links.go
+++ b/internal/fleet/links/links.go
@@ -25,17 +25,19 @@
 	Queue    int           // messages that wait for one
 	Bytes    int           // bytes that wait for one
 	Dial     time.Duration // to be connected and greeted
-	Write    time.Duration // to write a message, and to read one that has begun to come
+	Write    time.Duration // to write a message
 	Idle     time.Duration // without a message, after which a connection is closed
 	Again    time.Duration // between two tries to reach one, at least
 	Rate     int           // bytes a second that one may send here; it is slowed to that
+
+	LeastRate int // bytes a second at which a frame that has begun has to come, beside the time of Write
 }
 
 // Usual are the bounds of a fleet of up to a thousand: who pings one member a second, helps some others and talks to the
 // council has some ten connections at a time.
 func Usual() Bounds {
 	return Bounds{Peers: 64, Incoming: 256, Queue: 128, Bytes: 2 << 20, Dial: 2 * time.Second, Write: 2 * time.Second,
-		Idle: 20 * time.Second, Again: 200 * time.Millisecond, Rate: 4 << 20}
+		Idle: 20 * time.Second, Again: 200 * time.Millisecond, Rate: 4 << 20, LeastRate: 32 << 10}
 }
 
 // Dial opens a connection to an address, within the context's deadline.
@@ -339,14 +341,18 @@
 	}
 }
 
-// readFrame waits for the next frame and reads it. Once it has begun it has to come as soon as its sender has to write it:
-// a length that was changed on its way would else have the messages behind it taken for its payload, unseen by the sender.
+// readFrame waits for the next frame and reads it. Once it has begun it has a time by its length: one that was changed on
+// its way would else have the messages behind it taken for its payload, unseen by the sender. A slow network gets a large
+// frame through in it.
 func (l *Links) readFrame(conn net.Conn, in *frames.Reader) ([]byte, error) {
-	conn.SetReadDeadline(time.Now().Add(2 * l.bounds.Idle))
-	if err := in.Await(); err != nil {
+	longest := 2 * l.bounds.Idle
+	conn.SetReadDeadline(time.Now().Add(longest))
+	length, err := in.Await()
+	if err != nil {
 		return nil, err
 	}
-	conn.SetReadDeadline(time.Now().Add(l.bounds.Write))
+	patience := l.bounds.Write + time.Duration(length)*time.Second/time.Duration(l.bounds.LeastRate)
+	conn.SetReadDeadline(time.Now().Add(min(longest, patience)))
 	return in.Read()
 }
 
--- a/internal/fleet/links/links_test.go
+++ b/internal/fleet/links/links_test.go
@@ -230,3 +230,56 @@
 		t.Errorf("the connection ended after %v: no length was changed", took)
 	}
 }
+
+// slowly passes on what one writes to another, some bytes at a time.
+func slowly(t *testing.T, to string, bytes int, each time.Duration) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				conn.Close()
+				return
+			}
+			go func() { io.Copy(conn, far); conn.Close() }()
+			go func() {
+				defer far.Close()
+				for {
+					if _, err := io.CopyN(far, conn, int64(bytes)); err != nil {
+						return
+					}
+					time.Sleep(each)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A large message that a slow network takes longer for than a sender has to write it gets through.
+func TestSlowNetwork(t *testing.T) {
+	b := Usual()
+	b.Write = 100 * time.Millisecond
+	receiver, sender := open(t, "a", "f", keys, b), open(t, "b", "f", keys, b)
+	const size, each, pause = 64 << 10, 2 << 10, 20 * time.Millisecond // 100 KB/s: 0.64 s
+	through := slowly(t, receiver.addr, each, pause)
+	sender.Send("a", through, bytes.Repeat([]byte{7}, size))
+	sender.Send("a", through, make([]byte, each)) // fills the last piece
+	select {
+	case r := <-receiver.got:
+		if len(r.Payload) != size {
+			t.Errorf("%d bytes came", len(r.Payload))
+		}
+	case <-time.After(5 * time.Second):
+		t.Errorf("nothing came; %d connections failed", sender.failed.Load())
+	}
+}
