A late voter's word on who is a member does not hold up those that know better

Cause, found in reading: since members that others know of have to vouch for a folder too, a voter that had missed a replacement named the member that had left. If that one is gone for good and all voters restart at once, none was vouched for and nobody led, though the others know that it has left.

Change: an answer tells as of which entry its members are, and apart those of stored changes that may not be agreed on. The first count where they are later than the folder's own state, the others always. By the agreed log nothing that the folder lacks can stand in an earlier state.

--- a/internal/core/fleet/quorum/incarnation.go
+++ b/internal/core/fleet/quorum/incarnation.go
@@ -98,7 +98,11 @@
 		Run:     m.Ask.Run,
 		Mark:    max(r.marks[m.From], r.waitingMarks[m.From], r.inflightMarks[m.From]),
 		Retired: slices.Contains(r.retired, m.From),
-		Members: r.knownMembers(),
+		Index:   r.appliedIndex,
+		Pending: r.pendingMembers(),
+	}
+	if r.serial > 0 && len(r.incarnations) > 0 { // one whose folder is new knows the founders alone, who may have left long ago
+		answer.Members = r.others()
 	}
 	if r.node != nil && r.role == Voting {
 		leader := r.Leader()
@@ -107,19 +111,14 @@
 	r.send(m.From, Message{Answer: answer})
 }
 
-// knownMembers are the names of all members that this one knows of, those of changes among them that it has stored and
-// does not know to be agreed on yet: of the members of before, a majority has stored each change that was agreed on. One
-// whose folder is new knows none: the founders may have left long ago.
-func (r *Replica) knownMembers() []members.ID {
-	if r.serial == 0 || len(r.incarnations) == 0 {
-		return nil
-	}
-	names := r.others()
+// pendingMembers are the names of those that are added by entries which this one has stored and does not know to be agreed
+// on: of the members of before, a majority has stored each change that was agreed on.
+func (r *Replica) pendingMembers() (names []members.ID) {
 	first, _ := r.storage.FirstIndex()
 	last, _ := r.storage.LastIndex()
 	entries, err := r.storage.Entries(max(first, r.appliedIndex+1), max(first, last+1), maxEntriesBytes)
 	if err != nil {
-		return names
+		return nil
 	}
 	for _, entry := range entries {
 		if added := addedMember(entry); added != "" && !slices.Contains(names, added) && len(names) < maxRetired {
@@ -179,7 +178,10 @@
 	}
 	r.othersHaveLeader = r.othersHaveLeader || answer.Led
 	r.vouched[from] = true
-	r.addVouchers(answer.Members)
+	r.addVouchers(answer.Pending)
+	if answer.Index > r.appliedIndex { // what is older than this folder tells nothing that it does not hold
+		r.addVouchers(answer.Members)
+	}
 	for _, name := range r.vouchers() {
 		if !r.vouched[name] {
 			return
--- a/internal/core/fleet/quorum/messages.go
+++ b/internal/core/fleet/quorum/messages.go
@@ -28,7 +28,9 @@
 	Retired bool   `cbor:"3,keyasint,omitempty"` // that incarnation has ended
 	Led     bool   `cbor:"4,keyasint,omitempty"` // the quorum has a leader other than the asker
 
-	Members []members.ID `cbor:"5,keyasint,omitempty"` // that the sender knows of, which have to be asked too
+	Members []members.ID `cbor:"5,keyasint,omitempty"` // as of Index; one whose folder is older has to ask them too
+	Index   uint64       `cbor:"6,keyasint,omitempty"` // of the last entry of the consensus that the sender has applied
+	Pending []members.ID `cbor:"7,keyasint,omitempty"` // added by later entries, which may not be agreed on yet: to be asked in any case
 }
 
 // Join asks to be taken in, as a new incarnation.
--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 
+	pb "go.etcd.io/raft/v3/raftpb"
+
 	"mintkeel/internal/core/fleet/members"
 )
 
@@ -313,3 +315,75 @@
 	}
 	r.standing("b", Joining)
 }
+
+// TestLateVoterNamesGoneMember has a voter be cut off while another is replaced for good, and then all restart at once: the
+// late one names the member that has gone, which the others know to have left, and they don't wait for its word.
+func TestLateVoterNamesGoneMember(t *testing.T) {
+	r, leader, others := withNewcomer(t)
+	late, gone := others[0], others[1]
+	r.cut = func(from, to members.ID) bool { return from == late || to == late }
+	if !r.leader().Replace(gone, "d") {
+		t.Fatal("not replaced")
+	}
+	r.run(20000)
+	r.standing("d", Voting)
+	r.standing(gone, Outside)
+	delete(r.members, gone)
+	for _, name := range []members.ID{leader, late, "d"} {
+		r.start(name)
+	}
+	r.cut = nil
+	r.run(40000)
+	if !r.leads(leader, late, "d") {
+		t.Fatal("nobody leads")
+	}
+	for _, name := range []members.ID{leader, late, "d"} {
+		r.standing(name, Voting)
+	}
+}
+
+// TestWhichMembersVouch has answers name members: of changes that may not be agreed on yet, whose word is awaited; as of a
+// later entry than the folder's, likewise; and as of an earlier one, which tells nothing.
+func TestWhichMembersVouch(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer  func(applied uint64) Answer
+		awaited bool
+	}{
+		"pending":                  {func(uint64) Answer { return Answer{Pending: []members.ID{"d"}} }, true},
+		"of a later entry":         {func(at uint64) Answer { return Answer{Members: []members.ID{"d"}, Index: at + 1} }, true},
+		"of the same entry":        {func(at uint64) Answer { return Answer{Members: []members.ID{"d"}, Index: at} }, false},
+		"this one, and no name":    {func(at uint64) Answer { return Answer{Pending: []members.ID{"b", ""}, Index: at} }, false},
+		"a name that is too large": {func(uint64) Answer { return Answer{Pending: []members.ID{members.ID(make([]byte, maxName+1))}} }, false},
+	} {
+		r := newRoom(t, "a", "b", "c")
+		r.run(5000)
+		r.propose(1)
+		b := r.start("b")
+		answer := c.answer(b.appliedIndex)
+		answer.Run = b.run
+		b.receiveAnswer("a", &answer)
+		b.receiveAnswer("c", &Answer{Run: b.run})
+		if role, _ := b.Role(); (role == Doubted) != c.awaited {
+			t.Errorf("%s: it is %v", name, role)
+		}
+		if b.receiveAnswer("d", &Answer{Run: b.run}); b.role != Voting {
+			t.Errorf("%s: with all answers it is %v", name, b.role)
+		}
+	}
+}
+
+// TestPendingMembers has a leader that is cut off store a change of the members: it names the one that would be added.
+func TestPendingMembers(t *testing.T) {
+	r := newRoom(t, "a", "b", "c")
+	r.run(5000)
+	leader := r.leader()
+	if names := leader.pendingMembers(); len(names) != 0 {
+		t.Errorf("pending are %v", names)
+	}
+	r.cut = func(members.ID, members.ID) bool { return true }
+	leader.proposeChange(pb.ConfChangeAddLearnerNode, memberChange{Incarnation: Incarnation{Name: "d", Disk: 1}})
+	r.run(100)
+	if names := leader.pendingMembers(); !slices.Equal(names, []members.ID{"d"}) {
+		t.Errorf("pending are %v", names)
+	}
+}
