--- a/internal/core/fleet/config/fetch.go
+++ b/internal/core/fleet/config/fetch.go
@@ -16,7 +16,10 @@
 	avoidOnly    = 1000.0  // the same where nobody else has the document
 	maxSources   = 16      // of one document
 	maxExcluded  = 64
-	maxDownloads = 16
+
+	// maxDownloads has room for what each purpose may want at a time: proposals, holds and lookups by their bounds, the
+	// version to be taken, and one of the history.
+	maxDownloads = MaxProposals + 1 + maxHolds + maxLookups + 2
 )
 
 // purpose is what a document is fetched for.
