Simulations in virtual time share one queue of events

Five of them had a heap of their own (the lab's fleets, random simulations, membership, dissemination, and the tests of the configuration's core). internal/lab/eventqueue is membership's, with a zero value and a test against a sorted list.

--- a/internal/core/fleet/config/harness_test.go
+++ b/internal/core/fleet/config/harness_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"maps"
@@ -13,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/lab/eventqueue"
 )
 
 // Times of the simulation, in ms.
@@ -25,28 +25,6 @@
 	commitAfter = 15.0   // until the quorum agrees on a proposal
 )
 
-// event is something that happens at a time.
-type event struct {
-	at  float64
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // folder is what a controller has on its disk.
 type folder struct {
 	current     Version
@@ -104,8 +82,7 @@
 	t      testing.TB
 	rng    *rand.Rand
 	now    float64
-	events eventQueue
-	seq    int
+	events eventqueue.Queue
 
 	all      []*controller
 	byID     map[members.ID]*controller
@@ -191,15 +168,14 @@
 }
 
 func (f *fleet) after(delay float64, run func()) {
-	f.seq++
-	heap.Push(&f.events, event{f.now + delay, f.seq, run})
+	f.events.Add(f.now+delay, run)
 }
 
 // step runs the next event.
 func (f *fleet) step() {
-	e := heap.Pop(&f.events).(event)
-	f.now = max(f.now, e.at)
-	e.run()
+	e := f.events.Take()
+	f.now = max(f.now, e.At)
+	e.Run()
 	if f.failure != "" {
 		f.t.Fatalf("at %.0f ms: %s", f.now, f.failure)
 	}
@@ -208,7 +184,7 @@
 // runFor lets time pass.
 func (f *fleet) runFor(ms float64) {
 	until := f.now + ms
-	for len(f.events) > 0 && f.events[0].at <= until {
+	for f.events.Next() <= until {
 		f.step()
 	}
 	f.now = until
@@ -218,7 +194,7 @@
 func (f *fleet) runUntil(limit float64, holds func() bool) float64 {
 	began := f.now
 	for !holds() {
-		if len(f.events) == 0 || f.events[0].at > began+limit {
+		if f.events.Next() > began+limit {
 			f.now = began + limit
 			return -1
 		}
--- /dev/null
+++ b/internal/lab/eventqueue/eventqueue_test.go
@@ -0,0 +1,44 @@
+package eventqueue
+
+import (
+	"cmp"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// TestOrder adds and takes events at random and compares their order with that of a sorted list.
+func TestOrder(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	type entry struct {
+		at     float64
+		number int
+	}
+	var q Queue
+	var expected []entry
+	var got []int
+	for number := range 5000 {
+		at := float64(rng.Intn(50)) // many at one time
+		q.Add(at, func() { got = append(got, number) })
+		expected = append(expected, entry{at, number})
+		if rng.Intn(3) > 0 {
+			continue
+		}
+		slices.SortStableFunc(expected, func(a, b entry) int { return cmp.Compare(a.at, b.at) })
+		if q.Next() != expected[0].at {
+			t.Fatalf("the next is at %g, not %g", q.Next(), expected[0].at)
+		}
+		q.Take().Run()
+		if last := got[len(got)-1]; last != expected[0].number {
+			t.Fatalf("%d comes, not %d", last, expected[0].number)
+		}
+		expected = expected[1:]
+	}
+	for range expected {
+		q.Take()
+	}
+	if !math.IsInf(q.Next(), 1) {
+		t.Errorf("an empty queue has an event at %g", q.Next())
+	}
+}
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand"
 
@@ -10,6 +9,7 @@
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
 	"mintkeel/internal/core/fleet/quorum"
+	"mintkeel/internal/lab/eventqueue"
 )
 
 // Plan is what is played in virtual time.
@@ -45,8 +45,7 @@
 	plan    Plan
 	rng     *rand.Rand
 	now     float64
-	queue   events
-	order   uint64
+	queue   eventqueue.Queue
 	nodes   []*machine
 	blocked map[[2]int]float64 // until when nothing gets from one to another
 	drop    float64
@@ -97,8 +96,7 @@
 }
 
 func (w *World) at(t float64, do func()) {
-	w.order++
-	heap.Push(&w.queue, event{max(t, w.now), w.order, do})
+	w.queue.Add(max(t, w.now), do)
 }
 
 func (w *World) trace(format string, args ...any) {
@@ -109,10 +107,10 @@
 
 // Run plays until a time.
 func (w *World) Run(until float64) {
-	for len(w.queue) > 0 && w.queue[0].at <= until && w.Judge.Broken == "" {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.queue.Next() <= until && w.Judge.Broken == "" {
+		e := w.queue.Take()
+		w.now = e.At
+		e.Run()
 	}
 	w.now = max(w.now, until)
 }
--- a/internal/lab/scale/dissemination/network.go
+++ b/internal/lab/scale/dissemination/network.go
@@ -5,8 +5,9 @@
 package dissemination
 
 import (
-	"container/heap"
 	"math/rand"
+
+	"mintkeel/internal/lab/eventqueue"
 )
 
 // The network, as package spread assumes it: times in ms, sizes in bytes.
@@ -30,34 +31,11 @@
 	sent     int     // bytes
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    float64
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // network carries messages between nodes; the first ones are the voters, of which node 0 leads.
 type network struct {
 	rng    *rand.Rand
 	now    float64
-	events eventQueue
-	order  int
+	events eventqueue.Queue
 	nodes  []node
 	voters int
 	loss   float64
@@ -78,16 +56,15 @@
 func region(number int) int { return number % regions }
 
 func (n *network) after(delay float64, run func()) {
-	n.order++
-	heap.Push(&n.events, event{n.now + delay, n.order, run})
+	n.events.Add(n.now+delay, run)
 }
 
 // run lets time pass.
 func (n *network) run(until float64) {
-	for len(n.events) > 0 && n.events[0].at <= until {
-		e := heap.Pop(&n.events).(event)
-		n.now = e.at
-		e.run()
+	for n.events.Next() <= until {
+		e := n.events.Take()
+		n.now = e.At
+		e.Run()
 	}
 	n.now = until
 }
--- a/internal/lab/scale/membership/simulation.go
+++ b/internal/lab/scale/membership/simulation.go
@@ -12,6 +12,7 @@
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/core/fleet/node"
 	"mintkeel/internal/fleet/frames"
+	"mintkeel/internal/lab/eventqueue"
 )
 
 const (
@@ -60,7 +61,7 @@
 type simulation struct {
 	rng         *rand.Rand
 	now         float64
-	queue       eventQueue
+	queue       eventqueue.Queue
 	controllers []*controller
 	byID        map[members.ID]*controller
 	network     conditions
@@ -103,17 +104,17 @@
 	return c
 }
 
-func (s *simulation) at(at float64, run func()) { s.queue.push(max(at, s.now), run) }
+func (s *simulation) at(at float64, run func()) { s.queue.Add(max(at, s.now), run) }
 
 // runUntil plays all events up to a time.
 func (s *simulation) runUntil(ctx context.Context, until float64) error {
-	for played := 0; len(s.queue.heap) > 0 && s.queue.heap[0].at <= until && s.err == nil; played++ {
+	for played := 0; s.queue.Next() <= until && s.err == nil; played++ {
 		if played%1024 == 0 && ctx.Err() != nil {
 			return ctx.Err()
 		}
-		e := s.queue.pop()
-		s.now = e.at
-		e.run()
+		e := s.queue.Take()
+		s.now = e.At
+		e.Run()
 	}
 	s.now = max(s.now, until)
 	return s.err
--- a/internal/lab/simulation/simulation.go
+++ b/internal/lab/simulation/simulation.go
@@ -4,7 +4,6 @@
 package simulation
 
 import (
-	"container/heap"
 	"math/rand"
 
 	"mintkeel/internal/lab/checker"
@@ -77,10 +76,10 @@
 	}
 	sim.result.Checker = sim.checker
 	sim.begin()
-	for len(sim.queue) > 0 && sim.queue[0].at <= sim.Length {
-		e := heap.Pop(&sim.queue).(event)
-		sim.now = max(sim.now, e.at)
-		e.do()
+	for sim.queue.Next() <= sim.Length {
+		e := sim.queue.Take()
+		sim.now = max(sim.now, e.At)
+		e.Run()
 	}
 	return sim.result
 }
--- a/internal/lab/simulation/steps.go
+++ b/internal/lab/simulation/steps.go
@@ -1,12 +1,11 @@
 package simulation
 
 import (
-	"cmp"
-	"container/heap"
 	"math"
 	"math/rand"
 
 	"mintkeel/internal/lab/checker"
+	"mintkeel/internal/lab/eventqueue"
 	"mintkeel/router"
 )
 
@@ -16,8 +15,7 @@
 	rng         *rand.Rand
 	make        func(int64, router.Place) Controller
 	now         float64
-	queue       queue
-	made        int
+	queue       eventqueue.Queue
 	checker     *checker.Checker
 	engines     map[router.EngineID]*engine
 	order       []*engine // by when they joined
@@ -28,36 +26,9 @@
 	result      *Result
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    float64
-	order int // by which of two at one instant comes first: as they were scheduled
-	do    func()
-}
-
-// queue is a heap of events, the next one first.
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-
-func (q queue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].order, q[j].order)) < 0
-}
-
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
-
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // at schedules an event at a time, in ms.
 func (sim *simulation) at(t float64, do func()) {
-	sim.made++
-	heap.Push(&sim.queue, event{max(t, sim.now), sim.made, do})
+	sim.queue.Add(max(t, sim.now), do)
 }
 
 // after schedules an event after a delay, in ms.
