--- a/internal/core/fleet/quorum/membership.go
+++ b/internal/core/fleet/quorum/membership.go
@@ -119,7 +119,7 @@
 	if r.removedAt == 0 {
 		r.removedAt = r.now
 	}
-	return r.removedAt + farewellTime
+	return r.removedAt + stepDownDelay
 }
 
 // receiveJoin takes in a request to join, from a member, a founder that was not removed, or a controller that was invited.
--- a/internal/core/fleet/quorum/quorum.go
+++ b/internal/core/fleet/quorum/quorum.go
@@ -66,7 +66,7 @@
 	joinTimeout     = 5 * joinInterval    // after which a request to join that was not repeated is forgotten
 	giveUpAsking    = 5000.0              // after which a member that some don't answer asks to join as another incarnation, if the others have a leader
 	settleTime      = 2 * electionTimeout // in which a new leader learns which members answer, before it changes them
-	farewellTime    = 2 * electionTimeout // in which a leader that was taken out goes on to lead
+	stepDownDelay   = 2 * electionTimeout // in which a leader that was taken out goes on to lead
 	changeTimeout   = 3000.0              // after which a change of the members that was not agreed on is proposed again
 	replaceTimeout  = 600000.0            // after which a replacement that did not come about is forgotten
 	outsideInterval = 60000.0             // between two ticks of a controller that is no member
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -118,11 +118,11 @@
 	if r.role != Voting || r.node == nil {
 		return false
 	}
-	if r.node.BasicStatus().Lead != raft.None || r.now > r.unledCall.last+settleTime {
-		r.unledCall.since = r.now
+	if r.node.BasicStatus().Lead != raft.None || r.now > r.replacedLast+settleTime {
+		r.replacedSince = r.now
 	}
-	r.unledCall.last = r.now
-	return r.now < r.unledCall.since+settleTime
+	r.replacedLast = r.now
+	return r.now < r.replacedSince+settleTime
 }
 
 // rememberSender has a sender be answered that is no member as this one knows them. The members may have changed while
@@ -131,10 +131,10 @@
 	if r.incarnations[from.Number()] == from {
 		return
 	}
-	if len(r.strangers) >= maxRetired {
-		clear(r.strangers) // those that are of the quorum write again
+	if len(r.unknownSenders) >= maxRetired {
+		clear(r.unknownSenders) // those that are of the quorum write again
 	}
-	r.strangers[from.Number()] = from
+	r.unknownSenders[from.Number()] = from
 	if len(r.incarnations) == 0 { // a member that is being taken in knows only the one that writes to it
 		r.contact = from
 	}
@@ -191,7 +191,7 @@
 func (r *Replica) sendRaft(m *raftMessage) {
 	to, ok := r.incarnations[m.GetTo()]
 	if !ok {
-		to, ok = r.strangers[m.GetTo()]
+		to, ok = r.unknownSenders[m.GetTo()]
 	}
 	if !ok {
 		return
--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -56,9 +56,9 @@
 	return slices.ContainsFunc(names, func(name members.ID) bool { return r.members[name].Leads() })
 }
 
-// TestLateVoterElectsStranger has a voter be cut off while another is replaced, and the third one end: the voter that
+// TestLateVoterElectsNewcomer has a voter be cut off while another is replaced, and the third one end: the voter that
 // was cut off does not know the newcomer as a member, and has to answer it all the same, or nobody is ever elected.
-func TestLateVoterElectsStranger(t *testing.T) {
+func TestLateVoterElectsNewcomer(t *testing.T) {
 	r, leader, others := withNewcomer(t)
 	late, ended := others[0], others[1]
 	r.cut = func(from, to members.ID) bool { return from == late || to == late }
@@ -84,20 +84,20 @@
 	}
 }
 
-// TestStrangersBounded has many strangers write: no more than a bound are remembered.
-func TestStrangersBounded(t *testing.T) {
+// TestUnknownSendersBounded has many unknown senders write: no more than a bound are remembered.
+func TestUnknownSendersBounded(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(3000)
 	a := r.members["a"]
 	for disk := range uint64(10 * maxRetired) {
 		a.rememberSender(Incarnation{Name: "x", Disk: disk + 1})
 	}
-	if len(a.strangers) > maxRetired {
-		t.Errorf("%d strangers are remembered", len(a.strangers))
+	if len(a.unknownSenders) > maxRetired {
+		t.Errorf("%d unknown senders are remembered", len(a.unknownSenders))
 	}
 	a.rememberSender(Incarnation{Name: "b"})
-	if _, remembered := a.strangers[Incarnation{Name: "b"}.Number()]; remembered {
-		t.Error("a member counts as a stranger")
+	if _, remembered := a.unknownSenders[Incarnation{Name: "b"}.Number()]; remembered {
+		t.Error("a member counts as an unknown sender")
 	}
 }
 
@@ -277,10 +277,10 @@
 	}
 }
 
-// TestVoterStaysUnlessUnled has messages come to the incarnation as which a voter once asked to be taken in: the voter
+// TestVoterStaysUnlessLeaderless has messages come to the incarnation as which a voter once asked to be taken in: the voter
 // stays while it hears from a leader, and for a while without one, as such a message may come ahead of the first
 // heartbeat of a new leader. If they go on and no leader is heard, the quorum goes on without it.
-func TestVoterStaysUnlessUnled(t *testing.T) {
+func TestVoterStaysUnlessLeaderless(t *testing.T) {
 	r := newRoom(t, "a", "b", "c")
 	r.run(5000)
 	b := r.members["b"]
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -60,8 +60,9 @@
 	askAt            float64                // ms
 	askers           map[Incarnation]uint64 // which run of an incarnation asked last: messages of earlier runs are ignored
 	contact          Incarnation            // the member that wrote last to this one while it knew no member
-	unledCall        unledCall              // messages to the incarnation as which this one asked to be taken in, while it votes
-	strangers        map[uint64]Incarnation // senders that are no members as far as this one knows, by their number
+	replacedSince    float64                // ms, since when a leader writes to the incarnation as which this voter asked to be taken in, and none to this one
+	replacedLast     float64                // ms, when one last did
+	unknownSenders   map[uint64]Incarnation // senders that are no members as far as this one knows, by their number
 	leaderHint       members.ID             // the member that leads, as another one told this one when it asked to join
 
 	// Changes of the members that this leader carries out.
@@ -74,28 +75,25 @@
 	applied []Applied
 }
 
-// unledCall is the time in which messages came to another incarnation of this member and none from a leader to this one.
-type unledCall struct{ since, last float64 } // ms
-
 // New takes up what the records of a folder hold; none, for a folder that is new.
 func New(f Facts, records []Record, now float64) (*Replica, error) {
 	r := &Replica{
-		facts:        f,
-		rng:          rand.New(rand.NewSource(f.Seed)),
-		now:          now,
-		incarnation:  Incarnation{Name: f.Self},
-		run:          f.Run,
-		marks:        map[Incarnation]uint64{},
-		waitingMarks: map[Incarnation]uint64{},
-		incarnations: map[uint64]Incarnation{},
-		vouched:      map[members.ID]bool{},
-		toldMembers:  map[members.ID]bool{},
-		askers:       map[Incarnation]uint64{},
-		strangers:    map[uint64]Incarnation{},
-		joins:        map[members.ID]joinRequest{},
-		startedAt:    now,
-		tickAt:       now,
-		askAt:        now,
+		facts:          f,
+		rng:            rand.New(rand.NewSource(f.Seed)),
+		now:            now,
+		incarnation:    Incarnation{Name: f.Self},
+		run:            f.Run,
+		marks:          map[Incarnation]uint64{},
+		waitingMarks:   map[Incarnation]uint64{},
+		incarnations:   map[uint64]Incarnation{},
+		vouched:        map[members.ID]bool{},
+		toldMembers:    map[members.ID]bool{},
+		askers:         map[Incarnation]uint64{},
+		unknownSenders: map[uint64]Incarnation{},
+		joins:          map[members.ID]joinRequest{},
+		startedAt:      now,
+		tickAt:         now,
+		askAt:          now,
 	}
 	r.reset()
 	if err := r.replay(records); err != nil {
