Tests of unused learners and of the longest frame

Three edits still passed: dropping a learner that answers, keeping what is known of answers past the leading, and a frame without a longest time. TestUnusedLearner and TestLongestFrame fail with each of them.

--- a/internal/core/fleet/quorum/recovery_test.go
+++ b/internal/core/fleet/quorum/recovery_test.go
@@ -466,3 +466,23 @@
 		t.Error("a learner counts")
 	}
 }
+
+// TestUnusedLearner has a learner whose former incarnation goes on to vote be dropped only once it does not answer, and
+// what is known of answers end with the leading.
+func TestUnusedLearner(t *testing.T) {
+	r, _, others := withNewcomer(t)
+	leader := r.leader()
+	former, learner := Incarnation{Name: others[0]}, Incarnation{Name: others[0], Disk: 99}
+	leader.addMember(learner)
+	leader.answeredAt[former.Number()], leader.answeredAt[learner.Number()] = leader.now, leader.now
+	if leader.dropUnusedLearner() {
+		t.Error("a learner that answers is dropped")
+	}
+	leader.answeredAt[learner.Number()] = leader.now - settleTime
+	if !leader.dropUnusedLearner() {
+		t.Error("a learner that does not answer stays beside a voter that does")
+	}
+	if leader.setLeading(false); len(leader.answeredAt) > 0 {
+		t.Errorf("one that does not lead knows of %d that answer", len(leader.answeredAt))
+	}
+}
--- a/internal/fleet/links/links_test.go
+++ b/internal/fleet/links/links_test.go
@@ -283,3 +283,22 @@
 		t.Errorf("nothing came; %d connections failed", sender.failed.Load())
 	}
 }
+
+// A frame that claims much and hardly comes has its connection end after the longest time for a frame, whatever it claims.
+func TestLongestFrame(t *testing.T) {
+	b := Usual()
+	b.Write, b.Idle, b.LeastRate = 50*time.Millisecond, 200*time.Millisecond, 1000
+	receiver, sender := open(t, "a", "f", keys, b), open(t, "b", "f", keys, Usual())
+	through := slowly(t, receiver.addr, 256, 10*time.Millisecond) // 25 KB/s: 40 s
+	sender.Send("a", through, make([]byte, frames.FrameBytes))
+	incoming := func() int {
+		receiver.mu.Lock()
+		defer receiver.mu.Unlock()
+		return len(receiver.incoming)
+	}
+	eventually(t, "it does not connect", func() bool { return incoming() == 1 })
+	eventually(t, "the connection stays", func() bool { return incoming() == 0 })
+	if receiver.received.Load() > 0 {
+		t.Error("the message came")
+	}
+}
