A list that expires while discovery is dialled does not end the new connection

Cause: Watcher.follow gave a new connection one deadline, which is the moment the list expires where that comes first. A watcher that was held up for a moment between its check of the expiry and its write had that moment behind it: the write failed, the connection ended unasked, and the list was asked for once more. It is a fault of the daemon, harmless but for one more connection, and the test met it by its short times on a wall clock.

Change: what expired while dialling is told before the request is written, and the write has a time of its own.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -153,7 +153,9 @@
 	post    func(Update)
 	log     *slog.Logger
 	logged  time.Time // when its absence was last logged
-	expired bool
+	expired bool      // the list has expired, and nothing was heard since
+
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error) // a net.Dialer's, but in tests
 
 	mu    sync.Mutex
 	addr  string
@@ -166,7 +168,7 @@
 func NewWatcher(addr string, last uint64, names *settings.Names, l *limits.Limits, post func(Update),
 	log *slog.Logger) *Watcher {
 	return &Watcher{addr: addr, last: last, names: names, limits: l, post: post, log: log,
-		told: time.Now().Add(l.FeedTold)}
+		dialContext: new(net.Dialer).DialContext, told: time.Now().Add(l.FeedTold)}
 }
 
 // Move has the list watched at another address, from the last update; the connection to the old one ends at once, as
@@ -204,14 +206,7 @@
 			w.logged = now
 			w.log.Warn("discovery connection ended", "why", err, "last", w.last)
 		}
-		w.mu.Lock()
-		at := w.told
-		w.mu.Unlock()
-		if !w.expired && !time.Now().Before(at) {
-			w.expired = true
-			w.log.Warn("nothing heard from discovery for too long: only engines that go on answering get queries")
-			w.post(Update{Expired: w.limits.FeedBroken})
-		}
+		w.expireIfDue()
 		select {
 		case <-ctx.Done():
 		case <-time.After(w.limits.FeedRetry - time.Since(began)): // none after a connection that lasted
@@ -219,6 +214,19 @@
 	}
 }
 
+// expireIfDue tells, once, that the list has expired, if nothing was heard for as long as that takes.
+func (w *Watcher) expireIfDue() {
+	w.mu.Lock()
+	at := w.told
+	w.mu.Unlock()
+	if w.expired || time.Now().Before(at) {
+		return
+	}
+	w.expired = true
+	w.log.Warn("nothing heard from discovery for too long: only engines that go on answering get queries")
+	w.post(Update{Expired: w.limits.FeedBroken})
+}
+
 // silence is until when nothing may come: no longer than the connection may be trusted or, the first time, than the
 // list may be.
 func (w *Watcher) silence() time.Time {
@@ -237,8 +245,10 @@
 	addr := w.addr
 	w.moved = false
 	w.mu.Unlock()
-	dialer := net.Dialer{Timeout: min(w.limits.ConnectTime, max(time.Millisecond, time.Until(w.silence())))}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	timeout := min(w.limits.ConnectTime, max(time.Millisecond, time.Until(w.silence())))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := w.dialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -271,13 +281,14 @@
 			w.within(w.limits.FeedBroken)
 		}
 	}()
-	conn.SetDeadline(w.silence())
+	w.expireIfDue() // while it was dialled; a list that expires now does not cost the connection
+	conn.SetWriteDeadline(time.Now().Add(w.limits.FeedSilence))
 	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, w.last)); err != nil {
 		return err
 	}
 	r := bufio.NewReader(conn)
 	for {
-		conn.SetDeadline(w.silence())
+		conn.SetReadDeadline(w.silence())
 		update, fresh, err := ReadFrame(r, w.limits.FrameBytes, w.names)
 		if err != nil {
 			return err
