The end of a connection between controllers is seen when the peer ends it

Cause: internal/fleet/links wrote to a connection and never read from it.

Change: each connection out is read; nothing comes but its end, which closes it, so that the next message opens another. The counter `ended` tells how many. carry is divided into a type with a step each. A connection whose context ends is closed, where a deadline set right after could have held up the end for 2 s. The simulation of membership has the end of a peer's process seen likewise.

Tests of internal/fleet and of the hollow controllers pass under the race detector.

--- a/internal/fleet/frames/frames.go
+++ b/internal/fleet/frames/frames.go
@@ -38,6 +38,8 @@
 	macSize   = 16
 
 	lengthBytes = 4
+	// Overhead is what a frame has beside its payload, in bytes.
+	Overhead = lengthBytes + macSize
 	// HelloBytes and FrameBytes bound what is read ahead of any memory that a length asks for.
 	HelloBytes = 512
 	FrameBytes = 1 << 20
--- a/internal/fleet/links/incoming.go
+++ b/internal/fleet/links/incoming.go
@@ -84,7 +84,7 @@
 			return
 		}
 		l.received.Add(1)
-		l.bytesIn.Add(int64(len(payload)) + 20)
+		l.bytesIn.Add(int64(len(payload)) + frames.Overhead)
 		l.receive(Received{in.Hello.From, in.Hello.Run, payload})
 		bytes += len(payload) // one that sends more than its rate is read no faster
 		if ahead := time.Duration(bytes)*time.Second/time.Duration(l.bounds.Rate) - time.Since(began); ahead > 0 {
--- a/internal/fleet/links/links.go
+++ b/internal/fleet/links/links.go
@@ -68,7 +68,15 @@
 	counts
 }
 
-type counts struct{ sent, received, dropped, failed, forged, foreign, refused, bytesOut, bytesIn atomic.Int64 }
+// counts are numbers since the start.
+type counts struct {
+	sent, received, dropped atomic.Int64 // messages
+	bytesOut, bytesIn       atomic.Int64
+	failed                  atomic.Int64 // connections out that could not be opened or written to
+	ended                   atomic.Int64 // connections out that the peer ended
+	forged, foreign         atomic.Int64 // connections in that were not of this fleet
+	refused                 atomic.Int64 // connections in that found no room
+}
 
 // New is links of a controller that says hello as self.
 func New(self frames.Hello, keys frames.Keys, b Bounds, receive func(Received), log *slog.Logger) *Links {
@@ -102,7 +110,7 @@
 	peers, incoming := len(l.peers), len(l.incoming)
 	l.mu.Unlock()
 	return slog.GroupValue(slog.Int("peers", peers), slog.Int("incoming", incoming), slog.Int64("sent", l.sent.Load()),
-		slog.Int64("received", l.received.Load()), slog.Int64("dropped", l.dropped.Load()), slog.Int64("failed", l.failed.Load()),
+		slog.Int64("received", l.received.Load()), slog.Int64("dropped", l.dropped.Load()), slog.Int64("failed", l.failed.Load()), slog.Int64("ended", l.ended.Load()),
 		slog.Int64("forged", l.forged.Load()), slog.Int64("foreign", l.foreign.Load()), slog.Int64("refused", l.refused.Load()),
 		slog.Int64("bytes_out", l.bytesOut.Load()), slog.Int64("bytes_in", l.bytesIn.Load()))
 }
--- a/internal/fleet/links/links_test.go
+++ b/internal/fleet/links/links_test.go
@@ -34,6 +34,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serve(t, listener, name, fleet, k, b)
+}
+
+// serve is links of a controller that takes connections from a listener.
+func serve(t *testing.T, listener net.Listener, name members.ID, fleet string, k frames.Keys, b Bounds) *end {
 	e := &end{addr: listener.Addr().String(), got: make(chan Received, 100000)}
 	e.Links = New(frames.Hello{Fleet: fleet, Generation: 1, From: name, Run: 7}, k, b, func(r Received) { e.got <- r }, quiet)
 	e.Serve(listener)
--- a/internal/fleet/links/outgoing.go
+++ b/internal/fleet/links/outgoing.go
@@ -80,86 +80,129 @@
 	}
 }
 
-// carry writes what is queued for one peer. When a connection fails, what waits behind it is old: it is dropped, and the
-// next message tries anew.
+// outgoing is an open connection to a peer. Nothing comes back on it but its end.
+type outgoing struct {
+	conn   net.Conn
+	writer *frames.Writer
+	ended  chan struct{} // closed once the peer has ended it
+}
+
+// carrier writes what is queued for one peer. It is for one goroutine.
+type carrier struct {
+	links      *Links
+	peer       *peer
+	connection *outgoing // nil: none
+	retryAt    time.Time // before which none is opened
+}
+
+// carry writes what is queued for one peer until it has been idle for a while, or the context ends. When a connection
+// fails, what is enqueued behind it is old: it is dropped, and the next message tries anew.
 func (l *Links) carry(ctx context.Context, p *peer) {
 	defer l.forget(p)
-	var conn net.Conn
-	var out *frames.Writer
-	closed := func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if conn != nil {
-			conn.Close()
-			conn, out = nil, nil
-		}
-	}
-	defer closed()
-	defer context.AfterFunc(ctx, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if conn != nil {
-			conn.SetDeadline(time.Now())
-		}
-	})()
+	c := &carrier{links: l, peer: p}
+	defer c.disconnect()
 	idle := time.NewTimer(l.bounds.Idle)
 	defer idle.Stop()
-	failedAt := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-idle.C:
 			return
+		case <-c.connectionEnded():
+			c.dropEnded()
 		case payload := <-p.queue:
 			p.bytes.Add(-int64(len(payload)))
 			idle.Reset(l.bounds.Idle)
-			if out == nil {
-				if time.Since(failedAt) < l.bounds.Again {
-					l.dropped.Add(1)
-					continue
-				}
-				c, w, err := l.open(ctx, p)
-				if err != nil {
-					failedAt = time.Now()
-					l.failed.Add(1)
-					l.dropped.Add(1)
-					continue
-				}
-				l.mu.Lock()
-				conn, out = c, w
-				l.mu.Unlock()
-			}
-			conn.SetWriteDeadline(time.Now().Add(l.bounds.Write))
-			if err := out.Write(payload); err != nil {
-				failedAt = time.Now()
-				l.failed.Add(1)
-				closed()
-				continue
-			}
-			l.sent.Add(1)
-			l.bytesOut.Add(int64(len(payload)) + 20)
+			c.write(ctx, payload)
 		}
 	}
 }
 
-func (l *Links) open(ctx context.Context, p *peer) (net.Conn, *frames.Writer, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.bounds.Dial)
+// connectionEnded is closed once the peer has ended the connection; nil without one.
+func (c *carrier) connectionEnded() <-chan struct{} {
+	if c.connection == nil {
+		return nil
+	}
+	return c.connection.ended
+}
+
+// dropEnded closes the connection that the peer has ended.
+func (c *carrier) dropEnded() {
+	c.links.ended.Add(1)
+	c.disconnect()
+}
+
+func (c *carrier) disconnect() {
+	if c.connection != nil {
+		c.connection.conn.Close()
+		c.connection = nil
+	}
+}
+
+// write writes one message, on a new connection if there is none or the peer has ended it.
+func (c *carrier) write(ctx context.Context, payload []byte) {
+	select {
+	case <-c.connectionEnded():
+		c.dropEnded()
+	default:
+	}
+	if c.connection == nil && !c.connect(ctx) {
+		c.links.dropped.Add(1)
+		return
+	}
+	now := time.Now()
+	c.connection.conn.SetWriteDeadline(now.Add(c.links.bounds.Write))
+	c.connection.conn.SetReadDeadline(now.Add(2 * c.links.bounds.Idle)) // it is closed as idle before
+	if err := c.connection.writer.Write(payload); err != nil {
+		c.retryAt = time.Now().Add(c.links.bounds.Again)
+		c.links.failed.Add(1)
+		c.disconnect()
+		return
+	}
+	c.links.sent.Add(1)
+	c.links.bytesOut.Add(int64(len(payload)) + frames.Overhead)
+}
+
+// connect opens a connection, unless the last one failed a moment ago.
+func (c *carrier) connect(ctx context.Context) bool {
+	if time.Now().Before(c.retryAt) {
+		return false
+	}
+	connection, err := c.links.open(ctx, c.peer)
+	if err != nil {
+		c.retryAt = time.Now().Add(c.links.bounds.Again)
+		c.links.failed.Add(1)
+		return false
+	}
+	c.connection = connection
+	return true
+}
+
+// open opens a connection to a peer; it is closed when the context ends.
+func (l *Links) open(ctx context.Context, p *peer) (*outgoing, error) {
+	dialing, cancel := context.WithTimeout(ctx, l.bounds.Dial)
 	defer cancel()
-	conn, err := l.dial(ctx, p.addr)
+	conn, err := l.dial(dialing, p.addr)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	deadline, _ := ctx.Deadline()
+	deadline, _ := dialing.Deadline()
 	conn.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
-	defer stop()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	hello := l.self
 	hello.To = p.id
-	out, err := frames.Open(conn, (*l.keys.Load())[0], hello)
+	writer, err := frames.Open(conn, (*l.keys.Load())[0], hello)
 	if err != nil {
+		stop()
 		conn.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	return conn, out, nil
+	connection := &outgoing{conn: conn, writer: writer, ended: make(chan struct{})}
+	l.group.Go(func() {
+		defer stop()
+		defer close(connection.ended)
+		conn.Read(make([]byte, 1)) // the peer says nothing: whatever comes is its end
+	})
+	return connection, nil
 }
--- a/internal/lab/scale/membership/simulation.go
+++ b/internal/lab/scale/membership/simulation.go
@@ -215,6 +215,10 @@
 	s.counters.messages++
 	frame := segments(len(payload) + frameOverhead)
 	open := from.peers.reuse(out.To, s.now)
+	if open != nil && s.endedByPeer(from, to, open) { // what ending it costs was counted when it was opened
+		delete(from.peers, to.id)
+		open = nil
+	}
 	if !s.carried(from, to, open, frame) {
 		return
 	}
@@ -253,6 +257,11 @@
 	}
 }
 
+// endedByPeer tells whether a connection's receiver has ended, which the sender sees by the end of what it reads.
+func (s *simulation) endedByPeer(from, to *controller, open *connection) bool {
+	return s.reached(from, to) && (to.table == nil || open.run != to.run)
+}
+
 // carried tells whether a message gets over at all; one that does not costs what was tried.
 func (s *simulation) carried(from, to *controller, open *connection, frame traffic) bool {
 	switch {
@@ -264,14 +273,6 @@
 		}
 	case !s.reached(from, to):
 		s.spend(from, dialTries*synHeader)
-	case open != nil && (to.table == nil || open.run != to.run): // the first write goes out and is reset, the next one fails
-		open.writes++
-		if open.writes == 1 {
-			s.spend(from, frame.sender)
-			s.spend(to, resetHeader)
-		} else {
-			delete(from.peers, to.id)
-		}
 	case to.table == nil:
 		s.spend(from, synHeader)
 		s.spend(to, resetHeader)
--- a/internal/lab/scale/membership/wire.go
+++ b/internal/lab/scale/membership/wire.go
@@ -34,7 +34,7 @@
 type connection struct {
 	run    uint64  // of the receiver when it was opened
 	used   float64 // ms
-	writes int     // to a receiver that has restarted since
+	writes int     // to a receiver that is out of reach
 }
 
 // encoder works out sizes; its buffer is used again.
