A full controller ends its longest idle connection; refused ones wait by a draw

Cause: a controller takes 256 connections in, and each stays for 20 s without a message.

Change: where there is no room, the connection that has brought nothing for the longest time, and for 2 s at least, yields to the new one. Its sender reads the end and opens another for its next message, so nothing is lost. Connections that have proved nothing displace a quarter at most. A sender that is refused waits twice as long each time, up to 3.2 s by a draw from half to half again; one whose connection a peer ends at once for the second time waits 0.2 s. A connection that a later one of the same sender ends takes in nothing any more: frames that had been read ahead of it still were.

--- /dev/null
+++ b/internal/fleet/links/incoming_test.go
@@ -0,0 +1,92 @@
+package links
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"mintkeel/internal/core/fleet/members"
+)
+
+// fill has so many controllers connect to one, in order, and returns them.
+func fill(t *testing.T, to *end, count int) []*end {
+	t.Helper()
+	senders := make([]*end, count)
+	for i := range senders {
+		senders[i] = open(t, members.ID(fmt.Sprint("n", i)), "f", keys, Usual())
+		senders[i].sendTo(t, to, fmt.Sprint("first of ", i))
+	}
+	return senders
+}
+
+// sendTo sends a message, which has to arrive.
+func (e *end) sendTo(t *testing.T, to *end, message string) {
+	t.Helper()
+	e.Send("a", to.addr, []byte(message))
+	to.hears(t, message)
+}
+
+// Where all room is taken, the connection that has been idle for the longest time yields to a new one. Its sender sees
+// that: its next message goes over another connection and arrives.
+func TestIdleConnectionYields(t *testing.T) {
+	b := Usual()
+	b.Incoming, b.Yield = 3, time.Nanosecond
+	a := open(t, "a", "f", keys, b)
+	senders := fill(t, a, 3)
+	senders[0].sendTo(t, a, "second of 0") // the longest idle one is n1 now
+	late := open(t, "late", "f", keys, Usual())
+	late.sendTo(t, a, "late")
+	eventually(t, "n1 does not see its end", func() bool { return senders[1].ended.Load() == 1 })
+	if ended := senders[0].ended.Load() + senders[2].ended.Load(); ended > 0 || a.refused.Load() > 0 {
+		t.Errorf("%d others yielded, %d were refused", ended, a.refused.Load())
+	}
+	senders[1].sendTo(t, a, "second of 1")
+	if failed := senders[1].failed.Load() + senders[1].dropped.Load(); failed > 0 || a.evicted.Load() != 2 {
+		t.Errorf("%d messages or connections failed, %d connections yielded", failed, a.evicted.Load())
+	}
+}
+
+// A connection that was used within the time does not yield: the new one is refused, and comes in once there is room.
+func TestBusyConnectionsStay(t *testing.T) {
+	b := Usual()
+	b.Incoming, b.Yield = 3, time.Hour
+	a := open(t, "a", "f", keys, b)
+	senders := fill(t, a, 3)
+	quick := Usual()
+	quick.Again, quick.Busy = time.Millisecond, 10*time.Millisecond
+	late := open(t, "late", "f", keys, quick)
+	late.Send("a", a.addr, []byte("refused"))
+	eventually(t, "it is not refused", func() bool { return a.refused.Load() > 0 })
+	for i, s := range senders {
+		s.sendTo(t, a, fmt.Sprint("second of ", i))
+	}
+	senders[2].Close()
+	eventually(t, "it does not come in", func() bool {
+		late.Send("a", a.addr, []byte("late"))
+		return len(a.got) > 0
+	})
+	if a.evicted.Load() > 0 {
+		t.Errorf("%d connections yielded", a.evicted.Load())
+	}
+}
+
+// Connections that prove nothing displace no more than a share of the controllers that are idle.
+func TestStrangersDisplaceFew(t *testing.T) {
+	const room = 8
+	b := Usual()
+	b.Incoming, b.Yield = room, time.Nanosecond
+	a := open(t, "a", "f", keys, b)
+	fill(t, a, room)
+	for range room {
+		conn, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	eventually(t, "strangers are not refused", func() bool { return a.evicted.Load()+a.refused.Load() == room })
+	if evicted := a.evicted.Load(); evicted != room/greetingShare {
+		t.Errorf("%d of %d strangers displaced controllers", evicted, room)
+	}
+}
--- a/internal/fleet/links/outgoing.go
+++ b/internal/fleet/links/outgoing.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mintkeel/internal/core/fleet/members"
@@ -84,15 +89,18 @@
 type outgoing struct {
 	conn   net.Conn
 	writer *frames.Writer
+	opened time.Time
 	ended  chan struct{} // closed once the peer has ended it
 }
 
 // carrier writes what is queued for one peer. It is for one goroutine.
 type carrier struct {
-	links      *Links
-	peer       *peer
-	connection *outgoing // nil: none
-	retryAt    time.Time // before which none is opened
+	links       *Links
+	peer        *peer
+	connection  *outgoing // nil: none
+	retryAt     time.Time // before which none is opened
+	refusals    int       // in a row
+	endedAtOnce bool      // the peer ended the last connection right after its beginning
 }
 
 // carry writes what is queued for one peer until it has been idle for a while, or the context ends. When a connection
@@ -127,9 +135,17 @@
 	return c.connection.ended
 }
 
-// dropEnded closes the connection that the peer has ended.
+// dropEnded closes the connection that the peer has ended. One that a peer ends right after its beginning for the second
+// time, as it takes this controller for none of its fleet, is not opened anew at once.
 func (c *carrier) dropEnded() {
 	c.links.ended.Add(1)
+	if time.Since(c.connection.opened) >= c.links.bounds.Again {
+		c.endedAtOnce = false
+	} else if c.endedAtOnce {
+		c.retryAt = time.Now().Add(c.links.bounds.Again)
+	} else {
+		c.endedAtOnce = true
+	}
 	c.disconnect()
 }
 
@@ -170,8 +186,13 @@
 		return false
 	}
 	connection, err := c.links.open(ctx, c.peer)
+	if errors.Is(err, errRefused) {
+		c.refusals++
+	} else {
+		c.refusals = 0
+	}
 	if err != nil {
-		c.retryAt = time.Now().Add(c.links.bounds.Again)
+		c.retryAt = time.Now().Add(c.links.bounds.retryWait(c.refusals))
 		c.links.failed.Add(1)
 		return false
 	}
@@ -179,6 +200,23 @@
 	return true
 }
 
+// retryWait is how long no connection is opened after one that failed. A peer that has no room is asked less often with
+// each refusal in a row, by a draw, so that all that want to reach it do not come back at once.
+func (b Bounds) retryWait(refusals int) time.Duration {
+	if refusals == 0 {
+		return b.Again
+	}
+	wait := b.Again
+	for n := 1; n < refusals && wait < b.Busy; n++ {
+		wait *= 2
+	}
+	wait = min(wait, b.Busy)
+	return wait/2 + rand.N(wait)
+}
+
+// errRefused is of a peer that closed a connection before it said anything, as one does that has no room.
+var errRefused = errors.New("the peer has no room for a connection")
+
 // open opens a connection to a peer; it is closed when the context ends.
 func (l *Links) open(ctx context.Context, p *peer) (*outgoing, error) {
 	dialing, cancel := context.WithTimeout(ctx, l.bounds.Dial)
@@ -196,9 +234,12 @@
 	if err != nil {
 		stop()
 		conn.Close()
+		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+			return nil, fmt.Errorf("%w: %w", errRefused, err)
+		}
 		return nil, err
 	}
-	connection := &outgoing{conn: conn, writer: writer, ended: make(chan struct{})}
+	connection := &outgoing{conn: conn, writer: writer, opened: time.Now(), ended: make(chan struct{})}
 	l.group.Go(func() {
 		defer stop()
 		defer close(connection.ended)
--- a/internal/fleet/links/outgoing_test.go
+++ b/internal/fleet/links/outgoing_test.go
@@ -1,8 +1,10 @@
 package links
 
 import (
+	"context"
 	"net"
 	"testing"
+	"time"
 )
 
 // openAgain is links of a controller that takes over the listener of a former incarnation, which ends. The port is held
@@ -40,3 +42,80 @@
 		t.Errorf("%d connections failed, %d messages were dropped", failed, dropped)
 	}
 }
+
+// Waits after refusals double up to the bound and are drawn; after a failure of another kind it is always the same one.
+func TestRetryWait(t *testing.T) {
+	b := Bounds{Again: 200 * time.Millisecond, Busy: time.Second}
+	for refusals, middle := range []time.Duration{0, 200, 400, 800, 1000, 1000} {
+		middle *= time.Millisecond
+		drawn := map[time.Duration]bool{}
+		for range 200 {
+			wait := b.retryWait(refusals)
+			drawn[wait] = true
+			if refusals > 0 && (wait < middle/2 || wait >= middle*3/2) || refusals == 0 && wait != b.Again {
+				t.Errorf("%v after %d refusals", wait, refusals)
+			}
+		}
+		if refusals > 0 && len(drawn) < 100 {
+			t.Errorf("%d waits of 200 differ after %d refusals", len(drawn), refusals)
+		}
+	}
+	if wait := b.retryWait(1 << 40); wait > b.Busy*3/2 {
+		t.Errorf("%v after very many refusals", wait)
+	}
+}
+
+// A peer that closes connections unread counts as full, one that is not there does not, and one that lets this controller
+// in ends the count.
+func TestRefusals(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	a, b := open(t, "a", "f", keys, Usual()), open(t, "b", "f", keys, Usual())
+	connect := func(c *carrier) bool {
+		c.retryAt = time.Time{}
+		return c.connect(context.Background())
+	}
+	full := &carrier{links: a.Links, peer: &peer{id: "b", addr: listener.Addr().String()}}
+	for refusals := 1; refusals < 4; refusals++ {
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				conn.Close()
+			}
+		}()
+		if connect(full) || full.refusals != refusals || time.Until(full.retryAt) > 2*Usual().Busy {
+			t.Errorf("%d refusals are counted, not %d", full.refusals, refusals)
+		}
+	}
+	full.peer.addr = b.addr
+	if !connect(full) || full.refusals != 0 {
+		t.Errorf("%d refusals are counted after it was let in", full.refusals)
+	}
+	full.disconnect()
+	full.peer.addr = "127.0.0.1:1"
+	if connect(full) || full.refusals != 0 {
+		t.Errorf("%d refusals of one that is not there", full.refusals)
+	}
+}
+
+// Connections that the peer ends right after their beginning, as it is of another fleet, are not opened anew at once from
+// the second one on.
+func TestEndedAtOnce(t *testing.T) {
+	b := Usual()
+	b.Again = time.Minute // "right after" on a slow machine too
+	a, stranger := open(t, "a", "f", keys, b), open(t, "b", "g", keys, Usual())
+	c := &carrier{links: a.Links, peer: &peer{id: "b", addr: stranger.addr}}
+	for ends := 1; ends < 4; ends++ {
+		c.retryAt = time.Time{}
+		if !c.connect(context.Background()) {
+			t.Fatal("not connected")
+		}
+		<-c.connectionEnded()
+		c.dropEnded()
+		if waits := time.Until(c.retryAt) > b.Again/2; waits != (ends > 1) {
+			t.Errorf("waits after %d such ends: %t", ends, waits)
+		}
+	}
+}
