Rename: messages among controllers and commands of the quorum by the field's names

Messages' fields: Council, Want, Where, Word, Passed, State, Put and Get are Quorum, Prefer, ViewRequest, JobMessage, Verdict, Checkpoint, StoreState and LoadState; a Claim is a Grant, a verdict's Work its Lease, a view's Council and Grants its Voters and Leases, the Token of an answered renewal its Sequence. lease.Put and Get are StoreState and LoadState; Node.Exchange is ReplaceVoter. Numbers on the wire are as they were. Nothing else changes.

--- a/internal/core/fleet/lease/command.go
+++ b/internal/core/fleet/lease/command.go
@@ -4,13 +4,13 @@
 
 // Command is one entry of the quorum's log; one of its fields is set.
 type Command struct {
-	Declare *Declare `cbor:"1,keyasint,omitempty"`
-	Assign  *Assign  `cbor:"2,keyasint,omitempty"`
-	Renew   *Renew   `cbor:"3,keyasint,omitempty"`
-	Release *Release `cbor:"4,keyasint,omitempty"`
-	Prefer  *Prefer  `cbor:"5,keyasint,omitempty"`
-	Put     *Put     `cbor:"6,keyasint,omitempty"`
-	Get     *Get     `cbor:"7,keyasint,omitempty"`
+	Declare    *Declare    `cbor:"1,keyasint,omitempty"`
+	Assign     *Assign     `cbor:"2,keyasint,omitempty"`
+	Renew      *Renew      `cbor:"3,keyasint,omitempty"`
+	Release    *Release    `cbor:"4,keyasint,omitempty"`
+	Prefer     *Prefer     `cbor:"5,keyasint,omitempty"`
+	StoreState *StoreState `cbor:"6,keyasint,omitempty"`
+	LoadState  *LoadState  `cbor:"7,keyasint,omitempty"`
 }
 
 // Declare says which leases there are to be.
@@ -45,17 +45,17 @@
 	To   members.ID `cbor:"2,keyasint"`
 }
 
-// Put stores the state that a lease's holder hands on to the next one, small and as a whole. It is applied if the holder
+// StoreState stores the state that a lease's holder hands on to the next one, small and as a whole. It is applied if the holder
 // still is one and knows the state before.
-type Put struct {
+type StoreState struct {
 	Holder Holder `cbor:"1,keyasint"`
 	Grant  Grant  `cbor:"2,keyasint"`
 	Serial uint64 `cbor:"3,keyasint"` // one more than that of the state before
 	Data   []byte `cbor:"4,keyasint"`
 }
 
-// Get reads the state of a lease as of its own place in the log: a holder that begins reads what every earlier one stored.
-type Get struct {
+// LoadState reads the state of a lease as of its own place in the log: a holder that begins reads what every earlier one stored.
+type LoadState struct {
 	Holder Holder `cbor:"1,keyasint"`
 	Grant  Grant  `cbor:"2,keyasint"`
 }
--- a/internal/core/fleet/lease/lease_test.go
+++ b/internal/core/fleet/lease/lease_test.go
@@ -82,7 +82,7 @@
 func TestHandOn(t *testing.T) {
 	s := named(a)
 	put := func(h Holder, e Token, serial uint64, data string) bool {
-		return s.Apply(Command{Put: &Put{Holder: h, Grant: Grant{"x", e}, Serial: serial, Data: []byte(data)}}) != nil
+		return s.Apply(Command{StoreState: &StoreState{Holder: h, Grant: Grant{"x", e}, Serial: serial, Data: []byte(data)}}) != nil
 	}
 	for i, c := range []struct {
 		h      Holder
@@ -98,7 +98,7 @@
 	if put(a, 1, 3, "late") || put(a, 2, 3, "late") || string(s.Leases["x"].State) != "5" {
 		t.Errorf("an old owner writes: %q", s.Leases["x"].State)
 	}
-	if s.Apply(Command{Get: &Get{a, Grant{"x", 1}}}) != nil || s.Apply(Command{Get: &Get{b, Grant{"x", 2}}}) == nil {
+	if s.Apply(Command{LoadState: &LoadState{a, Grant{"x", 1}}}) != nil || s.Apply(Command{LoadState: &LoadState{b, Grant{"x", 2}}}) == nil {
 		t.Error("the owner can't read, or another can")
 	}
 	if !put(b, 2, 3, "next") || put(b, 2, 4, string(make([]byte, MaxData+1))) {
@@ -278,7 +278,7 @@
 	}
 }
 
-// The margins hold for clocks that run 40% apart: what an holder counts is over before what the quorum counts.
+// The margins hold for clocks that run 40% apart: what a holder counts is over before what the quorum counts.
 func TestMargins(t *testing.T) {
 	terms := Terms{Lease: 1000}
 	const owner, council = 0.82, 1.18 // rates
--- a/internal/core/fleet/lease/manager.go
+++ b/internal/core/fleet/lease/manager.go
@@ -61,7 +61,7 @@
 
 // Applied takes in an agreed command and the leases that it changed.
 func (m *Manager) Applied(now float64, c Command, changed []Name) {
-	if c.Put != nil || c.Get != nil || c.Prefer != nil { // a holder counts its lease by renewals alone, and so does this
+	if c.StoreState != nil || c.LoadState != nil || c.Prefer != nil { // a holder counts its lease by renewals alone, and so does this
 		return
 	}
 	for _, name := range changed {
--- a/internal/core/fleet/lease/state.go
+++ b/internal/core/fleet/lease/state.go
@@ -49,11 +49,11 @@
 		return s.renew(c.Renew)
 	case c.Release != nil:
 		return s.release(c.Release)
-	case c.Put != nil:
-		return s.put(c.Put)
-	case c.Get != nil:
-		if s.heldBy(c.Get.Holder, c.Get.Grant) != nil {
-			return []Name{c.Get.Grant.Name}
+	case c.StoreState != nil:
+		return s.put(c.StoreState)
+	case c.LoadState != nil:
+		if s.heldBy(c.LoadState.Holder, c.LoadState.Grant) != nil {
+			return []Name{c.LoadState.Grant.Name}
 		}
 	case c.Prefer != nil:
 		return s.prefer(c.Prefer)
@@ -121,7 +121,7 @@
 	return []Name{lease.Name}
 }
 
-func (s *State) put(c *Put) []Name {
+func (s *State) put(c *StoreState) []Name {
 	lease := s.heldBy(c.Holder, c.Grant)
 	if lease == nil || c.Serial != lease.Serial+1 || len(c.Data) > MaxData {
 		return nil
--- a/internal/core/fleet/node/effects.go
+++ b/internal/core/fleet/node/effects.go
@@ -7,12 +7,12 @@
 
 // effect lets an effect of another pass, or not.
 func (n *Node) effect(from members.ID, e *Effect) {
-	ok, risen := n.fencing.Pass(e.Claim.Name, e.Claim.Token)
+	ok, risen := n.fencing.Pass(e.Grant.Name, e.Grant.Token)
 	if ok {
 		n.out.Effects = append(n.out.Effects, Accepted{from, *e})
 	}
 	n.out.Seen = n.out.Seen || risen
-	n.send(from, Message{Passed: &Verdict{Work: e.Claim.Name, ID: e.ID, OK: ok, Seen: n.fencing.Seen()[e.Claim.Name]}})
+	n.send(from, Message{Verdict: &Verdict{Lease: e.Grant.Name, ID: e.ID, Accepted: ok, Seen: n.fencing.Seen()[e.Grant.Name]}})
 }
 
 // TryEffect sends an effect of a lease that this controller holds now; it is false where it does not, and then nothing is sent. The clock
@@ -30,5 +30,5 @@
 // SendMessage sends a message of a job to the same job of another controller.
 func (n *Node) SendMessage(now float64, to members.ID, data []byte) {
 	n.now = max(n.now, now)
-	n.send(to, Message{Word: data})
+	n.send(to, Message{JobMessage: data})
 }
--- a/internal/core/fleet/node/holder.go
+++ b/internal/core/fleet/node/holder.go
@@ -6,7 +6,7 @@
 	"mintkeel/internal/core/fleet/lease"
 )
 
-// releasedLease is a lease that was releasedLease up, of which the quorum may not know yet.
+// releasedLease is a lease that was given up, of which the quorum may not know yet.
 type releasedLease struct {
 	release *lease.Release
 	until   float64
@@ -18,7 +18,7 @@
 		return
 	}
 	n.leader, n.heardAt = g.Leader, n.now
-	n.client.Renewed(n.now, g.Token, g.Held)
+	n.client.Renewed(n.now, g.Sequence, g.Held)
 	for _, c := range g.Lost {
 		n.client.Refused(c)
 		n.released = slices.DeleteFunc(n.released, func(g releasedLease) bool { return g.release.Grant == c })
@@ -59,7 +59,7 @@
 
 // receiveCheckpoint takes in what the holders of a lease hand on.
 func (n *Node) receiveCheckpoint(s *Checkpoint) {
-	if e, _, ok := n.client.CanAct(n.now, s.Claim.Name); s.To == n.self() && ok && e == s.Claim.Token {
+	if e, _, ok := n.client.CanAct(n.now, s.Grant.Name); s.To == n.self() && ok && e == s.Grant.Token {
 		n.out.Checkpoints = append(n.out.Checkpoints, *s)
 	}
 }
@@ -70,7 +70,7 @@
 	n.now = max(n.now, now)
 	e, _, ok := n.client.CanAct(n.now, w)
 	if ok {
-		n.toLeader(Message{Put: &lease.Put{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}, Serial: serial, Data: data}})
+		n.toLeader(Message{StoreState: &lease.StoreState{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}, Serial: serial, Data: data}})
 	}
 	return ok
 }
@@ -80,12 +80,12 @@
 	n.now = max(n.now, now)
 	e, _, ok := n.client.CanAct(n.now, w)
 	if ok {
-		n.toLeader(Message{Get: &lease.Get{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}}})
+		n.toLeader(Message{LoadState: &lease.LoadState{Holder: n.self(), Grant: lease.Grant{Name: w, Token: e}}})
 	}
 	return ok
 }
 
-// renewLeases does what an holder does.
+// renewLeases sends the renewal that is due of the leases that this controller holds.
 func (n *Node) renewLeases() {
 	if n.stopping {
 		return
--- a/internal/core/fleet/node/leaderhint.go
+++ b/internal/core/fleet/node/leaderhint.go
@@ -49,7 +49,7 @@
 func (n *Node) requestView() {
 	n.viewAt = n.nextView()
 	if !n.quorum.Leads() {
-		n.toLeader(Message{Where: &ViewRequest{}})
+		n.toLeader(Message{ViewRequest: &ViewRequest{}})
 	}
 }
 
--- a/internal/core/fleet/node/manager.go
+++ b/internal/core/fleet/node/manager.go
@@ -24,7 +24,7 @@
 	n.turn()
 }
 
-// applyAgreed takes in what the quorum has applyAgreed on, and tells whether there was something.
+// applyAgreed takes in what the quorum has agreed on, and tells whether there was something.
 func (n *Node) applyAgreed() bool {
 	list := n.quorum.Agreed()
 	for _, a := range list {
@@ -47,10 +47,10 @@
 		if r := a.Command.Renew; r != nil {
 			n.answerRenewal(a, r)
 		}
-		if p := a.Command.Put; p != nil {
+		if p := a.Command.StoreState; p != nil {
 			n.answerState(p.Holder, p.Grant)
 		}
-		if g := a.Command.Get; g != nil {
+		if g := a.Command.LoadState; g != nil {
 			n.answerState(g.Holder, g.Grant)
 		}
 		if r := a.Command.Release; r != nil {
@@ -61,7 +61,7 @@
 }
 
 func (n *Node) answerRenewal(a quorum.Applied, r *lease.Renew) {
-	reply := &Granted{To: r.Holder, Token: r.Sequence, Leader: n.facts.Self.ID}
+	reply := &Granted{To: r.Holder, Sequence: r.Sequence, Leader: n.facts.Self.ID}
 	for _, c := range r.Grants {
 		if !slices.Contains(a.Changed, c.Name) {
 			reply.Lost = append(reply.Lost, c)
@@ -78,7 +78,7 @@
 // answerState sends a holder the agreed state of its lease; the serial tells whether its own proposal was accepted.
 func (n *Node) answerState(h lease.Holder, c lease.Grant) {
 	if g := n.quorum.State().Leases[c.Name]; g != nil && g.Holder == h && g.Token == c.Token {
-		n.send(h.ID, Message{State: &Checkpoint{To: h, Claim: c, Serial: g.Serial, Data: g.State}})
+		n.send(h.ID, Message{Checkpoint: &Checkpoint{To: h, Grant: c, Serial: g.Serial, Data: g.State}})
 	}
 }
 
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -105,8 +105,8 @@
 	switch {
 	case m.Members != nil:
 		n.members.Receive(n.now, from, *m.Members)
-	case m.Council != nil:
-		n.quorum.Receive(n.now, from, m.Council)
+	case m.Quorum != nil:
+		n.quorum.Receive(n.now, from, m.Quorum)
 	case m.Renew != nil:
 		if m.Renew.Holder.ID == from {
 			n.renew(from, m.Renew)
@@ -116,32 +116,32 @@
 	case m.Offer != nil:
 		if m.Offer.To == n.self() && !n.stopping {
 			n.leader, n.heardAt = from, n.now // only a leader offers
-			n.client.Offered(n.now, m.Offer.Claim)
+			n.client.Offered(n.now, m.Offer.Grant)
 		}
 	case m.Release != nil:
 		n.proposeOrForward(from, m, lease.Command{Release: m.Release})
-	case m.Want != nil:
-		n.proposeOrForward(from, m, lease.Command{Prefer: m.Want})
-	case m.Put != nil:
-		n.proposeOrForward(from, m, lease.Command{Put: m.Put})
-	case m.Get != nil:
-		n.proposeOrForward(from, m, lease.Command{Get: m.Get})
-	case m.State != nil:
-		n.receiveCheckpoint(m.State)
+	case m.Prefer != nil:
+		n.proposeOrForward(from, m, lease.Command{Prefer: m.Prefer})
+	case m.StoreState != nil:
+		n.proposeOrForward(from, m, lease.Command{StoreState: m.StoreState})
+	case m.LoadState != nil:
+		n.proposeOrForward(from, m, lease.Command{LoadState: m.LoadState})
+	case m.Checkpoint != nil:
+		n.receiveCheckpoint(m.Checkpoint)
 	case m.Replace != nil:
 		if !n.forward(from, m) {
 			n.quorum.Replace(m.Replace.Old, m.Replace.With)
 		}
-	case m.Where != nil:
+	case m.ViewRequest != nil:
 		n.send(from, Message{View: n.viewOf()})
 	case m.View != nil:
 		n.receiveView(m.View)
 	case m.Effect != nil:
 		n.effect(from, m.Effect)
-	case m.Passed != nil:
-		n.out.Verdicts = append(n.out.Verdicts, *m.Passed)
-	case m.Word != nil:
-		n.out.JobMessages = append(n.out.JobMessages, JobMessage{from, m.Word})
+	case m.Verdict != nil:
+		n.out.Verdicts = append(n.out.Verdicts, *m.Verdict)
+	case m.JobMessage != nil:
+		n.out.JobMessages = append(n.out.JobMessages, JobMessage{from, m.JobMessage})
 	}
 	n.turn()
 }
@@ -234,7 +234,7 @@
 	n.turnConfig()
 	n.sendMembership()
 	for _, m := range n.quorum.Out() {
-		n.send(m.To.Name, Message{Council: &m})
+		n.send(m.To.Name, Message{Quorum: &m})
 	}
 	n.out.Changes = append(n.out.Changes, n.members.Changes()...)
 	began, ended := n.client.Turns(n.now)
--- a/internal/core/fleet/node/routing.go
+++ b/internal/core/fleet/node/routing.go
@@ -30,26 +30,26 @@
 		n.granted(m.Granted)
 	case m.Offer != nil:
 		if m.Offer.To == n.self() && !n.stopping {
-			n.client.Offered(n.now, m.Offer.Claim)
+			n.client.Offered(n.now, m.Offer.Grant)
 		}
 	case m.Release != nil:
 		n.propose(n.facts.Self.ID, lease.Command{Release: m.Release})
-	case m.Want != nil:
-		n.propose(n.facts.Self.ID, lease.Command{Prefer: m.Want})
-	case m.Put != nil:
-		n.propose(n.facts.Self.ID, lease.Command{Put: m.Put})
-	case m.Get != nil:
-		n.propose(n.facts.Self.ID, lease.Command{Get: m.Get})
-	case m.State != nil:
-		n.receiveCheckpoint(m.State)
+	case m.Prefer != nil:
+		n.propose(n.facts.Self.ID, lease.Command{Prefer: m.Prefer})
+	case m.StoreState != nil:
+		n.propose(n.facts.Self.ID, lease.Command{StoreState: m.StoreState})
+	case m.LoadState != nil:
+		n.propose(n.facts.Self.ID, lease.Command{LoadState: m.LoadState})
+	case m.Checkpoint != nil:
+		n.receiveCheckpoint(m.Checkpoint)
 	case m.Replace != nil:
 		n.quorum.Replace(m.Replace.Old, m.Replace.With)
 	case m.Effect != nil:
 		n.effect(n.facts.Self.ID, m.Effect)
-	case m.Passed != nil:
-		n.out.Verdicts = append(n.out.Verdicts, *m.Passed)
-	case m.Word != nil:
-		n.out.JobMessages = append(n.out.JobMessages, JobMessage{n.facts.Self.ID, m.Word})
+	case m.Verdict != nil:
+		n.out.Verdicts = append(n.out.Verdicts, *m.Verdict)
+	case m.JobMessage != nil:
+		n.out.JobMessages = append(n.out.JobMessages, JobMessage{n.facts.Self.ID, m.JobMessage})
 	}
 }
 
@@ -115,13 +115,13 @@
 	}
 	n.preferenceAt = n.now + offerInterval
 	for _, o := range n.preferences {
-		n.toLeader(Message{Want: o.want})
+		n.toLeader(Message{Prefer: o.want})
 	}
 	n.viewAt = min(n.viewAt, n.now+offerInterval/2)
 }
 
-// Exchange carries out an operator's command to replace a voter.
-func (n *Node) Exchange(now float64, old, with members.ID) {
+// ReplaceVoter carries out an operator's command to replace a voter.
+func (n *Node) ReplaceVoter(now float64, old, with members.ID) {
 	n.now = max(n.now, now)
 	n.toLeader(Message{Replace: &Replace{old, with}})
 	n.turn()
--- a/internal/core/fleet/node/view.go
+++ b/internal/core/fleet/node/view.go
@@ -7,13 +7,13 @@
 )
 
 func (n *Node) viewOf() *View {
-	v := &View{Leader: n.quorum.Leader(), Council: n.quorum.Names()}
+	v := &View{Leader: n.quorum.Leader(), Voters: n.quorum.Names()}
 	if standing, _ := n.quorum.Role(); standing == quorum.Outside {
-		v.Leader, v.Council = n.leader, n.voters
+		v.Leader, v.Voters = n.leader, n.voters
 	} else {
-		v.Grants = n.quorum.State().List()
-		for i := range v.Grants { // the state of a lease is for its holders
-			v.Grants[i].State = nil
+		v.Leases = n.quorum.State().List()
+		for i := range v.Leases { // the state of a lease is for its holders
+			v.Leases[i].State = nil
 		}
 	}
 	return v
@@ -26,12 +26,12 @@
 		}
 		n.leader, n.heardAt = v.Leader, n.now
 	}
-	if len(v.Council) > 0 {
-		n.voters = v.Council
+	if len(v.Voters) > 0 {
+		n.voters = v.Voters
 	}
-	if v.Grants != nil {
-		n.leaseView = v.Grants
-		n.raiseTokens(v.Grants)
+	if v.Leases != nil {
+		n.leaseView = v.Leases
+		n.raiseTokens(v.Leases)
 	}
 }
 
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -263,7 +263,7 @@
 		if !known(r.Old) || r.To != "" && !known(r.To) {
 			return fmt.Errorf("%.64q or %.64q is no controller that this one knows of", r.Old, r.To)
 		}
-		in.core.Exchange(in.now(), members.ID(r.Old), members.ID(r.To))
+		in.core.ReplaceVoter(in.now(), members.ID(r.Old), members.ID(r.To))
 	case "trust":
 		if !in.core.Trust(in.now()) {
 			return errors.New("there is nothing to trust: this controller is no voter whose folder is doubted")
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -242,14 +242,14 @@
 
 // EffectReceived keeps the digest of the latest owner.
 func (d *digester) EffectReceived(_ Context, _ members.ID, e node.Effect) {
-	if e.Claim.Name != Digest {
+	if e.Grant.Name != Digest {
 		return
 	}
 	var t told
 	if err := frames.Decoder.Unmarshal(e.Data, &t); err != nil || len(t.Data) > mostWord {
 		return
 	}
-	t.Epoch = uint64(e.Claim.Token)
+	t.Epoch = uint64(e.Grant.Token)
 	d.kept, d.keptAt = &t, time.Now()
 }
 
--- a/internal/fleet/lab.go
+++ b/internal/fleet/lab.go
@@ -84,7 +84,7 @@
 func (p *labJob) EffectReceived(h Context, from members.ID, e node.Effect) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fmt.Fprintf(p.taken, "%d %s %d %d %s\n", time.Now().UnixNano(), e.Claim.Name, e.Claim.Token, e.ID, from)
+	fmt.Fprintf(p.taken, "%d %s %d %d %s\n", time.Now().UnixNano(), e.Grant.Name, e.Grant.Token, e.ID, from)
 }
 
 // strike sends effects to the endpoint, in order, on a connection that lasts.
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -174,7 +174,7 @@
 
 // StateReceived takes in the agreed state.
 func (j *MaintenanceJob) StateReceived(h Context, s node.Checkpoint) {
-	if s.Claim != j.grant || !j.holdsLease {
+	if s.Grant != j.grant || !j.holdsLease {
 		return
 	}
 	if j.known && s.Serial <= j.serial {
--- a/internal/fleet/maintenance_hold.go
+++ b/internal/fleet/maintenance_hold.go
@@ -48,24 +48,24 @@
 
 // EffectReceived takes in which engines this controller is to hold, from the latest holder of the lease.
 func (j *MaintenanceJob) EffectReceived(_ Context, from members.ID, e node.Effect) {
-	if e.Claim.Name != Maintenance {
+	if e.Grant.Name != Maintenance {
 		return
 	}
 	var effect holdEffect
 	if err := frames.Decoder.Unmarshal(e.Data, &effect); err != nil {
 		return
 	}
-	if e.Claim.Token == j.heldToken && effect.Serial < j.held.Serial {
+	if e.Grant.Token == j.heldToken && effect.Serial < j.held.Serial {
 		return
 	}
-	if !slices.Equal(effect.Engines, j.held.Engines) || e.Claim.Token != j.heldToken {
+	if !slices.Equal(effect.Engines, j.held.Engines) || e.Grant.Token != j.heldToken {
 		j.mu.Lock()
 		j.holdChanges++
 		j.toHold, j.engines = effect.Engines, nil
 		j.mu.Unlock()
-		j.host.Log.Info("maintenance: holds", "engines", len(effect.Engines), "epoch", uint64(e.Claim.Token), "serial", effect.Serial)
+		j.host.Log.Info("maintenance: holds", "engines", len(effect.Engines), "epoch", uint64(e.Grant.Token), "serial", effect.Serial)
 	}
-	j.held, j.heldToken, j.heldFrom = effect, e.Claim.Token, from
+	j.held, j.heldToken, j.heldFrom = effect, e.Grant.Token, from
 	j.refreshEngines()
 }
 
--- a/internal/fleet/outputs.go
+++ b/internal/fleet/outputs.go
@@ -67,7 +67,7 @@
 		}
 	}
 	for _, r := range out.Verdicts {
-		if !r.OK {
+		if !r.Accepted {
 			in.counts.turned.Add(1)
 		}
 		for _, p := range in.programs {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -39,7 +39,7 @@
 	EffectReceived(h Context, from members.ID, e node.Effect)            // an effect of the work that passed the gate here
 	VerdictReceived(p node.Verdict)                                      // what became of an effect of this one
 	MessageReceived(h Context, from members.ID, data []byte) (mine bool) // a word of another controller's program
-	StateReceived(h Context, s node.Checkpoint)                          // what owners of a work hand on, upon Put or Get of this one
+	StateReceived(h Context, s node.Checkpoint)                          // what the holders of a lease hand on, upon ProposeState or RequestState
 	Close()
 }
 
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -36,16 +36,16 @@
 // handedOn judges what an owner was told of the state that owners hand on: of each serial there is one, for all of them.
 func (j *Judge) handedOn(h node.Checkpoint, now float64) {
 	j.Handed++
-	by := j.handed[h.Claim.Name]
+	by := j.handed[h.Grant.Name]
 	if by == nil {
 		by = map[uint64]string{}
-		j.handed[h.Claim.Name] = by
+		j.handed[h.Grant.Name] = by
 	}
 	if was, ok := by[h.Serial]; ok && was != string(h.Data) {
-		j.fail(now, "%s has two states of serial %d: %q and %q", h.Claim.Name, h.Serial, was, h.Data)
+		j.fail(now, "%s has two states of serial %d: %q and %q", h.Grant.Name, h.Serial, was, h.Data)
 	}
 	by[h.Serial] = string(h.Data)
-	j.last[h.Claim.Name] = max(j.last[h.Claim.Name], h.Serial)
+	j.last[h.Grant.Name] = max(j.last[h.Grant.Name], h.Serial)
 }
 
 func (j *Judge) fail(now float64, format string, args ...any) {
@@ -62,15 +62,15 @@
 		seen = map[lease.Name]lease.Token{}
 		j.highest[receiver] = seen
 	}
-	if e.Claim.Token < seen[e.Claim.Name] {
-		j.fail(now, "%s took an effect of %s of epoch %d from n%d after one of epoch %d", receiver, e.Claim.Name, e.Claim.Token,
-			from, seen[e.Claim.Name])
+	if e.Grant.Token < seen[e.Grant.Name] {
+		j.fail(now, "%s took an effect of %s of epoch %d from n%d after one of epoch %d", receiver, e.Grant.Name, e.Grant.Token,
+			from, seen[e.Grant.Name])
 	}
-	seen[e.Claim.Name] = max(seen[e.Claim.Name], e.Claim.Token)
-	if was, ok := j.owner[e.Claim]; ok && was != from {
-		j.fail(now, "%s had effects of n%d and n%d in epoch %d", e.Claim.Name, was, from, e.Claim.Token)
+	seen[e.Grant.Name] = max(seen[e.Grant.Name], e.Grant.Token)
+	if was, ok := j.owner[e.Grant]; ok && was != from {
+		j.fail(now, "%s had effects of n%d and n%d in epoch %d", e.Grant.Name, was, from, e.Grant.Token)
 	}
-	j.owner[e.Claim] = from
+	j.owner[e.Grant] = from
 }
 
 func (j *Judge) began(run uint64, number int, c lease.Grant, now float64) {
--- a/internal/lab/fleet/processes_watch.go
+++ b/internal/lab/fleet/processes_watch.go
@@ -59,7 +59,7 @@
 						at    time.Time
 					}{claim.Token, now}
 					r.report.Effects++
-					r.judge.took("endpoint", from, node.Effect{Claim: claim, ID: id}, float64(now.Sub(r.began))/1e6)
+					r.judge.took("endpoint", from, node.Effect{Grant: claim, ID: id}, float64(now.Sub(r.began))/1e6)
 				} else {
 					r.report.Refused++
 				}
--- a/internal/lab/fleet/promises.go
+++ b/internal/lab/fleet/promises.go
@@ -39,9 +39,9 @@
 
 // Came takes in what it was told, once for each that it asked: an answer that comes twice is one promise.
 func (p *Promises) Came(run uint64, g *node.Granted, now float64) {
-	k := asked{run, g.Token}
+	k := asked{run, g.Sequence}
 	at, ok := p.sent[k]
-	if !ok || g.Token == 0 {
+	if !ok || g.Sequence == 0 {
 		return
 	}
 	delete(p.sent, k)
--- a/internal/lab/fleet/virtual_faults.go
+++ b/internal/lab/fleet/virtual_faults.go
@@ -45,7 +45,7 @@
 	w.at(w.now+took, func() {
 		ok, _ := at.gated.Pass(c.Name, c.Token)
 		if ok || w.plan.Mutant == "gate" {
-			w.Judge.took(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Claim: c, ID: id}, w.now)
+			w.Judge.took(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Grant: c, ID: id}, w.now)
 		}
 		w.Judge.struck(run, c, w.now)
 	})
--- a/internal/lab/fleet/virtual_machine.go
+++ b/internal/lab/fleet/virtual_machine.go
@@ -111,7 +111,7 @@
 	}
 	for _, h := range out.Checkpoints {
 		w.Judge.handedOn(h, w.now)
-		m.handed[h.Claim.Name] = h.Serial
+		m.handed[h.Grant.Name] = h.Serial
 	}
 	for _, c := range out.Changes {
 		if about := w.nodes[w.number(c.Member.ID)]; about.core != nil && w.now >= about.paused && !c.New && len(w.blocked) == 0 &&
