--- a/cmd/mintkeel/fleet.go
+++ b/cmd/mintkeel/fleet.go
@@ -62,7 +62,7 @@
 			return nil
 		}}
 	}
-	status := func([]string) fleet.Request { return fleet.Request{Do: "status"} }
+	status := func([]string) fleet.Request { return fleet.Request{Action: "status"} }
 	leases := one("leases", "List the leases, their holders and fencing tokens", 0, status, printLeases)
 	quorum := one("quorum", "Tell which controllers vote on leases, which leads, and what this one is", 0, status, printQuorum)
 	c.AddCommand(
@@ -70,14 +70,14 @@
 		leases, renamed("works", leases),
 		quorum, renamed("council", quorum),
 		one("handover LEASE CONTROLLER", "Hand a lease over to another controller; done when leases tells so", 2, func(args []string) fleet.Request {
-			return fleet.Request{Do: "handover", Work: args[0], To: args[1]}
+			return fleet.Request{Action: "handover", Lease: args[0], To: args[1]}
 		}, printLeases),
 		one("replace OLD NEW", "Replace a voter by another controller; done when quorum tells so", 2,
 			func(args []string) fleet.Request {
-				return fleet.Request{Do: "replace", Old: args[0], To: args[1]}
+				return fleet.Request{Action: "replace", Old: args[0], To: args[1]}
 			}, printQuorum),
 		one("trust", "Say that this voter's folder is the latest there is, where not all others can vouch for it", 0,
-			func([]string) fleet.Request { return fleet.Request{Do: "trust"} }, printQuorum),
+			func([]string) fleet.Request { return fleet.Request{Action: "trust"} }, printQuorum),
 		fleetConfigCommand(&asked),
 	)
 	return c
@@ -99,24 +99,24 @@
 	if s.Own {
 		whose = "as the quorum agreed, as far as " + s.Self + " has heard"
 	}
-	fmt.Fprintf(t, "%d leases, %s\nlease\ttoken\tholder\tis to go to\n", len(s.Works), whose)
-	for _, w := range s.Works {
-		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", w.Work, w.Epoch, cmp.Or(w.Owner, "nobody"), w.Wanted)
+	fmt.Fprintf(t, "%d leases, %s\nlease\ttoken\tholder\tis to go to\n", len(s.Leases), whose)
+	for _, w := range s.Leases {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", w.Lease, w.Token, cmp.Or(w.Holder, "nobody"), w.Preferred)
 	}
 	t.Flush()
 }
 
 func printQuorum(out io.Writer, s fleet.Status) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	fmt.Fprintf(t, "%s is %s", s.Self, s.Council.Standing)
-	if s.Council.Why != "" {
-		fmt.Fprintf(t, ": %s", s.Council.Why)
+	fmt.Fprintf(t, "%s is %s", s.Self, s.Quorum.Role)
+	if s.Quorum.Reason != "" {
+		fmt.Fprintf(t, ": %s", s.Quorum.Reason)
 	}
-	fmt.Fprintf(t, "\nleader %s, term %d, record %d\n", cmp.Or(s.Council.Leader, "not known"), s.Council.Term, s.Council.Record)
-	if len(s.Council.Members) > 0 {
+	fmt.Fprintf(t, "\nleader %s, term %d, record %d\n", cmp.Or(s.Quorum.Leader, "not known"), s.Quorum.Term, s.Quorum.Record)
+	if len(s.Quorum.Members) > 0 {
 		fmt.Fprintln(t, "member\tdisk\tvotes")
 	}
-	for _, m := range s.Council.Members {
+	for _, m := range s.Quorum.Members {
 		fmt.Fprintf(t, "%s\t%s\t%s\n", m.Name, m.Disk, yesNo(m.Votes))
 	}
 	t.Flush()
--- a/cmd/mintkeel/fleetconfig.go
+++ b/cmd/mintkeel/fleetconfig.go
@@ -52,7 +52,7 @@
 
 // ask sends an order to the controller. The answer may come with an error; it is never nil without one.
 func (cc *configCommands) ask(ctx context.Context, order fleet.ConfigOrder) (*fleet.ConfigAnswer, error) {
-	status, err := cc.flags.call(ctx, fleet.Request{Do: "config", Config: &order})
+	status, err := cc.flags.call(ctx, fleet.Request{Action: "config", Config: &order})
 	if status.Config == nil && err == nil {
 		err = errors.New("the controller told nothing of the fleet's configuration: is there a block config in its file?")
 	}
--- a/cmd/mintkeel/maintenance.go
+++ b/cmd/mintkeel/maintenance.go
@@ -35,7 +35,7 @@
 		if folder == "" {
 			return errors.New("no folder: set --folder or MINTKEEL_FLEET")
 		}
-		s, err := fleet.Call(c.Context(), folder, fleet.Request{Do: "maintenance", Maintenance: &o})
+		s, err := fleet.Call(c.Context(), folder, fleet.Request{Action: "maintenance", Maintenance: &o})
 		if s.Maintenance == nil {
 			return errors.Join(err, errorIf(err == nil, "the controller told nothing of maintenance"))
 		}
--- a/cmd/mintkeel/reload.go
+++ b/cmd/mintkeel/reload.go
@@ -78,7 +78,7 @@
 		return own
 	}
 	whole, block := *d.file, *own.Fleet
-	block.Works = d.file.Fleet.Works
+	block.Leases = d.file.Fleet.Leases
 	whole.Fleet, whole.Config = &block, own.Config
 	return &whole
 }
@@ -124,7 +124,7 @@
 		d.conductor.SetBlock(*file.Maintenance)
 	}
 	if d.agreed != nil && d.fleet != nil {
-		d.fleet.SetLeases(file.Fleet.Works)
+		d.fleet.SetLeases(file.Fleet.Leases)
 	}
 }
 
--- a/internal/fleet/block.go
+++ b/internal/fleet/block.go
@@ -25,10 +25,10 @@
 	Advertise  string // where others reach it
 	KeyFile    string
 	Folder     string
-	Council    map[members.ID]string // its members and where they listen
-	Works      []lease.Name
+	Voters     map[members.ID]string // its members and where they listen
+	Leases     []lease.Name
 	Lease      time.Duration
-	Willing    bool // it takes on works
+	Willing    bool // it takes on leases
 
 	// Dial opens connections to other controllers; nil: the system does. No file sets it. Controllers that share a machine
 	// in a measurement have addresses of their own by it, and their bytes counted.
@@ -37,8 +37,8 @@
 
 var nameForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
-// mostCouncil is how many the council may have: more only make each agreement dearer.
-const mostCouncil = 7
+// maxVoters is how many the quorum may have: more only make each agreement dearer.
+const maxVoters = 7
 
 // ReadBlock reads the block fleet.
 func ReadBlock(b *hcl.Block, sheet *block.Sheet) *Block {
@@ -47,7 +47,7 @@
 	read := &Block{Name: open.Text("name", "", true, 64), Generation: uint64(open.Whole("generation", 1, 1, 1_000_000_000)),
 		Listen: open.Text("listen", "", true, 256), KeyFile: open.Text("key_file", "", true, 4096),
 		Folder: open.Text("folder", "", true, 4096), Lease: open.Duration("lease", 10*time.Second, time.Second, 10*time.Minute),
-		Willing: open.Bool("willing", true), Council: map[members.ID]string{}}
+		Willing: open.Bool("willing", true), Voters: map[members.ID]string{}}
 	read.Advertise = open.Text("advertise", read.Listen, false, 256)
 	if read.Name != "" && !nameForm.MatchString(read.Name) {
 		open.Note("name", "holds other than letters, digits, '.', '_' and '-'")
@@ -65,9 +65,9 @@
 	council := open.Map("council", 256)
 	if !open.Has("council") {
 		open.Note("council", "is missing")
-	} else if n := len(council); n != 1 && n != 3 && n != 5 && n != mostCouncil {
+	} else if n := len(council); n != 1 && n != 3 && n != 5 && n != maxVoters {
 		open.Note("council", fmt.Sprintf("has %d members: 1, 3, 5 or %d are possible, as half of an even number decides nothing", n,
-			mostCouncil))
+			maxVoters))
 	}
 	seen := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(council)) {
@@ -80,9 +80,9 @@
 			open.Note("council", fmt.Sprintf("%s and %s have the same address", min(name, other), max(name, other)))
 		}
 		seen[addr] = name
-		read.Council[members.ID(name)] = addr
+		read.Voters[members.ID(name)] = addr
 	}
-	read.Works = ReadLeases(open)
+	read.Leases = ReadLeases(open)
 	return read
 }
 
@@ -94,7 +94,7 @@
 	var names []lease.Name
 	for _, w := range open.Texts("works", 64) {
 		if !nameForm.MatchString(w) {
-			open.Note("works", fmt.Sprintf("%.64q is no name of a work", w))
+			open.Note("works", fmt.Sprintf("%.64q is no name of a lease", w))
 		} else if slices.Contains(names, lease.Name(w)) {
 			open.Note("works", w+" stands there twice")
 		} else {
@@ -121,12 +121,12 @@
 	if b == nil || o == nil {
 		return b == o
 	}
-	if len(b.Council) != len(o.Council) || b.Name != o.Name || b.Generation != o.Generation || b.Listen != o.Listen ||
-		b.Advertise != o.Advertise || b.Folder != o.Folder || b.Lease != o.Lease || !slices.Equal(b.Works, o.Works) {
+	if len(b.Voters) != len(o.Voters) || b.Name != o.Name || b.Generation != o.Generation || b.Listen != o.Listen ||
+		b.Advertise != o.Advertise || b.Folder != o.Folder || b.Lease != o.Lease || !slices.Equal(b.Leases, o.Leases) {
 		return false
 	}
-	for id, addr := range b.Council {
-		if o.Council[id] != addr {
+	for id, addr := range b.Voters {
+		if o.Voters[id] != addr {
 			return false
 		}
 	}
--- a/internal/fleet/configcheck_test.go
+++ b/internal/fleet/configcheck_test.go
@@ -55,12 +55,12 @@
 			ctx, cancel := context.WithTimeout(t.Context(), checkAnswerWithin)
 			defer cancel()
 			before := f.linkCount(slow, "sent")
-			status, err := Call(ctx, f.folder(slow), Request{Do: "status"})
+			status, err := Call(ctx, f.folder(slow), Request{Action: "status"})
 			if err != nil {
 				t.Fatalf("one that checks a document does not answer: %v", err)
 			}
-			if status.Council.Leader != fmt.Sprint("n", leader) {
-				t.Errorf("the leader is %s now", status.Council.Leader)
+			if status.Quorum.Leader != fmt.Sprint("n", leader) {
+				t.Errorf("the leader is %s now", status.Quorum.Leader)
 			}
 			f.eventually("it goes on to send", func() bool { return f.linkCount(slow, "sent") > before+10 })
 			if f.leaderOf(author) != leader {
--- a/internal/fleet/configcontrol_test.go
+++ b/internal/fleet/configcontrol_test.go
@@ -37,7 +37,7 @@
 		if err != nil || answer.Result != ConfigRefused || answer.Reason != want {
 			t.Errorf("%d bytes: %+v, %v", bytes, answer, err)
 		}
-		status, err := f.services[1].Ask(Request{Do: "config", Config: &order})
+		status, err := f.services[1].Ask(Request{Action: "config", Config: &order})
 		if err != nil || status.Config.Result != ConfigRefused || status.Config.Reason != want {
 			t.Errorf("%d bytes, past the bound of the client: %+v, %v", bytes, status.Config, err)
 		}
@@ -151,18 +151,18 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "status"}); err != nil {
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Action: "status"}); err != nil {
 		t.Error(err)
 	}
 	if local := s.WaitConfig(context.Background()); local != (config.Readiness{}) || s.ConfigLocal() != local {
 		t.Errorf("it tells %+v", local)
 	}
-	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "config", Config: &ConfigOrder{Action: ConfigState}}); err == nil ||
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Action: "config", Config: &ConfigOrder{Action: ConfigState}}); err == nil ||
 		!strings.Contains(err.Error(), errNoConfig.Error()) {
 		t.Errorf("an order is answered: %v", err)
 	}
 	long := ConfigOrder{Action: ConfigPut, Document: make([]byte, controlBytes)}
-	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "config", Config: &long}); err == nil ||
+	if _, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Action: "config", Config: &long}); err == nil ||
 		!strings.Contains(err.Error(), errTooLong.Error()) {
 		t.Errorf("a long order is read: %v", err)
 	}
@@ -180,15 +180,15 @@
 	f := startConfigFleet(t, 1, nil)
 	long := strings.Repeat("x", controlBytes)
 	for name, r := range map[string]Request{
-		"longer than any may be":     {Do: "config", Config: &ConfigOrder{Action: ConfigPut, Reason: strings.Repeat("x", configRequestBytes)}},
-		"no order":                   {Do: "config"},
-		"an order that is not known": {Do: "config", Config: &ConfigOrder{Action: "jump"}},
+		"longer than any may be":     {Action: "config", Config: &ConfigOrder{Action: ConfigPut, Reason: strings.Repeat("x", configRequestBytes)}},
+		"no order":                   {Action: "config"},
+		"an order that is not known": {Action: "config", Config: &ConfigOrder{Action: "jump"}},
 	} {
 		if _, err := Call(context.Background(), f.folder(0), r); err == nil {
 			t.Errorf("%s: done", name)
 		}
 	}
-	if _, err := Call(context.Background(), f.folder(0), Request{Do: "status", Work: long}); err == nil ||
+	if _, err := Call(context.Background(), f.folder(0), Request{Action: "status", Lease: long}); err == nil ||
 		!strings.Contains(err.Error(), errTooLong.Error()) {
 		t.Errorf("a long request of another kind: %v", err)
 	}
--- a/internal/fleet/configfleet_test.go
+++ b/internal/fleet/configfleet_test.go
@@ -142,9 +142,9 @@
 func (f *configFleet) start(i int) {
 	f.t.Helper()
 	b := blockOf(f.t, f.dir, i, f.addrs)
-	b.Council = map[members.ID]string{}
+	b.Voters = map[members.ID]string{}
 	for j, addr := range f.addrs[:min(configVoters, len(f.addrs))] {
-		b.Council[members.ID(fmt.Sprint("n", j))] = addr
+		b.Voters[members.ID(fmt.Sprint("n", j))] = addr
 	}
 	if f.change != nil {
 		f.change(i, b)
@@ -172,7 +172,7 @@
 
 // order asks the i-th controller by its socket.
 func (f *configFleet) order(i int, o ConfigOrder) (ConfigAnswer, error) {
-	s, err := Call(context.Background(), f.folder(i), Request{Do: "config", Config: &o})
+	s, err := Call(context.Background(), f.folder(i), Request{Action: "config", Config: &o})
 	if s.Config == nil {
 		return ConfigAnswer{}, err
 	}
@@ -245,8 +245,8 @@
 // acquainted tells whether each knows all to be alive, and one leads.
 func (f *configFleet) acquainted() bool {
 	for i := range f.services {
-		s, err := Call(context.Background(), f.folder(i), Request{Do: "status"})
-		if err != nil || s.Council.Leader == "" || len(s.Members) != len(f.services) {
+		s, err := Call(context.Background(), f.folder(i), Request{Action: "status"})
+		if err != nil || s.Quorum.Leader == "" || len(s.Members) != len(f.services) {
 			return false
 		}
 		for _, m := range s.Members {
@@ -303,16 +303,16 @@
 // leaderOf is the number of the controller that the i-th one takes for the leader.
 func (f *configFleet) leaderOf(i int) int {
 	f.t.Helper()
-	status, err := Call(f.t.Context(), f.folder(i), Request{Do: "status"})
+	status, err := Call(f.t.Context(), f.folder(i), Request{Action: "status"})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	for j := range f.services {
-		if status.Council.Leader == fmt.Sprint("n", j) {
+		if status.Quorum.Leader == fmt.Sprint("n", j) {
 			return j
 		}
 	}
-	f.t.Fatalf("the leader is %q", status.Council.Leader)
+	f.t.Fatalf("the leader is %q", status.Quorum.Leader)
 	return 0
 }
 
--- a/internal/fleet/configstore_test.go
+++ b/internal/fleet/configstore_test.go
@@ -131,7 +131,7 @@
 	release := hanging.Hang()
 	two := f.put(3, []byte("two"))
 	f.inForce(two, []byte("two"), 0, 1, 2)
-	if s, err := Call(context.Background(), f.folder(3), Request{Do: "status"}); err != nil || len(s.Members) != 4 {
+	if s, err := Call(context.Background(), f.folder(3), Request{Action: "status"}); err != nil || len(s.Members) != 4 {
 		t.Errorf("while the disk hangs: %+v, %v", s, err)
 	}
 	if !f.hosts[3].uses(one.Number, []byte("one")) {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -31,27 +31,27 @@
 
 // Request is what an operator asks.
 type Request struct {
-	Do   string `json:"do"` // "status", "handover", "replace", "trust", "maintenance" or "config"
-	Work string `json:"work,omitempty"`
-	To   string `json:"to,omitempty"`
-	Old  string `json:"old,omitempty"`
+	Action string `json:"do"` // "status", "handover", "replace", "trust", "maintenance" or "config"
+	Lease  string `json:"work,omitempty"`
+	To     string `json:"to,omitempty"`
+	Old    string `json:"old,omitempty"`
 
 	Maintenance *MaintenanceRequest `json:"maintenance,omitempty"`
 	Config      *ConfigOrder        `json:"config,omitempty"`
 }
 
 // Status is what a controller knows of its fleet. What it can't know it does not tell as known: Members are what it
-// believes, and Works are the council's own word only if Own is set.
+// believes, and Leases are what the quorum agreed on only if Own is set: else they may be late. The names in JSON are in service.
 type Status struct {
 	Fleet      string         `json:"fleet"`
 	Generation uint64         `json:"generation"`
 	Self       string         `json:"self"`
 	Slow       int            `json:"slow"`
 	Members    []MemberStatus `json:"members"`
-	Works      []WorkStatus   `json:"works"`
+	Leases     []LeaseStatus  `json:"works"`
 	Own        bool           `json:"own"`
 	Holds      []string       `json:"holds"`
-	Council    CouncilStatus  `json:"council"`
+	Quorum     QuorumStatus   `json:"council"`
 	Error      string         `json:"error,omitempty"`
 
 	Maintenance *MaintenanceStatus `json:"maintenance,omitempty"`
@@ -68,27 +68,27 @@
 	Run         string `json:"run"`
 }
 
-// WorkStatus is one work.
-type WorkStatus struct {
-	Work   string `json:"work"`
-	Epoch  uint64 `json:"epoch"`
-	Owner  string `json:"owner"`
-	Run    string `json:"run,omitempty"`
-	Wanted string `json:"wanted,omitempty"`
+// LeaseStatus is one lease.
+type LeaseStatus struct {
+	Lease     string `json:"work"`
+	Token     uint64 `json:"epoch"`
+	Holder    string `json:"owner"`
+	Run       string `json:"run,omitempty"`
+	Preferred string `json:"wanted,omitempty"`
 }
 
-// CouncilStatus is the council, as this controller knows it.
-type CouncilStatus struct {
-	Standing string       `json:"standing"`
-	Why      string       `json:"why,omitempty"`
-	Leader   string       `json:"leader"`
-	Term     uint64       `json:"term"`
-	Record   uint64       `json:"record"`
-	Members  []LifeStatus `json:"members"`
+// QuorumStatus is the quorum, as this controller knows it.
+type QuorumStatus struct {
+	Role    string              `json:"standing"`
+	Reason  string              `json:"why,omitempty"`
+	Leader  string              `json:"leader"`
+	Term    uint64              `json:"term"`
+	Record  uint64              `json:"record"`
+	Members []IncarnationStatus `json:"members"`
 }
 
-// LifeStatus is a member of the council with its disk.
-type LifeStatus struct {
+// IncarnationStatus is a member of the quorum with its disk.
+type IncarnationStatus struct {
 	Name  string `json:"name"`
 	Disk  string `json:"disk"`
 	Votes bool   `json:"votes"`
@@ -158,7 +158,7 @@
 	if err := json.Unmarshal(line, &r); err != nil {
 		return r, fmt.Errorf("the request can't be read: %w", err)
 	}
-	if r.Do != "config" && len(line) > controlBytes {
+	if r.Action != "config" && len(line) > controlBytes {
 		return r, errTooLong
 	}
 	return r, nil
@@ -168,7 +168,7 @@
 
 // longest is how long a request takes at most.
 func (r *Request) longest() time.Duration {
-	if r.Do == "config" && r.Config != nil {
+	if r.Action == "config" && r.Config != nil {
 		return r.Config.longest() + controlTime
 	}
 	return controlTime
@@ -176,10 +176,10 @@
 
 // Ask does what an operator asks, and tells how things stand after it.
 func (s *Service) Ask(r Request) (Status, error) {
-	if r.Do == "maintenance" {
+	if r.Action == "maintenance" {
 		return s.askConductor(r.Maintenance)
 	}
-	if r.Do == "config" {
+	if r.Action == "config" {
 		return s.askConfig(r.Config)
 	}
 	type outcome struct {
@@ -206,16 +206,16 @@
 		err   error
 	}
 	found, err := ask(s, controlTime, func(in *session) sent {
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			if c, ok := p.(*MaintenanceJob); ok {
-				owner := members.ID("")
+				holder := members.ID("")
 				grants, _ := in.core.Leases()
 				for _, g := range grants {
 					if g.Name == Maintenance {
-						owner = g.Holder.ID
+						holder = g.Holder.ID
 					}
 				}
-				reply, err := c.SendRequest(in, owner, *o)
+				reply, err := c.SendRequest(in, holder, *o)
 				return sent{reply, err}
 			}
 		}
@@ -244,21 +244,21 @@
 		_, ok := in.core.Table().Of(members.ID(name))
 		return ok
 	}
-	switch r.Do {
+	switch r.Action {
 	case "status":
 	case "handover":
 		grants, _ := in.core.Leases()
 		found := false
 		for _, g := range grants {
-			found = found || g.Name == lease.Name(r.Work) && !g.Retired
+			found = found || g.Name == lease.Name(r.Lease) && !g.Retired
 		}
 		if !found {
-			return fmt.Errorf("%.64q is no work that this controller knows of", r.Work)
+			return fmt.Errorf("%.64q is no lease that this controller knows of", r.Lease)
 		}
 		if !known(r.To) {
 			return fmt.Errorf("%.64q is no controller that this one knows of", r.To)
 		}
-		in.core.HandOver(in.now(), lease.Name(r.Work), members.ID(r.To))
+		in.core.HandOver(in.now(), lease.Name(r.Lease), members.ID(r.To))
 	case "replace":
 		if !known(r.Old) || r.To != "" && !known(r.To) {
 			return fmt.Errorf("%.64q or %.64q is no controller that this one knows of", r.Old, r.To)
@@ -268,9 +268,9 @@
 		if !in.core.Trust(in.now()) {
 			return errors.New("there is nothing to trust: this controller is no voter whose folder is doubted")
 		}
-		in.Service.log.Warn("fleet: the folder is trusted by an operator's word")
+		in.Service.log.Warn("fleet: the folder is trusted by an operator's command")
 	default:
-		return fmt.Errorf("%.64q is not known", r.Do)
+		return fmt.Errorf("%.64q is not known", r.Action)
 	}
 	return nil
 }
@@ -279,9 +279,9 @@
 	c := in.core.Quorum()
 	standing, why := c.Role()
 	s := Status{Fleet: in.block.Name, Generation: in.block.Generation, Self: string(in.self), Slow: in.core.Table().Slow(),
-		Members: []MemberStatus{}, Works: []WorkStatus{}, Holds: []string{},
-		Council: CouncilStatus{Standing: standing.String(), Why: why, Leader: string(in.core.Leader()), Term: c.Term(),
-			Record: c.Serial(), Members: []LifeStatus{}}}
+		Members: []MemberStatus{}, Leases: []LeaseStatus{}, Holds: []string{},
+		Quorum: QuorumStatus{Role: standing.String(), Reason: why, Leader: string(in.core.Leader()), Term: c.Term(),
+			Record: c.Serial(), Members: []IncarnationStatus{}}}
 	for _, m := range in.core.Members() {
 		s.Members = append(s.Members, MemberStatus{string(m.ID), m.Addr, m.State.String(), uint64(m.Incarnation), m.Willing,
 			fmt.Sprintf("%x", m.Run)})
@@ -290,11 +290,11 @@
 	s.Own = own
 	for _, g := range grants {
 		if !g.Retired {
-			w := WorkStatus{Work: string(g.Name), Epoch: uint64(g.Token), Owner: string(g.Holder.ID), Wanted: string(g.Preferred)}
+			w := LeaseStatus{Lease: string(g.Name), Token: uint64(g.Token), Holder: string(g.Holder.ID), Preferred: string(g.Preferred)}
 			if g.Held() {
 				w.Run = fmt.Sprintf("%x", g.Holder.Run)
 			}
-			s.Works = append(s.Works, w)
+			s.Leases = append(s.Leases, w)
 		}
 	}
 	for _, h := range in.core.Held(in.now()) {
@@ -303,7 +303,7 @@
 	if standing != quorum.Outside {
 		lives, votes := c.Members()
 		for i, l := range lives {
-			s.Council.Members = append(s.Council.Members, LifeStatus{string(l.Name), fmt.Sprintf("%x", l.Disk), votes[i]})
+			s.Quorum.Members = append(s.Quorum.Members, IncarnationStatus{string(l.Name), fmt.Sprintf("%x", l.Disk), votes[i]})
 		}
 	}
 	return s
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -21,9 +21,9 @@
 	"mintkeel/router"
 )
 
-// Digest is the work that gathers what controllers have learned, so that one that starts with nothing can begin with it.
-// Its owner asks a few controllers at a time, merges what they tell (core/fleet/digest), and gives the whole to the
-// council's members, who take it only from the latest owner. A newcomer asks them, once, and does not wait.
+// Digest is the lease whose holder gathers the statistics of controllers, so that one that starts with none can begin with
+// them. Its holder asks a few controllers at a time, merges what they tell (core/fleet/digest), and gives the whole to the
+// voters, which take it only from the latest holder. A newcomer asks them, once, and does not wait.
 const Digest lease.Name = "digest"
 
 const (
@@ -40,21 +40,21 @@
 	givesEach   = 100.0 // ms between two digests that one controller gives away: newcomers spread
 )
 
-// word is what programs of the digest say to each other; one of its fields is set.
-type word struct {
-	_      struct{} `cbor:",toarray"`
-	Digest bool     // tells it from words of other programs
-	Gather bool     // tell me what you have learned
-	Want   bool     // I begin with nothing: tell me what the fleet knows
-	Told   *told
+// digestMessage is what the jobs of the digest send each other; one of its fields is set.
+type digestMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Digest   bool     // tells it from messages of other jobs
+	Gather   bool     // tell me what you have learned
+	Want     bool     // I begin with nothing: tell me what the fleet knows
+	Snapshot *statisticsSnapshot
 }
 
-type told struct {
+type statisticsSnapshot struct {
 	_        struct{} `cbor:",toarray"`
 	Settings uint64
 	Now      float64 // the teller's clock, by which the records' times are
-	Whole    bool    // a digest, and not one controller's word
-	Epoch    uint64
+	Whole    bool    // a digest, and not one controller's statistics
+	Token    uint64
 	Data     []byte
 }
 
@@ -66,7 +66,7 @@
 	Log      *slog.Logger
 }
 
-// digester is the program of the digest.
+// digester is the job of the digest.
 type digester struct {
 	learner Learner
 	rng     *rand.Rand
@@ -78,7 +78,7 @@
 	publishAt float64
 	id        uint64
 
-	kept    *told // the digest that this one keeps
+	kept    *statisticsSnapshot // the digest that this one keeps
 	keptAt  time.Time
 	wantAt  float64
 	wanting bool
@@ -94,7 +94,7 @@
 	now   func() float64
 }
 
-// NewDigest is the program.
+// NewDigest is the job of the digest.
 func NewDigest(l Learner) Job {
 	ctx, end := context.WithCancel(context.Background())
 	return &digester{learner: l, rng: rand.New(rand.NewSource(int64(draw() >> 1))), wanting: l.Remember != nil, ctx: ctx, end: end,
@@ -123,7 +123,7 @@
 	d.group.Wait()
 }
 
-func say(h Context, to members.ID, w word) {
+func say(h Context, to members.ID, w digestMessage) {
 	w.Digest = true
 	if data, err := cbor.Marshal(w); err == nil {
 		h.SendMessage(to, data)
@@ -150,18 +150,18 @@
 	d.ready = nil
 	d.mu.Unlock()
 	if ready != nil {
-		t := &told{Settings: d.learner.Settings, Now: d.now(), Data: ready}
+		t := &statisticsSnapshot{Settings: d.learner.Settings, Now: d.now(), Data: ready}
 		if asker == h.Self() {
 			d.took(asker, t)
 		} else {
-			say(h, asker, word{Told: t})
+			say(h, asker, digestMessage{Snapshot: t})
 		}
 	}
 	if d.owns && now >= d.gatherAt {
 		d.gatherAt = now + gatherEach
 		d.collect(h.Self())
 		for _, id := range d.others(h, gatherFrom, func(members.Member) bool { return true }) {
-			say(h, id, word{Gather: true})
+			say(h, id, digestMessage{Gather: true})
 		}
 	}
 	if d.owns && now >= d.publishAt {
@@ -173,7 +173,7 @@
 		if d.wanting = now < d.began+wantFor; d.wanting {
 			keepers := h.Voters()
 			for _, id := range d.others(h, wantFrom, func(m members.Member) bool { return slices.Contains(keepers, m.ID) }) {
-				say(h, id, word{Want: true})
+				say(h, id, digestMessage{Want: true})
 			}
 		}
 	}
@@ -229,7 +229,7 @@
 		return
 	}
 	merged := d.gathered.Merge(now, restore.DefaultHalfLives())
-	t := &told{Settings: d.learner.Settings, Now: now, Whole: true, Data: pack(&merged)}
+	t := &statisticsSnapshot{Settings: d.learner.Settings, Now: now, Whole: true, Data: pack(&merged)}
 	data, err := cbor.Marshal(t)
 	if err != nil {
 		return
@@ -240,21 +240,21 @@
 	}
 }
 
-// EffectReceived keeps the digest of the latest owner.
+// EffectReceived keeps the digest of the latest holder.
 func (d *digester) EffectReceived(_ Context, _ members.ID, e node.Effect) {
 	if e.Grant.Name != Digest {
 		return
 	}
-	var t told
+	var t statisticsSnapshot
 	if err := frames.Decoder.Unmarshal(e.Data, &t); err != nil || len(t.Data) > mostWord {
 		return
 	}
-	t.Epoch = uint64(e.Grant.Token)
+	t.Token = uint64(e.Grant.Token)
 	d.kept, d.keptAt = &t, time.Now()
 }
 
 func (d *digester) MessageReceived(h Context, from members.ID, data []byte) bool {
-	var w word
+	var w digestMessage
 	if err := frames.Decoder.Unmarshal(data, &w); err != nil || !w.Digest {
 		return false
 	}
@@ -266,18 +266,18 @@
 			d.givesAt = h.Now() + givesEach
 			t := *d.kept
 			t.Now += float64(age.Microseconds()) / 1e3 // as old as it is
-			say(h, from, word{Told: &t})
+			say(h, from, digestMessage{Snapshot: &t})
 		}
-	case w.Told != nil && w.Told.Whole:
-		d.begin(w.Told)
-	case w.Told != nil && d.owns:
-		d.took(from, w.Told)
+	case w.Snapshot != nil && w.Snapshot.Whole:
+		d.begin(w.Snapshot)
+	case w.Snapshot != nil && d.owns:
+		d.took(from, w.Snapshot)
 	}
 	return true
 }
 
 // took takes in what one controller has learned.
-func (d *digester) took(from members.ID, t *told) {
+func (d *digester) took(from members.ID, t *statisticsSnapshot) {
 	l, err := memory.Unpack(t.Data)
 	if err != nil || t.Settings != d.learner.Settings {
 		return
@@ -288,7 +288,7 @@
 }
 
 // begin takes over what the fleet knows, once.
-func (d *digester) begin(t *told) {
+func (d *digester) begin(t *statisticsSnapshot) {
 	if !d.wanting || t.Settings != d.learner.Settings {
 		return
 	}
@@ -299,6 +299,6 @@
 	}
 	d.wanting = false
 	digest.Shift(&l, d.now()-t.Now)
-	d.learner.Log.Info("fleet: begins with what the fleet knows", "records", l.Len(), "epoch", t.Epoch)
+	d.learner.Log.Info("fleet: begins with what the fleet knows", "records", l.Len(), "epoch", t.Token)
 	d.learner.Remember(l)
 }
--- a/internal/fleet/lab.go
+++ b/internal/fleet/lab.go
@@ -29,7 +29,7 @@
 	end      chan struct{}
 }
 
-func labPrograms(folder string) []Job {
+func labJobs(folder string) []Job {
 	endpoint := os.Getenv("MINTKEEL_LAB_ENDPOINT")
 	if endpoint == "" {
 		return nil
--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -18,7 +18,7 @@
 	if names := s.leases.Load(); names != nil {
 		return *names
 	}
-	return s.block.Works
+	return s.block.Leases
 }
 
 // updateLeases takes in what SetLeases said since the last call.
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -35,10 +35,10 @@
 	await := func(want ...string) {
 		t.Helper()
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-			status, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Do: "status"})
+			status, err := Call(context.Background(), filepath.Join(dir, "n0"), Request{Action: "status"})
 			var listed []string
-			for _, w := range status.Works {
-				listed = append(listed, w.Work)
+			for _, w := range status.Leases {
+				listed = append(listed, w.Lease)
 			}
 			slices.Sort(listed)
 			slices.Sort(status.Holds)
--- a/internal/fleet/nolab.go
+++ b/internal/fleet/nolab.go
@@ -2,4 +2,4 @@
 
 package fleet
 
-func labPrograms(string) []Job { return nil }
+func labJobs(string) []Job { return nil }
--- a/internal/fleet/outputs.go
+++ b/internal/fleet/outputs.go
@@ -36,13 +36,13 @@
 func (in *session) tellLeases(out node.Output) {
 	for _, c := range out.Began {
 		in.Service.log.Info("fleet: holds a lease", "lease", string(c.Name), "token", uint64(c.Token))
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.Began(in, c)
 		}
 	}
 	for _, c := range out.Ended {
 		in.Service.log.Info("fleet: lease ended", "lease", string(c.Name), "token", uint64(c.Token))
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.Ended(c)
 		}
 	}
@@ -62,7 +62,7 @@
 func (in *session) tellJobs(out node.Output) {
 	for _, t := range out.Effects {
 		in.counts.effects.Add(1)
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.EffectReceived(in, t.From, t.Effect)
 		}
 	}
@@ -70,19 +70,19 @@
 		if !r.Accepted {
 			in.counts.turned.Add(1)
 		}
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.VerdictReceived(r)
 		}
 	}
 	for _, m := range out.JobMessages {
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			if p.MessageReceived(in, m.From, m.Data) {
 				break
 			}
 		}
 	}
 	for _, s := range out.Checkpoints {
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.StateReceived(in, s)
 		}
 	}
@@ -93,9 +93,9 @@
 func (in *session) persist(out node.Output) (again bool, err error) {
 	switch {
 	case out.Whole != nil:
-		return false, in.keep(job{whole: true, record: out.Whole}, out.Whole)
+		return false, in.keep(writeRequest{whole: true, record: out.Whole}, out.Whole)
 	case out.Batch != nil && out.Batch.Record != nil:
-		return false, in.keep(job{whole: out.Batch.Record.Whole, batch: out.Batch}, out.Batch.Record)
+		return false, in.keep(writeRequest{whole: out.Batch.Record.Whole, batch: out.Batch}, out.Batch.Record)
 	case out.Batch != nil:
 		in.core.Saved(in.now(), out.Batch)
 		return true, nil
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -1,5 +1,5 @@
 // Package fleet is a controller's part in a fleet whose controllers talk: it drives core/fleet with sockets, a disk and
-// the steady clock, does the works that this one owns, and answers operators on a socket in a folder. It is off unless the
+// the steady clock, does the jobs of the leases that this one holds, and answers operators on a socket in a folder. It is off unless the
 // operator's file has a block fleet. It stands beside the loop: no answer to a client waits for it, and with all talk cut
 // off a controller is what it was without it.
 package fleet
@@ -30,27 +30,27 @@
 	"mintkeel/internal/store/records"
 )
 
-// Job does a work while this controller owns it. Its methods are called by one goroutine and must not wait; what takes
+// Job does what a lease is for while this controller holds it. Its methods are called by one goroutine and must not wait; what takes
 // time it does in goroutines of its own, which end with Ended or Close.
 type Job interface {
 	Began(h Context, c lease.Grant)
 	Ended(c lease.Grant)
 	Tick(h Context, now float64)                                         // about each 100 ms
-	EffectReceived(h Context, from members.ID, e node.Effect)            // an effect of the work that passed the gate here
+	EffectReceived(h Context, from members.ID, e node.Effect)            // an effect that passed the fencing check here
 	VerdictReceived(p node.Verdict)                                      // what became of an effect of this one
-	MessageReceived(h Context, from members.ID, data []byte) (mine bool) // a word of another controller's program
+	MessageReceived(h Context, from members.ID, data []byte) (mine bool) // a message of another controller's job
 	StateReceived(h Context, s node.Checkpoint)                          // what the holders of a lease hand on, upon ProposeState or RequestState
 	Close()
 }
 
-// Context are what a program may do.
+// Context is what a job may do.
 type Context interface {
 	Self() members.ID
-	TryEffect(w lease.Name, to members.ID, id uint64, data []byte) bool // false: the work is not owned, and nothing was sent
+	TryEffect(w lease.Name, to members.ID, id uint64, data []byte) bool // false: the lease is not held, and nothing was sent
 	SendMessage(to members.ID, data []byte)
 	CanAct(w lease.Name) (lease.Token, bool)
 	Release(w lease.Name, failed bool)
-	ProposeState(w lease.Name, serial uint64, data []byte) bool // false: the work is not owned
+	ProposeState(w lease.Name, serial uint64, data []byte) bool // false: the lease is not held
 	RequestState(w lease.Name) bool
 	Members() []members.Member
 	Voters() []members.ID
@@ -62,7 +62,7 @@
 	block    Block
 	self     members.ID
 	log      *slog.Logger
-	programs []Job
+	jobs     []Job
 	links    *links.Links
 	listener net.Listener
 	control  net.Listener
@@ -81,18 +81,18 @@
 
 const (
 	inboxSize  = 1024
-	tickMost   = 100.0 // ms between two looks at the clock, for programs
+	tickMost   = 100.0 // ms between two looks at the clock, for jobs
 	againLeast = time.Second
 	againMost  = 30 * time.Second
 )
 
 // Start begins to take part; host is nil where the fleet has no say in this controller's configuration. Its error is of
 // what an operator has to mend: the key's file, the address, the folder.
-func Start(b *Block, self string, programs []Job, host *ConfigHost, log *slog.Logger) (*Service, error) {
-	return start(b, self, programs, newFolderConfiguration(host, b.Folder), log)
+func Start(b *Block, self string, jobs []Job, host *ConfigHost, log *slog.Logger) (*Service, error) {
+	return start(b, self, jobs, newFolderConfiguration(host, b.Folder), log)
 }
 
-func start(b *Block, self string, programs []Job, configuration *configuration, log *slog.Logger) (*Service, error) {
+func start(b *Block, self string, jobs []Job, configuration *configuration, log *slog.Logger) (*Service, error) {
 	keys, err := frames.ReadKeys(b.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key_file: %w", err)
@@ -109,8 +109,8 @@
 		return nil, fmt.Errorf("fleet: listen: %w", err)
 	}
 	ctx, end := context.WithCancel(context.Background())
-	programs = append(slices.Clone(programs), labPrograms(b.Folder)...)
-	s := &Service{block: *b, self: members.ID(self), log: log, programs: programs, listener: listener,
+	jobs = append(slices.Clone(jobs), labJobs(b.Folder)...)
+	s := &Service{block: *b, self: members.ID(self), log: log, jobs: jobs, listener: listener,
 		config: configuration, inbox: make(chan func(*session), inboxSize), ctx: ctx, end: end, done: make(chan struct{})}
 	if s.control, err = listenControl(b.Folder); err != nil {
 		log.Warn("fleet: no socket for operators", "why", err)
@@ -192,7 +192,7 @@
 	return err
 }
 
-// SetWilling says anew whether this one takes on works.
+// SetWilling says anew whether this one takes on leases.
 func (s *Service) SetWilling(willing bool) {
 	s.post(func(in *session) { in.willing = willing; in.core.SetWilling(in.now(), willing) })
 }
@@ -215,7 +215,7 @@
 	if s.config != nil {
 		s.config.close()
 	}
-	for _, p := range s.programs {
+	for _, p := range s.jobs {
 		p.Close()
 	}
 }
@@ -259,14 +259,14 @@
 	willing bool
 	leases  *[]lease.Name // that the core knows; nil: those of the block
 	kept    *records.Log
-	jobs    chan job
+	writes  chan writeRequest
 	results chan result
 	saving  bool
 	tickAt  float64
 	config  sessionConfig
 }
 
-type job struct {
+type writeRequest struct {
 	payload []byte
 	whole   bool
 	batch   *quorum.Batch
@@ -274,7 +274,7 @@
 }
 
 type result struct {
-	job
+	writeRequest
 	err error
 }
 
@@ -282,7 +282,7 @@
 
 // take runs the core until the service ends or its disk fails.
 func (s *Service) take(run uint64) error {
-	in := &session{Service: s, willing: s.block.Willing, jobs: make(chan job, 1), results: make(chan result, 1)}
+	in := &session{Service: s, willing: s.block.Willing, writes: make(chan writeRequest, 1), results: make(chan result, 1)}
 	kept, err := in.open()
 	if err != nil {
 		return err
@@ -296,7 +296,7 @@
 	facts := node.Facts{Self: members.Member{ID: s.self, Addr: s.block.Advertise, Willing: in.willing, Run: run}, Leases: s.wantedLeases(),
 		Terms: lease.Terms{Lease: float64(s.block.Lease) / 1e6}, Pace: members.Usual(), Disk: draw(), Seed: int64(draw() >> 1),
 		Config: configFacts}
-	for id, addr := range s.block.Council {
+	for id, addr := range s.block.Voters {
 		facts.Founders = append(facts.Founders, id)
 		facts.Seeds = append(facts.Seeds, members.Member{ID: id, Addr: addr})
 	}
@@ -334,7 +334,7 @@
 	return do()
 }
 
-// open reads what is kept. A log that is damaged is as one that was lost: the council finds out what it had promised.
+// open reads what is kept. A log that is damaged is as one that was lost: the quorum finds out what it had promised.
 func (in *session) open() ([]quorum.Record, error) {
 	log, kept, torn, err := records.Open(disk.Folder(in.block.Folder), records.Usual())
 	if log == nil {
@@ -374,7 +374,7 @@
 // close lets the folder go once the last write is over. A write that hangs is left to the system: the folder stays locked
 // by this process, so nobody takes it meanwhile.
 func (in *session) close() {
-	close(in.jobs)
+	close(in.writes)
 	if in.saving {
 		go func() {
 			<-in.results
@@ -385,10 +385,10 @@
 	in.kept.Close()
 }
 
-// save writes, one record after another, beside the core: a disk that hangs keeps the council's part from talking, and
+// save writes, one record after another, beside the core: a disk that hangs keeps the quorum's part from sending, and
 // nothing else.
 func (in *session) save() {
-	for j := range in.jobs {
+	for j := range in.writes {
 		err := faultinjection.BeforeSave()
 		switch {
 		case err != nil:
@@ -438,7 +438,7 @@
 		if now >= in.tickAt {
 			in.tickAt = now + tickMost
 			in.updateLeases()
-			for _, p := range in.programs {
+			for _, p := range in.jobs {
 				p.Tick(in, now)
 			}
 			in.observeConfig()
@@ -451,13 +451,13 @@
 	}
 }
 
-func (in *session) keep(j job, r *quorum.Record) error {
+func (in *session) keep(j writeRequest, r *quorum.Record) error {
 	payload, err := cbor.Marshal(r)
 	if err != nil {
 		return err
 	}
 	j.payload, in.saving = payload, true
-	in.jobs <- j // there is one at a time, and room for it
+	in.writes <- j // there is one at a time, and room for it
 	return nil
 }
 
@@ -468,43 +468,43 @@
 	}
 	addr := m.Addr
 	if addr == "" {
-		addr = in.block.Council[m.To]
+		addr = in.block.Voters[m.To]
 	}
 	in.links.Send(m.To, addr, payload)
 }
 
-// lose tells the programs that this one owns nothing any more.
+// lose tells the jobs that this one holds nothing any more.
 func (in *session) lose() {
 	for _, c := range in.core.Held(in.now()) {
-		for _, p := range in.programs {
+		for _, p := range in.jobs {
 			p.Ended(c)
 		}
 	}
 }
 
-// The hands of programs.
+// What jobs may do.
 
 // Self is this controller.
 func (in *session) Self() members.ID { return in.Service.self }
 
-// TryEffect does an effect of a work, if this one owns it now.
+// TryEffect does an effect of a lease, if this one holds it now.
 func (in *session) TryEffect(w lease.Name, to members.ID, id uint64, data []byte) bool {
 	return in.core.TryEffect(in.now(), w, to, id, data)
 }
 
-// SendMessage says a word to another controller's program.
+// SendMessage sends a message to another controller's job.
 func (in *session) SendMessage(to members.ID, data []byte) { in.core.SendMessage(in.now(), to, data) }
 
-// CanAct tells whether this one owns a work now.
+// CanAct tells whether this one holds a lease now.
 func (in *session) CanAct(w lease.Name) (lease.Token, bool) {
 	e, _, ok := in.core.CanAct(in.now(), w)
 	return e, ok
 }
 
-// Release has another one take a work on.
+// Release has another one take a lease on.
 func (in *session) Release(w lease.Name, failed bool) { in.core.Release(in.now(), w, failed) }
 
-// ProposeState has a work's state handed on.
+// ProposeState has a lease's state handed on.
 func (in *session) ProposeState(w lease.Name, serial uint64, data []byte) bool {
 	return in.core.ProposeState(in.now(), w, serial, data)
 }
@@ -515,7 +515,7 @@
 // Members are those known.
 func (in *session) Members() []members.Member { return in.core.Members() }
 
-// Voters are the council's members, as far as this one knows.
+// Voters are the quorum's members, as far as this one knows.
 func (in *session) Voters() []members.ID { return in.core.Voters() }
 
 // Now is the steady clock.
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -23,9 +23,9 @@
 		t.Fatal(err)
 	}
 	b := &Block{Name: "t", Generation: 1, Listen: addrs[i], Advertise: addrs[i], KeyFile: key, Folder: filepath.Join(dir, fmt.Sprint("n", i)),
-		Council: map[members.ID]string{}, Works: []lease.Name{"w"}, Lease: time.Second, Willing: true}
+		Voters: map[members.ID]string{}, Leases: []lease.Name{"w"}, Lease: time.Second, Willing: true}
 	for j, addr := range addrs {
-		b.Council[members.ID(fmt.Sprint("n", j))] = addr
+		b.Voters[members.ID(fmt.Sprint("n", j))] = addr
 	}
 	return b
 }
@@ -61,7 +61,7 @@
 			if closed[s] {
 				continue
 			}
-			st, err := Call(context.Background(), filepath.Join(dir, fmt.Sprint("n", i)), Request{Do: "status"})
+			st, err := Call(context.Background(), filepath.Join(dir, fmt.Sprint("n", i)), Request{Action: "status"})
 			if err == nil && len(st.Holds) > 0 {
 				return st.Self
 			}
@@ -82,11 +82,11 @@
 	if first == to {
 		to = "n1"
 	}
-	if _, err := Call(context.Background(), filepath.Join(dir, "n2"), Request{Do: "handover", Work: "w", To: to}); err != nil {
+	if _, err := Call(context.Background(), filepath.Join(dir, "n2"), Request{Action: "handover", Lease: "w", To: to}); err != nil {
 		t.Fatal(err)
 	}
 	wait("not handed over", func(o string) bool { return o == to })
-	for _, bad := range []Request{{Do: "handover", Work: "x", To: to}, {Do: "handover", Work: "w", To: "z"}, {Do: "trust"}, {Do: "jump"}, {Do: "replace", Old: "z"}} {
+	for _, bad := range []Request{{Action: "handover", Lease: "x", To: to}, {Action: "handover", Lease: "w", To: "z"}, {Action: "trust"}, {Action: "jump"}, {Action: "replace", Old: "z"}} {
 		if _, err := Call(context.Background(), filepath.Join(dir, "n2"), bad); err == nil {
 			t.Errorf("%+v is done", bad)
 		}
--- a/internal/lab/fleet/configuration_processes.go
+++ b/internal/lab/fleet/configuration_processes.go
@@ -144,7 +144,7 @@
 func (r *rig) askConfig(n *machineProc, order fleet.ConfigOrder) (*fleet.ConfigAnswer, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, 30*time.Second)
 	defer cancel()
-	s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "config", Config: &order})
+	s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Action: "config", Config: &order})
 	if err != nil {
 		return nil, err
 	}
@@ -309,7 +309,7 @@
 	newest := max(r.known(r.nodes[0]), least)
 	for _, n := range r.nodes {
 		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
-		s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "config", Config: &fleet.ConfigOrder{Action: fleet.ConfigHistory}})
+		s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Action: "config", Config: &fleet.ConfigOrder{Action: fleet.ConfigHistory}})
 		cancel()
 		switch {
 		case err != nil:
--- a/internal/lab/fleet/maintain.go
+++ b/internal/lab/fleet/maintain.go
@@ -131,7 +131,7 @@
 		why := ""
 		for _, n := range r.nodes {
 			ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
-			s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &o})
+			s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Action: "maintenance", Maintenance: &o})
 			if cancel(); err == nil && s.Maintenance != nil {
 				r.tell("%s done, conducted by %s", o.Action, s.Maintenance.Holder)
 				return
@@ -212,7 +212,7 @@
 			status := "nobody tells"
 			for _, n := range r.nodes {
 				ctx, cancel := context.WithTimeout(r.ctx, 8*time.Second)
-				s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "maintenance", Maintenance: &fleet.MaintenanceRequest{Action: "status"}})
+				s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Action: "maintenance", Maintenance: &fleet.MaintenanceRequest{Action: "status"}})
 				if cancel(); err == nil {
 					status = fmt.Sprintf("%+v", *s.Maintenance)
 					break
--- a/internal/lab/fleet/processes_faults.go
+++ b/internal/lab/fleet/processes_faults.go
@@ -142,7 +142,7 @@
 	const within = 2 * time.Second
 	ctx, cancel := context.WithTimeout(r.ctx, within)
 	defer cancel()
-	request := fleet.Request{Do: "handover", Work: fmt.Sprintf("work-%d", f.N%r.Works), To: r.nodes[f.B].name}
+	request := fleet.Request{Action: "handover", Lease: fmt.Sprintf("work-%d", f.N%r.Works), To: r.nodes[f.B].name}
 	fleet.Call(ctx, filepath.Join(n.dir, "fleet"), request)
 }
 
--- a/internal/lab/fleet/processes_watch.go
+++ b/internal/lab/fleet/processes_watch.go
@@ -171,7 +171,7 @@
 	owners := map[string]int{}
 	for _, n := range r.nodes {
 		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
-		s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Do: "status"})
+		s, err := fleet.Call(ctx, filepath.Join(n.dir, "fleet"), fleet.Request{Action: "status"})
 		cancel()
 		if err != nil {
 			return fmt.Sprintf("%s: %v", n.name, err)
@@ -188,8 +188,8 @@
 		for _, w := range s.Holds {
 			owners[w]++
 		}
-		if n.number < r.Council && s.Council.Standing != "voting" {
-			return fmt.Sprintf("%s is %s in the council: %s", n.name, s.Council.Standing, s.Council.Why)
+		if n.number < r.Council && s.Quorum.Role != "voting" {
+			return fmt.Sprintf("%s is %s in the council: %s", n.name, s.Quorum.Role, s.Quorum.Reason)
 		}
 	}
 	for i := range r.Works {
--- a/internal/lab/scale/hollow/configuration.go
+++ b/internal/lab/scale/hollow/configuration.go
@@ -58,7 +58,7 @@
 		return 0, fmt.Errorf("n%d does not run here", number)
 	}
 	order := fleet.ConfigOrder{Action: fleet.ConfigPut, Document: document, Author: "rig", Reason: "measurement"}
-	status, err := c.service.Ask(fleet.Request{Do: "config", Config: &order})
+	status, err := c.service.Ask(fleet.Request{Action: "config", Config: &order})
 	switch {
 	case err != nil:
 		return 0, err
--- a/internal/lab/scale/hollow/controller.go
+++ b/internal/lab/scale/hollow/controller.go
@@ -31,13 +31,13 @@
 func (s Spec) block(folder string, number int, dial *dialer) *fleet.Block {
 	addr := s.Network.address(number).String()
 	b := &fleet.Block{Name: fleetName, Generation: 1, Listen: addr, Advertise: addr, KeyFile: filepath.Join(folder, keyFile),
-		Folder: filepath.Join(folder, string(name(number))), Council: map[members.ID]string{}, Works: s.leases(),
+		Folder: filepath.Join(folder, string(name(number))), Voters: map[members.ID]string{}, Leases: s.leases(),
 		Lease: s.LeaseTime, Willing: s.willing(number), Dial: dial.dial}
 	for voter := range s.Voters {
-		b.Council[name(voter)] = s.Network.address(voter).String()
+		b.Voters[name(voter)] = s.Network.address(voter).String()
 	}
 	if s.Digest {
-		b.Works = append(b.Works, fleet.Digest)
+		b.Leases = append(b.Leases, fleet.Digest)
 	}
 	return b
 }
@@ -73,11 +73,11 @@
 }
 
 func (c *controller) standing() (Standing, error) {
-	status, err := c.service.Ask(fleet.Request{Do: "status"})
+	status, err := c.service.Ask(fleet.Request{Action: "status"})
 	if err != nil {
 		return Standing{}, fmt.Errorf("n%d: %w", c.number, err)
 	}
-	return Standing{c.number, status.Council.Leader, status.Council.Term, status.Council.Standing == "voting"}, nil
+	return Standing{c.number, status.Quorum.Leader, status.Quorum.Term, status.Quorum.Role == "voting"}, nil
 }
 
 // counters are the counts that the service prints, by their names, as "links.refused".
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -110,7 +110,7 @@
 		return local.Fleet
 	}
 	whole := *local.Fleet
-	whole.Works = withMaintenance(names, local.Maintenance)
+	whole.Leases = withMaintenance(names, local.Maintenance)
 	return &whole
 }
 
--- a/internal/operator/document_test.go
+++ b/internal/operator/document_test.go
@@ -18,7 +18,7 @@
 // localOf is a controller whose own file has the blocks fleet and config, some of its own defaults, and perhaps maintenance.
 func localOf(maintenance *fleet.MaintenanceBlock, leases ...lease.Name) Local {
 	return Local{Name: "n7", File: &File{Log: logs.Usual(), Memory: &memory.Block{Folder: "/own", Pace: time.Second},
-		Fleet:  &fleet.Block{Name: "east", Folder: "/f", Works: leases, Lease: 3 * time.Second, Willing: true},
+		Fleet:  &fleet.Block{Name: "east", Folder: "/f", Leases: leases, Lease: 3 * time.Second, Willing: true},
 		Config: &fleet.ConfigBlock{Wait: time.Second}, Maintenance: maintenance}}
 }
 
@@ -110,21 +110,21 @@
 	if file.Fleet != local.File.Fleet || file.Config != local.File.Config {
 		t.Error("the controller's own blocks are not there")
 	}
-	before, leasesBefore := *local.File, slices.Clone(local.File.Fleet.Works)
+	before, leasesBefore := *local.File, slices.Clone(local.File.Fleet.Leases)
 	file, err = ParseDocument("document", []byte("memory {\n folder = \"/m/${name}\"\n}\nrule \"a\" {\n hot = true\n}\n"), local, facts)
 	if err != nil || *file.Memory != (memory.Block{Folder: "/m/n7", Pace: 5 * time.Second}) || file.Rules.Len() != 1 {
 		t.Errorf("memory and a rule: %+v, %v", file, err)
 	}
 	file, err = ParseDocument("document", []byte("fleet {\n works = [\"plan\", \"a\"]\n}\n"), local, facts)
-	if err != nil || !slices.Equal(file.Fleet.Works, []lease.Name{"a", "plan"}) || file.Fleet.Folder != local.File.Fleet.Folder {
+	if err != nil || !slices.Equal(file.Fleet.Leases, []lease.Name{"a", "plan"}) || file.Fleet.Folder != local.File.Fleet.Folder {
 		t.Errorf("other leases: %+v, %v", file, err)
 	}
 	maintained := localOf(&fleet.MaintenanceBlock{}, "digest", "maintenance")
 	file, err = ParseDocument("document", []byte("maintenance {\n drain = \"/d\"\n}\nfleet {\n works = [\"a\"]\n}\n"), maintained, facts)
-	if err != nil || !slices.Equal(file.Fleet.Works, []lease.Name{"a", "maintenance"}) || file.Maintenance.Drain != "/d" {
+	if err != nil || !slices.Equal(file.Fleet.Leases, []lease.Name{"a", "maintenance"}) || file.Maintenance.Drain != "/d" {
 		t.Errorf("leases beside maintenance: %+v, %v", file, err)
 	}
-	if !reflect.DeepEqual(before, *local.File) || !slices.Equal(leasesBefore, local.File.Fleet.Works) {
+	if !reflect.DeepEqual(before, *local.File) || !slices.Equal(leasesBefore, local.File.Fleet.Leases) {
 		t.Error("the controller's own file is changed")
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if f.Fleet != nil {
-		f.Fleet.Works = withMaintenance(f.Fleet.Works, f.Maintenance)
+		f.Fleet.Leases = withMaintenance(f.Fleet.Leases, f.Maintenance)
 	}
 	f.Rules = readRules(ruled, facts, sheet)
 }
