Two long functions of the fleet's simulation are divided

Need: readable code. World.send (64 lines) encodes, counts, draws and receives by methods of these names; the lock-file baseline (70) is a type with a step each.

--- a/internal/lab/fleet/takeover.go
+++ b/internal/lab/fleet/takeover.go
@@ -96,75 +96,112 @@
 }
 
 // LockFile is the plain baseline: a file with an owner and a time until which it owns, by the wall clocks of the machines,
-// looked at and written in two steps. It plays one history with the troubles that a council's lease is played with, and
+// looked at and written in two steps. It plays one history with the troubles that a quorum's lease is played with, and
 // tells how often two acted at once, and how many effects a receiver took from one after a later owner's.
 func LockFile(seed int64, lease float64) (both, late int) {
-	rng := rand.New(rand.NewSource(seed))
-	const nodes, end = 4, 60000.0
-	type one struct {
-		rate, jump, paused float64
-		reads              float64 // what it read of the file, at which time
-		readOwner          int
-		readUntil          float64
-		acting             bool
-		actsTo             float64 // by its own clock
-	}
-	all := make([]one, nodes)
-	for i := range all {
-		all[i].rate = 1
-	}
-	owner, until := -1, 0.0
-	last, highest, turns := -1, 0, map[int]int{}
-	for now := 0.0; now < end; now += 50 {
-		if rng.Intn(200) == 0 { // a trouble each ten seconds
-			i := rng.Intn(nodes)
-			switch rng.Intn(3) {
-			case 0:
-				all[i].paused = now + lease*(0.2+2*rng.Float64())
-			case 1:
-				all[i].rate = 0.8 + 0.4*rng.Float64()
-			case 2:
-				all[i].jump += 3600e3 * float64(1-2*rng.Intn(2))
-			}
-		}
+	const end, interval = 60000.0, 50.0 // ms
+	f := newLockFile(seed, lease)
+	for now := 0.0; now < end; now += interval {
+		f.trouble(now)
 		acting := 0
-		for i := range all {
-			m := &all[i]
-			if now < m.paused {
-				if m.acting {
-					acting++ // it has looked at its clock, and its next effect goes out when it goes on
-				}
-				continue
-			}
-			clock := now*m.rate + m.jump
-			if m.acting {
+		for i := range f.machines {
+			if f.turn(i, now) {
 				acting++
-				if turns[i] < highest && last != i {
-					late++
-				}
-				last = i
-				if clock >= m.actsTo {
-					m.acting = false
-				}
-			}
-			switch {
-			case m.reads > 0: // the second step: it writes by what it read
-				if m.readOwner == i || clock > m.readUntil {
-					if owner != i {
-						highest++
-						turns[i] = highest
-					}
-					owner, until = i, clock+lease
-					m.acting, m.actsTo = true, clock+lease*0.7
-				}
-				m.reads = 0
-			case rng.Intn(4) == 0:
-				m.reads, m.readOwner, m.readUntil = now, owner, until
 			}
 		}
 		if acting > 1 {
 			both++
 		}
 	}
-	return both, late
+	return both, f.late
+}
+
+// lockFile is the file, and the machines that want to own it.
+type lockFile struct {
+	rng      *rand.Rand
+	lease    float64 // ms
+	machines []lockMachine
+	owner    int
+	until    float64
+	last     int         // the machine whose effect the receiver took last
+	terms    map[int]int // the number of each machine's last ownership
+	newest   int         // of ownerships
+	late     int         // effects that came after one of a later ownership
+}
+
+// lockMachine is one of the machines.
+type lockMachine struct {
+	rate, jump, paused float64
+	readAt             float64 // when it read the file; 0: it has not
+	readOwner          int
+	readUntil          float64
+	acting             bool
+	actsUntil          float64 // by its own clock
+}
+
+func newLockFile(seed int64, lease float64) *lockFile {
+	const machines = 4
+	f := &lockFile{rng: rand.New(rand.NewSource(seed)), lease: lease, machines: make([]lockMachine, machines), owner: -1, last: -1,
+		terms: map[int]int{}}
+	for i := range f.machines {
+		f.machines[i].rate = 1
+	}
+	return f
+}
+
+// trouble has a machine pause, run fast or slow, or its clock jump by an hour: one of these each ten seconds.
+func (f *lockFile) trouble(now float64) {
+	if f.rng.Intn(200) != 0 {
+		return
+	}
+	m := &f.machines[f.rng.Intn(len(f.machines))]
+	switch f.rng.Intn(3) {
+	case 0:
+		m.paused = now + f.lease*(0.2+2*f.rng.Float64())
+	case 1:
+		m.rate = 0.8 + 0.4*f.rng.Float64()
+	case 2:
+		m.jump += 3600e3 * float64(1-2*f.rng.Intn(2))
+	}
+}
+
+// turn has a machine do its next step, and tells whether it acts.
+func (f *lockFile) turn(i int, now float64) (acts bool) {
+	m := &f.machines[i]
+	if now < m.paused {
+		return m.acting // it has looked at its clock, and its next effect goes out when it goes on
+	}
+	clock := now*m.rate + m.jump
+	if m.acting {
+		acts = true
+		if f.terms[i] < f.newest && f.last != i {
+			f.late++
+		}
+		f.last = i
+		if clock >= m.actsUntil {
+			m.acting = false
+		}
+	}
+	switch {
+	case m.readAt > 0:
+		f.write(i, clock)
+	case f.rng.Intn(4) == 0:
+		m.readAt, m.readOwner, m.readUntil = now, f.owner, f.until
+	}
+	return acts
+}
+
+// write is the second step: a machine writes the file by what it read.
+func (f *lockFile) write(i int, clock float64) {
+	m := &f.machines[i]
+	m.readAt = 0
+	if m.readOwner != i && clock <= m.readUntil {
+		return
+	}
+	if f.owner != i {
+		f.newest++
+		f.terms[i] = f.newest
+	}
+	f.owner, f.until = i, clock+f.lease
+	m.acting, m.actsUntil = true, clock+f.lease*0.7
 }
--- a/internal/lab/fleet/virtual_network.go
+++ b/internal/lab/fleet/virtual_network.go
@@ -23,52 +23,20 @@
 		return
 	}
 	w.configSent(from, to, &s.Message)
-	var data []byte
-	if !w.plan.Direct || w.traffic != nil {
-		var err error
-		if data, err = cbor.Marshal(s.Message); err != nil {
-			w.Judge.fail(w.now, "message: %v", err)
-			return
-		}
-	}
-	w.countSent(from.number, to, &s.Message, len(data))
-	w.Messages++
-	w.Bytes += len(data) + 40
-	if s.Message.Members != nil {
-		w.TalkBytes += len(data) + 40
-		w.Talk++
-	}
-	took := 0.3 + w.rng.Float64()
-	if w.plan.Latency != nil {
-		took = w.plan.Latency(from.number, to) + w.rng.Float64()
-	}
-	lost, twice := false, false
-	if w.now < w.dropTo {
-		lost, twice = w.rng.Float64() < w.drop, w.rng.Float64() < w.drop/4
-	}
-	if w.now < w.delayTo {
-		took += w.rng.Float64() * w.delay
+	data, err := w.encode(&s.Message)
+	if err != nil {
+		w.Judge.fail(w.now, "message: %v", err)
+		return
 	}
+	w.countMessage(from.number, to, &s.Message, len(data))
+	took, lost, twice := w.drawDelivery(from.number, to)
 	run := from.run
 	arrive := func() {
 		target := w.nodes[to]
 		if target.core == nil || w.isBlocked(from.number, to) || from.run != run && from.core != nil {
 			return // a connection of an earlier run ends when the next one connects
 		}
-		w.deliver(target, func() {
-			m := s.Message
-			if !w.plan.Direct {
-				m = node.Message{}
-				if err := cbor.Unmarshal(data, &m); err != nil {
-					w.Judge.fail(w.now, "message: %v", err)
-					return
-				}
-			}
-			if m.Granted != nil && m.Granted.To.Run == target.run {
-				w.Promises.Came(target.run, m.Granted, w.now)
-			}
-			target.core.Receive(w.local(target), from.id, &m)
-		})
+		w.deliver(target, func() { w.receive(target, from.id, &s.Message, data) })
 	}
 	if s.Message.Renew != nil {
 		w.Promises.Sent(run, s.Message.Renew, w.now)
@@ -81,3 +49,52 @@
 		w.at(w.now+took*2+1, arrive)
 	}
 }
+
+// encode is a message as it goes over a socket; nil where messages are handed over as they are and nothing counts bytes.
+func (w *World) encode(m *node.Message) ([]byte, error) {
+	if w.plan.Direct && w.traffic == nil {
+		return nil, nil
+	}
+	return cbor.Marshal(m)
+}
+
+func (w *World) countMessage(from, to int, m *node.Message, bytes int) {
+	w.countSent(from, to, m, bytes)
+	w.Messages++
+	w.Bytes += bytes + frameBytes
+	if m.Members != nil {
+		w.TalkBytes += bytes + frameBytes
+		w.Talk++
+	}
+}
+
+// drawDelivery draws what becomes of a message: how long it takes, in ms, and whether it is lost or comes twice.
+func (w *World) drawDelivery(from, to int) (took float64, lost, twice bool) {
+	took = 0.3 + w.rng.Float64()
+	if w.plan.Latency != nil {
+		took = w.plan.Latency(from, to) + w.rng.Float64()
+	}
+	if w.now < w.dropTo {
+		lost, twice = w.rng.Float64() < w.drop, w.rng.Float64() < w.drop/4
+	}
+	if w.now < w.delayTo {
+		took += w.rng.Float64() * w.delay
+	}
+	return took, lost, twice
+}
+
+// receive has a machine take in a message.
+func (w *World) receive(target *machine, from members.ID, sent *node.Message, data []byte) {
+	m := *sent
+	if !w.plan.Direct {
+		m = node.Message{}
+		if err := cbor.Unmarshal(data, &m); err != nil {
+			w.Judge.fail(w.now, "message: %v", err)
+			return
+		}
+	}
+	if m.Granted != nil && m.Granted.To.Run == target.run {
+		w.Promises.Came(target.run, m.Granted, w.now)
+	}
+	target.core.Receive(w.local(target), from, &m)
+}
