--- /dev/null
+++ b/internal/lab/playground/query.go
@@ -0,0 +1,45 @@
+package playground
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"mintkeel/internal/lab/scale/daemon"
+	"mintkeel/internal/lab/standin"
+)
+
+// Classes are the query classes of a playground's deployment.
+func Classes() []string {
+	return []string{daemon.LookupClass, daemon.LoadClass, daemon.WriteClass, daemon.ReportClass}
+}
+
+// Statement is what a query asks of an emulated engine, which reads no more of it than how long to work and on which
+// tables.
+type Statement struct {
+	Class  string
+	Work   time.Duration // of one core
+	Tables string        // as "sales_17.orders"
+}
+
+// Query sends a statement to a controller, as a client with this deadline, and tells what it was answered and after how
+// long.
+func Query(ctx context.Context, addr string, s Statement, deadline time.Duration) (standin.Verdict, time.Duration, error) {
+	client, err := standin.Dial(ctx, addr, deadline)
+	if err != nil {
+		return standin.Lost, 0, err
+	}
+	defer client.Close()
+	id := make([]byte, 8)
+	rand.Read(id) // never fails
+	fields := fmt.Sprintf("verb=%s,txn=%s", s.Class, hex.EncodeToString(id))
+	if s.Class == daemon.LoadClass { // its attempts carry an idempotency key
+		fields += ",unique=u" + hex.EncodeToString(id)
+	}
+	text := fmt.Sprintf("SELECT WORK(%.3f) FROM %s", float64(s.Work)/float64(time.Millisecond), s.Tables)
+	began := time.Now()
+	verdict, err := client.Query(fields, text, deadline)
+	return verdict, time.Since(began), err
+}
--- a/internal/lab/scale/daemon/daemon.go
+++ b/internal/lab/scale/daemon/daemon.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	path, err := o.writeConfiguration(addr)
+	path, err := o.WriteConfiguration(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/scale/daemon/settings.go
+++ b/internal/lab/scale/daemon/settings.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// writeConfiguration writes the configuration of a daemon that listens at an address, and returns its path.
-func (o Options) writeConfiguration(addr string) (string, error) {
+// WriteConfiguration writes the configuration of a daemon that listens at an address, and returns its path.
+func (o Options) WriteConfiguration(addr string) (string, error) {
 	var hosts []object
 	for _, e := range o.Engines {
 		hosts = append(hosts, object{"host": e.ID, "dial": e.Addr, "site": "east", "class": "std", "health": "active"})
