The quorum's leader has renewals of leases agreed on together, and offers only what is not renewed

And each lease was offered to its holder each second, though that renewed it.

Change: renewals that come within a twentieth of a lease share one step of the consensus (quorum.ProposeAll: several entries in one proposal; the log's format is as it was). The first renewal of a lease does not wait and takes the waiting ones along. A holder counts from when it sent, so its 0.7 of a lease lose 0.05 at the most. A lease is offered anew only where its holder has not renewed for two intervals, or the leader has not heard of one yet.

--- a/internal/core/fleet/lease/lease.go
+++ b/internal/core/fleet/lease/lease.go
@@ -63,6 +63,7 @@
 	stopShare   = 0.7
 	assignShare = 1.5
 	renewShare  = 0.2
+	batchShare  = 0.05
 )
 
 // HoldsFor is how long after sending a renewal a holder may begin an effect, in ms.
@@ -71,5 +72,8 @@
 // FreeAfter is how long after the last renewal the leader waits before it assigns a lease to another, in ms.
 func (t Terms) FreeAfter() float64 { return assignShare * t.Lease }
 
+// BatchFor is how long the leader may gather renewals to have them agreed on together, in ms.
+func (t Terms) BatchFor() float64 { return batchShare * t.Lease }
+
 // RenewEach is the time between a holder's renewals, in ms.
 func (t Terms) RenewEach() float64 { return renewShare * t.Lease }
--- a/internal/core/fleet/lease/manager.go
+++ b/internal/core/fleet/lease/manager.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// Renewed tells whether a lease was renewed lately: its holder knows that it holds it. One that has not been renewed for
+// two of its intervals may have dropped the lease, and takes it up again if it is offered.
+func (m *Manager) Renewed(now float64, name Name) bool {
+	at, ever := m.renewedAt[name]
+	return ever && !m.unconfirmed[name] && now < at+2*m.terms.RenewEach()
+}
+
+// Confirmed tells whether the holders of all these grants have renewed them before.
+func (m *Manager) Confirmed(grants []Grant) bool {
+	return !slices.ContainsFunc(grants, func(g Grant) bool {
+		_, ever := m.renewedAt[g.Name]
+		return !ever || m.unconfirmed[g.Name]
+	})
+}
+
 // Until is when a lease may be assigned to another at the earliest, in ms.
 func (m *Manager) Until(name Name) float64 { return m.countedFrom(name) + m.terms.FreeAfter() }
 
--- a/internal/core/fleet/node/manager.go
+++ b/internal/core/fleet/node/manager.go
@@ -9,13 +9,6 @@
 	"mintkeel/internal/core/fleet/quorum"
 )
 
-// renew proposes a holder's renewal, or tells it who leads.
-func (n *Node) renew(from members.ID, r *lease.Renew) {
-	if !n.propose(from, lease.Command{Renew: r}) {
-		n.send(from, Message{View: n.viewOf()})
-	}
-}
-
 // SetLeases says anew which leases there are to be. It counts where this one leads the quorum.
 func (n *Node) SetLeases(now float64, names []lease.Name) {
 	n.now = max(n.now, now)
@@ -108,10 +101,12 @@
 	for _, c := range n.leases.Decide(n.now, state, n.candidates()) {
 		n.propose(n.facts.Self.ID, c)
 	}
-	if n.now >= n.offerAt { // an offer may be lost, and is ignored by a holder that renews already
+	if n.now >= n.offerAt { // an offer may be lost
 		n.offerAt = n.now + offerInterval
-		for _, w := range slices.Sorted(maps.Keys(state.Leases)) {
-			n.offer(w)
+		for _, name := range slices.Sorted(maps.Keys(state.Leases)) {
+			if !n.leases.Renewed(n.now, name) {
+				n.offer(name)
+			}
 		}
 	}
 	n.manageAt = min(n.now+offerInterval, max(n.now+50, n.leases.Next(n.now, state)))
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -58,6 +58,7 @@
 	heardAt      float64
 	ref          uint64
 	asked        map[uint64]bool // what this one proposed and is to be answered
+	renewals     renewalBatch
 	stopping     bool
 	wholeOut     bool
 	released     []releasedLease
@@ -178,6 +179,9 @@
 	if n.leases != nil {
 		next = min(next, n.manageAt)
 	}
+	if len(n.renewals.list) > 0 {
+		next = min(next, n.renewals.proposeAt)
+	}
 	if len(n.released) > 0 {
 		next = min(next, n.releaseAt)
 	}
@@ -222,6 +226,7 @@
 	for range 4 { // what one part says to another of the same controller is heard at once
 		n.lead()
 		n.renewLeases()
+		n.proposeRenewals()
 		n.sendReleases()
 		n.sendPreferences()
 		if n.now >= n.viewAt {
--- a/internal/core/fleet/node/routing.go
+++ b/internal/core/fleet/node/routing.go
@@ -60,11 +60,16 @@
 	if !n.quorum.Propose(by, n.ref, c) {
 		return false
 	}
+	n.expectAnswer(n.ref)
+	return true
+}
+
+// expectAnswer notes that a proposal of this number is to be answered once it is agreed on.
+func (n *Node) expectAnswer(ref uint64) {
 	if len(n.asked) >= maxAsked {
 		clear(n.asked) // a requester that is not answered asks again
 	}
-	n.asked[n.ref] = true
-	return true
+	n.asked[ref] = true
 }
 
 // proposeOrForward proposes a command, or passes the message on to the leader.
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -219,6 +219,34 @@
 	return err == nil && r.node.Propose(data) == nil
 }
 
+// Request is a command that is to be agreed on.
+type Request struct {
+	By      members.ID // the member that asks for it
+	Ref     uint64     // its number of it
+	Command lease.Command
+}
+
+// ProposeAll asks for several commands to be agreed on in their order, with one message to each member; it is false, and
+// none is proposed, where this member does not lead or too much is pending.
+func (r *Replica) ProposeAll(requests []Request) bool {
+	if !r.leading || r.node == nil {
+		return false
+	}
+	if len(requests) == 0 {
+		return true
+	}
+	entries := make([]*pb.Entry, 0, len(requests))
+	for _, request := range requests {
+		data, err := encodeProposal(proposal{By: request.By, Ref: request.Ref, Command: request.Command})
+		if err != nil {
+			return false
+		}
+		entries = append(entries, &pb.Entry{Data: data})
+	}
+	number := r.incarnation.Number()
+	return r.node.Step(&raftMessage{Type: pb.MsgProp.Enum(), From: &number, Entries: entries}) == nil
+}
+
 // ProposeConfig asks for a version of the fleet's configuration to be agreed on; it is false where this member does not
 // lead, or too much is pending.
 func (r *Replica) ProposeConfig(by members.ID, p config.Proposal) bool {
