Controllers that start together soon ask the voters for their view apart

Cause: each of 670 asks each 67 s, drawn by a tenth shorter or longer.

Change: the time is drawn by a half shorter or longer.

--- a/internal/core/fleet/node/leaderhint.go
+++ b/internal/core/fleet/node/leaderhint.go
@@ -14,7 +14,7 @@
 const (
 	viewInterval    = 5000.0 // at least
 	viewPerMember   = 100.0  // for each member of the fleet, so that all together ask ten times a second
-	viewJitterShare = 0.1    // by which the time is drawn shorter or longer
+	viewJitterShare = 0.5    // by which the time is drawn shorter or longer: those that began together soon ask apart
 )
 
 // leaderHint is what this controller knows of the leader; nil: nothing.
