--- a/internal/lab/scale/hollow/daemons.go
+++ b/internal/lab/scale/hollow/daemons.go
@@ -25,26 +25,29 @@
 
 // startDaemons builds the daemon and starts some that join the fleet. Their addresses follow those of the hollow
 // controllers.
-func (f *Fleet) startDaemons(ctx context.Context, count int, seed int64) (d *daemons, err error) {
-	d = &daemons{}
+func (f *Fleet) startDaemons(ctx context.Context, count int, seed int64) (*daemons, error) {
+	d := &daemons{}
 	ctx, d.end = context.WithCancel(ctx)
-	defer func() {
-		if err != nil {
-			d.close()
-		}
-	}()
-	if d.folder, err = os.MkdirTemp("", "daemons"); err != nil {
+	if err := d.startAll(ctx, f, count, seed); err != nil {
+		d.close()
 		return nil, err
 	}
+	return d, nil
+}
+
+func (d *daemons) startAll(ctx context.Context, f *Fleet, count int, seed int64) (err error) {
+	if d.folder, err = os.MkdirTemp("", "daemons"); err != nil {
+		return err
+	}
 	binary, err := daemon.Build(ctx, d.folder)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if d.feed, err = standin.NewFeed(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	if d.engine, err = daemon.NewEngine(1, seed); err != nil {
-		return nil, err
+		return err
 	}
 	d.list = make([]*daemon.Process, count)
 	errs := make([]error, count)
@@ -53,7 +56,7 @@
 		group.Go(func() { d.list[i], errs[i] = d.start(ctx, f, binary, i, seed) })
 	}
 	group.Wait()
-	return d, errors.Join(errs...)
+	return errors.Join(errs...)
 }
 
 func (d *daemons) start(ctx context.Context, f *Fleet, binary string, i int, seed int64) (*daemon.Process, error) {
