Two more long functions of the lab are divided

Need: readable code. Pressed.Play (112 lines) and TakeAll (63) are types with a method for each step.

--- a/internal/lab/fleet/orders.go
+++ b/internal/lab/fleet/orders.go
@@ -200,66 +200,105 @@
 // slowest, how long it took (s), and how many were out at once at most.
 func TakeAll(seed int64, n int, load float64, p Policy, atOnce int, horizon float64) (lost, took float64, most int) {
 	s := newStage(seed, n, load)
-	plan := maintenance.Plan{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}}, Needs: workFor * 1000, AtOnce: atOnce}
-	order := s.rng.Perm(n)
+	t := s.newTaking(p, atOnce)
+	for s.now < horizon {
+		out := s.countOut()
+		most = max(most, out)
+		t.step(out)
+		lost += s.second()
+		if took == 0 && len(t.taken) == n && s.allWarm() {
+			took = s.now
+		}
+	}
+	if took == 0 {
+		took = math.Inf(1)
+	}
+	return lost / horizon, took, most
+}
+
+// taking is how far a policy has come with taking engines out.
+type taking struct {
+	stage  *stage
+	policy Policy
+	plan   maintenance.Plan
+	atOnce int
+	order  []int
+	next   int       // in order
+	timers []float64 // s, of each engine where each is taken out alone
+	taken  map[int]bool
+	index  map[maintenance.EngineID]int
+}
+
+func (s *stage) newTaking(p Policy, atOnce int) *taking {
+	n := len(s.engines)
+	t := &taking{stage: s, policy: p, atOnce: atOnce, taken: map[int]bool{}, index: map[maintenance.EngineID]int{},
+		plan: maintenance.Plan{ID: "all", Select: maintenance.Selection{Kinds: []maintenance.Kind{"std"}}, Needs: workFor * 1000, AtOnce: atOnce}}
+	t.order = s.rng.Perm(n)
 	if p == ListOrder || p == AllAllowed {
-		slices.Sort(order)
+		slices.Sort(t.order)
 	}
-	timers := make([]float64, n)
-	for i := range timers { // each alone: some controller's timer for each engine, over the time that one by one would take
-		timers[i] = s.rng.Float64() * float64(n) * (drainFor + workFor) / float64(atOnce)
+	t.timers = make([]float64, n)
+	for i := range t.timers { // some controller's timer for each engine, over the time that one by one would take
+		t.timers[i] = s.rng.Float64() * float64(n) * (drainFor + workFor) / float64(atOnce)
 	}
-	next, taken := 0, map[int]bool{}
-	index := map[maintenance.EngineID]int{}
 	for i, e := range s.engines {
-		index[e.ID] = i
+		t.index[e.ID] = i
 	}
-	for s.now < horizon {
-		out := 0
-		for i := range s.engines {
-			if !s.there(i) {
-				out++
-			}
+	return t
+}
+
+// step takes out what the policy takes out now, where so many are out.
+func (t *taking) step(out int) {
+	switch t.policy {
+	case ListOrder, AtRandom:
+		if out == 0 {
+			t.takeNext()
 		}
-		most = max(most, out)
-		switch p {
-		case ListOrder, AtRandom:
-			if next < n && out == 0 {
-				s.take(order[next])
-				taken[order[next]] = true
-				next++
-			}
-		case AllAllowed:
-			for ; next < n && out < atOnce; out++ {
-				s.take(order[next])
-				taken[order[next]] = true
-				next++
-			}
-		case EachAlone:
-			for i := range s.engines {
-				if !taken[i] && s.now >= timers[i] {
-					s.take(i)
-					taken[i] = true
-				}
-			}
-		case Ours:
-			s.conduct(plan, index, taken)
+	case AllAllowed:
+		for ; t.next < len(t.order) && out < t.atOnce; out++ {
+			t.takeNext()
 		}
-		lost += s.second()
-		if done := len(taken) == n; done && took == 0 {
-			all := true
-			for i := range s.engines {
-				all = all && s.there(i) && s.now >= s.cold[i]+coldFor
-			}
-			if all {
-				took = s.now
+	case EachAlone:
+		for i := range t.stage.engines {
+			if !t.taken[i] && t.stage.now >= t.timers[i] {
+				t.take(i)
 			}
 		}
+	case Ours:
+		t.stage.conduct(t.plan, t.index, t.taken)
 	}
-	if took == 0 {
-		took = math.Inf(1)
+}
+
+func (t *taking) takeNext() {
+	if t.next < len(t.order) {
+		t.take(t.order[t.next])
+		t.next++
 	}
-	return lost / horizon, took, most
+}
+
+func (t *taking) take(i int) {
+	t.stage.take(i)
+	t.taken[i] = true
+}
+
+// countOut counts the engines that are out.
+func (s *stage) countOut() (out int) {
+	for i := range s.engines {
+		if !s.there(i) {
+			out++
+		}
+	}
+	return out
+}
+
+// allWarm tells whether all engines are there and warm.
+func (s *stage) allWarm() bool {
+	for i := range s.engines {
+		if !s.there(i) || s.now < s.cold[i]+coldFor {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *stage) conduct(plan maintenance.Plan, index map[maintenance.EngineID]int, taken map[int]bool) {
--- a/internal/lab/steps/pressed.go
+++ b/internal/lab/steps/pressed.go
@@ -35,122 +35,168 @@
 	pressedQueue, pressedStep, pressedMore     = 1024, 512, 64 // as the loop's
 )
 
+// waiting is a command that has come.
 type waiting struct {
 	id          router.CommandID
 	came, taken float64
 	over        bool
 }
 
+// pressedRun is one play.
+type pressedRun struct {
+	Pressed
+	out    Pressure
+	rng    *rand.Rand
+	module Module
+	now    float64 // ms
+	end    float64 // after which none comes
+	next   float64 // when the next command comes
+	wake   float64 // when the module wants to be asked
+	serial router.CommandID
+	queue  []*waiting
+	ends   []*waiting // that engines answer, in order, as all take as long
+	open   map[router.CommandID]*waiting
+	sent   int     // in the last step
+	busy   float64 // ms of processor time in this turn
+	took   struct{ answered, shed float64 }
+}
+
 // Play plays it.
-func (p Pressed) Play(make_ Make) (out Pressure) {
-	rng := rand.New(rand.NewSource(p.Seed))
-	m := make_(p.Seed, router.Place{Controllers: 1}, []router.Kind{{Cores: 64, MemoryMB: memory}},
-		[]router.Profile{{Effect: router.Replayable, Target: pressedTarget, Timeout: pressedTimeout, Threads: 1, LateShare: 0.3}}, nil,
+func (p Pressed) Play(make_ Make) Pressure {
+	r := p.start(make_)
+	for r.now < r.end || len(r.queue) > 0 || len(r.open) > 0 {
+		r.passIdleTime()
+		r.busy = 0
+		r.takeArrivals()
+		events := append(r.endAttempts(), r.dequeue()...)
+		if r.wake <= r.now {
+			r.wake = math.Inf(1)
+		}
+		for _, action := range r.module.Step(r.now, events) {
+			r.carryOut(action)
+		}
+		r.now += r.busy
+	}
+	r.out.AnswerAfter = r.took.answered / float64(max(1, r.out.InTime+r.out.Late))
+	r.out.ShedAfter = r.took.shed / float64(max(1, r.out.Shed))
+	return r.out
+}
+
+func (p Pressed) start(make_ Make) *pressedRun {
+	const began, engines = 1e6, 50
+	profile := router.Profile{Effect: router.Replayable, Target: pressedTarget, Timeout: pressedTimeout, Threads: 1, LateShare: 0.3}
+	r := &pressedRun{Pressed: p, rng: rand.New(rand.NewSource(p.Seed)), now: began, next: began, end: began + p.Length,
+		wake: math.Inf(1), open: map[router.CommandID]*waiting{}}
+	r.module = make_(p.Seed, router.Place{Controllers: 1}, []router.Kind{{Cores: 64, MemoryMB: memory}}, []router.Profile{profile}, nil,
 		router.Allowed{Cancel: true, MaxSends: 3}, router.Guards{Round: 1, ColdShare: 1, ColdMultiple: 0})
 	var entries []router.Entry
-	for i := range 50 {
+	for i := range engines {
 		entries = append(entries, router.Entry{Engine: router.EngineID(rune('A' + i)), Zone: "z"})
 	}
-	now, next, wake := 1e6, 1e6, math.Inf(1)
-	m.Step(now, []router.Event{router.Listed{Whole: true, Entries: entries}})
-	var queue []*waiting
-	var ends []*waiting // that engines answer, in order, as all take as long
-	open := map[router.CommandID]*waiting{}
-	serial := router.CommandID(0)
-	spacing := p.Decide / p.Times
-	end := now + p.Length
-	told := func(c *waiting, at float64) float64 {
-		c.over = true
-		delete(open, c.id)
-		if at > c.came+pressedTimeout {
-			out.Missed++
-		}
-		out.Longest = max(out.Longest, at-c.came)
-		return at - c.came
+	r.module.Step(r.now, []router.Event{router.Listed{Whole: true, Entries: entries}})
+	return r
+}
+
+// passIdleTime goes on to when something happens next, if there is nothing to do now.
+func (r *pressedRun) passIdleTime() {
+	idle := math.Inf(1)
+	if r.next < r.end {
+		idle = r.next
 	}
-	answered, shed, sent := 0.0, 0.0, 0
-	for now < end || len(queue) > 0 || len(open) > 0 {
-		idle := math.Inf(1) // when something happens next
-		if next < end {
-			idle = next
-		}
-		if len(ends) > 0 {
-			idle = min(idle, ends[0].taken+pressedWork)
-		}
-		if idle = min(idle, wake); idle > now && len(queue) == 0 && sent < pressedMore {
-			now = idle
-		}
-		busy := 0.0
-		for ; next <= now && next < end; next += rng.ExpFloat64() * spacing {
-			serial++
-			out.Commands++
-			if len(queue) >= pressedQueue {
-				out.Refused++
-				busy += p.Refused
-				continue
-			}
-			queue = append(queue, &waiting{id: serial, came: next})
+	if len(r.ends) > 0 {
+		idle = min(idle, r.ends[0].taken+pressedWork)
+	}
+	if idle = min(idle, r.wake); idle > r.now && len(r.queue) == 0 && r.sent < pressedMore {
+		r.now = idle
+	}
+}
+
+// takeArrivals puts what has come into the queue.
+func (r *pressedRun) takeArrivals() {
+	spacing := r.Decide / r.Times
+	for ; r.next <= r.now && r.next < r.end; r.next += r.rng.ExpFloat64() * spacing {
+		r.serial++
+		r.out.Commands++
+		if len(r.queue) >= pressedQueue {
+			r.out.Refused++
+			r.busy += r.Pressed.Refused
+			continue
 		}
-		var events []router.Event
-		for len(ends) > 0 && ends[0].taken+pressedWork <= now {
-			c := ends[0]
-			ends = ends[1:]
-			ev := router.Ended{ID: c.id, Took: pressedWork, Over: true}
-			if c.over { // it was given up meanwhile
-				ev.Outcome = router.Cancelled
-			} else if answered += told(c, now); now-c.came <= pressedTarget {
-				out.InTime++
-			} else {
-				out.Late++
-			}
-			events = append(events, ev)
+		r.queue = append(r.queue, &waiting{id: r.serial, came: r.next})
+	}
+}
+
+// endAttempts are the events of attempts that engines have answered.
+func (r *pressedRun) endAttempts() (events []router.Event) {
+	for len(r.ends) > 0 && r.ends[0].taken+pressedWork <= r.now {
+		c := r.ends[0]
+		r.ends = r.ends[1:]
+		event := router.Ended{ID: c.id, Took: pressedWork, Over: true}
+		if c.over { // it was given up meanwhile
+			event.Outcome = router.Cancelled
+		} else if r.took.answered += r.tell(c, r.now); r.now-c.came <= pressedTarget {
+			r.out.InTime++
+		} else {
+			r.out.Late++
 		}
-		room := pressedStep
-		if sent >= pressedMore { // the module has more to send first
-			room = 0
+		events = append(events, event)
+	}
+	return events
+}
+
+// dequeue are the events of commands that the module is told of in this step.
+func (r *pressedRun) dequeue() (events []router.Event) {
+	room := pressedStep
+	if r.sent >= pressedMore { // the module has more to send first
+		room = 0
+	}
+	r.sent = 0
+	for range min(room, len(r.queue)) {
+		c := r.queue[0]
+		r.queue = r.queue[1:]
+		waited := r.now - c.came
+		event := router.Arrived{ID: c.id, Tenant: -1, Left: pressedTimeout - waited, Estimate: pressedWork}
+		if !r.Blind {
+			event.Waited = waited
 		}
-		sent = 0
-		for range min(room, len(queue)) {
-			c := queue[0]
-			queue = queue[1:]
-			waited := now - c.came
-			ev := router.Arrived{ID: c.id, Tenant: -1, Left: pressedTimeout - waited, Estimate: pressedWork}
-			if !p.Blind {
-				ev.Waited = waited
-			}
-			open[c.id] = c
-			events = append(events, ev)
+		r.open[c.id] = c
+		events = append(events, event)
+	}
+	return events
+}
+
+func (r *pressedRun) carryOut(action router.Action) {
+	switch a := action.(type) {
+	case router.Send:
+		r.busy += r.Decide
+		r.sent++
+		if c := r.open[a.ID]; c != nil {
+			c.taken = r.now + r.busy
+			r.ends = append(r.ends, c)
 		}
-		if wake <= now {
-			wake = math.Inf(1)
+	case router.Shed:
+		r.busy += r.Away
+		if c := r.open[a.ID]; c != nil {
+			r.out.Shed++
+			r.took.shed += r.tell(c, r.now+r.busy)
 		}
-		for _, action := range m.Step(now, events) {
-			switch a := action.(type) {
-			case router.Send:
-				busy += p.Decide
-				sent++
-				if c := open[a.ID]; c != nil {
-					c.taken = now + busy
-					ends = append(ends, c)
-				}
-			case router.Shed:
-				busy += p.Away
-				if c := open[a.ID]; c != nil {
-					out.Shed++
-					shed += told(c, now+busy)
-				}
-			case router.Fail:
-				if c := open[a.ID]; c != nil {
-					out.Failed++
-					told(c, now+busy)
-				}
-			case router.Wake:
-				wake = now + a.After
-			}
+	case router.Fail:
+		if c := r.open[a.ID]; c != nil {
+			r.out.Failed++
+			r.tell(c, r.now+r.busy)
 		}
-		now += busy
+	case router.Wake:
+		r.wake = r.now + a.After
+	}
+}
+
+// tell has a client told its final answer, and returns after how long, in ms.
+func (r *pressedRun) tell(c *waiting, at float64) float64 {
+	c.over = true
+	delete(r.open, c.id)
+	if at > c.came+pressedTimeout {
+		r.out.Missed++
 	}
-	out.AnswerAfter = answered / float64(max(1, out.InTime+out.Late))
-	out.ShedAfter = shed / float64(max(1, out.Shed))
-	return out
+	r.out.Longest = max(r.out.Longest, at-c.came)
+	return at - c.came
 }
