--- a/internal/lab/scale/hollow/controller.go
+++ b/internal/lab/scale/hollow/controller.go
@@ -46,6 +46,7 @@
 func start(s Spec, folder string, number, expect int, peers []flowCounter, p *partitions) (*controller, error) {
 	c := &controller{number: number, probe: &probe{expect: expect}, host: &host{}, errors: &errorLog{}}
 	c.dialer = newDialer(number, s.Network, peers, p)
+	c.dialer.loss = loss(s.Loss)
 	log := slog.New(c.errors)
 	jobs := []fleet.Job{c.probe}
 	if s.Digest {
--- a/internal/lab/scale/hollow/day.go
+++ b/internal/lab/scale/hollow/day.go
@@ -26,7 +26,7 @@
 	dayWindow   = 10 * time.Minute
 	dayDaemons  = 10
 	downFor     = 30 * time.Second // that a controller which failed is away
-	cutFor      = 60 * time.Second // that a region is cut off
+	cutFor      = 5 * time.Minute  // that a region is cut off
 	regionOfAll = 3                // a region is one in so many
 	cutPuts     = 3
 	mbOfBinary  = 1 << 20
@@ -166,7 +166,7 @@
 	}
 	r.noteMix(Interval{r.fleet.layout(), before, after}, leader)
 	r.noteDaemons(spentBefore, spentAfter, time.Since(began))
-	r.notePuts("mix", r.took)
+	r.notePuts(r.size, "mix", r.took)
 	return nil
 }
 
@@ -271,15 +271,15 @@
 }
 
 // notePuts notes the median and the longest time until versions were in force.
-func (r *dayRun) notePuts(figure string, took []time.Duration) {
+func (m *measurement) notePuts(size int, figure string, took []time.Duration) {
 	if len(took) == 0 {
 		return
 	}
 	slices.Sort(took)
 	median, longest := took[len(took)/2], took[len(took)-1]
-	r.note(r.size, figure+"/put/median", milliseconds(median))
-	r.note(r.size, figure+"/put/longest", milliseconds(longest))
-	r.Tell("%d controllers, %s: %d versions in force at the last after %v, at most %v", r.size, figure, len(took),
+	m.note(size, figure+"/put/median", milliseconds(median))
+	m.note(size, figure+"/put/longest", milliseconds(longest))
+	m.Tell("%d controllers, %s: %d versions in force at the last after %v, at most %v", size, figure, len(took),
 		median.Round(time.Millisecond), longest.Round(time.Millisecond))
 }
 
@@ -312,7 +312,7 @@
 		}
 		newest, took = version, append(took, last.Sub(put))
 	}
-	r.notePuts("cut", took)
+	r.notePuts(r.size, "cut", took)
 	if err := pause(ctx, r.day.cut-time.Since(began)); err != nil {
 		return err
 	}
--- a/internal/lab/scale/hollow/hollow.go
+++ b/internal/lab/scale/hollow/hollow.go
@@ -26,6 +26,7 @@
 	Engines     int           `json:"engines"`      // that each controller has statistics of
 	TableGroups int           `json:"table_groups"` // that each controller has statistics of
 	Network     Network       `json:"network"`
+	Loss        float64       `json:"loss"` // share of the segments that are lost on the way
 }
 
 // Network is the part of the loopback network that a fleet has for itself. Each controller has an address of its own, so
--- /dev/null
+++ b/internal/lab/scale/hollow/loss.go
@@ -0,0 +1,149 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"mintkeel/internal/lab/scale/slope"
+)
+
+// lossShare is the share of segments that the operators ask the fleet to bear.
+const lossShare = 0.1
+
+var lossCondition = fmt.Sprintf("%.0f%% of segments lost", 100*lossShare)
+
+// MeasureLoss tells what a fleet at rest spends where segments are lost on the way between controllers, and how long a
+// version takes to all and a leader is missing there.
+func MeasureLoss(ctx context.Context, o Options) ([]slope.Row, error) {
+	m := o.measurement()
+	if o.Sizes == nil && !o.Quick {
+		m.Sizes = []int{100, targetControllers}
+	}
+	if o.Sizes == nil && o.Quick {
+		m.Sizes = []int{8, 16}
+	}
+	return m.loss(ctx)
+}
+
+func (m *measurement) loss(ctx context.Context) ([]slope.Row, error) {
+	errs := make([]error, len(m.Sizes))
+	var group sync.WaitGroup
+	for i, size := range m.Sizes {
+		group.Go(func() {
+			if err := m.lossOf(ctx, size); err != nil {
+				errs[i] = fmt.Errorf("%d controllers: %w", size, err)
+			}
+		})
+	}
+	group.Wait()
+	var rows []slope.Row
+	for _, r := range lossRows() {
+		r.row.Points, r.row.Per, r.row.Method, r.row.Target = m.points(r.figure), "controllers", "sockets", targetControllers
+		if len(r.row.Points) > 0 {
+			rows = append(rows, r.row)
+		}
+	}
+	return rows, errors.Join(append(errs, m.late...)...)
+}
+
+// lossOf measures a fleet of one size.
+func (m *measurement) lossOf(ctx context.Context, size int) error {
+	voters := min(m.Voters, size-2) | 1
+	f, err := m.open(ctx, Spec{Controllers: size, Voters: voters, Leases: leasesAtRest, Configured: true, Loss: lossShare})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	began := time.Now()
+	if err := f.Start(numbers(0, size), size); err != nil {
+		return err
+	}
+	if last, err := f.AwaitAllKnown(ctx, knownWithin); err == nil {
+		m.note(size, "lossy/known", milliseconds(last.Sub(began)))
+	} else if !m.isLate(size, err) {
+		return err
+	}
+	if err := pause(ctx, m.settle); err != nil {
+		return err
+	}
+	leader, interval, err := m.watchLed(ctx, f, voters)
+	if err != nil {
+		return err
+	}
+	m.noteSpending(size, "lossy/leader", interval.Of(leader))
+	m.noteSpending(size, "lossy/controller", interval.Of(voters))
+	m.noteSpending(size, "lossy/packed", interval.Of(numbers(voters+1, size)...))
+	m.Tell("%d controllers, %s: controller %+.4g, leader %+.4g", size, lossCondition, interval.Of(voters), interval.Of(leader))
+	if err := m.putLossy(ctx, f, size); err != nil {
+		return err
+	}
+	return m.loseLossyLeader(ctx, f, size, voters)
+}
+
+// putLossy notes how long versions take until they are in force at all.
+func (m *measurement) putLossy(ctx context.Context, f *Fleet, size int) error {
+	var took []time.Duration
+	for range m.puts {
+		began := time.Now()
+		version, err := f.Put(0, fmt.Appendf(nil, "# %d\n", began.UnixNano()))
+		if err != nil {
+			return err
+		}
+		last, err := f.AwaitInForce(ctx, knownWithin, version)
+		if err != nil && m.isLate(size, err) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		took = append(took, last.Sub(began))
+	}
+	m.notePuts(size, "lossy", took)
+	return nil
+}
+
+// loseLossyLeader ends the leader, and notes how long none leads.
+func (m *measurement) loseLossyLeader(ctx context.Context, f *Fleet, size, voters int) error {
+	leader, _, err := f.AwaitLeader(ctx, leaderWithin, voters)
+	if err != nil {
+		return err
+	}
+	lost := time.Now()
+	if err := f.Stop([]int{leader}); err != nil {
+		return err
+	}
+	_, found, err := f.AwaitLeader(ctx, leaderWithin, voters-1)
+	if err != nil {
+		return err
+	}
+	m.note(size, "lossy/free", milliseconds(found.Sub(lost)))
+	return nil
+}
+
+// lossRows are the rows of lossOf, without their points.
+func lossRows() (rows []sizeRow) {
+	for _, role := range []struct{ figure, name string }{{"controller", "controller"}, {"leader", "quorum leader"}} {
+		figure := "lossy/" + role.figure
+		rows = append(rows,
+			sizeRow{figure + "/bytes", slope.Row{Role: role.name, Cost: "control: bytes sent and received", Unit: "bytes/s",
+				Condition: lossCondition, Budget: budgetBytes, Note: "at rest"}},
+			sizeRow{figure + "/cores", slope.Row{Role: role.name, Cost: "control: processor", Unit: "cores", Condition: lossCondition,
+				Budget: budgetCores, Note: "at rest"}})
+	}
+	rows = append(rows,
+		sizeRow{"lossy/packed/bytes", slope.Row{Role: "controller", Cost: "control: bytes sent and received, mean of many", Unit: "bytes/s",
+			Condition: lossCondition, Budget: budgetBytes, Note: "at rest"}},
+		sizeRow{"lossy/known", slope.Row{Role: "fleet", Cost: "membership: all know all", Unit: "ms", Condition: lossCondition,
+			Note: "all start at once"}},
+		sizeRow{"lossy/free", slope.Row{Role: "quorum leader", Cost: "time without a leader", Unit: "ms", Condition: lossCondition,
+			Budget: budgetChange, Note: "the leader killed; one death at each size"}})
+	for _, which := range []string{"median", "longest"} {
+		rows = append(rows, sizeRow{"lossy/put/" + which, slope.Row{Role: "fleet",
+			Cost: "configuration: from put to in force at the last, " + which, Unit: "ms", Log: true, Budget: budgetInForce,
+			Condition: lossCondition, Note: "few puts at each size"}})
+	}
+	return rows
+}
--- a/internal/lab/scale/hollow/sockets.go
+++ b/internal/lab/scale/hollow/sockets.go
@@ -81,6 +81,7 @@
 	peers      []flowCounter // of all that open connections in this process, by the number of the acceptor
 	open       atomic.Int64  // connections now
 	partitions *partitions
+	loss       loss
 
 	mu    sync.Mutex
 	conns map[*countedConn]bool // that are open
@@ -104,7 +105,7 @@
 	if err := d.partitions.await(ctx, d.number, peer); err != nil {
 		return nil, err
 	}
-	conn, err := d.connect(ctx, addr)
+	conn, err := d.connectOver(ctx, addr, counters)
 	for _, c := range counters {
 		if err != nil {
 			c.failed.Add(1)
@@ -126,6 +127,26 @@
 	return counted, nil
 }
 
+// connectOver opens a connection, on which segments are lost where the fleet's network loses some.
+func (d *dialer) connectOver(ctx context.Context, addr string, counters [2]*flowCounter) (net.Conn, error) {
+	if d.loss == 0 {
+		return d.connect(ctx, addr)
+	}
+	if err := d.loss.awaitHandshake(ctx); err != nil {
+		return nil, err
+	}
+	conn, err := d.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return newLossyConn(conn, d.loss, dataRetransmission, func(again int64) {
+		for _, c := range counters {
+			c.segmentsOut.Add(again)
+			c.written.Add(again * headerBytes) // the data of a small segment, about as much as its headers
+		}
+	}), nil
+}
+
 // connect tries source ports until one is free.
 func (d *dialer) connect(ctx context.Context, addr string) (conn net.Conn, err error) {
 	for range portTries {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -43,6 +43,7 @@
 		{"agreement", onHollow(hollow.MeasureAgreement)},
 		{"digest", onHollow(hollow.MeasureDigest)},
 		{"day", onHollow(hollow.MeasureDay)},
+		{"loss", onHollow(hollow.MeasureLoss)},
 		{"leases", measureLeases},
 		{"membership", measureMembership},
 		{"datapath", measureDataPath},
