Comments on which connections yield to new ones

A leader's heartbeats, each 300 ms, keep their connection; a neighbour's pings, each ten seconds on ten rings, do not where a controller's room is full, and open another one.

--- a/internal/fleet/links/links.go
+++ b/internal/fleet/links/links.go
@@ -35,8 +35,8 @@
 }
 
 // Usual are the bounds of a fleet of up to a thousand: a controller that pings one member a second, helps some others and
-// writes to the quorum has some ten connections at a time. A neighbour's pings and a leader's heartbeats come more often
-// than a connection yields.
+// writes to the quorum has some ten connections at a time. A leader's heartbeats come more often than a connection yields;
+// a neighbour pings each ten seconds, and opens another one where its connection has yielded.
 func Usual() Bounds {
 	return Bounds{Peers: 64, Incoming: 256, Yield: 2 * time.Second, Queue: 128, Bytes: 2 << 20, Dial: 2 * time.Second,
 		Write: 2 * time.Second, Idle: 20 * time.Second, Again: 200 * time.Millisecond, Busy: 3200 * time.Millisecond, Rate: 4 << 20, LeastRate: 32 << 10}
