Rename: fenced values have fencing tokens in place of epochs

ErrEpoch, ErrBig, ErrForm and Most of internal/store/fenced are ErrSuperseded, ErrTooLarge, ErrName and MaxBytes; log lines of the digest and of maintenance and the line of maintenance status say token. Files keep their form, JSON its names. Nothing else changes.

--- a/cmd/mintkeel/maintenance.go
+++ b/cmd/mintkeel/maintenance.go
@@ -119,7 +119,7 @@
 
 func printMaintenance(out io.Writer, s *fleet.MaintenanceStatus) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	fmt.Fprintf(t, "conducted by %s, epoch %d, state %d\nplan\tat once\tis\n", s.Holder, s.Token, s.Serial)
+	fmt.Fprintf(t, "conducted by %s, token %d, state %d\nplan\tat once\tis\n", s.Holder, s.Token, s.Serial)
 	for _, p := range s.Plans {
 		is := "under way"
 		if p.Over {
--- a/internal/core/fleet/node/effects.go
+++ b/internal/core/fleet/node/effects.go
@@ -19,11 +19,11 @@
 // is looked at here, and the message goes after that: what a pause in between does is for the receiver's fencing check.
 func (n *Node) TryEffect(now float64, w lease.Name, to members.ID, id uint64, data []byte) bool {
 	n.now = max(n.now, now)
-	epoch, _, ok := n.client.CanAct(n.now, w)
+	token, _, ok := n.client.CanAct(n.now, w)
 	if !ok {
 		return false
 	}
-	n.send(to, Message{Effect: &Effect{lease.Grant{Name: w, Token: epoch}, id, data}})
+	n.send(to, Message{Effect: &Effect{lease.Grant{Name: w, Token: token}, id, data}})
 	return true
 }
 
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -299,6 +299,6 @@
 	}
 	d.wanting = false
 	digest.Shift(&l, d.now()-t.Now)
-	d.learner.Log.Info("fleet: begins with what the fleet knows", "records", l.Len(), "epoch", t.Token)
+	d.learner.Log.Info("fleet: begins with what the fleet knows", "records", l.Len(), "token", t.Token)
 	d.learner.Remember(l)
 }
--- a/internal/fleet/maintenance_hold.go
+++ b/internal/fleet/maintenance_hold.go
@@ -63,7 +63,7 @@
 		j.holdChanges++
 		j.toHold, j.engines = effect.Engines, nil
 		j.mu.Unlock()
-		j.host.Log.Info("maintenance: holds", "engines", len(effect.Engines), "epoch", uint64(e.Grant.Token), "serial", effect.Serial)
+		j.host.Log.Info("maintenance: holds", "engines", len(effect.Engines), "token", uint64(e.Grant.Token), "serial", effect.Serial)
 	}
 	j.held, j.heldToken, j.heldFrom = effect, e.Grant.Token, from
 	j.refreshEngines()
--- a/internal/store/fenced/fenced.go
+++ b/internal/store/fenced/fenced.go
@@ -1,9 +1,9 @@
-// Package fenced keeps values in a folder that several processes may write to, of which each has an epoch that only
-// rises. A file system checks no epochs: between a writer's look at the folder and its write anything may happen. So the
-// epoch stands in the file's name, and readers take the highest: what an old writer writes late is a file that nobody reads,
-// and the next write removes it. It knows no meaning of what it keeps.
+// Package fenced stores values in a folder that several processes may write to, of which each has a fencing token that only
+// rises. A file system checks no tokens: between a writer's look at the folder and its write anything may happen. So the
+// token stands in the file's name, and readers take the highest: what an old writer writes late is a file that nobody reads,
+// and the next write removes it. It knows no meaning of what it stores.
 //
-// A file NAME.EPOCH.SERIAL, numbers as 16 hexadecimal digits, holds a checksum of 8 bytes and the value.
+// A file NAME.TOKEN.SERIAL, numbers as 16 hexadecimal digits, holds a checksum of 8 bytes and the value.
 package fenced
 
 import (
@@ -22,24 +22,24 @@
 	"mintkeel/internal/store/disk"
 )
 
-// Errors. ErrEpoch is that somebody has written with a higher epoch: who gets it owns the value no more.
+// Errors. ErrSuperseded is that somebody has written with a higher token: the writer that gets it holds the value no more.
 var (
-	ErrEpoch = errors.New("was written with a higher epoch")
-	ErrNone  = errors.New("was never written")
-	ErrForm  = errors.New("is no name of a value: 1 to 64 small letters, digits and '-'")
-	ErrBig   = errors.New("is too big")
+	ErrSuperseded = errors.New("was written with a higher token")
+	ErrNone       = errors.New("was never written")
+	ErrName       = errors.New("is no name of a value: 1 to 64 small letters, digits and '-'")
+	ErrTooLarge   = errors.New("is too big")
 )
 
-// Most is how many bytes a value may have.
-const Most = 4 << 20
+// MaxBytes is how many bytes a value may have.
+const MaxBytes = 4 << 20
 
 type version struct {
-	epoch, serial uint64
+	token, serial uint64
 	name          string
 }
 
 func compare(a, b version) int {
-	return cmp.Or(cmp.Compare(a.epoch, b.epoch), cmp.Compare(a.serial, b.serial))
+	return cmp.Or(cmp.Compare(a.token, b.token), cmp.Compare(a.serial, b.serial))
 }
 
 func wellNamed(name string) bool {
@@ -59,39 +59,39 @@
 		if len(parts) != 3 || parts[0] != name || len(parts[1]) != 16 || len(parts[2]) != 16 {
 			continue
 		}
-		epoch, err1 := strconv.ParseUint(parts[1], 16, 64)
+		token, err1 := strconv.ParseUint(parts[1], 16, 64)
 		serial, err2 := strconv.ParseUint(parts[2], 16, 64)
 		if err1 == nil && err2 == nil {
-			list = append(list, version{epoch, serial, file})
+			list = append(list, version{token, serial, file})
 		}
 	}
 	slices.SortFunc(list, compare)
 	return list, nil
 }
 
-// Write keeps a value in an epoch, durably. Two processes must not have the same epoch. After ErrEpoch, or any error, the
-// value may be there or not; if it is, it counts for as little as its epoch.
-func Write(d disk.Disk, name string, epoch uint64, value []byte) error {
+// Write stores a value under a token, durably. Two processes must not have the same token. After ErrSuperseded, or any error, the
+// value may be there or not; if it is, it counts for as little as its token.
+func Write(d disk.Disk, name string, token uint64, value []byte) error {
 	if !wellNamed(name) {
-		return ErrForm
+		return ErrName
 	}
-	if len(value) > Most {
-		return ErrBig
+	if len(value) > MaxBytes {
+		return ErrTooLarge
 	}
 	list, err := versions(d, name)
 	if err != nil {
 		return err
 	}
-	own := version{epoch: epoch, serial: 1}
+	own := version{token: token, serial: 1}
 	if n := len(list); n > 0 {
 		switch last := list[n-1]; {
-		case last.epoch > epoch:
-			return ErrEpoch
-		case last.epoch == epoch:
+		case last.token > token:
+			return ErrSuperseded
+		case last.token == token:
 			own.serial = last.serial + 1
 		}
 	}
-	own.name = fmt.Sprintf("%s.%016x.%016x", name, epoch, own.serial)
+	own.name = fmt.Sprintf("%s.%016x.%016x", name, token, own.serial)
 	unfinished := own.name + ".new"
 	if err := write(d, unfinished, value); err != nil {
 		d.Remove(unfinished)
@@ -109,15 +109,15 @@
 			d.Remove(old.name)
 		}
 	}
-	if list, err = versions(d, name); err == nil && len(list) > 0 && list[len(list)-1].epoch > epoch {
-		return ErrEpoch // it came between: who wrote this is told so
+	if list, err = versions(d, name); err == nil && len(list) > 0 && list[len(list)-1].token > token {
+		return ErrSuperseded // it came between: who wrote this is told so
 	}
 	return nil
 }
 
 func write(d disk.Disk, name string, value []byte) (err error) {
 	out, err := d.Create(name)
-	if errors.Is(err, fs.ErrExist) { // of a process of this epoch that ended within a write
+	if errors.Is(err, fs.ErrExist) { // of a process of this token that ended within a write
 		if err = d.Remove(name); err == nil {
 			out, err = d.Create(name)
 		}
@@ -137,10 +137,10 @@
 	return out.Sync()
 }
 
-// Read is the value of the highest epoch that can be read whole, with that epoch.
-func Read(d disk.Disk, name string) (value []byte, epoch uint64, err error) {
+// Read is the value of the highest token that can be read whole, with that token.
+func Read(d disk.Disk, name string) (value []byte, token uint64, err error) {
 	if !wellNamed(name) {
-		return nil, 0, ErrForm
+		return nil, 0, ErrName
 	}
 	for range 3 { // a file may be removed between the look and the read, as a later one is there
 		list, err := versions(d, name)
@@ -151,7 +151,7 @@
 		for _, v := range slices.Backward(list) {
 			value, err := read(d, v.name)
 			if err == nil {
-				return value, v.epoch, nil
+				return value, v.token, nil
 			}
 			gone = gone || errors.Is(err, fs.ErrNotExist)
 		}
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if size < 8 || size > 8+Most {
+	if size < 8 || size > 8+MaxBytes {
 		return nil, errSum
 	}
 	b, err := io.ReadAll(io.LimitReader(f, size))
--- a/internal/store/fenced/fenced_test.go
+++ b/internal/store/fenced/fenced_test.go
@@ -60,18 +60,18 @@
 					}
 				}
 				if v, e, err := Read(d, "plan"); string(v) != "new" || e != 6 || err != nil {
-					t.Fatalf("stopped at %d: %q of epoch %d, %v", n, v, e, err)
+					t.Fatalf("stopped at %d: %q of token %d, %v", n, v, e, err)
 				}
 			}}
 			err := Write(old, "plan", 5, []byte("old"))
 			if !came {
 				break // it has no more operations
 			}
-			if !errors.Is(err, ErrEpoch) {
+			if !errors.Is(err, ErrSuperseded) {
 				t.Errorf("stopped at %d: the old owner is told %v", n, err)
 			}
 			if v, e, err := Read(d, "plan"); string(v) != "new" || e != 6 || err != nil {
-				t.Errorf("stopped at %d: %q of epoch %d, %v", n, v, e, err)
+				t.Errorf("stopped at %d: %q of token %d, %v", n, v, e, err)
 			}
 			if err := Write(d, "plan", 6, []byte("newer")); err != nil {
 				t.Errorf("stopped at %d: %v", n, err)
@@ -101,7 +101,7 @@
 	d.Watch(nil)
 	for _, how := range disktest.Hows() {
 		if v, e, _ := Read(d.After(how, rng), "plan"); string(v) != "after" || e != 2 {
-			t.Errorf("%v: once told as written: %q of epoch %d", how, v, e)
+			t.Errorf("%v: once told as written: %q of token %d", how, v, e)
 		}
 	}
 }
@@ -109,11 +109,11 @@
 func TestNamesAndBounds(t *testing.T) {
 	d := disktest.New()
 	for _, name := range []string{"", "a/b", "A", "a.b", "..", string(make([]byte, 65))} {
-		if err := Write(d, name, 1, nil); !errors.Is(err, ErrForm) {
+		if err := Write(d, name, 1, nil); !errors.Is(err, ErrName) {
 			t.Errorf("%q: %v", name, err)
 		}
 	}
-	if err := Write(d, "a", 1, make([]byte, Most+1)); !errors.Is(err, ErrBig) {
+	if err := Write(d, "a", 1, make([]byte, MaxBytes+1)); !errors.Is(err, ErrTooLarge) {
 		t.Error(err)
 	}
 	if _, _, err := Read(d, "a"); !errors.Is(err, ErrNone) {
@@ -129,6 +129,6 @@
 	}
 	d.Put("a.00000000000000ff.0000000000000001", []byte("not whole"))
 	if v, e, err := Read(d, "a"); string(v) != "x" || e != 1 || err != nil {
-		t.Errorf("a damaged file of a high epoch hides the others: %q, %d, %v", v, e, err)
+		t.Errorf("a damaged file of a high token hides the others: %q, %d, %v", v, e, err)
 	}
 }
