Controllers ask the voters for their view when it has changed, else a tenth as often

Change: the leader's name that rides on membership's messages carries the index of the last entry that changed the members, the leases or their holders; a view tells of which index it is. A controller whose view is current asks ten times as seldom; one that hears of a change asks within the usual interval, by a draw.

Measured: TestViewAfterChange, TestChangedIndex; nodes and quorum pass under the race detector.

--- a/internal/core/fleet/lease/command.go
+++ b/internal/core/fleet/lease/command.go
@@ -13,6 +13,11 @@
 	LoadState  *LoadState  `cbor:"7,keyasint,omitempty"`
 }
 
+// ChangesHolders tells whether a command is one that changes which leases there are, who holds them or is to hold them.
+func (c Command) ChangesHolders() bool {
+	return c.Declare != nil || c.Assign != nil || c.Release != nil || c.Prefer != nil
+}
+
 // Declare says which leases there are to be.
 type Declare struct {
 	Names []Name `cbor:"1,keyasint"`
--- a/internal/core/fleet/node/leaderhint_test.go
+++ b/internal/core/fleet/node/leaderhint_test.go
@@ -102,3 +102,74 @@
 		}
 	}
 }
+
+// viewRequests counts the requests for the quorum's view that a node sends within a time.
+func viewRequests(n *Node, long float64) (count int) {
+	for end := n.now + long; n.now < end; {
+		n.Tick(min(end, max(n.now+1, n.Next())))
+		for _, s := range n.Take().Sends {
+			if s.Message.ViewRequest != nil {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// A controller whose view is current asks for it a tenth as often, and soon where something has changed. One that hears
+// that it has changed and is answered by a voter that is late asks on as usual.
+func TestViewAfterChange(t *testing.T) {
+	const usual = viewInterval * (1 + viewJitterShare)
+	n := outsider(t, 3)
+	n.Take()
+	hint := func(changed uint64) {
+		n.Receive(n.now+1, "m1", &Message{Members: &members.Message{Kind: members.Ping, Seq: 1}, Leader: &LeaderHint{ID: "a", Term: 2, Changed: changed}})
+	}
+	answer := func(changed uint64) {
+		n.Receive(n.now+1, "a", &Message{View: &View{Leader: "a", Leases: []lease.Lease{{Name: "x", Token: 1}}, Changed: changed}})
+	}
+	hint(5)
+	answer(5)
+	if count := viewRequests(n, viewCurrent*viewInterval*(1-viewJitterShare)-2); count > 0 {
+		t.Errorf("%d requests for a view that is current", count)
+	}
+	if count := viewRequests(n, viewCurrent*usual); count == 0 {
+		t.Error("a view that is current is never asked for again")
+	}
+	answer(5)
+	hint(6)
+	if count := viewRequests(n, viewInterval+2); count == 0 {
+		t.Error("not asked for after a change")
+	}
+	answer(5)
+	if count := viewRequests(n, 4*usual); count < 4 {
+		t.Errorf("%d requests within four intervals after a late answer", count)
+	}
+	answer(6)
+	hint(4) // an old one, passed on late
+	if count := viewRequests(n, usual); count > 0 {
+		t.Errorf("%d requests after an old hint", count)
+	}
+}
+
+// The quorum's view changes with holders and with the leases that there are, not with renewals.
+func TestChangedIndex(t *testing.T) {
+	d, held := leaderOfTwo(t)
+	before := d.node.quorum.ChangedIndex()
+	if before == 0 {
+		t.Error("no change is told after leases were assigned")
+	}
+	d.receive("h1", renewal("h1", held["h1"], 2))
+	d.advance(1000)
+	if now := d.node.quorum.ChangedIndex(); now != before {
+		t.Errorf("a renewal changes it from %d to %d", before, now)
+	}
+	d.receive("h2", Message{Release: &lease.Release{Holder: lease.Holder{ID: "h2", Run: 1}, Grant: held["h2"]}})
+	d.advance(10)
+	if now := d.node.quorum.ChangedIndex(); now <= before {
+		t.Errorf("it stays at %d though a holder has gone", now)
+	}
+	if hint := d.node.leaderHint(); hint == nil || hint.Changed != d.node.quorum.ChangedIndex() {
+		t.Errorf("the hint tells %+v", hint)
+	}
+}
--- a/internal/core/fleet/node/messages.go
+++ b/internal/core/fleet/node/messages.go
@@ -61,6 +61,8 @@
 	Leader members.ID    `cbor:"1,keyasint"`
 	Voters []members.ID  `cbor:"2,keyasint"`
 	Leases []lease.Lease `cbor:"3,keyasint"`
+	// Changed is the quorum's ChangedIndex as of this view; 0: its sender does not tell.
+	Changed uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Effect is what a holder does at another controller.
--- a/internal/core/fleet/node/node.go
+++ b/internal/core/fleet/node/node.go
@@ -52,6 +52,8 @@
 	voters       []members.ID
 	leaseView    []lease.Lease
 	viewAt       float64 // to be asked for anew
+	viewChanged  uint64  // the quorum's ChangedIndex as of the view that this one has
+	changed      uint64  // the highest ChangedIndex that this one has heard of
 	offerAt      float64
 	manageAt     float64
 	nextVoter    int // the index of the voter to ask next
--- a/internal/core/fleet/node/view.go
+++ b/internal/core/fleet/node/view.go
@@ -11,7 +11,7 @@
 	if standing, _ := n.quorum.Role(); standing == quorum.Outside {
 		v.Leader, v.Voters = n.leader, n.voters
 	} else {
-		v.Leases = n.quorum.State().List()
+		v.Leases, v.Changed = n.quorum.State().List(), n.quorum.ChangedIndex()
 		for i := range v.Leases { // the state of a lease is for its holders
 			v.Leases[i].State = nil
 		}
@@ -33,6 +33,11 @@
 		n.leaseView = v.Leases
 		n.raiseTokens(v.Leases)
 	}
+	n.viewChanged = max(n.viewChanged, v.Changed)
+	n.changed = max(n.changed, v.Changed)
+	if n.viewIsCurrent() {
+		n.viewAt = n.nextView()
+	}
 }
 
 // raiseTokens takes in which fencing tokens have begun: one that restarted and lost what its fencing check had seen learns it again.
--- a/internal/core/fleet/quorum/raft.go
+++ b/internal/core/fleet/quorum/raft.go
@@ -238,6 +238,9 @@
 			return
 		}
 		changed := r.state.Apply(p.Command)
+		if len(changed) > 0 && p.Command.ChangesHolders() {
+			r.changedIndex = entry.GetIndex()
+		}
 		r.applied = append(r.applied, Applied{p.Command, changed, p.By, p.Ref})
 	case pb.EntryConfChange:
 		change := &pb.ConfChange{}
@@ -245,5 +248,6 @@
 			return
 		}
 		r.applyChange(change)
+		r.changedIndex = entry.GetIndex()
 	}
 }
--- a/internal/core/fleet/quorum/records.go
+++ b/internal/core/fleet/quorum/records.go
@@ -139,7 +139,7 @@
 	}
 	metadata := snap.GetMetadata()
 	r.voters = metadata.GetConfState()
-	r.appliedIndex, r.snapshotIndex = metadata.GetIndex(), metadata.GetIndex()
+	r.appliedIndex, r.snapshotIndex, r.changedIndex = metadata.GetIndex(), metadata.GetIndex(), metadata.GetIndex()
 	r.appliedTerm = metadata.GetTerm()
 	return nil
 }
--- a/internal/core/fleet/quorum/replica.go
+++ b/internal/core/fleet/quorum/replica.go
@@ -34,6 +34,7 @@
 	removed        []members.ID // taken out by an operator's command: they don't come back by themselves
 	appliedIndex   uint64
 	appliedTerm    uint64 // of the entry at appliedIndex
+	changedIndex   uint64 // of the last entry that changed what View tells
 	snapshotIndex  uint64
 	snapshotWanted bool
 	leading        bool
@@ -273,6 +274,10 @@
 // AppliedIndex is that of the last entry of the consensus that this member has applied.
 func (r *Replica) AppliedIndex() uint64 { return r.appliedIndex }
 
+// ChangedIndex is that of the last entry that changed the members, the leases or their holders: it does not rise with
+// renewals. A member that was restored from a snapshot tells the snapshot's.
+func (r *Replica) ChangedIndex() uint64 { return r.changedIndex }
+
 // Leads tells whether this member leads, as far as it knows.
 func (r *Replica) Leads() bool { return r.leading }
 
