Rename: the checker and plans of the fleet's rig by the field's names

Need: the glossary. internal/lab/fleet's Judge is a Checker, a plan's Council and Works are its Voters and Leases; traces and verdicts name holders and tokens. Nothing else changes.

--- a/cmd/mintkeel-lab/configuration.go
+++ b/cmd/mintkeel-lab/configuration.go
@@ -212,7 +212,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if r.Broken != "" {
-			broken := fmt.Errorf("seed %d, %d controllers, %d of them voters: %s\n%v\n%s", seed, s.Nodes, s.Council, r.Broken, s.Script, strings.Join(told, "\n"))
+			broken := fmt.Errorf("seed %d, %d controllers, %d of them voters: %s\n%v\n%s", seed, s.Nodes, s.Voters, r.Broken, s.Script, strings.Join(told, "\n"))
 			if !goOn {
 				return broken
 			}
--- a/cmd/mintkeel-lab/fleet.go
+++ b/cmd/mintkeel-lab/fleet.go
@@ -113,15 +113,15 @@
 		w := fleet.NewWorld(p)
 		if why := w.Play(); why != "" {
 			short, why := fleet.Shrink(p)
-			return fmt.Errorf("seed %d, %d controllers, %d of them the council: %s\n%v", seed, p.Nodes, p.Council, why, short.Script)
+			return fmt.Errorf("seed %d, %d controllers, %d of them voters: %s\n%v", seed, p.Nodes, p.Voters, why, short.Script)
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		whole = append(whole, w.Whole)
-		for _, f := range w.Judge.Free {
+		for _, f := range w.Checker.Free {
 			free = append(free, f...)
 		}
-		effects, overlaps, late = effects+w.Judge.Effects, overlaps+w.Judge.Overlap, late+w.Judge.Late
+		effects, overlaps, late = effects+w.Checker.Effects, overlaps+w.Checker.Overlap, late+w.Checker.Late
 		return nil
 	})
 	if err != nil {
@@ -195,7 +195,7 @@
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
 		if r.Broken != "" {
-			return fmt.Errorf("seed %d, %d controllers, %d of them the council: %s\n%v\n%s", seed, s.Nodes, s.Council, r.Broken, s.Script,
+			return fmt.Errorf("seed %d, %d controllers, %d of them voters: %s\n%v\n%s", seed, s.Nodes, s.Voters, r.Broken, s.Script,
 				strings.Join(said, "\n"))
 		}
 		mu.Lock()
@@ -220,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.OutOrStdout(), "%d histories with processes, none broke\n%d effects taken by the endpoint, %d refused there by their epoch, %d taken by controllers\n",
+	fmt.Fprintf(c.OutOrStdout(), "%d histories with processes, none broke\n%d effects taken by the endpoint, %d refused there by their token, %d taken by controllers\n",
 		n, sum.Effects, sum.Refused, sum.Taken)
 	fmt.Fprintf(c.OutOrStdout(), "%d commands: %d answered, %d shed, %d failed, none lost\nwhole after the last fault: %s ms\nbetween two owners' effects: %s ms\n",
 		sum.Commands, sum.Answered, sum.Shed, sum.Failed, spreadOf(whole), spreadOf(free))
@@ -232,7 +232,7 @@
 }
 
 func fleetModelCommand() *cobra.Command {
-	p := fleet.Small{Nodes: 3, Works: 1, Lease: 2, Horizon: 5, Crashes: 1, Leaders: 1, Flight: 2, Most: 20_000_000}
+	p := fleet.Small{Nodes: 3, Leases: 1, Lease: 2, Horizon: 5, Crashes: 1, Leaders: 1, Flight: 2, Most: 20_000_000}
 	c := &cobra.Command{
 		Use:   "model",
 		Short: "Look at all orders of a small case of ownership",
@@ -251,11 +251,11 @@
 		},
 	}
 	c.Flags().IntVar(&p.Nodes, "nodes", p.Nodes, "controllers")
-	c.Flags().IntVar(&p.Works, "works", p.Works, "works")
+	c.Flags().IntVar(&p.Leases, "works", p.Leases, "works")
 	c.Flags().IntVar(&p.Horizon, "horizon", p.Horizon, "units of time; a lease has 2")
 	c.Flags().IntVar(&p.Crashes, "crashes", p.Crashes, "restarts at most")
 	c.Flags().IntVar(&p.Losses, "losses", p.Losses, "lost messages at most")
-	c.Flags().IntVar(&p.Leaders, "leaders", p.Leaders, "changes of the council's leader at most")
+	c.Flags().IntVar(&p.Leaders, "leaders", p.Leaders, "changes of the quorum's leader at most")
 	c.Flags().IntVar(&p.Flight, "flight", p.Flight, "messages on their way at most")
 	c.Flags().IntVar(&p.Most, "most", p.Most, "states at most")
 	return c
--- a/internal/lab/fleet/configuration_history.go
+++ b/internal/lab/fleet/configuration_history.go
@@ -21,17 +21,17 @@
 // changes among them.
 func ConfigurationPlan(seed int64, nodes, faults int) Plan {
 	rng := rand.New(rand.NewSource(seed))
-	p := Plan{Seed: seed, Nodes: nodes, Council: 3, Works: 1, Lease: 4000, Pace: members.Usual(), Settle: 90000, Config: true, Busy: 0.05}
+	p := Plan{Seed: seed, Nodes: nodes, Voters: 3, Leases: 1, Lease: 4000, Pace: members.Usual(), Settle: 90000, Config: true, Busy: 0.05}
 	if nodes >= 5 && rng.Intn(2) == 0 {
-		p.Council = 5
+		p.Voters = 5
 	}
 	within := 30000.0
 	if rng.Intn(4) == 0 { // long enough for documents to be removed
 		within = 110000
 	}
-	p.Script = DrawScript(rng, nodes, p.Council, faults, within)
-	p.Script = append(p.Script, drawOrders(rng, nodes, p.Council, within)...)
-	if nodes > p.Council && rng.Intn(4) == 0 {
+	p.Script = DrawScript(rng, nodes, p.Voters, faults, within)
+	p.Script = append(p.Script, drawOrders(rng, nodes, p.Voters, within)...)
+	if nodes > p.Voters && rng.Intn(4) == 0 {
 		p.Script = replaceVoter(rng, p, within)
 	}
 	slices.SortStableFunc(p.Script, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
@@ -85,7 +85,7 @@
 // replaceVoter adds that an operator replaces a voter by another controller. That one loses no folder: with one lost by a
 // former voter a majority of the disks could be lost.
 func replaceVoter(rng *rand.Rand, p Plan, within float64) Script {
-	f := Fault{At: 3000 + rng.Float64()*within, Kind: ReplaceVoter, A: rng.Intn(p.Council), B: p.Council + rng.Intn(p.Nodes-p.Council)}
+	f := Fault{At: 3000 + rng.Float64()*within, Kind: ReplaceVoter, A: rng.Intn(p.Voters), B: p.Voters + rng.Intn(p.Nodes-p.Voters)}
 	s := slices.Clone(p.Script)
 	for i := range s {
 		lost := s[i].Kind == Empty || s[i].Kind == OldCopy || s[i].Kind == Full
@@ -175,8 +175,8 @@
 
 // broken is what was wrong first, by either checker.
 func (w *World) broken() string {
-	if w.Judge.Broken != "" {
-		return w.Judge.Broken
+	if w.Checker.Broken != "" {
+		return w.Checker.Broken
 	}
 	return w.config.checker.Broken
 }
@@ -216,8 +216,8 @@
 			voting++
 		}
 	}
-	if voting < w.plan.Council {
-		return fmt.Sprintf("%d of %d vote", voting, w.plan.Council)
+	if voting < w.plan.Voters {
+		return fmt.Sprintf("%d of %d vote", voting, w.plan.Voters)
 	}
 	return ""
 }
@@ -346,5 +346,5 @@
 // ShrinkConfiguration is Shrink of a plan with a configuration, with what its history told.
 func ShrinkConfiguration(p Plan) string {
 	short, why := Shrink(p)
-	return fmt.Sprintf("seed %d, %d controllers, %d of them voters: %s\n%v", p.Seed, p.Nodes, p.Council, why, short.Script)
+	return fmt.Sprintf("seed %d, %d controllers, %d of them voters: %s\n%v", p.Seed, p.Nodes, p.Voters, why, short.Script)
 }
--- a/internal/lab/fleet/configuration_processes.go
+++ b/internal/lab/fleet/configuration_processes.go
@@ -43,7 +43,7 @@
 // ofOtherKind tells whether a controller's settings name another kind of engine than the others'. Voters' don't, nor those
 // of fleets without a configuration.
 func (r *rig) ofOtherKind(n *machineProc) bool {
-	return r.Config && r.Nodes > r.Council && n.number == r.Nodes-1
+	return r.Config && r.Nodes > r.Voters && n.number == r.Nodes-1
 }
 
 // configEvent is something to be judged, at a time.
@@ -55,9 +55,9 @@
 // ConfigurationScene is a scene of daemons with the block config, whose script is drawn from a seed.
 func ConfigurationScene(mintkeel string, seed int64, nodes, faults int) Scene {
 	s := UsualScene(mintkeel, seed, nodes, faults)
-	s.Config, s.Works, s.Rate = true, 1, 1
+	s.Config, s.Leases, s.Rate = true, 1, 1
 	rng := rand.New(rand.NewSource(seed * 17))
-	for _, f := range drawOrders(rng, nodes, s.Council, 12000) {
+	for _, f := range drawOrders(rng, nodes, s.Voters, 12000) {
 		switch f.Kind {
 		case KillLeader, Replay: // the rig's faults are those of processes
 			f.Kind, f.For = Put, 0
--- a/internal/lab/fleet/configuration_test.go
+++ b/internal/lab/fleet/configuration_test.go
@@ -72,7 +72,7 @@
 // scene is a plan whose faults are given, on a fleet that has version 1 in force before the first of them at 10 s.
 func configurationScene(seed int64, nodes int, faults ...Fault) Plan {
 	p := ConfigurationPlan(seed, nodes, 0)
-	p.Council = 3
+	p.Voters = 3
 	p.Script = append(Script{{At: 6000, Kind: Put, A: 1, B: 1, N: -1, Amount: 2000}}, faults...)
 	return p
 }
@@ -228,7 +228,7 @@
 
 // A world without a configuration has none of it.
 func TestNoConfiguration(t *testing.T) {
-	w := NewWorld(Plan{Seed: 1, Nodes: 3, Council: 3, Works: 1, Lease: 4000, Pace: members.Usual()})
+	w := NewWorld(Plan{Seed: 1, Nodes: 3, Voters: 3, Leases: 1, Lease: 4000, Pace: members.Usual()})
 	w.Run(5000)
 	if w.Configuration() != nil || w.nodes[0].config.inForce.Number != 0 {
 		t.Error("there is a configuration")
--- a/internal/lab/fleet/model.go
+++ b/internal/lab/fleet/model.go
@@ -17,7 +17,7 @@
 // the consensus library's part and is played in virtual time. Time goes in whole units; a controller that is not let act
 // while time passes is one that pauses.
 type Small struct {
-	Nodes, Works             int
+	Nodes, Leases            int
 	Lease                    float64 // in units
 	Horizon                  int     // units
 	Crashes, Losses, Leaders int
@@ -178,7 +178,7 @@
 	first := &modelState{state: &lease.State{}, manager: lease.NewManager(terms, -2*p.Lease), fenced: map[lease.Name]lease.Token{},
 		accepted: map[lease.Grant]int{}}
 	var names []lease.Name
-	for i := range p.Works {
+	for i := range p.Leases {
 		names = append(names, lease.Name(fmt.Sprintf("w%d", i)))
 	}
 	first.state.Apply(lease.Command{Declare: &lease.Declare{Names: names}})
--- a/internal/lab/fleet/model_test.go
+++ b/internal/lab/fleet/model_test.go
@@ -7,7 +7,7 @@
 
 // The small case: within these bounds no order of what may happen lets two act at once, and each mutant is found.
 func TestSmallCase(t *testing.T) {
-	p := Small{Nodes: 2, Works: 1, Lease: 2, Horizon: 5, Crashes: 0, Losses: 0, Leaders: 1, Flight: 2, Most: 1500000}
+	p := Small{Nodes: 2, Leases: 1, Lease: 2, Horizon: 5, Crashes: 0, Losses: 0, Leaders: 1, Flight: 2, Most: 1500000}
 	for _, c := range []struct {
 		name   string
 		change func(*Small)
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -21,8 +21,8 @@
 	Mintkeel string // a daemon built with the tag mintkeel_lab
 	Seed     int64
 	Nodes    int
-	Council  int
-	Works    int
+	Voters   int
+	Leases   int
 	Lease    time.Duration
 	Rate     float64 // commands a second at each node
 	Digest   bool    // the fleet's digest is one of the works
@@ -38,12 +38,12 @@
 // UsualScene is one with a script drawn from a seed.
 func UsualScene(mintkeel string, seed int64, nodes, faults int) Scene {
 	rng := rand.New(rand.NewSource(seed))
-	s := Scene{Mintkeel: mintkeel, Seed: seed, Nodes: nodes, Council: 3, Works: 3, Lease: 2 * time.Second, Rate: 5,
+	s := Scene{Mintkeel: mintkeel, Seed: seed, Nodes: nodes, Voters: 3, Leases: 3, Lease: 2 * time.Second, Rate: 5,
 		Settle: 60 * time.Second}
 	if nodes >= 5 && rng.Intn(2) == 0 {
-		s.Council = 5
+		s.Voters = 5
 	}
-	s.Script = DrawScript(rng, nodes, s.Council, faults, 12000)
+	s.Script = DrawScript(rng, nodes, s.Voters, faults, 12000)
 	for i := range s.Script { // a history takes seconds here
 		s.Script[i].For = min(s.Script[i].For, 8000)
 		s.Script[i].Amount = min(s.Script[i].Amount, 3000)
@@ -87,7 +87,7 @@
 	nodes    []*machineProc
 	sw       *Switch
 	endpoint net.Listener
-	judge    *Judge
+	checker  *Checker
 	report   Report
 	mu       sync.Mutex
 	began    time.Time
@@ -106,7 +106,7 @@
 		return Report{}, err
 	}
 	defer os.RemoveAll(dir)
-	r := &rig{Scene: s, dir: dir, rng: rand.New(rand.NewSource(s.Seed + 77)), judge: NewJudge(), ctx: ctx, began: time.Now()}
+	r := &rig{Scene: s, dir: dir, rng: rand.New(rand.NewSource(s.Seed + 77)), checker: NewChecker(), ctx: ctx, began: time.Now()}
 	defer r.close()
 	if s.Config {
 		r.openConfig()
@@ -140,7 +140,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.report.Broken == "" {
-		r.report.Broken = r.judge.Broken
+		r.report.Broken = r.checker.Broken
 	}
 	if r.report.Broken == "" && r.report.Lost > 0 {
 		r.report.Broken = fmt.Sprintf("%d commands had no final answer at controllers that ran", r.report.Lost)
--- a/internal/lab/fleet/processes_daemon.go
+++ b/internal/lab/fleet/processes_daemon.go
@@ -73,11 +73,11 @@
 		return err
 	}
 	var council []string
-	for _, m := range r.nodes[:r.Council] {
+	for _, m := range r.nodes[:r.Voters] {
 		council = append(council, fmt.Sprintf("%s = %q", m.name, m.fleet))
 	}
 	var names []string
-	for i := range r.Works {
+	for i := range r.Leases {
 		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("work-%d", i)))
 	}
 	if r.Digest {
--- a/internal/lab/fleet/processes_faults.go
+++ b/internal/lab/fleet/processes_faults.go
@@ -142,7 +142,7 @@
 	const within = 2 * time.Second
 	ctx, cancel := context.WithTimeout(r.ctx, within)
 	defer cancel()
-	request := fleet.Request{Action: "handover", Lease: fmt.Sprintf("work-%d", f.N%r.Works), To: r.nodes[f.B].name}
+	request := fleet.Request{Action: "handover", Lease: fmt.Sprintf("work-%d", f.N%r.Leases), To: r.nodes[f.B].name}
 	fleet.Call(ctx, filepath.Join(n.dir, "fleet"), request)
 }
 
@@ -197,7 +197,7 @@
 // copyFolders keeps copies of the folders, for those that get an old one back.
 func (r *rig) copyFolders() {
 	for i := 0; r.sleep(copyEach * time.Millisecond); i++ {
-		copied := r.nodes[:r.Council]
+		copied := r.nodes[:r.Voters]
 		if r.Config {
 			copied = r.nodes
 		}
--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
 	scene := func(faults ...Fault) Scene {
-		return Scene{Mintkeel: daemon, Seed: 5, Nodes: 4, Council: 3, Works: 3, Lease: 2 * time.Second, Rate: 5, Settle: time.Minute, Script: faults}
+		return Scene{Mintkeel: daemon, Seed: 5, Nodes: 4, Voters: 3, Leases: 3, Lease: 2 * time.Second, Rate: 5, Settle: time.Minute, Script: faults}
 	}
 	var group sync.WaitGroup
 	begins := scene(Fault{At: 15000, For: 500, Kind: Kill, A: 3}, Fault{At: 20000, Kind: Clock, A: 2, Amount: 1})
--- a/internal/lab/fleet/processes_watch.go
+++ b/internal/lab/fleet/processes_watch.go
@@ -59,7 +59,7 @@
 						at    time.Time
 					}{claim.Token, now}
 					r.report.Effects++
-					r.judge.took("endpoint", from, node.Effect{Grant: claim, ID: id}, float64(now.Sub(r.began))/1e6)
+					r.checker.effectAccepted("endpoint", from, node.Effect{Grant: claim, ID: id}, float64(now.Sub(r.began))/1e6)
 				} else {
 					r.report.Refused++
 				}
@@ -96,10 +96,10 @@
 			claim := lease.Grant{Name: lease.Name(words[1]), Token: lease.Token(epoch)}
 			r.report.Taken++
 			r.mu.Lock()
-			if was, ok := r.judge.owner[claim]; ok && was != from {
-				r.judge.fail(float64(time.Unix(0, at).Sub(r.began))/1e6, "%s had effects of n%d and n%d in epoch %d", claim.Name, was, from, epoch)
+			if was, ok := r.checker.holders[claim]; ok && was != from {
+				r.checker.fail(float64(time.Unix(0, at).Sub(r.began))/1e6, "%s had effects of n%d and n%d under token %d", claim.Name, was, from, epoch)
 			}
-			r.judge.owner[claim] = from
+			r.checker.holders[claim] = from
 			r.mu.Unlock()
 		}
 	}
@@ -188,11 +188,11 @@
 		for _, w := range s.Holds {
 			owners[w]++
 		}
-		if n.number < r.Council && s.Quorum.Role != "voting" {
+		if n.number < r.Voters && s.Quorum.Role != "voting" {
 			return fmt.Sprintf("%s is %s in the council: %s", n.name, s.Quorum.Role, s.Quorum.Reason)
 		}
 	}
-	for i := range r.Works {
+	for i := range r.Leases {
 		if name := fmt.Sprintf("work-%d", i); owners[name] != 1 {
 			return fmt.Sprintf("%s has %d owners", name, owners[name])
 		}
--- a/internal/lab/fleet/takeover.go
+++ b/internal/lab/fleet/takeover.go
@@ -50,7 +50,7 @@
 
 // TakeOverAcross is TakeOver in a fleet whose controllers, and among them its voters, are spread over regions.
 func TakeOverAcross(seed int64, leaseTime float64, l Loss, regions Regions) (free float64, refused int) {
-	p := Plan{Seed: seed, Nodes: 7, Council: 3, Works: 1, Lease: leaseTime, Pace: members.Usual(), Latency: regions.latency}
+	p := Plan{Seed: seed, Nodes: 7, Voters: 3, Leases: 1, Lease: leaseTime, Pace: members.Usual(), Latency: regions.latency}
 	w := NewWorld(p)
 	w.Run(20000 + 2*leaseTime + rand.New(rand.NewSource(seed)).Float64()*leaseTime)
 	var owner *machine
@@ -88,11 +88,11 @@
 					free -= lease.Terms{Lease: leaseTime}.HoldsFor() / 2
 				}
 				w.Run(until + leaseTime)
-				return max(0, free), w.Judge.Late
+				return max(0, free), w.Checker.Late
 			}
 		}
 	}
-	return math.Inf(1), w.Judge.Late
+	return math.Inf(1), w.Checker.Late
 }
 
 // LockFile is the plain baseline: a file with an owner and a time until which it owns, by the wall clocks of the machines,
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -16,8 +16,8 @@
 type Plan struct {
 	Seed    int64
 	Nodes   int
-	Council int
-	Works   int
+	Voters  int
+	Leases  int
 	Lease   float64
 	Pace    members.Pace
 	Script  Script
@@ -30,13 +30,13 @@
 }
 
 // UsualPlan is one whose script is drawn from a seed.
-func UsualPlan(seed int64, nodes, works_, faults int) Plan {
+func UsualPlan(seed int64, nodes, leases, faults int) Plan {
 	rng := rand.New(rand.NewSource(seed))
-	p := Plan{Seed: seed, Nodes: nodes, Council: 3, Works: works_, Lease: 4000, Pace: members.Usual(), Settle: 90000}
+	p := Plan{Seed: seed, Nodes: nodes, Voters: 3, Leases: leases, Lease: 4000, Pace: members.Usual(), Settle: 90000}
 	if nodes >= 5 && rng.Intn(2) == 0 {
-		p.Council = 5
+		p.Voters = 5
 	}
-	p.Script = DrawScript(rng, nodes, p.Council, faults, 40000)
+	p.Script = DrawScript(rng, nodes, p.Voters, faults, 40000)
 	return p
 }
 
@@ -59,7 +59,7 @@
 	lost     bool // a majority of the voters lost their folders: nothing more can be agreed on
 	traffic  []Traffic
 
-	Judge     *Judge
+	Checker   *Checker
 	Promises  *Promises
 	Messages  int
 	Bytes     int
@@ -74,7 +74,7 @@
 
 // NewWorld sets a fleet up.
 func NewWorld(p Plan) *World {
-	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Judge: NewJudge(), Promises: NewPromises(),
+	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed*7919 + 1)), blocked: map[[2]int]float64{}, Checker: NewChecker(), Promises: NewPromises(),
 		numbers: map[members.ID]int{}}
 	for i := range p.Nodes {
 		m := &machine{number: i, id: members.ID(fmt.Sprintf("n%d", i)), rate: 1, offset: w.rng.Float64() * 1e6, diskMS: 2,
@@ -107,7 +107,7 @@
 
 // Run plays until a time.
 func (w *World) Run(until float64) {
-	for w.queue.Next() <= until && w.Judge.Broken == "" {
+	for w.queue.Next() <= until && w.Checker.Broken == "" {
 		e := w.queue.Take()
 		w.now = e.At
 		e.Run()
@@ -138,7 +138,7 @@
 	}
 	const look, lasting = 500.0, 5000.0
 	well, why := 0.0, "it has just ended"
-	for w.Judge.Broken == "" {
+	for w.Checker.Broken == "" {
 		if why = w.whole(); why != "" {
 			well = 0
 		} else if well == 0 {
@@ -152,7 +152,7 @@
 		}
 		w.Run(w.now + look)
 	}
-	return w.Judge.Broken
+	return w.Checker.Broken
 }
 
 // Lost tells whether a majority of the voters lost their folders. Nothing more can be agreed on then, and what was is
@@ -162,7 +162,7 @@
 // playLost plays on for a while without a majority, and tells what broke.
 func (w *World) playLost() string {
 	w.Run(w.now + w.plan.Settle)
-	return cmp.Or(w.Judge.Broken, w.Promises.Check())
+	return cmp.Or(w.Checker.Broken, w.Promises.Check())
 }
 
 // whole tells what is missing to a fleet that is well: all known as alive by all, an owner that acts for every work.
@@ -184,7 +184,7 @@
 		for _, c := range m.core.Held(w.local(m)) {
 			owners[c.Name]++
 		}
-		if s, why := m.core.Quorum().Role(); m.number < w.plan.Council && s != quorum.Voting {
+		if s, why := m.core.Quorum().Role(); m.number < w.plan.Voters && s != quorum.Voting {
 			return fmt.Sprintf("n%d is %v in the council: %s", m.number, s, why)
 		}
 	}
@@ -197,14 +197,14 @@
 }
 
 func (w *World) works() (names []lease.Name) {
-	for i := range w.plan.Works {
+	for i := range w.plan.Leases {
 		names = append(names, lease.Name(fmt.Sprintf("work-%d", i)))
 	}
 	return names
 }
 
 // idles tells that there is nothing to be done for leases, of which a plan of a configuration may have none.
-func (p *Plan) idles() bool { return p.Config && p.Works == 0 }
+func (p *Plan) idles() bool { return p.Config && p.Leases == 0 }
 
 // Machine is a node's number of restarts and its core, for those who look in.
 func (w *World) Machine(i int) (*node.Node, int) { return w.nodes[i].core, w.nodes[i].restarts }
--- a/internal/lab/fleet/virtual_faults.go
+++ b/internal/lab/fleet/virtual_faults.go
@@ -45,9 +45,9 @@
 	w.at(w.now+took, func() {
 		ok, _ := at.gated.Pass(c.Name, c.Token)
 		if ok || w.plan.Mutant == "gate" {
-			w.Judge.took(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Grant: c, ID: id}, w.now)
+			w.Checker.effectAccepted(fmt.Sprintf("endpoint of n%d", at.number), m.number, node.Effect{Grant: c, ID: id}, w.now)
 		}
-		w.Judge.struck(run, c, w.now)
+		w.Checker.effectBegun(run, c, w.now)
 	})
 }
 
@@ -141,7 +141,7 @@
 	if m.core == nil || w.now < m.paused {
 		return
 	}
-	w.deliver(m, func() { m.core.HandOver(w.local(m), w.works()[w.rng.Intn(w.plan.Works)], to) })
+	w.deliver(m, func() { m.core.HandOver(w.local(m), w.works()[w.rng.Intn(w.plan.Leases)], to) })
 }
 
 // networkFault has the network do something until a time, and tells whether the fault is one of the network.
--- a/internal/lab/fleet/virtual_machine.go
+++ b/internal/lab/fleet/virtual_machine.go
@@ -50,7 +50,7 @@
 	}
 	var seeds []members.Member
 	var founders []members.ID
-	for i := range w.plan.Council {
+	for i := range w.plan.Voters {
 		founders = append(founders, w.nodes[i].id)
 		seeds = append(seeds, members.Member{ID: w.nodes[i].id, Addr: string(w.nodes[i].id)})
 	}
@@ -59,7 +59,7 @@
 		Founders: founders, Leases: w.works(), Terms: lease.Terms{Lease: w.plan.Lease}, Pace: w.plan.Pace, Disk: w.rng.Uint64() | 1,
 		Seed: w.rng.Int63(), Config: w.configFacts(m)}, slices.Clone(m.kept), nil, w.local(m))
 	if err != nil {
-		w.Judge.fail(w.now, "n%d can't start: %v", m.number, err)
+		w.Checker.fail(w.now, "n%d can't start: %v", m.number, err)
 		return
 	}
 	m.core, m.inbox, m.handed = core, nil, map[lease.Name]uint64{}
@@ -77,7 +77,7 @@
 		return
 	}
 	w.trace("n%d ends", m.number)
-	w.Judge.gone(m.run, w.now)
+	w.Checker.runEnded(m.run, w.now)
 	w.configEnded(m)
 	m.stoppedAs = m.core.Quorum().Incarnation()
 	m.core = nil
@@ -98,19 +98,19 @@
 		w.send(m, s)
 	}
 	for _, c := range out.Began {
-		w.trace("n%d owns %s, epoch %d", m.number, c.Name, c.Token)
-		w.Judge.began(m.run, m.number, c, w.now)
+		w.trace("n%d holds %s, token %d", m.number, c.Name, c.Token)
+		w.Checker.began(m.run, m.number, c, w.now)
 	}
 	for _, c := range out.Ended {
-		w.trace("n%d owns %s no more, epoch %d", m.number, c.Name, c.Token)
-		w.Judge.ended(m.run, c, w.now)
+		w.trace("n%d holds %s no more, token %d", m.number, c.Name, c.Token)
+		w.Checker.ended(m.run, c, w.now)
 	}
 	for _, t := range out.Effects {
 		from := w.number(t.From)
-		w.Judge.took(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
+		w.Checker.effectAccepted(fmt.Sprintf("n%d/%x", m.number, m.run), from, t.Effect, w.now)
 	}
 	for _, h := range out.Checkpoints {
-		w.Judge.handedOn(h, w.now)
+		w.Checker.handedOn(h, w.now)
 		m.handed[h.Grant.Name] = h.Serial
 	}
 	for _, c := range out.Changes {
@@ -180,7 +180,7 @@
 		err = cbor.Unmarshal(data, &kept)
 	}
 	if err != nil {
-		w.Judge.fail(w.now, "record: %v", err)
+		w.Checker.fail(w.now, "record: %v", err)
 		return
 	}
 	if kept.Whole {
--- a/internal/lab/fleet/virtual_measure.go
+++ b/internal/lab/fleet/virtual_measure.go
@@ -16,7 +16,7 @@
 // MeasureMembers runs a fleet in virtual time: some seconds to find itself, then so many ms at rest or under loss and
 // pauses, then one is killed.
 func MeasureMembers(seed int64, nodes int, loss float64, pauses bool, long float64) (c Costs) {
-	p := Plan{Seed: seed, Nodes: nodes, Council: 3, Lease: 10000, Pace: members.Usual()}
+	p := Plan{Seed: seed, Nodes: nodes, Voters: 3, Lease: 10000, Pace: members.Usual()}
 	w := NewWorld(p)
 	warm := 20000 + 20*float64(nodes)
 	w.Run(warm)
--- a/internal/lab/fleet/virtual_network.go
+++ b/internal/lab/fleet/virtual_network.go
@@ -25,7 +25,7 @@
 	w.configSent(from, to, &s.Message)
 	data, err := w.encode(&s.Message)
 	if err != nil {
-		w.Judge.fail(w.now, "message: %v", err)
+		w.Checker.fail(w.now, "message: %v", err)
 		return
 	}
 	w.countMessage(from.number, to, &s.Message, len(data))
@@ -89,7 +89,7 @@
 	if !w.plan.Direct {
 		m = node.Message{}
 		if err := cbor.Unmarshal(data, &m); err != nil {
-			w.Judge.fail(w.now, "message: %v", err)
+			w.Checker.fail(w.now, "message: %v", err)
 			return
 		}
 	}
--- a/internal/lab/fleet/virtual_test.go
+++ b/internal/lab/fleet/virtual_test.go
@@ -19,10 +19,10 @@
 		if why := w.Play(); why != "" {
 			t.Fatalf("%d nodes: %s", nodes, why)
 		}
-		if w.Judge.Overlap > 0 || w.Judge.Effects == 0 || w.False > 0 {
-			t.Errorf("%d nodes: %d overlaps, %d effects, %d false suspicions", nodes, w.Judge.Overlap, w.Judge.Effects, w.False)
+		if w.Checker.Overlap > 0 || w.Checker.Effects == 0 || w.False > 0 {
+			t.Errorf("%d nodes: %d overlaps, %d effects, %d false suspicions", nodes, w.Checker.Overlap, w.Checker.Effects, w.False)
 		}
-		for name, free := range w.Judge.Free {
+		for name, free := range w.Checker.Free {
 			if len(free) != 1 || free[0] > 10000 {
 				t.Errorf("%d nodes: %s was free for %v ms", nodes, name, free)
 			}
@@ -67,7 +67,7 @@
 // whole soon after.
 func TestCrowd(t *testing.T) {
 	p := UsualPlan(6, 60, 5, 0)
-	p.Council = 5
+	p.Voters = 5
 	rng := rand.New(rand.NewSource(6))
 	for round := range 5 {
 		for _, a := range rng.Perm(p.Nodes)[:p.Nodes/3] {
@@ -79,9 +79,9 @@
 	if why := w.Play(); why != "" {
 		t.Fatal(why)
 	}
-	t.Logf("whole %.0f ms after the last, %d effects, %d late ones refused", w.Whole, w.Judge.Effects, w.Judge.Late)
-	if w.Judge.Effects < 500 || w.Judge.Handed < 500 {
-		t.Errorf("%d effects", w.Judge.Effects)
+	t.Logf("whole %.0f ms after the last, %d effects, %d late ones refused", w.Whole, w.Checker.Effects, w.Checker.Late)
+	if w.Checker.Effects < 500 || w.Checker.Handed < 500 {
+		t.Errorf("%d effects", w.Checker.Effects)
 	}
 }
 
