Puts and deaths of leaders are timed in one place of the measurements

Need: the measurement under loss had written again what the measurement by sizes does (found by a look for duplicates). timePut and loseLeader serve both. Measured: TestMeasure and TestMeasureLoss pass.

--- a/internal/lab/scale/hollow/configuration.go
+++ b/internal/lab/scale/hollow/configuration.go
@@ -112,19 +112,9 @@
 		for range m.puts {
 			document := make([]byte, bytes)
 			rng.Read(document)
-			began := time.Now()
-			version, err := f.Put(rng.Intn(size), document)
-			if err != nil {
+			if err := m.timePut(ctx, f, size, rng.Intn(size), document, &took); err != nil {
 				return err
 			}
-			last, err := f.AwaitInForce(ctx, knownWithin, version)
-			if err != nil && m.isLate(size, err) {
-				continue
-			}
-			if err != nil {
-				return err
-			}
-			took = append(took, last.Sub(began))
 		}
 		if len(took) == 0 {
 			continue
@@ -141,6 +131,25 @@
 
 func putFigure(bytes int, which string) string { return fmt.Sprintf("put/%d/%s", bytes, which) }
 
+// timePut has a controller put a document, and adds the time until the last one had it in force; none if that was awaited
+// in vain.
+func (m *measurement) timePut(ctx context.Context, f *Fleet, size, number int, document []byte, took *[]time.Duration) error {
+	began := time.Now()
+	version, err := f.Put(number, document)
+	if err != nil {
+		return err
+	}
+	last, err := f.AwaitInForce(ctx, knownWithin, version)
+	if err != nil && m.isLate(size, err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	*took = append(*took, last.Sub(began))
+	return nil
+}
+
 // putRows are the rows of putDocuments.
 func putRows() (rows []sizeRow) {
 	for _, bytes := range documentSizes {
--- a/internal/lab/scale/hollow/loss.go
+++ b/internal/lab/scale/hollow/loss.go
@@ -80,49 +80,24 @@
 	if err := m.putLossy(ctx, f, size); err != nil {
 		return err
 	}
-	return m.loseLossyLeader(ctx, f, size, voters)
+	if leader, _, err = f.AwaitLeader(ctx, leaderWithin, voters); err != nil {
+		return err
+	}
+	return m.loseLeader(ctx, f, size, voters, leader, "lossy/free")
 }
 
 // putLossy notes how long versions take until they are in force at all.
 func (m *measurement) putLossy(ctx context.Context, f *Fleet, size int) error {
 	var took []time.Duration
-	for range m.puts {
-		began := time.Now()
-		version, err := f.Put(0, fmt.Appendf(nil, "# %d\n", began.UnixNano()))
-		if err != nil {
-			return err
-		}
-		last, err := f.AwaitInForce(ctx, knownWithin, version)
-		if err != nil && m.isLate(size, err) {
-			continue
-		}
-		if err != nil {
+	for i := range m.puts {
+		if err := m.timePut(ctx, f, size, 0, fmt.Appendf(nil, "# %d\n", i), &took); err != nil {
 			return err
 		}
-		took = append(took, last.Sub(began))
 	}
 	m.notePuts(size, "lossy", took)
 	return nil
 }
 
-// loseLossyLeader ends the leader, and notes how long none leads.
-func (m *measurement) loseLossyLeader(ctx context.Context, f *Fleet, size, voters int) error {
-	leader, _, err := f.AwaitLeader(ctx, leaderWithin, voters)
-	if err != nil {
-		return err
-	}
-	lost := time.Now()
-	if err := f.Stop([]int{leader}); err != nil {
-		return err
-	}
-	_, found, err := f.AwaitLeader(ctx, leaderWithin, voters-1)
-	if err != nil {
-		return err
-	}
-	m.note(size, "lossy/free", milliseconds(found.Sub(lost)))
-	return nil
-}
-
 // lossRows are the rows of lossOf, without their points.
 func lossRows() (rows []sizeRow) {
 	for _, role := range []struct{ figure, name string }{{"controller", "controller"}, {"leader", "quorum leader"}} {
--- a/internal/lab/scale/hollow/sizes.go
+++ b/internal/lab/scale/hollow/sizes.go
@@ -92,7 +92,7 @@
 	}
 	m.noteRest(interval, size, voters, leader)
 	lost := time.Now()
-	if err := m.loseLeader(ctx, f, size, voters, leader); err != nil {
+	if err := m.loseLeader(ctx, f, size, voters, leader, "leader/free"); err != nil {
 		return err
 	}
 	if err := m.loseHolder(ctx, f, size); err != nil || !m.deaths {
@@ -167,8 +167,8 @@
 	}
 }
 
-// loseLeader ends the leader.
-func (m *measurement) loseLeader(ctx context.Context, f *Fleet, size, voters, leader int) error {
+// loseLeader ends the leader, and notes for how long none leads.
+func (m *measurement) loseLeader(ctx context.Context, f *Fleet, size, voters, leader int, figure string) error {
 	if err := f.AwaitLoss(leader); err != nil {
 		return err
 	}
@@ -180,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	m.note(size, "leader/free", milliseconds(found.Sub(lost)))
+	m.note(size, figure, milliseconds(found.Sub(lost)))
 	m.Tell("%d controllers: n%d leads %v after n%d", size, next, found.Sub(lost).Round(time.Millisecond), leader)
 	return nil
 }
