The rig waits for a script's late changes before it puts its own

Change: faults of a script are waited for before the configuration is looked at. Checks are as they were.

--- a/internal/lab/fleet/configuration_processes.go
+++ b/internal/lab/fleet/configuration_processes.go
@@ -111,7 +111,7 @@
 		}
 		r.putConfig(n, expect, int(f.Amount), f.N >= 0)
 	case PutTwice:
-		r.group.Go(func() { r.putConfig(r.nodes[f.B%len(r.nodes)], expect, int(f.Amount/2), false) })
+		r.faults.Go(func() { r.putConfig(r.nodes[f.B%len(r.nodes)], expect, int(f.Amount/2), false) })
 		r.putConfig(n, expect, int(f.Amount), f.N >= 0)
 	case RollBack:
 		if expect >= 2 {
@@ -240,6 +240,7 @@
 // configSettled waits until the newest version is in force at all, as each tells of itself, then has one more put and a
 // status tell that it is in force at all. What they tell is judged by their logs at the end.
 func (r *rig) configSettled() {
+	r.faults.Wait() // a put of the script that comes later would take the place of the one that is awaited
 	began := time.Now()
 	r.awaitConfig("after the last heal", func() string { return r.configLacks(0) })
 	r.report.ConfigCatchUp = time.Since(began)
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -93,6 +93,7 @@
 	began    time.Time
 	ctx      context.Context
 	group    sync.WaitGroup
+	faults   sync.WaitGroup // of the script; those that wait for a controller which stood still may end late
 	yard     *yard
 	config   *configRig // nil: the daemons agree on none
 }
@@ -132,6 +133,7 @@
 		r.finished()
 	}
 	cancel()
+	r.faults.Wait()
 	r.group.Wait()
 	r.read()
 	if r.config != nil {
--- a/internal/lab/fleet/processes_faults.go
+++ b/internal/lab/fleet/processes_faults.go
@@ -20,7 +20,7 @@
 			return
 		}
 		r.tell("%v", f)
-		r.group.Go(func() { r.fault(f) })
+		r.faults.Go(func() { r.fault(f) })
 	}
 	r.sleep(time.Until(r.began.Add(time.Duration(r.Script.End() * 1e6))))
 }
