A test of frames that were read ahead of a superseded connection

Need: the read of the whole change found one mend without a test of its own: what had been read ahead of a connection that a later one of the same sender ends was still taken in. TestFramesReadAhead has two frames come in one write, holds the receiver at the first, and connects again: the second must not come. Only a test is added.

--- a/internal/fleet/links/incoming_test.go
+++ b/internal/fleet/links/incoming_test.go
@@ -1,12 +1,14 @@
 package links
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"testing"
 	"time"
 
 	"mintkeel/internal/core/fleet/members"
+	"mintkeel/internal/fleet/frames"
 )
 
 // fill has so many controllers connect to one, in order, and returns them.
@@ -90,3 +92,68 @@
 		t.Errorf("%d of %d strangers displaced controllers", evicted, room)
 	}
 }
+
+// gatherer is a connection whose writes are gathered, so that they go out as one.
+type gatherer struct {
+	net.Conn
+	gathered *bytes.Buffer // nil: they go out at once
+}
+
+func (g *gatherer) Write(b []byte) (int, error) {
+	if g.gathered != nil {
+		return g.gathered.Write(b)
+	}
+	return g.Conn.Write(b)
+}
+
+// What has been read ahead of a connection that a later one of the same sender ends is void: it may be of a former
+// incarnation.
+func TestFramesReadAhead(t *testing.T) {
+	first, release, got := make(chan bool), make(chan bool), make(chan string, 10)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	receive := func(r Received) {
+		got <- string(r.Payload)
+		if string(r.Payload) == "one" {
+			close(first)
+			<-release
+		}
+	}
+	a := New(frames.Hello{Fleet: "f", Generation: 1, From: "a", Run: 7}, keys, Usual(), receive, quiet)
+	a.Serve(listener)
+	t.Cleanup(a.Close)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	g := &gatherer{Conn: conn}
+	writer, err := frames.Open(g, keys[0], frames.Hello{Fleet: "f", Generation: 1, From: "b", Run: 7, To: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.gathered = &bytes.Buffer{}
+	writer.Write([]byte("one"))
+	writer.Write([]byte("two")) // is read with the first one
+	conn.Write(g.gathered.Bytes())
+	<-first
+	again := open(t, "b", "f", keys, Usual())
+	again.Send("a", listener.Addr().String(), []byte("again"))
+	for _, want := range []string{"one", "again"} {
+		select {
+		case payload := <-got:
+			if payload != want {
+				t.Fatalf("%q came, not %q", payload, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%q did not come", want)
+		}
+	}
+	close(release)
+	a.Close() // the former connection's goroutine has ended
+	if len(got) > 0 {
+		t.Errorf("%q came after a later connection", <-got)
+	}
+}
