--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"strconv"
 	"strings"
@@ -136,7 +137,7 @@
 			}
 			l.do(words[1], words[2], string(statement[:length]))
 		case "page":
-			l.write(words[1] + " EIO - 0\r\n\r\n")
+			l.page(words[1], words[len(words)-1])
 		}
 	}
 }
@@ -241,7 +242,11 @@
 	l.runs[id].notes.Stop()
 	delete(l.runs, id)
 	l.e.w.note("%s: %s is done", l.e.name, id)
-	body := id + "\tran\tonce\n"
+	pages := resultPages(id)
+	body := pages[0]
+	if l.e.behave == nil {
+		pages = pages[:1]
+	}
 	switch {
 	case f.lost:
 	case f.reset:
@@ -250,7 +255,7 @@
 	case f.errored:
 		fmt.Fprintf(l.conn, "%s EIO - 0\r\n\r\n", id)
 	default:
-		text := fmt.Sprintf("%s ACK parts=1,report=util:0.10;inflight:%d %d\r\n%s\r\n", id, len(l.runs), len(body), body)
+		text := fmt.Sprintf("%s ACK parts=%d,report=util:0.10;inflight:%d %d\r\n%s\r\n", id, len(pages), len(l.runs), len(body), body)
 		l.conn.Write([]byte(text))
 		if f.twice {
 			l.conn.Write([]byte(text))
@@ -258,6 +263,41 @@
 	}
 }
 
+// resultPages returns the pages of a request's result.
+func resultPages(id string) (pages []string) {
+	for n := range 1 + int(id[0])%4 {
+		page := ""
+		for row := range 3 {
+			page += fmt.Sprintf("%s\t%d\t%d\n", id, n, row)
+		}
+		pages = append(pages, page)
+	}
+	return pages
+}
+
+// page answers with a further page, after a while, maybe twice or never.
+func (l *link) page(id, number string) {
+	n, _ := strconv.Atoi(number)
+	pages := resultPages(id)
+	if l.e.behave == nil || n >= len(pages) {
+		l.write(id + " EIO - 0\r\n\r\n")
+		return
+	}
+	f := l.e.behave()
+	text := fmt.Sprintf("%s BLOCK part_no=%d %d\r\n%s\r\n", id, n, len(pages[n]), pages[n])
+	time.AfterFunc(time.Duration(rand.Intn(30))*time.Millisecond, func() {
+		switch {
+		case f.lost:
+			return
+		case f.errored:
+			text = id + " EIO - 0\r\n\r\n"
+		case f.twice:
+			text += text
+		}
+		l.write(text)
+	})
+}
+
 func (l *link) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/stand/mix.go
+++ b/review/stand/mix.go
@@ -184,7 +184,14 @@
 		if x.gone.IsZero() && (x.got.kind == "closed" || x.got.kind == "none") {
 			broken("%s %s has no answer: %s", x.class, x.id, x.got)
 		}
-		if x.got.kind == "served" && (!strings.Contains(x.got.text, x.id) || len(runs) == 0) {
+		whole := ""
+		for _, page := range resultPages(x.id) {
+			whole += page
+		}
+		if !w.trouble {
+			whole = resultPages(x.id)[0]
+		}
+		if x.got.kind == "served" && (strings.Join(strings.Fields(x.got.text), "") != strings.Join(strings.Fields(whole), "") || len(runs) == 0) {
 			broken("%s %s got another's answer: %s", x.class, x.id, x.got)
 		}
 		if x.class == "post" && len(runs) > 1 {
