--- a/review/stand/bulletin.go
+++ b/review/stand/bulletin.go
@@ -61,7 +61,10 @@
 }
 
 // tell adds an event that changes the state of an executor.
-func (b *bulletin) tell(e *engine, state byte) {
+func (b *bulletin) tell(e *engine, state byte) { b.tellStarted(e, state, 0) }
+
+// tellStarted is tell with the Unix millisecond of a late start.
+func (b *bulletin) tellStarted(e *engine, state byte, started uint64) {
 	tcp := e.listener.Addr().(*net.TCPAddr)
 	r := binary.BigEndian.AppendUint32(nil, e.id)
 	r = append(r, tcp.IP.To4()...)
@@ -69,7 +72,7 @@
 	r = append(r, state, 0, 0) // zone and kind: the first ones of the settings
 	r = binary.BigEndian.AppendUint16(r, 1)
 	r = binary.BigEndian.AppendUint32(r, 1000)
-	r = binary.BigEndian.AppendUint64(r, 0)
+	r = binary.BigEndian.AppendUint64(r, started)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.number++
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -29,6 +29,7 @@
 	came   []arrival
 	keys   map[string]bool
 	behave func() fate  // nil: sound
+	deaf   bool         // what is given up goes on
 	hang   sync.RWMutex // held while it reads nothing
 }
 
@@ -51,21 +52,36 @@
 	must(err)
 	e := &engine{w: w, id: uint32(number), name: fmt.Sprintf("s-%08x", number), addr: l.Addr().String(), listener: l,
 		idle: s.idle, conns: map[net.Conn]bool{}, keys: map[string]bool{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			e.conns[c] = true
-			e.mu.Unlock()
-			go e.serve(c)
-		}
-	}()
+	go e.accept(l)
 	return e
 }
 
+func (e *engine) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[c] = true
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+// again starts an executor again that has been stopped.
+func (e *engine) again() error {
+	l, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.listener = l
+	e.mu.Unlock()
+	go e.accept(l)
+	return nil
+}
+
 func (e *engine) stop() {
 	e.listener.Close()
 	e.mu.Lock()
@@ -155,6 +171,9 @@
 }
 
 func (l *link) undo(id string) {
+	if l.e.deaf {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.runs[id]; r != nil {
@@ -224,7 +243,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runs[id]
-	if r == nil {
+	if r == nil || l.e.deaf {
 		return
 	}
 	fmt.Fprintf(l.conn, "%s EVENT remark=progress,value=%.3f 0\r\n\r\n", id, min(0.99, float64(time.Since(r.began))/float64(r.takes)))
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,6 +16,7 @@
 	"idle":     idleCase,
 	"order":    orderCase,
 	"pipeline": pipelineCase,
+	"cancel":   cancelCase,
 	"drain":    stallDrainCase,
 	"term":     termCase,
 	"mix":      mixCase,
--- a/review/stand/mix.go
+++ b/review/stand/mix.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -21,17 +20,30 @@
 	got            answer
 }
 
+// mixSite returns tacoma-east with a further class that must never run twice.
+func mixSite(deaf bool) site {
+	s := tacoma()
+	s.settings["services"] = append(s.settings["services"].([]object),
+		class("post", "single_shot", 4*sec, 20*sec, 0, 8, 0.5, 2.5, nil))
+	family := s.settings["family_info"].(object)
+	family["width_by_class"] = []int{1, 2, 2, 2}
+	family["holds_tables"] = []bool{false, false, true, false}
+	family["class_waits"] = []bool{true, false, false, false}
+	if deaf {
+		b := s.settings["bounds"].(object)
+		b["cancel"], b["parallel_tries"], b["probes"] = false, true, true
+		family["progress_pace_ns"] = 0
+	}
+	return s
+}
+
 // mixCase sends all classes through executors that fail in the ways that the pages name, with a controller that stands
 // still now and then, and checks that nothing is lost, runs twice or gets another's answer. SEED names the day.
 func mixCase(w *world) bool {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewSource(seed))
-	s := tacoma()
-	services := s.settings["services"].([]object)
-	s.settings["services"] = append(services, class("post", "single_shot", 4*sec, 20*sec, 0, 8, 0.5, 2.5, nil))
-	s.settings["family_info"].(object)["width_by_class"] = []int{1, 2, 2, 2}
-	s.settings["family_info"].(object)["holds_tables"] = []bool{false, false, true, false}
-	s.settings["family_info"].(object)["class_waits"] = []bool{true, false, false, false}
+	deaf := os.Getenv("CANCEL") == "0" // as controls-data: a cancel or a time-out stops nothing
+	s := mixSite(deaf)
 	w.start(s)
 	w.warm("lookup", 8)
 	var mu sync.Mutex
@@ -42,6 +54,7 @@
 	}
 	if w.trouble {
 		for _, e := range w.engines {
+			e.deaf = deaf
 			e.behave = func() fate {
 				f := fate{full: chance(0.05), errored: chance(0.03), lost: chance(0.03), reset: chance(0.03), twice: chance(0.05),
 					resetBefore: chance(0.02)}
@@ -52,6 +65,7 @@
 			}
 		}
 		go w.hang(rng, &mu)
+		go w.replace()
 	}
 	var wg sync.WaitGroup
 	var all []*sent
@@ -94,6 +108,44 @@
 	}
 }
 
+// replace has one executor after another end and start again under its id and address.
+func (w *world) replace() {
+	for i := 1; ; i++ {
+		time.Sleep(3700 * time.Millisecond)
+		e := w.engines[i%len(w.engines)]
+		w.note("%s ends", e.name)
+		e.stop()
+		time.Sleep(600 * time.Millisecond)
+		if err := e.again(); err != nil {
+			w.note("%s does not start again: %v", e.name, err)
+			return
+		}
+		w.note("%s has started again", e.name)
+		w.bulletin.tellStarted(e, stateReady, uint64(time.Now().UnixMilli()))
+	}
+}
+
+// draw draws the next request of client i, its text, how long the client rests after it, and whether it leaves instead.
+func draw(i int, rng *rand.Rand) (x *sent, text string, rest time.Duration, leave bool) {
+	kind := rng.Float64()
+	work := 20 + 400*rng.Float64()
+	rest = time.Duration(rng.Intn(400)) * time.Millisecond
+	leave = rng.Float64() < 0.05
+	x = &sent{id: newID(), class: "lookup", limit: 2500 * time.Millisecond}
+	more := ",team=brand-one"
+	switch {
+	case kind < 0.3:
+		x.class = "post"
+	case kind < 0.4:
+		x.class, x.key = "load", fmt.Sprintf("%016x", rng.Intn(3))
+		if i >= 3 {
+			x.key = fmt.Sprintf("%016x", 100+i)
+		}
+		more += ",unique=" + x.id + x.id + ",item=" + x.key
+	}
+	return x, statement(x.class, x.id, float64(x.limit.Milliseconds()), work, more, 3+i%5), rest, leave
+}
+
 // session has one session send some requests, and maybe give the last one up.
 func (w *world) session(i int, rng *rand.Rand, mu *sync.Mutex, stop time.Time) (all []*sent) {
 	c, err := dial(w)
@@ -104,31 +156,13 @@
 	defer c.close()
 	for time.Now().Before(stop) {
 		mu.Lock()
-		kind := rng.Float64()
-		work := 20 + 400*rng.Float64()
-		rest := time.Duration(rng.Intn(400)) * time.Millisecond
-		leave := rng.Float64() < 0.05
-		key := fmt.Sprintf("%016x", rng.Intn(3))
+		x, text, rest, leave := draw(i, rng)
 		mu.Unlock()
-		x := &sent{id: newID(), class: "lookup", limit: 2500 * time.Millisecond}
-		more := ",team=brand-one"
-		switch {
-		case kind < 0.3:
-			x.class = "post"
-		case kind < 0.4:
-			x.class, x.key = "load", key
-			more += ",unique=" + x.id + x.id
-			if i >= 3 {
-				x.key = fmt.Sprintf("%016x", 100+i)
-			}
-			more += ",item=" + x.key
-		}
-		text := statement(x.class, x.id, float64(x.limit.Milliseconds()), work, more, 3+i%5)
 		x.at = time.Now()
 		w.note("client %d writes %s %s key %s", i, x.class, x.id, x.key)
 		if i%8 == 5 { // another request right behind it
 			y := &sent{id: newID(), class: "post", limit: x.limit}
-			both := append(query(text), query(statement("post", y.id, float64(y.limit.Milliseconds()), work, ",team=brand-two", 3))...)
+			both := append(query(text), query(statement("post", y.id, 2500, 100, ",team=brand-two", 3))...)
 			if _, err := c.conn.Write(both); err != nil {
 				return all
 			}
@@ -214,6 +248,5 @@
 	}
 	w.note("requests: %v", counts)
 	fmt.Println(counts)
-	_ = syscall.SIGSTOP
 	return held
 }
--- a/review/stand/more.go
+++ b/review/stand/more.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -86,3 +87,60 @@
 	w.note("%d of %d requests had no answer half a second after their time", lost, n)
 	return lost == 0
 }
+
+// cancelCase: clients send a request while the controller stands still, and give it up.
+func cancelCase(w *world) bool {
+	w.start(rosario())
+	w.warm("consulta", 8)
+	const n = 6
+	var sessions []*client
+	for range n {
+		c := open(w)
+		c.one("client", statement("consulta", newID(), 3000, 20, ",team=litoral", 5), 4*time.Second)
+		sessions = append(sessions, c)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	gone := map[string]time.Time{}
+	from := time.Now().Add(50 * time.Millisecond)
+	time.AfterFunc(70*time.Millisecond, func() { // some other client
+		if c, err := dial(w); err == nil {
+			c.close()
+		}
+	})
+	for i, c := range sessions {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Until(from.Add(time.Duration(100+30*i) * time.Millisecond)))
+			id := newID()
+			text := statement("consulta", id, 1200, 100, ",team=litoral", 5)
+			w.note("client %d writes %s", i+1, text)
+			c.conn.Write(query(text))
+			if a := c.receive(1200 * time.Millisecond); a.kind != "none" {
+				w.note("client %d got %s", i+1, a)
+				return
+			}
+			c.cancel()
+			mu.Lock()
+			gone[id] = time.Now()
+			mu.Unlock()
+			w.note("client %d gives up %s", i+1, id)
+			w.note("client %d then got %s", i+1, c.receive(500*time.Millisecond))
+			c.close()
+		}()
+	}
+	time.Sleep(time.Until(from))
+	w.stand(1700 * time.Millisecond)
+	wg.Wait()
+	w.process.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(time.Second)
+	held := true
+	for id, a := range w.firsts() {
+		if at, found := gone[id]; found && a.at.Sub(at) > 150*time.Millisecond {
+			w.note("%s began %v after its client had gone", id, a.at.Sub(at).Round(time.Millisecond))
+			held = false
+		}
+	}
+	return held
+}
