--- a/review/stand/bulletin.go
+++ b/review/stand/bulletin.go
@@ -69,7 +69,7 @@
 	r := binary.BigEndian.AppendUint32(nil, e.id)
 	r = append(r, tcp.IP.To4()...)
 	r = binary.BigEndian.AppendUint16(r, uint16(tcp.Port))
-	r = append(r, state, 0, 0) // zone and kind: the first ones of the settings
+	r = append(r, state, byte(e.zone), byte(e.kind))
 	r = binary.BigEndian.AppendUint16(r, 1)
 	r = binary.BigEndian.AppendUint32(r, 1000)
 	r = binary.BigEndian.AppendUint64(r, started)
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -33,9 +33,11 @@
 
 func (a answer) String() string { return strings.TrimSpace(a.kind + " " + a.code + " " + a.text) }
 
-// dial opens a session.
-func dial(w *world) (*client, error) {
-	conn, err := net.DialTimeout("tcp", w.addr, time.Second)
+// dial opens a session at the first controller.
+func dial(w *world) (*client, error) { return dialTo(w, w.addr) }
+
+func dialTo(w *world, addr string) (*client, error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return nil, err
 	}
@@ -162,8 +164,9 @@
 	return hex.EncodeToString(b)
 }
 
-// statement returns a statement with its fields; work is how long the executor takes.
-func statement(class, id string, limit, work float64, more string, group int) string {
-	return fmt.Sprintf("/* verb=%s,txn=%s,limit=%.0f%s */ SELECT day, count(*), max(note) FROM sales_%d.orders WHERE n = WORK(%.0f) GROUP BY day",
-		class, id, limit, more, group, work)
+// statement returns a statement with its fields; work is how long the executor takes, on as many threads as the class has.
+func (w *world) statement(class, id string, limit, work float64, more string, group int) string {
+	return fmt.Sprintf("/* verb=%s,txn=%s,limit=%.0f,team=%s,cpu=%.1f,est_mb=64%s */ SELECT day, count(*), max(note) "+
+		"FROM sales_%d.orders WHERE n = WORK(%.0f) GROUP BY day",
+		class, id, limit, w.site.tenant, work*w.site.threads[class], more, group, work)
 }
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -19,6 +19,8 @@
 type engine struct {
 	w        *world
 	id       uint32
+	zone     int // places in the lists of the settings
+	kind     int
 	name     string // as it stands in text
 	addr     string
 	listener net.Listener
@@ -27,7 +29,6 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	came   []arrival
-	keys   map[string]bool
 	behave func() fate  // nil: sound
 	deaf   bool         // what is given up goes on
 	hang   sync.RWMutex // held while it reads nothing
@@ -50,8 +51,8 @@
 func newEngine(w *world, number int, s site) *engine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	e := &engine{w: w, id: uint32(number), name: fmt.Sprintf("s-%08x", number), addr: l.Addr().String(), listener: l,
-		idle: s.idle, conns: map[net.Conn]bool{}, keys: map[string]bool{}}
+	e := &engine{w: w, id: uint32(number), zone: number % len(s.zones), kind: number % len(s.kinds), name: fmt.Sprintf("s-%08x", number), addr: l.Addr().String(), listener: l,
+		idle: s.idle, conns: map[net.Conn]bool{}}
 	go e.accept(l)
 	return e
 }
@@ -138,7 +139,7 @@
 		}
 		switch words[0] {
 		case "ping":
-			l.write(fmt.Sprintf("%s READY report=util:0.10;inflight:1 0\r\n\r\n", words[1]))
+			l.write(words[1] + " READY - 0\r\n\r\n")
 		case "undo":
 			e.w.note("%s: undo %s", e.name, words[1])
 			l.undo(words[1])
@@ -214,12 +215,16 @@
 	}
 	repeat := false
 	if key := field(fields, "replay"); key != "" {
-		e.mu.Lock()
-		repeat = e.keys[key]
-		e.keys[key] = true
-		e.mu.Unlock()
+		e.w.keysMu.Lock()
+		repeat = e.w.keys[key]
+		e.w.keys[key] = true
+		e.w.keysMu.Unlock()
+	}
+	how := ""
+	if e.behave != nil {
+		how = fmt.Sprintf(", repeat %v, %+v", repeat, f)
 	}
-	e.w.note("%s: do %s %s, runs %.0f ms, repeat %v, %+v", e.name, id, fields, work, repeat, f)
+	e.w.note("%s: do %s %s, runs %.0f ms%s", e.name, id, fields, work, how)
 	e.mu.Lock()
 	e.came = append(e.came, arrival{id, class, time.Now(), time.Since(l.hungUntil) < 50*time.Millisecond})
 	e.mu.Unlock()
@@ -274,7 +279,7 @@
 	case f.errored:
 		fmt.Fprintf(l.conn, "%s EIO - 0\r\n\r\n", id)
 	default:
-		text := fmt.Sprintf("%s ACK parts=%d,report=util:0.10;inflight:%d %d\r\n%s\r\n", id, len(pages), len(l.runs), len(body), body)
+		text := fmt.Sprintf("%s ACK parts=%d,report=%s %d\r\n%s\r\n", id, len(pages), l.report(), len(body), body)
 		l.conn.Write([]byte(text))
 		if f.twice {
 			l.conn.Write([]byte(text))
@@ -317,6 +322,14 @@
 	})
 }
 
+// report returns the load report, with the fields that the settings name.
+func (l *link) report() string {
+	if l.e.w.site.inflight {
+		return fmt.Sprintf("util:0.10;inflight:%d", len(l.runs))
+	}
+	return "util:0.10"
+}
+
 func (l *link) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"time"
 )
 
@@ -16,12 +17,13 @@
 	"idle":     idleCase,
 	"order":    orderCase,
 	"pipeline": pipelineCase,
-	"cancel":   cancelCase,
 	"drain":    stallDrainCase,
 	"term":     termCase,
 	"mix":      mixCase,
 }
 
+func init() { runtime.LockOSThread() } // controllers end with the thread that started them
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
@@ -46,7 +48,8 @@
 	if err != nil {
 		return 2
 	}
-	w := &world{trouble: os.Getenv("TROUBLE") != "0" && os.Getenv("TROUBLE") != "restart", restart: os.Getenv("TROUBLE") == "restart", folder: temporary, root: root, began: time.Now(), record: record}
+	w := &world{trouble: os.Getenv("TROUBLE") != "0" && os.Getenv("TROUBLE") != "restart", restart: os.Getenv("TROUBLE") == "restart", folder: temporary, root: root, began: time.Now(),
+		keys: map[string]bool{}, record: record}
 	defer func() {
 		if problem := recover(); problem != nil {
 			w.note("could not run: %v", problem)
@@ -58,6 +61,9 @@
 	w.limitTime(110 * time.Second)
 	w.note("case %s, disruption: %v", name, w.trouble)
 	held := cases[name](w)
+	if w.unfitRun.Load() {
+		panic("the run was not the case, see the record")
+	}
 	if !w.running() && name != "term" {
 		w.note("the controller has ended by itself")
 		held = false
--- a/review/stand/mix.go
+++ b/review/stand/mix.go
@@ -85,7 +85,7 @@
 	}
 	for time.Now().Before(stop) && os.Getenv("STALL") != "0" {
 		time.Sleep(2500 * time.Millisecond)
-		w.stand(time.Duration(300+rng.Intn(1500)) * time.Millisecond)
+		w.stand(time.Duration(300+rng.Intn(1500))*time.Millisecond, 2*time.Second)
 	}
 	wg.Wait()
 	time.Sleep(time.Second)
@@ -126,13 +126,13 @@
 }
 
 // draw draws the next request of client i, its text, how long the client rests after it, and whether it leaves instead.
-func draw(i int, rng *rand.Rand) (x *sent, text string, rest time.Duration, leave bool) {
+func (w *world) draw(i int, rng *rand.Rand) (x *sent, text string, rest time.Duration, leave bool) {
 	kind := rng.Float64()
 	work := 20 + 400*rng.Float64()
 	rest = time.Duration(rng.Intn(400)) * time.Millisecond
 	leave = rng.Float64() < 0.05
 	x = &sent{id: newID(), class: "lookup", limit: 2500 * time.Millisecond}
-	more := ",team=brand-one"
+	more := ""
 	switch {
 	case kind < 0.3:
 		x.class = "post"
@@ -143,7 +143,7 @@
 		}
 		more += ",unique=" + x.id + x.id + ",item=" + x.key
 	}
-	return x, statement(x.class, x.id, float64(x.limit.Milliseconds()), work, more, 3+i%5), rest, leave
+	return x, w.statement(x.class, x.id, float64(x.limit.Milliseconds()), work, more, 3+i%5), rest, leave
 }
 
 // session has one session send some requests, and maybe give the last one up.
@@ -156,13 +156,13 @@
 	defer c.close()
 	for time.Now().Before(stop) {
 		mu.Lock()
-		x, text, rest, leave := draw(i, rng)
+		x, text, rest, leave := w.draw(i, rng)
 		mu.Unlock()
 		x.at = time.Now()
 		w.note("client %d writes %s %s key %s", i, x.class, x.id, x.key)
 		if i%8 == 5 { // another request right behind it
 			y := &sent{id: newID(), class: "post", limit: x.limit}
-			both := append(query(text), query(statement("post", y.id, 2500, 100, ",team=brand-two", 3))...)
+			both := append(query(text), query(w.statement("post", y.id, 2500, 100, "", 3))...)
 			if _, err := c.conn.Write(both); err != nil {
 				return all
 			}
