Clients: count and log why sessions are closed, and whether input was unread

Sessions read through socket.Conn, which knows whether input is unread or was read and not handled yet. A close counts its reason and logs one over unread input. No behaviour changes.

Tests of clients, deploy and layout pass.

--- a/internal/clients/connections.go
+++ b/internal/clients/connections.go
@@ -81,7 +81,7 @@
 			}
 			s.counts.evicted.Add(1)
 			if kind != idleClosing && s.hasRoomForClosing() {
-				s.beginClose(ses)
+				s.beginClose(ses, closeEvicted)
 				return true
 			}
 			s.remove(ses)
@@ -146,23 +146,22 @@
 	}
 	s.markIdle(ses, kind)
 	if s.draining && ses.pipelinedAt.IsZero() {
-		s.beginClose(ses)
+		s.beginClose(ses, closeShutdown)
 	}
 }
 
 // beginClose starts to close a session: from here on its input is discarded, and its client reads
 // the end of the stream. The session's goroutine keeps reading, within bounds, until the client
 // closes its side as well (endSession). mu is held.
-func (s *Server) beginClose(ses *session) {
+func (s *Server) beginClose(ses *session, reason closeReason) {
 	if ses.closing.Swap(true) {
 		return
 	}
 	s.unmarkIdle(ses)
 	ses.idleSince = time.Now()
 	s.markIdle(ses, idleClosing)
-	if halfCloser, ok := ses.conn.(interface{ CloseWrite() error }); ok {
-		halfCloser.CloseWrite()
-	}
+	s.recordClose(ses, reason)
+	ses.conn.CloseWrite()
 	ses.conn.SetReadDeadline(ses.idleSince.Add(s.limits.ClientCloseTimeout))
 }
 
@@ -170,8 +169,14 @@
 // session's goroutine calls it last.
 func (s *Server) endSession(ses *session) {
 	s.mu.Lock()
-	s.beginClose(ses)
+	s.beginClose(ses, ses.endReason)
+	closedUnread := ses.closedUnread
+	reason := ses.closeReason
 	s.mu.Unlock()
+	if closedUnread {
+		s.log.Warn("session closed with unread input", "why", reason.String(),
+			"from", ses.conn.RemoteAddr().String())
+	}
 	io.CopyN(io.Discard, ses.conn, s.limits.ClientDrainBytes)
 	ses.conn.Close()
 	s.mu.Lock()
--- a/internal/clients/draining.go
+++ b/internal/clients/draining.go
@@ -32,7 +32,7 @@
 	}
 	for _, ses := range s.sessions {
 		if ses.idleElement != nil {
-			s.beginClose(ses)
+			s.beginClose(ses, closeShutdown)
 		}
 	}
 	s.mu.Unlock()
--- a/internal/clients/execute.go
+++ b/internal/clients/execute.go
@@ -26,7 +26,7 @@
 	ses.conn.SetReadDeadline(time.Time{})
 	query.OnAnswer(func() {
 		// Set before answered is closed: after that the next read sets a deadline of its own.
-		ses.conn.SetReadDeadline(pastDeadline)
+		ses.conn.Interrupt()
 		close(answered)
 	})
 	switch {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -57,6 +57,7 @@
 	queries      atomic.Int64
 	badQueries   atomic.Int64 // queries with a missing or invalid field
 	cancels      atomic.Int64 // cancel requests
+	closes       closeCounts
 }
 
 // New returns a server. Queries are passed to offer; a query that it does not accept is rejected
@@ -165,5 +166,8 @@
 		slog.Int64("queries", c.queries.Load()),
 		slog.Int64("bad_queries", c.badQueries.Load()),
 		slog.Int64("cancels", c.cancels.Load()),
+		slog.Int64("ended_idle", c.closes.closed[closeIdle].Load()),
+		slog.Int64("ended_shutdown", c.closes.closed[closeShutdown].Load()),
+		slog.Int64("ended_unread", c.closes.unread.Load()),
 	)
 }
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -15,27 +15,32 @@
 
 	"mintkeel/internal/pgwire"
 	"mintkeel/internal/request"
+	"mintkeel/internal/socket"
 )
 
 // session is a client connection. Its goroutine owns all fields that are not marked otherwise.
 type session struct {
 	server         *Server
-	conn           net.Conn
+	conn           *socket.Conn
 	smallReader    *bufio.Reader    // large enough for most messages
 	reader         *bufio.Reader    // smallReader, or a larger one while a message needs it
 	key            pgwire.CancelKey // set by admit
 	application    string           // the application name from the start-up message
 	connectedAt    time.Time
-	pipelinedAt    time.Time // when data was first seen behind an open query; zero if there is none
-	sentValidQuery bool      // it has sent a valid query that no rule rejected
-	skipToSync     bool      // messages of the extended protocol are discarded until a Sync
-	sentQuery      bool      // it has sent a query message; written under the server's mutex
+	pipelinedAt    time.Time   // when data was first seen behind an open query; zero if there is none
+	sentValidQuery bool        // it has sent a valid query that no rule rejected
+	skipToSync     bool        // messages of the extended protocol are discarded until a Sync
+	sentQuery      bool        // it has sent a query message; written under the server's mutex
+	endReason      closeReason // for which its goroutine ends it
 
 	// Guarded by the server's mutex:
 	idleSince   time.Time     // when it last became idle
 	idleElement *list.Element // its element in the server's list of idle sessions; nil: it is not idle
 	idleKind    idleKind      // of idleElement
 
+	closeReason  closeReason // for which it was closed
+	closedUnread bool        // input was unread when it was closed
+
 	closing atomic.Bool // input is discarded from now on; set under the server's mutex
 
 	// Accessed also by other sessions, for cancel requests:
@@ -47,13 +52,12 @@
 
 func newSession(s *Server, conn net.Conn) *session {
 	now := time.Now()
-	r := bufio.NewReaderSize(conn, s.limits.ClientReadBufferBytes)
-	return &session{server: s, conn: conn, smallReader: r, reader: r, connectedAt: now, idleSince: now}
+	c := socket.NewConn(conn)
+	r := bufio.NewReaderSize(c, s.limits.ClientReadBufferBytes)
+	return &session{server: s, conn: c, smallReader: r, reader: r, connectedAt: now,
+		idleSince: now, endReason: closeEnded}
 }
 
-// pastDeadline is a deadline in the past, which ends a pending read.
-var pastDeadline = time.Unix(1, 0)
-
 // run serves the session until it ends.
 func (ses *session) run() {
 	ses.conn.SetReadDeadline(ses.connectedAt.Add(ses.server.limits.FirstQueryTimeout))
@@ -224,6 +228,8 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) && (ses.reader.Buffered() > 0 || !ses.sentQuery):
 		c.timedOut.Add(1) // within a message, or before the first query
 		ses.endWithError(pgwire.CodeProtocol, what+": not whole in time")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		ses.endReason = closeIdle
 	}
 }
 
@@ -237,6 +243,6 @@
 func (ses *session) write(parts ...[]byte) error {
 	ses.conn.SetWriteDeadline(time.Now().Add(ses.server.limits.ClientWriteTimeout))
 	buffers := net.Buffers(parts)
-	_, err := buffers.WriteTo(ses.conn)
+	_, err := buffers.WriteTo(ses.conn.Conn) // writes all in one system call
 	return err
 }
