Clients: a timeout of a session counts only once its socket was found empty

What callers saw: queries on sessions at rest for 3.65 s, written while the controller stood still for 1.8 s, were never answered; their sessions ended without a byte.

Cause: the runtime ends a read by its deadline without a look at the socket, and the session took that for a silent client. The timeouts of the first query and of a message's rest had the same fault.

A session is closed as idle only by CloseWriteUnlessInput, which finds nothing unread and nothing unhandled and ends the stream by the next system call. No timeout changed; nothing depends on the stall.

--- a/internal/clients/closereason.go
+++ b/internal/clients/closereason.go
@@ -30,13 +30,11 @@
 	unread atomic.Int64 // with unread input, other than by closeEnded
 }
 
-// recordClose records why a session is closed, and whether its input is unread: a query among it
-// gets no answer. mu is held.
+// recordClose counts the close of a session. A query among unread input gets no answer. mu is held.
 func (s *Server) recordClose(ses *session, reason closeReason) {
 	s.counts.closes.closed[reason].Add(1)
 	ses.closeReason = reason
-	if reason != closeEnded && ses.conn.HasInput() {
+	if ses.closedUnread {
 		s.counts.closes.unread.Add(1)
-		ses.closedUnread = true
 	}
 }
--- a/internal/clients/connections.go
+++ b/internal/clients/connections.go
@@ -150,18 +150,46 @@
 	}
 }
 
+// closeUnlessInput closes a session, as beginClose does, unless its client has sent something that
+// the session has not handled. It reports whether the session is being closed. mu is held.
+func (s *Server) closeUnlessInput(ses *session, reason closeReason) bool {
+	if ses.closing.Load() {
+		return true
+	}
+	if !ses.conn.CloseWriteUnlessInput() {
+		return false
+	}
+	s.discardInput(ses, reason)
+	return true
+}
+
+// closeIdleSession closes a session whose client has been silent for ClientIdleTimeout, and reports
+// whether it did: input may have come meanwhile.
+func (s *Server) closeIdleSession(ses *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeUnlessInput(ses, closeIdle)
+}
+
 // beginClose starts to close a session: from here on its input is discarded, and its client reads
 // the end of the stream. The session's goroutine keeps reading, within bounds, until the client
 // closes its side as well (endSession). mu is held.
 func (s *Server) beginClose(ses *session, reason closeReason) {
-	if ses.closing.Swap(true) {
+	if ses.closing.Load() {
 		return
 	}
+	ses.closedUnread = reason != closeEnded && ses.conn.HasInput()
+	ses.conn.CloseWrite()
+	s.discardInput(ses, reason)
+}
+
+// discardInput marks a session as being closed, whose write side is shut down. mu is held.
+func (s *Server) discardInput(ses *session, reason closeReason) {
+	ses.closing.Store(true)
 	s.unmarkIdle(ses)
 	ses.idleSince = time.Now()
 	s.markIdle(ses, idleClosing)
 	s.recordClose(ses, reason)
-	ses.conn.CloseWrite()
 	ses.conn.SetReadDeadline(ses.idleSince.Add(s.limits.ClientCloseTimeout))
 }
 
@@ -169,7 +197,7 @@
 // session's goroutine calls it last.
 func (s *Server) endSession(ses *session) {
 	s.mu.Lock()
-	s.beginClose(ses, ses.endReason)
+	s.beginClose(ses, closeEnded)
 	closedUnread := ses.closedUnread
 	reason := ses.closeReason
 	s.mu.Unlock()
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,8 @@
 	address    string
 	events     chan any
 	rejectNext chan bool // if it holds a value, the next query is not accepted
+	conns      chan *pausableConn
+	pauseNew   atomic.Bool // the goroutines of new sessions stand still from the start
 }
 
 func newServerTest(t *testing.T, change func(*limits.Limits)) *serverTest {
@@ -82,7 +85,8 @@
 		t.Fatal(err)
 	}
 	st.address = listener.Addr().String()
-	go st.server.Serve(listener)
+	st.conns = make(chan *pausableConn, 100)
+	go st.server.Serve(&pausableListener{listener, st.conns, &st.pauseNew})
 	t.Cleanup(func() { listener.Close(); st.server.Close() })
 	return st
 }
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -27,11 +27,10 @@
 	key            pgwire.CancelKey // set by admit
 	application    string           // the application name from the start-up message
 	connectedAt    time.Time
-	pipelinedAt    time.Time   // when data was first seen behind an open query; zero if there is none
-	sentValidQuery bool        // it has sent a valid query that no rule rejected
-	skipToSync     bool        // messages of the extended protocol are discarded until a Sync
-	sentQuery      bool        // it has sent a query message; written under the server's mutex
-	endReason      closeReason // for which its goroutine ends it
+	pipelinedAt    time.Time // when data was first seen behind an open query; zero if there is none
+	sentValidQuery bool      // it has sent a valid query that no rule rejected
+	skipToSync     bool      // messages of the extended protocol are discarded until a Sync
+	sentQuery      bool      // it has sent a query message; written under the server's mutex
 
 	// Guarded by the server's mutex:
 	idleSince   time.Time     // when it last became idle
@@ -52,10 +51,9 @@
 
 func newSession(s *Server, conn net.Conn) *session {
 	now := time.Now()
-	c := socket.NewConn(conn)
+	c := socket.NewConn(conn, s.limits.ClientMessageBytes)
 	r := bufio.NewReaderSize(c, s.limits.ClientReadBufferBytes)
-	return &session{server: s, conn: c, smallReader: r, reader: r, connectedAt: now,
-		idleSince: now, endReason: closeEnded}
+	return &session{server: s, conn: c, smallReader: r, reader: r, connectedAt: now, idleSince: now}
 }
 
 // run serves the session until it ends.
@@ -66,6 +64,9 @@
 	}
 	for {
 		kind, body, size, err := ses.nextMessage()
+		if ses.idleTooLong(err) && !ses.server.closeIdleSession(ses) {
+			continue // input has come since the deadline passed
+		}
 		if err != nil {
 			ses.failRead(err, "message")
 			return
@@ -122,6 +123,12 @@
 	}
 }
 
+// idleTooLong reports whether the error of nextMessage says that the client, which has sent a
+// query, was silent between two messages for ClientIdleTimeout.
+func (ses *session) idleTooLong(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && ses.sentQuery && ses.reader.Buffered() == 0
+}
+
 // errTerminated ends the session of a client that has sent a Terminate message.
 var errTerminated = errors.New("terminated by the client")
 
@@ -228,8 +235,6 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) && (ses.reader.Buffered() > 0 || !ses.sentQuery):
 		c.timedOut.Add(1) // within a message, or before the first query
 		ses.endWithError(pgwire.CodeProtocol, what+": not whole in time")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		ses.endReason = closeIdle
 	}
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -19,7 +19,8 @@
 // A connection that has no descriptor, such as a net.Pipe, behaves as if no input were unread.
 type Conn struct {
 	net.Conn
-	raw syscall.RawConn // nil: Conn has no descriptor
+	raw          syscall.RawConn // nil: Conn has no descriptor
+	maxLateBytes int
 
 	// Owned by the reader:
 	buffer  []byte             // of the current read
@@ -29,11 +30,14 @@
 
 	mu        sync.Mutex // guards all below and each system call that reads; nothing blocks under it
 	unhandled bool       // the last read returned something, and the reader has not asked for more
+	deadline  time.Time  // the read deadline
+	lateBytes int        // read since the deadline was set to another time and has passed
 }
 
-// NewConn returns a Conn that reads from and writes to conn.
-func NewConn(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn}
+// NewConn returns a Conn that reads from and writes to conn. It reads at most maxLateBytes past a
+// read deadline.
+func NewConn(conn net.Conn, maxLateBytes int) *Conn {
+	c := &Conn{Conn: conn, maxLateBytes: maxLateBytes}
 	c.tryRead = c.readOnce
 	if sys, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = sys.SyscallConn() // fails only for a connection that was closed
@@ -43,6 +47,10 @@
 
 // Read reads from the connection. What it returns counts as unhandled until the reader asks for
 // more and there is nothing: until then HasInput reports it.
+//
+// Past the read deadline, Read returns what has arrived. os.ErrDeadlineExceeded means that nothing
+// has: the peer was silent until now. So that a peer that goes on sending can't hold up its reader,
+// it is also returned after maxLateBytes, until SetReadDeadline sets another deadline.
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.raw == nil || len(b) == 0 {
 		return c.Conn.Read(b)
@@ -50,12 +58,44 @@
 	c.buffer = b
 	err := c.raw.Read(c.tryRead)
 	c.buffer = nil
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readLate(b, err)
+	}
 	if err != nil {
 		return 0, err
 	}
 	return c.result()
 }
 
+// readLate reads what has arrived after the read deadline passed, or returns deadlineErr.
+func (c *Conn) readLate(b []byte, deadlineErr error) (int, error) {
+	c.mu.Lock()
+	left := c.maxLateBytes - c.lateBytes
+	c.mu.Unlock()
+	if left <= 0 {
+		return 0, deadlineErr
+	}
+	n, err := c.ReadArrived(b[:min(len(b), left)])
+	if errors.Is(err, ErrNoInput) {
+		return 0, deadlineErr
+	}
+	c.mu.Lock()
+	c.lateBytes += n
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetReadDeadline sets the deadline of reads; zero is none.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if !t.Equal(c.deadline) {
+		c.lateBytes = 0
+	}
+	c.deadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
 // ReadArrived reads what has arrived, without waiting and whatever the read deadline. The error is
 // ErrNoInput if nothing has arrived.
 func (c *Conn) ReadArrived(b []byte) (int, error) {
@@ -149,5 +189,5 @@
 var interruptDeadline = time.Unix(1, 0)
 
 // Interrupt ends the read in which the reader waits, and further reads until the next call of
-// SetReadDeadline, as if their deadline had passed.
+// SetReadDeadline, as if their deadline had passed. It does not count as another deadline.
 func (c *Conn) Interrupt() { c.Conn.SetReadDeadline(interruptDeadline) }
