Clients: an eviction spares sessions whose input is not handled yet

Cause: a new connection at the limit evicts the session that has been idle for longest. After a time without a turn a session's goroutine may not have read its query yet, have read it and not handled it, or have a query behind the answered one, and the session still stands among the idle ones. Its query was read and thrown away.

Change: evictIdle closes a session by closeUnlessInput and passes over those that it spares, 64 looks at most for a new connection.

--- a/internal/clients/connections.go
+++ b/internal/clients/connections.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"container/list"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
@@ -9,6 +10,10 @@
 	"mintkeel/internal/pgwire"
 )
 
+// maxEvictionLooks bounds the idle sessions that are considered for eviction in favor of one new
+// connection.
+const maxEvictionLooks = 64
+
 // admission is the decision on a new connection.
 type admission int
 
@@ -67,21 +72,26 @@
 // among those that are being closed, then among those that never sent a query, then among the
 // others. Hundreds of connections that send nothing, or that sent one query and stay open,
 // therefore can't block others. Sessions that became idle less than NewConnectionGrace ago are not
-// evicted, as their next message may be in transit. mu is held.
+// evicted, as their next message may be in transit; nor are sessions with unread input, which are
+// idle only because their goroutines have not run since it came. mu is held.
 func (s *Server) evictIdle(now time.Time) bool {
+	looks := 0
 	for kind := range idleKinds {
-		for len(s.sessions) >= s.limits.ClientConnections {
-			front := s.idle[kind].Front()
-			if front == nil {
+		var next *list.Element
+		for element := s.idle[kind].Front(); element != nil; element = next {
+			next = element.Next()
+			ses := element.Value.(*session)
+			if len(s.sessions) < s.limits.ClientConnections || looks == maxEvictionLooks ||
+				now.Sub(ses.idleSince) < s.limits.NewConnectionGrace {
 				break
 			}
-			ses := front.Value.(*session)
-			if now.Sub(ses.idleSince) < s.limits.NewConnectionGrace {
-				break
+			looks++
+			hasRoom := s.hasRoomForClosing()
+			if kind != idleClosing && !s.closeUnlessInput(ses, closeEvicted) {
+				continue
 			}
 			s.counts.evicted.Add(1)
-			if kind != idleClosing && s.hasRoomForClosing() {
-				s.beginClose(ses, closeEvicted)
+			if kind != idleClosing && hasRoom {
 				return true
 			}
 			s.remove(ses)
@@ -140,6 +150,9 @@
 	if ses.closing.Load() {
 		return
 	}
+	if ses.reader.Buffered() > 0 {
+		ses.conn.MarkUnhandled()
+	}
 	kind := idleNoQuery
 	if ses.sentQuery {
 		kind = idleBetweenQueries
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -185,6 +185,14 @@
 	return found != noInput
 }
 
+// MarkUnhandled has the input that was read count as unhandled until the reader asks for more and
+// there is nothing: its reader has taken a part of it from a buffer and will go on with the rest.
+func (c *Conn) MarkUnhandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unhandled = true
+}
+
 // interruptDeadline is a read deadline in the past.
 var interruptDeadline = time.Unix(1, 0)
 
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -83,6 +83,11 @@
 	if _, err := c.ReadArrived(make([]byte, 9)); !errors.Is(err, ErrNoInput) {
 		t.Errorf("read without waiting: %v, want ErrNoInput", err)
 	}
+	c.MarkUnhandled()
+	if c.CloseWriteUnlessInput() {
+		t.Error("closed over input that is marked as unhandled")
+	}
+	c.ReadArrived(make([]byte, 9))
 	if !c.CloseWriteUnlessInput() {
 		t.Error("not closed without input")
 	}
