Shutdown: a time without a turn is not quiet, and unread queries are answered

What callers saw: a controller that stood still from 0.1 to 1.9 s after SIGTERM ended four sessions without a byte; their queries, written 0.2 to 0.35 s after SIGTERM, were lost.

Cause: quiet was the time since a session had last read a query, so a stall counted as quiet. The listener was then closed over connections that waited to be accepted, and each idle session over what lay unread in its socket.

Change: quiet is 20 looks at the sessions, each of which counts unread input; an idle controller therefore serves 0.8 s after SIGTERM. The listener is closed once its queue is empty (50 looks at most). Sessions are closed by closeUnlessInput, every 10 ms until nothing is owed, with 5 looks past the shutdown's deadline.

--- a/cmd/mintkeel/shutdown.go
+++ b/cmd/mintkeel/shutdown.go
@@ -4,7 +4,7 @@
 	"net"
 	"time"
 
-	"mintkeel/internal/clients"
+	"mintkeel/internal/socket"
 )
 
 // shutdown drains the queries within limits.ShutdownTimeout and stops the parts. It first releases
@@ -24,8 +24,8 @@
 		d.snapshotWriter.Stop()
 	}
 	// Leaves time to close the sessions of clients that keep sending queries until the end.
-	awaitQuiet(d.clients, end.Add(-l.ClientCloseTimeout), l.DrainQuietPeriod)
-	listener.Close()
+	d.clients.AwaitQuiet(l.DrainQuietPeriod, end.Add(-l.ClientCloseTimeout))
+	socket.CloseListener(listener)
 	d.clients.Shutdown(end)
 	d.clients.Close()
 	d.loop.Close()
@@ -33,22 +33,6 @@
 	d.logCounts("stopped")
 }
 
-// awaitQuiet waits until, for a quiet period, no query has arrived and no answer has been pending.
-// It gives up at the given time.
-func awaitQuiet(server *clients.Server, until time.Time, quiet time.Duration) {
-	end := time.NewTimer(time.Until(until))
-	defer end.Stop()
-	poll := time.NewTicker(quiet / 20)
-	defer poll.Stop()
-	for server.QuietTime() < quiet {
-		select {
-		case <-end.C:
-			return
-		case <-poll.C:
-		}
-	}
-}
-
 // leaveFleet closes the fleet's service if it is running.
 func (d *daemon) leaveFleet() {
 	if d.fleetConfig != nil {
--- a/internal/clients/connections.go
+++ b/internal/clients/connections.go
@@ -139,7 +139,7 @@
 }
 
 // endMessage records that a session has handled its message and is idle. If the server is draining,
-// the session is closed, unless its client has pipelined another query.
+// the session is closed, unless its client has sent another query meanwhile.
 func (s *Server) endMessage(ses *session, isQuery bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,8 +158,8 @@
 		kind = idleBetweenQueries
 	}
 	s.markIdle(ses, kind)
-	if s.draining && ses.pipelinedAt.IsZero() {
-		s.beginClose(ses, closeShutdown)
+	if s.draining {
+		s.closeUnlessInput(ses, closeShutdown)
 	}
 }
 
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -170,3 +170,14 @@
 		}
 	}
 }
+
+// QuietTime returns the time since a client last sent a query; 0 while an answer is not written
+// yet.
+func (s *Server) QuietTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busySessions > 0 {
+		return 0
+	}
+	return time.Since(s.lastQueryAt)
+}
--- a/internal/clients/unread_test.go
+++ b/internal/clients/unread_test.go
@@ -148,3 +148,59 @@
 	p.conn.resume <- true
 	p.expectAnswer()
 }
+
+// TestShutdownSparesQuery guards against a lost query: it arrived before the shutdown closed its session, but the
+// session's goroutine had no turn to handle it. The session is closed after its answer. This holds also if the process
+// had no turn until the shutdown's deadline has passed.
+func TestShutdownSparesQuery(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		within time.Duration
+		read   bool
+	}{{"unread", testTimeout, false}, {"read", testTimeout, true}, {"past the deadline", passed, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			st := newServerTest(t, func(l *limits.Limits) { l.ShutdownLateLooks = int(testTimeout / shutdownLookInterval) })
+			p := pauseBetweenQueries(st, nil)
+			if c.read {
+				p.conn.pauseNext.Store(true)
+				p.conn.resume <- true
+				p.client.Write(queryMessage(queryText))
+				p.conn.awaitPause(t)
+			} else {
+				p.send(queryMessage(queryText))
+			}
+			done := make(chan bool)
+			go func() { st.server.Shutdown(time.Now().Add(c.within)); close(done) }()
+			st.waitUntil("the shutdown has begun", func() bool {
+				st.server.mu.Lock()
+				defer st.server.mu.Unlock()
+				return st.server.draining
+			})
+			if got, _ := st.readUntil(st.connect(startMessage), ""); got != "E53300$" {
+				t.Errorf("new connection: got %s, want E53300$", got)
+			}
+			p.conn.resume <- true
+			p.expectAnswer()
+			if got, orderly := st.readToEnd(p.client); got != "$" || !orderly {
+				t.Errorf("after the answer: got %s, orderly %t, want an orderly end", got, orderly)
+			}
+			p.client.Close()
+			<-done
+		})
+	}
+}
+
+// TestUnreadQueryIsNotQuiet guards against a quiet period that ends while a query lies unread: a stall would count as
+// quiet, and the requests that came in it would be lost.
+func TestUnreadQueryIsNotQuiet(t *testing.T) {
+	p := pauseBetweenQueries(newServerTest(t, nil), nil)
+	p.send(queryMessage(queryText))
+	p.waitUntil("no query was read for a quiet period", func() bool { return p.server.QuietTime() > 20*time.Millisecond })
+	until := time.Now().Add(200 * time.Millisecond)
+	p.server.AwaitQuiet(20*time.Millisecond, until)
+	if early := time.Until(until); early > 0 {
+		t.Errorf("quiet %v before the time at which it gives up, though a query is unread", early)
+	}
+	p.conn.resume <- true
+	p.expectAnswer()
+}
--- a/internal/limits/defaults.go
+++ b/internal/limits/defaults.go
@@ -45,6 +45,7 @@
 
 	discoveryFrameBytes = 1 << 20
 	eventQueueLength    = 1024
+	shutdownLateLooks   = 5
 
 	snapshotPartRecords    = 256
 	snapshotBytesPerSecond = 128 << 10
@@ -125,6 +126,7 @@
 		LogInterval:        logInterval,
 		DrainTimeout:       longestClientTimeout + answerMargin,
 		ShutdownTimeout:    longestClientTimeout + shutdownMargin,
+		ShutdownLateLooks:  shutdownLateLooks,
 		DrainQuietPeriod:   drainQuietPeriod,
 		RuntimeMemoryBytes: int64(memory),
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -118,6 +118,9 @@
 	// ShutdownTimeout is the time from the start of a graceful shutdown until the process exits, even
 	// if queries are unanswered.
 	ShutdownTimeout time.Duration
+	// ShutdownLateLooks is how often a graceful shutdown looks at its sessions after ShutdownTimeout,
+	// so that queries which came while the process had no turn are still answered.
+	ShutdownLateLooks int
 	// DrainQuietPeriod is the time without a new query after which a controller that shuts down may
 	// exit early.
 	DrainQuietPeriod time.Duration
