Engines: silence and lateness count only once the socket was found empty

What callers saw: attempts given up, or ended as "may have run" with their connection, though the answer had come: a retry too many, or a failed query that may not be retried.

After a time without a turn, deadlines of attempts, pings, health checks, give-ups and of the rest of an answer were compared with the clock before the socket was read; and the time for a reply began when the ping was queued.

Change: deadlines are compared with SilentAt, until when the engine is known to have sent nothing more; the time for a reply begins at the write. lookaheadConn builds on socket.Conn, whose reads need no deadline reset, and loses its retries.

Evidence: with the clock in place of SilentAt the four cases of TestAnswersBeforeDeadlines and TestRestOfAnswerBeforeTimeout fail, without startReplyTimeouts TestReplyTimeoutBeginsAtWrite fails. Here they pass, 5 times with the race detector.

--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -246,8 +246,7 @@
 
 // write writes all parts in one call, within ClientWriteTimeout.
 func (ses *session) write(parts ...[]byte) error {
-	ses.conn.SetWriteDeadline(time.Now().Add(ses.server.limits.ClientWriteTimeout))
 	buffers := net.Buffers(parts)
-	_, err := buffers.WriteTo(ses.conn.Conn) // writes all in one system call
+	_, err := ses.conn.WriteBuffers(&buffers, time.Now().Add(ses.server.limits.ClientWriteTimeout))
 	return err
 }
--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -42,8 +42,10 @@
 
 // outgoing is an entry of a connection's write queue: an attempt, or lines that start none.
 type outgoing struct {
-	parts   net.Buffers
-	attempt *attempt // that is started; nil: none
+	parts     net.Buffers
+	attempt   *attempt // that is started; nil: none
+	pingTag   string   // of the ping among them; empty: none
+	firstPing bool     // that ping set pingedAt
 }
 
 // size returns the number of bytes to be written.
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +41,7 @@
 	cancel  context.CancelFunc
 
 	mu           sync.Mutex
-	netConn      net.Conn             // nil until it is established
+	netConn      *lookaheadConn       // nil until it is established
 	queue        []outgoing           // waits to be written
 	queuedBytes  int                  // added to queue since it was last taken
 	attempts     map[string]*attempt  // without an outcome, by query id
@@ -77,13 +76,10 @@
 	}
 }
 
-// longAgo is a read deadline in the past, which interrupts a blocked read.
-var longAgo = time.Unix(1, 0)
-
 // wake interrupts the read in which a connection's goroutine blocks, so that it does what is due.
-func wake(c net.Conn) {
+func wake(c *lookaheadConn) {
 	if c != nil {
-		c.SetReadDeadline(longAgo)
+		c.Interrupt()
 	}
 }
 
--- a/internal/engines/conn_attempts.go
+++ b/internal/engines/conn_attempts.go
@@ -70,7 +70,7 @@
 	a.givenUp = true
 	if !a.written {
 		a.giveUpOutcome = router.Withdrawn
-		a.giveUpBy = longAgo
+		a.giveUpBy = time.Time{} // ends at once
 		wake(c.netConn)
 		return
 	}
--- a/internal/engines/conn_due.go
+++ b/internal/engines/conn_due.go
@@ -1,7 +1,6 @@
 package engines
 
 import (
-	"net"
 	"time"
 
 	"mintkeel/router"
@@ -17,10 +16,12 @@
 	err    error      // if not nil, the connection must end, and the other fields are empty
 }
 
-// deadlineTracker finds the earliest of a connection's deadlines that have not passed.
+// deadlineTracker finds the earliest of a connection's deadlines that have not passed. A deadline
+// has passed once the engine was silent until it: what the engine has sent by then is handled
+// first, also after a time in which the process had no turn.
 type deadlineTracker struct {
-	now  time.Time
-	next time.Time // the earliest deadline so far
+	silentAt time.Time // until when the engine is known to have been silent
+	next     time.Time // the earliest deadline so far
 }
 
 // add tracks a deadline.
@@ -32,7 +33,7 @@
 
 // passed reports whether a deadline has passed. If it has not, the deadline is tracked.
 func (a *deadlineTracker) passed(at time.Time) bool {
-	if !a.now.Before(at) {
+	if !a.silentAt.Before(at) {
 		return true
 	}
 	a.add(at)
@@ -42,10 +43,12 @@
 // takeDue ends attempts and health checks that are overdue and takes the write queue. If that is
 // empty, it sets the read deadline to the next time at which something is due. partialSince is the
 // time since which the reader's buffer holds an incomplete answer; zero: it holds none.
-func (c *conn) takeDue(now time.Time, netConn net.Conn, partialSince time.Time) dueWork {
+func (c *conn) takeDue(
+	now time.Time, netConn *lookaheadConn, partialSince time.Time,
+) dueWork {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	deadlines := deadlineTracker{now: now, next: now.Add(maxReadWait)}
+	deadlines := deadlineTracker{silentAt: netConn.SilentAt(), next: now.Add(maxReadWait)}
 	if c.idle() {
 		deadlines.next = c.lastUsed.Add(c.pool.limits.EngineIdleTimeout)
 		if now.After(deadlines.next) {
@@ -89,12 +92,10 @@
 func (c *conn) endOverdue(deadlines *deadlineTracker) []Event {
 	var events []Event
 	for _, a := range c.attempts {
-		if !a.givenUp && !deadlines.now.Before(a.deadline) {
+		if !a.givenUp && deadlines.passed(a.deadline) {
 			c.giveUp(a, router.TimedOut)
 		}
-		if !a.givenUp {
-			deadlines.add(a.deadline)
-		} else if deadlines.passed(a.giveUpBy) {
+		if a.givenUp && deadlines.passed(a.giveUpBy) {
 			events = append(events, c.finish(a, a.giveUpOutcome))
 		}
 	}
--- a/internal/engines/conn_ping.go
+++ b/internal/engines/conn_ping.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"net"
 	"strings"
 	"time"
 
@@ -32,13 +33,45 @@
 	return true
 }
 
-// ping queues the lines in b and a ping after them. If the engine sends nothing for PingTimeout,
-// the connection ends. mu is held.
+// ping queues the lines in b and a ping after them. If the engine sends nothing for PingTimeout
+// after they were written, the connection ends. mu is held.
 func (c *conn) ping(b []byte, tag string) {
-	if c.pingedAt.IsZero() {
+	o := outgoing{pingTag: tag, firstPing: c.pingedAt.IsZero()}
+	o.parts = net.Buffers{enginewire.AppendPing(b, tag)}
+	if o.firstPing {
 		c.pingedAt = time.Now()
 	}
-	c.enqueueLine(enginewire.AppendPing(b, tag))
+	c.enqueue(o)
+}
+
+// startReplyTimeout begins the time for the reply to a ping that was just written.
+func (c *conn) startReplyTimeout(tag string, first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	replyBy := now.Add(c.pool.limits.PingTimeout)
+	if first && !c.pingedAt.IsZero() {
+		c.pingedAt = now
+	}
+	if _, found := c.healthChecks[tag]; found {
+		c.healthChecks[tag] = replyBy
+	}
+	if a := c.givenUpAttempt(tag); a != nil {
+		a.giveUpBy = replyBy
+	}
+}
+
+// givenUpAttempt returns the attempt whose give-up a ping with this tag follows, if it has no
+// outcome yet. mu is held.
+func (c *conn) givenUpAttempt(tag string) *attempt {
+	id, isGiveUp := strings.CutPrefix(tag, giveUpTag)
+	if !isGiveUp {
+		return nil
+	}
+	if a := c.attempts[id]; a != nil && a.givenUp && a.written {
+		return a
+	}
+	return nil
 }
 
 // handlePong handles the answer to a ping, which shows that the engine has read everything written
@@ -49,11 +82,7 @@
 		c.lastUsed = time.Now()
 		return []Event{HealthCheckEnded{Engine: c.engine, Outcome: router.Succeeded, Load: load}}
 	}
-	id, isGiveUp := strings.CutPrefix(tag, giveUpTag)
-	if !isGiveUp {
-		return nil
-	}
-	if a := c.attempts[id]; a != nil && a.givenUp && a.written {
+	if a := c.givenUpAttempt(tag); a != nil {
 		return []Event{c.finish(a, a.giveUpOutcome)}
 	}
 	return nil
--- a/internal/engines/conn_read.go
+++ b/internal/engines/conn_read.go
@@ -15,19 +15,17 @@
 // run is the connection's goroutine: it dials, then serves until the connection ends.
 func (c *conn) run() {
 	dialer := net.Dialer{Timeout: c.pool.limits.ConnectTimeout, KeepAlive: -1}
-	netConn, err := dialer.DialContext(c.ctx, "tcp", c.address)
+	dialled, err := dialer.DialContext(c.ctx, "tcp", c.address)
 	if err != nil {
 		c.end(err, router.ConnectFailed)
 		return
 	}
+	netConn := newLookaheadConn(dialled, c.pool.limits.EngineQueueBytes)
 	c.mu.Lock()
 	c.netConn = netConn
 	c.silentSince = time.Now()
 	c.mu.Unlock()
-	lookahead, err := newLookaheadConn(netConn)
-	if err == nil {
-		err = c.serve(lookahead)
-	}
+	err = c.serve(netConn)
 	netConn.Close()
 	c.end(err, router.ConnectionReset)
 }
--- a/internal/engines/conn_write.go
+++ b/internal/engines/conn_write.go
@@ -34,13 +34,24 @@
 	if startsAttempt && netConn.closedByPeer() != nil {
 		err = errClosedByEngine
 	} else {
-		netConn.SetWriteDeadline(deadline)
-		taken, err = parts.WriteTo(netConn.Conn)
+		taken, err = netConn.WriteBuffers(&parts, deadline)
 	}
 	if err != nil {
 		c.markUnwritten(batch, taken)
+		return err
+	}
+	c.startReplyTimeouts(batch)
+	return nil
+}
+
+// startReplyTimeouts begins the time for the replies to the pings of a batch that was just written:
+// it may have waited for long, as the process had no turn.
+func (c *conn) startReplyTimeouts(batch []outgoing) {
+	for _, o := range batch {
+		if o.pingTag != "" {
+			c.startReplyTimeout(o.pingTag, o.firstPing)
+		}
 	}
-	return err
 }
 
 // markUnwritten marks the attempts of a batch of which the connection has not accepted the last
--- a/internal/engines/pool_test.go
+++ b/internal/engines/pool_test.go
@@ -101,12 +101,9 @@
 		pt.t.Fatal(err)
 	}
 	pt.t.Cleanup(func() { netConn.Close() })
-	lookahead, err := newLookaheadConn(netConn)
-	if err != nil {
-		pt.t.Fatal(err)
-	}
+	lookahead := newLookaheadConn(netConn, pt.pool.limits.EngineQueueBytes)
 	c := newConn(pt.pool, "e", pt.listener.Addr().String())
-	c.netConn = netConn
+	c.netConn = lookahead
 	return c, lookahead, pt.accept()
 }
 
--- a/internal/engines/write_test.go
+++ b/internal/engines/write_test.go
@@ -78,10 +78,7 @@
 			conn.mustAdd(t, fmt.Sprint("c", number), number+1)
 		}
 		first, both := conn.queue[0].size(), conn.queuedBytes
-		lookahead, err := newLookaheadConn(&failingConn{Conn: ours, bytesLeft: c.taken(first, both)})
-		if err != nil {
-			t.Fatal(err)
-		}
+		lookahead := newLookaheadConn(&failingConn{Conn: ours, bytesLeft: c.taken(first, both)}, 0)
 		conn.end(conn.serve(lookahead), router.ConnectionReset)
 		for range 2 {
 			if end := (<-pt.events).(AttemptEnded); end.Outcome != c.outcomes[end.Attempt] {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -32,6 +32,7 @@
 	unhandled bool       // the last read returned something, and the reader has not asked for more
 	deadline  time.Time  // the read deadline
 	lateBytes int        // read since the deadline was set to another time and has passed
+	silentAt  time.Time  // see SilentAt
 }
 
 // NewConn returns a Conn that reads from and writes to conn. It reads at most maxLateBytes past a
@@ -53,7 +54,7 @@
 // it is also returned after maxLateBytes, until SetReadDeadline sets another deadline.
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.raw == nil || len(b) == 0 {
-		return c.Conn.Read(b)
+		return c.readBlind(b)
 	}
 	c.buffer = b
 	err := c.raw.Read(c.tryRead)
@@ -69,22 +70,45 @@
 
 // readLate reads what has arrived after the read deadline passed, or returns deadlineErr.
 func (c *Conn) readLate(b []byte, deadlineErr error) (int, error) {
+	lookedAt := time.Now()
 	c.mu.Lock()
 	left := c.maxLateBytes - c.lateBytes
 	c.mu.Unlock()
-	if left <= 0 {
-		return 0, deadlineErr
+	n := 0
+	err := ErrNoInput
+	if left > 0 {
+		n, err = c.ReadArrived(b[:min(len(b), left)])
 	}
-	n, err := c.ReadArrived(b[:min(len(b), left)])
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if errors.Is(err, ErrNoInput) {
+		c.silentAt = lookedAt
 		return 0, deadlineErr
 	}
-	c.mu.Lock()
 	c.lateBytes += n
-	c.mu.Unlock()
 	return n, err
 }
 
+// readBlind reads from a connection whose socket can't be looked at.
+func (c *Conn) readBlind(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.silentAt = time.Now()
+	}
+	return n, err
+}
+
+// SilentAt returns the time until which the peer is known to have sent nothing more than was read:
+// when a read last found its deadline passed and the socket empty. Whoever declares the peer silent
+// compares with this time, not with the clock.
+func (c *Conn) SilentAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silentAt
+}
+
 // SetReadDeadline sets the deadline of reads; zero is none.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
