Discovery: silence and expiry count only once the connection holds nothing

What callers saw: after a stall, queries rejected because the list of engines counted as expired, or sent to an engine whose drain had been told on the open connection.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -22,4 +22,7 @@
 // comes first. A frame is current unless its number is lower than that of the last known update.
 // The expiry is reported once, as an update with ExpiredFor. The next current frame, even one
 // without changes, is reported as an update and ends the expiry.
+//
+// Silence and expiry count only once the connection was found to hold nothing: frames that came
+// while the process had no turn are handled first.
 package discovery
--- a/internal/discovery/reconnect.go
+++ b/internal/discovery/reconnect.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"time"
+
+	"mintkeel/internal/socket"
 )
 
 // minDialTimeout is the minimum timeout of a dial, even if the list is about to expire.
@@ -44,7 +45,7 @@
 }
 
 // dial opens a connection to the current address. If the address changes, SetAddress closes it.
-func (w *Watcher) dial(ctx context.Context) (net.Conn, error) {
+func (w *Watcher) dial(ctx context.Context) (*socket.Conn, error) {
 	w.mu.Lock()
 	address := w.address
 	w.addressChanged = false
@@ -52,10 +53,11 @@
 	timeout := min(w.limits.ConnectTimeout, max(minDialTimeout, time.Until(w.readDeadline())))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := w.dialContext(ctx, "tcp", address)
+	dialled, err := w.dialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	conn := socket.NewConn(dialled, w.limits.DiscoveryFrameBytes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.addressChanged {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -9,6 +9,8 @@
 	"net"
 	"os"
 	"time"
+
+	"mintkeel/internal/socket"
 )
 
 // watch opens a connection and reads updates from it until it ends.
@@ -24,10 +26,11 @@
 
 // readUpdates requests all updates after the last one, and reports them until the connection ends.
 // The error is the reason.
-func (w *Watcher) readUpdates(conn net.Conn) error {
+func (w *Watcher) readUpdates(conn *socket.Conn) error {
 	w.expireIfDue() // an expiry during the dial is no reason to drop the connection
-	conn.SetWriteDeadline(time.Now().Add(w.limits.DiscoverySilenceTimeout))
-	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, w.lastNumber)); err != nil {
+	request := net.Buffers{binary.BigEndian.AppendUint64(nil, w.lastNumber)}
+	writeBy := time.Now().Add(w.limits.DiscoverySilenceTimeout)
+	if _, err := conn.WriteBuffers(&request, writeBy); err != nil {
 		return err
 	}
 	r := bufio.NewReader(conn)
@@ -72,7 +75,7 @@
 // disconnect closes a connection that ended with err, and returns the reason. After a connection
 // broke, the list expires within EndpointListExpiryDisconnected. After a connection fell silent it
 // does not, as EndpointListExpiry covers that case.
-func (w *Watcher) disconnect(conn net.Conn, err error) error {
+func (w *Watcher) disconnect(conn *socket.Conn, err error) error {
 	conn.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -10,6 +10,7 @@
 
 	"mintkeel/internal/limits"
 	"mintkeel/internal/settings"
+	"mintkeel/internal/socket"
 )
 
 // errAddressChanged ends a connection to an address that has been replaced.
@@ -32,9 +33,9 @@
 
 	mu             sync.Mutex // guards all below
 	address        string
-	conn           net.Conn  // nil: not connected
-	addressChanged bool      // since the last dial began
-	expiresAt      time.Time // when the list expires, unless something is received
+	conn           *socket.Conn // nil: not connected
+	addressChanged bool         // since the last dial began
+	expiresAt      time.Time    // when the list expires, unless something is received
 }
 
 // NewWatcher returns a watcher that knows all updates up to lastNumber. Updates are passed to
