Loop: after a time without a turn, what has come is read before the module decides

Cause: the runtime wakes goroutines in no particular order, so a new query reached the loop before the drain or the cancel that had come ahead of it.

`stalls` counts these.

--- a/cmd/mintkeel/start.go
+++ b/cmd/mintkeel/start.go
@@ -38,10 +38,11 @@
 	}
 	d.clients = clients.New(d.limits, &facts.Names, facts.Classes, d.loop.Offer, retryAfter,
 		d.loop.PostClientEvent, d.log)
-	go d.loop.Run(ctx)
-	d.loop.SetRules(d.file.Rules)
 	d.discovery = discovery.NewWatcher(d.config.Discovery, lastUpdate, &facts.Names, d.limits,
 		d.loop.PostEndpoints, d.log)
+	d.loop.SetInputs(d.clients, d.discovery, d.engines)
+	go d.loop.Run(ctx)
+	d.loop.SetRules(d.file.Rules)
 	go d.discovery.Follow(ctx)
 	if d.sources.operatorPath != "" {
 		d.clients.ExpectRules()
--- a/internal/clients/draining.go
+++ b/internal/clients/draining.go
@@ -1,6 +1,10 @@
 package clients
 
-import "time"
+import (
+	"time"
+
+	"mintkeel/internal/socket"
+)
 
 const (
 	// quietLooks is the number of looks in a quiet period.
@@ -49,6 +53,12 @@
 	if s.busySessions > 0 || s.lastQueryAt.After(at) {
 		return true
 	}
+	return s.hasSessionInput()
+}
+
+// hasSessionInput reports whether a session that is not being closed has input that is not handled.
+// mu is held.
+func (s *Server) hasSessionInput() bool {
 	for _, ses := range s.sessions {
 		if !ses.closing.Load() && ses.conn.HasInput() {
 			return true
@@ -57,6 +67,14 @@
 	return false
 }
 
+// HasInput reports whether something that clients have sent is not handled yet, or a connection
+// waits to be accepted.
+func (s *Server) HasInput() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener != nil && socket.HasConnection(s.listener) || s.hasSessionInput()
+}
+
 // Shutdown closes every session as soon as it is idle and has no input, and returns when none is
 // left. A query that arrived before its session began to close is answered, whether or not it was
 // read. Input that is read after that is discarded, so that no query is sent to an engine whose
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -40,6 +40,7 @@
 
 	busySessions int           // sessions with a query whose answer is not written yet
 	lastQueryAt  time.Time     // when a client last sent a query
+	listener     net.Listener  // that Serve accepts from; nil: none
 	draining     bool          // Shutdown or Close was called
 	drained      chan struct{} // closed when no session is left after Shutdown has begun
 	lastLogged   time.Time     // when a client error was last logged
@@ -85,6 +86,9 @@
 // Serve accepts connections until the listener is closed, and serves each on a goroutine of its
 // own. It returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -20,6 +20,7 @@
 	Cancels         int64 // of attempts
 	HealthChecks    int64
 	EndpointUpdates int64
+	Stalls          int64                       // times without a turn, after which inputs were read
 	Outcomes        [router.Withdrawn + 1]int64 // of attempts
 }
 
@@ -56,6 +57,7 @@
 		slog.Int64("cancels", c.Cancels),
 		slog.Int64("probes", c.HealthChecks),
 		slog.Int64("news", c.EndpointUpdates),
+		slog.Int64("stalls", c.Stalls),
 		slog.Attr{Key: "ends", Value: slog.GroupValue(outcomes...)},
 	)
 }
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -61,6 +61,9 @@
 	arrivals  chan clients.QueryArrived // shared: Offer sends, Run receives
 	queueFull atomic.Int64              // shared: queries that Offer did not accept
 
+	inputs []Input // of its events; set before Run
+	turnAt float64 // when it last had a turn, in ms; see hadNoTurn
+
 	events []router.Event // for the next step
 	timer  *time.Timer    // fires when the module has requested a step
 	counts Counts
@@ -106,8 +109,15 @@
 // from New because the Engines need the loop to post their events to.
 func (l *Loop) SetEngines(e Engines) { l.engines = e }
 
+// SetInputs sets the sources of events, which the loop catches up with after a time in which it had
+// no turn. It must be called before Run.
+func (l *Loop) SetInputs(inputs ...Input) { l.inputs = inputs }
+
 // Run handles messages and runs the module until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
+	turns := time.NewTicker(turnInterval)
+	defer turns.Stop()
+	l.turnAt = l.clock()
 	for { // the first step needs no event
 		if stepAgain := l.step(); stepAgain {
 			l.events = append(l.events, router.TimerFired{})
@@ -117,18 +127,39 @@
 			}
 			continue
 		}
+		if !l.awaitEvents(ctx, turns.C) {
+			return
+		}
+		l.drainInbox()
+		l.drainArrivals()
+	}
+}
+
+// awaitEvents waits until there is something to do, and handles the first of it. It reports whether
+// ctx has not ended.
+func (l *Loop) awaitEvents(ctx context.Context, turns <-chan time.Time) bool {
+	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case m := <-l.inbox:
 			l.handle(m)
+			l.catchUp()
+			return true
 		case arrived := <-l.arrivals:
+			l.catchUp() // first, as its client may have disconnected meanwhile
 			l.queryArrived(arrived.Query)
+			return true
 		case <-l.timer.C:
+			l.catchUp()
 			l.events = append(l.events, router.TimerFired{})
+			return true
+		case <-turns:
+			l.catchUp()
+			if len(l.events) > 0 {
+				return true
+			}
 		}
-		l.drainInbox()
-		l.drainArrivals()
 	}
 }
 
@@ -164,6 +195,7 @@
 func (l *Loop) step() (stepAgain bool) {
 	now := l.clock()
 	actions := l.module.Step(now, l.events)
+	l.awaitRead()
 	stepAgain = l.orderingKeyFreed
 	l.orderingKeyFreed = false
 	clear(l.events)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -71,3 +71,10 @@
 		w.conn.Close()
 	}
 }
+
+// HasInput reports whether a frame that has arrived is not handled yet.
+func (w *Watcher) HasInput() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.conn != nil && w.conn.HasInput()
+}
--- a/internal/engines/conn.go
+++ b/internal/engines/conn.go
@@ -106,6 +106,13 @@
 	return c.usable() && c.netConn != nil
 }
 
+// hasInput reports whether something that the engine has sent is not handled yet.
+func (c *conn) hasInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usable() && c.netConn != nil && c.netConn.HasInput()
+}
+
 // idleSince returns when the connection was last used, and whether it is established and idle.
 func (c *conn) idleSince() (since time.Time, idle bool) {
 	if c.openAttempts() > 0 {
--- a/internal/engines/pool.go
+++ b/internal/engines/pool.go
@@ -78,6 +78,16 @@
 	go p.report(AttemptEnded{Query: query, Attempt: id, Outcome: router.NotSent})
 }
 
+// HasInput reports whether something that an engine has sent is not handled yet.
+func (p *Pool) HasInput() bool {
+	for _, e := range p.engines {
+		if slices.ContainsFunc(e.conns, (*conn).hasInput) {
+			return true
+		}
+	}
+	return false
+}
+
 // CancelAttempt gives an attempt up. Its AttemptEnded still follows, once the engine has confirmed
 // the cancel or PingTimeout has passed.
 func (p *Pool) CancelAttempt(query *request.Query, id router.AttemptID, to router.EngineID) {
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -23,7 +23,7 @@
 
 func closeListener(listener net.Listener, maxLooks int) error {
 	for range maxLooks {
-		if !hasConnection(listener) {
+		if !HasConnection(listener) {
 			break
 		}
 		time.Sleep(queueLookInterval)
@@ -31,9 +31,9 @@
 	return listener.Close()
 }
 
-// hasConnection reports whether a connection waits to be accepted. It reports none for a listener
+// HasConnection reports whether a connection waits to be accepted. It reports none for a listener
 // that has no descriptor.
-func hasConnection(listener net.Listener) bool {
+func HasConnection(listener net.Listener) bool {
 	sys, ok := listener.(syscall.Conn)
 	if !ok {
 		return false
