Links: a deadline of an incoming link counts only once its socket was found empty

What callers saw: nothing recorded; a link between controllers that ended with a frame in it after a stall, so that a message had to be repeated.

--- a/internal/fleet/links/incoming.go
+++ b/internal/fleet/links/incoming.go
@@ -7,6 +7,7 @@
 
 	"mintkeel/internal/core/fleet/members"
 	"mintkeel/internal/fleet/frames"
+	"mintkeel/internal/socket"
 )
 
 // acceptBackoff is the delay after Accept failed, as the process may have run out of descriptors.
@@ -37,7 +38,12 @@
 
 func (l *Links) acceptConnections(listener net.Listener) {
 	for {
-		conn, err := listener.Accept()
+		accepted, err := listener.Accept()
+		var conn net.Conn
+		if err == nil {
+			// Frames that came while the process had no turn are read before a deadline ends the connection.
+			conn = socket.NewConn(accepted, frames.MaxPayloadBytes)
+		}
 		switch {
 		case err == nil && l.admitIncoming(conn):
 			l.group.Go(func() { l.serveIncoming(conn) })
