Reload and start: files that were read are used although their time has passed

What callers saw: nothing recorded. A SIGHUP could be dropped ("not read within 2 s") by a controller that stood still while it read the files, and with it the new address of discovery.

Cause: a select between the result and a timer takes either if both are there, and after a time without a turn both may be there.

--- a/cmd/mintkeel/reload.go
+++ b/cmd/mintkeel/reload.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"time"
 
+	"mintkeel/internal/await"
 	"mintkeel/internal/fleet"
 	"mintkeel/internal/operator"
 )
@@ -162,15 +163,11 @@
 		value, err := read()
 		reply <- result{value, err}
 	}()
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	select {
-	case r := <-reply:
-		return r.value, r.err
-	case <-timer.C:
-		var none T
-		return none, fmt.Errorf("not read within %v", within)
+	r, ok := await.Result(reply, within)
+	if !ok {
+		return r.value, fmt.Errorf("not read within %v", within)
 	}
+	return r.value, r.err
 }
 
 // errRulesBusy means that the event loop accepts no new rules at the moment; a retry may succeed.
--- a/internal/memory/load.go
+++ b/internal/memory/load.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"time"
 
+	"mintkeel/internal/await"
 	"mintkeel/internal/core/restore"
 	"mintkeel/internal/limits"
 	"mintkeel/internal/store/disk"
@@ -121,16 +121,13 @@
 		stored, results, err := Load(d, FileBounds(l))
 		reply <- loadReply{stored, results, err}
 	}()
-	timer := time.NewTimer(l.SnapshotReadTimeout)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	loaded, ok := await.Result(reply, l.SnapshotReadTimeout)
+	if !ok {
 		log.Warn("snapshot not read in time, starting without statistics", "after", l.SnapshotReadTimeout)
 		return nil
-	case reply := <-reply:
-		logResults(reply.results, reply.err, log)
-		return reply.stored
 	}
+	logResults(loaded.results, loaded.err, log)
+	return loaded.stored
 }
 
 func logResults(results []ReadResult, err error, log *slog.Logger) {
