Clients: one way to close sessions, and a late cancel above the limit is heeded by a test

Change: endWrites and discardInput replace beginClose; what Close cuts off at the end of a shutdown's time is counted (ended_unread) and logged.

--- a/internal/clients/closereason.go
+++ b/internal/clients/closereason.go
@@ -19,22 +19,8 @@
 	closeReasons
 )
 
-var closeReasonNames = [closeReasons]string{"idle", "evicted", "shutdown", "ended"}
-
-// String returns the name of the reason in the log.
-func (r closeReason) String() string { return closeReasonNames[r] }
-
-// closeCounts counts the sessions that the server has closed, by reason.
+// closeCounts counts the sessions that the server has closed.
 type closeCounts struct {
-	closed [closeReasons]atomic.Int64
-	unread atomic.Int64 // with unread input, other than by closeEnded
-}
-
-// recordClose counts the close of a session. A query among unread input gets no answer. mu is held.
-func (s *Server) recordClose(ses *session, reason closeReason) {
-	s.counts.closes.closed[reason].Add(1)
-	ses.closeReason = reason
-	if ses.closedUnread {
-		s.counts.closes.unread.Add(1)
-	}
+	byReason [closeReasons]atomic.Int64
+	unread   atomic.Int64 // closed by Close, with unread input: a query among it is lost
 }
--- a/internal/clients/connections.go
+++ b/internal/clients/connections.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// closeUnlessInput closes a session, as beginClose does, unless its client has sent something that
-// the session has not handled. It reports whether the session is being closed. mu is held.
+// closeUnlessInput starts to close a session, unless its client has sent something that the session
+// has not handled, and reports whether the session is being closed. mu is held.
 func (s *Server) closeUnlessInput(ses *session, reason closeReason) bool {
 	if ses.closing.Load() {
 		return true
@@ -184,25 +184,25 @@
 	return s.closeUnlessInput(ses, closeIdle)
 }
 
-// beginClose starts to close a session: from here on its input is discarded, and its client reads
-// the end of the stream. The session's goroutine keeps reading, within bounds, until the client
-// closes its side as well (endSession). mu is held.
-func (s *Server) beginClose(ses *session, reason closeReason) {
+// endWrites shuts down the write side of a session that has ended, unless that was done before.
+// mu is held.
+func (s *Server) endWrites(ses *session) {
 	if ses.closing.Load() {
 		return
 	}
-	ses.closedUnread = reason != closeEnded && ses.conn.HasInput()
 	ses.conn.CloseWrite()
-	s.discardInput(ses, reason)
+	s.discardInput(ses, closeEnded)
 }
 
-// discardInput marks a session as being closed, whose write side is shut down. mu is held.
+// discardInput marks a session as being closed, whose write side is shut down: from here on its
+// input is discarded, and its client reads the end of the stream. The session's goroutine keeps
+// reading, within bounds, until the client closes its side as well (endSession). mu is held.
 func (s *Server) discardInput(ses *session, reason closeReason) {
 	ses.closing.Store(true)
 	s.unmarkIdle(ses)
 	ses.idleSince = time.Now()
 	s.markIdle(ses, idleClosing)
-	s.recordClose(ses, reason)
+	s.counts.closes.byReason[reason].Add(1)
 	ses.conn.SetReadDeadline(ses.idleSince.Add(s.limits.ClientCloseTimeout))
 }
 
@@ -210,14 +210,8 @@
 // session's goroutine calls it last.
 func (s *Server) endSession(ses *session) {
 	s.mu.Lock()
-	s.beginClose(ses, closeEnded)
-	closedUnread := ses.closedUnread
-	reason := ses.closeReason
+	s.endWrites(ses)
 	s.mu.Unlock()
-	if closedUnread {
-		s.log.Warn("session closed with unread input", "why", reason.String(),
-			"from", ses.conn.RemoteAddr().String())
-	}
 	io.CopyN(io.Discard, ses.conn, s.limits.ClientDrainBytes)
 	ses.conn.Close()
 	s.mu.Lock()
--- a/internal/clients/doc.go
+++ b/internal/clients/doc.go
@@ -30,7 +30,7 @@
 //
 // # Closing a session
 //
-// Every session is closed in the same way (beginClose, endSession): its write side is shut down,
+// Every session is closed in the same way (discardInput, endSession): its write side is shut down,
 // further input is read and discarded within ClientCloseTimeout and ClientDrainBytes, and then the
 // connection is closed. Closing a connection with unread input would reset it, and the client could
 // lose an answer that it has not read yet.
--- a/internal/clients/draining.go
+++ b/internal/clients/draining.go
@@ -121,13 +121,25 @@
 	return open
 }
 
-// Close closes all connections at once, without waiting for open queries.
+// Close closes all connections at once, without waiting for open queries. It logs how many of them
+// had unread input, as a query among it is lost.
 func (s *Server) Close() {
+	unread := s.closeConnections()
+	if unread > 0 {
+		s.counts.closes.unread.Add(unread)
+		s.log.Warn("sessions closed with unread input", "sessions", unread)
+	}
+}
+
+func (s *Server) closeConnections() (unread int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
 	for _, ses := range s.sessions {
-		ses.closing.Store(true)
+		if !ses.closing.Swap(true) && ses.conn.HasInput() {
+			unread++
+		}
 		ses.conn.Close()
 	}
+	return unread
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -170,8 +170,8 @@
 		slog.Int64("queries", c.queries.Load()),
 		slog.Int64("bad_queries", c.badQueries.Load()),
 		slog.Int64("cancels", c.cancels.Load()),
-		slog.Int64("ended_idle", c.closes.closed[closeIdle].Load()),
-		slog.Int64("ended_shutdown", c.closes.closed[closeShutdown].Load()),
+		slog.Int64("ended_idle", c.closes.byReason[closeIdle].Load()),
+		slog.Int64("ended_shutdown", c.closes.byReason[closeShutdown].Load()),
 		slog.Int64("ended_unread", c.closes.unread.Load()),
 	)
 }
--- a/internal/clients/session.go
+++ b/internal/clients/session.go
@@ -37,9 +37,6 @@
 	idleElement *list.Element // its element in the server's list of idle sessions; nil: it is not idle
 	idleKind    idleKind      // of idleElement
 
-	closeReason  closeReason // for which it was closed
-	closedUnread bool        // input was unread when it was closed
-
 	closing atomic.Bool // input is discarded from now on; set under the server's mutex
 
 	// Accessed also by other sessions, for cancel requests:
@@ -194,9 +191,9 @@
 }
 
 // setReadTimeout sets the deadline of the next reads. For a session that is being closed it is
-// ClientCloseTimeout: beginClose sets the closing flag and then the deadline, while setReadTimeout
-// sets the deadline and then reads the flag, so in either order the deadline of the close is set
-// last.
+// ClientCloseTimeout: discardInput sets the closing flag and then the deadline, while
+// setReadTimeout sets the deadline and then reads the flag, so in either order the deadline of the
+// close is set last.
 func (ses *session) setReadTimeout(timeout time.Duration) {
 	l := ses.server.limits
 	deadline := time.Now().Add(timeout)
--- a/internal/clients/unread_test.go
+++ b/internal/clients/unread_test.go
@@ -204,3 +204,27 @@
 	p.conn.resume <- true
 	p.expectAnswer()
 }
+
+// TestCancelBeforeRejectTimeoutPasses guards against a lost cancel: it came on a connection above the limit, whose time for
+// a start-up message has passed while the process had no turn. Its query would run on for a client that has gone.
+func TestCancelBeforeRejectTimeoutPasses(t *testing.T) {
+	st := newServerTest(t, func(l *limits.Limits) { l.ClientConnections, l.ClientCloseTimeout = 1, passed })
+	conn := st.connect(startMessage)
+	_, key := st.readUntil(conn, "Z")
+	<-st.conns
+	conn.Write(queryMessage(queryText))
+	query := st.nextQuery()
+	st.pauseNew.Store(true)
+	p := &pausedSession{st, st.connect(), <-st.conns}
+	p.conn.awaitPause(t)
+	p.send(startUpMessage(cancelCode, string(key)))
+	p.conn.resume <- true
+	select {
+	case ev := <-st.events:
+		if ev != any(ClientDisconnected{query}) {
+			t.Errorf("got event %+v, want ClientDisconnected", ev)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the cancel was not heeded in time")
+	}
+}
