--- a/internal/lab/fleet/processes_watch.go
+++ b/internal/lab/fleet/processes_watch.go
@@ -122,12 +122,10 @@
 		}
 		group.Go(func() {
 			const limit = 1500 * time.Millisecond
-			c, err := standin.Dial(context.Background(), n.serveAddr, time.Second)
-			verdict := standin.Lost
-			if err == nil {
-				verdict, _ = c.Query(fmt.Sprintf("verb=lookup,txn=%016x,cpu=5.0", id), fmt.Sprintf("SELECT WORK(5) FROM sales_%d.orders", tables), limit)
-				c.Close()
-			}
+			fields := fmt.Sprintf("verb=lookup,txn=%016x,cpu=5.0", id)
+			statement := fmt.Sprintf("SELECT WORK(5) FROM sales_%d.orders", tables)
+			verdict, err := standin.Ask(context.Background(), n.serveAddr, fields, statement, limit)
+			took := time.Since(began)
 			n.mu.Lock()
 			out := n.cmd == nil || n.stopped || began.Before(n.downUntil)
 			n.mu.Unlock()
@@ -147,6 +145,7 @@
 				r.report.Failed++
 			case standin.Lost:
 				r.report.Lost++
+				r.logf("%s: no answer after %v: %v", n.name, took.Round(time.Millisecond), err)
 			}
 		})
 	}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"time"
+
+	"mintkeel/internal/socket"
 )
 
 // Verdict is the result of a command for its client.
@@ -28,6 +30,17 @@
 	r    *bufio.Reader
 }
 
+// startUp is the start-up message of a session.
+const startUp = "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00"
+
+const (
+	// answerSlack is how long after a command's limit its final answer may still come: half a second,
+	// and the 50 ms by which all limits are longer on sockets.
+	answerSlack = 550 * time.Millisecond
+	// maxLateBytes bounds an answer that has arrived in time and is read later.
+	maxLateBytes = 1 << 20
+)
+
 // Dial opens a session within a time.
 func Dial(ctx context.Context, addr string, within time.Duration) (*Client, error) {
 	dialer := net.Dialer{Timeout: within}
@@ -37,7 +50,7 @@
 	}
 	c := &Client{conn, bufio.NewReader(conn)}
 	conn.SetDeadline(time.Now().Add(within))
-	_, err = io.WriteString(conn, "\x00\x00\x00\x20\x00\x03\x00\x00user\x00app\x00database\x00core\x00\x00")
+	_, err = io.WriteString(conn, startUp)
 	if err == nil {
 		_, _, err = c.reply()
 	}
@@ -48,6 +61,30 @@
 	return c, nil
 }
 
+// Ask opens a session, with a command right behind the start-up message, and returns the verdict on
+// the command. It is Lost if its whole answer has not come by the limit and answerSlack after its
+// last byte was written. An answer that came by then counts also if this process reads it later, as
+// it had no turn.
+func Ask(ctx context.Context, addr, fields, statement string, limit time.Duration) (Verdict, error) {
+	dialer := net.Dialer{Timeout: limit + answerSlack}
+	dialled, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return Lost, err
+	}
+	conn := socket.NewConn(dialled, maxLateBytes)
+	defer conn.Close()
+	c := &Client{conn, bufio.NewReader(conn)}
+	message := net.Buffers{[]byte(startUp), queryMessage(fields, statement, limit)}
+	if _, err := conn.WriteBuffers(&message, time.Now().Add(limit)); err != nil {
+		return Lost, err
+	}
+	conn.SetReadDeadline(time.Now().Add(limit + answerSlack))
+	if _, _, err := c.reply(); err != nil {
+		return Lost, fmt.Errorf("opening the session: %w", err)
+	}
+	return c.verdict()
+}
+
 // Close ends the session.
 func (c *Client) Close() { c.conn.Close() }
 
@@ -107,11 +144,21 @@
 
 // Query sends a command and waits for its answer, up to its limit and 200 ms more.
 func (c *Client) Query(fields string, statement string, limit time.Duration) (Verdict, error) {
-	body := fmt.Sprintf("/* %s,limit=%d */ %s\x00", fields, limit.Milliseconds(), statement)
 	c.conn.SetDeadline(time.Now().Add(limit + 200*time.Millisecond))
-	if _, err := fmt.Fprintf(c.conn, "Q%s%s", binary.BigEndian.AppendUint32(nil, uint32(4+len(body))), body); err != nil {
+	if _, err := c.conn.Write(queryMessage(fields, statement, limit)); err != nil {
 		return Lost, err
 	}
+	return c.verdict()
+}
+
+// queryMessage returns the message of a command.
+func queryMessage(fields, statement string, limit time.Duration) []byte {
+	body := fmt.Sprintf("/* %s,limit=%d */ %s\x00", fields, limit.Milliseconds(), statement)
+	return append(binary.BigEndian.AppendUint32([]byte{'Q'}, uint32(4+len(body))), body...)
+}
+
+// verdict reads the answer to a command.
+func (c *Client) verdict() (Verdict, error) {
 	complete, code, err := c.reply()
 	switch {
 	case err != nil:
