Loop: what comes during a step, or between two at once, is read ahead of its actions

What callers saw: nothing recorded; found by reading the change once more. A stall that begins within a step let a drain told meanwhile come one step late, and one between two steps that follow each other at once let the second decide without what had come.

Cause: the look for unread input stood where the loop waits, and after a step it handled no drains, as the actions rely on the queries in flight.

Change: the look stands ahead of each step. Between a step and its actions changes of the endpoint list are handled, and all other messages wait until the actions are carried out.

--- a/internal/controller/catchup.go
+++ b/internal/controller/catchup.go
@@ -53,22 +53,54 @@
 	l.turnAt = l.clock()
 }
 
-// awaitRead is catchUp between a step and its actions. What arrives is not handled yet, but queries
-// whose clients disconnect are marked by their sessions, and are not sent any more.
-func (l *Loop) awaitRead() {
+// catchUpDuringStep is catchUp between a step and its actions. Only changes of the endpoint list
+// are handled: the Engines then refuse attempts on an engine that has come to drain. The actions
+// rely on the queries in flight, so all else is deferred until they are carried out; queries whose
+// clients disconnect are marked by their sessions, and are not sent any more.
+func (l *Loop) catchUpDuringStep() {
 	if !l.hadNoTurn() {
 		return
 	}
 	l.counts.Stalls++
+	l.deferInbox()
 	for range catchUpLooks {
 		if !l.hasInput() {
 			break
 		}
 		time.Sleep(catchUpPause)
+		l.deferInbox()
 	}
+	l.deferInbox()
 	l.turnAt = l.clock()
 }
 
+// deferInbox handles the changes of the endpoint list that are in the inbox, and defers the other
+// messages, as many as the inbox can hold.
+func (l *Loop) deferInbox() {
+	for len(l.deferred) < cap(l.inbox) {
+		select {
+		case m := <-l.inbox:
+			switch m.(type) {
+			case endpointsMessage, holdMessage:
+				l.handle(m)
+			default:
+				l.deferred = append(l.deferred, m)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// handleDeferred handles the deferred messages in order.
+func (l *Loop) handleDeferred() {
+	for _, m := range l.deferred {
+		l.handle(m)
+	}
+	clear(l.deferred)
+	l.deferred = l.deferred[:0]
+}
+
 // hasInput reports whether something that has arrived is not handled yet.
 func (l *Loop) hasInput() bool {
 	return slices.ContainsFunc(l.inputs, Input.HasInput)
--- a/internal/controller/catchup_test.go
+++ b/internal/controller/catchup_test.go
@@ -8,6 +8,7 @@
 
 	"mintkeel/internal/clients"
 	"mintkeel/internal/discovery"
+	"mintkeel/internal/engines"
 	"mintkeel/internal/request"
 	"mintkeel/router"
 )
@@ -98,17 +99,79 @@
 	s := newStalledLoop(u)
 	s.turnAt = 0
 	s.queryArrived(query)
-	clockReads := 0
-	s.clock = func() float64 {
-		clockReads++
-		return float64(1000 * (clockReads - 1)) // the second reading follows the step
-	}
+	s.stallDuringStep()
 	s.step()
 	if got := <-s.recorder.started; got.Answer().Verdict != request.Disconnected {
 		t.Errorf("the attempt started with answer %v, want Disconnected", got.Answer().Verdict)
 	}
 }
 
+// stallDuringStep has the clock jump within the next step: its first two readings come ahead of the module's step.
+func (s *stalledLoop) stallDuringStep() {
+	readings := 0
+	s.clock = func() float64 {
+		readings++
+		if readings <= 2 {
+			return 0
+		}
+		return 1000
+	}
+}
+
+// orderRecorder records whether the engine drained when an attempt was started on it.
+type orderRecorder struct {
+	*engineRecorder
+	draining        bool
+	startedDraining []bool // for each attempt
+}
+
+func (r *orderRecorder) UpdateEndpoints(endpoints []engines.Endpoint, _ bool) {
+	r.draining = endpoints[0].State == router.Draining
+}
+
+func (r *orderRecorder) StartAttempt(*request.Query, router.AttemptID, router.EngineID, time.Duration, time.Duration) {
+	r.startedDraining = append(r.startedDraining, r.draining)
+}
+
+// TestDrainDuringStep guards against an attempt on an engine whose drain was told while the process had no turn between a step
+// and its actions. The Engines know of the drain first and refuse the attempt; what else came is handled after the actions.
+func TestDrainDuringStep(t *testing.T) {
+	u := &unreadInput{}
+	s := newStalledLoop(u)
+	recorder := &orderRecorder{engineRecorder: s.recorder}
+	s.SetEngines(recorder)
+	counts := make(chan Counts, 1)
+	draining := engineList("e")
+	draining.Endpoints[0].State = router.Draining
+	u.read = func() {
+		s.post(countsRequest{counts})
+		s.PostEndpoints(draining)
+	}
+	s.turnAt = 0
+	s.queryArrived(newQuery("c1"))
+	s.stallDuringStep()
+	again := s.step()
+	if len(recorder.startedDraining) != 1 || !recorder.startedDraining[0] {
+		t.Fatalf("attempts started with the drain known: %v, want one, which the Engines refuse", recorder.startedDraining)
+	}
+	if got := (<-counts).Attempts; got != 1 || !again {
+		t.Errorf("deferred message saw %d attempts, next step at once %t; want it handled after the attempt, and true", got, again)
+	}
+}
+
+// TestStallBetweenSteps guards against a step that follows another at once, after a time without a turn between the two, and
+// decides without what came.
+func TestStallBetweenSteps(t *testing.T) {
+	cancelled := newQuery("c1")
+	s := newStalledLoop(&unreadInput{read: func() { cancelled.Finish(request.Answer{Verdict: request.Disconnected}) }})
+	s.turnAt = 0
+	s.now.Store(1000)
+	s.step()
+	if cancelled.Answer().Verdict != request.Disconnected {
+		t.Error("the step did not have the inputs read")
+	}
+}
+
 // An input that is never empty holds up the loop for a bounded number of looks.
 func TestCatchUpGivesUp(t *testing.T) {
 	u := &endlessInput{}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -64,6 +64,8 @@
 	inputs []Input // of its events; set before Run
 	turnAt float64 // when it last had a turn, in ms; see hadNoTurn
 
+	deferred []message // until the actions of the current step are carried out
+
 	events []router.Event // for the next step
 	timer  *time.Timer    // fires when the module has requested a step
 	counts Counts
@@ -190,16 +192,17 @@
 }
 
 // step passes the events to the module and carries out its actions in order. It reports whether the
-// next step should follow at once: if many attempts were started, or if an ordering key was freed,
-// whose next query the module starts in its next step.
+// next step should follow at once: if many attempts were started, if an ordering key was freed,
+// whose next query the module starts in its next step, or if events came during the step.
 func (l *Loop) step() (stepAgain bool) {
+	l.catchUp()
 	now := l.clock()
 	actions := l.module.Step(now, l.events)
-	l.awaitRead()
 	stepAgain = l.orderingKeyFreed
 	l.orderingKeyFreed = false
 	clear(l.events)
 	l.events = l.events[:0]
+	l.catchUpDuringStep()
 	started := 0
 	for _, action := range actions {
 		if _, ok := action.(router.StartAttempt); ok {
@@ -207,5 +210,6 @@
 		}
 		l.perform(action, now)
 	}
-	return stepAgain || started >= minAttemptsToStepAgain
+	l.handleDeferred()
+	return stepAgain || started >= minAttemptsToStepAgain || len(l.events) > 0
 }
