Shutdown: a look that finds a query does not count as a quiet one

Change: the count begins anew at none. No test of its own: the length of the quiet period is not forced by any test; tests of clients pass.

--- a/internal/clients/draining.go
+++ b/internal/clients/draining.go
@@ -31,13 +31,14 @@
 	look := time.NewTicker(quiet / quietLooks)
 	defer look.Stop()
 	lastLook := time.Now()
-	for quietFor := 0; quietFor < quietLooks; quietFor++ {
+	for quietFor := 0; quietFor < quietLooks; {
 		select {
 		case <-giveUp.C:
 			return
 		case <-look.C:
 		}
 		now := time.Now()
+		quietFor++
 		if s.activeSince(lastLook) {
 			quietFor = 0
 		}
