--- /dev/null
+++ b/review/rig-2/engine.go
@@ -0,0 +1,230 @@
+//go:build review2
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// arrival is an attempt that came whole to an engine.
+type arrival struct {
+	at        time.Time
+	engine    string
+	id        string
+	profile   string
+	statement string
+	outcome   string // ACK, AGAIN, EIO, or "given up"; empty while it runs
+	endedAt   time.Time
+}
+
+// fleet is all engines of a run and what came to them, in order.
+type fleet struct {
+	r      *rig
+	mu     sync.Mutex
+	came   []*arrival
+	lost   int
+	notes  time.Duration // between two notes of progress; 0: none
+	report bool
+	// behave is asked how an attempt ends at once; empty: it runs for its WORK.
+	behave func(e *engine, a *arrival) string
+}
+
+// engine is a stand-in for an engine, which runs all attempts side by side, each for the time that
+// its statement names as WORK(ms).
+type engine struct {
+	f        *fleet
+	number   uint32
+	name     string
+	address  string
+	zone     int
+	kind     int
+	listener net.Listener
+
+	mu       sync.Mutex
+	draining bool
+	inflight int
+}
+
+func (f *fleet) start(number uint32, kind int) *engine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.r.must(err)
+	e := &engine{f: f, number: number, name: fmt.Sprintf("s-%08x", number), kind: kind,
+		address: l.Addr().String(), listener: l}
+	f.r.atEnd(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+// setDraining has the engine turn new attempts away, as one that drains does.
+func (e *engine) setDraining() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+}
+
+func between(text, from, to string) string {
+	_, rest, _ := strings.Cut(text, from)
+	part, _, _ := strings.Cut(rest, to)
+	return part
+}
+
+// serve reads lines until the connection ends, which gives up all that is open on it.
+func (e *engine) serve(c net.Conn) {
+	defer c.Close()
+	var mu sync.Mutex
+	open := map[string]*arrival{}
+	write := func(line string) { c.Write([]byte(line)) }
+	end := func(a *arrival, outcome string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if open[a.id] != a {
+			return false
+		}
+		delete(open, a.id)
+		e.finish(a, outcome)
+		return true
+	}
+	defer func() {
+		mu.Lock()
+		left := open
+		open = map[string]*arrival{}
+		mu.Unlock()
+		for _, a := range left {
+			e.finish(a, "given up")
+		}
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		if len(words) < 2 {
+			return
+		}
+		switch words[0] {
+		case "ping":
+			write(fmt.Sprintf("%s READY %s 0\r\n\r\n", words[1], e.load("")))
+		case "undo":
+			mu.Lock()
+			a := open[words[1]]
+			mu.Unlock()
+			if a != nil {
+				end(a, "given up")
+			}
+		case "do":
+			length, err := strconv.Atoi(words[len(words)-1])
+			if err != nil || len(words) != 4 {
+				return
+			}
+			statement := make([]byte, length+2)
+			if _, err := io.ReadFull(reader, statement); err != nil {
+				return
+			}
+			a := &arrival{at: time.Now(), engine: e.name, id: words[1], statement: string(statement[:length])}
+			a.profile = between(","+words[2]+",", ",profile=", ",")
+			e.f.add(a)
+			mu.Lock()
+			open[a.id] = a
+			mu.Unlock()
+			e.mu.Lock()
+			e.inflight++
+			draining := e.draining
+			e.mu.Unlock()
+			outcome := ""
+			if draining {
+				outcome = "AGAIN"
+			} else if e.f.behave != nil {
+				outcome = e.f.behave(e, a)
+			}
+			if outcome != "" {
+				if end(a, outcome) {
+					write(fmt.Sprintf("%s %s %s 0\r\n\r\n", a.id, outcome, e.load("")))
+				}
+				continue
+			}
+			go e.runAttempt(a, write, end, func() bool { mu.Lock(); defer mu.Unlock(); return open[a.id] == a })
+		}
+	}
+}
+
+// runAttempt ends an attempt after its work, and tells how far it is on the way.
+func (e *engine) runAttempt(a *arrival, write func(string), end func(*arrival, string) bool, isOpen func() bool) {
+	work, err := strconv.ParseFloat(between(a.statement, "WORK(", ")"), 64)
+	if err != nil {
+		work = 1
+	}
+	began := time.Now()
+	until := began.Add(time.Duration(work * float64(time.Millisecond)))
+	for e.f.notes > 0 && time.Until(until) > e.f.notes {
+		time.Sleep(e.f.notes)
+		if !isOpen() {
+			return
+		}
+		share := float64(time.Since(began)) / float64(until.Sub(began))
+		write(fmt.Sprintf("%s EVENT remark=progress,value=%.3f 0\r\n\r\n", a.id, share))
+	}
+	time.Sleep(time.Until(until))
+	if end(a, "ACK") {
+		write(fmt.Sprintf("%s ACK %s 6\r\na\tb\tc\n\r\n", a.id, e.load("parts=1")))
+	}
+}
+
+// load returns the fields of an answer with a load report where the settings say so.
+func (e *engine) load(fields string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.f.report {
+		if fields != "" {
+			fields += ","
+		}
+		fields += fmt.Sprintf("report=inflight:%d;util:%.2f", e.inflight, min(1, float64(e.inflight)/12))
+	}
+	if fields == "" {
+		return "-"
+	}
+	return fields
+}
+
+func (e *engine) finish(a *arrival, outcome string) {
+	e.mu.Lock()
+	e.inflight--
+	e.mu.Unlock()
+	e.f.mu.Lock()
+	a.outcome, a.endedAt = outcome, time.Now()
+	e.f.mu.Unlock()
+	e.f.r.note("engine %s ends %s: %s", a.engine, a.id, outcome)
+}
+
+func (f *fleet) add(a *arrival) {
+	f.mu.Lock()
+	f.came = append(f.came, a)
+	f.mu.Unlock()
+	f.r.note("engine %s gets %s %s: %.90s", a.engine, a.profile, a.id, a.statement)
+}
+
+// arrivals returns copies of the attempts that have come so far.
+func (f *fleet) arrivals() (list []arrival) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.came {
+		list = append(list, *a)
+	}
+	return list
+}
