Review rig: the controller ends with its rig, however the rig ends

Cause: a rig that is killed left its controller behind. Change: the controller gets SIGKILL when its parent ends.

--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -124,6 +125,7 @@
 	defer log.Close()
 	c.cmd = exec.Command("/bin/sh", "-c", r.deployRun())
 	c.cmd.Dir = r.root
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive this process
 	c.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.folder, "TMPDIR=" + r.folder,
 		"PROXY_NAME=n1", "PROXY_LISTEN=" + c.listen, "PROXY_CONFIG=" + path}
 	if operator != "" {
@@ -236,6 +238,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // Pdeathsig goes by the thread that started the process
 	name := flag.String("case", "", "the case to play")
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
