--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -10,8 +10,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*rig){
-	"lost":  lost,
-	"order": order,
+	"lost": lost,
 }
 
 // deployment is a started deployment.
@@ -96,61 +95,3 @@
 		r.breaks("the controller ended: %s", d.controller.log())
 	}
 }
-
-// order: rule 5. The controller stands still for a time, again and again. Loads of one key come
-// meanwhile on different sessions, at least 60 ms apart. They have to run in the order in which they
-// were written.
-func order(r *rig) {
-	const (
-		stall  = 900 * time.Millisecond
-		pause  = 2500 * time.Millisecond
-		rounds = 5
-		loads  = 4
-	)
-	d := r.deploy(tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
-	written := map[string]int{} // number of a load among those of its key
-	keyOf := map[string]string{}
-	for round := range rounds {
-		key := newID()
-		var sessions []*session
-		for range loads {
-			sessions = append(sessions, d.session(r, "lookup"))
-		}
-		time.Sleep(400 * time.Millisecond)
-		var wait sync.WaitGroup
-		ask := func() {
-			for n, s := range sessions {
-				time.Sleep(100 * time.Millisecond)
-				id, text := query("load", 12000, ",item="+key+",unique="+newID()+newID(),
-					fmt.Sprintf("INSERT INTO sales_%d.orders VALUES (WORK(150), %d)", round+20, n+1))
-				written[id], keyOf[id] = n+1, key
-				at, err := s.send(text)
-				r.must(err)
-				r.note("client: load %d of key %s written: %s", n+1, key, id)
-				wait.Go(func() {
-					p := s.await(at.Add(13 * time.Second))
-					r.note("client: load %s: %s after %d ms", id, p.verdict(), p.at.Sub(at).Milliseconds())
-				})
-			}
-		}
-		if r.trouble {
-			d.controller.standStill(stall, ask)
-		} else {
-			ask()
-		}
-		wait.Wait()
-		time.Sleep(pause - stall)
-	}
-	last := map[string]int{}
-	for _, a := range d.fleet.arrivals() {
-		n := written[a.id]
-		if n == 0 {
-			continue
-		}
-		key := keyOf[a.id]
-		if n < last[key] {
-			r.breaks("load %d of key %s came to %s after load %d, which was written later", n, key, a.engine, last[key])
-		}
-		last[key] = max(last[key], n)
-	}
-}
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -20,6 +20,8 @@
 	id        string
 	profile   string
 	statement string
+	replay    string // the idempotency key
+	dropped   bool   // the engines know its key, so it has no effect
 	outcome   string // ACK, AGAIN, EIO, or "given up"; empty while it runs
 	endedAt   time.Time
 }
@@ -32,6 +34,9 @@
 	lost   int
 	notes  time.Duration // between two notes of progress; 0: none
 	report bool
+	// Engines drop repeats of a key for this long after it first came to one of them; 0: they don't.
+	remember time.Duration
+	keys     map[string]time.Time
 	// behave is asked how an attempt ends at once; empty: it runs for its WORK.
 	behave func(e *engine, a *arrival) string
 }
@@ -50,13 +55,15 @@
 	mu       sync.Mutex
 	draining bool
 	inflight int
+	conns    map[net.Conn]bool
+	slow     func(now time.Time) float64 // factor of the usual run time; nil: 1
 }
 
 func (f *fleet) start(number uint32, kind int) *engine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.r.must(err)
 	e := &engine{f: f, number: number, name: fmt.Sprintf("s-%08x", number), kind: kind,
-		address: l.Addr().String(), listener: l}
+		address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}}
 	f.r.atEnd(func() { l.Close() })
 	go func() {
 		for {
@@ -85,7 +92,15 @@
 
 // serve reads lines until the connection ends, which gives up all that is open on it.
 func (e *engine) serve(c net.Conn) {
-	defer c.Close()
+	e.mu.Lock()
+	e.conns[c] = true
+	e.mu.Unlock()
+	defer func() {
+		c.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.conns, c)
+	}()
 	var mu sync.Mutex
 	open := map[string]*arrival{}
 	write := func(line string) { c.Write([]byte(line)) }
@@ -139,6 +154,7 @@
 			}
 			a := &arrival{at: time.Now(), engine: e.name, id: words[1], statement: string(statement[:length])}
 			a.profile = between(","+words[2]+",", ",profile=", ",")
+			a.replay = between(","+words[2]+",", ",replay=", ",")
 			e.f.add(a)
 			mu.Lock()
 			open[a.id] = a
@@ -150,11 +166,17 @@
 			outcome := ""
 			if draining {
 				outcome = "AGAIN"
+			} else if a.dropped {
+				outcome = "ACK"
 			} else if e.f.behave != nil {
 				outcome = e.f.behave(e, a)
 			}
 			if outcome != "" {
-				if end(a, outcome) {
+				if outcome == "ACK" {
+					if end(a, outcome) {
+						write(fmt.Sprintf("%s ACK %s 6\r\na\tb\tc\n\r\n", a.id, e.load("parts=1")))
+					}
+				} else if end(a, outcome) {
 					write(fmt.Sprintf("%s %s %s 0\r\n\r\n", a.id, outcome, e.load("")))
 				}
 				continue
@@ -164,23 +186,50 @@
 	}
 }
 
+// die has the process of the engine end, which resets its connections.
+func (e *engine) die() {
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	e.f.r.note("engine %s dies", e.name)
+}
+
+// slowness returns how many times as long as usual the engine's work takes now.
+func (e *engine) slowness() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.slow == nil {
+		return 1
+	}
+	return e.slow(time.Now())
+}
+
 // runAttempt ends an attempt after its work, and tells how far it is on the way.
 func (e *engine) runAttempt(a *arrival, write func(string), end func(*arrival, string) bool, isOpen func() bool) {
 	work, err := strconv.ParseFloat(between(a.statement, "WORK(", ")"), 64)
 	if err != nil {
 		work = 1
 	}
-	began := time.Now()
-	until := began.Add(time.Duration(work * float64(time.Millisecond)))
-	for e.f.notes > 0 && time.Until(until) > e.f.notes {
-		time.Sleep(e.f.notes)
+	const step = 10 * time.Millisecond
+	last, noted := time.Now(), time.Now()
+	for done := 0.0; done < work; {
+		left := time.Duration((work - done) * e.slowness() * float64(time.Millisecond))
+		time.Sleep(min(step, left))
+		now := time.Now()
+		done += float64(now.Sub(last)) / float64(time.Millisecond) / e.slowness()
+		last = now
 		if !isOpen() {
 			return
 		}
-		share := float64(time.Since(began)) / float64(until.Sub(began))
-		write(fmt.Sprintf("%s EVENT remark=progress,value=%.3f 0\r\n\r\n", a.id, share))
+		if e.f.notes > 0 && now.Sub(noted) >= e.f.notes && done < work {
+			noted = now
+			write(fmt.Sprintf("%s EVENT remark=progress,value=%.3f 0\r\n\r\n", a.id, done/work))
+		}
 	}
-	time.Sleep(time.Until(until))
 	if end(a, "ACK") {
 		write(fmt.Sprintf("%s ACK %s 6\r\na\tb\tc\n\r\n", a.id, e.load("parts=1")))
 	}
@@ -215,8 +264,15 @@
 func (f *fleet) add(a *arrival) {
 	f.mu.Lock()
 	f.came = append(f.came, a)
+	if a.replay != "" && f.remember > 0 {
+		first, known := f.keys[a.replay]
+		a.dropped = known && a.at.Sub(first) < f.remember
+		if !known || !a.dropped {
+			f.keys[a.replay] = a.at
+		}
+	}
 	f.mu.Unlock()
-	f.r.note("engine %s gets %s %s: %.90s", a.engine, a.profile, a.id, a.statement)
+	f.r.note("engine %s gets %s %s (dropped as a repeat: %v): %.90s", a.engine, a.profile, a.id, a.dropped, a.statement)
 }
 
 // arrivals returns copies of the attempts that have come so far.
