--- a/review/rig-2/again.go
+++ b/review/rig-2/again.go
@@ -25,7 +25,7 @@
 		loads  = 9
 		growth = 15.0 // times slower after 30 s, so 9.6 times when it dies
 	)
-	d := r.deploy(tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
+	d := r.deploy(1, tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
 	d.fleet.remember, d.fleet.keys = window, map[string]time.Time{}
 	ageing := d.engines[0]
 	began := time.Now()
--- a/review/rig-2/batch.go
+++ b/review/rig-2/batch.go
@@ -21,7 +21,7 @@
 		clients  = 3
 		row      = "(17, 'margherita, extra basil', 2, 9.50, 'table by the window'), "
 	)
-	d := r.deploy(tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
+	d := r.deploy(1, tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
 	time.Sleep(500 * time.Millisecond)
 	type command struct {
 		id string
--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -18,11 +18,11 @@
 	fleet      *fleet
 	engines    []*engine
 	discovery  *discovery
-	controller *controller
+	controller *controller // the first one
 }
 
-// deploy starts engines of the kinds, discovery, and a controller with the settings.
-func (r *rig) deploy(settings object, engineKinds []int, notes time.Duration, operator string) *deployment {
+// deploy starts engines of the kinds, discovery, and controllers with the settings.
+func (r *rig) deploy(controllers int, settings object, engineKinds []int, notes time.Duration, operator string) *deployment {
 	d := &deployment{fleet: &fleet{r: r, notes: notes, report: true}}
 	var list []listed
 	for i, kind := range engineKinds {
@@ -31,7 +31,11 @@
 		list = append(list, listed{e: e})
 	}
 	d.discovery = r.startDiscovery(settings["failure_domains"].([]string), settings["kinds"].([]string), list)
-	d.controller = r.startController(settings, d.discovery, operator)
+	for index := range controllers {
+		if c := r.startController(index, controllers, settings, d.discovery, operator); index == 0 {
+			d.controller = c
+		}
+	}
 	return d
 }
 
@@ -46,7 +50,7 @@
 	return s
 }
 
-// lost: rule 1. The controller stands still once. Queries come meanwhile whose work takes longer than
+// lost: rule 1. One of two controllers stands still, again and again. Queries come meanwhile whose work takes longer than
 // their clients wait. Each is owed a final answer by half a second (and 50 ms) after its time.
 func lost(r *rig) {
 	const (
@@ -57,7 +61,7 @@
 		rounds    = 3
 		statement = "SELECT WORK(3500) FROM avisos_%d.ventas"
 	)
-	d := r.deploy(rosario(), []int{0, 1, 0}, 500*time.Millisecond, "")
+	d := r.deploy(2, rosario(), []int{0, 1, 0}, 500*time.Millisecond, "")
 	for round := range rounds {
 		var sessions []*session
 		for range perRound {
--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -78,7 +78,7 @@
 		grace  = 550 * time.Millisecond
 	)
 	operator, folder := r.operatorFile()
-	d := r.deploy(tacoma(), []int{0, 1, 0, 1, 0}, 0, operator)
+	d := r.deploy(1, tacoma(), []int{0, 1, 0, 1, 0}, 0, operator)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	for n := range 6 {
--- a/review/rig-2/pipeline.go
+++ b/review/rig-2/pipeline.go
@@ -21,7 +21,7 @@
 		rounds   = 2
 	)
 	works := []int{400, 400, 400, 400, 9000}
-	d := r.deploy(tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
+	d := r.deploy(1, tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
 	stop := make(chan struct{})
 	var others sync.WaitGroup
 	for n := range 5 {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -81,6 +81,7 @@
 // controller is the process of a controller.
 type controller struct {
 	r      *rig
+	name   string
 	cmd    *exec.Cmd
 	listen string
 	ended  chan struct{}
@@ -108,26 +109,27 @@
 	return l.Addr().String()
 }
 
-// startController starts a controller and waits until it answers an empty query.
-func (r *rig) startController(settings map[string]any, d *discovery, operator string) *controller {
-	c := &controller{r: r, listen: r.freeAddress(), ended: make(chan struct{})}
+// startController starts one of a number of controllers and waits until it answers an empty query.
+func (r *rig) startController(index, count int, settings map[string]any, d *discovery, operator string) *controller {
+	c := &controller{r: r, name: fmt.Sprintf("n%d", index+1), listen: r.freeAddress(), ended: make(chan struct{})}
+	settings["n_instances"], settings["me"] = count, index
 	config := map[string]any{
-		"name": "n1", "listen": c.listen, "seed": "8c1f30d27a5be964",
+		"name": c.name, "listen": c.listen, "seed": fmt.Sprintf("8c1f30d27a5be96%d", index),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"bulletin": d.address, "known": d.known(), "settings": settings,
 	}
 	text, err := json.Marshal(config)
 	r.must(err)
-	path := filepath.Join(r.folder, "config.json")
+	path := filepath.Join(r.folder, c.name+".json")
 	r.must(os.WriteFile(path, text, 0o600))
-	log, err := os.Create(filepath.Join(r.folder, "controller.log"))
+	log, err := os.Create(filepath.Join(r.folder, c.name+".log"))
 	r.must(err)
 	defer log.Close()
 	c.cmd = exec.Command("/bin/sh", "-c", r.deployRun())
 	c.cmd.Dir = r.root
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive this process
 	c.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.folder, "TMPDIR=" + r.folder,
-		"PROXY_NAME=n1", "PROXY_LISTEN=" + c.listen, "PROXY_CONFIG=" + path}
+		"PROXY_NAME=" + c.name, "PROXY_LISTEN=" + c.listen, "PROXY_CONFIG=" + path}
 	if operator != "" {
 		c.cmd.Env = append(c.cmd.Env, "MINTKEEL_OPERATOR="+operator)
 	}
@@ -140,7 +142,7 @@
 			reply := s.ask(";", time.Second)
 			s.close()
 			if reply.err == nil {
-				r.note("controller is ready")
+				r.note("controller %s is ready", c.name)
 				return c
 			}
 		}
@@ -151,7 +153,7 @@
 }
 
 func (c *controller) signal(s syscall.Signal) {
-	c.r.note("controller gets signal %v", s)
+	c.r.note("controller %s gets signal %v", c.name, s)
 	c.cmd.Process.Signal(s)
 }
 
@@ -172,7 +174,7 @@
 }
 
 func (c *controller) log() string {
-	text, _ := os.ReadFile(filepath.Join(c.r.folder, "controller.log"))
+	text, _ := os.ReadFile(filepath.Join(c.r.folder, c.name+".log"))
 	return string(text)
 }
 
--- a/review/rig-2/turn.go
+++ b/review/rig-2/turn.go
@@ -14,7 +14,7 @@
 // sends a load of the same key. The first load was taken first and has to run first.
 func turn(r *rig) {
 	const rounds = 12
-	d := r.deploy(tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
+	d := r.deploy(1, tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
 	stop := make(chan struct{})
 	var others sync.WaitGroup
 	for n := range 6 {
