--- a/review/rig-2/again.go
+++ b/review/rig-2/again.go
@@ -18,15 +18,13 @@
 // is harmless") tries again once, after the wait that it is told, within its time.
 func again(r *rig) {
 	const (
-		window = 12 * time.Second
 		dieAt  = 25 * time.Second // after it began to grow slower
 		sendAt = 11500 * time.Millisecond
-		limit  = 20 * time.Second // of a load, over all tries
 		loads  = 9
 		growth = 15.0 // times slower after 30 s, so 9.6 times when it dies
 	)
 	d := r.deploy(1, tacoma(), []int{0, 1, 0}, 500*time.Millisecond, "")
-	d.fleet.remember, d.fleet.keys = window, map[string]time.Time{}
+	d.fleet.remember, d.fleet.keys = markWindow, map[string]time.Time{}
 	ageing := d.engines[0]
 	began := time.Now()
 	if r.trouble {
@@ -39,50 +37,60 @@
 	}
 	time.Sleep(time.Until(began.Add(sendAt)))
 	var wait sync.WaitGroup
-	var mu sync.Mutex
 	marks := map[string]int{} // number of the load by its mark
 	for n := range loads {
+		mark := newID() + newID()
+		marks[mark] = n + 1
 		s := d.session(r, "lookup")
-		wait.Go(func() {
-			mark := newID() + newID()
-			mu.Lock()
-			marks[mark] = n + 1
-			mu.Unlock()
-			first := time.Now()
-			for try := 1; try <= 2; try++ {
-				left := limit - time.Since(first)
-				if left < 500*time.Millisecond {
-					return
-				}
-				id, text := query("load", int(left.Milliseconds()), ",cpu=5800,unique="+mark,
-					fmt.Sprintf("INSERT INTO sales_%d.orders VALUES (WORK(2900), %d)", n+2, n+1))
-				at, err := s.send(text)
-				if err != nil {
-					r.note("client: load %d can't be written: %v", n+1, err)
-					return
-				}
-				r.note("client: load %d, try %d: %s written", n+1, try, id)
-				p := s.await(at.Add(left + time.Second))
-				r.note("client: load %d, try %d: %s (%s) after %d ms", n+1, try, p.verdict(), p.text, p.at.Sub(at).Milliseconds())
-				if !strings.HasPrefix(p.verdict(), "refused") {
-					return
-				}
-				_, later, _ := strings.Cut(p.text, "later=")
-				ms, _ := strconv.Atoi(strings.TrimSpace(later))
-				time.Sleep(time.Duration(ms) * time.Millisecond)
-				s.close()
-				if s, err = dial(d.controller.listen); err != nil {
-					return
-				}
-				r.atEnd(s.close)
-			}
-		})
+		wait.Go(func() { r.tryLoad(d, s, n+1, mark) })
 	}
 	wait.Wait()
+	judgeAgain(r, d, ageing, marks)
+}
+
+const (
+	markWindow = 12 * time.Second // for which engines drop repeats of a mark
+	loadTime   = 20 * time.Second // that a client waits for a load, over all tries
+)
+
+// tryLoad has a client send a load, and send it once more if it is refused.
+func (r *rig) tryLoad(d *deployment, s *session, number int, mark string) {
+	first := time.Now()
+	for try := 1; try <= 2; try++ {
+		left := loadTime - time.Since(first)
+		if left < 500*time.Millisecond {
+			return
+		}
+		id, text := query("load", int(left.Milliseconds()), ",cpu=5800,unique="+mark,
+			fmt.Sprintf("INSERT INTO sales_%d.orders VALUES (WORK(2900), %d)", number+1, number))
+		at, err := s.send(text)
+		if err != nil {
+			r.note("client: load %d can't be written: %v", number, err)
+			return
+		}
+		r.note("client: load %d, try %d: %s written", number, try, id)
+		p := s.await(at.Add(left + time.Second))
+		r.note("client: load %d, try %d: %s (%s) after %d ms", number, try, p.verdict(), p.text, p.at.Sub(at).Milliseconds())
+		if !strings.HasPrefix(p.verdict(), "refused") {
+			return
+		}
+		_, later, _ := strings.Cut(p.text, "later=")
+		ms, _ := strconv.Atoi(strings.TrimSpace(later))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		s.close()
+		if s, err = dial(d.controller.listen); err != nil {
+			return
+		}
+		r.atEnd(s.close)
+	}
+}
+
+// judgeAgain checks that no load ran twice: one that was dropped as a repeat or turned away did not run.
+func judgeAgain(r *rig, d *deployment, ageing *engine, marks map[string]int) {
 	ran := map[string][]arrival{}
 	tooLong := 0
 	for _, a := range d.fleet.arrivals() {
-		if a.replay != "" && a.engine == ageing.name && a.endedAt.Sub(a.at) > window {
+		if a.replay != "" && a.engine == ageing.name && a.endedAt.Sub(a.at) > markWindow {
 			tooLong++
 		}
 		if a.replay != "" && !a.dropped && a.outcome != "AGAIN" {
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -31,14 +31,11 @@
 	r      *rig
 	mu     sync.Mutex
 	came   []*arrival
-	lost   int
 	notes  time.Duration // between two notes of progress; 0: none
 	report bool
 	// Engines drop repeats of a key for this long after it first came to one of them; 0: they don't.
 	remember time.Duration
 	keys     map[string]time.Time
-	// behave is asked how an attempt ends at once; empty: it runs for its WORK.
-	behave func(e *engine, a *arrival) string
 }
 
 // engine is a stand-in for an engine, which runs all attempts side by side, each for the time that
@@ -90,58 +87,37 @@
 	return part
 }
 
+// link is a controller's connection to an engine, with the attempts that are open on it.
+type link struct {
+	e    *engine
+	conn net.Conn
+	mu   sync.Mutex
+	open map[string]*arrival
+}
+
 // serve reads lines until the connection ends, which gives up all that is open on it.
 func (e *engine) serve(c net.Conn) {
 	e.mu.Lock()
 	e.conns[c] = true
 	e.mu.Unlock()
-	defer func() {
-		c.Close()
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		delete(e.conns, c)
-	}()
-	var mu sync.Mutex
-	open := map[string]*arrival{}
-	write := func(line string) { c.Write([]byte(line)) }
-	end := func(a *arrival, outcome string) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		if open[a.id] != a {
-			return false
-		}
-		delete(open, a.id)
-		e.finish(a, outcome)
-		return true
-	}
-	defer func() {
-		mu.Lock()
-		left := open
-		open = map[string]*arrival{}
-		mu.Unlock()
-		for _, a := range left {
-			e.finish(a, "given up")
-		}
-	}()
+	l := &link{e: e, conn: c, open: map[string]*arrival{}}
+	defer l.close()
 	reader := bufio.NewReader(c)
 	for {
 		line, err := reader.ReadString('\n')
-		if err != nil {
-			return
-		}
 		words := strings.Fields(line)
-		if len(words) < 2 {
+		if err != nil || len(words) < 2 {
 			return
 		}
 		switch words[0] {
 		case "ping":
-			write(fmt.Sprintf("%s READY %s 0\r\n\r\n", words[1], e.load("")))
+			l.write(words[1] + " READY " + e.load("") + " 0\r\n\r\n")
 		case "undo":
-			mu.Lock()
-			a := open[words[1]]
-			mu.Unlock()
+			l.mu.Lock()
+			a := l.open[words[1]]
+			l.mu.Unlock()
 			if a != nil {
-				end(a, "given up")
+				l.end(a, "given up")
 			}
 		case "do":
 			length, err := strconv.Atoi(words[len(words)-1])
@@ -152,40 +128,80 @@
 			if _, err := io.ReadFull(reader, statement); err != nil {
 				return
 			}
-			a := &arrival{at: time.Now(), engine: e.name, id: words[1], statement: string(statement[:length])}
-			a.profile = between(","+words[2]+",", ",profile=", ",")
-			a.replay = between(","+words[2]+",", ",replay=", ",")
-			e.f.add(a)
-			mu.Lock()
-			open[a.id] = a
-			mu.Unlock()
-			e.mu.Lock()
-			e.inflight++
-			draining := e.draining
-			e.mu.Unlock()
-			outcome := ""
-			if draining {
-				outcome = "AGAIN"
-			} else if a.dropped {
-				outcome = "ACK"
-			} else if e.f.behave != nil {
-				outcome = e.f.behave(e, a)
-			}
-			if outcome != "" {
-				if outcome == "ACK" {
-					if end(a, outcome) {
-						write(fmt.Sprintf("%s ACK %s 6\r\na\tb\tc\n\r\n", a.id, e.load("parts=1")))
-					}
-				} else if end(a, outcome) {
-					write(fmt.Sprintf("%s %s %s 0\r\n\r\n", a.id, outcome, e.load("")))
-				}
-				continue
-			}
-			go e.runAttempt(a, write, end, func() bool { mu.Lock(); defer mu.Unlock(); return open[a.id] == a })
+			l.begin(words[1], words[2], string(statement[:length]))
 		}
 	}
 }
 
+// close gives up all that is open.
+func (l *link) close() {
+	l.conn.Close()
+	l.mu.Lock()
+	left := l.open
+	l.open = map[string]*arrival{}
+	l.mu.Unlock()
+	for _, a := range left {
+		l.e.finish(a, "given up")
+	}
+	l.e.mu.Lock()
+	defer l.e.mu.Unlock()
+	delete(l.e.conns, l.conn)
+}
+
+func (l *link) write(text string) { l.conn.Write([]byte(text)) }
+
+// isOpen reports whether an attempt has not ended.
+func (l *link) isOpen(a *arrival) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open[a.id] == a
+}
+
+// end ends an attempt, unless it has ended, and reports whether it did.
+func (l *link) end(a *arrival, outcome string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[a.id] != a {
+		return false
+	}
+	delete(l.open, a.id)
+	l.e.finish(a, outcome)
+	return true
+}
+
+// begin begins an attempt: it is turned away, answered at once, or runs.
+func (l *link) begin(id, fields, statement string) {
+	e := l.e
+	a := &arrival{at: time.Now(), engine: e.name, id: id, statement: statement}
+	a.profile = between(","+fields+",", ",profile=", ",")
+	a.replay = between(","+fields+",", ",replay=", ",")
+	e.f.add(a)
+	l.mu.Lock()
+	l.open[a.id] = a
+	l.mu.Unlock()
+	e.mu.Lock()
+	e.inflight++
+	draining := e.draining
+	e.mu.Unlock()
+	switch {
+	case draining:
+		if l.end(a, "AGAIN") {
+			l.write(a.id + " AGAIN " + e.load("") + " 0\r\n\r\n")
+		}
+	case a.dropped:
+		l.answer(a)
+	default:
+		go l.run(a)
+	}
+}
+
+// answer ends an attempt with a result of one row.
+func (l *link) answer(a *arrival) {
+	if l.end(a, "ACK") {
+		l.write(a.id + " ACK " + l.e.load("parts=1") + " 6\r\na\tb\tc\n\r\n")
+	}
+}
+
 // die has the process of the engine end, which resets its connections.
 func (e *engine) die() {
 	e.listener.Close()
@@ -208,8 +224,9 @@
 	return e.slow(time.Now())
 }
 
-// runAttempt ends an attempt after its work, and tells how far it is on the way.
-func (e *engine) runAttempt(a *arrival, write func(string), end func(*arrival, string) bool, isOpen func() bool) {
+// run answers an attempt after its work, and tells how far it is on the way.
+func (l *link) run(a *arrival) {
+	e := l.e
 	work, err := strconv.ParseFloat(between(a.statement, "WORK(", ")"), 64)
 	if err != nil {
 		work = 1
@@ -222,17 +239,15 @@
 		now := time.Now()
 		done += float64(now.Sub(last)) / float64(time.Millisecond) / e.slowness()
 		last = now
-		if !isOpen() {
+		if !l.isOpen(a) {
 			return
 		}
 		if e.f.notes > 0 && now.Sub(noted) >= e.f.notes && done < work {
 			noted = now
-			write(fmt.Sprintf("%s EVENT remark=progress,value=%.3f 0\r\n\r\n", a.id, done/work))
+			l.write(fmt.Sprintf("%s EVENT remark=progress,value=%.3f 0\r\n\r\n", a.id, done/work))
 		}
 	}
-	if end(a, "ACK") {
-		write(fmt.Sprintf("%s ACK %s 6\r\na\tb\tc\n\r\n", a.id, e.load("parts=1")))
-	}
+	l.answer(a)
 }
 
 // load returns the fields of an answer with a load report where the settings say so.
--- a/review/rig-2/turn.go
+++ b/review/rig-2/turn.go
@@ -61,6 +61,11 @@
 	}
 	close(stop)
 	others.Wait()
+	judgeTurn(r, d, first, second)
+}
+
+// judgeTurn checks that of two loads of a key that both ran the first was sent first.
+func judgeTurn(r *rig, d *deployment, first, second map[string]string) {
 	came := map[string]arrival{}
 	for _, a := range d.fleet.arrivals() {
 		if _, known := came[a.id]; !known {
