--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -50,52 +50,71 @@
 	return s
 }
 
-// lost: rule 1. One of two controllers stands still, again and again. Queries come meanwhile whose work takes longer than
-// their clients wait. Each is owed a final answer by half a second (and 50 ms) after its time.
+// lost: rule 1. One of two controllers stands still once. Informes come meanwhile, one of which gets a bad
+// plan, so that it takes longer than its client waits. Each is owed a final answer by half a second (and
+// 50 ms) after its time.
 func lost(r *rig) {
 	const (
-		stall     = 1500 * time.Millisecond
-		limitMS   = 2500
-		answerBy  = limitMS*time.Millisecond + 550*time.Millisecond
-		perRound  = 4
-		rounds    = 3
-		statement = "SELECT WORK(3500) FROM avisos_%d.ventas"
+		stall   = 1500 * time.Millisecond // of 880 to 1,900 ms
+		longest = 1900 * time.Millisecond
+		queries = 13 // one bad plan among them: 7.7%, of 3.1 to 8.1%
 	)
 	d := r.deploy(2, rosario(), []int{0, 1, 0}, 500*time.Millisecond, "")
-	for round := range rounds {
-		var sessions []*session
-		for range perRound {
-			sessions = append(sessions, d.session(r, "consulta"))
-		}
-		var wait sync.WaitGroup
-		ask := func() {
-			for i, s := range sessions {
-				id, text := query("informe", limitMS, ",cpu=2500,est_mb=64", fmt.Sprintf(statement, i+2))
-				at, err := s.send(text)
-				r.must(err)
-				r.note("client: informe %s written, limit %d ms", id, limitMS)
-				wait.Go(func() {
-					p := s.await(at.Add(answerBy + 3*time.Second))
-					took := p.at.Sub(at)
-					r.note("client: informe %s of round %d: %s %.1f ms after its last byte", id, round+1, p.verdict(),
-						float64(took.Microseconds())/1e3)
-					if p.err != nil || took > answerBy {
-						r.breaks("informe %s had no final answer %d ms after its last byte (limit %d ms and 550 ms): %s after %d ms",
-							id, answerBy.Milliseconds(), limitMS, p.verdict(), took.Milliseconds())
-					}
-				})
-				time.Sleep(50 * time.Millisecond)
-			}
-		}
-		if r.trouble {
-			d.controller.standStill(stall, ask)
-		} else {
-			ask()
+	d.fleet.times = r.oneBadPlan()
+	var sessions []*session
+	for range queries {
+		sessions = append(sessions, d.session(r, "consulta"))
+	}
+	var wait sync.WaitGroup
+	ask := func() {
+		for i, s := range sessions {
+			id, text := query("informe", informeLimitMS, ",cpu=12000,est_mb=64",
+				fmt.Sprintf("SELECT WORK(1250) FROM avisos_%d.ventas", i+2))
+			at, err := s.send(text)
+			r.must(err)
+			r.note("client: informe %s written, limit %d ms", id, informeLimitMS)
+			wait.Go(func() { r.judgeInforme(id, at, s.await(at.Add(informeAnswerBy+3*time.Second))) })
+			time.Sleep(30 * time.Millisecond)
 		}
-		wait.Wait()
-		time.Sleep(2500 * time.Millisecond)
 	}
+	if r.trouble {
+		d.controller.standStill(stall, longest, ask)
+	} else {
+		ask()
+	}
+	wait.Wait()
 	if !d.controller.running() {
 		r.breaks("the controller ended: %s", d.controller.log())
 	}
 }
+
+const (
+	informeLimitMS  = 20000 // 80% of the client timeout
+	informeAnswerBy = informeLimitMS*time.Millisecond + 550*time.Millisecond
+	badPlan         = 18 // times as long, of 9.1 to 24
+)
+
+// oneBadPlan says how many times as long a send takes: the first of an informe gets a bad plan.
+func (r *rig) oneBadPlan() func(a *arrival) float64 {
+	var mu sync.Mutex
+	drawn := false
+	return func(a *arrival) float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		if a.profile != "informe" || drawn {
+			return 1
+		}
+		drawn = true
+		r.note("engine %s has a bad plan for %s", a.engine, a.id)
+		return badPlan
+	}
+}
+
+func (r *rig) judgeInforme(id string, at time.Time, p reply) {
+	took := p.at.Sub(at)
+	r.note("client: informe %s: %s %.1f ms after its last byte", id, p.verdict(), float64(took.Microseconds())/1e3)
+	if p.err != nil || took > informeAnswerBy {
+		r.breaks("informe %s had no final answer %d ms after its last byte (limit %d ms and 550 ms): %s after %d ms",
+			id, informeAnswerBy.Milliseconds(), informeLimitMS, p.verdict(), took.Milliseconds())
+	}
+}
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -36,6 +36,8 @@
 	// Engines drop repeats of a key for this long after it first came to one of them; 0: they don't.
 	remember time.Duration
 	keys     map[string]time.Time
+	// times says how many times as long as usual a send takes by its plan; nil: once.
+	times func(a *arrival) float64
 }
 
 // engine is a stand-in for an engine, which runs all attempts side by side, each for the time that
@@ -231,6 +233,9 @@
 	if err != nil {
 		work = 1
 	}
+	if e.f.times != nil {
+		work *= e.f.times(a)
+	}
 	const step = 10 * time.Millisecond
 	last, noted := time.Now(), time.Now()
 	for done := 0.0; done < work; {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -178,13 +178,18 @@
 	return string(text)
 }
 
-// standStill has the controller get no turn for a time.
-func (c *controller) standStill(d time.Duration, meanwhile func()) {
+// standStill has the controller get no turn for a time, in which meanwhile is called. A run whose machine
+// is so late that the time gets longer than the longest allowed is none.
+func (c *controller) standStill(d, longest time.Duration, meanwhile func()) {
+	began := time.Now()
 	c.signal(syscall.SIGSTOP)
-	until := time.Now().Add(d)
 	meanwhile()
-	time.Sleep(time.Until(until))
+	late := time.Since(began) > d
+	time.Sleep(time.Until(began.Add(d)))
 	c.signal(syscall.SIGCONT)
+	if took := time.Since(began); late || took > longest {
+		panic(problem{fmt.Errorf("the controller stood still for %v", took)})
+	}
 }
 
 // run plays a case and returns the exit code.
